Lay down the nouns, the configuration document and the refusals

Cause: routing, limits, roll-outs, entry and command line all build on the same types; laid first so that they can be written side by side. Change: packages money, domain, vm, link, model, upstream, service, contract, account, rollout (plan), takeover (rule), refusal (closed set of reasons), strictjson (all faults at once with line and column) and document (parse, validate, compiled index).

--- /dev/null
+++ b/document/validate_use.go
@@ -0,0 +1,133 @@
+package document
+
+import (
+	"fmt"
+
+	"github.com/poplarshore/poplarshore/account"
+	"github.com/poplarshore/poplarshore/contract"
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/rollout"
+)
+
+func (v *validator) contractsAndAccounts() {
+	v.contracts = make(map[contract.ID]bool)
+	for i, c := range v.doc.Contracts {
+		at := fmt.Sprintf("contracts[%d]", i)
+		unique(v, v.contracts, c.ID, "", at+".id")
+		v.contract(c, at)
+	}
+	accounts := make(map[account.ID]bool)
+	keys := make(map[string]bool)
+	for i, a := range v.doc.Accounts {
+		at := fmt.Sprintf("accounts[%d]", i)
+		unique(v, accounts, a.ID, "", at+".id")
+		if !v.contracts[a.Contract] {
+			v.text.Add(at+".contract", "contract %q is not declared in contracts", a.Contract)
+		}
+		for j, key := range a.KeySHA256 {
+			here := fmt.Sprintf("%s.key_sha256[%d]", at, j)
+			unique(v, keys, key, "", here)
+			if !isSHA256(key) {
+				v.text.Add(here, "must be 64 hexadecimal digits, the SHA-256 of the key")
+			}
+		}
+	}
+}
+
+func (v *validator) contract(c contract.Contract, at string) {
+	v.fraction(c.QualityTarget, at+".quality_target")
+	for j, ref := range c.Versions {
+		v.version(ref, fmt.Sprintf("%s.versions[%d]", at, j))
+	}
+	for j, name := range c.Models {
+		v.contractModel(c, name, fmt.Sprintf("%s.models[%d]", at, j))
+	}
+	for j, name := range c.Services {
+		if !v.services[name] {
+			v.text.Add(fmt.Sprintf("%s.services[%d]", at, j), "service %q is not declared in services", name)
+		}
+	}
+	l := c.Limits
+	if l.RequestsPerSecond < 0 || l.TokensPerSecond < 0 || l.Concurrency < 0 {
+		v.text.Add(at+".limits", "must not be negative")
+	}
+	if c.DeadlineMS < 0 {
+		v.text.Add(at+".deadline_ms", "must not be negative")
+	}
+}
+
+func (v *validator) contractModel(c contract.Contract, name model.Name, at string) {
+	if m := v.models[name]; m != nil {
+		if v.bestQuality(c, name) < 0 && v.anyLeft(name) {
+			v.text.Add(at, "the contract allows no version of model %q that is not withdrawn", name)
+		}
+		return
+	}
+	cascade := v.cascades[name]
+	if cascade == nil {
+		v.text.Add(at, "%q is declared neither in models nor in cascades", name)
+		return
+	}
+	best := -1.0
+	for _, step := range cascade.Steps {
+		if c.AllowsModel(step) && v.models[step] != nil {
+			best = max(best, v.bestQuality(c, step))
+		}
+	}
+	if best < 0 {
+		v.text.Add(at, "the contract allows no model of cascade %q; name its steps in models as well", name)
+		return
+	}
+	if best < c.QualityTarget {
+		v.text.Add(at, "cascade %q reaches quality %.2f at best, below quality_target %.2f", name, best, c.QualityTarget)
+	}
+}
+
+// bestQuality returns the highest expected quality among the versions that the
+// contract allows and that are not withdrawn, or -1 where there is none.
+func (v *validator) bestQuality(c contract.Contract, name model.Name) float64 {
+	best := -1.0
+	for _, ver := range v.models[name].Versions {
+		ref := model.Ref{Model: name, Version: ver.ID}
+		if c.AllowsVersion(ref) && !v.withdrawn[ref] {
+			best = max(best, ver.Quality)
+		}
+	}
+	return best
+}
+
+func (v *validator) rollouts() {
+	ids := make(map[rollout.ID]bool)
+	models := make(map[model.Name]bool)
+	for i, r := range v.doc.Rollouts {
+		at := fmt.Sprintf("rollouts[%d]", i)
+		unique(v, ids, r.ID, "", at+".id")
+		unique(v, models, r.Model, "", at+".model")
+		v.version(model.Ref{Model: r.Model, Version: r.From}, at+".from")
+		v.version(model.Ref{Model: r.Model, Version: r.To}, at+".to")
+		v.steps(r, at)
+	}
+}
+
+func (v *validator) steps(r rollout.Plan, at string) {
+	if len(r.Steps) == 0 {
+		v.text.Add(at, "a roll-out needs at least one step")
+	}
+	last := 0.0
+	for j, s := range r.Steps {
+		here := fmt.Sprintf("%s.steps[%d]", at, j)
+		v.fraction(s.Share, here+".share")
+		if s.Share < last {
+			v.text.Add(here+".share", "must not be below the share of the step before")
+		}
+		last = s.Share
+		if s.DwellSeconds < 0 {
+			v.text.Add(here+".dwell_seconds", "must not be negative")
+		}
+		for k, d := range s.Domains {
+			if !v.domains[d] {
+				v.text.Add(fmt.Sprintf("%s.domains[%d]", here, k), "failure domain %q is not declared in domains", d)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/money/money.go
@@ -0,0 +1,16 @@
+// Package money holds amounts in integer micro-units of the environment's
+// currency, so that sums are exact.
+package money
+
+// Micros is an amount in millionths of the currency unit.
+type Micros int64
+
+// PerMillion is a price in micros for one million tokens or bytes.
+type PerMillion int64
+
+const million = 1_000_000
+
+// Cost returns the price of n units, rounded half up to a whole micro.
+func (p PerMillion) Cost(n int64) Micros {
+	return Micros((int64(p)*n + million/2) / million)
+}
--- /dev/null
+++ b/refusal/reason.go
@@ -0,0 +1,159 @@
+// Package refusal defines the closed set of reasons for which a request is
+// refused or an answer broken off. Each reason has an HTTP status, tells
+// whether the request may have run, and where it helps when to come back.
+package refusal
+
+import (
+	"net/http"
+	"time"
+)
+
+// Ran tells whether the refused request was run.
+type Ran string
+
+// The values of Ran.
+const (
+	// RanNo states that no upstream has run any part of this attempt.
+	RanNo Ran = "no"
+	// RanUnknown states that an upstream may have run the request.
+	RanUnknown Ran = "unknown"
+)
+
+// Reason is one reason for a refusal. It is also the code in the error body
+// and the label of the refusals counter.
+type Reason string
+
+// The reasons.
+const (
+	MalformedRequest   Reason = "malformed_request"
+	NotUTF8            Reason = "not_utf8"
+	BodyTooLarge       Reason = "body_too_large"
+	BodyTimeout        Reason = "body_timeout"
+	BadMaxTokens       Reason = "bad_max_tokens"
+	Unauthorized       Reason = "unauthorized"
+	PathUnknown        Reason = "path_unknown"
+	MethodNotAllowed   Reason = "method_not_allowed"
+	ModelUnknown       Reason = "model_unknown"
+	ModelNotAllowed    Reason = "model_not_allowed"
+	VersionNotAllowed  Reason = "version_not_allowed"
+	ServiceUnknown     Reason = "service_unknown"
+	ServiceNotAllowed  Reason = "service_not_allowed"
+	SessionInvalid     Reason = "session_invalid"
+	SessionExpired     Reason = "session_expired"
+	SessionWithdrawn   Reason = "session_version_withdrawn"
+	VersionsWithdrawn  Reason = "versions_withdrawn"
+	LimitRequests      Reason = "limit_requests"
+	LimitTokens        Reason = "limit_tokens"
+	LimitConcurrency   Reason = "limit_concurrency"
+	QueueFull          Reason = "queue_full"
+	Overloaded         Reason = "overloaded"
+	NoUpstream         Reason = "no_healthy_upstream"
+	RetriesExhausted   Reason = "retries_exhausted"
+	DeadlineExceeded   Reason = "deadline_exceeded"
+	UpstreamFailed     Reason = "upstream_failed"
+	UpstreamRejected   Reason = "upstream_rejected"
+	AnswerCut          Reason = "answer_cut"
+	OutcomeUnknown     Reason = "outcome_unknown"
+	KeyReused          Reason = "idempotency_key_reused"
+	KeyInProgress      Reason = "idempotency_key_in_progress"
+	KeyInvalid         Reason = "idempotency_key_invalid"
+	ClaimsUnavailable  Reason = "claims_unavailable"
+	BillingUnavailable Reason = "billing_unavailable"
+	ConfigurationStale Reason = "configuration_stale"
+	Draining           Reason = "draining"
+	TakeoverQuiet      Reason = "takeover_quiet"
+	LoopDetected       Reason = "loop_detected"
+	StreamUnknown      Reason = "stream_unknown"
+	CallerGone         Reason = "caller_gone"
+	InternalFault      Reason = "internal"
+)
+
+// Class is the "type" field of the error body.
+type Class string
+
+// The classes.
+const (
+	ClassRequest     Class = "invalid_request_error"
+	ClassAuth        Class = "authentication_error"
+	ClassPermission  Class = "permission_error"
+	ClassRateLimit   Class = "rate_limit_error"
+	ClassUnavailable Class = "service_unavailable_error"
+	ClassUpstream    Class = "upstream_error"
+	ClassConflict    Class = "conflict_error"
+)
+
+// Spec is the fixed part of a reason.
+type Spec struct {
+	Reason Reason
+	Class  Class
+	Status int
+	Ran    Ran
+	// RetryAfter is when to come back; zero sends no Retry-After header.
+	RetryAfter time.Duration
+	// Help is one sentence for callers.
+	Help string
+}
+
+const (
+	soon  = time.Second
+	later = 5 * time.Second
+)
+
+var specs = []Spec{
+	{MalformedRequest, ClassRequest, http.StatusBadRequest, RanNo, 0, "The body is not the JSON that this path takes."},
+	{NotUTF8, ClassRequest, http.StatusBadRequest, RanNo, 0, "The body is not UTF-8."},
+	{BodyTooLarge, ClassRequest, http.StatusRequestEntityTooLarge, RanNo, 0, "The body is larger than the limit."},
+	{BodyTimeout, ClassRequest, http.StatusRequestTimeout, RanNo, soon, "The body did not arrive in time."},
+	{BadMaxTokens, ClassRequest, http.StatusBadRequest, RanNo, 0, "max_tokens is not between 1 and the limit."},
+	{Unauthorized, ClassAuth, http.StatusUnauthorized, RanNo, 0, "No client account has this key."},
+	{PathUnknown, ClassRequest, http.StatusNotFound, RanNo, 0, "There is nothing at this path."},
+	{MethodNotAllowed, ClassRequest, http.StatusMethodNotAllowed, RanNo, 0, "The path does not take this method."},
+	{ModelUnknown, ClassRequest, http.StatusNotFound, RanNo, 0, "No model has this name."},
+	{ModelNotAllowed, ClassPermission, http.StatusForbidden, RanNo, 0, "The client account may not use this model."},
+	{VersionNotAllowed, ClassPermission, http.StatusForbidden, RanNo, 0, "The client account may use no version of this model."},
+	{ServiceUnknown, ClassRequest, http.StatusNotFound, RanNo, 0, "No service has this name."},
+	{ServiceNotAllowed, ClassPermission, http.StatusForbidden, RanNo, 0, "The client account may not use this service."},
+	{SessionInvalid, ClassRequest, http.StatusBadRequest, RanNo, 0, "The session token is not one that this environment signed for the account."},
+	{SessionExpired, ClassRequest, http.StatusGone, RanNo, 0, "The session is over; begin a new one."},
+	{SessionWithdrawn, ClassConflict, http.StatusGone, RanNo, 0, "The session's version was withdrawn; begin a new session."},
+	{VersionsWithdrawn, ClassUnavailable, http.StatusServiceUnavailable, RanNo, later, "Every allowed version of the model is withdrawn."},
+	{LimitRequests, ClassRateLimit, http.StatusTooManyRequests, RanNo, soon, "The client account is over its rate of requests."},
+	{LimitTokens, ClassRateLimit, http.StatusTooManyRequests, RanNo, soon, "The client account is over its rate of tokens."},
+	{LimitConcurrency, ClassRateLimit, http.StatusTooManyRequests, RanNo, soon, "The client account has too many requests in flight."},
+	{QueueFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, soon, "Too many requests are waiting."},
+	{Overloaded, ClassUnavailable, http.StatusServiceUnavailable, RanNo, soon, "The request could not start in time."},
+	{NoUpstream, ClassUnavailable, http.StatusServiceUnavailable, RanNo, soon, "No healthy upstream serves this."},
+	{RetriesExhausted, ClassUnavailable, http.StatusServiceUnavailable, RanNo, soon, "Every try failed before an upstream started."},
+	{DeadlineExceeded, ClassUnavailable, http.StatusGatewayTimeout, RanUnknown, 0, "The answer did not come before the deadline."},
+	{UpstreamFailed, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The upstream failed after it was sent the request."},
+	{UpstreamRejected, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The upstream refused the request."},
+	{AnswerCut, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The answer could not be finished."},
+	{OutcomeUnknown, ClassConflict, http.StatusConflict, RanUnknown, 0, "An earlier request with this key may have run; its outcome is unknown."},
+	{KeyReused, ClassConflict, http.StatusUnprocessableEntity, RanNo, 0, "The idempotency key belongs to another request."},
+	{KeyInProgress, ClassConflict, http.StatusConflict, RanUnknown, soon, "A request with this key is running."},
+	{KeyInvalid, ClassRequest, http.StatusBadRequest, RanNo, 0, "The idempotency key is malformed or stands twice."},
+	{ClaimsUnavailable, ClassUnavailable, http.StatusServiceUnavailable, RanNo, later, "The claim could not be recorded; this attempt was not run, earlier attempts are unknown."},
+	{BillingUnavailable, ClassUnavailable, http.StatusServiceUnavailable, RanNo, later, "Billing records cannot be kept at present."},
+	{ConfigurationStale, ClassUnavailable, http.StatusServiceUnavailable, RanNo, soon, "This VM does not know whether its configuration is in force."},
+	{Draining, ClassUnavailable, http.StatusServiceUnavailable, RanNo, soon, "This VM is leaving."},
+	{TakeoverQuiet, ClassUnavailable, http.StatusServiceUnavailable, RanNo, later, "The call is moving between routers."},
+	{LoopDetected, ClassRequest, http.StatusLoopDetected, RanNo, 0, "The request has passed this router before."},
+	{StreamUnknown, ClassRequest, http.StatusNotFound, RanUnknown, 0, "No answer with this request id can be resumed here."},
+	{CallerGone, ClassRequest, 499, RanUnknown, 0, "The caller went away."},
+	{InternalFault, ClassUnavailable, http.StatusInternalServerError, RanUnknown, 0, "The router failed."},
+}
+
+var byReason = index()
+
+func index() map[Reason]Spec {
+	m := make(map[Reason]Spec, len(specs))
+	for _, s := range specs {
+		m[s.Reason] = s
+	}
+	return m
+}
+
+// All returns the spec of every reason, in a fixed order.
+func All() []Spec {
+	return append([]Spec(nil), specs...)
+}
