Add claims of non-idempotent requests

Cause: a permit or an order must run at most once, also when replies of the store are lost or the VM vanishes.

--- /dev/null
+++ b/coord/once/row.go
@@ -0,0 +1,42 @@
+package once
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/poplarshore/poplarshore/coord/store"
+)
+
+type state string
+
+const (
+	stateRunning state = "running"
+	stateDone    state = "done"
+	stateUnknown state = "unknown"
+)
+
+// row is the kept state of one claim.
+type row struct {
+	ClaimID     string    `json:"claim_id"`
+	Owner       string    `json:"owner"`
+	Fingerprint string    `json:"fingerprint"`
+	Created     time.Time `json:"created"`
+	State       state     `json:"state"`
+	Result      []byte    `json:"result,omitempty"`
+}
+
+func (r row) encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, ErrRow.Wrap(err, "encode")
+	}
+	return value, nil
+}
+
+func decode(stored store.Row) (row, error) {
+	var r row
+	if err := json.Unmarshal(stored.Value, &r); err != nil {
+		return row{}, ErrRow.Wrap(err, "row %q", stored.Key)
+	}
+	return r, nil
+}
