Add cascade and roll-out decisions

Cause: the entry needs to know which model of a cascade answers a request and which version a session gets; control needs the next row of a roll-out. Change: cascade/ with Decider (Start, Next, Learn, Audit): scores and latency by contract and class, equal-slope thresholds under an integral controller, safe mode without the rater. rollout/ with Progress, Assign, Decide, Guard (local stop by time-uniform confidence intervals), Watch (Shiryaev-Roberts e-detector) and CheckWithdrawal.

--- /dev/null
+++ b/cascade/control.go
@@ -0,0 +1,48 @@
+package cascade
+
+const (
+	minSlack = -0.5
+	maxSlack = 1.0
+	// maxAuditWeight bounds the inverse probability of an audit.
+	maxAuditWeight = 50
+	// costGain is the weight of a new cost in the reference cost.
+	costGain = 1.0 / 256
+)
+
+// control is the integral controller of one contract.
+type control struct {
+	slack     float64
+	reference float64 // mean cost of the strongest option, in micros
+}
+
+// deliver takes in the estimated score of a delivered answer.
+func (c *control) deliver(score, target, gain float64) {
+	c.move(gain * (score - target))
+}
+
+// correct takes in the audit of an answer whose estimate was expected.
+func (c *control) correct(audited, expected, probability, gain float64) {
+	weight := min(maxAuditWeight, 1/max(probability, 1.0/maxAuditWeight))
+	c.move(gain * weight * (audited - expected))
+}
+
+func (c *control) move(by float64) {
+	c.slack = max(minSlack, min(maxSlack, c.slack+by))
+}
+
+// price takes in the cost of the strongest option for one request.
+func (c *control) price(cost float64) {
+	if c.reference == 0 {
+		c.reference = cost
+		return
+	}
+	c.reference += (cost - c.reference) * costGain
+}
+
+// allowance returns the score that may be given up to save cost micros.
+func (c *control) allowance(cost float64) float64 {
+	if c.reference <= 0 {
+		return 0
+	}
+	return c.slack * cost / c.reference
+}
--- /dev/null
+++ b/rollout/guard.go
@@ -0,0 +1,161 @@
+package rollout
+
+import (
+	"sync"
+	"time"
+
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/model"
+)
+
+// GuardOptions configure a Guard. Zero values stand for the defaults.
+type GuardOptions struct {
+	// Tolerance is how much worse the new version may be.
+	Tolerance Tolerance
+	// Evidence is that of Options; default 18.5 (9e-9), as there are more VMs
+	// than failure domains.
+	Evidence float64
+	// SlowAfter is the latency from which an answer counts as slow; default 10 s.
+	SlowAfter time.Duration
+	// LowBelow is the rating below which an answer counts as low; default 0.5.
+	LowBelow float64
+}
+
+const (
+	defaultGuardEvidence = 18.5
+	defaultSlowAfter     = 10 * time.Second
+	defaultLowBelow      = 0.5
+)
+
+func (o GuardOptions) withDefaults() GuardOptions {
+	setDefault(&o.Tolerance, DefaultTolerance)
+	setDefault(&o.Evidence, defaultGuardEvidence)
+	setDefault(&o.SlowAfter, defaultSlowAfter)
+	setDefault(&o.LowBelow, defaultLowBelow)
+	return o
+}
+
+// Guard counts what a VM's own requests show of a roll-out's two versions and
+// stops the new one on this VM as soon as it is shown to be bad. It is safe for
+// concurrent use.
+type Guard struct {
+	plan    Plan
+	domain  domain.ID
+	options GuardOptions
+
+	mu      sync.Mutex
+	row     Progress
+	fresh   Counts
+	old     Counts
+	verdict Verdict
+	loading bool
+}
+
+// NewGuard returns the guard of a roll-out on a VM in the failure domain.
+func NewGuard(p Plan, row Progress, d domain.ID, o GuardOptions) *Guard {
+	return &Guard{plan: p, domain: d, options: o.withDefaults(), row: row}
+}
+
+// Install takes in a row. It returns false, and changes nothing, if the guard
+// has seen a row of the same or a higher generation. Evidence starts anew with
+// each step, as the two versions' shares change; a stop stays.
+func (g *Guard) Install(row Progress) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if row.Generation <= g.row.Generation {
+		return false
+	}
+	if row.StepGeneration != g.row.StepGeneration {
+		g.fresh, g.old = Counts{}, Counts{}
+	}
+	g.row = row
+	return true
+}
+
+// Row returns the row in force on this VM.
+func (g *Guard) Row() Progress {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.row
+}
+
+// Ended takes in the end of an attempt on a version. Failed means by the fault
+// of the upstream; refusals and cancellations by the caller are left out.
+func (g *Guard) Ended(v model.VersionID, failed bool, latency time.Duration) {
+	added := Counts{Requests: 1}
+	if failed {
+		added.Errors = 1
+	} else if latency >= g.options.SlowAfter {
+		added.Slow = 1
+	}
+	g.add(v, added)
+}
+
+// Rated takes in the rating, 0 to 1, of an answer of a version.
+func (g *Guard) Rated(v model.VersionID, score float64) {
+	added := Counts{Rated: 1, RatingSum: score}
+	if score < g.options.LowBelow {
+		added.Low = 1
+	}
+	g.add(v, added)
+}
+
+func (g *Guard) add(v model.VersionID, added Counts) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch v {
+	case g.plan.From:
+		g.old = g.old.Add(added)
+	case g.plan.To:
+		g.fresh = g.fresh.Add(added)
+		g.judge()
+	}
+}
+
+// judge compares the versions. It is called for each attempt on the new version
+// alone, and costs nothing while its means are within the tolerance.
+func (g *Guard) judge() {
+	if g.verdict.Bad {
+		return
+	}
+	g.verdict = Compare(g.fresh, g.old, g.options.Tolerance, g.options.Evidence)
+}
+
+// SetLoading says whether this VM's upstreams still load the new version.
+func (g *Guard) SetLoading(loading bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loading = loading
+}
+
+// Stopped tells whether the guard has stopped the new version, and why.
+func (g *Guard) Stopped() (Verdict, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.verdict, g.verdict.Bad
+}
+
+// Assign returns the version that a new session on this VM gets. Withdrawn may
+// be nil. Errors: ErrNoVersion.
+func (g *Guard) Assign(key string, withdrawn func(model.VersionID) bool) (model.VersionID, error) {
+	g.mu.Lock()
+	row, stopped := g.row, g.verdict.Bad
+	g.mu.Unlock()
+	return Assign(g.plan, row, Local{Domain: g.domain, Stopped: stopped, Withdrawn: withdrawn}, key)
+}
+
+// Report returns what this VM shows, for Decide.
+func (g *Guard) Report(now time.Time) Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Report{
+		Domain:     g.domain,
+		At:         now,
+		Generation: g.row.Generation,
+		Fresh:      g.fresh,
+		Old:        g.old,
+		Stopped:    g.verdict.Bad,
+		Verdict:    g.verdict,
+		Loading:    g.loading,
+	}
+}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -1,5 +1,3 @@
-// Package rollout decides how traffic moves from one version of a model to
-// another, and when a version must stop.
 package rollout
 
 import (
