Test the cascade's safe mode when the rating service goes silent

Change: a test drives the rater out and back and names the modes it passes. Conclusion: no unrated cheap answer is delivered while the rater is silent.

--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -68,3 +68,31 @@
 		Expect(step.Answer).To(Equal(0))
 	})
 })
+
+var _ = Describe("the rating service", func() {
+	It("going silent brings the strongest model alone, and coming back ends that", func() {
+		var modes []cascade.RaterMode
+		d := newDecider(cascade.Options{Hooks: cascade.Hooks{Mode: func(m cascade.RaterMode) { modes = append(modes, m) }}})
+		now := start
+		for range 200 {
+			now = now.Add(time.Second)
+			run, step := d.Start(request(), now)
+			if step.Start[0] != 0 {
+				continue
+			}
+			step = d.Next(run, unrated(0), now)
+			Expect(step.Kind).To(Equal(cascade.Try), "an unrated cheap answer is not delivered")
+		}
+		Expect(d.Mode()).To(Equal(cascade.RaterOut))
+		run, step := d.Start(request(), now)
+		Expect(step.Start).To(Equal([]int{1}))
+		Expect(step.Reason).To(Equal(cascade.ReasonRaterOut))
+
+		for range 100 {
+			d.Learn(run, rated(0, 0.95), now)
+		}
+		_, step = d.Start(request(), now)
+		Expect(step.Start).To(Equal([]int{0}))
+		Expect(modes).To(Equal([]cascade.RaterMode{cascade.RaterPartial, cascade.RaterOut, cascade.RaterPartial, cascade.RaterHealthy}))
+	})
+})
