Add measuring tools and slopes of the first control mechanisms

Cause: docs/CAPACITY.md is to be worked out from measured slopes.

Change: measure/ with figures and their fits, meters of processor time, heap and wire bytes, an open-loop load generator, and probes of the document, load reports, storage calls and the planner of orders; cmd/poplarshore-measure runs them and saves JSON.

Conclusion: a test of the load generator found the due time shared by requests, so that latencies were wrong; it is now one per request.

--- /dev/null
+++ b/measure/command/command.go
@@ -0,0 +1,25 @@
+// Package command is the command line of the measurements.
+package command
+
+import (
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+)
+
+var namespace = errorx.NewNamespace("measure")
+
+// ErrFlag reports a flag whose value is malformed.
+var ErrFlag = namespace.NewType("flag")
+
+const defaultFigures = "docs/figures"
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:          "poplarshore-measure",
+		Short:        "Measure the system with small stand-ins on loopback",
+		SilenceUsage: true,
+	}
+	root.AddCommand(slopesCommand())
+	return root
+}
