--- a/standin/engine/request.go
+++ b/standin/engine/request.go
@@ -30,6 +30,7 @@
 	Messages  []message       `json:"messages"`
 	Prompt    json.RawMessage `json:"prompt"`
 	MaxTokens int             `json:"max_tokens"`
+	MaxAnswer int             `json:"max_completion_tokens"`
 	Stream    bool            `json:"stream"`
 }
 
@@ -57,7 +58,7 @@
 	if attempt == "" {
 		attempt, named = newID(), false
 	}
-	if !ok || !validAttempt(attempt) || b.MaxTokens < 0 {
+	if !ok || !validAttempt(attempt) || b.MaxTokens < 0 || b.MaxAnswer < 0 {
 		writeError(w, http.StatusBadRequest, "invalid_request_error", "model must be model@version")
 		return job{}, false
 	}
@@ -66,7 +67,7 @@
 	return job{
 		attempt: attempt, own: !named, ref: VersionRef{Model: model, Version: version},
 		prompt: b.text(), chat: strings.HasSuffix(r.URL.Path, "/chat/completions"),
-		stream: b.Stream, limit: b.MaxTokens, priority: priority,
+		stream: b.Stream, limit: max(b.MaxTokens, b.MaxAnswer), priority: priority,
 		deadline: time.Duration(deadline) * time.Millisecond,
 	}, true
 }
