Add routing decisions

Cause: each request needs an upstream that is allowed, healthy and quick, chosen from load reports that lag.

Change: route/ with a sampled filter-score-pick policy, four baselines with the same Select, prompt prefix hashes, and the subset of upstreams one VM deals with.

--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,229 @@
+package route_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/poplarshore/poplarshore/contract"
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/route"
+	"github.com/poplarshore/poplarshore/upstream"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	RunSpecs(t, "route")
+}
+
+var ref = model.Ref{Model: "strong", Version: "v1"}
+
+// engines returns n idle candidates.
+func engines(n int) route.Slice {
+	s := make(route.Slice, n)
+	for i := range s {
+		s[i] = route.Candidate{
+			Upstream: &upstream.Upstream{ID: upstream.ID(fmt.Sprintf("e%03d", i)), Kind: upstream.Engine},
+			Ref:      ref, Capacity: 8, Loaded: true, Hold: time.Second,
+		}
+	}
+	return s
+}
+
+func request() *route.Request {
+	return &route.Request{Refs: []model.Ref{ref}, PromptTokens: 4096, PromptBlocks: 16, Draw: 7}
+}
+
+func choose(r *route.Request, s route.Source) upstream.ID {
+	d, ok := route.NewPolicy(route.DefaultOptions()).Select(r, s)
+	ExpectWithOffset(1, ok).To(BeTrue())
+	return d.Upstream.ID
+}
+
+var _ = Describe("Policy", func() {
+	DescribeTable("refuses every candidate for a reason",
+		func(reason route.Reason, spoil func(*route.Request, *route.Candidate)) {
+			s, r := engines(3), request()
+			told := route.Refused{}
+			for i := range s {
+				spoil(r, &s[i])
+			}
+			opts := route.DefaultOptions()
+			opts.OnRefused = func(reason route.Reason, n int) { told[reason] += n }
+			d, ok := route.NewPolicy(opts).Select(r, s)
+			Expect(ok).To(BeFalse())
+			Expect(d.Refused[reason]).To(Equal(3))
+			Expect(told).To(Equal(d.Refused))
+		},
+		Entry("another version", route.NotAllowed, func(_ *route.Request, c *route.Candidate) { c.Ref.Version = "v2" }),
+		Entry("another service", route.NotAllowed, func(r *route.Request, _ *route.Candidate) { r.Service = "permits" }),
+		Entry("tried", route.Tried, func(r *route.Request, c *route.Candidate) { r.Tried = append(r.Tried, c.Upstream.ID) }),
+		Entry("leaving", route.Leaving, func(_ *route.Request, c *route.Candidate) { c.Leaving = true }),
+		Entry("breaker", route.BreakerOpen, func(_ *route.Request, c *route.Candidate) { c.Open = true }),
+		Entry("full", route.Full, func(_ *route.Request, c *route.Candidate) { c.Others = 24 }),
+	)
+
+	It("leaves the last part of the queue to raised priorities", func() {
+		s, r := engines(1), request()
+		s[0].Others = 24
+		r.Priority = 1
+		Expect(choose(r, s)).To(Equal(upstream.ID("e000")))
+	})
+
+	It("never takes a refused candidate, however many are refused", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s, r := engines(rapid.IntRange(1, 60).Draw(t, "n")), request()
+			r.Draw = rapid.Uint64().Draw(t, "draw")
+			good := rapid.IntRange(0, len(s)-1).Draw(t, "good")
+			for i := range s {
+				s[i].Leaving = i != good
+			}
+			r.Preferred, r.Home = s[0].Upstream.ID, s[len(s)-1].Upstream.ID
+			d, ok := route.NewPolicy(route.DefaultOptions()).Select(r, s)
+			if !ok || d.Upstream != s[good].Upstream || d.Refused[route.Leaving] != len(s)-1 {
+				t.Fatalf("chose %v, refused %v", d.Upstream, d.Refused)
+			}
+		})
+	})
+
+	It("counts own requests that the report does not know", func() {
+		s, r := engines(2), request()
+		s[0].InFlight, s[0].Others = 9, 0
+		s[1].InFlight, s[1].Others = 0, 8
+		Expect(choose(r, s)).To(Equal(upstream.ID("e001")))
+	})
+
+	It("keeps to the session's upstream and to the cached prefix until they are overloaded", func() {
+		s, r := engines(4), request()
+		r.Preferred = "e002"
+		Expect(choose(r, s)).To(Equal(upstream.ID("e002")))
+		r.Hints = []route.Hint{{Upstream: "e001", Blocks: 16}}
+		Expect(choose(r, s)).To(Equal(upstream.ID("e001")))
+		s[1].Others = 6
+		Expect(choose(r, s)).To(Equal(upstream.ID("e002")))
+		s[2].Others = 6
+		Expect(choose(r, s)).To(BeElementOf(upstream.ID("e000"), upstream.ID("e003")))
+	})
+
+	It("crosses regions when waiting costs more than the crossing", func() {
+		s, r := engines(2), request()
+		s[1].LinkLatency, s[1].PricePerMB = 30*time.Millisecond, 1_000_000
+		r.Bytes = 1000
+		Expect(choose(r, s)).To(Equal(upstream.ID("e000")))
+		s[0].Others = 16
+		r.Weights = contract.Weights{Latency: 1}
+		Expect(choose(r, s)).To(Equal(upstream.ID("e001")))
+		r.Weights = contract.Weights{Cost: 10, Latency: 1}
+		Expect(choose(r, s)).To(Equal(upstream.ID("e000")))
+	})
+
+	It("takes an upstream that has not loaded the version, or is silent, only as a last resort", func() {
+		s, r := engines(2), request()
+		s[0].Loaded = false
+		s[1].Others = 20
+		Expect(choose(r, s)).To(Equal(upstream.ID("e001")))
+		s[0].Loaded, s[0].ReportAge = true, time.Minute
+		Expect(choose(r, s)).To(Equal(upstream.ID("e001")))
+		Expect(choose(r, s[:1])).To(Equal(upstream.ID("e000")))
+	})
+})
+
+var _ = Describe("Baselines", func() {
+	It("skip refused candidates and keep to their rule", func() {
+		s, filters := engines(4), route.DefaultFilters()
+		s[0].Leaving = true
+		for i := range s {
+			s[i].InFlight = 4 - i
+			s[i].FirstToken = time.Duration(i) * time.Second
+		}
+		pick := func(sel route.Selector, draw uint64) upstream.ID {
+			d, ok := sel.Select(&route.Request{Refs: []model.Ref{ref}, Draw: draw}, s)
+			Expect(ok).To(BeTrue())
+			return d.Upstream.ID
+		}
+		turns, drawn := map[upstream.ID]int{}, map[upstream.ID]int{}
+		rr := &route.RoundRobin{Filters: filters}
+		for i := range 40 {
+			turns[pick(rr, 0)]++
+			drawn[pick(route.Random{Filters: filters}, uint64(i))]++
+		}
+		Expect(turns).To(And(HaveLen(3), HaveKeyWithValue(upstream.ID("e003"), 10)))
+		Expect(drawn).To(HaveLen(3))
+		Expect(pick(route.LeastRequests{Filters: filters}, 1)).To(Equal(upstream.ID("e003")))
+		Expect(pick(route.HotCold{Filters: filters, Sample: 3, Quantile: 0.5}, 1)).To(Equal(upstream.ID("e002")))
+		Expect(pick(route.HotCold{Filters: filters, Sample: 3, Quantile: 0}, 1)).To(Equal(upstream.ID("e003")))
+	})
+})
+
+var _ = Describe("AppendPrefixes", func() {
+	It("gives equal hashes to equal prefixes of one salt only", func() {
+		a := make([]byte, 3*route.BlockBytes+5)
+		b := append([]byte(nil), a...)
+		b[2*route.BlockBytes] = 1
+		x, y := route.AppendPrefixes(nil, "v1", a), route.AppendPrefixes(nil, "v1", b)
+		Expect(x).To(HaveLen(3))
+		Expect(x[:2]).To(Equal(y[:2]))
+		Expect(x[2]).NotTo(Equal(y[2]))
+		Expect(route.AppendPrefixes(nil, "v2", a)[0]).NotTo(Equal(x[0]))
+		Expect(x[0]).NotTo(Equal(x[1]))
+	})
+})
+
+var _ = Describe("Subset", func() {
+	regions := func(d domain.ID) domain.Region { return domain.Region(d[:1]) }
+	fleet := func(n int) []*upstream.Upstream {
+		var all []*upstream.Upstream
+		for i := range n {
+			d := domain.ID(fmt.Sprintf("%c%d", 'a'+i%3, i%6))
+			all = append(all, &upstream.Upstream{ID: upstream.ID(fmt.Sprint(i)), Domain: d})
+		}
+		return all
+	}
+	opts := route.SubsetOptions{Size: 60, Local: 0.5}
+	self := vm.VM{ID: "vm1", Region: "a"}
+
+	It("keeps the local part and spreads over failure domains", func() {
+		perDomain := map[domain.ID]int{}
+		for _, u := range route.Subset(self, fleet(600), regions, opts) {
+			perDomain[u.Domain]++
+		}
+		Expect(perDomain).To(And(HaveLen(6), HaveKeyWithValue(domain.ID("a0"), 15), HaveKeyWithValue(domain.ID("a3"), 15)))
+		for _, far := range []domain.ID{"b1", "b4", "c2", "c5"} {
+			Expect(perDomain[far]).To(BeElementOf(7, 8))
+		}
+	})
+
+	It("fills up from elsewhere and moves few when one goes", func() {
+		all := fleet(90)
+		before := route.Subset(self, all, regions, opts)
+		Expect(before).To(HaveLen(60))
+		Expect(route.Subset(self, all[:50], regions, opts)).To(HaveLen(50))
+		gone := before[0]
+		var rest []*upstream.Upstream
+		for _, u := range all {
+			if u != gone {
+				rest = append(rest, u)
+			}
+		}
+		after := route.Subset(self, rest, regions, opts)
+		Expect(after).To(HaveLen(60))
+		Expect(after).To(ContainElements(before[1], before[30], before[59]))
+		kept := 0
+		for _, u := range after {
+			for _, b := range before {
+				if u == b {
+					kept++
+				}
+			}
+		}
+		Expect(kept).To(BeNumerically(">=", 57))
+	})
+})
