Add the load state behind routing

Cause: load reports lag by a second or more and count everyone's requests.

Change: loadstate/ counts this VM's own requests exactly, takes them out of late reports by a short history, smooths times and keeps a bounded index of prompt prefixes.

Conclusion: a decision sees own requests at once and the others' by the report.

--- /dev/null
+++ b/loadstate/loadstate_test.go
@@ -0,0 +1,168 @@
+package loadstate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/link"
+	"github.com/poplarshore/poplarshore/loadstate"
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/route"
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+func TestLoadState(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadstate")
+}
+
+var (
+	now = time.Unix(1_800_000_000, 0)
+	ref = model.Ref{Model: "strong", Version: "v1"}
+	key = loadstate.Key{Ref: ref}
+)
+
+type closedGate struct{}
+
+func (closedGate) Ready(id upstream.ID, _ model.Ref, _ time.Time) bool { return id != "near" }
+
+func placement() loadstate.Placement {
+	return loadstate.Placement{
+		Region:   "cuyo",
+		Links:    link.NewMap([]link.Link{{From: "cuyo", To: "noa", LatencyMS: 25, PricePerMB: 90}}),
+		RegionOf: func(d domain.ID) domain.Region { return domain.Region(d) },
+		Groups: map[loadstate.Key][]*upstream.Upstream{key: {
+			{ID: "near", Domain: "cuyo", Capacity: 4},
+			{ID: "far", Domain: "noa", Capacity: 4},
+		}},
+	}
+}
+
+func newState(opts loadstate.Options) *loadstate.State {
+	s := loadstate.New(opts)
+	s.Reconcile(placement())
+	return s
+}
+
+func see(s *loadstate.State, i int, at time.Time) route.Candidate {
+	view, ok := s.View(key, at)
+	Expect(ok).To(BeTrue())
+	var c route.Candidate
+	view.Fill(i, &c)
+	return c
+}
+
+func begin(s *loadstate.State, id upstream.ID, at time.Time) *loadstate.Call {
+	c, err := s.Begin(id, at)
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+var _ = Describe("State", func() {
+	It("takes its own requests out of a late report", func() {
+		s := newState(loadstate.DefaultOptions())
+		first := begin(s, "near", now)
+		begin(s, "near", now.Add(100*time.Millisecond))
+		taken := now.Add(200 * time.Millisecond)
+		begin(s, "near", now.Add(400*time.Millisecond))
+		first.End(now.Add(500*time.Millisecond), true)
+		first.End(now.Add(600*time.Millisecond), true)
+		arrived := now.Add(1200 * time.Millisecond)
+		_, err := s.ObserveLoad("near", loadstate.Report{Load: route.Load{Running: 4, Waiting: 3, Capacity: 6}, Taken: taken})
+		Expect(err).NotTo(HaveOccurred())
+		c := see(s, 0, arrived)
+		Expect(c.Others).To(Equal(5))
+		Expect(c.InFlight).To(Equal(2))
+		Expect(c.Recent).To(Equal(0))
+		Expect(c.Capacity).To(Equal(6))
+		Expect(c.ReportAge).To(Equal(time.Second))
+		Expect(c.Hold).To(Equal(500 * time.Millisecond))
+		Expect(s.InFlight("near")).To(Equal(2))
+	})
+
+	It("drops reports that come out of order, and reads their flags", func() {
+		s := newState(loadstate.DefaultOptions())
+		newer := loadstate.Report{Load: route.Load{Draining: true}, Taken: now, Loaded: []model.Ref{{Model: "cheap"}}}
+		taken, err := s.ObserveLoad("near", newer)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(taken).To(BeTrue())
+		taken, _ = s.ObserveLoad("near", loadstate.Report{Taken: now.Add(-time.Second)})
+		Expect(taken).To(BeFalse())
+		c := see(s, 0, now)
+		Expect(c.Leaving).To(BeTrue())
+		Expect(c.Loaded).To(BeFalse())
+		Expect(see(s, 1, now).Loaded).To(BeTrue())
+		Expect(see(s, 1, now).ReportAge).To(BeNumerically("<", 0))
+	})
+
+	It("knows links and the gate", func() {
+		s := newState(loadstate.Options{Gate: closedGate{}})
+		near, far := see(s, 0, now), see(s, 1, now)
+		Expect(near.Open).To(BeTrue())
+		Expect(far.Open).To(BeFalse())
+		Expect(near.LinkLatency).To(BeZero())
+		Expect(far.LinkLatency).To(Equal(25 * time.Millisecond))
+		Expect(far.PricePerMB).To(BeEquivalentTo(90))
+	})
+
+	It("keeps what it knows over a change of configuration", func() {
+		s := newState(loadstate.DefaultOptions())
+		call := begin(s, "near", now)
+		Expect(s.SetLeaving("far", true)).To(Succeed())
+		p := placement()
+		p.Groups[key][0].Capacity = 9
+		p.Groups[key] = append(p.Groups[key], &upstream.Upstream{ID: "new", Domain: "cuyo"})
+		s.Reconcile(p)
+		Expect(see(s, 0, now).InFlight).To(Equal(1))
+		Expect(see(s, 0, now).Capacity).To(Equal(9))
+		Expect(see(s, 1, now).Leaving).To(BeTrue())
+		call.End(now, false)
+		Expect(see(s, 0, now).InFlight).To(BeZero())
+		Expect(see(s, 0, now).Hold).To(BeZero())
+		_, err := s.Begin("gone", now)
+		Expect(errorx.IsOfType(err, loadstate.ErrUnknownUpstream)).To(BeTrue())
+	})
+
+	It("learns the time to the first token only while there is room", func() {
+		s := newState(loadstate.DefaultOptions())
+		begin(s, "near", now).FirstToken(100 * time.Millisecond)
+		for range 3 {
+			begin(s, "near", now)
+		}
+		begin(s, "near", now).FirstToken(10 * time.Second)
+		Expect(see(s, 0, now).FirstToken).To(Equal(100 * time.Millisecond))
+	})
+
+	It("keeps the same home for a prefix", func() {
+		s := newState(loadstate.DefaultOptions())
+		view, _ := s.View(key, now)
+		homes := map[upstream.ID]int{}
+		for prefix := range uint64(100) {
+			homes[view.Home(prefix)]++
+		}
+		Expect(homes).To(HaveLen(2))
+		Expect(homes["near"]).To(BeNumerically("~", 50, 20))
+	})
+})
+
+var _ = Describe("Locality", func() {
+	It("hints at the longest prefix first and forgets by age, eviction and size", func() {
+		l := loadstate.NewLocality(loadstate.LocalityOptions{Prefixes: 3, TTL: time.Minute})
+		prompt := []uint64{1, 2, 3}
+		l.Learn(prompt[:1], "a", now)
+		l.Learn(prompt, "b", now.Add(time.Second))
+		hints := func(at time.Time) []route.Hint { return l.AppendHints(nil, prompt, at) }
+		Expect(hints(now)).To(Equal([]route.Hint{{Upstream: "b", Blocks: 3}, {Upstream: "a", Blocks: 1}}))
+		l.Evicted(3, "b")
+		Expect(hints(now)[0]).To(Equal(route.Hint{Upstream: "b", Blocks: 2}))
+		Expect(hints(now.Add(time.Minute + time.Millisecond))).To(HaveLen(1))
+		Expect(hints(now.Add(2 * time.Minute))).To(BeEmpty())
+		l.Learn([]uint64{7, 8}, "c", now)
+		Expect(l.Len()).To(Equal(3))
+	})
+})
