Measure what a cascade costs at a quality target

Cause: the cascade's promise is a cost at a quality target, and nothing showed it. The first trial showed slow convergence and tries that did not pay: the gain is now higher for the first answers, a try must save its cost at the price of the quality given up, more answers are audited where few audits yield a rating.

--- a/cascade/control.go
+++ b/cascade/control.go
@@ -4,7 +4,11 @@
 	minSlack = -0.5
 	maxSlack = 1.0
 	// maxAuditWeight bounds the inverse probability of an audit.
-	maxAuditWeight = 50
+	maxAuditWeight = 20
+	// firstBoost is the factor of the first answer's gain; it falls to 1 over
+	// boostedAnswers.
+	firstBoost     = 10
+	boostedAnswers = 2_000
 	// costGain is the weight of a new cost in the reference cost.
 	costGain = 1.0 / 256
 )
@@ -12,18 +16,26 @@
 // control is the integral controller of one contract.
 type control struct {
 	slack     float64
+	delivered int
 	reference float64 // mean cost of the strongest option, in micros
 }
 
 // deliver takes in the estimated score of a delivered answer.
 func (c *control) deliver(score, target, gain float64) {
-	c.move(gain * (score - target))
+	c.delivered++
+	c.move(gain * c.boost() * (score - target))
+}
+
+// boost returns the factor by which the gain is higher for the first answers.
+func (c *control) boost() float64 {
+	left := 1 - float64(c.delivered)/boostedAnswers
+	return 1 + max(0, left)*(firstBoost-1)
 }
 
 // correct takes in the audit of an answer whose estimate was expected.
 func (c *control) correct(audited, expected, probability, gain float64) {
 	weight := min(maxAuditWeight, 1/max(probability, 1.0/maxAuditWeight))
-	c.move(gain * weight * (audited - expected))
+	c.move(gain * c.boost() * weight * (audited - expected))
 }
 
 func (c *control) move(by float64) {
--- a/cascade/estimate.go
+++ b/cascade/estimate.go
@@ -57,17 +57,28 @@
 // ratings come the prior score stands for it, whatever the threshold: a model
 // that nothing is known of is tried.
 func (s *scores) passRate(threshold, prior float64) float64 {
-	passed := prior * priorWeight
+	return s.gain(threshold, 0, prior)
+}
+
+// gain returns the mean of what an answer is worth: nothing below the
+// threshold, then growing with the score to 1 at threshold + full.
+func (s *scores) gain(threshold, full, prior float64) float64 {
+	total := prior * priorWeight
 	for i, w := range s.bins {
-		passed += w * binShare(i, threshold)
+		total += w * worth(i, threshold, full)
 	}
-	return passed / (s.weight + priorWeight)
+	return total / (s.weight + priorWeight)
 }
 
-// binShare returns the part of bin i that lies at or above threshold.
-func binShare(i int, threshold float64) float64 {
+// worth returns what a score of bin i is worth.
+func worth(i int, threshold, full float64) float64 {
 	upper := float64(i+1) / scoreBins
-	return max(0, min(1, (upper-threshold)*scoreBins))
+	above := max(0, min(1, (upper-threshold)*scoreBins))
+	if above == 0 || full <= 0 {
+		return above
+	}
+	middle := max(upper-0.5/scoreBins, (upper+threshold)/2)
+	return above * min(1, (middle-threshold)/full)
 }
 
 // lowerBound returns a lower confidence bound of the mean, or 0 where too few
--- a/cascade/next.go
+++ b/cascade/next.go
@@ -95,8 +95,8 @@
 	case o.Rated:
 		return d.below(run, v, now)
 	case v.options[o.Option].unrated:
-		option := r.Options[o.Option]
-		return d.accept(run, o.Option, s.model(option.Model).scores.mean(option.Quality), ReasonClassMean)
+		bound := s.model(r.Options[o.Option].Model).scores.lowerBound()
+		return d.accept(run, o.Option, bound, ReasonClassMean)
 	default:
 		return d.goOn(run, ReasonUnrated, now)
 	}
@@ -160,12 +160,22 @@
 		return step
 	}
 	c := d.contract(r.Contract)
-	if d.rater.mode != RaterOut {
+	if d.rater.mode != RaterOut || d.options.Policy == ClassMean {
 		c.control.deliver(expected, r.Target+d.options.Margin, d.options.Gain)
 		c.delivered.add(expected)
 		run.counted = true
 	}
-	step.Audit = d.rand.Float64() < d.options.AuditShare
-	run.share = d.options.AuditShare * d.rater.share
+	asked := d.auditShare()
+	step.Audit = d.rand.Float64() < asked
+	run.share = asked * d.rater.share
 	return step
 }
+
+// auditShare returns the part of answers to audit: more where few of the audits
+// yield a rating.
+func (d *Decider) auditShare() float64 {
+	return min(maxAuditShare, d.options.AuditShare/max(d.rater.share, d.options.AuditShare))
+}
+
+// maxAuditShare bounds the part of answers that are audited.
+const maxAuditShare = 0.5
--- a/cascade/view.go
+++ b/cascade/view.go
@@ -14,6 +14,7 @@
 	latency   time.Duration // few are above
 	threshold float64       // least score that passes
 	pass      float64       // probability that the answer is accepted
+	saving    float64       // expected part of going on's cost that trying saves
 	// worthwhile says that trying the option is expected to cost less than
 	// leaving it out.
 	worthwhile bool
@@ -34,32 +35,43 @@
 		if i == last {
 			ov.pass, ov.worthwhile = 1, true
 		} else {
-			ov.threshold = best - c.control.allowance(goOn)
-			d.estimate(&ov, &m.scores, o.Quality, now)
-			tried := ov.cost + (1-ov.pass)*goOn
-			ov.worthwhile = tried < goOn
-			goOn = min(goOn, tried)
+			allowance := c.control.allowance(goOn)
+			ov.threshold = best - allowance
+			d.estimate(&ov, &m.scores, allowance, o.Quality, now)
+			ov.worthwhile = ov.cost < ov.saving*goOn
+			if ov.worthwhile {
+				goOn = ov.cost + (1-ov.pass)*goOn
+			}
 		}
 		v.options[i] = ov
 	}
 	return v
 }
 
-// estimate sets the probability that the answer is accepted.
-func (d *Decider) estimate(ov *optionView, s *scores, prior float64, now time.Time) {
-	if d.options.Policy == ClassMean && s.trusted(now, d.options.MaxEstimateAge) {
-		ov.unrated = s.lowerBound() >= ov.threshold
-	}
+// estimate sets how often the answer is accepted and what that saves. An
+// accepted answer saves the cost of going on less the price of the score given
+// up, which at the threshold is all of it.
+func (d *Decider) estimate(ov *optionView, s *scores, allowance, prior float64, now time.Time) {
 	rated := d.rater.share
 	if d.rater.mode == RaterOut {
 		rated = 0
 	}
 	ov.pass = rated * s.passRate(ov.threshold, prior)
+	ov.saving = rated * s.gain(ov.threshold, allowance, prior)
+	if d.options.Policy != ClassMean || !s.trusted(now, d.options.MaxEstimateAge) {
+		return
+	}
+	bound := s.lowerBound()
+	ov.unrated = bound >= ov.threshold
 	if ov.unrated {
 		ov.pass += 1 - rated
+		ov.saving += (1 - rated) * min(1, (bound-ov.threshold)/max(allowance, minAllowance))
 	}
 }
 
+// minAllowance keeps the quotient of two small numbers bounded.
+const minAllowance = 0.01
+
 // first returns the option of least expected cost from index from on.
 func (v view) first(from int) int {
 	last := len(v.options) - 1
--- a/cmd/poplarshore-experiment/main.go
+++ b/cmd/poplarshore-experiment/main.go
@@ -43,6 +43,8 @@
 }
 
 // experimentCommands lists every experiment.
-func experimentCommands(_ *options) []*cobra.Command {
-	return []*cobra.Command{}
+func experimentCommands(opts *options) []*cobra.Command {
+	return []*cobra.Command{
+		newCascadeCommand(opts),
+	}
 }
