Measure the exposure to bad versions, and test versions jointly

Cause: the roll-out's promise is few requests on a bad version, and nothing showed it. Change: experiment/exposure and the subcommand rollout. Compare now bounds the product of both versions' mixture likelihood ratios over all pairs of equally good means; tolerances are narrower, the evidence fits today's size and EvidenceFor gives it for others. A step does not end on a suspect version rather than on a worse point estimate. Reports name their VM; Serves ends sessions on a version found bad; Deltas feeds the watch.

--- a/cmd/poplarshore-experiment/main.go
+++ b/cmd/poplarshore-experiment/main.go
@@ -46,5 +46,6 @@
 func experimentCommands(opts *options) []*cobra.Command {
 	return []*cobra.Command{
 		newCascadeCommand(opts),
+		newRolloutCommand(opts),
 	}
 }
--- /dev/null
+++ b/cmd/poplarshore-experiment/rollout.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/poplarshore/poplarshore/experiment"
+	"github.com/poplarshore/poplarshore/experiment/exposure"
+)
+
+func newRolloutCommand(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "rollout",
+		Short: "Measure the exposure to bad versions and false stops",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runRollout(cmd.OutOrStdout(), opts)
+		},
+	}
+}
+
+func runRollout(w io.Writer, opts *options) error {
+	rows := exposure.Run(opts.seeds)
+	if err := exposureTable(w, rows); err != nil {
+		return err
+	}
+	if err := experiment.WriteJSON(opts.out, "rollout-exposure", rows); err != nil {
+		return err
+	}
+	return exposureFigure(opts.out, rows)
+}
+
+func exposureTable(w io.Writer, rows []exposure.Row) error {
+	cells := make([][]string, len(rows))
+	for i, r := range rows {
+		cells[i] = []string{r.Scenario, r.Fault, r.Manual.String(), r.Exposed.String(), r.Seconds.String(), r.Ratio.String()}
+	}
+	return experiment.Table(w, []string{"scenario", "fault", "manual stop", "exposed", "seconds", "ratio"}, cells)
+}
+
+// exposureFigure draws the ratio of each scenario and fault.
+func exposureFigure(dir string, rows []exposure.Row) error {
+	var scenarios []string
+	var groups []experiment.Bars
+	for _, r := range rows {
+		if len(scenarios) == 0 || scenarios[len(scenarios)-1] != r.Scenario {
+			scenarios = append(scenarios, r.Scenario)
+		}
+		if len(scenarios) == 1 {
+			groups = append(groups, experiment.Bars{Name: r.Fault})
+		}
+		group := &groups[indexOf(groups, r.Fault)]
+		group.Values = append(group.Values, r.Ratio.Mean)
+	}
+	labels := experiment.Labels{Title: "Exposure of a canary with manual stop over that of the roll-out", X: "scenario", Y: "ratio"}
+	return experiment.WriteBars(dir, "rollout-exposure", labels, scenarios, groups)
+}
+
+func indexOf(groups []experiment.Bars, name string) int {
+	for i, g := range groups {
+		if g.Name == name {
+			return i
+		}
+	}
+	return 0
+}
--- a/rollout/assign.go
+++ b/rollout/assign.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// Serves tells whether a session that is pinned to the version is still served.
+// One on a version that was found bad ends, like one on a withdrawn version,
+// unless there is no other version.
+func Serves(p Plan, row Progress, l Local, v model.VersionID) bool {
+	if l.withdrawn(v) {
+		return false
+	}
+	if v != p.To || l.withdrawn(p.From) && !p.Aborted {
+		return true
+	}
+	return !p.Aborted && !stopped(row, l)
+}
+
 // stopped tells whether the new version was found bad here or everywhere.
 func stopped(row Progress, l Local) bool {
 	return row.Phase == RolledBack || l.Stopped || row.StoppedIn(l.Domain)
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "math"
+
 // Metric names what a version is judged by.
 type Metric string
 
@@ -21,7 +23,7 @@
 }
 
 // DefaultTolerance is applied where options give none.
-var DefaultTolerance = Tolerance{Errors: 0.005, Slow: 0.02, Low: 0.02, Rating: 0.02}
+var DefaultTolerance = Tolerance{Errors: 0.002, Slow: 0.01, Low: 0.01, Rating: 0.01}
 
 // Verdict is the result of a comparison.
 type Verdict struct {
@@ -67,29 +69,69 @@
 	olds := old.series(t)
 	for i, f := range fresh.series(t) {
 		o := olds[i]
-		if f.mean() <= o.mean()+f.tolerance {
+		if o.n == 0 || f.mean() <= o.mean()+f.tolerance {
 			continue
 		}
-		// Each of the two intervals may miss with half the probability.
-		low := intervalOf(f.sum, f.n, evidence+ln2).low
-		high := intervalOf(o.sum, o.n, evidence+ln2).high
-		if low > high+f.tolerance {
+		if against(f, o) >= evidence {
 			return Verdict{Bad: true, Metric: f.metric, Seen: f.mean(), Reference: o.mean()}
 		}
 	}
 	return Verdict{}
 }
 
-const ln2 = 0.6931471805599453
+// against returns the evidence against the hypothesis that the new version's
+// mean is at most that of the old one and the tolerance. For any pair of true
+// means the product of both versions' mixture likelihood ratios is a martingale
+// that starts at 1; the least product over all pairs of the hypothesis is
+// therefore an e-process (Ville's inequality bounds its chance of ever being
+// large). Its logarithm is convex in the old version's mean, which lies between
+// what both versions show.
+func against(fresh, old series) float64 {
+	f, o := newMixture(fresh.sum, fresh.n), newMixture(old.sum, old.n)
+	low, high := old.mean(), fresh.mean()-fresh.tolerance
+	return least(low, high, func(mean float64) float64 {
+		return f.logRatio(mean+fresh.tolerance) + o.logRatio(mean)
+	})
+}
 
-// Worse tells whether the mean of any metric is worse than tolerated, whatever
-// the evidence. It is no ground to stop, but one not to go on.
-func Worse(fresh, old Counts, t Tolerance) (Metric, bool) {
-	olds := old.series(t)
-	for i, f := range fresh.series(t) {
-		if f.n > 0 && f.mean() > olds[i].mean()+f.tolerance {
-			return f.metric, true
+// least returns the least value of a convex function between low and high, by
+// golden-section search.
+func least(low, high float64, f func(float64) float64) float64 {
+	const ratio = 0.6180339887498949
+	a, b := high-ratio*(high-low), low+ratio*(high-low)
+	fa, fb := f(a), f(b)
+	for range sections {
+		if fa < fb {
+			high, b, fb = b, a, fa
+			a = high - ratio*(high-low)
+			fa = f(a)
+		} else {
+			low, a, fa = a, b, fb
+			b = low + ratio*(high-low)
+			fb = f(b)
 		}
 	}
-	return "", false
+	return min(fa, fb)
+}
+
+// sections narrow the search to 1e-6 of its width.
+const sections = 28
+
+// EvidenceFor returns the Evidence at which comparisons of equally good versions
+// a month raise at most falseStops false alarms a month together. The number of
+// comparisons is that of steps a month times that of VMs, failure domains and
+// one for the whole.
+func EvidenceFor(falseStops, comparisons float64) float64 {
+	return math.Log(metrics * comparisons / falseStops)
+}
+
+// suspicion is the evidence, a chance of one in twenty, from which a version is
+// suspect.
+const suspicion = 3
+
+// Suspect returns the metric on which the new version looks worse, on evidence
+// that is no ground to stop, but one not to go on.
+func Suspect(fresh, old Counts, t Tolerance) (Metric, bool) {
+	verdict := Compare(fresh, old, t, suspicion)
+	return verdict.Metric, verdict.Bad
 }
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -5,10 +5,12 @@
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 // Report is what one VM shows of a roll-out.
 type Report struct {
+	VM     vm.ID     `json:"vm"`
 	Domain domain.ID `json:"domain"`
 	// At is when the report was made.
 	At time.Time `json:"at"`
@@ -83,8 +85,8 @@
 	// Tolerance is how much worse the new version may be.
 	Tolerance Tolerance
 	// Evidence is the natural logarithm of the inverse of the probability that
-	// an equally good version is found bad, for each comparison of a step;
-	// default 16 (1.1e-7).
+	// an equally good version is found bad on one metric, for each comparison
+	// of a step; default 10 (4.5e-5). See EvidenceFor.
 	Evidence float64
 	// MinRequests and MinRatings are the counts of the new version, in all
 	// domains of the step together, without which no step ends; defaults 200
@@ -99,7 +101,7 @@
 }
 
 const (
-	defaultEvidence     = 16
+	defaultEvidence     = 10
 	defaultMinRequests  = 200
 	defaultMinRatings   = 30
 	defaultReportMaxAge = 30 * time.Second
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -189,8 +189,8 @@
 
 func (d decider) thinEvidence() Reason {
 	fresh, old := d.total()
-	if _, worse := Worse(fresh, old, d.o.Tolerance); worse {
-		return ReasonWorse
+	if _, suspect := Suspect(fresh, old, d.o.Tolerance); suspect {
+		return ReasonSuspect
 	}
 	switch {
 	case fresh.Requests < d.o.MinRequests:
--- a/rollout/doc.go
+++ b/rollout/doc.go
@@ -24,15 +24,14 @@
 //
 // Errors, slow answers and low ratings are counts out of a number of tries;
 // ratings are sums of values from 0 to 1. Each is compared between the new and
-// the replaced version by confidence sequences: intervals that hold at all
-// times at once, so that they may be looked at after each request without
-// raising the rate of false alarms. They are those of the beta-binomial mixture
-// (Robbins, "Statistical Methods Related to the Law of the Iterated Logarithm",
-// 1970; Howard, Ramdas, McAuliffe and Sekhon, "Time-uniform, nonparametric,
-// nonasymptotic confidence sequences", 2021), which need no more than a count
-// and a sum, so that evidence of many VMs is merged by addition. The new version
-// is bad once its whole interval lies beyond that of the replaced one by more
-// than a tolerance.
+// the replaced version by a sequential test that may be looked at after each
+// request without raising the rate of false alarms: the product of the beta
+// mixture likelihood ratios of both versions (Robbins, "Statistical Methods
+// Related to the Law of the Iterated Logarithm", 1970), at its least over all
+// pairs of means that differ by no more than a tolerance, is an e-process (Ramdas,
+// Gruenwald, Vovk and Shafer, "Game-theoretic statistics and safe anytime-valid
+// inference", 2023). It needs no more than a count and a sum, so that evidence
+// of many VMs is merged by addition.
 //
 // A version that serves alone is watched by a Watch: Shiryaev-Roberts
 // e-detectors (Shin, Ramdas and Rinaldo, "E-detectors", 2022) on the same counts
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -43,6 +43,12 @@
 	}
 }
 
+// less tells whether any count is smaller than that of o.
+func (c Counts) less(o Counts) bool {
+	d := c.Sub(o)
+	return min(d.Requests, d.Errors, d.Slow, d.Rated, d.Low) < 0 || d.RatingSum < 0
+}
+
 // MeanRating returns the mean rating, or 0 where there is none.
 func (c Counts) MeanRating() float64 {
 	if c.Rated == 0 {
--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -6,14 +6,15 @@
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 // GuardOptions configure a Guard. Zero values stand for the defaults.
 type GuardOptions struct {
 	// Tolerance is how much worse the new version may be.
 	Tolerance Tolerance
-	// Evidence is that of Options; default 18.5 (9e-9), as there are more VMs
-	// than failure domains.
+	// Evidence is that of Options; default 10. With many VMs it has to grow, see
+	// EvidenceFor.
 	Evidence float64
 	// SlowAfter is the latency from which an answer counts as slow; default 10 s.
 	SlowAfter time.Duration
@@ -22,14 +23,13 @@
 }
 
 const (
-	defaultGuardEvidence = 18.5
-	defaultSlowAfter     = 10 * time.Second
-	defaultLowBelow      = 0.5
+	defaultSlowAfter = 10 * time.Second
+	defaultLowBelow  = 0.5
 )
 
 func (o GuardOptions) withDefaults() GuardOptions {
 	setDefault(&o.Tolerance, DefaultTolerance)
-	setDefault(&o.Evidence, defaultGuardEvidence)
+	setDefault(&o.Evidence, defaultEvidence)
 	setDefault(&o.SlowAfter, defaultSlowAfter)
 	setDefault(&o.LowBelow, defaultLowBelow)
 	return o
@@ -40,6 +40,7 @@
 // concurrent use.
 type Guard struct {
 	plan    Plan
+	vm      vm.ID
 	domain  domain.ID
 	options GuardOptions
 
@@ -52,8 +53,8 @@
 }
 
 // NewGuard returns the guard of a roll-out on a VM in the failure domain.
-func NewGuard(p Plan, row Progress, d domain.ID, o GuardOptions) *Guard {
-	return &Guard{plan: p, domain: d, options: o.withDefaults(), row: row}
+func NewGuard(p Plan, row Progress, id vm.ID, d domain.ID, o GuardOptions) *Guard {
+	return &Guard{plan: p, vm: id, domain: d, options: o.withDefaults(), row: row}
 }
 
 // Install takes in a row. It returns false, and changes nothing, if the guard
@@ -144,11 +145,21 @@
 	return Assign(g.plan, row, Local{Domain: g.domain, Stopped: stopped, Withdrawn: withdrawn}, key)
 }
 
+// Serves tells whether a session that is pinned to the version is still served
+// on this VM. Withdrawn may be nil.
+func (g *Guard) Serves(v model.VersionID, withdrawn func(model.VersionID) bool) bool {
+	g.mu.Lock()
+	row, stopped := g.row, g.verdict.Bad
+	g.mu.Unlock()
+	return Serves(g.plan, row, Local{Domain: g.domain, Stopped: stopped, Withdrawn: withdrawn}, v)
+}
+
 // Report returns what this VM shows, for Decide.
 func (g *Guard) Report(now time.Time) Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return Report{
+		VM:         g.vm,
 		Domain:     g.domain,
 		At:         now,
 		Generation: g.row.Generation,
--- a/rollout/interval.go
+++ b/rollout/interval.go
@@ -3,36 +3,43 @@
 import "math"
 
 const (
-	// priorSuccess and priorFailure shape the beta mixture. Rates of errors
-	// are small, so the mixture leans to small ones.
+	// priorSuccess and priorFailure shape the beta mixture (Jeffreys').
 	priorSuccess = 0.5
 	priorFailure = 0.5
 	// bisections gives the bounds to about 1e-9.
 	bisections = 30
 )
 
-// interval is a time-uniform confidence interval of a mean of values from 0 to 1.
-type interval struct {
-	low, high float64
+// mixture is the beta mixture of likelihoods of n values from 0 to 1. Its ratio
+// to the likelihood under the true mean is a martingale that starts at 1, or a
+// supermartingale where the values lie between 0 and 1 (by convexity).
+type mixture struct {
+	successes, failures float64
+	log                 float64
 }
 
-// intervalOf returns the interval of n values with the given sum. The
-// probability that it ever misses the mean is at most exp(-evidence) on each
-// side together.
-func intervalOf(sum float64, n int64, evidence float64) interval {
-	if n <= 0 {
-		return interval{low: 0, high: 1}
-	}
+func newMixture(sum float64, n int64) mixture {
 	failures := float64(n) - sum
-	mixture := logBeta(sum+priorSuccess, failures+priorFailure) - logBeta(priorSuccess, priorFailure)
-	outside := func(p float64) bool {
-		return mixture-logLikelihood(sum, failures, p) >= evidence
+	return mixture{
+		successes: sum,
+		failures:  failures,
+		log:       logBeta(sum+priorSuccess, failures+priorFailure) - logBeta(priorSuccess, priorFailure),
 	}
-	mean := sum / float64(n)
-	return interval{
-		low:  bisect(0, mean, outside),
-		high: bisect(1, mean, outside),
+}
+
+// logRatio returns the logarithm of the ratio for the mean p. It is convex in p.
+func (m mixture) logRatio(p float64) float64 {
+	return m.log - xLogY(m.successes, p) - xLogY(m.failures, 1-p)
+}
+
+// upperBound returns the least mean above the sample's that n values with the
+// given sum speak against with the evidence; it holds at all times at once.
+func upperBound(sum float64, n int64, evidence float64) float64 {
+	if n <= 0 {
+		return 1
 	}
+	m := newMixture(sum, n)
+	return bisect(1, sum/float64(n), func(p float64) bool { return m.logRatio(p) >= evidence })
 }
 
 // bisect returns the border between out, which is outside, and in, which is not.
@@ -51,10 +58,6 @@
 	return out
 }
 
-func logLikelihood(successes, failures, p float64) float64 {
-	return xLogY(successes, p) + xLogY(failures, 1-p)
-}
-
 func xLogY(x, y float64) float64 {
 	if x == 0 {
 		return 0
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -48,7 +48,7 @@
 	ReasonRaterOut     Reason = "rater_out"
 	ReasonRequests     Reason = "too_few_requests"
 	ReasonRatings      Reason = "too_few_ratings"
-	ReasonWorse        Reason = "worse_than_replaced"
+	ReasonSuspect      Reason = "suspect"
 	ReasonDomainStop   Reason = "domain_stopped"
 	ReasonAborted      Reason = "aborted"
 	ReasonWithdrawn    Reason = "withdrawn"
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -123,7 +123,7 @@
 var _ = Describe("Guard", func() {
 	It("stops a version that fails within a few requests and never gives it out again", func() {
 		row := rollout.Begin(plan(), start)
-		g := rollout.NewGuard(plan(), row, "a", rollout.GuardOptions{})
+		g := rollout.NewGuard(plan(), row, "vm1", "a", rollout.GuardOptions{})
 		for range 1000 {
 			g.Ended("v1", false, time.Second)
 		}
--- a/rollout/watch.go
+++ b/rollout/watch.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "math"
+import (
+	"math"
+
+	"github.com/poplarshore/poplarshore/vm"
+)
 
 // WatchOptions configure a Watch. Zero values stand for the defaults.
 type WatchOptions struct {
@@ -113,5 +117,35 @@
 	if n < minReferenceCount {
 		return 0, 0, false
 	}
-	return w.reference.sum[i] / n, intervalOf(w.reference.sum[i], int64(n), referenceEvidence).high, true
+	return w.reference.sum[i] / n, upperBound(w.reference.sum[i], int64(n), referenceEvidence), true
+}
+
+// Deltas turns the growing counts of each VM into what was added since the last
+// time. It belongs to one goroutine.
+type Deltas struct {
+	seen map[vm.ID]Counts
+}
+
+// NewDeltas returns one that has seen nothing.
+func NewDeltas() *Deltas {
+	return &Deltas{seen: make(map[vm.ID]Counts)}
+}
+
+// Added returns the counts of the version that the reports added. A VM whose
+// counts fell has started anew, and all of them are new. VMs that no report
+// names are forgotten, so that memory is bounded by the VMs in sight.
+func (d *Deltas) Added(reports []Report, of func(Report) Counts) Counts {
+	var added Counts
+	seen := make(map[vm.ID]Counts, len(reports))
+	for _, r := range reports {
+		now := of(r)
+		before := d.seen[r.VM]
+		if now.less(before) {
+			before = Counts{}
+		}
+		added = added.Add(now.Sub(before))
+		seen[r.VM] = now
+	}
+	d.seen = seen
+	return added
 }
