--- /dev/null
+++ b/internal/sequence/sequence_test.go
@@ -0,0 +1,60 @@
+package sequence_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/poplarshore/poplarshore/internal/sequence"
+)
+
+func TestSequence(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sequence")
+}
+
+var _ = Describe("Sequencer", func() {
+	It("yields each piece of its attempt once and in order, however they arrive", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const n = 40
+			order := rapid.Permutation(indices(n)).Draw(t, "order")
+			s := sequence.New("a", 0)
+			var got []int
+			for _, i := range order {
+				for _, attempt := range []string{"b", "a", "a"} {
+					ready, err := s.Accept(sequence.Piece{Attempt: attempt, Index: i})
+					if err != nil {
+						t.Fatal(err)
+					}
+					for _, p := range ready {
+						got = append(got, p.Index)
+					}
+				}
+			}
+			if len(got) != n || !s.Whole() || s.Dropped() != (sequence.Dropped{Foreign: n, Duplicate: n}) {
+				t.Fatalf("got %v, dropped %+v", got, s.Dropped())
+			}
+			for i, index := range got {
+				if i != index {
+					t.Fatalf("piece %d at place %d", index, i)
+				}
+			}
+		})
+	})
+
+	It("refuses to hold without bound", func() {
+		s := sequence.New("a", 0)
+		_, err := s.Accept(sequence.Piece{Attempt: "a", Index: 1 << 20})
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
