--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -3,6 +3,8 @@
 package takeover
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarshore/poplarshore/account"
@@ -29,10 +31,19 @@
 	// Rules are tried in order; the first that matches decides. Traffic that
 	// no rule matches is not taken.
 	Rules []Rule `json:"rules,omitempty"`
-	// QuietSeconds is the time after a change of share during which a
-	// non-idempotent call that moved is refused unless its key is known to
-	// be new.
+	// QuietSeconds is the time after ChangedAt during which this system
+	// refuses the non-idempotent calls that it takes, because the older router
+	// may still be running calls with the same keys that it got directly.
 	QuietSeconds int64 `json:"quiet_seconds,omitempty"`
+	// ChangedAt is when the rules last changed, in Unix seconds.
+	ChangedAt int64 `json:"changed_at,omitempty"`
+}
+
+// Quiet returns the time left during which non-idempotent calls that are taken
+// must be refused; zero or less means none.
+func (c Config) Quiet(now time.Time) time.Duration {
+	end := time.Unix(c.ChangedAt+c.QuietSeconds, 0)
+	return end.Sub(now)
 }
 
 // Request is what a rule looks at.
