--- a/document/index.go
+++ b/document/index.go
@@ -29,6 +29,7 @@
 	Links  link.Map
 
 	clients   map[[sha256.Size]byte]*Client
+	accounts  map[account.ID]*Client
 	models    map[model.Name]*model.Model
 	versions  map[model.Ref]*model.Version
 	cascades  map[model.Name]*model.Cascade
@@ -48,6 +49,7 @@
 		Doc:       doc,
 		Links:     link.NewMap(doc.Links),
 		clients:   make(map[[sha256.Size]byte]*Client),
+		accounts:  make(map[account.ID]*Client),
 		models:    make(map[model.Name]*model.Model),
 		versions:  make(map[model.Ref]*model.Version),
 		cascades:  make(map[model.Name]*model.Cascade),
@@ -72,6 +74,7 @@
 	}
 	for _, a := range x.Doc.Accounts {
 		client := &Client{Account: a.ID, Contract: contracts[a.Contract]}
+		x.accounts[a.ID] = client
 		for _, key := range a.KeySHA256 {
 			sum, _ := hex.DecodeString(key)
 			x.clients[[sha256.Size]byte(sum)] = client
@@ -124,6 +127,9 @@
 	return c, ok
 }
 
+// Account returns the client of an account, or nil.
+func (x *Index) Account(id account.ID) *Client { return x.accounts[id] }
+
 // Model returns a model, or nil.
 func (x *Index) Model(name model.Name) *model.Model { return x.models[name] }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/internal/assemble"
 	"github.com/poplarshore/poplarshore/internal/engineclient"
 	"github.com/poplarshore/poplarshore/internal/sequence"
@@ -17,6 +18,7 @@
 type attempt struct {
 	id      string
 	ref     model.Ref
+	index   *document.Index
 	engine  *upstream.Upstream
 	address string
 	began   time.Time
--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -79,7 +79,7 @@
 		if !contract.AllowsModel(name) {
 			continue
 		}
-		refs, err := s.versions(c.x, s.newJob(c, name))
+		refs, err := s.versions(c.x.Index, c.x.Client, s.newJob(c, name))
 		if err != nil {
 			continue
 		}
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -57,6 +57,9 @@
 // Outcome tells how an attempt at an upstream ended.
 type Outcome struct {
 	Err error
+	// Whole tells that the answer came whole; without it and without Err the
+	// attempt was given up for no fault of the upstream.
+	Whole bool
 	// Begun tells whether the upstream may have started.
 	Begun bool
 	// FirstPiece is the time to the first piece; zero if none came.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/internal/engineclient"
 	"github.com/poplarshore/poplarshore/internal/sequence"
 	"github.com/poplarshore/poplarshore/model"
@@ -35,9 +36,9 @@
 	return "/v1/completions"
 }
 
-func (j *job) want(x *Exchange) Want {
+func (j *job) want(client *document.Client) Want {
 	return Want{
-		Client: x.Client, Prompt: j.request.Prompt, AnswerTokens: j.request.MaxTokens,
+		Client: client, Prompt: j.request.Prompt, AnswerTokens: j.request.MaxTokens,
 		Near: j.near, Tried: j.tried,
 	}
 }
@@ -128,19 +129,19 @@
 // place decides the version and the engine of the next attempt, on the
 // configuration that is in force now.
 func (s *Server) place(x *Exchange, j *job) (*attempt, error) {
-	if why := s.Config.Refusal(); why != nil {
-		return nil, why
+	index, client, err := s.current(x)
+	if err != nil {
+		return nil, err
 	}
-	x.Index = s.Config.Index()
-	refs, err := s.versions(x, j)
+	refs, err := s.versions(index, client, j)
 	if err != nil {
 		return nil, err
 	}
-	want := j.want(x)
+	want := j.want(client)
 	for _, ref := range refs {
 		want.Ref = ref
-		if u := s.Placement.Choose(x.Index, want); u != nil {
-			return s.newAttempt(ref, u)
+		if u := s.Placement.Choose(index, want); u != nil {
+			return s.newAttempt(index, ref, u)
 		}
 	}
 	if len(j.tried) == 0 {
@@ -150,28 +151,44 @@
 	return s.place(x, j)
 }
 
-func (s *Server) newAttempt(ref model.Ref, u *upstream.Upstream) (*attempt, error) {
+// current returns the configuration in force and the caller's account in it.
+func (s *Server) current(x *Exchange) (*document.Index, *document.Client, error) {
+	if why := s.Config.Refusal(); why != nil {
+		return nil, nil, why
+	}
+	index := s.Config.Index()
+	client := index.Account(x.Client.Account)
+	if client == nil {
+		return nil, nil, refusal.New(refusal.Unauthorized)
+	}
+	return index, client, nil
+}
+
+func (s *Server) newAttempt(index *document.Index, ref model.Ref, u *upstream.Upstream) (*attempt, error) {
 	address, ok := s.Addresses.Address(u.ID)
 	if !ok {
 		return nil, refusal.New(refusal.NoUpstream).With("Upstream %q has no address in the settings.", u.ID)
 	}
 	id := s.NewID()
-	return &attempt{id: id, ref: ref, engine: u, address: address, sequence: sequence.New(id, 0)}, nil
+	return &attempt{id: id, ref: ref, index: index, engine: u, address: address, sequence: sequence.New(id, 0)}, nil
 }
 
 // versions returns the versions that the job may run on, best first.
-func (s *Server) versions(x *Exchange, j *job) ([]model.Ref, error) {
+func (s *Server) versions(index *document.Index, client *document.Client, j *job) ([]model.Ref, error) {
+	if !client.Contract.AllowsModel(j.model) {
+		return nil, refusal.New(refusal.ModelNotAllowed).With("The model is %q.", j.model)
+	}
 	if j.pinned != "" {
-		return s.pinnedVersion(x, model.Ref{Model: j.model, Version: j.pinned})
+		return s.pinnedVersion(index, client, model.Ref{Model: j.model, Version: j.pinned})
 	}
 	allowed := 0
 	var refs []model.Ref
-	for _, ref := range s.Versions.Assign(x.Index, j.model, j.key) {
-		if !x.Client.Contract.AllowsVersion(ref) {
+	for _, ref := range s.Versions.Assign(index, j.model, j.key) {
+		if !client.Contract.AllowsVersion(ref) {
 			continue
 		}
 		allowed++
-		if !x.Index.Withdrawn(ref) && !s.Versions.Stopped(ref) {
+		if !index.Withdrawn(ref) && !s.Versions.Stopped(ref) {
 			refs = append(refs, ref)
 		}
 	}
@@ -185,11 +202,11 @@
 	}
 }
 
-func (s *Server) pinnedVersion(x *Exchange, ref model.Ref) ([]model.Ref, error) {
+func (s *Server) pinnedVersion(index *document.Index, client *document.Client, ref model.Ref) ([]model.Ref, error) {
 	switch {
-	case x.Index.Version(ref) == nil, x.Index.Withdrawn(ref), s.Versions.Stopped(ref):
+	case index.Version(ref) == nil, index.Withdrawn(ref), s.Versions.Stopped(ref):
 		return nil, refusal.New(refusal.SessionWithdrawn).With("The version was %s.", ref)
-	case !x.Client.Contract.AllowsVersion(ref):
+	case !client.Contract.AllowsVersion(ref):
 		return nil, refusal.New(refusal.VersionNotAllowed)
 	}
 	return []model.Ref{ref}, nil
@@ -198,14 +215,14 @@
 // try runs one attempt and keeps account of it.
 func (s *Server) try(ctx context.Context, x *Exchange, j *job, a *attempt, out sink) error {
 	a.began = s.Clock.Now()
-	want := j.want(x)
+	want := j.want(x.Client)
 	want.Ref = a.ref
 	end := s.Placement.Begin(a.engine, want)
 	err := s.run(ctx, x, j, a, out)
 	begun := err == nil || a.pieces > 0 || engineclient.Started(err)
 	x.noteRun(begun)
 	end(Outcome{
-		Err: blame(ctx, err), Begun: begun, FirstPiece: a.firstPiece,
+		Err: blame(ctx, err), Whole: err == nil, Begun: begun, FirstPiece: a.firstPiece,
 		Duration: s.Clock.Since(a.began), Draining: a.draining,
 	})
 	s.account(x, j, a, begun)
@@ -244,7 +261,7 @@
 		PromptTokens:     a.promptTokens(j.request.PromptTokens()),
 		CompletionTokens: a.completionTokens(),
 	}
-	if v := x.Index.Version(a.ref); v != nil {
+	if v := a.index.Version(a.ref); v != nil {
 		cost.Cost = v.Cost(cost.PromptTokens, cost.CompletionTokens)
 	}
 	x.note(cost)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -77,7 +77,7 @@
 	if engine == nil {
 		return refusal.New(refusal.StreamUnknown)
 	}
-	a, err := s.newAttempt(point.Ref, engine)
+	a, err := s.newAttempt(x.Index, point.Ref, engine)
 	if err != nil {
 		return refusal.Because(refusal.StreamUnknown, err)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -75,6 +75,8 @@
 	Clock     clockwork.Clock
 	// NewID returns an id that is unique everywhere.
 	NewID func() string
+	// NewSessionID returns the hexadecimal id of a new session.
+	NewSessionID func() string
 	// Draw returns a random number in [0, 1).
 	Draw func() float64
 	// ResumeKey signs resume tokens; it is the same on all VMs.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -91,14 +91,17 @@
 
 // placeService chooses an upstream of the service.
 func (s *Server) placeService(call *serviceCall) (*upstream.Upstream, string, error) {
-	if why := s.Config.Refusal(); why != nil {
-		return nil, "", why.WithRan(call.x.ran())
+	x, client, err := s.current(call.x)
+	if err != nil {
+		return nil, "", refusal.Of(err).WithRan(call.x.ran())
 	}
-	x := s.Config.Index()
 	if call.passed {
 		return s.oldRouter(x)
 	}
-	want := Want{Client: call.x.Client, Service: call.service.Name, Tried: call.tried}
+	if !client.Contract.AllowsService(call.service.Name) {
+		return nil, "", refusal.New(refusal.ServiceNotAllowed).WithRan(call.x.ran())
+	}
+	want := Want{Client: client, Service: call.service.Name, Tried: call.tried}
 	u := s.Placement.Choose(x, want)
 	if u == nil && len(call.tried) > 0 {
 		call.tried, want.Tried = nil, nil
@@ -126,7 +129,7 @@
 	resp, err := s.roundTrip(req, via(s.Pools.For(address)))
 	ran := err == nil || sent(err)
 	call.x.noteRun(ran)
-	end(Outcome{Err: blame(ctx, err), Begun: ran, FirstPiece: s.Clock.Since(began), Duration: s.Clock.Since(began)})
+	end(Outcome{Err: blame(ctx, err), Whole: err == nil, Begun: ran, FirstPiece: s.Clock.Since(began), Duration: s.Clock.Since(began)})
 	s.metrics.attempts.WithLabelValues(outcomeLabel(err)).Inc()
 	return resp, err
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -20,7 +20,7 @@
 		if len(c.x.Index.Doc.Session.Keys) == 0 {
 			return refusal.New(refusal.SessionInvalid).With("This environment has no sessions.")
 		}
-		c.pins = Pins{ID: s.NewID()}
+		c.pins = Pins{ID: s.NewSessionID()}
 	default:
 		pins, err := s.Sessions.Verify(c.x.Index, c.x.Client.Account, value)
 		if err != nil {
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,120 @@
+package settings
+
+import "github.com/poplarshore/poplarshore/strictjson"
+
+// Entry is the settings of poplarshored.
+type Entry struct {
+	VM        VM        `json:"vm" doc:"Where this process runs."`
+	Callers   Listener  `json:"callers" doc:"Where callers connect."`
+	Operators Listener  `json:"operators" doc:"Where operators, metrics and health checks connect."`
+	Peers     Listener  `json:"peers" doc:"Where the other entry VMs connect."`
+	Platform  Platform  `json:"platform" doc:"The platform's services."`
+	Upstreams Addresses `json:"upstreams" doc:"Base URL of each upstream, by its id in the document."`
+	// UpstreamCAFile verifies upstreams and platform services with https addresses.
+	UpstreamCAFile string `json:"upstream_ca_file" doc:"PEM file with the authorities that sign upstreams' and peers' certificates; empty means the system's."`
+	// PeerTokenFile holds the token that entry VMs show one another.
+	PeerTokenFile string `json:"peer_token_file" doc:"File with the token shared by all entry VMs; it also signs resume tokens. Required."`
+	// OperatorTokenFile holds the token that operators show.
+	OperatorTokenFile string            `json:"operator_token_file" doc:"File with the operators' bearer token. Required."`
+	SessionKeyFiles   map[string]string `json:"session_key_files" doc:"File with the secret of each session key that the document names."`
+	Requests          Requests          `json:"requests" doc:"Bounds on what callers send."`
+	Timeouts          Timeouts          `json:"timeouts" doc:"Limits on each wait."`
+	Stop              Stop              `json:"stop" doc:"Planned stops."`
+	Log               Log               `json:"log" doc:"Logs to standard error."`
+}
+
+// Requests bounds what callers send.
+type Requests struct {
+	MaxBodyBytes     int64  `json:"max_body_bytes" doc:"Largest request body, in bytes. Default 4194304."`
+	MaxHeaderBytes   int64  `json:"max_header_bytes" doc:"Largest request header, in bytes. Default 65536."`
+	HeaderTimeoutMS  Millis `json:"header_timeout_ms" doc:"Longest time for a request header to arrive, in ms. Default 5000."`
+	BodyTimeoutMS    Millis `json:"body_timeout_ms" doc:"Longest time for a request body to arrive, in ms. Default 10000."`
+	KeepAliveMS      Millis `json:"keep_alive_ms" doc:"Longest time a caller's connection is kept without a request, in ms. Default 120000."`
+	MaxTokens        int64  `json:"max_tokens" doc:"Largest max_tokens. Default 32768."`
+	DefaultTokens    int64  `json:"default_tokens" doc:"Estimate of an answer whose request has no max_tokens. Default 256."`
+	MaxHeldBytes     int64  `json:"max_held_bytes" doc:"Largest answer that is held whole, in bytes. Default 8388608."`
+	MaxBillBacklog   int    `json:"max_bill_backlog" doc:"Billing records that wait at most while the store is out. Default 100000."`
+	RatedSharePerMil int    `json:"rated_share_per_mille" doc:"Part of delivered answers that are offered for rating, in thousandths. Default 200."`
+}
+
+// Timeouts limits each wait.
+type Timeouts struct {
+	ConnectMS     Millis `json:"connect_ms" doc:"Opening a connection to an upstream, in ms. Default 1000."`
+	HeadersMS     Millis `json:"headers_ms" doc:"Wait for an engine's headers, in ms. Default 2000."`
+	IdleMS        Millis `json:"idle_ms" doc:"Wait between an engine's pieces, in ms. Default 2000."`
+	BillMS        Millis `json:"bill_ms" doc:"Wait for a billing record at the end of an answer, in ms. Default 5000."`
+	StoreMS       Millis `json:"store_ms" doc:"Wait for one operation of the platform's store, in ms. Default 2000."`
+	LoadPeriodMS  Millis `json:"load_period_ms" doc:"Time between reads of each engine's load report, in ms. Default 500."`
+	FreshForMS    Millis `json:"fresh_for_ms" doc:"How long a VM serves without word on the newest configuration, in ms. Default 5000."`
+	VMListPeriod  Millis `json:"vm_list_period_ms" doc:"Time between reads of the list of VMs, in ms. Default 5000."`
+	ReportsPeriod Millis `json:"reports_period_ms" doc:"Time between roll-out reports and reads of roll-out progress, in ms. Default 2000."`
+}
+
+// Stop says how a planned stop goes.
+type Stop struct {
+	BalancerGraceMS Millis `json:"balancer_grace_ms" doc:"Time between turning not ready and refusing new work, in ms, for the balancer to notice. Default 3000."`
+	DrainMS         Millis `json:"drain_ms" doc:"Longest time for requests in flight to end, in ms. Default 300000."`
+}
+
+// DefaultEntry returns the defaults.
+func DefaultEntry() *Entry {
+	return &Entry{
+		Callers:   Listener{Address: "127.0.0.1:8080"},
+		Operators: Listener{Address: "127.0.0.1:8081"},
+		Peers:     Listener{Address: "127.0.0.1:8082"},
+		Platform:  Platform{Prefix: "poplarshore/"},
+		Requests: Requests{
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, HeaderTimeoutMS: 5000, BodyTimeoutMS: 10000,
+			KeepAliveMS: 120000, MaxTokens: 32768, DefaultTokens: 256, MaxHeldBytes: 8 << 20,
+			MaxBillBacklog: 100000, RatedSharePerMil: 200,
+		},
+		Timeouts: Timeouts{
+			ConnectMS: 1000, HeadersMS: 2000, IdleMS: 2000, BillMS: 5000, StoreMS: 2000, LoadPeriodMS: 500,
+			FreshForMS: 5000, VMListPeriod: 5000, ReportsPeriod: 2000,
+		},
+		Stop: Stop{BalancerGraceMS: 3000, DrainMS: 300000},
+		Log:  Log{Format: "text", Level: "info"},
+	}
+}
+
+func (e *Entry) check(text *strictjson.Text) {
+	e.VM.check(text)
+	e.Callers.check(text, "callers")
+	e.Operators.check(text, "operators")
+	e.Peers.check(text, "peers")
+	e.Platform.check(text)
+	e.Upstreams.check(text)
+	e.Log.check(text)
+	required(text, "peer_token_file", e.PeerTokenFile)
+	required(text, "operator_token_file", e.OperatorTokenFile)
+	e.Requests.check(text)
+	e.Timeouts.check(text)
+	positive(text, "stop.drain_ms", e.Stop.DrainMS)
+}
+
+func (r Requests) check(text *strictjson.Text) {
+	positive(text, "requests.max_body_bytes", r.MaxBodyBytes)
+	positive(text, "requests.max_header_bytes", r.MaxHeaderBytes)
+	positive(text, "requests.header_timeout_ms", r.HeaderTimeoutMS)
+	positive(text, "requests.body_timeout_ms", r.BodyTimeoutMS)
+	positive(text, "requests.keep_alive_ms", r.KeepAliveMS)
+	positive(text, "requests.max_tokens", r.MaxTokens)
+	positive(text, "requests.default_tokens", r.DefaultTokens)
+	positive(text, "requests.max_held_bytes", r.MaxHeldBytes)
+	positive(text, "requests.max_bill_backlog", r.MaxBillBacklog)
+	if r.RatedSharePerMil < 0 || r.RatedSharePerMil > 1000 {
+		text.Add("requests.rated_share_per_mille", "must be between 0 and 1000")
+	}
+}
+
+func (t Timeouts) check(text *strictjson.Text) {
+	positive(text, "timeouts.connect_ms", t.ConnectMS)
+	positive(text, "timeouts.headers_ms", t.HeadersMS)
+	positive(text, "timeouts.idle_ms", t.IdleMS)
+	positive(text, "timeouts.bill_ms", t.BillMS)
+	positive(text, "timeouts.store_ms", t.StoreMS)
+	positive(text, "timeouts.load_period_ms", t.LoadPeriodMS)
+	positive(text, "timeouts.fresh_for_ms", t.FreshForMS)
+	positive(text, "timeouts.vm_list_period_ms", t.VMListPeriod)
+	positive(text, "timeouts.reports_period_ms", t.ReportsPeriod)
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+var _ = Describe("settings files", func() {
+	It("reads what Print wrote, and gives every field a comment", func() {
+		var out bytes.Buffer
+		want := settings.DefaultEntry()
+		want.VM = settings.VM{ID: "v", Domain: "d", Region: "r"}
+		want.Platform.Table, want.Platform.Objects, want.Platform.VMList = "http://t", "http://o", "http://l"
+		want.PeerTokenFile, want.OperatorTokenFile = "p", "o"
+		want.Upstreams = settings.Addresses{}
+		want.SessionKeyFiles = map[string]string{}
+		Expect(settings.Print(&out, want)).To(Succeed())
+		got := settings.DefaultEntry()
+		Expect(settings.Parse(out.Bytes(), got)).To(Succeed())
+		Expect(got).To(Equal(want))
+		fields := bytes.Count(out.Bytes(), []byte(`": `))
+		Expect(bytes.Count(out.Bytes(), []byte("// "))).To(BeNumerically(">=", fields))
+	})
+
+	It("tells all faults of a file at once, with line and column", func() {
+		err := settings.Parse([]byte(`{
+  "callers": {"address": "0.0.0.0:80"},
+  "requests": {"max_tokens": 0},
+  "log": {"format": "xml"},
+}`), settings.DefaultEntry())
+		Expect(err).To(MatchError(And(
+			ContainSubstring("vm.id: is required"),
+			ContainSubstring("2:14: callers: needs tls"),
+			ContainSubstring("3:30: requests.max_tokens: must be over 0"),
+			ContainSubstring("4:21: log.format: must be"),
+		)))
+	})
+
+	It("never shows a secret in an error", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "key")
+		Expect(os.WriteFile(path, []byte("hunter2"), 0o600)).To(Succeed())
+		_, err := settings.Secret(path)
+		Expect(err).To(HaveOccurred())
+		Expect(err.Error()).NotTo(ContainSubstring("hunter2"))
+		Expect(os.WriteFile(path, []byte(" 0123456789abcdef\n"), 0o600)).To(Succeed())
+		Expect(settings.Secret(path)).To(Equal([]byte("0123456789abcdef")))
+	})
+})
