--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -52,14 +52,25 @@
 	}
 	ctx, release := s.deadlineContext(r.Context(), x)
 	defer release.stop()
-	ticket, err := s.Limits.Admit(ctx, x.Client, request.PromptTokens()+request.MaxTokens)
+	ticket, err := s.Limits.Admit(ctx, Admission{
+		Client: x.Client, Group: request.Model, Deadline: x.Deadline,
+		Tokens: request.PromptTokens() + request.MaxTokens,
+	})
 	if err != nil {
-		return err
+		return s.admitError(ctx, x, err)
 	}
-	defer func() { ticket.Settle(x.tokens()) }()
+	defer func() { ticket.Settle(x.use()) }()
 	return s.answer(ctx, c, release)
 }
 
+// admitError tells a caller that went away from one that is refused.
+func (s *Server) admitError(ctx context.Context, x *Exchange, err error) error {
+	if ctx.Err() != nil {
+		return s.contextError(ctx, x)
+	}
+	return err
+}
+
 func (s *Server) answer(ctx context.Context, c *completion, release *deadlineTimer) error {
 	if cascade := c.x.Index.Cascade(c.request.Model); cascade != nil {
 		return s.answerCascade(ctx, c, cascade, release)
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -78,16 +78,36 @@
 	Begin(u *upstream.Upstream, want Want) func(Outcome)
 }
 
+// Admission is what a request asks of its account's limits.
+type Admission struct {
+	Client *document.Client
+	// Group is the model, or empty for plain services.
+	Group model.Name
+	// Tokens is an estimate.
+	Tokens int64
+	// Deadline is the latest time to start.
+	Deadline time.Time
+}
+
+// Use is what an admitted request used.
+type Use struct {
+	Tokens int64
+	// FirstToken is the time to the first piece; zero if none came.
+	FirstToken time.Duration
+	// Rejected tells that an engine was too busy to start it.
+	Rejected bool
+}
+
 // Ticket is an admitted request's hold on its account's limits.
 type Ticket interface {
-	// Settle gives the hold back and accounts for the tokens really used.
-	Settle(tokens int64)
+	// Settle gives the hold back and accounts for what was really used.
+	Settle(u Use)
 }
 
 // Limits admits requests within their client account's limits.
 type Limits interface {
 	// Admit waits for a place, or returns a *refusal.Refusal.
-	Admit(ctx context.Context, client *document.Client, tokens int64) (Ticket, error)
+	Admit(ctx context.Context, a Admission) (Ticket, error)
 }
 
 // Rating is an answer to rate.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -221,6 +221,7 @@
 	err := s.run(ctx, x, j, a, out)
 	begun := err == nil || a.pieces > 0 || engineclient.Started(err)
 	x.noteRun(begun)
+	x.noteLoad(a.firstPiece, errorx.IsOfType(err, engineclient.ErrNotStarted))
 	end(Outcome{
 		Err: blame(ctx, err), Whole: err == nil, Begun: begun, FirstPiece: a.firstPiece,
 		Duration: s.Clock.Since(a.began), Draining: a.draining,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -41,6 +41,27 @@
 	attempts []AttemptCost
 	// maybeRan tells that an upstream may have run a part.
 	maybeRan bool
+	// firstToken and rejected tell how loaded the engines seem.
+	firstToken time.Duration
+	rejected   bool
+}
+
+// use returns what the exchange used of its account's limits.
+func (x *Exchange) use() Use {
+	tokens := x.tokens()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return Use{Tokens: tokens, FirstToken: x.firstToken, Rejected: x.rejected}
+}
+
+// noteLoad records what an attempt showed of the engine's load.
+func (x *Exchange) noteLoad(firstToken time.Duration, rejected bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if firstToken > 0 {
+		x.firstToken = firstToken
+	}
+	x.rejected = x.rejected || rejected
 }
 
 // note records what an attempt cost and that it may have run.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -53,11 +53,11 @@
 	if !call.passed && !s.Biller.Open() {
 		return refusal.New(refusal.BillingUnavailable)
 	}
-	ticket, err := s.Limits.Admit(r.Context(), x.Client, 0)
+	ticket, err := s.Limits.Admit(r.Context(), Admission{Client: x.Client, Deadline: x.Deadline})
 	if err != nil {
-		return err
+		return s.admitError(r.Context(), x, err)
 	}
-	defer ticket.Settle(0)
+	defer ticket.Settle(Use{})
 	if svc.Repeatable(r.Method, call.path) {
 		return s.callRepeatable(call, w)
 	}
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -15,6 +15,7 @@
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/oldrouter"
 	"github.com/poplarshore/poplarshore/standin/platform"
+	"github.com/poplarshore/poplarshore/standin/quickstart"
 	"github.com/poplarshore/poplarshore/standin/service"
 )
 
@@ -32,7 +33,7 @@
 		Short:        "Stand-ins of engines, services, the platform and the older router",
 		SilenceUsage: true,
 	}
-	root.AddCommand(engineCommand(), serviceCommand(), platformCommand(), oldRouterCommand())
+	root.AddCommand(quickstart.NewCommand(), engineCommand(), serviceCommand(), platformCommand(), oldRouterCommand())
 	return root
 }
 
