--- /dev/null
+++ b/internal/engineclient/orders.go
@@ -0,0 +1,120 @@
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/poplarshore/poplarshore/internal/transport"
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/order"
+)
+
+// Orders sends orders to one engine. It implements order.Engine.
+type Orders struct {
+	Pools   *transport.Pools
+	Address string
+}
+
+// versionRef names a version on the wire.
+type versionRef struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+// engineState is an engine's state on the wire.
+type engineState struct {
+	Fence      uint64        `json:"fence"`
+	Generation uint64        `json:"generation"`
+	Versions   []VersionLoad `json:"versions"`
+	Role       string        `json:"role"`
+}
+
+// engineOrder is an order on the wire.
+type engineOrder struct {
+	Fence      uint64       `json:"fence"`
+	Generation uint64       `json:"generation"`
+	Versions   []versionRef `json:"versions"`
+	Role       string       `json:"role"`
+}
+
+// State implements order.Engine. The engines tell how many requests run, but
+// not on which version, so all of them count for each version.
+func (o *Orders) State(ctx context.Context) (order.State, error) {
+	var state engineState
+	if err := o.get(ctx, "/state", &state); err != nil {
+		return order.State{}, err
+	}
+	var load Load
+	if err := o.get(ctx, "/load", &load); err != nil {
+		return order.State{}, err
+	}
+	s := order.State{Fence: state.Fence, Generation: state.Generation, Role: order.Role(state.Role)}
+	for _, v := range state.Versions {
+		item := order.Item{Version: model.Ref{Model: model.Name(v.Model), Version: model.VersionID(v.Version)}}
+		s.Target = append(s.Target, item)
+		if v.Loaded {
+			s.Loaded = append(s.Loaded, order.Loaded{Item: item, Active: load.Running + load.Waiting})
+		}
+	}
+	return s, nil
+}
+
+// Apply implements order.Engine.
+func (o *Orders) Apply(ctx context.Context, ord order.Order) error {
+	body := engineOrder{Fence: ord.Fence, Generation: ord.Generation, Role: string(ord.Role)}
+	for _, item := range ord.Items {
+		body.Versions = append(body.Versions, versionRef{string(item.Version.Model), string(item.Version.Version)})
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return order.ErrRefused.Wrap(err, "order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, o.Address+"/state", bytes.NewReader(text))
+	if err != nil {
+		return order.ErrRefused.Wrap(err, "address %q", o.Address)
+	}
+	req.GetBody = nil
+	resp, err := o.Pools.For(o.Address).Once().RoundTrip(req)
+	if err != nil {
+		return order.ErrUnknown.Wrap(err, "order")
+	}
+	_ = resp.Body.Close()
+	return orderError(resp.StatusCode)
+}
+
+func orderError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusConflict:
+		return order.ErrFenced.New("engine has seen a higher fencing token")
+	case status == http.StatusTooManyRequests:
+		return order.ErrThrottled.New("weight store refused the load")
+	case status < http.StatusInternalServerError:
+		return order.ErrRefused.New("engine answered status %d", status)
+	default:
+		return order.ErrUnknown.New("engine answered status %d", status)
+	}
+}
+
+func (o *Orders) get(ctx context.Context, path string, dst any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, o.Address+path, nil)
+	if err != nil {
+		return order.ErrUnavailable.Wrap(err, "address %q", o.Address)
+	}
+	resp, err := o.Pools.For(o.Address).Repeatable().RoundTrip(req)
+	if err != nil {
+		return order.ErrUnavailable.Wrap(err, "read %s", path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return order.ErrUnavailable.New("read %s: %s", path, resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(dst); err != nil {
+		return order.ErrUnavailable.Wrap(err, "read %s", path)
+	}
+	return nil
+}
--- a/internal/entryd/command.go
+++ b/internal/entryd/command.go
@@ -16,30 +16,14 @@
 
 // NewCommand returns the command line of poplarshored.
 func NewCommand() *cobra.Command {
-	var path string
-	var check, defaults bool
-	cmd := &cobra.Command{
-		Use:           "poplarshored",
-		Short:         "Serve callers on this entry VM",
-		Example:       "  poplarshored --settings /etc/poplarshore/entry.json",
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: false,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s := settings.DefaultEntry()
-			if defaults {
-				return settings.Print(cmd.OutOrStdout(), s)
-			}
-			if err := settings.Load(path, s); err != nil || check {
-				return err
-			}
-			return run(cmd, s)
-		},
-	}
-	cmd.Flags().StringVar(&path, "settings", "/etc/poplarshore/entry.json", "settings file")
-	cmd.Flags().BoolVar(&check, "check-settings", false, "check the settings file and exit")
-	cmd.Flags().BoolVar(&defaults, "print-defaults", false, "print a settings file with all defaults and exit")
-	return cmd
+	s := settings.DefaultEntry()
+	return command.Daemon(command.Program{
+		Name: "poplarshored", Short: "Serve callers on this entry VM",
+		Example:  "  poplarshored --settings /etc/poplarshore/entry.json",
+		Default:  "/etc/poplarshore/entry.json",
+		Settings: s,
+		Run:      func(cmd *cobra.Command) error { return run(cmd, s) },
+	})
 }
 
 // run serves until a signal; a second signal ends the wait for requests.
--- a/settings/load.go
+++ b/settings/load.go
@@ -6,15 +6,15 @@
 	"github.com/poplarshore/poplarshore/strictjson"
 )
 
-// checked is a settings type that can check itself.
-type checked interface {
+// Settings is the settings of a program, which can check themselves.
+type Settings interface {
 	// check adds a fault for each value that can't be used.
 	check(text *strictjson.Text)
 }
 
 // Load reads a settings file over the defaults that dst holds. Errors: ErrRead,
 // and ErrInvalid of strictjson with all faults of the file.
-func Load(path string, dst checked) error {
+func Load(path string, dst Settings) error {
 	src, err := os.ReadFile(path)
 	if err != nil {
 		return ErrRead.Wrap(err, "settings file")
@@ -23,7 +23,7 @@
 }
 
 // Parse reads settings over the defaults that dst holds.
-func Parse(src []byte, dst checked) error {
+func Parse(src []byte, dst Settings) error {
 	text := strictjson.Decode(src, dst)
 	if len(text.Faults()) == 0 {
 		dst.check(text)
