--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -299,6 +299,14 @@
 	}
 }
 
+// Revision returns the number of the configuration in force.
+func (d *Daemon) Revision() uint64 {
+	if x := d.follower.Index(); x != nil {
+		return x.Number
+	}
+	return 0
+}
+
 // Kill ends the daemon at once, as the loss of its VM does.
 func (d *Daemon) Kill() {
 	d.close()
--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -276,6 +276,23 @@
 	return s
 }
 
+// revisionPoll is the time between two looks at the revisions in force.
+const revisionPoll = 10 * time.Millisecond
+
+// AwaitRevision waits until all entry VMs work by the revision.
+func (e *Environment) AwaitRevision(ctx context.Context, number uint64) error {
+	for _, d := range e.vms {
+		for d.Revision() < number {
+			select {
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			case <-time.After(revisionPoll):
+			}
+		}
+	}
+	return nil
+}
+
 // VM returns a running entry VM, or nil.
 func (e *Environment) VM(id vm.ID) *entryd.Daemon {
 	return e.vms[id]
