--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -82,7 +82,7 @@
 		if old, ok := v.guards[plan.ID]; ok {
 			row = old.Row()
 		}
-		guards[plan.ID] = rollout.NewGuard(plan, row, v.self.Domain, rollout.GuardOptions{SlowAfter: slowAfter, LowBelow: lowBelow})
+		guards[plan.ID] = rollout.NewGuard(plan, row, v.self.ID, v.self.Domain, rollout.GuardOptions{SlowAfter: slowAfter, LowBelow: lowBelow})
 	}
 	v.guards, v.plans = guards, plans
 	v.installWatches(x)
