Measure false stops, and sharpen the tests by what was known before

Change: the row carries a baseline of the replaced version, which shapes the prior of the test; the watch allows a factor and wider tolerances, as nothing serves beside the version; the subcommand rollout counts false stops.

--- a/cmd/poplarshore-experiment/rollout.go
+++ b/cmd/poplarshore-experiment/rollout.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
@@ -28,7 +29,34 @@
 	if err := experiment.WriteJSON(opts.out, "rollout-exposure", rows); err != nil {
 		return err
 	}
-	return exposureFigure(opts.out, rows)
+	if err := exposureFigure(opts.out, rows); err != nil {
+		return err
+	}
+	return runFalseStops(w, opts)
+}
+
+// burst is the change of rates, as a standard deviation of their logarithm, of
+// the uneven case.
+const burst = 0.3
+
+func runFalseStops(w io.Writer, opts *options) error {
+	cases := []exposure.FalseStops{
+		exposure.MeasureRollouts(opts.seeds),
+		exposure.MeasureWatch("steady version watched", 0, opts.seeds),
+		exposure.MeasureWatch("version with uneven rates watched", burst, opts.seeds),
+	}
+	cells := make([][]string, len(cases))
+	for i, c := range cases {
+		cells[i] = []string{
+			c.Case, fmt.Sprint(c.Months), fmt.Sprint(c.Tests), fmt.Sprint(c.Stops),
+			fmt.Sprintf("%.3f", c.PerMonth), fmt.Sprint(c.Naive), c.Minutes.String(),
+		}
+	}
+	header := []string{"case", "months", "tests", "false stops", "a month", "repeated z test", "minutes"}
+	if err := experiment.Table(w, header, cells); err != nil {
+		return err
+	}
+	return experiment.WriteJSON(opts.out, "rollout-false-stops", cases)
 }
 
 func exposureTable(w io.Writer, rows []exposure.Row) error {
--- a/experiment/exposure/setting.go
+++ b/experiment/exposure/setting.go
@@ -26,6 +26,12 @@
 	observed = 40 * time.Minute
 )
 
+const (
+	lowBelow = 0.5
+	// historyRequests were served by the old version before the roll-out.
+	historyRequests = 10_000
+)
+
 // place is a VM and its failure domain.
 type place struct {
 	vm     vm.ID
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -65,14 +65,18 @@
 // must be of the same time and place. The probability that an equally good
 // version is ever found bad on a metric is at most exp(-evidence), however often
 // Compare is called on growing counts.
-func Compare(fresh, old Counts, t Tolerance, evidence float64) Verdict {
-	olds := old.series(t)
+//
+// The baseline is what was known of the old version before the counts began, and
+// may be empty; it makes the test sharper where it agrees with them and does not
+// touch the probability.
+func Compare(fresh, old, baseline Counts, t Tolerance, evidence float64) Verdict {
+	olds, before := old.series(t), baseline.series(t)
 	for i, f := range fresh.series(t) {
 		o := olds[i]
 		if o.n == 0 || f.mean() <= o.mean()+f.tolerance {
 			continue
 		}
-		if against(f, o) >= evidence {
+		if against(f, o, before[i]) >= evidence {
 			return Verdict{Bad: true, Metric: f.metric, Seen: f.mean(), Reference: o.mean()}
 		}
 	}
@@ -86,14 +90,19 @@
 // therefore an e-process (Ville's inequality bounds its chance of ever being
 // large). Its logarithm is convex in the old version's mean, which lies between
 // what both versions show.
-func against(fresh, old series) float64 {
-	f, o := newMixture(fresh.sum, fresh.n), newMixture(old.sum, old.n)
+func against(fresh, old, before series) float64 {
+	f := newMixture(fresh.sum, fresh.n, 0, 0)
+	o := newMixture(old.sum, old.n, before.mean(), float64(min(before.n, maxBaseline)))
 	low, high := old.mean(), fresh.mean()-fresh.tolerance
 	return least(low, high, func(mean float64) float64 {
 		return f.logRatio(mean+fresh.tolerance) + o.logRatio(mean)
 	})
 }
 
+// maxBaseline is the number of values that a baseline counts for at most, as
+// traffic changes.
+const maxBaseline = 500
+
 // least returns the least value of a convex function between low and high, by
 // golden-section search.
 func least(low, high float64, f func(float64) float64) float64 {
@@ -131,7 +140,7 @@
 
 // Suspect returns the metric on which the new version looks worse, on evidence
 // that is no ground to stop, but one not to go on.
-func Suspect(fresh, old Counts, t Tolerance) (Metric, bool) {
-	verdict := Compare(fresh, old, t, suspicion)
+func Suspect(fresh, old, baseline Counts, t Tolerance) (Metric, bool) {
+	verdict := Compare(fresh, old, baseline, t, suspicion)
 	return verdict.Metric, verdict.Bad
 }
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -55,7 +55,7 @@
 		return d.in.Watched, ""
 	}
 	fresh, old := d.total()
-	if verdict := Compare(fresh, old, d.o.Tolerance, d.o.Evidence); verdict.Bad {
+	if verdict := Compare(fresh, old, d.row.Baseline, d.o.Tolerance, d.o.Evidence); verdict.Bad {
 		return verdict, ""
 	}
 	stops := len(d.row.Stopped)
@@ -101,7 +101,7 @@
 		}
 		fresh, old = fresh.Add(r.Fresh), old.Add(r.Old)
 	}
-	return Compare(fresh, old, d.o.Tolerance, d.o.Evidence)
+	return Compare(fresh, old, d.row.Baseline, d.o.Tolerance, d.o.Evidence)
 }
 
 // reports returns those about the current step. Old ones count too: what they
@@ -189,7 +189,7 @@
 
 func (d decider) thinEvidence() Reason {
 	fresh, old := d.total()
-	if _, suspect := Suspect(fresh, old, d.o.Tolerance); suspect {
+	if _, suspect := Suspect(fresh, old, d.row.Baseline, d.o.Tolerance); suspect {
 		return ReasonSuspect
 	}
 	switch {
--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -119,7 +119,7 @@
 	if g.verdict.Bad {
 		return
 	}
-	g.verdict = Compare(g.fresh, g.old, g.options.Tolerance, g.options.Evidence)
+	g.verdict = Compare(g.fresh, g.old, g.row.Baseline, g.options.Tolerance, g.options.Evidence)
 }
 
 // SetLoading says whether this VM's upstreams still load the new version.
--- a/rollout/interval.go
+++ b/rollout/interval.go
@@ -18,12 +18,16 @@
 	log                 float64
 }
 
-func newMixture(sum float64, n int64) mixture {
+// newMixture returns the mixture of n values with the given sum. The prior mean,
+// of prior values, was known before the first of them; the more it is worth, the
+// less evidence a mean that agrees with it costs. Any prior is valid.
+func newMixture(sum float64, n int64, mean, prior float64) mixture {
 	failures := float64(n) - sum
+	a, b := priorSuccess+prior*mean, priorFailure+prior*(1-mean)
 	return mixture{
 		successes: sum,
 		failures:  failures,
-		log:       logBeta(sum+priorSuccess, failures+priorFailure) - logBeta(priorSuccess, priorFailure),
+		log:       logBeta(sum+a, failures+b) - logBeta(a, b),
 	}
 }
 
@@ -38,7 +42,7 @@
 	if n <= 0 {
 		return 1
 	}
-	m := newMixture(sum, n)
+	m := newMixture(sum, n, 0, 0)
 	return bisect(1, sum/float64(n), func(p float64) bool { return m.logRatio(p) >= evidence })
 }
 
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -76,13 +76,16 @@
 	HeldFor Reason `json:"held_for,omitempty"`
 	// HeldSince is when HeldFor took its value.
 	HeldSince time.Time `json:"held_since,omitzero"`
+	// Baseline is what was known of the replaced version before the roll-out.
+	Baseline Counts `json:"baseline,omitzero"`
 	// Verdict is what led to a stop, if any.
 	Verdict Verdict `json:"verdict,omitzero"`
 }
 
-// Begin returns the first row of a roll-out.
-func Begin(p Plan, now time.Time) Progress {
-	return Progress{ID: p.ID, Generation: 1, StepGeneration: 1, Phase: Running, Since: now}
+// Begin returns the first row of a roll-out. The baseline is what was seen of the
+// replaced version before, and may be empty.
+func Begin(p Plan, baseline Counts, now time.Time) Progress {
+	return Progress{ID: p.ID, Generation: 1, StepGeneration: 1, Phase: Running, Since: now, Baseline: baseline}
 }
 
 // StoppedIn tells whether the new version is stopped in the failure domain.
@@ -102,7 +105,8 @@
 func (p Progress) Equal(o Progress) bool {
 	return p.ID == o.ID && p.Generation == o.Generation && p.Phase == o.Phase && p.Step == o.Step &&
 		p.StepGeneration == o.StepGeneration && p.Since.Equal(o.Since) && slices.Equal(p.Stopped, o.Stopped) &&
-		p.HeldFor == o.HeldFor && p.HeldSince.Equal(o.HeldSince) && p.Verdict == o.Verdict
+		p.HeldFor == o.HeldFor && p.HeldSince.Equal(o.HeldSince) &&
+		p.Baseline == o.Baseline && p.Verdict == o.Verdict
 }
 
 // Encode returns the row as JSON.
--- a/rollout/watch.go
+++ b/rollout/watch.go
@@ -8,7 +8,11 @@
 
 // WatchOptions configure a Watch. Zero values stand for the defaults.
 type WatchOptions struct {
-	// Tolerance is added to the reference of each metric.
+	// Factor and Tolerance say how much worse than the reference a version may
+	// be: the reference times the factor and the tolerance. They leave room for
+	// the change of traffic over the day, as nothing serves beside the version
+	// to compare it with. Defaults 1.5 and WatchTolerance.
+	Factor    float64
 	Tolerance Tolerance
 	// LearnRequests is the number of requests before the watch judges;
 	// default 2,000.
@@ -22,7 +26,11 @@
 	Threshold float64
 }
 
+// WatchTolerance is applied where options give none.
+var WatchTolerance = Tolerance{Errors: 0.01, Slow: 0.03, Low: 0.05, Rating: 0.04}
+
 const (
+	defaultFactor         = 1.5
 	defaultLearnRequests  = 2_000
 	defaultMemory         = 200_000
 	defaultWatchThreshold = 25
@@ -32,7 +40,8 @@
 )
 
 func (o WatchOptions) withDefaults() WatchOptions {
-	setDefault(&o.Tolerance, DefaultTolerance)
+	setDefault(&o.Factor, defaultFactor)
+	setDefault(&o.Tolerance, WatchTolerance)
 	setDefault(&o.LearnRequests, defaultLearnRequests)
 	setDefault(&o.Memory, defaultMemory)
 	setDefault(&o.Threshold, defaultWatchThreshold)
@@ -100,7 +109,7 @@
 			continue
 		}
 		detector := &w.detectors[i]
-		detector.observe(s.sum, s.n, bound+s.tolerance)
+		detector.observe(s.sum, s.n, bound*w.options.Factor+s.tolerance)
 		if detector.level() >= w.options.Threshold {
 			w.verdict = Verdict{Bad: true, Metric: s.metric, Seen: s.mean(), Reference: mean}
 			return
