Tell of a roll-out that stands still whatever the reasons that take turns

Cause: a hold whose reason changed back and forth was never told as stalled, and each change wrote the row; evidence of a last step below a share of 1 was kept after the end; a skip for lack of time was never tried again. Change: stalled counts from the end of the dwell; a change of reason is written at most every 30 s; evidence starts anew at the end; models without ratings can be rolled out (negative MinRatings); the cascade explores after any skip, ignores scores outside 0 to 1 and audits no more than usual while the rater is out. Conclusion: holds cost few writes and are always told.

--- a/cascade/decider.go
+++ b/cascade/decider.go
@@ -45,7 +45,7 @@
 	share    float64 // probability that the answer's audit yields a rating
 }
 
-// Start begins a request. The options must be at least one, cheapest first.
+// Start begins a request. Without options it is exhausted at once.
 func (d *Decider) Start(r Request, now time.Time) (*Run, Step) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -56,6 +56,9 @@
 		best:    NoOption,
 		answer:  NoOption,
 	}
+	if len(r.Options) == 0 {
+		return run, d.counted(Step{Kind: Exhausted, Reason: ReasonFailed, Stream: NoOption, Shadow: NoOption, Answer: NoOption})
+	}
 	c := d.contract(r.Contract)
 	c.control.price(float64(r.Options[r.last()].Cost))
 	step := d.choose(run, 0, now)
@@ -133,10 +136,12 @@
 
 // explore adds a shadow of the cheapest option to some requests that skip it.
 func (d *Decider) explore(run *Run, s *Step) {
-	skipped := s.Kind == Try && (s.Reason == ReasonSkipCost || s.Reason == ReasonRaterOut)
-	if skipped && d.rand.Float64() < d.options.ExploreShare {
+	if s.Kind != Try || s.Start[0] == 0 {
+		return
+	}
+	if d.rand.Float64() < d.options.ExploreShare {
 		s.Shadow = 0
-		s.RateWithin = maxRatingWait
+		s.RateWithin = max(s.RateWithin, maxRatingWait)
 	}
 }
 
--- a/cascade/next.go
+++ b/cascade/next.go
@@ -6,6 +6,7 @@
 func (d *Decider) Next(run *Run, o Outcome, now time.Time) Step {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	o.Rated = o.Rated && valid(o.Score)
 	d.learn(run, o, now)
 	run.end(o)
 	return d.counted(d.decide(run, o, now))
@@ -16,14 +17,21 @@
 func (d *Decider) Learn(run *Run, o Outcome, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	o.Rated = o.Rated && valid(o.Score)
 	d.learn(run, o, now)
 }
 
+// valid tells whether a score is within 0 and 1, and a number.
+func valid(score float64) bool {
+	return score >= 0 && score <= 1
+}
+
 // Audit takes in the rating of a delivered answer, asked for because Accept had
 // Audit set. A rating that did not come has rated false.
 func (d *Decider) Audit(run *Run, rated bool, score float64, took time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	rated = rated && valid(score)
 	d.observeRater(rated, took, now)
 	if !rated || run.answer == NoOption {
 		return
@@ -172,8 +180,11 @@
 }
 
 // auditShare returns the part of answers to audit: more where few of the audits
-// yield a rating.
+// yield a rating, unless none do.
 func (d *Decider) auditShare() float64 {
+	if d.rater.mode == RaterOut {
+		return d.options.AuditShare
+	}
 	return min(maxAuditShare, d.options.AuditShare/max(d.rater.share, d.options.AuditShare))
 }
 
--- a/experiment/exposure/simulate.go
+++ b/experiment/exposure/simulate.go
@@ -49,7 +49,7 @@
 	seconds := int(horizon.Seconds()) + ratingLagMin + ratingLagSpread + rowDelaySpread + 2
 	sim := &simulation{
 		scenario: s, fault: fault, rand: rand.New(rand.NewPCG(seed, 3)),
-		row:     rollout.Begin(s.Plan, history(seed), epoch),
+		row:     rollout.Begin(s.Plan, epoch).WithBaseline(history(seed)),
 		pending: make([][]rollout.Progress, seconds), targets: make([][]int, seconds), ratings: make([][]late, seconds),
 		watch: rollout.NewWatch(rollout.WatchOptions{Threshold: watchThreshold}), deltas: rollout.NewDeltas(), badAt: -1, observed: observed,
 	}
--- a/rollout/act.go
+++ b/rollout/act.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
 )
@@ -57,20 +58,34 @@
 	return d.write(StopDomain, ReasonDomainStop, at, row)
 }
 
-// hold writes the row only when the reason changes.
+// holdWriteEvery is the least time between two writes that change nothing but
+// the reason to hold.
+const holdWriteEvery = 30 * time.Second
+
+// hold leaves the step as it is. The reason goes into the row when it has
+// changed, for those who read the row alone, but not often.
 func (d decider) hold(reason Reason, at domain.ID) Decision {
-	if d.row.HeldFor != reason {
+	decision := Decision{Kind: Hold, Reason: reason, Row: d.row, Domain: at}
+	if d.row.HeldFor != reason && d.in.Now.Sub(d.row.HeldSince) >= holdWriteEvery {
 		row := d.row
 		row.HeldFor, row.HeldSince = reason, d.in.Now
-		return d.write(Hold, reason, at, row)
+		decision = d.write(Hold, reason, at, row)
+	}
+	decision.Stalled = d.overdue(reason)
+	return decision
+}
+
+// overdue tells whether the step should have ended StallAfter ago, whatever the
+// reasons that took turns since.
+func (d decider) overdue(reason Reason) bool {
+	if reason == ReasonDwell || reason == ReasonPaused {
+		return false
 	}
-	return Decision{
-		Kind:    Hold,
-		Reason:  reason,
-		Row:     d.row,
-		Domain:  at,
-		Stalled: reason != ReasonDwell && d.in.Now.Sub(d.row.HeldSince) >= d.o.StallAfter,
+	due := d.row.Since
+	if d.row.Step < len(d.in.Plan.Steps) {
+		due = due.Add(d.in.Plan.Steps[d.row.Step].Dwell())
 	}
+	return d.in.Now.Sub(due) >= d.o.StallAfter
 }
 
 func (d decider) advance() Decision {
@@ -78,6 +93,7 @@
 	row.HeldFor, row.HeldSince = ReasonNone, d.in.Now
 	if row.Step == len(d.in.Plan.Steps)-1 {
 		row.Phase = Done
+		row.StepGeneration = d.row.Generation + 1
 		return d.write(Finish, ReasonNone, "", row)
 	}
 	row.Step++
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -12,7 +12,7 @@
 type Report struct {
 	VM     vm.ID     `json:"vm"`
 	Domain domain.ID `json:"domain"`
-	// At is when the report was made.
+	// At is when the holder received the report, by its own clock.
 	At time.Time `json:"at"`
 	// Generation is the generation of the row in force on the VM.
 	Generation uint64 `json:"generation"`
@@ -73,8 +73,8 @@
 	Reason  Reason
 	Row     Progress
 	Changed bool
-	// Stalled says that operators are to be told that the roll-out has held
-	// for longer than Options.StallAfter, for Reason.
+	// Stalled says that operators are to be told that the roll-out stands still,
+	// for Reason. It stays set as long as that is so.
 	Stalled bool
 	// Domain is the failure domain that Reason is about, if any.
 	Domain domain.ID
@@ -90,13 +90,13 @@
 	Evidence float64
 	// MinRequests and MinRatings are the counts of the new version, in all
 	// domains of the step together, without which no step ends; defaults 200
-	// and 30.
+	// and 30. A negative MinRatings is for models whose answers nobody rates.
 	MinRequests int64
 	MinRatings  int64
 	// ReportMaxAge is the age from which a report is silence; default 30 s.
 	ReportMaxAge time.Duration
-	// StallAfter is how long a roll-out may hold before operators are told;
-	// default 15 minutes.
+	// StallAfter is how long after a step's dwell operators are told that it
+	// has not ended; default 15 minutes.
 	StallAfter time.Duration
 }
 
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -195,6 +195,8 @@
 	switch {
 	case fresh.Requests < d.o.MinRequests:
 		return ReasonRequests
+	case d.o.MinRatings < 0:
+		return ReasonNone
 	case d.in.RaterOut:
 		return ReasonRaterOut
 	case fresh.Rated < d.o.MinRatings:
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
 	"time"
@@ -65,16 +64,16 @@
 	Phase      Phase  `json:"phase"`
 	// Step is the index of the current step in the plan.
 	Step int `json:"step"`
-	// Since is when the step began.
+	// Since is when the step began, by the clock of the holder at that time.
 	Since time.Time `json:"since"`
-	// StepGeneration is the generation in which the step began; evidence of a
-	// step is that of VMs with at least this generation.
+	// StepGeneration is the generation in which the step, or the time after the
+	// last one, began; its evidence is that of VMs with at least this generation.
 	StepGeneration uint64 `json:"step_generation"`
 	// Stopped lists the failure domains in which the new version is stopped.
 	Stopped []domain.ID `json:"stopped,omitempty"`
 	// HeldFor is why the roll-out does not go on, empty while it does.
 	HeldFor Reason `json:"held_for,omitempty"`
-	// HeldSince is when HeldFor took its value.
+	// HeldSince is when HeldFor took its value or the roll-out ended.
 	HeldSince time.Time `json:"held_since,omitzero"`
 	// Baseline is what was known of the replaced version before the roll-out.
 	Baseline Counts `json:"baseline,omitzero"`
@@ -82,10 +81,16 @@
 	Verdict Verdict `json:"verdict,omitzero"`
 }
 
-// Begin returns the first row of a roll-out. The baseline is what was seen of the
-// replaced version before, and may be empty.
-func Begin(p Plan, baseline Counts, now time.Time) Progress {
-	return Progress{ID: p.ID, Generation: 1, StepGeneration: 1, Phase: Running, Since: now, Baseline: baseline}
+// Begin returns the first row of a roll-out.
+func Begin(p Plan, now time.Time) Progress {
+	return Progress{ID: p.ID, Generation: 1, StepGeneration: 1, Phase: Running, Since: now}
+}
+
+// WithBaseline returns the first row with what was seen of the replaced version
+// before the roll-out. It must not change later.
+func (p Progress) WithBaseline(seen Counts) Progress {
+	p.Baseline = seen
+	return p
 }
 
 // StoppedIn tells whether the new version is stopped in the failure domain.
@@ -122,8 +127,7 @@
 // that an older program reads a newer row. Errors: ErrInvalid.
 func DecodeProgress(text []byte) (Progress, error) {
 	var p Progress
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	if err := decoder.Decode(&p); err != nil {
+	if err := json.Unmarshal(text, &p); err != nil {
 		return Progress{}, ErrInvalid.Wrap(err, "row")
 	}
 	known := p.Phase == Running || p.Phase == Done || p.Phase == RolledBack
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -62,7 +62,7 @@
 	later := start.Add(2 * time.Minute)
 
 	It("goes from step to step to the end on healthy reports, and keeps the row there", func() {
-		row, now := rollout.Begin(plan(), rollout.Counts{}, start), start
+		row, now := rollout.Begin(plan(), start), start
 		var kinds []rollout.Kind
 		for range 4 {
 			now = now.Add(2 * time.Minute)
@@ -75,7 +75,7 @@
 
 	DescribeTable("does not take silence for health",
 		func(change func(*rollout.Input), kind rollout.Kind, reason rollout.Reason) {
-			in := input(rollout.Begin(plan(), rollout.Counts{}, start), later)
+			in := input(rollout.Begin(plan(), start), later)
 			change(&in)
 			decision := rollout.Decide(in, rollout.Options{})
 			Expect(decision.Kind).To(Equal(kind))
@@ -106,7 +106,7 @@
 	)
 
 	It("tells of a stalled roll-out after a while, and writes the row only when the reason changes", func() {
-		in := input(rollout.Begin(plan(), rollout.Counts{}, start), later)
+		in := input(rollout.Begin(plan(), start), later)
 		in.RaterOut = true
 		first := rollout.Decide(in, rollout.Options{})
 		Expect(first.Changed).To(BeTrue())
@@ -122,7 +122,7 @@
 
 var _ = Describe("Guard", func() {
 	It("stops a version that fails within a few requests and never gives it out again", func() {
-		row := rollout.Begin(plan(), rollout.Counts{}, start)
+		row := rollout.Begin(plan(), start)
 		g := rollout.NewGuard(plan(), row, "vm1", "a", rollout.GuardOptions{})
 		for range 1000 {
 			g.Ended("v1", false, time.Second)
