Mend a panic of the cascade when a hedge's strong answer failed first

Cause: the property test found it: a weak answer below its threshold, rated after the strongest attempt had failed, looked up the option above the last one. Change: the look-up is left out where no option is left. The slack's lower end is near 0, as to ask for more than the strongest model's mean can't raise the mean. Conclusion: every run ends with one answer that was rated or is the strongest's.

--- a/cascade/cascade_test.go
+++ b/cascade/cascade_test.go
@@ -1,6 +1,7 @@
 package cascade_test
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,10 +10,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/cascade"
+	"github.com/poplarshore/poplarshore/money"
 )
 
 func TestCascade(t *testing.T) {
 	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	RunSpecs(t, "cascade")
 }
 
@@ -69,6 +72,51 @@
 	})
 })
 
+var _ = Describe("a deadline", func() {
+	type want struct {
+		kind   cascade.Kind
+		start  []int
+		reason cascade.Reason
+	}
+	DescribeTable("decides between one after the other, both at once and the strongest alone",
+		func(left time.Duration, cheapCost int64, expected want) {
+			d := newDecider(cascade.Options{})
+			r := request()
+			r.Options[0].Cost = money.Micros(cheapCost)
+			r.Deadline = start.Add(left)
+			_, step := d.Start(r, start)
+			Expect(want{step.Kind, step.Start, step.Reason}).To(Equal(expected))
+		},
+		Entry("time for both", 10*time.Second, int64(100), want{cascade.Try, []int{0}, cascade.ReasonFirst}),
+		Entry("time for one, cheap saves more than it costs", 4500*time.Millisecond, int64(100), want{cascade.Hedge, []int{0, 1}, cascade.ReasonHedge}),
+		Entry("time for one, cheap costs more than it saves", 4500*time.Millisecond, int64(700), want{cascade.Try, []int{1}, cascade.ReasonSkipDeadline}),
+		Entry("time for the cheap one alone", 2*time.Second, int64(100), want{cascade.Try, []int{0}, cascade.ReasonSkipDeadline}),
+	)
+
+	DescribeTable("delivers an answer that does not pass only from the floor on",
+		func(score float64, kind cascade.Kind) {
+			d := newDecider(cascade.Options{})
+			r := request()
+			r.Deadline = start.Add(2 * time.Second)
+			run, _ := d.Start(r, start)
+			Expect(d.Next(run, rated(0, score), start.Add(time.Second)).Kind).To(Equal(kind))
+		},
+		Entry("above it", 0.6, cascade.Accept),
+		Entry("below it", 0.4, cascade.Try),
+	)
+})
+
+var _ = Describe("a failure of the strongest model", func() {
+	It("falls back to the answer that is held, but for one below the floor", func() {
+		for score, kind := range map[float64]cascade.Kind{0.6: cascade.Accept, 0.4: cascade.Exhausted} {
+			d := newDecider(cascade.Options{})
+			run, _ := d.Start(request(), start)
+			d.Next(run, rated(0, score), start)
+			Expect(d.Next(run, cascade.Outcome{Option: 1, Failed: true}, start).Kind).To(Equal(kind))
+		}
+	})
+})
+
 var _ = Describe("the rating service", func() {
 	It("going silent brings the strongest model alone, and coming back ends that", func() {
 		var modes []cascade.RaterMode
--- a/cascade/control.go
+++ b/cascade/control.go
@@ -1,7 +1,9 @@
 package cascade
 
 const (
-	minSlack = -0.5
+	// minSlack leaves room for noise in ratings. At no slack an answer must
+	// reach the strongest model's mean, and to ask for more can't raise the mean.
+	minSlack = -0.05
 	maxSlack = 1.0
 	// maxAuditWeight bounds the inverse probability of an audit.
 	maxAuditWeight = 20
--- a/cascade/next.go
+++ b/cascade/next.go
@@ -114,8 +114,9 @@
 // nothing stronger can come in time and it reaches the floor.
 func (d *Decider) below(run *Run, v view, now time.Time) Step {
 	r := run.request
-	late := !r.Deadline.IsZero() && run.inFlight() == NoOption &&
-		v.within(run.untried(), r.Deadline.Sub(now)) == NoOption
+	next := run.untried()
+	late := !r.Deadline.IsZero() && run.inFlight() == NoOption && next != NoOption &&
+		v.within(next, r.Deadline.Sub(now)) == NoOption
 	if late && run.score >= r.Floor {
 		return d.accept(run, run.best, run.score, ReasonDeadline)
 	}
