Add the operators' command line

Cause: operators drive an environment through one document; nothing let them check, compare, try, promote, withdraw or look. Change: cmd/poplarshore with validate, diff, try, promote, status, history, withdraw, rollout, takeover, ledger and man; the operators' interface with idempotent edits that keep a document's comments, promotion proven by the trial environment's signature, and a guard against taking a withdrawn version back unawares; packages document/edit and document/diff.

--- /dev/null
+++ b/cmd/poplarshore/main.go
@@ -0,0 +1,13 @@
+// Command poplarshore is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/poplarshore/poplarshore/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.ExitCode(cli.New().ExecuteContext(context.Background())))
+}
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -43,7 +43,10 @@
 type secrets struct {
 	peer     []byte
 	operator []byte
-	sessions map[string][]byte
+	// promotion signs documents in the trial environment; nil where the
+	// environment has no part in promotion.
+	promotion []byte
+	sessions  map[string][]byte
 }
 
 // outside is the platform's services.
@@ -82,6 +85,11 @@
 	if d.secrets.operator, err = settings.Secret(d.settings.OperatorTokenFile); err != nil {
 		return err
 	}
+	if file := d.settings.Promotion.KeyFile; file != "" {
+		if d.secrets.promotion, err = settings.Secret(file); err != nil {
+			return err
+		}
+	}
 	d.secrets.sessions = make(map[string][]byte)
 	for name, path := range d.settings.SessionKeyFiles {
 		if d.secrets.sessions[name], err = settings.Secret(path); err != nil {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -183,10 +183,26 @@
 func (d *Daemon) operatorServer() http.Handler {
 	return operator.New(operator.Options{
 		Token: d.secrets.operator, Node: d.node, Publisher: d.publisher, Ready: d.ready,
-		Status: d.status, Registry: d.registry, Clock: d.clock,
+		Status: d.status, Registry: d.registry, Clock: d.clock, History: d.history, Totals: d.totals,
+		Promotion: operator.Promotion{
+			Signs:    d.settings.Promotion.Role == settings.RoleTrial,
+			Verifies: d.settings.Promotion.Role == settings.RoleProduction,
+			Key:      d.secrets.promotion,
+		},
 	})
 }
 
+// history returns the newest revisions, oldest first.
+func (d *Daemon) history(ctx context.Context) ([]revision.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Timeouts.StoreMS.Duration())
+	defer cancel()
+	head, err := revision.ReadHead(ctx, d.platform.table, d.rows.Configuration())
+	if err != nil || head.Number == 0 {
+		return nil, err
+	}
+	return append(head.Recent, head.Revision), nil
+}
+
 func (d *Daemon) peerServer() http.Handler {
 	return peer.NewServer(d.secrets.peer, d.node, d.spreader, d.limiter, d.clock)
 }
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -1,8 +1,12 @@
 package entryd
 
 import (
+	"time"
+
 	"github.com/poplarshore/poplarshore/coord/revision"
 	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/versions"
+	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -19,6 +23,23 @@
 	Freshness   revision.Freshness `json:"freshness"`
 	InForce     revision.InForce   `json:"in_force"`
 	InFlight    int                `json:"in_flight"`
+	// Rollouts are the roll-outs as this VM sees them.
+	Rollouts []versions.State `json:"rollouts,omitempty"`
+	// Stopped are the versions stopped as bad on this VM.
+	Stopped []model.Ref `json:"stopped,omitempty"`
+	// Backlog is the number of billing records that wait to be written.
+	Backlog int `json:"backlog"`
+	// Store tells whether this VM reaches the platform's store.
+	Store string `json:"store"`
+}
+
+// storeState tells how long ago this VM's knowledge of the store is.
+func (d *Daemon) storeState(now time.Time) string {
+	digest := d.node.Digest(now)
+	if digest.Contact == nil {
+		return "never reached"
+	}
+	return "reached " + (time.Duration(digest.Contact.AgeMillis) * time.Millisecond).String() + " ago"
 }
 
 func (d *Daemon) status() any {
@@ -29,6 +50,7 @@
 		VM: d.self.ID, Incarnation: d.life, Domain: d.self.Domain, Region: d.self.Region,
 		Ready: ready, Reason: reason, Revision: rev, Known: d.node.Known().Number,
 		Freshness: d.node.Freshness(now), InForce: d.node.InForce(rev.Number, rev.Time, now),
-		InFlight: d.entry.InFlight(),
+		InFlight: d.entry.InFlight(), Rollouts: d.versions.States(), Stopped: d.versions.StoppedVersions(),
+		Backlog: d.billing.Backlog(), Store: d.storeState(now),
 	}
 }
--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -25,6 +25,11 @@
 	HeaderRevision = "Poplarshore-Revision"
 	// HeaderHash carries the hash of a document sent.
 	HeaderHash = "Poplarshore-Hash"
+	// HeaderProof carries the trial environment's signature of a document.
+	HeaderProof = "Poplarshore-Proof"
+	// HeaderReinstate lists withdrawn versions that a document may take back
+	// into service, separated by commas.
+	HeaderReinstate = "Poplarshore-Reinstate"
 )
 
 // Problem is the body of an error answer.
@@ -57,6 +62,7 @@
 	}
 	w.Header().Set(HeaderRevision, strconv.FormatUint(rev.Number, 10))
 	w.Header().Set(HeaderHash, string(rev.Hash))
+	w.Header().Set(HeaderProof, s.opts.Promotion.sign(string(rev.Hash)))
 	_, _ = w.Write(body)
 }
 
@@ -71,10 +77,19 @@
 		writeError(w, http.StatusRequestEntityTooLarge, Problem{Code: "too_large", Message: "The document is too large."})
 		return
 	}
-	if _, faults := document.Check(body); len(faults) > 0 {
+	doc, faults := document.Check(body)
+	if len(faults) > 0 {
 		writeError(w, http.StatusUnprocessableEntity, Problem{Code: "invalid_document", Message: "The document has faults.", Faults: faults})
 		return
 	}
+	if !s.opts.Promotion.verify(document.Hash(body), r.Header.Get(HeaderProof)) {
+		writeError(w, http.StatusForbidden, Problem{Code: "not_tried", Message: "Production takes only documents that the trial environment accepted; use promote."})
+		return
+	}
+	if lost := s.reinstated(doc, r.Header.Get(HeaderReinstate)); lost != "" {
+		writeError(w, http.StatusConflict, Problem{Code: "reinstates_version", Message: "The document takes version " + lost + " back into service, which was withdrawn; name it as reinstated if that is meant."})
+		return
+	}
 	accepted, err := s.opts.Publisher.Propose(r.Context(), base, body, r.Header.Get(HeaderOperation), r.Header.Get(HeaderAuthor))
 	if err != nil {
 		writeProposeError(w, err)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -3,12 +3,14 @@
 package operator
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/poplarshore/poplarshore/account"
 	"github.com/poplarshore/poplarshore/coord/revision"
 	"github.com/poplarshore/poplarshore/internal/peer"
 )
@@ -27,6 +29,12 @@
 	Status   func() any
 	Registry *prometheus.Registry
 	Clock    clockwork.Clock
+	// Promotion signs or verifies documents.
+	Promotion Promotion
+	// History returns the newest revisions, oldest first.
+	History func(ctx context.Context) ([]revision.Revision, error)
+	// Totals returns the ledger's totals of a client account.
+	Totals func(ctx context.Context, id account.ID) (any, error)
 }
 
 // Server answers operators.
@@ -45,6 +53,9 @@
 	s.mux.HandleFunc("GET /operator/v1/document", s.authorized(s.document))
 	s.mux.HandleFunc("POST /operator/v1/document", s.authorized(s.propose))
 	s.mux.HandleFunc("GET /operator/v1/in-force/{number}", s.authorized(s.inForce))
+	s.mux.HandleFunc("POST /operator/v1/edit", s.authorized(s.edit))
+	s.mux.HandleFunc("GET /operator/v1/history", s.authorized(s.history))
+	s.mux.HandleFunc("GET /operator/v1/ledger/{account}", s.authorized(s.ledger))
 	return s
 }
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -17,12 +17,35 @@
 	// OperatorTokenFile holds the token that operators show.
 	OperatorTokenFile string            `json:"operator_token_file" doc:"File with the operators' bearer token. Required."`
 	SessionKeyFiles   map[string]string `json:"session_key_files" doc:"File with the secret of each session key that the document names."`
+	Promotion         Promotion         `json:"promotion" doc:"How documents go from the trial environment to production."`
 	Requests          Requests          `json:"requests" doc:"Bounds on what callers send."`
 	Timeouts          Timeouts          `json:"timeouts" doc:"Limits on each wait."`
 	Stop              Stop              `json:"stop" doc:"Planned stops."`
 	Log               Log               `json:"log" doc:"Logs to standard error."`
 }
 
+// Promotion says which part an environment has when documents are promoted.
+type Promotion struct {
+	Role    string `json:"role" doc:"trial signs what it accepts, production accepts only what is signed; empty does neither."`
+	KeyFile string `json:"key_file" doc:"File with the key shared by the trial environment and production."`
+}
+
+// The roles of environments.
+const (
+	RoleTrial      = "trial"
+	RoleProduction = "production"
+)
+
+func (p Promotion) check(text *strictjson.Text) {
+	switch p.Role {
+	case "":
+	case RoleTrial, RoleProduction:
+		required(text, "promotion.key_file", p.KeyFile)
+	default:
+		text.Add("promotion.role", "must be %q, %q or empty", RoleTrial, RoleProduction)
+	}
+}
+
 // Requests bounds what callers send.
 type Requests struct {
 	MaxBodyBytes     int64  `json:"max_body_bytes" doc:"Largest request body, in bytes. Default 4194304."`
@@ -87,6 +110,7 @@
 	e.Log.check(text)
 	required(text, "peer_token_file", e.PeerTokenFile)
 	required(text, "operator_token_file", e.OperatorTokenFile)
+	e.Promotion.check(text)
 	e.Requests.check(text)
 	e.Timeouts.check(text)
 	positive(text, "stop.drain_ms", e.Stop.DrainMS)
