--- /dev/null
+++ b/rollout/bench_test.go
@@ -0,0 +1,67 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/rollout"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+func BenchmarkAssign(b *testing.B) {
+	g := rollout.NewGuard(plan(), rollout.Begin(plan(), start), "vm1", "a", rollout.GuardOptions{})
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = g.Assign("session-0123456789", nil)
+	}
+}
+
+// BenchmarkEnded measures an attempt on a version whose means call for a test.
+func BenchmarkEnded(b *testing.B) {
+	for name, tolerance := range map[string]rollout.Tolerance{"test": {}, "no test": rollout.DefaultTolerance} {
+		b.Run(name, func(b *testing.B) {
+			g := rollout.NewGuard(plan(), rollout.Begin(plan(), start), "vm1", "a", rollout.GuardOptions{Tolerance: tolerance, Evidence: 1e9})
+			for range 1000 {
+				g.Ended("v1", false, time.Second)
+			}
+			g.Ended("v2", name == "test", time.Second)
+			for b.Loop() {
+				g.Ended("v2", false, time.Second)
+			}
+		})
+	}
+}
+
+// BenchmarkDecide measures the holder's decision with a report from each VM.
+func BenchmarkDecide(b *testing.B) {
+	for _, vms := range []int{7, 200, 2000} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			in := input(rollout.Begin(plan(), start), start)
+			in.Reports, in.Domains = nil, nil
+			for i := range 18 {
+				in.Domains = append(in.Domains, domain.ID(fmt.Sprint(i)))
+			}
+			for i := range vms {
+				r := report(in.Domains[i%18], in.Row, start)
+				r.VM = vm.ID(fmt.Sprint(i))
+				in.Reports = append(in.Reports, r)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				rollout.Decide(in, rollout.Options{})
+			}
+		})
+	}
+}
+
+func BenchmarkWatch(b *testing.B) {
+	w := rollout.NewWatch(rollout.WatchOptions{})
+	for range 10 {
+		w.Observe(good(1000))
+	}
+	for b.Loop() {
+		w.Observe(good(100))
+	}
+}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -14,11 +15,14 @@
 
 func TestRollout(t *testing.T) {
 	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	RunSpecs(t, "rollout")
 }
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
+var versions = []model.VersionID{"v1", "v2"}
+
 func plan() rollout.Plan {
 	return rollout.Plan{
 		ID: "r1", Model: "draft", From: "v1", To: "v2",
