--- /dev/null
+++ b/coord/revision/publisher_test.go
@@ -0,0 +1,124 @@
+package revision_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/coord/revision"
+	"github.com/poplarshore/poplarshore/coord/store/memory"
+)
+
+// onNth injects the fault into the nth operation of the kind, counted from 1.
+func onNth(kind memory.Op, nth int, fault memory.Fault) memory.Injector {
+	seen := 0
+	return func(_ context.Context, op memory.Op, _ string) memory.Fault {
+		if op == kind {
+			seen++
+			if seen == nth {
+				return fault
+			}
+		}
+		return memory.None
+	}
+}
+
+func always(fault memory.Fault) memory.Injector {
+	return func(context.Context, memory.Op, string) memory.Fault { return fault }
+}
+
+var _ = Describe("Publisher", func() {
+	var (
+		ctx     = context.Background()
+		table   *memory.Table
+		objects *memory.Objects
+		publish = func(base uint64, op string) (revision.Accepted, error) {
+			p := revision.NewPublisher(revision.PublisherOptions{
+				Table: table, Objects: objects, Prefix: prefix, Backoff: 1, Attempts: 3,
+			})
+			return p.Propose(ctx, base, []byte(op), op, "ana")
+		}
+	)
+	BeforeEach(func() { table, objects = memory.NewTable(), memory.NewObjects() })
+
+	DescribeTable("accepts once whatever single fault strikes a step",
+		func(op memory.Op, fault memory.Fault, onObjects bool) {
+			if onObjects {
+				objects.Faults = onNth(op, 1, fault)
+			} else {
+				table.Faults = onNth(op, 1, fault)
+			}
+			for base := range uint64(2) {
+				accepted, err := publish(base, fmt.Sprint("op", base))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(accepted.Revision.Number).To(Equal(base + 1))
+			}
+		},
+		Entry("body: down", memory.OpCreate, memory.Down, true),
+		Entry("body: reply lost", memory.OpCreate, memory.ReplyLost, true),
+		Entry("body: request lost", memory.OpCreate, memory.RequestLost, true),
+		Entry("read: down", memory.OpGet, memory.Down, false),
+		Entry("insert: down", memory.OpInsert, memory.Down, false),
+		Entry("insert: reply lost", memory.OpInsert, memory.ReplyLost, false),
+		Entry("insert: request lost", memory.OpInsert, memory.RequestLost, false),
+		Entry("update: down", memory.OpUpdate, memory.Down, false),
+		Entry("update: reply lost", memory.OpUpdate, memory.ReplyLost, false),
+		Entry("update: request lost", memory.OpUpdate, memory.RequestLost, false),
+	)
+
+	It("finds a lost reply's operation after others have moved on", func() {
+		written := false
+		table.Faults = func(_ context.Context, op memory.Op, _ string) memory.Fault {
+			switch {
+			case op == memory.OpInsert:
+				written = true
+				return memory.ReplyLost
+			case written:
+				return memory.Down
+			}
+			return memory.None
+		}
+		_, err := publish(0, "first")
+		Expect(errorx.IsOfType(err, revision.ErrUnknown)).To(BeTrue(), "%v", err)
+		table.Faults = nil
+		for base := uint64(1); base < 5; base++ {
+			_, err = publish(base, fmt.Sprint("later", base))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		accepted, err := publish(0, "first")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(accepted).To(HaveField("Repeated", true))
+		Expect(accepted.Revision.Number).To(BeEquivalentTo(1))
+	})
+
+	It("answers unknown once the operation ids have left the row", func() {
+		for base := range uint64(70) {
+			_, err := publish(base, fmt.Sprint(base))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := publish(0, "old")
+		Expect(errorx.IsOfType(err, revision.ErrUnknown)).To(BeTrue(), "%v", err)
+		_, err = publish(60, "recent")
+		Expect(errorx.IsOfType(err, revision.ErrConflict)).To(BeTrue(), "%v", err)
+	})
+
+	It("says unavailable, and means it, while nothing was written", func() {
+		table.Faults = always(memory.Down)
+		_, err := publish(0, "a")
+		Expect(errorx.IsOfType(err, revision.ErrUnavailable)).To(BeTrue())
+		table.Faults = nil
+		_, err = publish(0, "b")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("refuses an operation id that named another document", func() {
+		_, err := publish(0, "a")
+		Expect(err).NotTo(HaveOccurred())
+		p := revision.NewPublisher(revision.PublisherOptions{Table: table, Objects: objects, Prefix: prefix})
+		_, err = p.Propose(ctx, 1, []byte("other"), "a", "wei")
+		Expect(errorx.IsOfType(err, revision.ErrInvalid)).To(BeTrue())
+	})
+})
