Test and measure the spreading of revisions

Cause: freshness, spreading and concurrent proposals had no proof, and a fake clock's timeout context blocks in Err until it ends.

--- a/coord/revision/freshness.go
+++ b/coord/revision/freshness.go
@@ -93,23 +93,19 @@
 	return d
 }
 
-// sample picks at most opts.Statements recent statements at random, and
-// forgets those that have aged out.
+// sample returns at most opts.Statements recent statements, from a random place
+// in the order in which the nodes were first heard of.
 func (n *Node) sample(now time.Time) []Statement {
-	var picked []Statement
-	seen := 0
-	for _, id := range sortedKeys(n.peers) {
-		e := n.peers[id]
-		if !n.recent(e.at, now) {
-			delete(n.peers, id)
-			continue
-		}
-		s := Statement{Node: id, Number: e.number, AgeMillis: millis(now.Sub(e.at))}
-		seen++
-		if len(picked) < n.opts.Statements {
-			picked = append(picked, s)
-		} else if slot := n.opts.Rand.IntN(seen); slot < len(picked) {
-			picked[slot] = s
+	size := len(n.order)
+	if size == 0 {
+		return nil
+	}
+	picked := make([]Statement, 0, min(size, n.opts.Statements))
+	start := n.opts.Rand.IntN(size)
+	for i := 0; i < size && len(picked) < n.opts.Statements; i++ {
+		id := n.order[(start+i)%size]
+		if e := n.peers[id]; n.recent(e.at, now) {
+			picked = append(picked, Statement{Node: id, Number: e.number, AgeMillis: millis(now.Sub(e.at))})
 		}
 	}
 	return picked
--- a/coord/revision/inforce.go
+++ b/coord/revision/inforce.go
@@ -64,10 +64,7 @@
 	defer n.mu.Unlock()
 	maps.DeleteFunc(n.numbers, func(id NodeID, _ uint64) bool { return !keep[id] })
 	maps.DeleteFunc(n.peers, func(id NodeID, _ evidence) bool { return !keep[id] })
-}
-
-func sortedKeys(m map[NodeID]evidence) []NodeID {
-	return slices.Sorted(maps.Keys(m))
+	n.order = slices.DeleteFunc(n.order, func(id NodeID) bool { return !keep[id] })
 }
 
 func seedOf(id NodeID) uint64 {
--- a/coord/revision/mesh_test.go
+++ b/coord/revision/mesh_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,8 +42,9 @@
 	order   []revision.NodeID
 	blocked func(from, to revision.NodeID) bool
 	rand    *rand.Rand
-	bytes   int // encoded digests, both directions
-	calls   int
+	measure bool
+	bytes   atomic.Int64 // encoded digests, both directions
+	calls   atomic.Int64
 }
 
 func newMesh(size int) *mesh {
@@ -203,7 +205,10 @@
 }
 
 func (m *mesh) count(d revision.Digest) {
+	if !m.measure {
+		return
+	}
 	encoded, _ := json.Marshal(d)
-	m.bytes += len(encoded)
-	m.calls++
+	m.bytes.Add(int64(len(encoded)))
+	m.calls.Add(1)
 }
--- a/coord/revision/node.go
+++ b/coord/revision/node.go
@@ -70,6 +70,7 @@
 	confirmed time.Time           // newest contact whose number was not above the installed one
 	heard     bool                // the store or a peer has answered
 	peers     map[NodeID]evidence // newest statement of each other node
+	order     []NodeID            // keys of peers, in the order of their arrival
 	numbers   map[NodeID]uint64   // highest number that each other node is known to have installed
 	proposals int                 // proposals in flight
 	doubt     bool                // a proposal ended with an unknown outcome
@@ -236,7 +237,11 @@
 	if id == n.opts.ID {
 		return
 	}
-	if old, ok := n.peers[id]; !ok || e.at.After(old.at) {
+	old, ok := n.peers[id]
+	if !ok {
+		n.order = append(n.order, id)
+	}
+	if !ok || e.at.After(old.at) {
 		n.peers[id] = e
 	}
 }
--- a/coord/revision/spreader.go
+++ b/coord/revision/spreader.go
@@ -161,7 +161,7 @@
 // Poll reads the head row once and installs what it names. It reports whether
 // the store answered.
 func (s *Spreader) Poll(ctx context.Context) bool {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, s.opts.CallTimeout)
+	ctx, cancel := withTimeout(ctx, s.opts.Clock, s.opts.CallTimeout)
 	defer cancel()
 	sentAt := s.opts.Clock.Now()
 	head, _, err := readHead(ctx, s.opts.Table, headKey(s.opts.Prefix))
@@ -215,13 +215,13 @@
 // Follow installs the newest known revision, from the peer that named it or
 // else from the object store.
 func (s *Spreader) Follow(ctx context.Context, from NodeID) {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, s.opts.CallTimeout)
+	ctx, cancel := withTimeout(ctx, s.opts.Clock, s.opts.CallTimeout)
 	defer cancel()
 	s.catchUp(ctx, s.opts.Directory.Peer(from))
 }
 
 func (s *Spreader) exchange(ctx context.Context, peer Peer) bool {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.opts.Clock, s.opts.CallTimeout)
+	ctx, cancel := withTimeout(ctx, s.opts.Clock, s.opts.CallTimeout)
 	defer cancel()
 	sentAt := s.opts.Clock.Now()
 	reply, err := peer.Exchange(ctx, s.opts.Node.Digest(sentAt))
@@ -288,3 +288,13 @@
 	case <-timer.Chan():
 	}
 }
+
+// withTimeout cancels the returned context after d by the given clock.
+func withTimeout(ctx context.Context, clock clockwork.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := clock.AfterFunc(d, cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
