--- /dev/null
+++ b/internal/entry/export_test.go
@@ -0,0 +1,4 @@
+package entry
+
+// DecodeCompletion is decodeCompletion for the fuzz test.
+var DecodeCompletion = decodeCompletion
