--- a/coord/ledger/compact.go
+++ b/coord/ledger/compact.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/poplarshore/poplarshore/coord/store"
 )
@@ -11,23 +10,24 @@
 // Compact adds the buckets that are older than the retention to their accounts'
 // total rows and returns how many.
 //
-// A bucket goes through three steps, each of which may be repeated: its row is
+// First the mark is raised, after which no new row of such a bucket is filled.
+// Each bucket then goes through three steps, which may be repeated: its row is
 // sealed; its sum is added to the total, which names the row; the row is
 // deleted. The next bucket is added only after the row named in the total is
 // gone, so that no bucket is added twice.
 //
 // Errors: ErrUnavailable, ErrFenced, ErrContended, ErrCorrupt.
 func (s *Settler) Compact(ctx context.Context) (int, error) {
+	mark, err := s.raiseMark(ctx)
+	if err != nil {
+		return 0, err
+	}
 	compacted := 0
-	err := s.scan(ctx, bucketsPrefix(s.opts.Prefix), func(row store.Row) error {
+	err = s.scan(ctx, bucketsPrefix(s.opts.Prefix), func(row store.Row) error {
 		id, err := parseBucket(s.opts.Prefix, row.Key)
-		if err != nil {
+		if err != nil || !mark.covers(id, s.opts.Bucket) {
 			return err
 		}
-		end := time.Unix(id.start, 0).Add(s.opts.Bucket)
-		if s.opts.Clock.Since(end) <= s.opts.Retain+s.opts.Slack {
-			return nil
-		}
 		if err := s.compactRow(ctx, id); err != nil {
 			return err
 		}
@@ -38,6 +38,27 @@
 	return compacted, err
 }
 
+func (s *Settler) raiseMark(ctx context.Context) (compactionMark, error) {
+	key := markKey(s.opts.Prefix)
+	through := s.opts.Clock.Now().Add(-s.opts.Retain).Unix()
+	for range casAttempts {
+		var mark compactionMark
+		version, err := readRow(ctx, s.opts.Table, key, &mark)
+		if err != nil || mark.Through >= through {
+			return mark, err
+		}
+		if err := s.claim(&mark.Fence, key); err != nil {
+			return mark, err
+		}
+		mark.Through = through
+		done, err := writeRow(ctx, s.opts.Table, key, mark, version)
+		if err != nil || done {
+			return mark, err
+		}
+	}
+	return compactionMark{}, ErrContended.New("compaction mark")
+}
+
 func (s *Settler) compactRow(ctx context.Context, id bucketID) error {
 	key := id.key(s.opts.Prefix)
 	row, version, err := s.sealRow(ctx, key)
--- a/coord/ledger/fold.go
+++ b/coord/ledger/fold.go
@@ -72,42 +72,60 @@
 // bucket which takes no more.
 func (s *Settler) foldBucket(ctx context.Context, id bucketID, items []item, report *Report) ([]item, error) {
 	for range casAttempts {
-		counted, err := s.neighbours(ctx, id)
-		if err != nil {
-			return nil, err
-		}
-		var row bucketRow
-		key := id.key(s.opts.Prefix)
-		version, err := readRow(ctx, s.opts.Table, key, &row)
-		if err != nil {
-			return nil, err
-		}
-		row.addTo(counted)
-		fresh := missing(items, counted)
-		if len(fresh) == 0 || s.closed(id, row, version) {
-			s.count(report, 0, len(items)-len(fresh))
-			return fresh, nil
-		}
-		if err := s.claim(&row.Fence, key); err != nil {
-			return nil, err
-		}
-		row.add(fresh)
-		done, err := writeRow(ctx, s.opts.Table, key, row, version)
-		if err != nil {
-			return nil, err
-		}
-		if done {
-			s.count(report, len(fresh), len(items)-len(fresh))
-			return nil, nil
+		done, aside, err := s.tryFold(ctx, id, items, report)
+		if done || err != nil {
+			return aside, err
 		}
 	}
 	return nil, ErrContended.New("bucket %q", id.key(s.opts.Prefix))
 }
 
-// closed reports whether the bucket takes no more requests.
-func (s *Settler) closed(id bucketID, row bucketRow, version store.Version) bool {
-	age := s.opts.Clock.Since(time.Unix(id.start, 0).Add(s.opts.Bucket))
-	return row.Sealed || (version == "" && age > s.opts.Retain)
+// tryFold makes one try at a bucket's row. It reports false for another try.
+func (s *Settler) tryFold(ctx context.Context, id bucketID, items []item, report *Report) (bool, []item, error) {
+	counted, err := s.neighbours(ctx, id)
+	if err != nil {
+		return false, nil, err
+	}
+	var row bucketRow
+	key := id.key(s.opts.Prefix)
+	version, err := readRow(ctx, s.opts.Table, key, &row)
+	if err != nil {
+		return false, nil, err
+	}
+	row.addTo(counted)
+	fresh := missing(items, counted)
+	closed, err := s.closed(ctx, id, row)
+	if err != nil {
+		return false, nil, err
+	}
+	if len(fresh) == 0 || closed {
+		s.count(report, 0, len(items)-len(fresh))
+		return true, fresh, nil
+	}
+	if err := s.claim(&row.Fence, key); err != nil {
+		return false, nil, err
+	}
+	if version != "" {
+		row.add(fresh)
+	}
+	wrote, err := writeRow(ctx, s.opts.Table, key, row, version)
+	if err != nil || !wrote || version == "" {
+		return false, nil, err
+	}
+	s.count(report, len(fresh), len(items)-len(fresh))
+	return true, nil, nil
+}
+
+// closed reports whether the bucket takes no more requests. A bucket's row is
+// first inserted empty, and the mark is read after that: a compaction which
+// has raised the mark since will find the row and seal it.
+func (s *Settler) closed(ctx context.Context, id bucketID, row bucketRow) (bool, error) {
+	if row.Sealed || len(row.Keys) > 0 {
+		return row.Sealed, nil
+	}
+	var mark compactionMark
+	_, err := readRow(ctx, s.opts.Table, markKey(s.opts.Prefix), &mark)
+	return mark.covers(id, s.opts.Bucket), err
 }
 
 // neighbours returns the request keys of the buckets before and after, where a
--- a/coord/ledger/incarnations.go
+++ b/coord/ledger/incarnations.go
@@ -178,7 +178,7 @@
 			return err
 		}
 		age := s.opts.Clock.Since(i.Updated)
-		if age < forget && (!i.Complete() || age < s.opts.Retain+s.opts.Slack) {
+		if age < forget && (!i.Complete() || age < s.opts.Retain) {
 			return nil
 		}
 		done, err := wrote(s.opts.Table.Delete(ctx, row.Key, row.Version), row.Key)
--- a/coord/ledger/rows.go
+++ b/coord/ledger/rows.go
@@ -44,6 +44,19 @@
 	Last rowRef `json:"last"`
 }
 
+// compactionMark says up to when buckets are being or have been compacted. It
+// only rises, and does so before any bucket below it is sealed.
+type compactionMark struct {
+	Fence   uint64 `json:"fence"`
+	Through int64  `json:"through"` // seconds since 1970
+}
+
+func (m compactionMark) covers(id bucketID, length time.Duration) bool {
+	return id.start+int64(length/time.Second) <= m.Through
+}
+
+func markKey(prefix string) string { return prefix + "/compacted" }
+
 // bucketID names a bucket row.
 type bucketID struct {
 	account string
--- a/coord/ledger/segment.go
+++ b/coord/ledger/segment.go
@@ -6,8 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"strconv"
-	"strings"
 )
 
 const (
@@ -36,17 +34,6 @@
 	return fmt.Sprintf("%s%s/%0*d", segmentsPrefix(prefix), incarnation, sequenceWidth, sequence)
 }
 
-// parseKey returns the incarnation and the sequence in a segment's key.
-func parseKey(prefix, key string) (string, uint64, error) {
-	rest, ok := strings.CutPrefix(key, segmentsPrefix(prefix))
-	incarnation, digits, found := strings.Cut(rest, "/")
-	sequence, err := strconv.ParseUint(digits, 10, 64)
-	if !ok || !found || err != nil || sequence == 0 {
-		return "", 0, ErrInvalid.New("%q is no segment key", key)
-	}
-	return incarnation, sequence, nil
-}
-
 // seal encodes a segment: the hexadecimal SHA-256 of the content, a line feed,
 // and the content as JSON.
 func seal(prefix string, s segment) (Sealed, error) {
--- a/coord/ledger/settler.go
+++ b/coord/ledger/settler.go
@@ -13,7 +13,6 @@
 const (
 	defaultBucket     = 5 * time.Minute
 	defaultRetain     = 24 * time.Hour
-	defaultSlack      = time.Hour
 	defaultBatchBytes = 4 << 20
 	defaultPage       = 200
 	defaultShards     = 4
@@ -33,12 +32,9 @@
 	// Shards divides a bucket so that each row stays below the table's limit.
 	// A row takes about 22 bytes per request. Default 4.
 	Shards int
-	// Retain is how long request ids are remembered, by Entry.Time. Older
-	// entries without a bucket are set aside. Default 24 h.
+	// Retain is how long request ids are remembered, by Entry.Time. Entries
+	// that come later are set aside. Default 24 h.
 	Retain time.Duration
-	// Slack is how much longer than Retain a bucket is kept, at the least twice as
-	// long as a settler can be paused. Default 1 h.
-	Slack time.Duration
 	// BatchBytes bounds the segments folded at once. Default 4 MiB.
 	BatchBytes int
 	// Page bounds one listing. Default 200 keys.
@@ -50,7 +46,6 @@
 func (o SettlerOptions) withDefaults() SettlerOptions {
 	o.Bucket = defaultTo(o.Bucket, defaultBucket)
 	o.Retain = defaultTo(o.Retain, defaultRetain)
-	o.Slack = defaultTo(o.Slack, defaultSlack)
 	o.BatchBytes = defaultTo(o.BatchBytes, defaultBatchBytes)
 	o.Page = defaultTo(o.Page, defaultPage)
 	o.Shards = defaultTo(o.Shards, defaultShards)
--- a/coord/revision/mesh_test.go
+++ b/coord/revision/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 
 func TestRevision(t *testing.T) {
 	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	Expect(flag.Set("rapid.checks", "50")).To(Succeed())
 	RunSpecs(t, "revision")
 }
 
