--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -293,6 +293,12 @@
 // readyPoll is the time between two looks at whether the daemon is ready.
 const readyPoll = 10 * time.Millisecond
 
+// IsReady tells whether the daemon is ready to serve.
+func (d *Daemon) IsReady() bool {
+	_, ok := d.ready()
+	return ok
+}
+
 // AwaitReady waits until the daemon is ready to serve.
 func (d *Daemon) AwaitReady(ctx context.Context) error {
 	for {
@@ -307,6 +313,11 @@
 	}
 }
 
+// Members returns the number of live entry VMs known, this one included.
+func (d *Daemon) Members() int {
+	return len(d.book.All())
+}
+
 // Revision returns the number of the configuration in force.
 func (d *Daemon) Revision() uint64 {
 	if x := d.follower.Index(); x != nil {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -28,6 +28,8 @@
 	Address string
 	Key     string
 	Client  *http.Client
+	// OnPiece, if set, is called after each piece of a streamed answer.
+	OnPiece func(pieces int)
 }
 
 // Answer is what came back.
@@ -103,7 +105,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	a := Answer{Status: resp.StatusCode, Header: resp.Header}
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		a.readStream(resp.Body)
+		a.readStream(resp.Body, c.OnPiece)
 		return a, nil
 	}
 	a.readWhole(resp.Body)
@@ -136,7 +138,7 @@
 	}
 }
 
-func (a *Answer) readStream(body io.Reader) {
+func (a *Answer) readStream(body io.Reader, onPiece func(int)) {
 	var text strings.Builder
 	for ev, err := range sse.Read(body, nil) {
 		if err != nil {
@@ -152,6 +154,9 @@
 		if json.Unmarshal([]byte(ev.Data), &c) == nil && len(c.Choices) > 0 {
 			text.WriteString(c.Choices[0].Delta.Content + c.Choices[0].Text)
 		}
+		if onPiece != nil {
+			onPiece(a.Pieces)
+		}
 	}
 	a.Text = text.String()
 }
--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -7,10 +7,13 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -83,7 +86,9 @@
 	dir    string
 	ctx    context.Context
 	cancel context.CancelFunc
-	vms    map[vm.ID]*entryd.Daemon
+
+	mu  sync.RWMutex
+	vms map[vm.ID]*entryd.Daemon
 	// published is the number of the newest revision published here.
 	published uint64
 }
@@ -124,9 +129,32 @@
 			return err
 		}
 	}
+	return e.awaitMembers()
+}
+
+// awaitMembers waits until every entry VM knows of all the others.
+func (e *Environment) awaitMembers() error {
+	ids := e.running()
+	for _, id := range ids {
+		for e.VM(id).Members() < len(ids) {
+			if err := e.pause(e.ctx); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
+// pause waits a little, or returns why ctx ended.
+func (e *Environment) pause(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-time.After(revisionPoll):
+		return nil
+	}
+}
+
 func (e *Environment) writeSecrets() error {
 	dir, err := os.MkdirTemp("", "poplarshore-")
 	if err != nil {
@@ -239,7 +267,7 @@
 	if err := d.Start(e.ctx); err != nil {
 		return nil, err
 	}
-	e.vms[v.ID] = d
+	e.add(v.ID, d)
 	e.Platform.SetMember(platform.Member{
 		ID: string(v.ID), Address: d.PeersAddress(), Region: v.Region, Domain: v.Domain, State: platform.MemberLive,
 	})
@@ -270,23 +298,25 @@
 		s.SessionKeyFiles[name] = e.Secret("session")
 	}
 	s.Stop.BalancerGraceMS = 1
+	s.Timeouts.VMListPeriod = listPeriod
 	if v.Settings != nil {
 		v.Settings(s)
 	}
 	return s
 }
 
+// listPeriod is the time between a VM's reads of the list of VMs, in ms.
+const listPeriod = 100
+
 // revisionPoll is the time between two looks at the revisions in force.
 const revisionPoll = 10 * time.Millisecond
 
 // AwaitRevision waits until all entry VMs work by the revision.
 func (e *Environment) AwaitRevision(ctx context.Context, number uint64) error {
-	for _, d := range e.vms {
-		for d.Revision() < number {
-			select {
-			case <-ctx.Done():
-				return context.Cause(ctx)
-			case <-time.After(revisionPoll):
+	for _, id := range e.running() {
+		for e.VM(id).Revision() < number {
+			if err := e.pause(ctx); err != nil {
+				return err
 			}
 		}
 	}
@@ -295,27 +325,73 @@
 
 // VM returns a running entry VM, or nil.
 func (e *Environment) VM(id vm.ID) *entryd.Daemon {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
 	return e.vms[id]
 }
 
-// StopVM stops an entry VM as planned and returns the requests cut off.
-func (e *Environment) StopVM(id vm.ID) int {
+// First returns the running entry VM with the least id, or an empty id.
+func (e *Environment) First() vm.ID {
+	ids := e.running()
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[0]
+}
+
+// ReadyVMs returns the entry VMs to which a balancer would send callers.
+func (e *Environment) ReadyVMs() []vm.ID {
+	var ready []vm.ID
+	for _, id := range e.running() {
+		if d := e.VM(id); d != nil && d.IsReady() {
+			ready = append(ready, id)
+		}
+	}
+	return ready
+}
+
+func (e *Environment) running() []vm.ID {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return slices.Sorted(maps.Keys(e.vms))
+}
+
+// Published returns the number of the newest revision published here.
+func (e *Environment) Published() uint64 {
+	return e.published
+}
+
+func (e *Environment) add(id vm.ID, d *entryd.Daemon) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.vms[id] = d
+}
+
+// take removes an entry VM and returns it.
+func (e *Environment) take(id vm.ID) *entryd.Daemon {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	d := e.vms[id]
 	delete(e.vms, id)
+	return d
+}
+
+// StopVM stops an entry VM as planned and returns the requests cut off.
+func (e *Environment) StopVM(id vm.ID) int {
+	cut := e.VM(id).Stop(context.Background())
+	e.take(id)
 	e.Platform.RemoveMember(string(id))
-	return d.Stop(context.Background())
+	return cut
 }
 
 // KillVM ends an entry VM at once, as the loss of the machine does.
 func (e *Environment) KillVM(id vm.ID) {
-	d := e.vms[id]
-	delete(e.vms, id)
-	d.Kill()
+	e.take(id).Kill()
 }
 
 // Close stops everything.
 func (e *Environment) Close() {
-	for id := range e.vms {
+	for _, id := range e.running() {
 		e.KillVM(id)
 	}
 	e.cancel()
