--- a/coord/revision/node.go
+++ b/coord/revision/node.go
@@ -24,7 +24,11 @@
 	// Members returns the nodes that take proposals and are not gone, this one
 	// included. While no node reaches the store, all of them have to vouch. Nil
 	// stands for an unknown membership, for which only the store counts.
-	Members  func() []NodeID
+	Members func() []NodeID
+	// Apply, if set, puts a revision in force before the node counts it as
+	// installed and confirms it to others. It is called with rising numbers, one
+	// call at a time. After an error the revision is not installed.
+	Apply    func(rev Revision, body []byte) error
 	Clock    clockwork.Clock
 	Rand     *rand.Rand
 	Observer Observer
@@ -61,6 +65,8 @@
 // Node is one process's view of the configuration. It is safe for concurrent use.
 type Node struct {
 	opts Options
+	// installing is held during an installation, always before mu.
+	installing sync.Mutex
 
 	mu        sync.Mutex
 	installed Revision
@@ -94,15 +100,17 @@
 // Install makes rev the current revision if its number is higher than the
 // current one and body has its hash. It reports whether it did.
 func (n *Node) Install(rev Revision, body []byte) bool {
-	if HashOf(body) != rev.Hash {
+	n.installing.Lock()
+	defer n.installing.Unlock()
+	if current, _ := n.Current(); rev.Number <= current.Number {
+		return false
+	}
+	if HashOf(body) != rev.Hash || n.apply(rev, body) != nil {
 		n.opts.Observer.Observe(EventInstallRefused)
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if rev.Number <= n.installed.Number {
-		return false
-	}
 	n.installed, n.body = rev, body
 	n.learn(rev)
 	n.confirm()
@@ -111,6 +119,14 @@
 	return true
 }
 
+// apply puts a revision in force for the owner of the node.
+func (n *Node) apply(rev Revision, body []byte) error {
+	if n.opts.Apply == nil {
+		return nil
+	}
+	return n.opts.Apply(rev, body)
+}
+
 // Current returns the installed revision and its body, which the caller must
 // not change. Number 0 stands for none.
 func (n *Node) Current() (Revision, []byte) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,6 @@
 package config
 
 import (
-	"context"
 	"log/slog"
 	"sync/atomic"
 
@@ -22,7 +21,6 @@
 	clock  clockwork.Clock
 	log    *slog.Logger
 	index  atomic.Pointer[document.Index]
-	signal chan struct{}
 	events *prometheus.CounterVec
 	number prometheus.Gauge
 	// install is called with each configuration before it is in force.
@@ -32,7 +30,7 @@
 // New returns a follower without a configuration. Bind it to a node before use.
 func New(clock clockwork.Clock, log *slog.Logger, reg prometheus.Registerer, install func(*document.Index)) *Follower {
 	f := &Follower{
-		clock: clock, log: log, install: install, signal: make(chan struct{}, 1),
+		clock: clock, log: log, install: install,
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "poplarshore", Name: "revision_events_total", Help: "Events of the configuration's spread, by kind.",
 		}, []string{"event"}),
@@ -52,46 +50,25 @@
 // Observe implements revision.Observer.
 func (f *Follower) Observe(e revision.Event) {
 	f.events.WithLabelValues(string(e)).Inc()
-	if e != revision.EventInstalled {
-		return
-	}
-	select {
-	case f.signal <- struct{}{}:
-	default:
-	}
 }
 
-// Run puts each installed revision in force until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.signal:
-			f.Apply()
-		}
-	}
-}
-
-// Apply puts the installed revision in force. A document that this program
+// Apply puts a revision in force. It is revision.Options.Apply, so that a VM
+// confirms a revision only when it works by it. A document that this program
 // can't read is not put in force; this VM then turns stale, as it must not
 // serve by an older one.
-func (f *Follower) Apply() {
-	rev, body := f.node.Current()
-	if x := f.index.Load(); x != nil && x.Number >= rev.Number {
-		return
-	}
+func (f *Follower) Apply(rev revision.Revision, body []byte) error {
 	doc, err := document.Parse(body)
 	if err != nil {
 		f.events.WithLabelValues("unreadable").Inc()
 		f.log.Error("configuration can't be read", "revision", rev.Number, "error", err)
-		return
+		return err
 	}
 	x := document.NewIndex(rev.Number, doc)
 	f.install(x)
 	f.index.Store(x)
 	f.number.Set(float64(rev.Number))
 	f.log.Info("configuration in force", "revision", rev.Number, "hash", rev.Hash)
+	return nil
 }
 
 // Index implements entry.Config.
@@ -101,9 +78,7 @@
 
 // Refusal implements entry.Config.
 func (f *Follower) Refusal() *refusal.Refusal {
-	x := f.index.Load()
-	rev, _ := f.node.Current()
-	if x == nil || !f.node.Ready() || x.Number < rev.Number || !f.node.Fresh(f.clock.Now()) {
+	if f.index.Load() == nil || !f.node.Fresh(f.clock.Now()) {
 		return refusal.New(refusal.ConfigurationStale)
 	}
 	return nil
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -135,7 +135,7 @@
 	d.follower = config.New(d.clock, d.log, d.registry, d.install)
 	d.node = revision.NewNode(revision.Options{
 		ID: revision.NodeID(d.self.ID), FreshFor: d.settings.Timeouts.FreshForMS.Duration(),
-		Members: d.members, Clock: d.clock, Observer: d.follower,
+		Members: d.members, Apply: d.follower.Apply, Clock: d.clock, Observer: d.follower,
 	})
 	d.follower.Bind(d.node)
 	d.spreader = revision.NewSpreader(revision.SpreaderOptions{
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -124,7 +124,6 @@
 
 func (d *Daemon) startDuties() {
 	s := d.settings
-	d.runner.Start("configuration", d.follower.Run)
 	d.runner.Start("spread", d.spreader.Run)
 	d.runner.Every("vm list", d.clock, s.Timeouts.VMListPeriod.Duration(), d.readVMList)
 	puller := &placement.Puller{
--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -23,6 +23,7 @@
 	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/internal/entryd"
 	"github.com/poplarshore/poplarshore/internal/rows"
+	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/platform"
 	"github.com/poplarshore/poplarshore/platform/httpstore"
 	"github.com/poplarshore/poplarshore/settings"
@@ -225,15 +226,19 @@
 	if err != nil {
 		return err
 	}
-	o := oldrouter.Options{Models: make(map[string]string), Services: make(map[string]string)}
+	o := oldrouter.Options{
+		Models: make(map[string]string), Services: make(map[string]string), EnginesOf: make(map[string][]string),
+	}
+	index := document.NewIndex(0, e.doc)
 	for _, m := range e.doc.Models {
-		o.Models[string(m.Name)] = string(m.Name) + "@" + string(m.Current)
+		ref := model.Ref{Model: m.Name, Version: m.Current}
+		o.Models[string(m.Name)] = ref.String()
+		for _, u := range index.Engines(ref) {
+			o.EnginesOf[string(m.Name)] = append(o.EnginesOf[string(m.Name)], e.Addresses[u.ID])
+		}
 	}
 	for _, u := range e.doc.Upstreams {
-		switch u.Kind {
-		case upstream.Engine:
-			o.Engines = append(o.Engines, e.Addresses[u.ID])
-		case upstream.Service:
+		if u.Kind == upstream.Service {
 			o.Services[u.Service] = e.Addresses[u.ID]
 		}
 	}
--- a/standin/oldrouter/oldrouter.go
+++ b/standin/oldrouter/oldrouter.go
@@ -33,6 +33,8 @@
 	Models map[string]string
 	// Engines are the base URLs of the model engines.
 	Engines []string
+	// EnginesOf narrows the engines of a model.
+	EnginesOf map[string][]string
 	// Services maps the names of plain services to their base URLs.
 	Services map[string]string
 }
@@ -132,7 +134,11 @@
 	var model string
 	_ = json.Unmarshal(body["model"], &model)
 	target, ok := s.options.Models[model]
-	if !ok || len(s.options.Engines) == 0 {
+	engines := s.options.Engines
+	if own := s.options.EnginesOf[model]; own != nil {
+		engines = own
+	}
+	if !ok || len(engines) == 0 {
 		http.Error(w, "no such model", http.StatusNotFound)
 		return
 	}
@@ -143,7 +149,7 @@
 		return
 	}
 	turn := s.turn.Add(1)
-	engine := s.options.Engines[turn%uint64(len(s.options.Engines))]
+	engine := engines[turn%uint64(len(engines))]
 	s.forward(w, r, engine+r.URL.Path, Name+"-"+strconv.FormatUint(turn, 10), bytes.NewReader(sent))
 }
 
