--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -37,7 +37,6 @@
 	last     caller.Answer
 	prompt   string
 	sessions map[string]string
-	resume   string
 	loads    map[string]*load
 	client   *http.Client
 }
