Measure routing and spread what peers do

Cause: with reports 1 s old every VM takes the same idle engine at once; and the search for a prefix's home grew with the engines.

Change: the latency experiment; a queue estimate that assumes other senders' recent requests in proportion to own ones (Echo), with a sample of 5; homes are searched once per slot of prefixes.

--- a/cmd/poplarshore-experiment/main.go
+++ b/cmd/poplarshore-experiment/main.go
@@ -47,5 +47,6 @@
 	return []*cobra.Command{
 		newCascadeCommand(opts),
 		newRolloutCommand(opts),
+		newLatencyCommand(opts),
 	}
 }
--- /dev/null
+++ b/experiment/latency.go
@@ -0,0 +1,338 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/poplarshore/poplarshore/contract"
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/link"
+	"github.com/poplarshore/poplarshore/loadstate"
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/money"
+	"github.com/poplarshore/poplarshore/route"
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+// LatencyOptions set up the latency experiment.
+type LatencyOptions struct {
+	Engines int
+	VMs     int
+	// Load is the offered work over the engines' capacity, other senders' too.
+	Load float64
+	// Skewed gives engines unlike speeds, other senders' work unevenly, and
+	// callers unevenly to VMs.
+	Skewed bool
+	// ReportLag is how late reports arrive.
+	ReportLag time.Duration
+	// CostWeight is the contract's weight of cost; that of latency is 1.
+	CostWeight float64
+	// Duration is the virtual time that is measured.
+	Duration time.Duration
+}
+
+// DefaultLatencyOptions returns the sizes of today's larger user.
+func DefaultLatencyOptions() LatencyOptions {
+	return LatencyOptions{
+		Engines: 12, VMs: 7, Load: 0.75, Skewed: true,
+		ReportLag: time.Second, CostWeight: 1, Duration: 5 * time.Minute,
+	}
+}
+
+// LatencyRun is what one policy did with one seed. Times are in milliseconds.
+type LatencyRun struct {
+	P50     float64 `json:"p50_ms"`
+	P99     float64 `json:"p99_ms"`
+	Mean    float64 `json:"mean_ms"`
+	Crossed float64 `json:"crossed_share"`
+	Cached  float64 `json:"cached_share"`
+	Refused int     `json:"refused"`
+}
+
+const (
+	engineCapacity  = 16
+	engineCache     = 2000
+	reportInterval  = 500 * time.Millisecond
+	warmUp          = 30 * time.Second
+	meanAnswer      = 150.0
+	answerSpread    = 0.9
+	meanPrompt      = 1200.0
+	promptSpread    = 0.8
+	prefixGroups    = 2000
+	prefixZipf      = 1.2
+	prefixBlocks    = 8
+	slowSpeed       = 0.5
+	crossLatencyMS  = 25
+	crossPrice      = money.PerMillion(20_000)
+	bytesPerRequest = 20_000
+	otherShare      = 0.2
+)
+
+var (
+	latencyRef = model.Ref{Model: "strong", Version: "v1"}
+	latencyKey = loadstate.Key{Ref: latencyRef}
+	regions    = []domain.Region{"taipei", "taichung", "kaohsiung"}
+)
+
+// latencyRun is the state of one run.
+type latencyRun struct {
+	loop
+	opts    LatencyOptions
+	rng     *rand.Rand
+	zipf    *rand.Zipf
+	engines []*engine
+	ups     []*upstream.Upstream
+	vms     []*latencyVM
+	hist    *hdrhistogram.Histogram
+
+	requests, crossed int
+	blocks, refused   int
+}
+
+// latencyVM is one entry VM with its own view of the engines.
+type latencyVM struct {
+	region   domain.Region
+	state    *loadstate.State
+	locality *loadstate.Locality
+	policy   route.Selector
+}
+
+// RunLatency measures one policy, made anew for each VM, with one seed.
+func RunLatency(opts LatencyOptions, seed uint64, newPolicy func() route.Selector) LatencyRun {
+	r := &latencyRun{
+		opts: opts,
+		rng:  rand.New(rand.NewPCG(seed, 1)),
+		hist: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3),
+	}
+	r.zipf = rand.NewZipf(r.rng, prefixZipf, 1, prefixGroups-1)
+	r.makeEngines()
+	for i := range opts.VMs {
+		r.vms = append(r.vms, r.makeVM(regions[i%len(regions)], newPolicy()))
+	}
+	r.startReports()
+	r.startSenders()
+	r.run(warmUp + opts.Duration)
+	return r.result()
+}
+
+func (r *latencyRun) makeEngines() {
+	for i := range r.opts.Engines {
+		e := &engine{loop: &r.loop, capacity: engineCapacity, speed: 1, cache: newPrefixCache(engineCache)}
+		if r.opts.Skewed && i%3 == 2 {
+			e.speed = slowSpeed
+		}
+		r.engines = append(r.engines, e)
+		r.ups = append(r.ups, &upstream.Upstream{
+			ID: upstream.ID(fmt.Sprintf("e%03d", i)), Kind: upstream.Engine,
+			Domain: domain.ID(regions[(i/3)%len(regions)]), Capacity: engineCapacity,
+		})
+	}
+}
+
+func (r *latencyRun) makeVM(region domain.Region, policy route.Selector) *latencyVM {
+	vm := &latencyVM{
+		region:   region,
+		state:    loadstate.New(loadstate.DefaultOptions()),
+		locality: loadstate.NewLocality(loadstate.DefaultLocalityOptions()),
+		policy:   policy,
+	}
+	vm.state.Reconcile(loadstate.Placement{
+		Region:   region,
+		Links:    regionLinks(),
+		RegionOf: func(d domain.ID) domain.Region { return domain.Region(d) },
+		Groups:   map[loadstate.Key][]*upstream.Upstream{latencyKey: r.ups},
+	})
+	return vm
+}
+
+func regionLinks() link.Map {
+	var links []link.Link
+	for i, a := range regions {
+		for _, b := range regions[i+1:] {
+			links = append(links, link.Link{From: a, To: b, LatencyMS: crossLatencyMS, PricePerMB: crossPrice})
+		}
+	}
+	return link.NewMap(links)
+}
+
+// startReports lets each engine tell its load to each VM, late.
+func (r *latencyRun) startReports() {
+	for i, e := range r.engines {
+		offset := time.Duration(r.rng.Int64N(int64(reportInterval)))
+		r.every(offset, reportInterval, func() {
+			report := loadstate.Report{Load: e.load(), Taken: r.time()}
+			r.after(r.opts.ReportLag, func() {
+				for _, vm := range r.vms {
+					_, _ = vm.state.ObserveLoad(r.ups[i].ID, report)
+				}
+			})
+		})
+	}
+}
+
+// serviceRate returns the requests per second that an engine of speed 1 serves
+// when it is full and nothing is cached.
+func serviceRate() float64 {
+	perToken := tokenTime.Seconds() * (1 + batchSlope)
+	prompt := meanPrompt + prefixBlocks*route.BlockBytes/route.BytesPerToken
+	hold := meanAnswer*perToken + prompt*prefillTime.Seconds()
+	return engineCapacity / hold
+}
+
+// startSenders begins the callers of the VMs and the other senders.
+func (r *latencyRun) startSenders() {
+	total := 0.0
+	for _, e := range r.engines {
+		total += e.speed * serviceRate() * r.opts.Load
+	}
+	weights := r.callerWeights()
+	for i, vm := range r.vms {
+		r.send(total*(1-otherShare)*weights[i], func() { r.request(vm) })
+	}
+	for i, e := range r.engines {
+		r.send(total*otherShare*r.otherWeight(i), func() { r.otherRequest(e) })
+	}
+}
+
+// callerWeights returns each VM's part of the callers.
+func (r *latencyRun) callerWeights() []float64 {
+	weights := make([]float64, len(r.vms))
+	sum := 0.0
+	for i := range weights {
+		weights[i] = 1
+		if r.opts.Skewed && i == 0 {
+			weights[i] = 3
+		}
+		sum += weights[i]
+	}
+	for i := range weights {
+		weights[i] /= sum
+	}
+	return weights
+}
+
+// otherWeight returns engine i's part of the other senders' work. If skewed,
+// it falls on every other engine.
+func (r *latencyRun) otherWeight(i int) float64 {
+	n := float64(len(r.engines))
+	switch {
+	case !r.opts.Skewed:
+		return 1 / n
+	case i%2 == 0:
+		return 1 / math.Ceil(n/2)
+	}
+	return 0
+}
+
+// send calls f as a Poisson process.
+func (r *latencyRun) send(perSecond float64, f func()) {
+	if perSecond == 0 {
+		return
+	}
+	r.after(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		f()
+		r.send(perSecond, f)
+	})
+}
+
+// newJob draws a request's size and prompt.
+func (r *latencyRun) newJob() *job {
+	j := &job{
+		promptTokens: int(logNormal(r.rng, meanPrompt, promptSpread)) + prefixBlocks*route.BlockBytes/route.BytesPerToken,
+		answerTokens: 1 + int(logNormal(r.rng, meanAnswer, answerSpread)),
+	}
+	group := r.zipf.Uint64()
+	for b := range uint64(prefixBlocks) {
+		j.prefixes = append(j.prefixes, group*prefixBlocks+b+1)
+	}
+	return j
+}
+
+// logNormal draws from the log-normal distribution with the mean.
+func logNormal(rng *rand.Rand, mean, sigma float64) float64 {
+	return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)
+}
+
+func (r *latencyRun) otherRequest(e *engine) {
+	j := r.newJob()
+	j.prefixes = nil
+	j.onFirst, j.onEnd = func() {}, func() {}
+	e.submit(j)
+}
+
+func (r *latencyRun) request(vm *latencyVM) {
+	j := r.newJob()
+	view, _ := vm.state.View(latencyKey, r.time())
+	req := &route.Request{
+		Refs: []model.Ref{latencyRef}, Region: vm.region, Weights: contract.Weights{Latency: 1, Cost: r.opts.CostWeight},
+		PromptTokens: j.promptTokens, AnswerTokens: j.answerTokens, PromptBlocks: len(j.prefixes),
+		Bytes: bytesPerRequest, Draw: r.rng.Uint64(),
+		Hints: vm.locality.AppendHints(nil, j.prefixes, r.time()),
+		Home:  view.Home(j.prefixes[0]),
+	}
+	d, ok := vm.policy.Select(req, view)
+	if !ok {
+		r.refused++
+		return
+	}
+	r.dispatch(vm, j, d)
+}
+
+func (r *latencyRun) dispatch(vm *latencyVM, j *job, d route.Decision) {
+	i, _ := mustView(vm, r.time()).Find(d.Upstream.ID)
+	e, begun := r.engines[i], r.now
+	oneWay := regionLinks().Between(vm.region, domain.Region(d.Upstream.Domain)).Latency()
+	call, err := vm.state.Begin(d.Upstream.ID, r.time())
+	if err != nil {
+		return
+	}
+	vm.locality.Learn(j.prefixes, d.Upstream.ID, r.time())
+	prefill := time.Duration(j.promptTokens) * prefillTime
+	j.onFirst = func() {
+		r.after(oneWay, func() {
+			call.FirstToken(r.now - begun - 2*oneWay - prefill)
+			r.record(r.now-begun, begun, oneWay > 0)
+		})
+	}
+	j.onEnd = func() { r.after(oneWay, func() { call.End(r.time(), true) }) }
+	r.after(oneWay, func() {
+		r.blocks += len(j.prefixes)
+		e.submit(j)
+	})
+}
+
+func mustView(vm *latencyVM, now time.Time) *loadstate.View {
+	view, _ := vm.state.View(latencyKey, now)
+	return view
+}
+
+func (r *latencyRun) record(first, begun time.Duration, crossed bool) {
+	if begun < warmUp {
+		return
+	}
+	r.requests++
+	if crossed {
+		r.crossed++
+	}
+	_ = r.hist.RecordValue(int64(first / time.Microsecond))
+}
+
+func (r *latencyRun) result() LatencyRun {
+	hits := 0
+	for _, e := range r.engines {
+		hits += e.hits
+	}
+	n := float64(max(r.requests, 1))
+	return LatencyRun{
+		P50:     float64(r.hist.ValueAtQuantile(50)) / 1000,
+		P99:     float64(r.hist.ValueAtQuantile(99)) / 1000,
+		Mean:    r.hist.Mean() / 1000,
+		Crossed: float64(r.crossed) / n,
+		Cached:  float64(hits) / float64(max(r.blocks, 1)),
+		Refused: r.refused,
+	}
+}
--- a/loadstate/state.go
+++ b/loadstate/state.go
@@ -85,9 +85,13 @@
 		entries: make(map[upstream.ID]*entry),
 	}
 	for key, ups := range p.Groups {
-		next.groups[key] = newGroup(p, key, ups, func(u *upstream.Upstream) *entry {
+		g := newGroup(p, key, ups, func(u *upstream.Upstream) *entry {
 			return next.entry(old, u)
 		})
+		if before, ok := old.groups[key]; ok && g.homes.same(before.homes) {
+			g.homes = before.homes
+		}
+		next.groups[key] = g
 	}
 	s.tables.Store(next)
 }
--- a/loadstate/view.go
+++ b/loadstate/view.go
@@ -13,8 +13,7 @@
 	key     Key
 	members []member
 	byID    map[upstream.ID]int
-	ids     []upstream.ID
-	hashes  []uint64
+	homes   *homes
 }
 
 type member struct {
@@ -30,9 +29,8 @@
 		l := p.Links.Between(p.Region, p.RegionOf(u.Domain))
 		g.members = append(g.members, member{up: u, entry: entryOf(u), latency: l.Latency(), price: l.PricePerMB})
 		g.byID[u.ID] = i
-		g.ids = append(g.ids, u.ID)
-		g.hashes = append(g.hashes, route.HashID(u.ID))
 	}
+	g.homes = newHomes(ups)
 	return g
 }
 
@@ -66,7 +64,12 @@
 	return i, ok
 }
 
-// Home returns the upstream on which prompts with this prefix are gathered.
+// Home returns the upstream on which prompts with this prefix are gathered; empty
+// for an empty group.
 func (v *View) Home(prefix uint64) upstream.ID {
-	return route.Home(prefix, v.group.hashes, v.group.ids)
+	i := v.group.homes.of(prefix)
+	if i < 0 {
+		return ""
+	}
+	return v.group.members[i].up.ID
 }
--- a/route/doc.go
+++ b/route/doc.go
@@ -11,7 +11,7 @@
 // exchange and by the contract's weights (see Price). A lower cost is better.
 //
 //	policy := route.NewPolicy(route.DefaultOptions())
-//	view := state.View(loadstate.Key{Ref: ref}, now)
+//	view, ok := state.View(loadstate.Key{Ref: ref}, now)
 //	req := route.Request{Refs: refs, Region: region, Draw: rng.Uint64(), Hints: hints}
 //	d, err := policy.Select(&req, view)
 //
--- a/route/policy.go
+++ b/route/policy.go
@@ -44,7 +44,8 @@
 }
 
 const (
-	defaultSample     = 16
+	defaultSample     = 5
+	defaultEcho       = 8.0
 	defaultQueue      = 4.0
 	defaultOrdinary   = 0.75
 	defaultHold       = 2 * time.Second
@@ -69,7 +70,7 @@
 // DefaultScorers returns the scorers of model engines.
 func DefaultScorers() []Scorer {
 	return []Scorer{
-		QueueScorer{Hold: defaultHold, BatchSlope: defaultBatchSlope},
+		QueueScorer{Hold: defaultHold, BatchSlope: defaultBatchSlope, Echo: defaultEcho},
 		PrefillScorer{PerToken: defaultPerToken, Bound: defaultBound, Home: defaultHomeCredit},
 		LinkScorer{},
 		PriceScorer{MicrosPerSecond: defaultSecond},
--- a/route/subset.go
+++ b/route/subset.go
@@ -83,15 +83,15 @@
 	return order
 }
 
-// Home returns the upstream on which prompts with this prefix are gathered
-// while no cache is known to hold it, by rendezvous hashing; it is empty for an
+// Home returns the index of the upstream on which prompts with this prefix are
+// gathered while no cache is known to hold it, by rendezvous hashing; -1 for an
 // empty set.
-func Home(prefix uint64, hashes []uint64, ids []upstream.ID) upstream.ID {
-	var home upstream.ID
+func Home(prefix uint64, hashes []uint64) int {
+	home := -1
 	var best uint64
 	for i, h := range hashes {
-		if x := mix(prefix ^ h); home == "" || x > best {
-			home, best = ids[i], x
+		if x := mix(prefix ^ h); home < 0 || x > best {
+			home, best = i, x
 		}
 	}
 	return home
