Audit unrated answers more, and draw what a cascade costs

Change: answers that were not rated before they were accepted are audited five times as often as the others, at the same mean share. Figures: cost over quality, cost with an ailing rater.

--- a/cascade/next.go
+++ b/cascade/next.go
@@ -174,20 +174,33 @@
 		c.delivered.add(expected)
 		run.counted = true
 	}
-	asked := d.auditShare()
+	asked := d.auditShare(reason)
 	step.Audit = d.rand.Float64() < asked
 	run.share = asked * d.rater.share
 	return step
 }
 
-// auditShare returns the part of answers to audit: more where few of the audits
-// yield a rating, unless none do.
-func (d *Decider) auditShare() float64 {
-	if d.rater.mode == RaterOut {
-		return d.options.AuditShare
+// auditShare returns the part of answers accepted for the reason that are
+// audited. An answer that was rated before it was accepted differs less from
+// what is expected of it, and is audited less often than one that was not. Where
+// few audits yield a rating more are asked for, unless none do.
+func (d *Decider) auditShare(reason Reason) float64 {
+	share := d.options.AuditShare
+	switch reason {
+	case ReasonStrongest, ReasonClassMean:
+		share *= unratedAuditFactor
+	default:
+		share *= ratedAuditFactor
+	}
+	if d.rater.mode != RaterOut {
+		share /= max(d.rater.share, d.options.AuditShare)
 	}
-	return min(maxAuditShare, d.options.AuditShare/max(d.rater.share, d.options.AuditShare))
+	return min(maxAuditShare, share)
 }
 
-// maxAuditShare bounds the part of answers that are audited.
-const maxAuditShare = 0.5
+const (
+	unratedAuditFactor = 2.5
+	ratedAuditFactor   = 0.5
+	// maxAuditShare bounds the part of answers that are audited.
+	maxAuditShare = 0.5
+)
--- a/cascade/options.go
+++ b/cascade/options.go
@@ -36,8 +36,9 @@
 	// ExploreShare is the part of skipping requests that also run the
 	// cheapest option, to notice when it has become worth it; default 0.02.
 	ExploreShare float64
-	// AuditShare is the part of delivered answers that are rated afterwards;
-	// default 0.1.
+	// AuditShare is about the part of delivered answers that are rated
+	// afterwards; default 0.1. Answers that were not rated before they were
+	// accepted are audited more often than others.
 	AuditShare float64
 	// Gain is the controller's change of slack for one request that misses
 	// the target by 1; default 0.004.
--- a/cmd/poplarshore-experiment/cascade.go
+++ b/cmd/poplarshore-experiment/cascade.go
@@ -32,7 +32,7 @@
 	if err := experiment.WriteJSON(opts.out, "cascade-cost", rows); err != nil {
 		return err
 	}
-	return cascadeFigure(opts.out, rows)
+	return cascadeFigures(opts.out, rows)
 }
 
 func cascadeTable(w io.Writer, rows []cascadecost.Row) error {
@@ -48,27 +48,45 @@
 	return experiment.Table(w, header, cells)
 }
 
-// cascadeFigure draws cost over quality, a curve for each policy along the
-// settings that differ in the target alone.
-func cascadeFigure(dir string, rows []cascadecost.Row) error {
-	index := make(map[string]int)
-	var groups []experiment.Bars
-	var categories []string
-	for _, r := range rows {
-		if len(categories) == 0 || categories[len(categories)-1] != r.Setting {
-			categories = append(categories, r.Setting)
+// cascadeFigures draws cost over quality, a curve for each policy along the
+// settings that differ in the target alone, and the cost with an ailing rater.
+func cascadeFigures(dir string, rows []cascadecost.Row) error {
+	curves := []string{"fixed, tuned in hindsight", "equal slope, tuned in hindsight", "poplarshore", "oracle"}
+	lines := make([]experiment.Line, len(curves))
+	for i, policy := range curves {
+		lines[i].Name = policy
+		for _, setting := range []string{"target 0.85", "base", "target 0.90"} {
+			r := findRow(rows, setting, policy)
+			lines[i].X = append(lines[i].X, r.Quality.Mean)
+			lines[i].Y = append(lines[i].Y, r.Cost.Mean)
 		}
-		if r.Policy == "always strong" || r.Policy == "always cheap" {
-			continue
+	}
+	labels := experiment.Labels{Title: "Cost of a cascade at a quality", X: "mean quality delivered", Y: "cost / always strong"}
+	if err := experiment.WriteLines(dir, "cascade-cost", labels, lines); err != nil {
+		return err
+	}
+	return raterFigure(dir, rows)
+}
+
+func raterFigure(dir string, rows []cascadecost.Row) error {
+	settings := []string{"base", "rater partial 20%", "rater out for half", "rater 3 s, deadline 8 s"}
+	policies := []string{"fixed 0.8", "poplarshore", "poplarshore, class mean"}
+	groups := make([]experiment.Bars, len(policies))
+	for i, policy := range policies {
+		groups[i].Name = policy
+		for _, setting := range settings {
+			groups[i].Values = append(groups[i].Values, findRow(rows, setting, policy).Cost.Mean)
 		}
-		i, ok := index[r.Policy]
-		if !ok {
-			i = len(groups)
-			index[r.Policy] = i
-			groups = append(groups, experiment.Bars{Name: r.Policy})
+	}
+	labels := experiment.Labels{Title: "Cost with an ailing rating service", X: "setting", Y: "cost / always strong"}
+	return experiment.WriteBars(dir, "cascade-rater", labels, settings, groups)
+}
+
+func findRow(rows []cascadecost.Row, setting, policy string) cascadecost.Row {
+	for _, r := range rows {
+		if r.Setting == setting && r.Policy == policy {
+			return r
 		}
-		groups[i].Values = append(groups[i].Values, r.OverOracle.Mean)
 	}
-	labels := experiment.Labels{Title: "Cost of a cascade over the oracle's", X: "setting", Y: "cost / oracle"}
-	return experiment.WriteBars(dir, "cascade-cost", labels, categories, groups)
+	return cascadecost.Row{}
 }
--- a/cmd/poplarshore-experiment/rollout.go
+++ b/cmd/poplarshore-experiment/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 
 	"github.com/spf13/cobra"
 
@@ -67,21 +68,21 @@
 	return experiment.Table(w, []string{"scenario", "fault", "manual stop", "exposed", "seconds", "ratio"}, cells)
 }
 
-// exposureFigure draws the ratio of each scenario and fault.
+// exposureFigure draws the logarithm of the ratio of each scenario and fault.
 func exposureFigure(dir string, rows []exposure.Row) error {
 	var scenarios []string
 	var groups []experiment.Bars
 	for _, r := range rows {
-		if len(scenarios) == 0 || scenarios[len(scenarios)-1] != r.Scenario {
-			scenarios = append(scenarios, r.Scenario)
+		if len(scenarios) == 0 || scenarios[len(scenarios)-1] != r.Short {
+			scenarios = append(scenarios, r.Short)
 		}
 		if len(scenarios) == 1 {
 			groups = append(groups, experiment.Bars{Name: r.Fault})
 		}
 		group := &groups[indexOf(groups, r.Fault)]
-		group.Values = append(group.Values, r.Ratio.Mean)
+		group.Values = append(group.Values, math.Log10(r.Ratio.Mean))
 	}
-	labels := experiment.Labels{Title: "Exposure of a canary with manual stop over that of the roll-out", X: "scenario", Y: "ratio"}
+	labels := experiment.Labels{Title: "Exposure with a manual stop over that of the roll-out", X: "the version is bad", Y: "ratio, log10"}
 	return experiment.WriteBars(dir, "rollout-exposure", labels, scenarios, groups)
 }
 
--- a/experiment/exposure/run.go
+++ b/experiment/exposure/run.go
@@ -13,6 +13,8 @@
 // Row is the result of one scenario and fault.
 type Row struct {
 	Scenario string `json:"scenario"`
+	// Short names the scenario in figures.
+	Short string `json:"-"`
 	Fault    string `json:"fault"`
 	// Manual is the number of requests served by the bad version in the
 	// baseline.
@@ -47,7 +49,7 @@
 		ratio = append(ratio, m/max(1, float64(n)))
 	}
 	return Row{
-		Scenario: s.Name, Fault: fault.Name,
+		Scenario: s.Name, Short: s.Short, Fault: fault.Name,
 		Manual:  experiment.Summarise(manual),
 		Exposed: experiment.Summarise(exposed),
 		Seconds: experiment.Summarise(seconds),
--- a/experiment/exposure/setting.go
+++ b/experiment/exposure/setting.go
@@ -94,7 +94,9 @@
 // Scenario says when the new version turns bad.
 type Scenario struct {
 	Name string
-	Plan rollout.Plan
+	// Short names the scenario in figures.
+	Short string
+	Plan  rollout.Plan
 	// BadAtStep is the step from whose start on the version is bad;
 	// len(Plan.Steps) means BadAfter after the end of the roll-out.
 	BadAtStep int
@@ -119,9 +121,9 @@
 // Scenarios are those of the experiment.
 func Scenarios() []Scenario {
 	return []Scenario{
-		{Name: "bad from the start, 5% everywhere", Plan: flat},
-		{Name: "bad from the start, one domain first", Plan: staged},
-		{Name: "turns bad at 25%", Plan: staged, BadAtStep: 2},
-		{Name: "turns bad an hour after", Plan: staged, BadAtStep: len(staged.Steps), BadAfter: time.Hour},
+		{Name: "bad from the start, 5% everywhere", Short: "from the start, everywhere", Plan: flat},
+		{Name: "bad from the start, one domain first", Short: "from the start, one domain", Plan: staged},
+		{Name: "turns bad at 25%", Short: "from 25% on", Plan: staged, BadAtStep: 2},
+		{Name: "turns bad an hour after", Short: "an hour after", Plan: staged, BadAtStep: len(staged.Steps), BadAfter: time.Hour},
 	}
 }
