--- a/experiment/exposure/run.go
+++ b/experiment/exposure/run.go
@@ -15,7 +15,7 @@
 	Scenario string `json:"scenario"`
 	// Short names the scenario in figures.
 	Short string `json:"-"`
-	Fault    string `json:"fault"`
+	Fault string `json:"fault"`
 	// Manual is the number of requests served by the bad version in the
 	// baseline.
 	Manual experiment.Summary `json:"manual"`
