Let the memory table have clients, late and doubled writes

Cause: tests of leases and claims need faults per client, writes that arrive after their reply was given up, and writes that a transport sends twice. Change: Table.Client shares rows with faults of its own; the faults Late, with Table.Deliver, and Twice. Conclusion: the existing faults are unchanged.

--- a/coord/store/memory/faults.go
+++ b/coord/store/memory/faults.go
@@ -33,6 +33,11 @@
 	ReplyLost
 	// RequestLost drops a write and reports ErrUnknown; a read fails as if down.
 	RequestLost
+	// Late reports ErrUnknown and holds a write back until Table.Deliver; a read
+	// fails as if down. Objects drop the write.
+	Late
+	// Twice applies a write two times and returns the reply to the second.
+	Twice
 )
 
 // Counter counts operations that reached the store.
@@ -57,13 +62,13 @@
 	if ctx.Err() != nil {
 		return store.ErrUnavailable.Wrap(ctx.Err(), "%s %q", op, key)
 	}
-	if fault != None {
+	if fault != None && fault != Twice {
 		return store.ErrUnavailable.New("%s %q: injected fault", op, key)
 	}
 	return nil
 }
 
-func (i Injector) write(ctx context.Context, op Op, key string, apply func() error) error {
+func (i Injector) write(ctx context.Context, op Op, key string, apply func() error, holdBack func(func() error)) error {
 	fault := i(ctx, op, key)
 	if ctx.Err() != nil {
 		return store.ErrUnknown.Wrap(ctx.Err(), "%s %q", op, key)
@@ -78,7 +83,16 @@
 			return store.ErrUnknown.Wrap(err, "%s %q: injected lost reply", op, key)
 		}
 		return store.ErrUnknown.New("%s %q: injected lost reply", op, key)
+	case Late:
+		holdBack(apply)
+		return store.ErrUnknown.New("%s %q: injected delay", op, key)
+	case Twice:
+		_ = apply()
+		return apply()
 	default:
 		return apply()
 	}
 }
+
+// drop is the way of stores that hold no writes back.
+func drop(func() error) {}
--- a/coord/store/memory/memory_test.go
+++ b/coord/store/memory/memory_test.go
@@ -50,6 +50,16 @@
 		Expect(rows).To(HaveLen(1))
 		Expect(rows[0].Key).To(Equal("kept"))
 	})
+
+	It("holds a late write back until it is delivered, for one client only", func() {
+		slow := table.Client(always(memory.Late))
+		_, err := slow.Insert(ctx, "k", []byte("late"))
+		Expect(errorx.IsOfType(err, store.ErrUnknown)).To(BeTrue())
+		_, err = table.Get(ctx, "k")
+		Expect(errorx.IsOfType(err, store.ErrNotFound)).To(BeTrue())
+		table.Deliver()
+		Expect(table.Get(ctx, "k")).To(HaveField("Value", []byte("late")))
+	})
 })
 
 var _ = Describe("Objects", func() {
--- a/coord/store/memory/objects.go
+++ b/coord/store/memory/objects.go
@@ -41,7 +41,7 @@
 		}
 		o.bodies[key] = bytes.Clone(body)
 		return nil
-	})
+	}, drop)
 }
 
 // Get implements store.Objects.
@@ -78,5 +78,5 @@
 		o.counter.Writes++
 		delete(o.bodies, key)
 		return nil
-	})
+	}, drop)
 }
--- a/coord/store/memory/table.go
+++ b/coord/store/memory/table.go
@@ -28,15 +28,38 @@
 	// Faults decides the fate of each operation. Nil means no faults.
 	Faults Injector
 
+	*rows
+}
+
+// rows is the content that the clients of one table share.
+type rows struct {
 	mu      sync.Mutex
 	rows    map[string]entry
 	rev     uint64
 	counter Counter
+	late    []func() error
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[string]entry)}
+	return &Table{rows: &rows{rows: make(map[string]entry)}}
+}
+
+// Client returns a table with the same rows and faults of its own.
+func (t *Table) Client(faults Injector) *Table {
+	return &Table{Faults: faults, rows: t.rows}
+}
+
+// Deliver applies the writes that the fault Late has held back so far, in the
+// order in which they were sent.
+func (t *Table) Deliver() {
+	t.mu.Lock()
+	late := t.late
+	t.late = nil
+	t.mu.Unlock()
+	for _, apply := range late {
+		_ = apply()
+	}
 }
 
 // Counts returns how many operations the table has been asked for.
@@ -54,7 +77,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counter.Reads++
-	e, ok := t.rows[key]
+	e, ok := t.rows.rows[key]
 	if !ok {
 		return store.Row{}, store.ErrNotFound.New("row %q", key)
 	}
@@ -64,11 +87,11 @@
 // Insert implements store.Table.
 func (t *Table) Insert(ctx context.Context, key string, value []byte) (store.Version, error) {
 	var v store.Version
-	err := t.faults().write(ctx, OpInsert, key, func() error {
+	err := t.write(ctx, OpInsert, key, func() error {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.counter.Writes++
-		if _, ok := t.rows[key]; ok {
+		if _, ok := t.rows.rows[key]; ok {
 			return store.ErrExists.New("row %q", key)
 		}
 		v = t.put(key, value)
@@ -80,7 +103,7 @@
 // Update implements store.Table.
 func (t *Table) Update(ctx context.Context, key string, value []byte, prev store.Version) (store.Version, error) {
 	var v store.Version
-	err := t.faults().write(ctx, OpUpdate, key, func() error {
+	err := t.write(ctx, OpUpdate, key, func() error {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.counter.Writes++
@@ -95,14 +118,14 @@
 
 // Delete implements store.Table.
 func (t *Table) Delete(ctx context.Context, key string, prev store.Version) error {
-	return t.faults().write(ctx, OpDelete, key, func() error {
+	return t.write(ctx, OpDelete, key, func() error {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.counter.Writes++
 		if err := t.expect(key, prev); err != nil {
 			return err
 		}
-		delete(t.rows, key)
+		delete(t.rows.rows, key)
 		return nil
 	})
 }
@@ -116,8 +139,8 @@
 	defer t.mu.Unlock()
 	t.counter.Reads++
 	var rows []store.Row
-	for _, key := range page(t.rows, prefix, after, limit) {
-		rows = append(rows, row(key, t.rows[key]))
+	for _, key := range page(t.rows.rows, prefix, after, limit) {
+		rows = append(rows, row(key, t.rows.rows[key]))
 	}
 	return rows, nil
 }
@@ -126,14 +149,24 @@
 	return orNone(t.Faults)
 }
 
+func (t *Table) write(ctx context.Context, op Op, key string, apply func() error) error {
+	return t.faults().write(ctx, op, key, apply, t.holdBack)
+}
+
+func (t *Table) holdBack(apply func() error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.late = append(t.late, apply)
+}
+
 func (t *Table) put(key string, value []byte) store.Version {
 	t.rev++
-	t.rows[key] = entry{value: bytes.Clone(value), rev: t.rev}
+	t.rows.rows[key] = entry{value: bytes.Clone(value), rev: t.rev}
 	return version(t.rev)
 }
 
 func (t *Table) expect(key string, prev store.Version) error {
-	e, ok := t.rows[key]
+	e, ok := t.rows.rows[key]
 	if !ok || version(e.rev) != prev {
 		return store.ErrConflict.New("row %q is not at version %q", key, prev)
 	}
