Read back refused writes as well

Cause: a refusal may answer the second copy of a write that took effect, as a transport that resends would bring about. Change: settle reads back on a refusal, returns the present row, and lease and once use it in place of a second read.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -113,21 +113,14 @@
 	ctx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, m.opts.StoreTimeout)
 	defer cancel()
 	written, err := m.write(ctx, l.job, next, l.last())
-	if !errorx.IsOfType(err, store.ErrConflict) {
+	if !errorx.IsOfType(err, store.ErrConflict) || written.Version == "" {
 		return written, err
 	}
-	stored, readErr := m.table.Get(ctx, m.key(l.job))
-	if errorx.IsOfType(readErr, store.ErrNotFound) {
-		return store.Row{}, err
-	}
-	if readErr != nil {
-		return store.Row{}, readErr
-	}
-	current, decodeErr := decode(stored)
+	current, decodeErr := decode(written)
 	if decodeErr != nil || current.free() || current.Fence != l.fence {
 		return store.Row{}, err
 	}
-	return m.write(ctx, l.job, next, stored)
+	return m.write(ctx, l.job, next, written)
 }
 
 // last returns the version of the row that this term is known to have written last.
--- a/coord/once/claim.go
+++ b/coord/once/claim.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	written, err := c.claims.writer().Update(ctx, c.stored.Key, value, c.stored.Version)
 	if errorx.IsOfType(err, store.ErrConflict) {
-		written, err = c.rewrite(ctx, value, err)
+		written, err = c.rewrite(ctx, written, value, err)
 	}
 	if err != nil {
 		return c.fail(err)
@@ -101,21 +101,17 @@
 	return nil
 }
 
-// rewrite sends the write anew if the row is still of this claim: an earlier
-// write of it took effect after it was given up.
-func (c *Claim) rewrite(ctx context.Context, value []byte, conflict error) (store.Row, error) {
-	stored, err := c.claims.table.Get(ctx, c.stored.Key)
-	if errorx.IsOfType(err, store.ErrNotFound) {
+// rewrite sends the write anew if the present row is still of this claim: an
+// earlier write of it took effect after it was given up.
+func (c *Claim) rewrite(ctx context.Context, present store.Row, value []byte, conflict error) (store.Row, error) {
+	if present.Version == "" {
 		return store.Row{}, conflict
 	}
-	if err != nil {
-		return store.Row{}, err
-	}
-	current, err := decode(stored)
+	current, err := decode(present)
 	if err != nil || current.ClaimID != c.row.ClaimID {
 		return store.Row{}, conflict
 	}
-	return c.claims.writer().Update(ctx, stored.Key, value, stored.Version)
+	return c.claims.writer().Update(ctx, present.Key, value, present.Version)
 }
 
 func (c *Claim) fail(err error) error {
--- a/coord/once/claims.go
+++ b/coord/once/claims.go
@@ -88,28 +88,20 @@
 	return outcome, err
 }
 
-// claim inserts the fresh row or tells how the present one stands. A row that
-// is deleted between the two makes it insert once more.
+// claim inserts the fresh row or tells how the present one stands.
 func (c *Claims) claim(ctx context.Context, path string, fresh row) (Outcome, Event, error) {
 	value, err := fresh.encode()
 	if err != nil {
 		return Outcome{}, EventMalformed, err
 	}
-	for {
-		written, err := c.writer().Insert(ctx, path, value)
-		if err == nil {
-			return c.granted(written, fresh), EventClaimed, nil
-		}
-		if !errorx.IsOfType(err, store.ErrExists) {
-			return c.failed(fresh, err)
-		}
-		stored, err := c.table.Get(ctx, path)
-		if err == nil {
-			return c.answer(ctx, stored, fresh)
-		}
-		if !errorx.IsOfType(err, store.ErrNotFound) || ctx.Err() != nil {
-			return c.failed(fresh, err)
-		}
+	stored, err := c.writer().Insert(ctx, path, value)
+	switch {
+	case err == nil:
+		return c.granted(stored, fresh), EventClaimed, nil
+	case errorx.IsOfType(err, store.ErrExists):
+		return c.answer(ctx, stored, fresh)
+	default:
+		return c.failed(fresh, err)
 	}
 }
 
--- a/coord/store/settle/settle.go
+++ b/coord/store/settle/settle.go
@@ -7,6 +7,9 @@
 // key and an update or delete by the expected version, so that whichever copy
 // arrives first makes the others fail without effect.
 //
+// A refusal is read back as well, since it may be the reply to a second copy
+// of a write that took effect, for instance one resent by a transport.
+//
 // Values must be unique to the write, for instance by carrying a write id.
 package settle
 
@@ -29,17 +32,19 @@
 	// Attempts is the most times one write is sent. Zero means 3.
 	Attempts int
 	// OnSettle, if set, is told of each write whose outcome was unknown at
-	// first: nil for a write found applied, else the error returned.
+	// first, or that was refused and yet found applied: nil for a write found
+	// applied, else the error returned.
 	OnSettle func(err error)
 }
 
-// Insert creates the row unless the key is taken.
-// Errors: store.ErrExists (the key holds another value; nothing was written by
-// this call so far), store.ErrUnavailable (nothing was written),
-// store.ErrUnknown (could not be settled, the write may still take effect).
+// Insert creates the row unless the key is taken and returns the row.
+// Errors: store.ErrExists (the key holds another value, and the row returned is
+// that one), store.ErrUnavailable (nothing was written), store.ErrUnknown (could
+// not be settled, the write may still take effect).
 func (w Writer) Insert(ctx context.Context, key string, value []byte) (store.Row, error) {
-	version, err := w.settle(ctx, attempt{
+	return w.settle(ctx, attempt{
 		key:     key,
+		value:   value,
 		refused: store.ErrExists,
 		send: func() (store.Version, error) {
 			return w.Table.Insert(ctx, key, value)
@@ -48,16 +53,17 @@
 			return judgeInsert(row, found, value)
 		},
 	})
-	return store.Row{Key: key, Value: value, Version: version}, err
 }
 
-// Update replaces the row if its version is prev.
+// Update replaces the row if its version is prev and returns the row.
 // Errors: store.ErrConflict (the row moved on from prev without this write, or
-// was replaced after it), store.ErrUnavailable (nothing was written),
+// was replaced after it; the row returned is the present one, without a version
+// if there is none), store.ErrUnavailable (nothing was written),
 // store.ErrUnknown (could not be settled, the write may still take effect).
 func (w Writer) Update(ctx context.Context, key string, value []byte, prev store.Version) (store.Row, error) {
-	version, err := w.settle(ctx, attempt{
+	return w.settle(ctx, attempt{
 		key:     key,
+		value:   value,
 		refused: store.ErrConflict,
 		send: func() (store.Version, error) {
 			return w.Table.Update(ctx, key, value, prev)
@@ -66,7 +72,6 @@
 			return judgeUpdate(row, found, value, prev)
 		},
 	})
-	return store.Row{Key: key, Value: value, Version: version}, err
 }
 
 // Delete removes the row if its version is prev. A row found absent counts as
@@ -97,54 +102,59 @@
 // attempt is one write and how to judge a read that follows it.
 type attempt struct {
 	key     string
-	refused *errorx.Type // the definite refusal by a rival's row
+	value   []byte
+	refused *errorx.Type // the refusal for a rival's row
 	send    func() (store.Version, error)
 	judge   func(row store.Row, found bool) verdict
 }
 
-func (w Writer) settle(ctx context.Context, a attempt) (store.Version, error) {
+func (w Writer) settle(ctx context.Context, a attempt) (store.Row, error) {
 	version, err := a.send()
-	if err == nil || isDefinite(err, a.refused) {
-		return version, err
+	if err == nil {
+		return store.Row{Key: a.key, Value: a.value, Version: version}, nil
+	}
+	if isWithoutEffect(err) {
+		return store.Row{}, err
 	}
-	version, err = w.resolve(ctx, a, err)
-	if w.OnSettle != nil {
+	refused := errorx.IsOfType(err, a.refused)
+	row, err := w.resolve(ctx, a, err)
+	if w.OnSettle != nil && (!refused || err == nil) {
 		w.OnSettle(err)
 	}
-	return version, err
+	return row, err
 }
 
 // resolve reads back and sends again until the outcome is known.
-func (w Writer) resolve(ctx context.Context, a attempt, cause error) (store.Version, error) {
+func (w Writer) resolve(ctx context.Context, a attempt, cause error) (store.Row, error) {
 	for sent := 1; ; sent++ {
-		version, done, err := w.readBack(ctx, a)
+		row, done, err := w.readBack(ctx, a)
 		if done {
-			return version, err
+			return row, err
 		}
 		if sent >= w.attempts() || ctx.Err() != nil {
-			return "", store.ErrUnknown.Wrap(cause, "row %q: not settled after %d writes", a.key, sent)
+			return store.Row{}, store.ErrUnknown.Wrap(cause, "row %q: not settled after %d writes", a.key, sent)
 		}
-		version, err = a.send()
+		version, err := a.send()
 		if err == nil {
-			return version, nil
+			return store.Row{Key: a.key, Value: a.value, Version: version}, nil
 		}
 	}
 }
 
 // readBack reads the row and reports whether that settles the write.
-func (w Writer) readBack(ctx context.Context, a attempt) (store.Version, bool, error) {
+func (w Writer) readBack(ctx context.Context, a attempt) (store.Row, bool, error) {
 	row, err := w.Table.Get(ctx, a.key)
 	found := err == nil
 	if !found && !errorx.IsOfType(err, store.ErrNotFound) {
-		return "", false, err
+		return store.Row{}, false, err
 	}
 	switch a.judge(row, found) {
 	case applied:
-		return row.Version, true, nil
+		return row, true, nil
 	case beaten:
-		return "", true, a.refused.New("row %q holds another write", a.key)
+		return row, true, a.refused.New("row %q holds another write", a.key)
 	default:
-		return "", false, nil
+		return store.Row{}, false, nil
 	}
 }
 
@@ -155,11 +165,10 @@
 	return w.Attempts
 }
 
-// isDefinite reports whether the first reply alone tells that nothing was written.
-func isDefinite(err error, refused *errorx.Type) bool {
-	return errorx.IsOfType(err, refused) ||
-		errorx.IsOfType(err, store.ErrUnavailable) ||
-		errorx.IsOfType(err, store.ErrInvalid)
+// isWithoutEffect reports whether the first reply tells that the store did not
+// take the write.
+func isWithoutEffect(err error) bool {
+	return errorx.IsOfType(err, store.ErrUnavailable) || errorx.IsOfType(err, store.ErrInvalid)
 }
 
 func judgeInsert(row store.Row, found bool, value []byte) verdict {
