Bound operations by a context that works with a fake clock

Cause: the contexts of clockwork block in Err until they have ended, so a store or a retry loop that asks hangs under a fake clock. Change: coord/store/deadline; lease, once and order use it.

--- a/coord/lease/lease.go
+++ b/coord/lease/lease.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/coord/store/deadline"
 )
 
 // Lease is one term as the holder of a job. It is safe for concurrent use.
@@ -110,7 +110,7 @@
 // at an unexpected version but still of this term, and the write is sent anew.
 func (l *Lease) replace(ctx context.Context, next row) (store.Row, error) {
 	m := l.manager
-	ctx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, m.opts.StoreTimeout)
+	ctx, cancel := deadline.WithTimeout(ctx, m.opts.Clock, m.opts.StoreTimeout)
 	defer cancel()
 	written, err := m.write(ctx, l.job, next, l.last())
 	if !errorx.IsOfType(err, store.ErrConflict) || written.Version == "" {
--- a/coord/lease/manager.go
+++ b/coord/lease/manager.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/coord/store/deadline"
 	"github.com/poplarshore/poplarshore/coord/store/settle"
 )
 
@@ -53,7 +53,7 @@
 // the holder's whole TTL, so attempts have to be repeated.
 // Errors: ErrHeld, ErrUnavailable, ErrRow.
 func (m *Manager) Acquire(ctx context.Context, job string) (*Lease, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, m.opts.Clock, m.opts.StoreTimeout)
+	ctx, cancel := deadline.WithTimeout(ctx, m.opts.Clock, m.opts.StoreTimeout)
 	defer cancel()
 	l, event, err := m.attempt(ctx, job)
 	m.opts.Observer.LeaseEvent(job, event)
--- a/coord/once/claim.go
+++ b/coord/once/claim.go
@@ -4,10 +4,10 @@
 	"context"
 	"sync"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/coord/store/deadline"
 )
 
 // Claim is the right to send one request once. It is safe for concurrent use.
@@ -124,5 +124,5 @@
 }
 
 func (c *Claim) bound(ctx context.Context) (context.Context, context.CancelFunc) {
-	return clockwork.WithTimeout(ctx, c.claims.opts.Clock, c.claims.opts.StoreTimeout)
+	return deadline.WithTimeout(ctx, c.claims.opts.Clock, c.claims.opts.StoreTimeout)
 }
--- a/coord/once/claims.go
+++ b/coord/once/claims.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/coord/store/deadline"
 	"github.com/poplarshore/poplarshore/coord/store/settle"
 )
 
@@ -74,7 +74,7 @@
 	if err := key.validate(fingerprint); err != nil {
 		return Outcome{}, err
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, c.opts.Clock, c.opts.StoreTimeout)
+	ctx, cancel := deadline.WithTimeout(ctx, c.opts.Clock, c.opts.StoreTimeout)
 	defer cancel()
 	fresh := row{
 		ClaimID:     c.opts.NewID(),
--- a/order/reconciler.go
+++ b/order/reconciler.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/poplarshore/poplarshore/coord/store/deadline"
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
@@ -202,7 +203,7 @@
 func (t *term) view(ctx context.Context, d Desired) View {
 	opts := t.r.opts
 	view := View{Desired: d, Record: t.records[d.Engine]}
-	ctx, cancel := clockwork.WithTimeout(ctx, opts.Clock, opts.ReadTimeout)
+	ctx, cancel := deadline.WithTimeout(ctx, opts.Clock, opts.ReadTimeout)
 	defer cancel()
 	began := opts.Clock.Now()
 	state, err := opts.Fleet.Engine(d.Engine).State(ctx)
@@ -244,7 +245,7 @@
 		opts.Observer.OrderEvent(EventNotHeld)
 		return record
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, opts.Clock, min(left, opts.Policy.OrderTimeout))
+	ctx, cancel := deadline.WithTimeout(ctx, opts.Clock, min(left, opts.Policy.OrderTimeout))
 	defer cancel()
 	sent := opts.Clock.Now()
 	err := engine.Apply(ctx, o)
