--- /dev/null
+++ b/coord/lease/lease_test.go
@@ -0,0 +1,146 @@
+package lease_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/coord/lease"
+	"github.com/poplarshore/poplarshore/coord/store/memory"
+)
+
+const job = "settle"
+
+// suite is the test that bubbles of synctest belong to.
+var suite *testing.T
+
+func TestLease(t *testing.T) {
+	suite = t
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "lease")
+}
+
+// inBubble runs f under virtual time. Assertions belong after it.
+func inBubble(f func()) {
+	synctest.Test(suite, func(*testing.T) { f() })
+}
+
+// holds reports whether the row says that the fencing token's term is on.
+func holds(table *memory.Table, fence uint64) bool {
+	stored, err := table.Get(context.Background(), "lease/"+job)
+	var row struct {
+		Holder string
+		Fence  uint64
+	}
+	return err == nil && json.Unmarshal(stored.Value, &row) == nil && row.Holder != "" && row.Fence == fence
+}
+
+var _ = Describe("Lease", func() {
+	var (
+		ctx   = context.Background()
+		table *memory.Table
+		clock *clockwork.FakeClock
+	)
+	BeforeEach(func() {
+		table = memory.NewTable()
+		clock = clockwork.NewFakeClock()
+	})
+	manager := func(holder string) *lease.Manager {
+		m, err := lease.New(table, holder, lease.Options{Clock: clock})
+		Expect(err).NotTo(HaveOccurred())
+		return m
+	}
+
+	It("is refused while held, granted at once after a release, with a higher token", func() {
+		a, b := manager("a"), manager("b")
+		first, err := a.Acquire(ctx, job)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = b.Acquire(ctx, job)
+		Expect(errorx.IsOfType(err, lease.ErrHeld)).To(BeTrue())
+		Expect(first.Release(ctx)).To(Succeed())
+		Expect(first.Check()).NotTo(Succeed())
+		second, err := b.Acquire(ctx, job)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.Fence()).To(BeNumerically(">", first.Fence()))
+	})
+
+	It("ends a margin before the TTL for its holder and after the TTL for others", func() {
+		a, b := manager("a"), manager("b")
+		held, _ := a.Acquire(ctx, job)
+		_, _ = b.Acquire(ctx, job)
+		clock.Advance(8*time.Second - 1)
+		Expect(held.Check()).To(Succeed())
+		clock.Advance(1)
+		Expect(errorx.IsOfType(held.Check(), lease.ErrExpired)).To(BeTrue())
+		Expect(errorx.IsOfType(held.Renew(ctx), lease.ErrExpired)).To(BeTrue())
+		clock.Advance(2*time.Second - 1)
+		_, err := b.Acquire(ctx, job)
+		Expect(errorx.IsOfType(err, lease.ErrHeld)).To(BeTrue())
+		clock.Advance(1)
+		_, err = b.Acquire(ctx, job)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("counts from before the write was sent", func() {
+		a := manager("a")
+		table.Faults = slowWrites(clock, time.Second)
+		held, err := a.Acquire(ctx, job)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Remaining()).To(Equal(7 * time.Second))
+		Expect(held.Renew(ctx)).To(Succeed())
+		Expect(held.Remaining()).To(Equal(7 * time.Second))
+	})
+
+	It("goes on after a renewal or an attempt that took effect when given up", func() {
+		late := memory.Late
+		table.Faults = func(_ context.Context, op memory.Op, _ string) memory.Fault {
+			if op == memory.OpGet {
+				return memory.None
+			}
+			return late
+		}
+		a := manager("a")
+		_, err := a.Acquire(ctx, job)
+		Expect(errorx.IsOfType(err, lease.ErrUnavailable)).To(BeTrue())
+		table.Deliver()
+		late = memory.None
+		held, err := a.Acquire(ctx, job)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(held.Fence()).To(BeEquivalentTo(2))
+		late = memory.Late
+		Expect(errorx.IsOfType(held.Renew(ctx), lease.ErrUnavailable)).To(BeTrue())
+		table.Deliver()
+		late = memory.None
+		Expect(held.Renew(ctx)).To(Succeed())
+	})
+
+	It("refuses options that contradict each other and rows it cannot read", func() {
+		_, err := lease.New(table, "a", lease.Options{TTL: time.Second, Margin: time.Second})
+		Expect(errorx.IsOfType(err, lease.ErrOptions)).To(BeTrue())
+		_, _ = table.Insert(ctx, "lease/"+job, []byte("{"))
+		err = manager("a").Run(ctx, job, nil)
+		Expect(errorx.IsOfType(err, lease.ErrRow)).To(BeTrue())
+	})
+})
+
+func slowWrites(clock *clockwork.FakeClock, delay time.Duration) memory.Injector {
+	return func(_ context.Context, op memory.Op, _ string) memory.Fault {
+		if op != memory.OpGet {
+			clock.Advance(delay)
+		}
+		return memory.None
+	}
+}
