Add coord/roster: who is live, leaving or gone

Cause: the platform's list lags, yet an upstream that is leaving must get no new work within 3 s of the first sign on any VM.

--- /dev/null
+++ b/coord/roster/example_test.go
@@ -0,0 +1,18 @@
+package roster_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/poplarshore/poplarshore/coord/roster"
+)
+
+func Example() {
+	r := roster.New(roster.Options{Self: "vm-1"})
+	now := time.Now()
+	r.List(now, []roster.ListEntry{{ID: "engine-1"}, {ID: "engine-2"}})
+	r.Departing("engine-2", 0)                                                           // a response said so
+	r.List(now.Add(time.Second), []roster.ListEntry{{ID: "engine-1"}, {ID: "engine-2"}}) // a list that lags
+	fmt.Println(r.Phase("engine-1"), r.Phase("engine-2"))
+	// Output: live leaving
+}
