--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -14,13 +14,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/poplarshore/poplarshore/coord/lease"
 	"github.com/poplarshore/poplarshore/coord/store"
 	"github.com/poplarshore/poplarshore/internal/duty"
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/rows"
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/platform"
@@ -40,14 +40,14 @@
 	settings *settings.Control
 	log      *slog.Logger
 	clock    clockwork.Clock
-	registry *prometheus.Registry
+	registry *metrics.Registry
 	rows     rows.Names
 	table    store.Table
 	objects  store.Objects
 	list     platform.VMList
 	pools    *transport.Pools
 	leases   *lease.Manager
-	metrics  *metrics
+	metrics  *counters
 
 	runner    *duty.Runner
 	operators *listen.Server
@@ -70,7 +70,7 @@
 	}
 	via := transport.NewPool(transport.Options{TLS: config}).Repeatable()
 	d := &Daemon{
-		settings: s, log: log, clock: clock, registry: prometheus.NewRegistry(),
+		settings: s, log: log, clock: clock, registry: metrics.NewRegistry(),
 		rows:    rows.Names{Prefix: s.Platform.Prefix},
 		table:   httpstore.NewTable(httpstore.Options{BaseURL: s.Platform.Table, Transport: via}),
 		objects: httpstore.NewObjects(httpstore.Options{BaseURL: s.Platform.Objects, Transport: via}),
@@ -78,13 +78,18 @@
 		pools:   transport.NewPools(transport.Options{TLS: config}),
 		running: make(map[string]*contention),
 	}
-	d.metrics = newMetrics(d.registry)
+	d.metrics = newCounters(d.registry)
 	d.leases, err = lease.New(d.table, string(s.VM.ID), lease.Options{
 		TTL: s.Jobs.LeaseTTLMS.Duration(), Prefix: d.rows.Leases(), Clock: clock, Observer: d.metrics,
 	})
 	return d, err
 }
 
+// Metrics returns the help of each metric of this project, by name.
+func (d *Daemon) Metrics() map[string]string {
+	return d.registry.Descriptions("poplarshore_")
+}
+
 // Start opens the listener and begins to contend for jobs.
 func (d *Daemon) Start(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -103,7 +108,9 @@
 // Stop gives the jobs back and ends the process's work.
 func (d *Daemon) Stop() {
 	d.log.Info("stopping")
-	d.runner.Stop()
+	if d.runner != nil {
+		d.runner.Stop()
+	}
 	d.mu.Lock()
 	running := d.running
 	d.running = make(map[string]*contention)
@@ -112,7 +119,9 @@
 		c.cancel()
 		<-c.done
 	}
-	_ = d.operators.Close()
+	if d.operators != nil {
+		_ = d.operators.Close()
+	}
 	d.pools.Close()
 	d.log.Info("stopped")
 }
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -8,8 +8,8 @@
 	"github.com/poplarshore/poplarshore/rollout"
 )
 
-// metrics are the counters of the jobs.
-type metrics struct {
+// counters are the counters of the jobs.
+type counters struct {
 	leases        *prometheus.CounterVec
 	orders        *prometheus.CounterVec
 	decisions     *prometheus.CounterVec
@@ -20,14 +20,14 @@
 	settled       prometheus.Counter
 }
 
-func newMetrics(reg prometheus.Registerer) *metrics {
+func newCounters(reg prometheus.Registerer) *counters {
 	vec := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "poplarshore", Subsystem: "control", Name: name, Help: help}, labels)
 	}
 	one := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "poplarshore", Subsystem: "control", Name: name, Help: help})
 	}
-	m := &metrics{
+	m := &counters{
 		leases:    vec("lease_events_total", "Events of job leases, by kind.", "event"),
 		orders:    vec("order_events_total", "Events of orders to engines, by kind.", "event"),
 		decisions: vec("rollout_decisions_total", "Decisions on roll-outs, by kind and reason.", "kind", "reason"),
@@ -45,16 +45,16 @@
 }
 
 // LeaseEvent implements lease.Observer.
-func (m *metrics) LeaseEvent(_ string, e lease.Event) {
+func (m *counters) LeaseEvent(_ string, e lease.Event) {
 	m.leases.WithLabelValues(string(e)).Inc()
 }
 
 // OrderEvent implements order.Observer.
-func (m *metrics) OrderEvent(e order.Event) {
+func (m *counters) OrderEvent(e order.Event) {
 	m.orders.WithLabelValues(string(e)).Inc()
 }
 
-func (m *metrics) decision(id rollout.ID, d rollout.Decision) {
+func (m *counters) decision(id rollout.ID, d rollout.Decision) {
 	m.decisions.WithLabelValues(string(d.Kind), string(d.Reason)).Inc()
 	stalled := 0.0
 	if d.Stalled {
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -22,6 +22,7 @@
 	"github.com/poplarshore/poplarshore/internal/entry"
 	"github.com/poplarshore/poplarshore/internal/limits"
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/peer"
 	"github.com/poplarshore/poplarshore/internal/placement"
 	"github.com/poplarshore/poplarshore/internal/ratings"
@@ -71,8 +72,8 @@
 	return strconv.FormatUint(randv2.Uint64(), 16)
 }
 
-func newRegistry() *prometheus.Registry {
-	reg := prometheus.NewRegistry()
+func newRegistry() *metrics.Registry {
+	reg := metrics.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return reg
 }
@@ -206,6 +207,10 @@
 	if err != nil {
 		return err
 	}
+	d.readyGauge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "poplarshore", Name: "ready", Help: "1 while the balancer should send callers to this VM.",
+	})
+	d.registry.MustRegister(d.readyGauge)
 	giveUps := counterVec("retries_refused_total", "Retries not made, by reason.", "reason")
 	steps := counterVec("cascade_steps_total", "Steps of cascades, by reason.", "reason")
 	d.registry.MustRegister(giveUps, steps)
@@ -235,6 +240,20 @@
 	}
 }
 
+// Metrics returns the help of each metric of this project, by name.
+func (d *Daemon) Metrics() map[string]string {
+	return d.registry.Descriptions("poplarshore_")
+}
+
+// gauge writes what is read at intervals to the metrics.
+func (d *Daemon) gauge() {
+	d.limits.Gauge()
+	d.readyGauge.Set(0)
+	if d.IsReady() {
+		d.readyGauge.Set(1)
+	}
+}
+
 // ready tells whether the balancer should send callers here.
 func (d *Daemon) ready() (string, bool) {
 	select {
--- /dev/null
+++ b/internal/entryd/callers_test.go
@@ -0,0 +1,84 @@
+package entryd_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/examples"
+	"github.com/poplarshore/poplarshore/settings"
+	"github.com/poplarshore/poplarshore/standin/environment"
+)
+
+// raw sends bytes as they are and returns the status of each answer that comes
+// before the connection ends.
+func raw(address, text string) []int {
+	conn, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	var statuses []int
+	for r := bufio.NewReader(conn); ; {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return statuses
+		}
+		statuses = append(statuses, resp.StatusCode)
+		_ = resp.Body.Close()
+		if resp.Close {
+			return statuses
+		}
+	}
+}
+
+func post(headers, body string) string {
+	return fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer %s\r\n%s\r\n%s", demoKey, headers, body)
+}
+
+var _ = Describe("callers that misbehave", func() {
+	var e *environment.Environment
+	var address string
+	const quick = 200
+
+	BeforeEach(func() {
+		var err error
+		e, err = environment.Start(context.Background(), environment.Options{
+			Document: examples.Quickstart,
+			VMs: []environment.VM{{ID: "vm-1", Domain: "local-1", Settings: func(s *settings.Entry) {
+				s.Requests.HeaderTimeoutMS, s.Requests.BodyTimeoutMS = quick, quick
+				s.Requests.MaxHeaderBytes = 8 << 10
+			}}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { e.Close() })
+		address = e.VM("vm-1").CallersAddress()
+	})
+
+	DescribeTable("get one refusal and no second request out of one connection",
+		func(request string, status int) {
+			Expect(raw(address, request)).To(Equal([]int{status}))
+			for _, engine := range e.Engines {
+				Expect(engine.Counts().Runs).To(BeZero())
+			}
+		},
+		Entry("two lengths", post("Content-Length: 4\r\nContent-Length: 40\r\n", "{}GET /smuggled HTTP/1.1\r\n\r\n"), 400),
+		Entry("an unknown transfer coding", post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n"), 501),
+		Entry("two transfer codings", post("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "0\r\n\r\n"), 501),
+		Entry("a space in a header's name", post("Content-Length : 2\r\n", "{}"), 400),
+		Entry("a folded header", post("X: a\r\n b\r\nContent-Length : 2\r\n", "{}"), 400),
+		Entry("a bad chunk", post("Transfer-Encoding: chunked\r\n", "zz\r\n{}\r\n0\r\n\r\n"), 400),
+		Entry("an oversize header", post("X: "+strings.Repeat("a", 32<<10)+"\r\n", ""), 431),
+		Entry("a body that does not come", post("Content-Length: 40\r\n", "{"), 408),
+	)
+
+	It("are cut off when their header does not come", func() {
+		Expect(raw(address, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n")).To(BeEmpty())
+	})
+})
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/poplarshore/poplarshore/internal/entry"
 	"github.com/poplarshore/poplarshore/internal/limits"
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/operator"
 	"github.com/poplarshore/poplarshore/internal/peer"
 	"github.com/poplarshore/poplarshore/internal/placement"
@@ -35,7 +36,7 @@
 	settings *settings.Entry
 	log      *slog.Logger
 	clock    clockwork.Clock
-	registry *prometheus.Registry
+	registry *metrics.Registry
 	self     vm.VM
 	life     vm.Incarnation
 	rows     rows.Names
@@ -58,6 +59,8 @@
 	billing   *billingParts
 	entry     *entry.Server
 
+	readyGauge prometheus.Gauge
+
 	runner    *duty.Runner
 	callers   *listen.Server
 	operators *listen.Server
@@ -133,7 +136,7 @@
 	d.runner.Start("load reports", puller.Run)
 	reporter := &limits.Reporter{Limiter: d.limiter, Peers: d.peers, Clock: d.clock, MaxDelay: limitReportDelay}
 	d.runner.Every("limit reports", d.clock, limitReportPeriod, reporter.Round)
-	d.runner.Every("gauges", d.clock, gaugePeriod, func(context.Context) { d.limits.Gauge() })
+	d.runner.Every("gauges", d.clock, gaugePeriod, func(context.Context) { d.gauge() })
 	exchange := &versions.Exchange{
 		Versions: d.versions, Table: d.platform.table, Rows: d.rows,
 		Members: func() int { return len(d.book.All()) },
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -27,7 +27,7 @@
 	Ready func() (reason string, ok bool)
 	// Status returns what this VM shows, encoded as JSON.
 	Status   func() any
-	Registry *prometheus.Registry
+	Registry prometheus.Gatherer
 	Clock    clockwork.Clock
 	// Promotion signs or verifies documents.
 	Promotion Promotion
--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -21,6 +21,7 @@
 
 	"github.com/poplarshore/poplarshore/coord/revision"
 	"github.com/poplarshore/poplarshore/document"
+	"github.com/poplarshore/poplarshore/internal/controld"
 	"github.com/poplarshore/poplarshore/internal/entryd"
 	"github.com/poplarshore/poplarshore/internal/rows"
 	"github.com/poplarshore/poplarshore/model"
@@ -88,8 +89,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu  sync.RWMutex
-	vms map[vm.ID]*entryd.Daemon
+	mu       sync.RWMutex
+	vms      map[vm.ID]*entryd.Daemon
+	controls []*controld.Daemon
 	// published is the number of the newest revision published here.
 	published uint64
 }
@@ -381,6 +383,24 @@
 	return d
 }
 
+// StartControl starts a poplarshore-control on an entry VM. It ends with the
+// environment.
+func (e *Environment) StartControl(v VM, set func(*settings.Control)) error {
+	s := settings.DefaultControl()
+	entry := e.settings(v)
+	s.VM, s.Platform, s.Upstreams = entry.VM, entry.Platform, entry.Upstreams
+	s.Operators.Address = "127.0.0.1:0"
+	if set != nil {
+		set(s)
+	}
+	d, err := controld.New(s, e.opts.Log, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	e.controls = append(e.controls, d)
+	return d.Start(e.ctx)
+}
+
 // StopVM stops an entry VM as planned and returns the requests cut off.
 func (e *Environment) StopVM(id vm.ID) int {
 	cut := e.VM(id).Stop(context.Background())
@@ -399,6 +419,9 @@
 	for _, id := range e.running() {
 		e.KillVM(id)
 	}
+	for _, d := range e.controls {
+		d.Stop()
+	}
 	e.cancel()
 	for _, s := range e.Engines {
 		_ = s.Close()
--- a/standin/quickstart/quickstart.go
+++ b/standin/quickstart/quickstart.go
@@ -37,6 +37,9 @@
 				return err
 			}
 			defer e.Close()
+			if err := e.StartControl(environment.VM{ID: "vm-1", Domain: "local-1"}, nil); err != nil {
+				return err
+			}
 			greet(cmd, e)
 			<-cmd.Context().Done()
 			return nil
