Share a stop of a version that turns bad after its roll-out

Cause: a watch's verdict on one VM stayed there; a changed plan made a new guard that forgot a stop; a VM could not say that it gets no ratings. Change: Guard.Stop takes in a verdict from elsewhere, and Decide acts on reported stops after the end as before it; Guard.SetPlan keeps evidence and stop; Report.RaterOut counts from half of the VMs on. Both versions are compared only while both serve new sessions. Conclusion: one path from any VM's stop to all others.

--- a/rollout/act.go
+++ b/rollout/act.go
@@ -8,16 +8,19 @@
 )
 
 // watch decides for a finished roll-out: a version that turned bad gives way to
-// the one it replaced, if that may still be used.
+// the one it replaced, in the failure domain that shows it or everywhere, if that
+// may still be used.
 func (d decider) watch() Decision {
-	switch {
-	case d.withdrawn(d.in.Plan.To):
+	if d.withdrawn(d.in.Plan.To) {
 		return d.back(ReasonWithdrawn, Verdict{}, "")
-	case d.in.Watched.Bad:
-		return d.back(ReasonBad, d.in.Watched, "")
-	default:
-		return d.keep(ReasonNone)
 	}
+	if verdict, at := d.bad(); verdict.Bad {
+		return d.back(ReasonBad, verdict, at)
+	}
+	if at, verdict, found := d.newStop(); found {
+		return d.stopDomain(at, verdict)
+	}
+	return d.keep(d.row.HeldFor)
 }
 
 func (d decider) keep(reason Reason) Decision {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -25,6 +25,8 @@
 	Verdict Verdict `json:"verdict,omitzero"`
 	// Loading says that upstreams still load the new version.
 	Loading bool `json:"loading,omitempty"`
+	// RaterOut says that the VM gets no ratings.
+	RaterOut bool `json:"rater_out,omitempty"`
 	// Gone says that the VM has left: what it saw counts, its silence does not.
 	Gone bool `json:"gone,omitempty"`
 }
@@ -39,7 +41,8 @@
 	Reports []Report
 	// Withdrawn tells whether a version is withdrawn. Nil means none is.
 	Withdrawn func(model.VersionID) bool
-	// RaterOut says that the rating service gives no ratings.
+	// RaterOut says that the rating service gives no ratings. It also counts as
+	// out if at least half of the VMs heard say so.
 	RaterOut bool
 	// Watched is the verdict of a Watch on the new version, if any.
 	Watched Verdict
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -105,7 +105,11 @@
 	return d.compare(t)
 }
 
+// compare compares the versions while both serve new sessions.
 func (d decider) compare(t *tally) Verdict {
+	if d.row.Phase != Running {
+		return Verdict{}
+	}
 	return Compare(t.fresh, t.old, d.row.Baseline, d.o.Tolerance, d.o.Evidence)
 }
 
@@ -163,7 +167,7 @@
 		return ReasonRequests
 	case d.o.MinRatings < 0:
 		return ReasonNone
-	case d.in.RaterOut:
+	case d.in.RaterOut || d.all.raterOut():
 		return ReasonRaterOut
 	case fresh.Rated < d.o.MinRatings:
 		return ReasonRatings
--- a/rollout/guard.go
+++ b/rollout/guard.go
@@ -44,12 +44,13 @@
 	domain  domain.ID
 	options GuardOptions
 
-	mu      sync.Mutex
-	row     Progress
-	fresh   Counts
-	old     Counts
-	verdict Verdict
-	loading bool
+	mu       sync.Mutex
+	row      Progress
+	fresh    Counts
+	old      Counts
+	verdict  Verdict
+	loading  bool
+	raterOut bool
 }
 
 // NewGuard returns the guard of a roll-out on a VM in the failure domain.
@@ -81,7 +82,9 @@
 }
 
 // Ended takes in the end of an attempt on a version. Failed means by the fault
-// of the upstream; refusals and cancellations by the caller are left out.
+// of the upstream; refusals and cancellations by the caller are left out. Best
+// left out, too, are sessions that began before the roll-out: only the replaced
+// version has them, and they may be unlike new ones.
 func (g *Guard) Ended(v model.VersionID, failed bool, latency time.Duration) {
 	added := Counts{Requests: 1}
 	if failed {
@@ -113,10 +116,11 @@
 	}
 }
 
-// judge compares the versions. It is called for each attempt on the new version
-// alone, and costs nothing while its means are within the tolerance.
+// judge compares the versions while both serve new sessions. It is called for
+// each attempt on the new version alone, and costs nothing while its means are
+// within the tolerance.
 func (g *Guard) judge() {
-	if g.verdict.Bad {
+	if g.verdict.Bad || g.row.Phase != Running {
 		return
 	}
 	g.verdict = Compare(g.fresh, g.old, g.row.Baseline, g.options.Tolerance, g.options.Evidence)
@@ -129,6 +133,31 @@
 	g.loading = loading
 }
 
+// SetRaterOut says whether this VM gets no ratings from the rating service.
+func (g *Guard) SetRaterOut(out bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.raterOut = out
+}
+
+// SetPlan takes over a changed plan of the same roll-out: its steps, or that it
+// is paused or aborted. Evidence and a stop are kept; versions must stay.
+func (g *Guard) SetPlan(p Plan) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plan = p
+}
+
+// Stop stops the new version on this VM on a verdict from elsewhere, such as a
+// Watch's. The first verdict stays.
+func (g *Guard) Stop(v Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v.Bad && !g.verdict.Bad {
+		g.verdict = v
+	}
+}
+
 // Stopped tells whether the guard has stopped the new version, and why.
 func (g *Guard) Stopped() (Verdict, bool) {
 	g.mu.Lock()
@@ -139,19 +168,22 @@
 // Assign returns the version that a new session on this VM gets. Withdrawn may
 // be nil. Errors: ErrNoVersion.
 func (g *Guard) Assign(key string, withdrawn func(model.VersionID) bool) (model.VersionID, error) {
-	g.mu.Lock()
-	row, stopped := g.row, g.verdict.Bad
-	g.mu.Unlock()
-	return Assign(g.plan, row, Local{Domain: g.domain, Stopped: stopped, Withdrawn: withdrawn}, key)
+	plan, row, local := g.known(withdrawn)
+	return Assign(plan, row, local, key)
 }
 
 // Serves tells whether a session that is pinned to the version is still served
 // on this VM. Withdrawn may be nil.
 func (g *Guard) Serves(v model.VersionID, withdrawn func(model.VersionID) bool) bool {
+	plan, row, local := g.known(withdrawn)
+	return Serves(plan, row, local, v)
+}
+
+// known returns what this VM knows of the roll-out at one moment.
+func (g *Guard) known(withdrawn func(model.VersionID) bool) (Plan, Progress, Local) {
 	g.mu.Lock()
-	row, stopped := g.row, g.verdict.Bad
-	g.mu.Unlock()
-	return Serves(g.plan, row, Local{Domain: g.domain, Stopped: stopped, Withdrawn: withdrawn}, v)
+	defer g.mu.Unlock()
+	return g.plan, g.row, Local{Domain: g.domain, Stopped: g.verdict.Bad, Withdrawn: withdrawn}
 }
 
 // Report returns what this VM shows, for Decide.
@@ -168,5 +200,6 @@
 		Stopped:    g.verdict.Bad,
 		Verdict:    g.verdict,
 		Loading:    g.loading,
+		RaterOut:   g.raterOut,
 	}
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -92,6 +92,9 @@
 		Entry("VM behind", func(in *rollout.Input) { in.Reports[0].Generation = 0 }, rollout.Hold, rollout.ReasonSilent),
 		Entry("loading", func(in *rollout.Input) { in.Reports[0].Loading = true }, rollout.Hold, rollout.ReasonLoading),
 		Entry("rater out", func(in *rollout.Input) { in.RaterOut = true }, rollout.Hold, rollout.ReasonRaterOut),
+		Entry("rater out for most VMs", func(in *rollout.Input) {
+			in.Reports[0].RaterOut, in.Reports[1].RaterOut = true, true
+		}, rollout.Hold, rollout.ReasonRaterOut),
 		Entry("no ratings", func(in *rollout.Input) {
 			for i := range in.Reports {
 				in.Reports[i].Fresh.Rated, in.Reports[i].Fresh.RatingSum = 0, 0
@@ -109,6 +112,22 @@
 		}, rollout.StopDomain, rollout.ReasonDomainStop),
 	)
 
+	DescribeTable("stops a version that turned bad after the end",
+		func(stops int, watched bool, kind rollout.Kind) {
+			in := input(rollout.Begin(plan(), start), later)
+			in.Row.Phase = rollout.Done
+			for i := range stops {
+				in.Reports[i].Stopped, in.Reports[i].Verdict.Bad = true, true
+			}
+			in.Watched.Bad = watched
+			Expect(rollout.Decide(in, rollout.Options{}).Kind).To(Equal(kind))
+		},
+		Entry("still good", 0, false, rollout.Keep),
+		Entry("one domain's VM", 1, false, rollout.StopDomain),
+		Entry("two domains' VMs", 2, false, rollout.RollBack),
+		Entry("by all evidence", 0, true, rollout.RollBack),
+	)
+
 	It("tells of a stalled roll-out after a while, and writes the row only when the reason changes", func() {
 		in := input(rollout.Begin(plan(), start), later)
 		in.RaterOut = true
@@ -139,6 +158,9 @@
 			g.Ended("v2", true, time.Second)
 		}
 		Expect(requests).To(BeNumerically("<", 15))
+		changed := plan()
+		changed.Paused = true
+		g.SetPlan(changed)
 		row.Generation, row.Phase = 9, rollout.Done
 		Expect(g.Install(row)).To(BeTrue())
 		Expect(g.Assign("any", nil)).To(Equal(model.VersionID("v1")))
--- a/rollout/tally.go
+++ b/rollout/tally.go
@@ -19,6 +19,14 @@
 	// heard, late and loading are about VMs that have not gone: that there is
 	// one, that one is silent or behind, that one's upstreams still load.
 	heard, late, loading bool
+	// vms is the number of VMs that have not gone, unrated that of those which
+	// get no ratings.
+	vms, unrated int
+}
+
+// raterOut tells whether at least half of the VMs get no ratings.
+func (t *tally) raterOut() bool {
+	return t.unrated > 0 && 2*t.unrated >= t.vms
 }
 
 // add takes in one report.
@@ -37,6 +45,10 @@
 	t.heard = true
 	t.late = t.late || !current || r.At.Before(oldest)
 	t.loading = t.loading || r.Loading
+	t.vms++
+	if r.RaterOut {
+		t.unrated++
+	}
 }
 
 // tallies sums the reports up, by failure domain and in all. The failure domains
