Keep a guard over changes of its plan, and hand it the watch's verdict

Cause: pausing a roll-out or changing its steps made a new guard, which forgot that the version was stopped on this VM; a watch's verdict never reached others. Change: the guard takes over the changed plan while model and versions stay; a verdict of the watch stops the guard, whose report carries it. Conclusion: a stop on a VM outlives changes of the plan and is shared.

--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -74,7 +74,8 @@
 	plans := make(map[rollout.ID]rollout.Plan)
 	for _, plan := range x.Doc.Rollouts {
 		plans[plan.ID] = plan
-		if old, ok := v.guards[plan.ID]; ok && samePlan(v.plans[plan.ID], plan) {
+		if old, ok := v.guards[plan.ID]; ok && sameVersions(v.plans[plan.ID], plan) {
+			old.SetPlan(plan)
 			guards[plan.ID] = old
 			continue
 		}
@@ -88,17 +89,9 @@
 	v.installWatches(x)
 }
 
-// samePlan tells whether a guard of one plan serves the other too.
-func samePlan(a, b rollout.Plan) bool {
-	if a.Model != b.Model || a.From != b.From || a.To != b.To || a.Paused != b.Paused || a.Aborted != b.Aborted || len(a.Steps) != len(b.Steps) {
-		return false
-	}
-	for i := range a.Steps {
-		if a.Steps[i].Share != b.Steps[i].Share || len(a.Steps[i].Domains) != len(b.Steps[i].Domains) {
-			return false
-		}
-	}
-	return true
+// sameVersions tells whether a guard of one plan serves the other too.
+func sameVersions(a, b rollout.Plan) bool {
+	return a.Model == b.Model && a.From == b.From && a.To == b.To
 }
 
 func (v *Versions) installWatches(x *document.Index) {
@@ -259,8 +252,19 @@
 		w.verdict = w.watch.Observe(w.added)
 		w.added = rollout.Counts{}
 		if w.verdict.Bad && !was {
+			v.stopGuards(ref, w.verdict)
 			v.stops.WithLabelValues("watch").Inc()
 			v.log.Warn("version turned bad", "version", ref, "metric", w.verdict.Metric, "seen", w.verdict.Seen, "reference", w.verdict.Reference)
 		}
 	}
 }
+
+// stopGuards stops the roll-outs to a version, so that reports carry the verdict
+// to the others.
+func (v *Versions) stopGuards(ref model.Ref, verdict rollout.Verdict) {
+	for id, plan := range v.plans {
+		if plan.Model == ref.Model && plan.To == ref.Version {
+			v.guards[id].Stop(verdict)
+		}
+	}
+}
