--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -185,7 +185,7 @@
 func (d *Daemon) operatorServer() http.Handler {
 	return operator.New(operator.Options{
 		Token: d.secrets.operator, Node: d.node, Publisher: d.publisher, Ready: d.ready,
-		Status: d.status, Registry: d.registry, Clock: d.clock, History: d.history, Totals: d.totals,
+		Status: func() any { return d.Status() }, Registry: d.registry, Clock: d.clock, History: d.history, Totals: d.totals,
 		Promotion: operator.Promotion{
 			Signs:    d.settings.Promotion.Role == settings.RoleTrial,
 			Verifies: d.settings.Promotion.Role == settings.RoleProduction,
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -42,7 +42,8 @@
 	return "reached " + (time.Duration(digest.Contact.AgeMillis) * time.Millisecond).String() + " ago"
 }
 
-func (d *Daemon) status() any {
+// Status returns what this VM shows to operators.
+func (d *Daemon) Status() Status {
 	now := d.clock.Now()
 	rev, _ := d.node.Current()
 	reason, ready := d.ready()
--- /dev/null
+++ b/standin/scenario/rollouts.go
@@ -0,0 +1,73 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/poplarshore/poplarshore/internal/entryd"
+	"github.com/poplarshore/poplarshore/rollout"
+	"github.com/poplarshore/poplarshore/settings"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+const (
+	// awaitTries and awaitPause bound the wait for a state of a VM.
+	awaitTries = 1200
+	awaitPause = 25 * time.Millisecond
+)
+
+// control VM@DOMAIN starts a control process with short periods.
+func control(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 1, "control VM@DOMAIN")
+	ts.Check(of(ts).environment(ts).StartControl(vmOf(ts, args[0], nil), func(s *settings.Control) {
+		s.Jobs.LeaseTTLMS, s.Jobs.RolloutPeriodMS, s.Jobs.SettlePeriodMS, s.Jobs.OrderPeriodMS = 1000, 50, 100, 100
+	}))
+}
+
+// await waits until the status of a VM satisfies the condition.
+func (s *state) await(ts *testscript.TestScript, id, what string, ok func(entryd.Status) bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTries*awaitPause)
+	defer cancel()
+	d := s.environment(ts).VM(vm.ID(id))
+	if d == nil {
+		ts.Fatalf("VM %q is not running", id)
+	}
+	for !ok(d.Status()) {
+		select {
+		case <-ctx.Done():
+			ts.Fatalf("VM %q never showed %s: %+v", id, what, d.Status())
+		case <-time.After(awaitPause):
+		}
+	}
+}
+
+// stopped VM MODEL@VERSION waits until the VM has stopped a version as bad.
+func stopped(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 2, "stopped VM MODEL@VERSION")
+	of(ts).await(ts, args[0], "the stop of "+args[1], func(s entryd.Status) bool {
+		for _, ref := range s.Stopped {
+			if ref.String() == args[1] {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// rollout VM ID PHASE waits until the VM knows that a roll-out is in a phase.
+func rolloutPhase(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 3, "rollout VM ID PHASE")
+	of(ts).await(ts, args[0], "roll-out "+args[1]+" "+args[2], func(s entryd.Status) bool {
+		for _, r := range s.Rollouts {
+			if r.ID == rollout.ID(args[1]) && r.Phase == rollout.Phase(args[2]) {
+				return true
+			}
+		}
+		return false
+	})
+}
