--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -24,7 +24,8 @@
 	Silence time.Duration
 	// Burst is the time over which a rate may be exceeded.
 	Burst time.Duration
-	// Even is the part of each limit that is divided evenly, 0 to 1.
+	// Even is the part of each limit that is divided evenly as a floor under
+	// every VM's demand, 0 to 1.
 	Even float64
 	// Refresh is how often a share is worked out at most.
 	Refresh time.Duration
@@ -39,15 +40,15 @@
 	defaultInterval = time.Second
 	defaultMaxDelay = time.Second
 	defaultSilence  = 3 * time.Second
-	defaultBurst    = time.Second
-	defaultEven     = 0.1
+	defaultBurst    = 5 * time.Second
+	defaultEven     = 0.3
 	defaultRefresh  = 100 * time.Millisecond
 	defaultIdle     = 10 * time.Minute
 
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = time.Minute
 	// minRequests is the least depth of a request bucket, in requests.
-	minRequests = 1
+	minRequests = 2
 	holdWeight  = 0.1
 )
 
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -13,7 +13,7 @@
 	Account account.ID
 	// Priority puts work before all work of a lower one.
 	Priority int
-	// Deadline is the latest time to start.
+	// Deadline is when the work must be done.
 	Deadline time.Time
 	// Cost is the size of the request, in tokens.
 	Cost float64
@@ -187,14 +187,14 @@
 	}
 }
 
-// Pop takes out the waiter whose turn it is, and the waiters that it found too
-// late to start. The first is nil if there is none.
-func (q *Queue) Pop(now time.Time) (next *Waiter, late []*Waiter) {
+// Pop takes out the waiter whose turn it is, and the waiters that it found to be
+// too late, as their deadline is before done. The first is nil if there is none.
+func (q *Queue) Pop(done time.Time) (next *Waiter, late []*Waiter) {
 	for len(q.levels) > 0 {
 		ln := q.levels[0].turn(q.quantum)
 		w := ln.waiters[0]
 		q.Remove(w)
-		if now.After(w.Deadline) {
+		if done.After(w.Deadline) {
 			late = append(late, w)
 			continue
 		}
--- a/limit/report.go
+++ b/limit/report.go
@@ -41,7 +41,7 @@
 }
 
 const (
-	demandWeight = 0.5
+	demandWeight = 0.15
 	minDemand    = 1e-4
 )
 
@@ -76,7 +76,6 @@
 	d := s.offered.demand(s.limits, s.inFlight, elapsed.Seconds())
 	s.offered = offered{}
 	s.demand += demandWeight * (d - s.demand)
-	s.demand = max(s.demand, d)
 	if s.demand < minDemand {
 		s.demand = 0
 	}
@@ -225,17 +224,25 @@
 // counts at the lowest that any other VM may still know. The demand of a VM that
 // fell silent counts for a while, until all have noticed.
 func (l *Limiter) standing(s *state, now time.Time) standing {
-	window := l.opts.window()
-	at := standing{
-		own:     s.published.lowest(now, window),
-		members: len(l.peers) + 1,
-		silent:  l.countSilent(now),
-		even:    l.opts.Even,
-	}
+	at := standing{members: len(l.peers) + 1, silent: l.countSilent(now)}
+	floor := l.opts.Even / float64(at.members)
+	at.own = max(s.published.lowest(now, l.opts.window()), floor)
+	at.others = float64(at.members-1-at.silent) * floor
 	for i := range s.others {
-		if now.Sub(l.peers[s.others[i].id].heard) <= l.opts.Silence+window {
-			at.others += s.others[i].demand
-		}
+		at.others += l.above(floor, &s.others[i], now)
 	}
 	return at
 }
+
+// above returns by how much another VM's demand exceeds what its peer has
+// counted for so far: the floor if it is in touch, else nothing.
+func (l *Limiter) above(floor float64, o *other, now time.Time) float64 {
+	p := l.peers[o.id]
+	switch {
+	case now.Sub(p.heard) > l.opts.Silence+l.opts.window():
+		return 0
+	case l.inTouch(p, now):
+		return max(o.demand-floor, 0)
+	}
+	return max(o.demand, floor)
+}
--- a/limit/share.go
+++ b/limit/share.go
@@ -1,7 +1,7 @@
 package limit
 
 // standing is what a VM knows when it works out its share of one limit.
-// Demands are in parts of the limit.
+// Demands are in parts of the limit; none counts less than the floor.
 type standing struct {
 	// own is this VM's demand at its lowest within the window.
 	own float64
@@ -10,26 +10,17 @@
 	// members counts all VMs, this one too; silent those not in touch.
 	members int
 	silent  int
-	// even is the part of the limit that is divided evenly whatever the
-	// demand, 0 to 1.
-	even float64
 }
 
 // share returns this VM's part of the limit. Silent VMs keep an even part each;
-// the rest is divided among the VMs in touch.
+// the rest is divided among the VMs in touch: by demand if it is short, else
+// demand and an even part of what is left.
 func (s standing) share() float64 {
 	inTouch := float64(s.members - s.silent)
 	part := inTouch / float64(s.members)
-	return part * (s.even/inTouch + (1-s.even)*s.byDemand(part, inTouch))
-}
-
-// byDemand divides the part of the limit that is in touch: by demand if it is
-// short, else demand and an even part of what is left.
-func (s standing) byDemand(part, inTouch float64) float64 {
-	own := s.own / part
-	total := own + s.others/part
+	own, total := s.own/part, (s.own+s.others)/part
 	if total > 1 {
-		return own / total
+		return part * own / total
 	}
-	return own + (1-total)/inTouch
+	return part * (own + (1-total)/inTouch)
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -18,6 +18,7 @@
 func TestRetry(t *testing.T) {
 	RegisterFailHandler(Fail)
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
 	RunSpecs(t, "retry")
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -21,6 +21,7 @@
 func TestRoute(t *testing.T) {
 	RegisterFailHandler(Fail)
 	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
+	Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
 	RunSpecs(t, "route")
 }
 
