Measure overload and shared limits

Cause: the promises of admission, retry budgets and shared limits need figures against baselines.

Change: subcommands overload and limits; the fakes they share with latency move to experiment/fleet, each experiment to a package of its own.

--- a/cmd/poplarshore-experiment/latency.go
+++ b/cmd/poplarshore-experiment/latency.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poplarshore/poplarshore/experiment"
+	"github.com/poplarshore/poplarshore/experiment/latency"
 	"github.com/poplarshore/poplarshore/route"
 )
 
@@ -65,16 +66,16 @@
 
 // latencyRow is one policy's outcome over the seeds.
 type latencyRow struct {
-	Policy  string                  `json:"policy"`
-	P50     experiment.Summary      `json:"p50_ms"`
-	P99     experiment.Summary      `json:"p99_ms"`
-	Crossed experiment.Summary      `json:"crossed_share"`
-	Cached  experiment.Summary      `json:"cached_share"`
-	Runs    []experiment.LatencyRun `json:"runs"`
+	Policy  string             `json:"policy"`
+	P50     experiment.Summary `json:"p50_ms"`
+	P99     experiment.Summary `json:"p99_ms"`
+	Crossed experiment.Summary `json:"crossed_share"`
+	Cached  experiment.Summary `json:"cached_share"`
+	Runs    []latency.Result   `json:"runs"`
 }
 
 func newLatencyCommand(opts *options) *cobra.Command {
-	o := experiment.DefaultLatencyOptions()
+	o := latency.DefaultOptions()
 	f := defaultRouteFlags()
 	name := "latency"
 	cmd := &cobra.Command{
@@ -103,17 +104,17 @@
 	return cmd
 }
 
-func runLatency(o experiment.LatencyOptions, policies []namedPolicy, seeds int) []latencyRow {
+func runLatency(o latency.Options, policies []namedPolicy, seeds int) []latencyRow {
 	var rows []latencyRow
 	for _, p := range policies {
 		row := latencyRow{Policy: p.name}
 		for seed := range seeds {
-			row.Runs = append(row.Runs, experiment.RunLatency(o, uint64(seed+1), p.make))
+			row.Runs = append(row.Runs, latency.Run(o, uint64(seed+1), p.make))
 		}
-		row.P50 = over(row.Runs, func(r experiment.LatencyRun) float64 { return r.P50 })
-		row.P99 = over(row.Runs, func(r experiment.LatencyRun) float64 { return r.P99 })
-		row.Crossed = over(row.Runs, func(r experiment.LatencyRun) float64 { return r.Crossed })
-		row.Cached = over(row.Runs, func(r experiment.LatencyRun) float64 { return r.Cached })
+		row.P50 = over(row.Runs, func(r latency.Result) float64 { return r.P50 })
+		row.P99 = over(row.Runs, func(r latency.Result) float64 { return r.P99 })
+		row.Crossed = over(row.Runs, func(r latency.Result) float64 { return r.Crossed })
+		row.Cached = over(row.Runs, func(r latency.Result) float64 { return r.Cached })
 		rows = append(rows, row)
 	}
 	return rows
--- a/cmd/poplarshore-experiment/main.go
+++ b/cmd/poplarshore-experiment/main.go
@@ -48,5 +48,7 @@
 		newCascadeCommand(opts),
 		newRolloutCommand(opts),
 		newLatencyCommand(opts),
+		newOverloadCommand(opts),
+		newLimitsCommand(opts),
 	}
 }
--- a/experiment/fleet/engine.go
+++ b/experiment/fleet/engine.go
@@ -1,55 +1,85 @@
-package experiment
+package fleet
 
 import (
 	"container/list"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/route"
 )
 
-// engine is a fake model engine with continuous batching: up to capacity
+// Engine is a fake model engine with continuous batching: up to capacity
 // requests run at once, each token takes longer in a fuller batch, and prompt
 // prefixes stay cached in limited memory.
-type engine struct {
-	loop     *loop
-	capacity int
-	// speed divides all times.
-	speed   float64
+type Engine struct {
+	Loop     *Loop
+	Capacity int
+	// Speed divides all times.
+	Speed float64
+	// Limit bounds the waiting requests; zero is no bound.
+	Limit int
+	// Hits counts prompt blocks that were cached.
+	Hits int
+
 	running int
-	waiting []*job
-	// limit bounds the waiting; zero is no bound.
-	limit int
-	cache prefixCache
-	// hits counts prompt blocks that were cached.
-	hits int
+	waiting []*Job
+	cache   prefixCache
+}
+
+// NewEngine returns an engine of speed 1 that caches a number of prompt blocks.
+func NewEngine(loop *Loop, capacity, cached int) *Engine {
+	return &Engine{Loop: loop, Capacity: capacity, Speed: 1, cache: newPrefixCache(cached)}
 }
 
-// job is one attempt on an engine.
-type job struct {
-	promptTokens int
-	answerTokens int
-	prefixes     []uint64
-	priority     int
-	// cancelled jobs leave the queue when their turn comes.
-	cancelled bool
-	onFirst   func()
-	onEnd     func()
+// Job is one attempt on an engine.
+type Job struct {
+	PromptTokens int
+	AnswerTokens int
+	Prefixes     []uint64
+	// Priority puts a job before all waiting ones of a lower one.
+	Priority int
+	// Cancelled jobs don't start.
+	Cancelled bool
+	// OnFirst is called at the first token and OnEnd after the last.
+	OnFirst func()
+	OnEnd   func()
 }
 
 const (
-	tokenTime   = 10 * time.Millisecond
-	batchSlope  = 1.0
-	prefillTime = 50 * time.Microsecond
+	// TokenTime is the time for one token in an empty batch at speed 1.
+	TokenTime = 10 * time.Millisecond
+	// BatchSlope is the part of TokenTime that a full batch adds.
+	BatchSlope = 1.0
+	// PrefillTime is the time to read one prompt token at speed 1.
+	PrefillTime = 50 * time.Microsecond
 )
 
-// submit takes a job, or refuses it if the queue is full.
-func (e *engine) submit(j *job) bool {
-	if e.limit > 0 && len(e.waiting) >= e.limit {
+// Rate returns the requests per second that a full engine of speed 1 serves when
+// nothing is cached, for mean sizes in tokens.
+func Rate(capacity int, prompt, answer float64) float64 {
+	return float64(capacity) / Hold(prompt, answer).Seconds()
+}
+
+// Hold returns how long a request of a size occupies a full engine of speed 1.
+func Hold(prompt, answer float64) time.Duration {
+	token := float64(TokenTime) * (1 + BatchSlope)
+	return time.Duration(answer*token + prompt*float64(PrefillTime))
+}
+
+// LogNormal draws from the log-normal distribution with the mean.
+func LogNormal(rng *rand.Rand, mean, sigma float64) float64 {
+	return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)
+}
+
+// Submit takes a job, or refuses it if the queue is full.
+func (e *Engine) Submit(j *Job) bool {
+	if e.Limit > 0 && len(e.waiting) >= e.Limit {
 		return false
 	}
-	i, _ := slices.BinarySearchFunc(e.waiting, j, func(a, b *job) int {
-		if a.priority >= b.priority {
+	i, _ := slices.BinarySearchFunc(e.waiting, j, func(a, b *Job) int {
+		if a.Priority >= b.Priority {
 			return -1
 		}
 		return 1
@@ -59,34 +89,35 @@
 	return true
 }
 
-func (e *engine) startWaiting() {
-	for e.running < e.capacity && len(e.waiting) > 0 {
+func (e *Engine) startWaiting() {
+	for e.running < e.Capacity && len(e.waiting) > 0 {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
-		if !j.cancelled {
+		if !j.Cancelled {
 			e.start(j)
 		}
 	}
 }
 
-func (e *engine) start(j *job) {
+func (e *Engine) start(j *Job) {
 	e.running++
-	hit := e.cache.use(j.prefixes)
-	e.hits += hit
+	hit := e.cache.use(j.Prefixes)
+	e.Hits += hit
 	cached := hit * route.BlockBytes / route.BytesPerToken
-	prefill := float64(prefillTime) * float64(max(j.promptTokens-cached, 0)) / e.speed
-	token := float64(tokenTime) * (1 + batchSlope*float64(e.running)/float64(e.capacity)) / e.speed
+	prefill := float64(PrefillTime) * float64(max(j.PromptTokens-cached, 0)) / e.Speed
+	token := float64(TokenTime) * (1 + BatchSlope*float64(e.running)/float64(e.Capacity)) / e.Speed
 	first := time.Duration(prefill + token)
-	e.loop.after(first, j.onFirst)
-	e.loop.after(first+time.Duration(token*float64(j.answerTokens)), func() {
+	e.Loop.After(first, j.OnFirst)
+	e.Loop.After(first+time.Duration(token*float64(j.AnswerTokens)), func() {
 		e.running--
 		e.startWaiting()
-		j.onEnd()
+		j.OnEnd()
 	})
 }
 
-func (e *engine) load() route.Load {
-	return route.Load{Running: e.running, Waiting: len(e.waiting), Capacity: e.capacity}
+// Load returns the engine's load report.
+func (e *Engine) Load() route.Load {
+	return route.Load{Running: e.running, Waiting: len(e.waiting), Capacity: e.Capacity}
 }
 
 // prefixCache holds the most recently used prefixes.
--- a/experiment/fleet/loop.go
+++ b/experiment/fleet/loop.go
@@ -1,13 +1,14 @@
-package experiment
+package fleet
 
 import (
 	"container/heap"
 	"time"
 )
 
-// loop runs events in the order of their virtual time.
-type loop struct {
-	now    time.Duration
+// Loop runs events in the order of their virtual time.
+type Loop struct {
+	// Now is the virtual time since the start.
+	Now    time.Duration
 	seq    int
 	events eventHeap
 }
@@ -41,32 +42,32 @@
 	return last
 }
 
-// after runs f when d has passed.
-func (l *loop) after(d time.Duration, f func()) {
+// After runs f when d has passed.
+func (l *Loop) After(d time.Duration, f func()) {
 	l.seq++
-	heap.Push(&l.events, event{at: l.now + max(d, 0), seq: l.seq, run: f})
+	heap.Push(&l.events, event{at: l.Now + max(d, 0), seq: l.seq, run: f})
 }
 
-// every runs f each interval, the first time after offset.
-func (l *loop) every(offset, interval time.Duration, f func()) {
-	l.after(offset, func() {
+// Every runs f each interval, the first time after offset.
+func (l *Loop) Every(offset, interval time.Duration, f func()) {
+	l.After(offset, func() {
 		f()
-		l.every(interval, interval, f)
+		l.Every(interval, interval, f)
 	})
 }
 
-// run handles events until the time is over.
-func (l *loop) run(until time.Duration) {
+// Run handles events until the time is over.
+func (l *Loop) Run(until time.Duration) {
 	for len(l.events) > 0 && l.events[0].at <= until {
 		e := heap.Pop(&l.events).(event)
-		l.now = e.at
+		l.Now = e.at
 		e.run()
 	}
-	l.now = until
+	l.Now = until
 }
 
-// epoch is the wall-clock time at the start of a loop.
-var epoch = time.Unix(1_800_000_000, 0)
+// Epoch is the wall-clock time at the start of a loop.
+var Epoch = time.Unix(1_800_000_000, 0)
 
-// time returns the virtual wall-clock time.
-func (l *loop) time() time.Time { return epoch.Add(l.now) }
+// Time returns the virtual wall-clock time.
+func (l *Loop) Time() time.Time { return Epoch.Add(l.Now) }
--- a/experiment/latency/latency.go
+++ b/experiment/latency/latency.go
@@ -1,4 +1,9 @@
-package experiment
+// Package latency measures the time to the first token by routing policy.
+//
+// Entry VMs, each with its own late view of the load, send requests of random
+// size to fake engines that other senders use as well. Every policy sees the
+// same seeds.
+package latency
 
 import (
 	"fmt"
@@ -10,6 +15,7 @@
 
 	"github.com/poplarshore/poplarshore/contract"
 	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/experiment/fleet"
 	"github.com/poplarshore/poplarshore/link"
 	"github.com/poplarshore/poplarshore/loadstate"
 	"github.com/poplarshore/poplarshore/model"
@@ -18,8 +24,8 @@
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
-// LatencyOptions set up the latency experiment.
-type LatencyOptions struct {
+// Options set up the experiment.
+type Options struct {
 	Engines int
 	VMs     int
 	// Load is the offered work over the engines' capacity, other senders' too.
@@ -35,16 +41,16 @@
 	Duration time.Duration
 }
 
-// DefaultLatencyOptions returns the sizes of today's larger user.
-func DefaultLatencyOptions() LatencyOptions {
-	return LatencyOptions{
+// DefaultOptions returns the sizes of today's larger user.
+func DefaultOptions() Options {
+	return Options{
 		Engines: 12, VMs: 7, Load: 0.75, Skewed: true,
 		ReportLag: time.Second, CostWeight: 1, Duration: 5 * time.Minute,
 	}
 }
 
-// LatencyRun is what one policy did with one seed. Times are in milliseconds.
-type LatencyRun struct {
+// Result is what one policy did with one seed. Times are in milliseconds.
+type Result struct {
 	P50     float64 `json:"p50_ms"`
 	P99     float64 `json:"p99_ms"`
 	Mean    float64 `json:"mean_ms"`
@@ -65,6 +71,7 @@
 	prefixGroups    = 2000
 	prefixZipf      = 1.2
 	prefixBlocks    = 8
+	prefixTokens    = prefixBlocks * route.BlockBytes / route.BytesPerToken
 	slowSpeed       = 0.5
 	crossLatencyMS  = 25
 	crossPrice      = money.PerMillion(20_000)
@@ -73,37 +80,37 @@
 )
 
 var (
-	latencyRef = model.Ref{Model: "strong", Version: "v1"}
-	latencyKey = loadstate.Key{Ref: latencyRef}
-	regions    = []domain.Region{"taipei", "taichung", "kaohsiung"}
+	ref     = model.Ref{Model: "strong", Version: "v1"}
+	key     = loadstate.Key{Ref: ref}
+	regions = []domain.Region{"taipei", "taichung", "kaohsiung"}
 )
 
-// latencyRun is the state of one run.
-type latencyRun struct {
-	loop
-	opts    LatencyOptions
+// run is the state of one run.
+type run struct {
+	fleet.Loop
+	opts    Options
 	rng     *rand.Rand
 	zipf    *rand.Zipf
-	engines []*engine
+	engines []*fleet.Engine
 	ups     []*upstream.Upstream
-	vms     []*latencyVM
+	vms     []*entryVM
 	hist    *hdrhistogram.Histogram
 
 	requests, crossed int
 	blocks, refused   int
 }
 
-// latencyVM is one entry VM with its own view of the engines.
-type latencyVM struct {
+// entryVM is one entry VM with its own view of the engines.
+type entryVM struct {
 	region   domain.Region
 	state    *loadstate.State
 	locality *loadstate.Locality
 	policy   route.Selector
 }
 
-// RunLatency measures one policy, made anew for each VM, with one seed.
-func RunLatency(opts LatencyOptions, seed uint64, newPolicy func() route.Selector) LatencyRun {
-	r := &latencyRun{
+// Run measures one policy, made anew for each VM, with one seed.
+func Run(opts Options, seed uint64, newPolicy func() route.Selector) Result {
+	r := &run{
 		opts: opts,
 		rng:  rand.New(rand.NewPCG(seed, 1)),
 		hist: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3),
@@ -115,15 +122,15 @@
 	}
 	r.startReports()
 	r.startSenders()
-	r.run(warmUp + opts.Duration)
+	r.Loop.Run(warmUp + opts.Duration)
 	return r.result()
 }
 
-func (r *latencyRun) makeEngines() {
+func (r *run) makeEngines() {
 	for i := range r.opts.Engines {
-		e := &engine{loop: &r.loop, capacity: engineCapacity, speed: 1, cache: newPrefixCache(engineCache)}
+		e := fleet.NewEngine(&r.Loop, engineCapacity, engineCache)
 		if r.opts.Skewed && i%3 == 2 {
-			e.speed = slowSpeed
+			e.Speed = slowSpeed
 		}
 		r.engines = append(r.engines, e)
 		r.ups = append(r.ups, &upstream.Upstream{
@@ -133,8 +140,8 @@
 	}
 }
 
-func (r *latencyRun) makeVM(region domain.Region, policy route.Selector) *latencyVM {
-	vm := &latencyVM{
+func (r *run) makeVM(region domain.Region, policy route.Selector) *entryVM {
+	vm := &entryVM{
 		region:   region,
 		state:    loadstate.New(loadstate.DefaultOptions()),
 		locality: loadstate.NewLocality(loadstate.DefaultLocalityOptions()),
@@ -144,7 +151,7 @@
 		Region:   region,
 		Links:    regionLinks(),
 		RegionOf: func(d domain.ID) domain.Region { return domain.Region(d) },
-		Groups:   map[loadstate.Key][]*upstream.Upstream{latencyKey: r.ups},
+		Groups:   map[loadstate.Key][]*upstream.Upstream{key: r.ups},
 	})
 	return vm
 }
@@ -160,12 +167,12 @@
 }
 
 // startReports lets each engine tell its load to each VM, late.
-func (r *latencyRun) startReports() {
+func (r *run) startReports() {
 	for i, e := range r.engines {
 		offset := time.Duration(r.rng.Int64N(int64(reportInterval)))
-		r.every(offset, reportInterval, func() {
-			report := loadstate.Report{Load: e.load(), Taken: r.time()}
-			r.after(r.opts.ReportLag, func() {
+		r.Every(offset, reportInterval, func() {
+			report := loadstate.Report{Load: e.Load(), Taken: r.Time()}
+			r.After(r.opts.ReportLag, func() {
 				for _, vm := range r.vms {
 					_, _ = vm.state.ObserveLoad(r.ups[i].ID, report)
 				}
@@ -174,20 +181,12 @@
 	}
 }
 
-// serviceRate returns the requests per second that an engine of speed 1 serves
-// when it is full and nothing is cached.
-func serviceRate() float64 {
-	perToken := tokenTime.Seconds() * (1 + batchSlope)
-	prompt := meanPrompt + prefixBlocks*route.BlockBytes/route.BytesPerToken
-	hold := meanAnswer*perToken + prompt*prefillTime.Seconds()
-	return engineCapacity / hold
-}
-
 // startSenders begins the callers of the VMs and the other senders.
-func (r *latencyRun) startSenders() {
+func (r *run) startSenders() {
+	rate := fleet.Rate(engineCapacity, meanPrompt+prefixTokens, meanAnswer)
 	total := 0.0
 	for _, e := range r.engines {
-		total += e.speed * serviceRate() * r.opts.Load
+		total += e.Speed * rate * r.opts.Load
 	}
 	weights := r.callerWeights()
 	for i, vm := range r.vms {
@@ -199,7 +198,7 @@
 }
 
 // callerWeights returns each VM's part of the callers.
-func (r *latencyRun) callerWeights() []float64 {
+func (r *run) callerWeights() []float64 {
 	weights := make([]float64, len(r.vms))
 	sum := 0.0
 	for i := range weights {
@@ -217,7 +216,7 @@
 
 // otherWeight returns engine i's part of the other senders' work. If skewed,
 // it falls on every other engine.
-func (r *latencyRun) otherWeight(i int) float64 {
+func (r *run) otherWeight(i int) float64 {
 	n := float64(len(r.engines))
 	switch {
 	case !r.opts.Skewed:
@@ -229,50 +228,45 @@
 }
 
 // send calls f as a Poisson process.
-func (r *latencyRun) send(perSecond float64, f func()) {
+func (r *run) send(perSecond float64, f func()) {
 	if perSecond == 0 {
 		return
 	}
-	r.after(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+	r.After(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		f()
 		r.send(perSecond, f)
 	})
 }
 
 // newJob draws a request's size and prompt.
-func (r *latencyRun) newJob() *job {
-	j := &job{
-		promptTokens: int(logNormal(r.rng, meanPrompt, promptSpread)) + prefixBlocks*route.BlockBytes/route.BytesPerToken,
-		answerTokens: 1 + int(logNormal(r.rng, meanAnswer, answerSpread)),
+func (r *run) newJob() *fleet.Job {
+	j := &fleet.Job{
+		PromptTokens: int(fleet.LogNormal(r.rng, meanPrompt, promptSpread)) + prefixTokens,
+		AnswerTokens: 1 + int(fleet.LogNormal(r.rng, meanAnswer, answerSpread)),
 	}
 	group := r.zipf.Uint64()
 	for b := range uint64(prefixBlocks) {
-		j.prefixes = append(j.prefixes, group*prefixBlocks+b+1)
+		j.Prefixes = append(j.Prefixes, group*prefixBlocks+b+1)
 	}
 	return j
 }
 
-// logNormal draws from the log-normal distribution with the mean.
-func logNormal(rng *rand.Rand, mean, sigma float64) float64 {
-	return mean * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2)
-}
-
-func (r *latencyRun) otherRequest(e *engine) {
+func (r *run) otherRequest(e *fleet.Engine) {
 	j := r.newJob()
-	j.prefixes = nil
-	j.onFirst, j.onEnd = func() {}, func() {}
-	e.submit(j)
+	j.Prefixes = nil
+	j.OnFirst, j.OnEnd = func() {}, func() {}
+	e.Submit(j)
 }
 
-func (r *latencyRun) request(vm *latencyVM) {
+func (r *run) request(vm *entryVM) {
 	j := r.newJob()
-	view, _ := vm.state.View(latencyKey, r.time())
+	view, _ := vm.state.View(key, r.Time())
 	req := &route.Request{
-		Refs: []model.Ref{latencyRef}, Region: vm.region, Weights: contract.Weights{Latency: 1, Cost: r.opts.CostWeight},
-		PromptTokens: j.promptTokens, AnswerTokens: j.answerTokens, PromptBlocks: len(j.prefixes),
+		Refs: []model.Ref{ref}, Region: vm.region, Weights: contract.Weights{Latency: 1, Cost: r.opts.CostWeight},
+		PromptTokens: j.PromptTokens, AnswerTokens: j.AnswerTokens, PromptBlocks: len(j.Prefixes),
 		Bytes: bytesPerRequest, Draw: r.rng.Uint64(),
-		Hints: vm.locality.AppendHints(nil, j.prefixes, r.time()),
-		Home:  view.Home(j.prefixes[0]),
+		Hints: vm.locality.AppendHints(nil, j.Prefixes, r.Time()),
+		Home:  view.Home(j.Prefixes[0]),
 	}
 	d, ok := vm.policy.Select(req, view)
 	if !ok {
@@ -282,35 +276,35 @@
 	r.dispatch(vm, j, d)
 }
 
-func (r *latencyRun) dispatch(vm *latencyVM, j *job, d route.Decision) {
-	i, _ := mustView(vm, r.time()).Find(d.Upstream.ID)
-	e, begun := r.engines[i], r.now
+func (r *run) dispatch(vm *entryVM, j *fleet.Job, d route.Decision) {
+	i, _ := mustView(vm, r.Time()).Find(d.Upstream.ID)
+	e, begun := r.engines[i], r.Now
 	oneWay := regionLinks().Between(vm.region, domain.Region(d.Upstream.Domain)).Latency()
-	call, err := vm.state.Begin(d.Upstream.ID, r.time())
+	call, err := vm.state.Begin(d.Upstream.ID, r.Time())
 	if err != nil {
 		return
 	}
-	vm.locality.Learn(j.prefixes, d.Upstream.ID, r.time())
-	prefill := time.Duration(j.promptTokens) * prefillTime
-	j.onFirst = func() {
-		r.after(oneWay, func() {
-			call.FirstToken(r.now - begun - 2*oneWay - prefill)
-			r.record(r.now-begun, begun, oneWay > 0)
+	vm.locality.Learn(j.Prefixes, d.Upstream.ID, r.Time())
+	prefill := time.Duration(j.PromptTokens) * fleet.PrefillTime
+	j.OnFirst = func() {
+		r.After(oneWay, func() {
+			call.FirstToken(r.Now - begun - 2*oneWay - prefill)
+			r.record(r.Now-begun, begun, oneWay > 0)
 		})
 	}
-	j.onEnd = func() { r.after(oneWay, func() { call.End(r.time(), true) }) }
-	r.after(oneWay, func() {
-		r.blocks += len(j.prefixes)
-		e.submit(j)
+	j.OnEnd = func() { r.After(oneWay, func() { call.End(r.Time(), true) }) }
+	r.After(oneWay, func() {
+		r.blocks += len(j.Prefixes)
+		e.Submit(j)
 	})
 }
 
-func mustView(vm *latencyVM, now time.Time) *loadstate.View {
-	view, _ := vm.state.View(latencyKey, now)
+func mustView(vm *entryVM, now time.Time) *loadstate.View {
+	view, _ := vm.state.View(key, now)
 	return view
 }
 
-func (r *latencyRun) record(first, begun time.Duration, crossed bool) {
+func (r *run) record(first, begun time.Duration, crossed bool) {
 	if begun < warmUp {
 		return
 	}
@@ -321,13 +315,13 @@
 	_ = r.hist.RecordValue(int64(first / time.Microsecond))
 }
 
-func (r *latencyRun) result() LatencyRun {
+func (r *run) result() Result {
 	hits := 0
 	for _, e := range r.engines {
-		hits += e.hits
+		hits += e.Hits
 	}
 	n := float64(max(r.requests, 1))
-	return LatencyRun{
+	return Result{
 		P50:     float64(r.hist.ValueAtQuantile(50)) / 1000,
 		P99:     float64(r.hist.ValueAtQuantile(99)) / 1000,
 		Mean:    r.hist.Mean() / 1000,
