--- a/coord/lease/keeper.go
+++ b/coord/lease/keeper.go
@@ -19,6 +19,10 @@
 // while it contended. It returns ErrRow for a row that only an operator can mend.
 func (m *Manager) Run(ctx context.Context, job string, fn Func) error {
 	for ctx.Err() == nil {
+		if !m.opts.Eligible(job) {
+			m.pause(ctx, m.spread())
+			continue
+		}
 		l, err := m.Acquire(ctx, job)
 		if errorx.IsOfType(err, ErrRow) {
 			return err
--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,6 +129,33 @@
 		Expect(held.Renew(ctx)).To(Succeed())
 	})
 
+	It("has as many candidates as asked for, and one changes when a member goes", func() {
+		var members []string
+		for i := range 200 {
+			members = append(members, fmt.Sprintf("vm-%d", i))
+		}
+		chosen := func(members []string) []string {
+			return slices.DeleteFunc(slices.Clone(members), func(self string) bool {
+				return !lease.IsCandidate(job, self, members, 3)
+			})
+		}
+		before := chosen(members)
+		Expect(before).To(HaveLen(3))
+		after := chosen(slices.DeleteFunc(members, func(self string) bool { return self == before[0] }))
+		Expect(after).To(HaveLen(3))
+		Expect(after).To(ContainElements(before[1], before[2]))
+	})
+
+	It("does not contend while not eligible", func() {
+		inBubble(func() {
+			ctx, cancel := context.WithTimeout(ctx, time.Minute)
+			defer cancel()
+			m, _ := lease.New(table, "a", lease.Options{Eligible: func(string) bool { return false }})
+			_ = m.Run(ctx, job, nil)
+		})
+		Expect(table.Counts().Reads).To(BeZero())
+	})
+
 	It("refuses options that contradict each other and rows it cannot read", func() {
 		_, err := lease.New(table, "a", lease.Options{TTL: time.Second, Margin: time.Second})
 		Expect(errorx.IsOfType(err, lease.ErrOptions)).To(BeTrue())
--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -21,6 +21,10 @@
 	// StoreTimeout bounds one acquire, renewal or release with all its
 	// retries. Default RenewEvery.
 	StoreTimeout time.Duration
+	// Eligible tells whether this holder should contend for the job now, for
+	// instance by IsCandidate. A lease that is held is not given up for it.
+	// Default always.
+	Eligible func(job string) bool
 	// Prefix is put before the job to form the row's key. Default "lease/".
 	Prefix string
 	// Clock is the clock of this holder. Default the machine's clock.
@@ -72,6 +76,9 @@
 	if o.NewID == nil {
 		o.NewID = randomID
 	}
+	if o.Eligible == nil {
+		o.Eligible = func(string) bool { return true }
+	}
 	if o.Jitter == nil {
 		o.Jitter = rand.Float64
 	}
