Keep the sighting of a job's row after a failed takeover

Cause: a contender whose takeover met a store that was down forgot how long it had seen the row unchanged and waited for the whole TTL again. Conclusion: a short outage at the takeover costs one more attempt.

--- a/coord/lease/manager.go
+++ b/coord/lease/manager.go
@@ -118,8 +118,10 @@
 func (m *Manager) note(job, writeID string, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.seen, job)
 	delete(m.unsought, job)
+	if err == nil {
+		delete(m.seen, job)
+	}
 	if errorx.IsOfType(err, store.ErrUnknown) {
 		m.unsought[job] = writeID
 	}
