Measure the ledger and the plain decoding of documents

Cause: billing and configuration are the costliest mechanisms at full size.

Change: probes of writing, folding and keeping a number of bills; a document's decoding without checks, beside the checked install.

--- a/measure/slopes/documents.go
+++ b/measure/slopes/documents.go
@@ -23,8 +23,8 @@
 	documentParses   = 5
 )
 
-// documents measures the configuration document: its size, and what checking
-// and indexing it costs a node.
+// documents measures the configuration document: its size, what checking and
+// indexing it costs a node, and what decoding and indexing alone would cost.
 func documents() Probe {
 	return Probe{Name: "document", Of: "engines", Sizes: []int{10, 100, 300, 1000}, Measure: measureDocument}
 }
@@ -44,6 +44,16 @@
 	if err != nil {
 		return err
 	}
+	plain, err := perOperation(documentParses, func(i int) error {
+		var doc document.Document
+		err := json.Unmarshal(src, &doc)
+		document.NewIndex(uint64(i), &doc)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	record("decode_cpu", Microseconds, plain)
 	record("bytes", Bytes, float64(len(src)))
 	record("install_cpu", Microseconds, cost)
 	record("heap", Bytes, heapOf(func() *document.Index {
--- /dev/null
+++ b/measure/slopes/ledgers.go
@@ -0,0 +1,108 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/poplarshore/poplarshore/coord/ledger"
+	"github.com/poplarshore/poplarshore/coord/store/memory"
+	"github.com/poplarshore/poplarshore/measure/meter"
+)
+
+const (
+	ledgerPrefix = "env"
+	listAll      = 1 << 20
+)
+
+// ledgers measures the billing of a number of requests of one client account:
+// writing their segments, folding them into totals, and the rows that remain
+// for the time in which request ids are remembered.
+func ledgers() Probe {
+	return Probe{Name: "ledger", Of: "requests", Sizes: []int{100, 1000, 3000, 10000}, Measure: measureLedger}
+}
+
+func measureLedger(ctx context.Context, size int, record Recorder) error {
+	table, objects := memory.NewTable(), memory.NewObjects()
+	begun := meter.CPU()
+	if err := writeEntries(ctx, objects, size); err != nil {
+		return err
+	}
+	record("write_cpu", Microseconds, float64((meter.CPU() - begun).Microseconds()))
+	bytes, err := storedBytes(ctx, objects)
+	if err != nil {
+		return err
+	}
+	record("segment_bytes", Bytes, bytes)
+	settler := ledger.NewSettler(ledger.SettlerOptions{Table: table, Objects: objects, Prefix: ledgerPrefix, Fence: 1})
+	cost, err := perOperation(1, func(int) error {
+		_, err := settler.Pass(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	record("settle_cpu", Microseconds, cost)
+	rows, err := table.Scan(ctx, "", "", listAll)
+	remaining := 0
+	for _, row := range rows {
+		remaining += len(row.Value)
+	}
+	record("row_bytes", Bytes, float64(remaining))
+	return err
+}
+
+// writeEntries bills size requests that end together.
+func writeEntries(ctx context.Context, objects *memory.Objects, size int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	writer, err := ledger.NewWriter(ledger.WriterOptions{Objects: objects, Prefix: ledgerPrefix, Incarnation: "vm-1.a"})
+	if err != nil {
+		return err
+	}
+	var running, callers sync.WaitGroup
+	running.Go(func() { _ = writer.Run(ctx) })
+	now := time.Now()
+	failures := make(chan error, size)
+	for i := range size {
+		callers.Go(func() {
+			if err := writer.Append(ctx, sampleEntry(i, now)); err != nil {
+				failures <- err
+			}
+		})
+	}
+	callers.Wait()
+	cancel()
+	running.Wait()
+	select {
+	case err := <-failures:
+		return err
+	default:
+		return nil
+	}
+}
+
+func sampleEntry(i int, now time.Time) ledger.Entry {
+	return ledger.Entry{
+		RequestID: fmt.Sprintf("%024x", i*7919), Account: "account-1", Kind: "completion", Model: "model-1", Version: "v1",
+		Amount: 1200, Time: now,
+		Attempts: []ledger.Attempt{{Upstream: "engine-00001", Model: "model-1", Version: "v1", Cost: 1200, Answer: true}},
+	}
+}
+
+func storedBytes(ctx context.Context, objects *memory.Objects) (float64, error) {
+	keys, err := objects.List(ctx, "", "", listAll)
+	if err != nil {
+		return 0, err
+	}
+	total := 0
+	for _, key := range keys {
+		body, err := objects.Get(ctx, key)
+		if err != nil {
+			return 0, err
+		}
+		total += len(body)
+	}
+	return float64(total), nil
+}
