--- a/measure/command/command.go
+++ b/measure/command/command.go
@@ -20,6 +20,6 @@
 		Short:        "Measure the system with small stand-ins on loopback",
 		SilenceUsage: true,
 	}
-	root.AddCommand(slopesCommand())
+	root.AddCommand(slopesCommand(), entryCommand())
 	return root
 }
--- a/measure/entrycost/entrycost.go
+++ b/measure/entrycost/entrycost.go
@@ -26,6 +26,9 @@
 	// the entry chooses for Model.
 	EngineURL string
 	Version   engine.VersionRef
+	// Models lists the models over which held streams are spread, as a VM bounds
+	// the requests in flight for each model. Empty means Model alone.
+	Models []string
 	// MinTokens and MaxTokens are the engine's bounds on a natural answer.
 	MinTokens, MaxTokens int
 }
--- a/measure/entrycost/memory.go
+++ b/measure/entrycost/memory.go
@@ -28,16 +28,28 @@
 func MeasureMemory(ctx context.Context, t Target, streams int) Memory {
 	m := Memory{Streams: streams}
 	var failed int
-	m.Direct, failed = holdStreams(ctx, t.EngineURL, "", t.Version.Model+"@"+t.Version.Version, streams)
+	direct := make([]string, len(t.models()))
+	for i, name := range t.models() {
+		direct[i] = name + "@" + t.Version.Version
+	}
+	m.Direct, failed = holdStreams(ctx, t.EngineURL, "", direct, streams)
 	m.Failed += failed
-	m.Entry, failed = holdStreams(ctx, t.EntryURL, t.Key, t.Model, streams)
+	m.Entry, failed = holdStreams(ctx, t.EntryURL, t.Key, t.models(), streams)
 	m.Failed += failed
 	m.Adds = m.Entry - m.Direct
 	return m
 }
 
+// models returns the models to spread streams over.
+func (t Target) models() []string {
+	if len(t.Models) == 0 {
+		return []string{t.Model}
+	}
+	return t.Models
+}
+
 // holdStreams returns the memory held per stream once each has its first event.
-func holdStreams(ctx context.Context, url, key, model string, streams int) (float64, int) {
+func holdStreams(ctx context.Context, url, key string, models []string, streams int) (float64, int) {
 	ctx, cancel := context.WithCancel(ctx)
 	client := caller.New(url, key)
 	before := meter.Memory()
@@ -45,7 +57,7 @@
 	var callers sync.WaitGroup
 	for i := range streams {
 		callers.Go(func() {
-			question := caller.Question{Model: model, Prompt: fmt.Sprintf("held %d", i), Stream: true}
+			question := caller.Question{Model: models[i%len(models)], Prompt: fmt.Sprintf("held %d", i), Stream: true}
 			question.FirstEvent = func() { opened <- true }
 			_, _ = client.Ask(ctx, question)
 			opened <- false
