--- a/measure/command/command.go
+++ b/measure/command/command.go
@@ -8,8 +8,12 @@
 
 var namespace = errorx.NewNamespace("measure")
 
-// ErrFlag reports a flag whose value is malformed.
-var ErrFlag = namespace.NewType("flag")
+var (
+	// ErrFlag reports a flag whose value is malformed.
+	ErrFlag = namespace.NewType("flag")
+	// ErrPromise reports a run that broke a promise.
+	ErrPromise = namespace.NewType("promise")
+)
 
 const defaultFigures = "docs/figures"
 
@@ -20,6 +24,6 @@
 		Short:        "Measure the system with small stand-ins on loopback",
 		SilenceUsage: true,
 	}
-	root.AddCommand(slopesCommand(), entryCommand())
+	root.AddCommand(slopesCommand(), entryCommand(), soakCommand())
 	return root
 }
--- a/measure/site/site.go
+++ b/measure/site/site.go
@@ -17,6 +17,7 @@
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/service"
+	"github.com/poplarshore/poplarshore/settings"
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/environment"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -34,7 +35,9 @@
 	Account = "measured"
 	Model   = "cheap"
 	Version = "v1"
-	Service = "permits"
+	// NextVersion is declared too, but not current at the start.
+	NextVersion = "v2"
+	Service     = "permits"
 	// Issue is the path of the service's call that runs at most once.
 	Issue = "/services/permits/issue"
 )
@@ -56,24 +59,40 @@
 	Models int
 	// Engine changes the options of every engine. Nil leaves the defaults.
 	Engine func(*engine.Options)
+	// Settings changes the settings of every entry VM. Nil leaves the defaults.
+	Settings func(*settings.Entry)
 }
 
 // Start starts a site.
 func Start(ctx context.Context, o Options) (*environment.Environment, error) {
-	text, err := json.Marshal(sample(o))
+	text, err := Document(o, Version)
 	if err != nil {
-		return nil, ErrDocument.Wrap(err, "encode")
+		return nil, err
 	}
 	options := environment.Options{Document: text}
 	if o.Engine != nil {
 		options.Engine = func(_ upstream.Upstream, e *engine.Options) { o.Engine(e) }
 	}
 	for i := range o.VMs {
-		options.VMs = append(options.VMs, environment.VM{ID: VM(i), Domain: domainID})
+		options.VMs = append(options.VMs, EntryVM(i, o.Settings))
 	}
 	return environment.Start(ctx, options)
 }
 
+// Document returns a site's document with a current version. Errors: ErrDocument.
+func Document(o Options, current model.VersionID) ([]byte, error) {
+	text, err := json.Marshal(sample(o, current))
+	if err != nil {
+		return nil, ErrDocument.Wrap(err, "encode")
+	}
+	return text, nil
+}
+
+// EntryVM describes the i-th entry VM.
+func EntryVM(i int, change func(*settings.Entry)) environment.VM {
+	return environment.VM{ID: VM(i), Domain: domainID, Settings: change}
+}
+
 // VM returns the name of the i-th entry VM.
 func VM(i int) vm.ID { return vm.ID(fmt.Sprintf("vm-%d", i)) }
 
@@ -88,9 +107,9 @@
 // Engine returns the name of the i-th engine.
 func Engine(i int) upstream.ID { return upstream.ID(fmt.Sprintf("engine-%d", i)) }
 
-func sample(o Options) document.Document {
+func sample(o Options, current model.VersionID) document.Document {
 	key := sha256.Sum256([]byte(Key))
-	models, refs := sampleModels(max(o.Models, 1))
+	models, refs := sampleModels(max(o.Models, 1), current)
 	doc := document.Document{
 		Schema:    document.SchemaVersion,
 		Regions:   []domain.Region{region},
@@ -110,13 +129,15 @@
 	return doc
 }
 
-func sampleModels(count int) (models []model.Model, refs []model.Ref) {
+func sampleModels(count int, current model.VersionID) (models []model.Model, refs []model.Ref) {
 	for i := range count {
 		name := model.Name(ModelName(i))
-		models = append(models, model.Model{Name: name, Current: Version, Versions: []model.Version{
-			{ID: Version, PromptPrice: 1_000_000, CompletionPrice: 3_000_000, Quality: 1},
-		}})
-		refs = append(refs, model.Ref{Model: name, Version: Version})
+		m := model.Model{Name: name, Current: current}
+		for _, id := range []model.VersionID{Version, NextVersion} {
+			m.Versions = append(m.Versions, model.Version{ID: id, PromptPrice: 1_000_000, CompletionPrice: 3_000_000, Quality: 1})
+			refs = append(refs, model.Ref{Model: name, Version: id})
+		}
+		models = append(models, m)
 	}
 	return models, refs
 }
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -141,7 +141,7 @@
 		answer: answer{hash: answerHash(j.ref.Model, j.ref.Version, j.prompt), good: s.good(r, j)},
 	}
 	s.streams.add(st)
-	s.counts.started(j.attempt)
+	s.counts.started(j.attempt, j.prompt)
 	s.work.Go(func() { s.generate(ctx, st) })
 	return st
 }
--- a/standin/engine/counts.go
+++ b/standin/engine/counts.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/poplarshore/poplarshore/standin/host"
 )
 
@@ -33,10 +35,12 @@
 type counter struct {
 	mu     sync.Mutex
 	counts Counts
+	// prompts counts the runs by the prompt's hash.
+	prompts map[uint64]int
 }
 
 func newCounter() *counter {
-	return &counter{counts: Counts{Attempts: make(map[string]AttemptCount)}}
+	return &counter{counts: Counts{Attempts: make(map[string]AttemptCount)}, prompts: make(map[uint64]int)}
 }
 
 // claim registers an attempt and reports whether it is new.
@@ -65,10 +69,13 @@
 	c.counts.Refused++
 }
 
-func (c *counter) started(attempt string) {
+func (c *counter) started(attempt, prompt string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts.Runs++
+	if len(c.prompts) < maxCountedAttempts {
+		c.prompts[xxhash.Sum64String(prompt)]++
+	}
 	if a, ok := c.counts.Attempts[attempt]; ok {
 		a.Runs++
 		c.counts.Attempts[attempt] = a
@@ -97,6 +104,13 @@
 	return counts
 }
 
+// Runs returns how often the stand-in has started to work on a prompt.
+func (s *Server) Runs(prompt string) int {
+	s.counts.mu.Lock()
+	defer s.counts.mu.Unlock()
+	return s.counts.prompts[xxhash.Sum64String(prompt)]
+}
+
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
 	host.WriteJSON(w, http.StatusOK, s.Counts())
 }
