Write the capacity page from measured slopes

Cause: the size to build towards needs each mechanism's cost, by measurement.

Probes of the list of VMs and of digests with fewer statements.

--- a/measure/command/command.go
+++ b/measure/command/command.go
@@ -24,6 +24,6 @@
 		Short:        "Measure the system with small stand-ins on loopback",
 		SilenceUsage: true,
 	}
-	root.AddCommand(slopesCommand(), entryCommand(), soakCommand())
+	root.AddCommand(slopesCommand(), entryCommand(), capacityCommand(), soakCommand())
 	return root
 }
--- a/measure/figure/figure.go
+++ b/measure/figure/figure.go
@@ -190,3 +190,11 @@
 		return slices.Contains(mechanisms, mechanism)
 	})
 }
+
+// Range returns the lowest, the middle and the highest value.
+func (p Point) Range() (low, median, high float64) {
+	if len(p.Values) == 0 {
+		return 0, 0, 0
+	}
+	return slices.Min(p.Values), p.Median(), slices.Max(p.Values)
+}
--- a/measure/slopes/limits.go
+++ b/measure/slopes/limits.go
@@ -14,6 +14,8 @@
 const (
 	limitAccounts = 10
 	limitRounds   = 2
+	// limitRate makes one request a round worth a report.
+	limitRate = 1000
 )
 
 // limitReports measures one report of client accounts' demand from one node to
@@ -23,7 +25,7 @@
 }
 
 func measureLimits(ctx context.Context, size int, record Recorder) error {
-	m, err := newMesh(size)
+	m, err := newMesh(size, 0)
 	defer m.close()
 	if err != nil {
 		return err
@@ -52,7 +54,7 @@
 		now := m.clock.Now()
 		for i := range limitAccounts {
 			id := account.ID(fmt.Sprintf("account-%d", i))
-			ticket, err := n.limiter.Admit(id, contract.Limits{RequestsPerSecond: 1e9}, limit.Estimate{Tokens: 1}, now)
+			ticket, err := n.limiter.Admit(id, contract.Limits{RequestsPerSecond: limitRate}, limit.Estimate{Tokens: 1}, now)
 			if err != nil {
 				return err
 			}
--- a/measure/slopes/mesh.go
+++ b/measure/slopes/mesh.go
@@ -56,7 +56,8 @@
 	host     *host.Host
 }
 
-func newMesh(size int) (*mesh, error) {
+// newMesh starts a mesh whose digests hold so many statements, or the default.
+func newMesh(size, statements int) (*mesh, error) {
 	m := &mesh{
 		clock: newSteppedClock(), table: memory.NewTable(), objects: memory.NewObjects(), wire: &meter.Wire{},
 	}
@@ -69,7 +70,7 @@
 	}
 	transport := meshTransport(m.wire, false, size)
 	for i := range size {
-		n := m.node(i, transport)
+		n := m.node(i, statements, transport)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return m, err
@@ -89,12 +90,12 @@
 }
 
 // node returns one VM's control plane.
-func (m *mesh) node(i int, via http.RoundTripper) *meshNode {
+func (m *mesh) node(i, statements int, via http.RoundTripper) *meshNode {
 	id := m.ids[i]
 	n := &meshNode{number: i, id: id}
 	n.client = &peer.Client{Scheme: "http", Token: meshToken, Book: peer.NewBook(id), Via: via}
 	n.node = revision.NewNode(revision.Options{
-		ID: revision.NodeID(id), Clock: m.clock,
+		ID: revision.NodeID(id), Clock: m.clock, Statements: statements,
 		Members: func() []revision.NodeID {
 			return append([]revision.NodeID{revision.NodeID(id)}, n.client.Book.Others()...)
 		},
--- a/measure/slopes/revisions.go
+++ b/measure/slopes/revisions.go
@@ -9,17 +9,34 @@
 const (
 	warmRounds     = 20
 	exchangeRounds = 5
+	// smallStatements is a quarter of the default.
+	smallStatements = 16
 )
 
 // revisionDigests measures one exchange of digests between two of the nodes,
 // over a new connection and over a kept one, and one node's state. All sizes
 // fill a digest, so that the line holds for larger ones.
 func revisionDigests() Probe {
-	return Probe{Name: "revision", Of: "nodes", Sizes: []int{80, 120, 160, 200}, Measure: measureRevisions}
+	return Probe{
+		Name: "revision", Of: "nodes", Sizes: []int{80, 120, 160, 200},
+		Measure: func(ctx context.Context, size int, record Recorder) error {
+			return measureRevisions(ctx, size, 0, record)
+		},
+	}
+}
+
+// smallDigests measures the same with digests of fewer statements.
+func smallDigests() Probe {
+	return Probe{
+		Name: "smalldigest", Of: "nodes", Sizes: []int{40, 80, 120, 200},
+		Measure: func(ctx context.Context, size int, record Recorder) error {
+			return measureRevisions(ctx, size, smallStatements, record)
+		},
+	}
 }
 
-func measureRevisions(ctx context.Context, size int, record Recorder) error {
-	m, err := newMesh(size)
+func measureRevisions(ctx context.Context, size, statements int, record Recorder) error {
+	m, err := newMesh(size, statements)
 	defer m.close()
 	if err != nil {
 		return err
--- a/measure/slopes/slopes.go
+++ b/measure/slopes/slopes.go
@@ -40,7 +40,7 @@
 
 // Probes returns all probes.
 func Probes() []Probe {
-	return []Probe{documents(), revisionDigests(), limitReports(), ledgers(), loadPulls(), storeCalls(), orderPlans()}
+	return []Probe{documents(), revisionDigests(), smallDigests(), limitReports(), ledgers(), vmLists(), loadPulls(), storeCalls(), orderPlans()}
 }
 
 // Run takes repeats measurements of each probe at each size. The sizes
