--- a/measure/capacity/page.go
+++ b/measure/capacity/page.go
@@ -114,6 +114,12 @@
 		fmt.Fprintf(&text, "| %s | %s (%s–%s) | %s |\n", r.name, number(median), number(low), number(high), r.full)
 	}
 	fmt.Fprintf(&text, "| requests/s | – | %s |\n", number(s.RequestsPerSecond/s.Nodes))
+	held, err := entry.Find("memory.per_stream")
+	if err != nil {
+		return "", err
+	}
+	fmt.Fprintf(&text, "| open streams, and their memory in MB | – | %s, %s |\n",
+		number(s.OpenStreams()), number(s.OpenStreams()*held.Points[0].Median()/megabyte))
 	return text.String(), nil
 }
 
--- a/measure/capacity/size.go
+++ b/measure/capacity/size.go
@@ -24,16 +24,26 @@
 	FailuresPerDay    float64
 	ReplacedPerDay    float64
 	Accounts          float64
+	// FirstToken and TokenGap are the waits for the first token and between
+	// tokens, in seconds.
+	FirstToken, TokenGap float64
 }
 
 // Full is the size that the system is built towards.
 func Full() Size {
 	return Size{
 		Nodes: 2000, Engines: 10000, RequestsPerSecond: 42000, TokensPerSecond: 12e6, Versions: 26,
-		Regions: 7, Domains: 18, ChangesPerDay: 11000, FailuresPerDay: 130, ReplacedPerDay: 1500, Accounts: 10,
+		Regions: 7, Domains: 18, ChangesPerDay: 11000, FailuresPerDay: 130, ReplacedPerDay: 1500, Accounts: 10, FirstToken: 0.47, TokenGap: 0.032,
 	}
 }
 
+// OpenStreams returns the answers under way on one node, if each takes as long
+// as the waits allow.
+func (s Size) OpenStreams() float64 {
+	seconds := s.FirstToken + s.TokensPerSecond/s.RequestsPerSecond*s.TokenGap
+	return s.RequestsPerSecond / s.Nodes * seconds
+}
+
 // ChangesPerSecond returns the mean rate of accepted configurations.
 func (s Size) ChangesPerSecond() float64 { return s.ChangesPerDay / secondsPerDay }
 
