Hedge slow engines, and give up callers that stop reading

Cause: a slow engine held a request although its neighbour was idle, and the hedges of the retry policy were not used; a caller that stops reading held its stream for ever; a claimed call could outlast its claim's run limit. Change: a race of two attempts, the first piece wins and the other is cancelled, paid from the retry budgets; a limit on each write to a caller; a claimed call ends before its claim counts as unknown.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -52,7 +52,7 @@
 		if err != nil {
 			return nil, s.placeError(x, err, last)
 		}
-		err = s.try(ctx, x, j, a, out)
+		a, err = s.newRace(x, j, out).run(ctx, state, a)
 		if err == nil {
 			return a, nil
 		}
@@ -212,8 +212,8 @@
 	return []model.Ref{ref}, nil
 }
 
-// try runs one attempt and keeps account of it.
-func (s *Server) try(ctx context.Context, x *Exchange, j *job, a *attempt, out sink) error {
+// runAttempt runs one attempt and keeps account of it.
+func (s *Server) runAttempt(ctx context.Context, x *Exchange, j *job, a *attempt, out sink) error {
 	a.began = s.Clock.Now()
 	want := j.want(x.Client)
 	want.Ref = a.ref
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -18,6 +18,7 @@
 	errBroken      = namespace.NewType("broken")
 	errHeadersLate = namespace.NewType("headers_late")
 	errAddress     = namespace.NewType("address")
+	errLost        = namespace.NewType("lost_race")
 )
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -17,6 +17,7 @@
 	dropped    *prometheus.CounterVec
 	silent     prometheus.Counter
 	callerGone prometheus.Counter
+	hedges     prometheus.Counter
 	tokens     prometheus.Counter
 	firstPiece prometheus.Histogram
 	claims     *prometheus.CounterVec
@@ -33,6 +34,7 @@
 		dropped:    counters("pieces_dropped_total", "Pieces of answers dropped, by reason.", "reason"),
 		silent:     counter("silent_connections_total", "Connections given up because nothing came."),
 		callerGone: counter("callers_gone_total", "Callers that went away before the end of their answer."),
+		hedges:     counter("hedges_total", "Second attempts started because the first was slow."),
 		tokens:     counter("tokens_total", "Tokens of delivered answers, prompts included."),
 		claims:     counters("claims_total", "Claims of non-idempotent requests by status.", "status"),
 		firstPiece: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -45,7 +47,7 @@
 		m.refusals.WithLabelValues(string(spec.Reason), string(spec.Ran))
 	}
 	reg.MustRegister(m.answers, m.refusals, m.cut, m.attempts, m.retries, m.resumes, m.dropped,
-		m.silent, m.callerGone, m.tokens, m.claims, m.firstPiece)
+		m.silent, m.callerGone, m.hedges, m.tokens, m.claims, m.firstPiece)
 	return m
 }
 
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -23,6 +23,17 @@
 // settleTimeout is the longest time for recording how a claimed call ended.
 const settleTimeout = 5 * time.Second
 
+// maxOnceRun bounds a call that runs at most once. It is shorter than the time
+// after which a claim without result counts as unknown.
+const maxOnceRun = 100 * time.Second
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // keptAnswer is the answer of a call that ran once.
 type keptAnswer struct {
 	Status  int         `json:"status"`
@@ -88,6 +99,7 @@
 // that none has run it. The call goes on when the caller goes away, so that
 // its outcome becomes known.
 func (s *Server) runOnce(call *serviceCall, w http.ResponseWriter, claim *once.Claim) error {
+	call.x.Deadline = earlier(call.x.Deadline, s.Clock.Now().Add(maxOnceRun))
 	ctx, cancel := s.withDeadline(context.WithoutCancel(call.request.Context()), call.x)
 	defer cancel()
 	state := s.retryState(call.x, call.service.Name, false)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,6 +35,9 @@
 	MaxResumes int
 	// MaxHeldBytes bounds an answer that is held whole. Default 8 MiB.
 	MaxHeldBytes int64
+	// WriteTimeout is the longest time for a caller to take what it was sent.
+	// Default 30 s.
+	WriteTimeout time.Duration
 	// BillTimeout is the longest wait for a billing record. Default 5 s.
 	BillTimeout time.Duration
 }
@@ -46,6 +49,7 @@
 	setDefault(&o.DefaultTokens, 256)
 	setDefault(&o.MaxResumes, 3)
 	setDefault(&o.MaxHeldBytes, 8<<20)
+	setDefault(&o.WriteTimeout, 30*time.Second)
 	setDefault(&o.BillTimeout, 5*time.Second)
 	return o
 }
@@ -150,7 +154,7 @@
 			return
 		}
 		defer s.drain.leave()
-		answer := &responseWriter{ResponseWriter: w}
+		answer := &responseWriter{ResponseWriter: w, limit: s.opts.WriteTimeout}
 		err := s.admitCaller(x, r)
 		if err == nil {
 			err = h(x, answer, r)
@@ -190,6 +194,8 @@
 type responseWriter struct {
 	http.ResponseWriter
 	begun bool
+	// limit bounds each write to the caller.
+	limit time.Duration
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -201,9 +207,22 @@
 // Write implements http.ResponseWriter.
 func (w *responseWriter) Write(b []byte) (int, error) {
 	w.begun = true
+	w.bound()
 	return w.ResponseWriter.Write(b)
 }
 
+// FlushError implements the flushing of http.ResponseController.
+func (w *responseWriter) FlushError() error {
+	w.bound()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+// bound sets the time by which the next write must be taken. A caller that
+// stops reading is given up then.
+func (w *responseWriter) bound() {
+	_ = http.NewResponseController(w.ResponseWriter).SetWriteDeadline(time.Now().Add(w.limit))
+}
+
 // Unwrap lets http.ResponseController find the connection.
 func (w *responseWriter) Unwrap() http.ResponseWriter {
 	return w.ResponseWriter
--- a/internal/entryd/callers_test.go
+++ b/internal/entryd/callers_test.go
@@ -4,16 +4,20 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/examples"
 	"github.com/poplarshore/poplarshore/settings"
+	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/environment"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 // raw sends bytes as they are and returns the status of each answer that comes
@@ -82,3 +86,28 @@
 		Expect(raw(address, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n")).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a caller that stops reading", func() {
+	It("is given up, and its answer looks cut", func() {
+		const quick = 200
+		e, err := environment.Start(context.Background(), environment.Options{
+			Document: examples.Quickstart,
+			Engine:   func(_ upstream.Upstream, o *engine.Options) { o.MinTokens, o.MaxTokens = 200_000, 200_000 },
+			VMs: []environment.VM{{ID: "vm-1", Domain: "local-1", Settings: func(s *settings.Entry) {
+				s.Requests.WriteTimeoutMS, s.Requests.MaxTokens = quick, 1_000_000
+			}}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(e.Close)
+		conn, err := net.Dial("tcp", e.VM("vm-1").CallersAddress())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		body := `{"model":"strong","prompt":"x","stream":true,"max_tokens":200000}`
+		_, err = conn.Write([]byte(post(fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() uint64 { return e.Engines["strong-1"].Counts().Runs }).WithTimeout(20 * time.Second).Should(BeNumerically(">", 0))
+		Eventually(func() int { return e.VM("vm-1").Status().InFlight }).WithTimeout(20 * time.Second).Should(BeZero())
+		rest, _ := io.ReadAll(conn)
+		Expect(string(rest)).NotTo(ContainSubstring("[DONE]"))
+	})
+})
--- /dev/null
+++ b/internal/entryd/hedge_test.go
@@ -0,0 +1,51 @@
+package entryd_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/standin/caller"
+	"github.com/poplarshore/poplarshore/standin/engine"
+	"github.com/poplarshore/poplarshore/standin/fault"
+)
+
+// metrics returns what the VM's metrics are.
+func (b *bench) metrics() string {
+	resp, err := http.Get("http://" + b.VM("vm-1").OperatorsAddress() + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
+var _ = Describe("a slow engine", func() {
+	It("is hedged by another", func() {
+		b := newBench(context.Background())
+		ask := func(prompt string) {
+			a, err := b.caller.Chat(context.Background(), caller.Ask("cheap", prompt, true), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(own(a, prompt)).To(BeTrue())
+		}
+		for i := range 20 {
+			ask(fmt.Sprintf("learn %d", i))
+		}
+		slow := b.Engines["cheap-1"]
+		if other := b.Engines["cheap-2"]; other.Counts().Runs > slow.Counts().Runs {
+			slow = other
+		}
+		Expect(slow.Faults.Add(fault.Rule{Kind: engine.Slow, DelayMs: 250})).To(Succeed())
+		for i := range mostAsks {
+			ask(fmt.Sprintf("slow %d", i))
+			if slow.Faults.Report().Struck[engine.Slow] > 0 {
+				break
+			}
+		}
+		Expect(b.metrics()).NotTo(ContainSubstring("\npoplarshore_hedges_total 0\n"))
+	})
+})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -140,6 +140,24 @@
 	return d.Upstream
 }
 
+// Expected implements entry.Placement.
+func (p *Placement) Expected(u *upstream.Upstream, ref model.Ref) time.Duration {
+	view, ok := p.state.View(loadstate.Key{Ref: ref}, p.clock.Now())
+	if !ok {
+		return 0
+	}
+	i, ok := view.Find(u.ID)
+	if !ok {
+		return 0
+	}
+	var c route.Candidate
+	view.Fill(i, &c)
+	if c.FirstToken == 0 {
+		return 0
+	}
+	return c.FirstToken + 2*c.LinkLatency
+}
+
 // Begin implements entry.Placement.
 func (p *Placement) Begin(u *upstream.Upstream, want entry.Want) func(entry.Outcome) {
 	now := p.clock.Now()
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -52,6 +52,7 @@
 	MaxHeaderBytes   int64  `json:"max_header_bytes" doc:"Largest request header, in bytes. Default 65536."`
 	HeaderTimeoutMS  Millis `json:"header_timeout_ms" doc:"Longest time for a request header to arrive, in ms. Default 5000."`
 	BodyTimeoutMS    Millis `json:"body_timeout_ms" doc:"Longest time for a request body to arrive, in ms. Default 10000."`
+	WriteTimeoutMS   Millis `json:"write_timeout_ms" doc:"Longest time for a caller to take what it was sent, in ms. Default 30000."`
 	KeepAliveMS      Millis `json:"keep_alive_ms" doc:"Longest time a caller's connection is kept without a request, in ms. Default 120000."`
 	MaxTokens        int64  `json:"max_tokens" doc:"Largest max_tokens. Default 32768."`
 	DefaultTokens    int64  `json:"default_tokens" doc:"Estimate of an answer whose request has no max_tokens. Default 256."`
@@ -87,7 +88,7 @@
 		Peers:     Listener{Address: "127.0.0.1:8082"},
 		Platform:  Platform{Prefix: "poplarshore/"},
 		Requests: Requests{
-			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, HeaderTimeoutMS: 5000, BodyTimeoutMS: 10000,
+			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 64 << 10, HeaderTimeoutMS: 5000, BodyTimeoutMS: 10000, WriteTimeoutMS: 30000,
 			KeepAliveMS: 120000, MaxTokens: 32768, DefaultTokens: 256, MaxHeldBytes: 8 << 20,
 			MaxBillBacklog: 100000, RatedSharePerMil: 200,
 		},
@@ -121,6 +122,7 @@
 	positive(text, "requests.max_header_bytes", r.MaxHeaderBytes)
 	positive(text, "requests.header_timeout_ms", r.HeaderTimeoutMS)
 	positive(text, "requests.body_timeout_ms", r.BodyTimeoutMS)
+	positive(text, "requests.write_timeout_ms", r.WriteTimeoutMS)
 	positive(text, "requests.keep_alive_ms", r.KeepAliveMS)
 	positive(text, "requests.max_tokens", r.MaxTokens)
 	positive(text, "requests.default_tokens", r.DefaultTokens)
