Let roll-outs go on without VMs that have gone, and watch versions over all VMs

Cause: the holder took the failure domains of engines for those of VMs, so that a domain without VMs held a roll-out for good; the report of a VM that had died held it as silent for good; a live VM that never reported did not count as silent; and the watch saw each VM's traffic alone. Change: the holder reads the list of VMs: its failure domains are those that must report, VMs not listed whose report is old have gone, live ones without a report are silent. It feeds one watch for each roll-out with what all VMs added. Decide holds where no failure domain is known. Conclusion: VMs may come and go during a roll-out.

--- a/internal/controld/rollouts.go
+++ b/internal/controld/rollouts.go
@@ -9,7 +9,6 @@
 	"github.com/poplarshore/poplarshore/coord/lease"
 	"github.com/poplarshore/poplarshore/coord/store"
 	"github.com/poplarshore/poplarshore/document"
-	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/rollout"
 )
@@ -19,24 +18,25 @@
 
 // rollouts is the job that carries roll-outs on.
 func (d *Daemon) rollouts(ctx context.Context, l *lease.Lease) error {
-	docs := d.follow(ctx)
+	docs, v := d.follow(ctx), newView()
 	return d.every(ctx, l, d.settings.Jobs.RolloutPeriodMS.Duration(), func(ctx context.Context) {
 		x := docs.index()
 		if x == nil {
 			return
 		}
+		d.refresh(ctx, v)
 		for _, plan := range x.Doc.Rollouts {
 			if l.Check() != nil {
 				return
 			}
-			d.carryOn(ctx, x, plan)
+			d.carryOn(ctx, x, v, plan)
 		}
 	})
 }
 
 // carryOn decides on one roll-out. A row that another holder changed meanwhile
 // is left alone; the next round reads it again.
-func (d *Daemon) carryOn(ctx context.Context, x *document.Index, plan rollout.Plan) {
+func (d *Daemon) carryOn(ctx context.Context, x *document.Index, v *view, plan rollout.Plan) {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Jobs.StoreMS.Duration())
 	defer cancel()
 	row, version, err := d.progress(ctx, plan)
@@ -49,8 +49,10 @@
 		d.metrics.rolloutFailed.Inc()
 		return
 	}
+	now := d.clock.Now()
 	decision := rollout.Decide(rollout.Input{
-		Plan: plan, Row: row, Domains: servedIn(x, plan), Reports: reports, Now: d.clock.Now(),
+		Plan: plan, Row: row, Domains: v.domains(), Reports: v.complete(reports, now),
+		Watched: v.watched(plan.ID, reports), Now: now,
 		Withdrawn: func(id model.VersionID) bool {
 			return x.Withdrawn(model.Ref{Model: plan.Model, Version: id})
 		},
@@ -111,16 +113,3 @@
 		after = page[len(page)-1].Key
 	}
 }
-
-// servedIn returns the failure domains whose engines serve the new version.
-func servedIn(x *document.Index, plan rollout.Plan) []domain.ID {
-	seen := make(map[domain.ID]bool)
-	var domains []domain.ID
-	for _, u := range x.Engines(model.Ref{Model: plan.Model, Version: plan.To}) {
-		if !seen[u.Domain] {
-			seen[u.Domain] = true
-			domains = append(domains, u.Domain)
-		}
-	}
-	return domains
-}
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -35,7 +35,8 @@
 type Input struct {
 	Plan Plan
 	Row  Progress
-	// Domains are the failure domains in which the model is served.
+	// Domains are the failure domains that hold VMs. Without any the roll-out
+	// holds.
 	Domains []domain.ID
 	// Reports holds the newest report of each VM.
 	Reports []Report
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -145,7 +145,11 @@
 // silence returns the first failure domain of the step with a VM that can't
 // report, is behind, or does not serve the version yet.
 func (d decider) silence() (Reason, domain.ID) {
-	for _, id := range d.stepDomains() {
+	domains := d.stepDomains()
+	if len(domains) == 0 {
+		return ReasonSilent, ""
+	}
+	for _, id := range domains {
 		t := d.domains[id]
 		switch {
 		case t == nil, !t.heard, t.late:
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -88,6 +88,7 @@
 		Entry("dwell", func(in *rollout.Input) { in.Now = start.Add(time.Second) }, rollout.Hold, rollout.ReasonDwell),
 		Entry("paused", func(in *rollout.Input) { in.Plan.Paused = true }, rollout.Hold, rollout.ReasonPaused),
 		Entry("no report", func(in *rollout.Input) { in.Reports = in.Reports[1:] }, rollout.Hold, rollout.ReasonSilent),
+		Entry("no domain known", func(in *rollout.Input) { in.Domains, in.Plan.Steps[0].Domains = nil, nil }, rollout.Hold, rollout.ReasonSilent),
 		Entry("old report", func(in *rollout.Input) { in.Reports[0].At = start }, rollout.Hold, rollout.ReasonSilent),
 		Entry("VM behind", func(in *rollout.Input) { in.Reports[0].Generation = 0 }, rollout.Hold, rollout.ReasonSilent),
 		Entry("loading", func(in *rollout.Input) { in.Reports[0].Loading = true }, rollout.Hold, rollout.ReasonLoading),
