Decide which VMs have gone in the roll-out package

Cause: which reports count as silent is a decision, and stood untested in the control process. Change: rollout.Complete and DomainsOf, with a table of the cases. Conclusion: listed and silent holds; not listed and old is gone.

--- a/internal/controld/rollouts.go
+++ b/internal/controld/rollouts.go
@@ -51,7 +51,7 @@
 	}
 	now := d.clock.Now()
 	decision := rollout.Decide(rollout.Input{
-		Plan: plan, Row: row, Domains: v.domains(), Reports: v.complete(reports, now),
+		Plan: plan, Row: row, Domains: rollout.DomainsOf(v.members), Reports: rollout.Complete(reports, v.members, now),
 		Watched: v.watched(plan.ID, reports), Now: now,
 		Withdrawn: func(id model.VersionID) bool {
 			return x.Withdrawn(model.Ref{Model: plan.Model, Version: id})
--- a/internal/controld/view.go
+++ b/internal/controld/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
@@ -11,14 +10,10 @@
 	"github.com/poplarshore/poplarshore/vm"
 )
 
-// staleAfter is the age from which the report of a VM that is not listed is
-// that of a VM that has gone. The list lags, so a younger report counts as heard.
-const staleAfter = 30 * time.Second
-
 // view is what the holder of the roll-out job knows beside the rows. It starts
 // anew with each holder.
 type view struct {
-	members []platform.Member
+	members []rollout.Member
 	readAt  time.Time
 	watches map[rollout.ID]*versionWatch
 }
@@ -47,38 +42,12 @@
 		d.metrics.listFailed.Inc()
 		return
 	}
-	v.members, v.readAt = members, now
-}
-
-// domains returns the failure domains that hold listed VMs, sorted.
-func (v *view) domains() []domain.ID {
-	var ids []domain.ID
-	for _, m := range v.members {
-		ids = append(ids, domain.ID(m.Domain))
-	}
-	slices.Sort(ids)
-	return slices.Compact(ids)
-}
-
-// complete marks the reports of VMs that have gone, and adds an empty one for
-// each live VM that has not reported: its silence counts. Before the list was
-// read nobody counts as gone.
-func (v *view) complete(reports []rollout.Report, now time.Time) []rollout.Report {
-	listed := make(map[vm.ID]platform.Member, len(v.members))
-	for _, m := range v.members {
-		listed[vm.ID(m.ID)] = m
-	}
-	for i, r := range reports {
-		_, live := listed[r.VM]
-		reports[i].Gone = !live && !v.readAt.IsZero() && now.Sub(r.At) > staleAfter
-		delete(listed, r.VM)
-	}
-	for id, m := range listed {
-		if m.State == platform.MemberLive {
-			reports = append(reports, rollout.Report{VM: id, Domain: domain.ID(m.Domain)})
-		}
+	v.members, v.readAt = nil, now
+	for _, m := range members {
+		v.members = append(v.members, rollout.Member{
+			VM: vm.ID(m.ID), Domain: domain.ID(m.Domain), Leaving: m.State == platform.MemberLeaving,
+		})
 	}
-	return reports
 }
 
 // watched returns the verdict on what the reports added since the last round.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -144,6 +144,33 @@
 	})
 })
 
+var _ = Describe("Complete", func() {
+	row := rollout.Begin(plan(), start)
+	now := start.Add(2 * time.Minute)
+	listed := []rollout.Member{{VM: "vm1", Domain: "a"}, {VM: "vm2", Domain: "a"}}
+
+	DescribeTable("tells VMs that have gone from those that are silent",
+		func(members []rollout.Member, second rollout.Report, kind rollout.Kind, reason rollout.Reason) {
+			first := report("a", row, now)
+			first.VM = "vm1"
+			reports := []rollout.Report{first}
+			if second.VM != "" {
+				reports = append(reports, second)
+			}
+			in := input(row, now)
+			in.Reports = rollout.Complete(reports, members, now)
+			decision := rollout.Decide(in, rollout.Options{})
+			Expect(decision.Kind).To(Equal(kind))
+			Expect(decision.Reason).To(Equal(reason))
+		},
+		Entry("listed, reports", listed, rollout.Report{VM: "vm2", Domain: "a", At: now, Generation: 1}, rollout.Advance, rollout.ReasonNone),
+		Entry("listed, silent", listed, rollout.Report{VM: "vm2", Domain: "a", At: start, Generation: 1}, rollout.Hold, rollout.ReasonSilent),
+		Entry("listed, never reported", listed, rollout.Report{}, rollout.Hold, rollout.ReasonSilent),
+		Entry("not listed, silent", listed[:1], rollout.Report{VM: "vm2", Domain: "a", At: start, Generation: 1}, rollout.Advance, rollout.ReasonNone),
+		Entry("no list, silent", nil, rollout.Report{VM: "vm2", Domain: "a", At: start, Generation: 1}, rollout.Hold, rollout.ReasonSilent),
+	)
+})
+
 var _ = Describe("Guard", func() {
 	It("stops a version that fails within a few requests and never gives it out again", func() {
 		row := rollout.Begin(plan(), start)
