Keep write ids and settled outcomes in one place

Cause: lease and once each had a generator of write ids and the same mapping of a settled write to an event. Change: settle.NewID and settle.Outcome; the event names are as before. Conclusion: each stands once.

--- a/coord/lease/manager.go
+++ b/coord/lease/manager.go
@@ -140,22 +140,11 @@
 }
 
 func (m *Manager) writer(job string) settle.Writer {
-	return settle.Writer{Table: m.table, OnSettle: func(err error) {
-		m.opts.Observer.LeaseEvent(job, settledEvent(err))
+	return settle.Writer{Table: m.table, OnSettle: func(outcome settle.Outcome) {
+		m.opts.Observer.LeaseEvent(job, Event(outcome))
 	}}
 }
 
-func settledEvent(err error) Event {
-	switch {
-	case err == nil:
-		return EventSettledApplied
-	case errorx.IsOfType(err, store.ErrUnknown):
-		return EventUnsettled
-	default:
-		return EventSettledRefused
-	}
-}
-
 func (m *Manager) nextRow(fence uint64) row {
 	return row{
 		Holder:  m.holder,
--- a/coord/lease/observer.go
+++ b/coord/lease/observer.go
@@ -1,5 +1,7 @@
 package lease
 
+import "github.com/poplarshore/poplarshore/coord/store/settle"
+
 // Event is something that happened to a job at this holder.
 type Event string
 
@@ -16,11 +18,11 @@
 	// EventRenewed is a renewal that took effect.
 	EventRenewed Event = "renewed"
 	// EventSettledApplied is a write of unknown outcome found applied.
-	EventSettledApplied Event = "settled_applied"
+	EventSettledApplied = Event(settle.Applied)
 	// EventSettledRefused is a write of unknown outcome found without effect.
-	EventSettledRefused Event = "settled_refused"
+	EventSettledRefused = Event(settle.Refused)
 	// EventUnsettled is a write whose outcome stayed unknown.
-	EventUnsettled Event = "unsettled"
+	EventUnsettled = Event(settle.Unsettled)
 	// EventLost is a lease that another holder took.
 	EventLost Event = "lost"
 	// EventExpired is a lease that ran out before it could be renewed.
--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -1,11 +1,12 @@
 package lease
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/poplarshore/poplarshore/coord/store/settle"
 )
 
 // Options sets the times of a Manager. The zero value of a field means its default.
@@ -74,7 +75,7 @@
 		o.Observer = noObserver{}
 	}
 	if o.NewID == nil {
-		o.NewID = randomID
+		o.NewID = settle.NewID
 	}
 	if o.Eligible == nil {
 		o.Eligible = func(string) bool { return true }
@@ -97,7 +98,3 @@
 	}
 	return nil
 }
-
-func randomID() string {
-	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
-}
--- a/coord/once/claims.go
+++ b/coord/once/claims.go
@@ -175,18 +175,7 @@
 }
 
 func (c *Claims) writer() settle.Writer {
-	return settle.Writer{Table: c.table, OnSettle: func(err error) {
-		c.opts.Observer.OnceEvent(settledEvent(err))
+	return settle.Writer{Table: c.table, OnSettle: func(outcome settle.Outcome) {
+		c.opts.Observer.OnceEvent(Event(outcome))
 	}}
 }
-
-func settledEvent(err error) Event {
-	switch {
-	case err == nil:
-		return EventSettledApplied
-	case errorx.IsOfType(err, store.ErrUnknown):
-		return EventUnsettled
-	default:
-		return EventSettledRefused
-	}
-}
--- a/coord/once/observer.go
+++ b/coord/once/observer.go
@@ -1,5 +1,7 @@
 package once
 
+import "github.com/poplarshore/poplarshore/coord/store/settle"
+
 // Event is something that happened to a claim at this VM.
 type Event string
 
@@ -21,11 +23,11 @@
 	// EventUnavailable is an operation that the store did not serve.
 	EventUnavailable Event = "unavailable"
 	// EventSettledApplied is a write of unknown outcome found applied.
-	EventSettledApplied Event = "settled_applied"
+	EventSettledApplied = Event(settle.Applied)
 	// EventSettledRefused is a write of unknown outcome found without effect.
-	EventSettledRefused Event = "settled_refused"
+	EventSettledRefused = Event(settle.Refused)
 	// EventUnsettled is a write whose outcome stayed unknown.
-	EventUnsettled Event = "unsettled"
+	EventUnsettled = Event(settle.Unsettled)
 	// EventCompleted is a result kept.
 	EventCompleted Event = "completed"
 	// EventMarkedUnknown is a claim marked as of unknown outcome.
--- a/coord/once/options.go
+++ b/coord/once/options.go
@@ -1,11 +1,11 @@
 package once
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/poplarshore/poplarshore/coord/store/settle"
 )
 
 // Options sets the times and bounds of Claims. The zero value of a field means
@@ -67,7 +67,7 @@
 		o.Observer = noObserver{}
 	}
 	if o.NewID == nil {
-		o.NewID = randomID
+		o.NewID = settle.NewID
 	}
 	return o
 }
@@ -92,7 +92,3 @@
 	}
 	return nil
 }
-
-func randomID() string {
-	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
-}
--- a/coord/store/settle/settle.go
+++ b/coord/store/settle/settle.go
@@ -16,6 +16,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"math/rand/v2"
 
 	"github.com/joomcode/errorx"
 
@@ -25,16 +27,45 @@
 // defaultAttempts bounds how often one write is sent.
 const defaultAttempts = 3
 
+// Outcome is how a write ended whose outcome was unknown at first.
+type Outcome string
+
+// The outcomes.
+const (
+	// Applied: the write was found applied.
+	Applied Outcome = "settled_applied"
+	// Refused: the write was found without effect.
+	Refused Outcome = "settled_refused"
+	// Unsettled: the outcome stayed unknown.
+	Unsettled Outcome = "unsettled"
+)
+
+func outcomeOf(err error) Outcome {
+	switch {
+	case err == nil:
+		return Applied
+	case errorx.IsOfType(err, store.ErrUnknown):
+		return Unsettled
+	default:
+		return Refused
+	}
+}
+
+// NewID returns 128 random bits in hexadecimal, which tell a write from all
+// others, also after a restart.
+func NewID() string {
+	return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64())
+}
+
 // Writer sends writes to a table and settles unknown outcomes.
 type Writer struct {
 	// Table is the table written to.
 	Table store.Table
 	// Attempts is the most times one write is sent. Zero means 3.
 	Attempts int
-	// OnSettle, if set, is told of each write whose outcome was unknown at
-	// first, or that was refused and yet found applied: nil for a write found
-	// applied, else the error returned.
-	OnSettle func(err error)
+	// OnSettle, if set, is told how each write ended whose outcome was unknown
+	// at first, or that was refused and yet found applied.
+	OnSettle func(outcome Outcome)
 }
 
 // Insert creates the row unless the key is taken and returns the row.
@@ -119,7 +150,7 @@
 	refused := errorx.IsOfType(err, a.refused)
 	row, err := w.resolve(ctx, a, err)
 	if w.OnSettle != nil && (!refused || err == nil) {
-		w.OnSettle(err)
+		w.OnSettle(outcomeOf(err))
 	}
 	return row, err
 }
