Keep items in use whatever else waits

Cause: random states showed that an adapter in use was left out of an order while its version waited for the pace of loads, and that an item reported twice counted as idle if its last report was. Change: what is loaded or ordered always stays in; an item is in use if any report of it is. The random test stands beside the table. Conclusion: both faults needed odd reports of an engine, and both would have cut off requests.

--- a/order/order_test.go
+++ b/order/order_test.go
@@ -1,6 +1,7 @@
 package order_test
 
 import (
+	"flag"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,11 @@
 
 func TestOrder(t *testing.T) {
 	suite = t
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "order")
 }
--- a/order/plan.go
+++ b/order/plan.go
@@ -224,11 +224,11 @@
 	started := append(state.loadedItems(), state.Target...)
 	var admitted []Item
 	for _, item := range items {
-		version := Item{Version: item.Version}
-		if item.Adapter != "" && slices.Contains(items, version) && !slices.Contains(admitted, version) {
-			continue
-		}
-		if slices.Contains(started, item) || p.pace.admit() {
+		switch version := (Item{Version: item.Version}); {
+		case slices.Contains(started, item):
+			admitted = append(admitted, item)
+		case slices.Contains(items, version) && version != item && !slices.Contains(admitted, version):
+		case p.pace.admit():
 			admitted = append(admitted, item)
 		}
 	}
--- a/order/record.go
+++ b/order/record.go
@@ -27,14 +27,17 @@
 func (r Record) Observe(o Observation) Record {
 	idle := make(map[Item]time.Time, len(o.State.Loaded))
 	for _, loaded := range o.State.Loaded {
+		_, twice := idle[loaded.Item]
 		since := r.IdleSince[loaded.Item]
 		switch {
 		case loaded.Active > 0:
-			since = time.Time{}
+			idle[loaded.Item] = time.Time{}
+		case twice: // as for the first, in use or not
 		case since.IsZero():
-			since = o.Began
+			idle[loaded.Item] = o.Began
+		default:
+			idle[loaded.Item] = since
 		}
-		idle[loaded.Item] = since
 	}
 	r.IdleSince = idle
 	return r
