Never replace a kept result by an unknown outcome

Cause: a Complete that was given up and yet took effect could be followed by MarkUnknown, which replaced the result that other callers had seen. Change: a kept result stays; MarkUnknown then reports ErrClosed, and so does a Complete with another result. Conclusion: a result once seen is seen by all later callers until its retention.

--- a/coord/once/claim.go
+++ b/coord/once/claim.go
@@ -45,7 +45,8 @@
 }
 
 // MarkUnknown records at once that the outcome is unknown, which others would
-// otherwise assume after the run limit. Errors: ErrUnavailable, ErrLost, ErrClosed.
+// otherwise assume after the run limit. Errors: ErrUnavailable, ErrLost, ErrClosed
+// (also if an earlier Complete that reported ErrUnavailable took effect).
 func (c *Claim) MarkUnknown(ctx context.Context) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,7 +92,7 @@
 	defer cancel()
 	written, err := c.claims.writer().Update(ctx, c.stored.Key, value, c.stored.Version)
 	if errorx.IsOfType(err, store.ErrConflict) {
-		written, err = c.rewrite(ctx, written, value, err)
+		written, err = c.rewrite(ctx, written, next, err)
 	}
 	if err != nil {
 		return c.fail(err)
@@ -102,8 +103,8 @@
 }
 
 // rewrite sends the write anew if the present row is still of this claim: an
-// earlier write of it took effect after it was given up.
-func (c *Claim) rewrite(ctx context.Context, present store.Row, value []byte, conflict error) (store.Row, error) {
+// earlier write of it took effect after it was given up. A kept result stays.
+func (c *Claim) rewrite(ctx context.Context, present store.Row, next row, conflict error) (store.Row, error) {
 	if present.Version == "" {
 		return store.Row{}, conflict
 	}
@@ -111,10 +112,21 @@
 	if err != nil || current.ClaimID != c.row.ClaimID {
 		return store.Row{}, conflict
 	}
+	if current.State == stateDone {
+		return present, current.agrees(next)
+	}
+	value, err := next.encode()
+	if err != nil {
+		return store.Row{}, err
+	}
 	return c.claims.writer().Update(ctx, present.Key, value, present.Version)
 }
 
 func (c *Claim) fail(err error) error {
+	if errorx.IsOfType(err, ErrClosed) {
+		c.closed = true
+		return err
+	}
 	if errorx.IsOfType(err, store.ErrConflict) {
 		c.claims.opts.Observer.OnceEvent(EventLost)
 		return ErrLost.Wrap(err, "claim %q", c.row.ClaimID)
--- a/coord/once/row.go
+++ b/coord/once/row.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -40,3 +41,12 @@
 	}
 	return r, nil
 }
+
+// agrees returns nil if the next row says the same as this completed one.
+// Errors: ErrClosed.
+func (r row) agrees(next row) error {
+	if next.State != stateDone || !bytes.Equal(r.Result, next.Result) {
+		return ErrClosed.New("claim %q has a result", r.ClaimID)
+	}
+	return nil
+}
