Let new VMs take their part of a limit, and estimate waits by turns

Cause: a VM that starts anew counted every other VM as silent and with its whole demand, and so held about a hundredth of a limit for 5 s. And a small account was refused as if it waited behind all of a large one's queue.

Change: the share is the smallest over the ways to count VMs whose touch changed within the window; waits are estimated by the account's turns.

--- a/limit/admission.go
+++ b/limit/admission.go
@@ -44,7 +44,7 @@
 		a.inFlight++
 		return nil, nil, nil
 	}
-	wait := a.Wait(w.Priority)
+	wait := a.Wait(w)
 	if now.Add(wait + a.hold).After(w.Deadline) {
 		return nil, nil, refusal.New(refusal.Overloaded).After(wait)
 	}
@@ -77,9 +77,9 @@
 // Quit takes a waiter out; it returns false if it has left before.
 func (a *Admission) Quit(w *Waiter) bool { return a.queue.Remove(w) }
 
-// Wait estimates how long work of a priority waits, by Little's law.
-func (a *Admission) Wait(priority int) time.Duration {
-	turns := float64(a.queue.Before(priority)+1) / float64(a.adaptive.Limit())
+// Wait estimates how long new work like this waits, by Little's law.
+func (a *Admission) Wait(w Work) time.Duration {
+	turns := float64(a.queue.Before(w.Priority, w.Account)+1) / float64(a.adaptive.Limit())
 	return time.Duration(turns * float64(a.hold))
 }
 
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -98,14 +98,14 @@
 }
 
 func (g *Gate) refuse(w *Waiter, reason refusal.Reason) {
-	w.verdict <- refusal.New(reason).After(g.admission.Wait(w.Priority))
+	w.verdict <- refusal.New(reason).After(g.admission.Wait(w.Work))
 }
 
 // quit takes a waiter out after its caller went away or ran out of time.
 func (g *Gate) quit(ctx context.Context, w *Waiter) (*Pass, error) {
 	g.mu.Lock()
 	removed := g.admission.Quit(w)
-	wait := g.admission.Wait(w.Priority)
+	wait := g.admission.Wait(w.Work)
 	g.mu.Unlock()
 	if !removed {
 		return g.answer(<-w.verdict)
--- a/limit/gate_test.go
+++ b/limit/gate_test.go
@@ -33,8 +33,9 @@
 			q.Push(work("small", 0, 10))
 		}
 		q.Push(work("urgent", 1, 500))
-		Expect(q.Before(1)).To(Equal(1))
-		Expect(q.Before(0)).To(Equal(9))
+		Expect(q.Before(1, "small")).To(Equal(1))
+		Expect(q.Before(0, "small")).To(Equal(9))
+		Expect(q.Before(0, "new")).To(Equal(3))
 		order := drain(q, start)
 		Expect(order[0]).To(Equal(account.ID("urgent")))
 		cost := map[account.ID]int{}
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -79,9 +79,7 @@
 	peers    map[vm.ID]*peer
 	seq      uint64
 	reported time.Time
-	// silent counts the peers that were not in touch at silentAt.
-	silent   int
-	silentAt time.Time
+	census   census
 }
 
 // New returns a Limiter that knows no other VM.
@@ -212,7 +210,7 @@
 		return
 	}
 	s.limits = limits
-	s.share = l.standing(s, now).share()
+	s.share = l.shareOf(s, now)
 	s.shareAt = now
 	s.resize(l.opts.Burst.Seconds(), now)
 }
--- a/limit/limiter_test.go
+++ b/limit/limiter_test.go
@@ -104,6 +104,16 @@
 		Expect(f.vms[0].Observe(limit.Report{VM: "stranger"}, f.now)).To(BeFalse())
 	})
 
+	It("lets a VM that starts anew serve its part of an account that is within its limit", func() {
+		f := newFleet(4, nil)
+		demand := func(int) int { return 3 }
+		f.run(20*time.Second, demand)
+		f.restart(0)
+		before := f.admitted
+		f.run(20*time.Second, demand)
+		Expect(f.admitted - before).To(BeNumerically(">=", 240*99/100))
+	})
+
 	It("gives each side of a split its even part, and a lone VM no more", func() {
 		f := newFleet(4, nil)
 		demand := func(int) int { return 40 }
@@ -176,6 +186,18 @@
 	return f
 }
 
+// restart replaces a VM by one that knows nothing.
+func (f *fleet) restart(i int) {
+	ids := make([]vm.ID, len(f.vms))
+	for k := range ids {
+		ids[k] = vm.ID(fmt.Sprintf("vm%d", k))
+	}
+	o := options(ids[i])
+	o.Incarnation = "y"
+	f.vms[i] = limit.New(o)
+	f.vms[i].SetMembers(ids)
+}
+
 // run offers perSecond(i) requests a second to VM i.
 func (f *fleet) run(d time.Duration, perSecond func(i int) int) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetStep) {
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -65,22 +65,28 @@
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return q.length }
 
-// Before returns the number of waiters of at least the priority.
-func (q *Queue) Before(priority int) int {
+// Before returns the number of waiters that would start before new work of an
+// account: all of a higher priority, and those whose turns come first.
+func (q *Queue) Before(priority int, id account.ID) int {
 	n := 0
 	for _, l := range q.levels {
 		if l.priority < priority {
 			break
 		}
-		n += l.length()
+		if l.priority > priority {
+			n += l.upTo(q.max)
+			continue
+		}
+		n += l.upTo(l.waiting(id) + 1)
 	}
 	return n
 }
 
-func (l *level) length() int {
+// upTo returns the number of waiters, with at most each of an account.
+func (l *level) upTo(each int) int {
 	n := 0
 	for _, ln := range l.lanes {
-		n += len(ln.waiters)
+		n += min(len(ln.waiters), each)
 	}
 	return n
 }
--- a/limit/report.go
+++ b/limit/report.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 	// in which no gap was longer than the silence.
 	heard time.Time
 	since time.Time
+	// touch is as the last census found it.
+	touch touch
 }
 
 const (
@@ -190,59 +193,95 @@
 		next[id] = p
 	}
 	l.peers = next
-	l.silentAt = time.Time{}
+	l.census = census{}
 	for _, s := range l.accounts {
 		s.others = slices.DeleteFunc(s.others, func(o other) bool { return next[o.id] == nil })
 	}
 }
 
-// inTouch tells whether a VM is heard, and has been for as long as it may take
-// until it hears this one.
-func (l *Limiter) inTouch(p *peer, now time.Time) bool {
-	return now.Sub(p.heard) <= l.opts.Silence && now.Sub(p.since) >= l.opts.window()
-}
+// touch tells whether a VM is heard.
+type touch uint8
+
+const (
+	silent touch = iota
+	// changing: it fell silent or came back within the window, so that this
+	// VM and the others may see it differently.
+	changing
+	inTouch
+)
 
-// countSilent counts the peers that are not in touch. A VM that does not report
-// itself is in touch with nobody.
-func (l *Limiter) countSilent(now time.Time) int {
+// touchOf tells whether a VM is heard. A VM that does not report itself is in touch
+// with nobody.
+func (l *Limiter) touchOf(p *peer, now time.Time) touch {
+	window := l.opts.window()
 	if now.Sub(l.reported) > l.opts.Silence {
-		return len(l.peers)
+		return silent
 	}
-	if !l.silentAt.IsZero() && now.Sub(l.silentAt) < l.opts.Refresh {
-		return l.silent
+	quiet := now.Sub(p.heard) - l.opts.Silence
+	switch {
+	case p.heard.IsZero() || quiet > window:
+		return silent
+	case quiet > 0 || now.Sub(p.since) < window:
+		return changing
 	}
-	l.silent, l.silentAt = 0, now
+	return inTouch
+}
+
+// census counts the other VMs by touch.
+type census struct {
+	at    time.Time
+	count [inTouch + 1]int
+}
+
+// takeCensus counts the other VMs, at most once each Refresh.
+func (l *Limiter) takeCensus(now time.Time) *census {
+	c := &l.census
+	if !c.at.IsZero() && now.Sub(c.at) < l.opts.Refresh {
+		return c
+	}
+	*c = census{at: now}
 	for _, p := range l.peers {
-		if !l.inTouch(p, now) {
-			l.silent++
-		}
+		p.touch = l.touchOf(p, now)
+		c.count[p.touch]++
 	}
-	return l.silent
+	return c
 }
 
-// standing returns what this VM knows about a client account's demand. Its own
-// counts at the lowest that any other VM may still know. The demand of a VM that
-// fell silent counts for a while, until all have noticed.
-func (l *Limiter) standing(s *state, now time.Time) standing {
-	at := standing{members: len(l.peers) + 1, silent: l.countSilent(now)}
-	floor := l.opts.Even / float64(at.members)
-	at.own = max(s.published.lowest(now, l.opts.window()), floor)
-	at.others = float64(at.members-1-at.silent) * floor
-	for i := range s.others {
-		at.others += l.above(floor, &s.others[i], now)
+// shareOf returns this VM's share of a client account's limits: the smallest
+// over all ways to count the changing VMs as silent or as in touch. Those with
+// the highest demand lower it most, so it is enough to add them in that order.
+func (l *Limiter) shareOf(s *state, now time.Time) float64 {
+	c := l.takeCensus(now)
+	at, changed := l.standing(s, c, now)
+	share := at.share()
+	for _, demand := range changed {
+		at.silent--
+		at.others += demand
+		share = min(share, at.share())
 	}
-	return at
+	rest := c.count[changing] - len(changed)
+	at.silent -= rest
+	at.others += float64(rest) * at.floor
+	return min(share, at.share())
 }
 
-// above returns by how much another VM's demand exceeds what its peer has
-// counted for so far: the floor if it is in touch, else nothing.
-func (l *Limiter) above(floor float64, o *other, now time.Time) float64 {
-	p := l.peers[o.id]
-	switch {
-	case now.Sub(p.heard) > l.opts.Silence+l.opts.window():
-		return 0
-	case l.inTouch(p, now):
-		return max(o.demand-floor, 0)
+// standing returns what this VM knows about a client account's demand with the
+// changing VMs silent, and the told demands of those, the highest first. Its own
+// demand counts at the lowest that any other VM may still know.
+func (l *Limiter) standing(s *state, c *census, now time.Time) (standing, []float64) {
+	at := standing{members: len(l.peers) + 1, silent: c.count[silent] + c.count[changing]}
+	at.floor = l.opts.Even / float64(at.members)
+	at.own = max(s.published.lowest(now, l.opts.window()), at.floor)
+	at.others = float64(c.count[inTouch]) * at.floor
+	var changed []float64
+	for _, o := range s.others {
+		switch l.peers[o.id].touch {
+		case inTouch:
+			at.others += max(o.demand-at.floor, 0)
+		case changing:
+			changed = append(changed, max(o.demand, at.floor))
+		}
 	}
-	return max(o.demand, floor)
+	slices.SortFunc(changed, func(a, b float64) int { return cmp.Compare(b, a) })
+	return at, changed
 }
--- a/limit/share.go
+++ b/limit/share.go
@@ -3,6 +3,7 @@
 // standing is what a VM knows when it works out its share of one limit.
 // Demands are in parts of the limit; none counts less than the floor.
 type standing struct {
+	floor float64
 	// own is this VM's demand at its lowest within the window.
 	own float64
 	// others is the sum of the other VMs' demands, as they last told.
