--- a/cmd/poplarshore-experiment/overload.go
+++ b/cmd/poplarshore-experiment/overload.go
@@ -18,6 +18,8 @@
 	Low      experiment.Summary `json:"low_in_time"`
 	Attempts experiment.Summary `json:"attempts_per_request"`
 	Recovery experiment.Summary `json:"recovery_s,omitzero"`
+	First    experiment.Summary `json:"first_account_in_time"`
+	Others   experiment.Summary `json:"other_accounts_in_time"`
 	// Unrecovered counts the seeds in which recovery never came.
 	Unrecovered int               `json:"unrecovered"`
 	Runs        []overload.Result `json:"runs"`
@@ -31,10 +33,17 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			out := cmd.OutOrStdout()
 			sustained := runOverload(overload.Sustained(), opts.seeds)
+			greedy := runOverload(overload.Greedy(), opts.seeds)
 			disturbed := runOverload(overload.Disturbed(), opts.seeds)
 			if err := printOverload(out, "lasting overload", sustained); err != nil {
 				return err
 			}
+			if err := printGreedy(out, greedy); err != nil {
+				return err
+			}
+			if err := experiment.WriteJSON(opts.out, "overload-greedy", greedy); err != nil {
+				return err
+			}
 			if err := printOverload(out, "disturbance", disturbed); err != nil {
 				return err
 			}
@@ -65,6 +74,8 @@
 	row.Attempts = over(row.Runs, func(r overload.Result) float64 {
 		return share(r.High.Attempts+r.Low.Attempts, r.High.Offered+r.Low.Offered)
 	})
+	row.First = over(row.Runs, func(r overload.Result) float64 { return r.FirstInTime })
+	row.Others = over(row.Runs, func(r overload.Result) float64 { return r.OthersInTime })
 	var times []float64
 	for _, r := range row.Runs {
 		if r.Recovery < 0 {
@@ -90,6 +101,15 @@
 	return experiment.Table(w, header, cells)
 }
 
+func printGreedy(w io.Writer, rows []overloadRow) error {
+	header := []string{"one account sends 84%", "that account in time", "the others in time"}
+	var cells [][]string
+	for _, r := range rows {
+		cells = append(cells, []string{r.Policy, r.First.String(), r.Others.String()})
+	}
+	return experiment.Table(w, header, cells)
+}
+
 // recovery prints the time to recover, if any seed did.
 func (row *overloadRow) recovery() string {
 	if row.Recovery.Runs == 0 {
--- a/experiment/overload/overload.go
+++ b/experiment/overload/overload.go
@@ -26,6 +26,9 @@
 	Load float64
 	// HighShare is the part of the requests with a raised priority.
 	HighShare float64
+	// Greedy is the part of the requests that one client account sends beside
+	// its even part.
+	Greedy float64
 	// Deadline is the time for a whole answer.
 	Deadline time.Duration
 	// Duration is the virtual time that is measured.
@@ -61,6 +64,11 @@
 	return Options{Engines: 6, Load: 1.5, HighShare: 0.3, Deadline: deadline, Duration: 3 * time.Minute}
 }
 
+// Greedy returns the options of a lasting overload by one client account.
+func Greedy() Options {
+	return Options{Engines: 6, Load: 1.5, Greedy: 0.8, Deadline: deadline, Duration: 3 * time.Minute}
+}
+
 // Disturbed returns the options of a bearable load with a disturbance.
 func Disturbed() Options {
 	return Options{
@@ -81,12 +89,13 @@
 	attemptSilence = 3 * time.Second
 	maxAttempts    = 3
 	targetFirst    = time.Second
-	accounts       = 5
 	boundless      = 1e12
 	// Slot is the length of one point of the time line.
 	Slot = 5 * time.Second
 )
 
+var clients = []account.ID{"a", "b", "c", "d", "e"}
+
 // Counts are numbers of requests.
 type Counts struct {
 	Offered  int `json:"offered"`
@@ -101,6 +110,10 @@
 type Result struct {
 	High Counts `json:"high"`
 	Low  Counts `json:"low"`
+	// OthersInTime is the part of the requests of the other accounts than the
+	// first that were answered in time, and FirstInTime that of the first.
+	OthersInTime float64 `json:"others_in_time"`
+	FirstInTime  float64 `json:"first_in_time"`
 	// InTime is the part of all requests answered in time, by slot of their
 	// arrival.
 	InTime []float64 `json:"in_time_by_slot"`
@@ -120,6 +133,7 @@
 	retries   *retry.Policy
 	waiting   map[*limit.Waiter]*request
 	counts    [2]Counts
+	perClient map[account.ID]*Counts
 	offered   []int
 	inTime    []int
 }
@@ -150,7 +164,7 @@
 }
 
 func newRun(opts Options, p Policy, seed uint64) *run {
-	r := &run{opts: opts, rng: rand.New(rand.NewPCG(seed, 2)), waiting: make(map[*limit.Waiter]*request)}
+	r := &run{opts: opts, rng: rand.New(rand.NewPCG(seed, 2)), waiting: make(map[*limit.Waiter]*request), perClient: make(map[account.ID]*Counts)}
 	for range opts.Engines {
 		e := fleet.NewEngine(&r.Loop, engineCapacity, 0)
 		e.Limit = engineQueue
@@ -200,14 +214,27 @@
 		q.class = 1
 	}
 	q.state = retry.State{
-		Account: account.ID([]string{"a", "b", "c", "d", "e"}[r.rng.IntN(accounts)]), Group: "strong@v1",
+		Account: r.pickAccount(), Group: "strong@v1",
 		Deadline: r.Time().Add(r.opts.Deadline), Expected: fleet.Hold(meanPrompt, meanAnswer), Repeatable: true,
 	}
 	r.counts[q.class].Offered++
+	r.perClient[q.state.Account].Offered++
 	r.offered[q.arrived/Slot]++
 	return q
 }
 
+// pickAccount draws the client account of a request.
+func (r *run) pickAccount() account.ID {
+	id := clients[0]
+	if r.rng.Float64() >= r.opts.Greedy {
+		id = clients[r.rng.IntN(len(clients))]
+	}
+	if r.perClient[id] == nil {
+		r.perClient[id] = &Counts{}
+	}
+	return id
+}
+
 // offer asks the admission, if there is one.
 func (r *run) offer(q *request) {
 	if r.admission == nil {
@@ -307,6 +334,7 @@
 		r.counts[q.class].Late++
 	} else {
 		r.counts[q.class].InTime++
+		r.perClient[q.state.Account].InTime++
 		r.inTime[q.arrived/Slot]++
 	}
 	r.leave(q, limit.Outcome{FirstToken: q.first})
@@ -337,6 +365,7 @@
 			res.InTime = append(res.InTime, float64(r.inTime[i])/float64(n))
 		}
 	}
+	res.FirstInTime, res.OthersInTime = r.byClient()
 	if r.opts.DisturbFor == 0 {
 		return res
 	}
@@ -344,6 +373,19 @@
 	return res
 }
 
+// byClient returns the parts in time of the first account and of the others.
+func (r *run) byClient() (first, others float64) {
+	var sum Counts
+	for _, id := range clients[1:] {
+		if c := r.perClient[id]; c != nil {
+			sum.Offered += c.Offered
+			sum.InTime += c.InTime
+		}
+	}
+	c := r.perClient[clients[0]]
+	return float64(c.InTime) / float64(c.Offered), float64(sum.InTime) / float64(max(sum.Offered, 1))
+}
+
 // recovery returns the seconds from the end of the disturbance until all later
 // slots are good.
 func recovery(slots []float64, end time.Duration) float64 {
