Bill requests in the ledger, and settle it under a lease

Cause: the entry billed nothing and the settlement job did nothing; both were placeholders. Change: each VM has a ledger writer with a holder for other VMs' segments, and leaves its backlog with them while the store is out and at a planned stop (POST /peer/v1/ledger). A request id tells when it was issued, so that a resumed stream or a kept answer is billed under the same id and time on any VM. While the store is out the end of an answer waits 100 ms for its record in place of bill_ms. The settlement job folds, compacts and prunes, and writes only while its lease is held. Every run of the fault matrix now ends with a check that each delivered answer has one record at its price, and that what was refused as not run has none.

--- /dev/null
+++ b/internal/billing/metrics.go
@@ -0,0 +1,63 @@
+package billing
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/poplarshore/poplarshore/coord/ledger"
+)
+
+// Metrics counts the ledger's events.
+type Metrics struct {
+	events  *prometheus.CounterVec
+	persist prometheus.Histogram
+	entries prometheus.Histogram
+}
+
+var _ ledger.Observer = (*Metrics)(nil)
+
+// NewMetrics registers the ledger's metrics.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "poplarshore", Subsystem: "ledger", Name: "events_total", Help: "Events of the ledger, by kind.",
+		}, []string{"event"}),
+		persist: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "poplarshore", Subsystem: "ledger", Name: "persist_seconds",
+			Help:    "Time that the store took to commit a segment.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
+		}),
+		entries: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "poplarshore", Subsystem: "ledger", Name: "segment_entries",
+			Help:    "Billing records in a committed segment.",
+			Buckets: prometheus.ExponentialBuckets(1, 2, 11),
+		}),
+	}
+	reg.MustRegister(m.events, m.persist, m.entries)
+	return m
+}
+
+// Gauges registers the gauges of what waits.
+func Gauges(reg prometheus.Registerer, b *Biller, h *ledger.Holder) {
+	gauge := func(name, help string, f func() int) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "poplarshore", Subsystem: "ledger", Name: name, Help: help,
+		}, func() float64 { return float64(f()) })
+	}
+	reg.MustRegister(
+		gauge("backlog_bytes", "Billing records that wait to be committed, in bytes.", b.Backlog),
+		gauge("held_segments", "Segments of other VMs that wait here.", h.Held),
+	)
+}
+
+// Observe implements ledger.Observer.
+func (m *Metrics) Observe(e ledger.Event, n int) {
+	m.events.WithLabelValues(string(e)).Add(float64(n))
+}
+
+// Persisted implements ledger.Observer.
+func (m *Metrics) Persisted(latency time.Duration, entries, _ int) {
+	m.persist.Observe(latency.Seconds())
+	m.entries.Observe(float64(entries))
+}
--- a/internal/cli/reading.go
+++ b/internal/cli/reading.go
@@ -121,5 +121,5 @@
 	for _, v := range s.Stopped {
 		say(cmd, "  version %s is stopped on this VM", v)
 	}
-	say(cmd, "  billing: %d records wait; store: %s", s.Backlog, s.Store)
+	say(cmd, "  billing: %d bytes of records wait, %d segments of other VMs held; store: %s", s.Backlog, s.Held, s.Store)
 }
--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/poplarshore/poplarshore/coord/lease"
 	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/internal/billing"
 	"github.com/poplarshore/poplarshore/internal/duty"
 	"github.com/poplarshore/poplarshore/internal/listen"
 	"github.com/poplarshore/poplarshore/internal/metrics"
@@ -48,6 +49,7 @@
 	pools    *transport.Pools
 	leases   *lease.Manager
 	metrics  *counters
+	ledger   *billing.Metrics
 
 	runner    *duty.Runner
 	operators *listen.Server
@@ -79,6 +81,7 @@
 		running: make(map[string]*contention),
 	}
 	d.metrics = newCounters(d.registry)
+	d.ledger = billing.NewMetrics(d.registry)
 	d.leases, err = lease.New(d.table, string(s.VM.ID), lease.Options{
 		TTL: s.Jobs.LeaseTTLMS.Duration(), Prefix: d.rows.Leases(), Clock: clock, Observer: d.metrics,
 	})
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -108,7 +108,8 @@
 }
 
 func (s *Server) newExchange(_ *http.Request) *Exchange {
-	return &Exchange{ID: s.NewID(), Started: s.Clock.Now()}
+	now := s.Clock.Now()
+	return &Exchange{ID: s.NewRequestID(now), Started: now}
 }
 
 // admitCaller finds the client account and checks that this VM may serve.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -79,6 +79,8 @@
 	Clock     clockwork.Clock
 	// NewID returns an id that is unique everywhere.
 	NewID func() string
+	// NewRequestID returns a request id that is unique everywhere.
+	NewRequestID func(issued time.Time) string
 	// NewSessionID returns the hexadecimal id of a new session.
 	NewSessionID func() string
 	// Draw returns a random number in [0, 1).
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -17,6 +17,7 @@
 	"github.com/poplarshore/poplarshore/coord/revision"
 	"github.com/poplarshore/poplarshore/coord/store"
 	"github.com/poplarshore/poplarshore/document"
+	"github.com/poplarshore/poplarshore/internal/billing"
 	"github.com/poplarshore/poplarshore/internal/config"
 	"github.com/poplarshore/poplarshore/internal/engineclient"
 	"github.com/poplarshore/poplarshore/internal/entry"
@@ -68,6 +69,10 @@
 	return hex.EncodeToString(b[:])
 }
 
+func (d *Daemon) newRequestID(issued time.Time) string {
+	return billing.RequestID(issued, string(d.life), d.requests.Add(1))
+}
+
 func newSessionID() string {
 	return strconv.FormatUint(randv2.Uint64(), 16)
 }
@@ -219,13 +224,13 @@
 	d.entry = entry.New(entry.Deps{
 		Config: d.follower, Versions: d.versions, Placement: d.placement,
 		Retry:  retry.NewPolicy(retryOpts, retry.NewBudgets(retry.DefaultBudgetOptions())),
-		Limits: d.limits, Ratings: d.ratings, Biller: d.billing, Claims: claims,
+		Limits: d.limits, Ratings: d.ratings, Biller: d.billing.biller, Claims: claims,
 		Cascades: cascade.New(cascade.Options{
 			Rand:  randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64())),
 			Hooks: cascade.Hooks{Step: func(_ cascade.Kind, r cascade.Reason) { steps.WithLabelValues(string(r)).Inc() }},
 		}),
 		Sessions: sessions.New(d.secrets.sessions, d.clock), Addresses: d.settings.Upstreams,
-		Engines: d.engines, Pools: d.pools, Clock: d.clock, NewID: newID, NewSessionID: newSessionID,
+		Engines: d.engines, Pools: d.pools, Clock: d.clock, NewID: newID, NewRequestID: d.newRequestID, NewSessionID: newSessionID,
 		Draw: randv2.Float64, ResumeKey: d.secrets.peer, Registry: d.registry,
 	}, entryOptions(d.settings))
 	return nil
@@ -265,7 +270,7 @@
 	if why := d.follower.Refusal(); why != nil {
 		return string(why.Reason) + ": " + string(d.node.Freshness(d.clock.Now())), false
 	}
-	if !d.billing.Open() {
+	if !d.billing.biller.Open() {
 		return "billing_unavailable", false
 	}
 	return "ready", true
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -66,6 +67,8 @@
 	operators *listen.Server
 	peerPort  *listen.Server
 	stopping  chan struct{}
+	// requests counts the request ids issued.
+	requests atomic.Uint64
 }
 
 // New joins the parts; nothing runs before Start.
@@ -173,6 +176,9 @@
 	d.node.Forget()
 }
 
+// Peers returns the other entry VMs that this one knows.
+func (d *Daemon) Peers() []revision.NodeID { return d.book.Others() }
+
 // CallersAddress returns the address that callers connect to.
 func (d *Daemon) CallersAddress() string { return d.callers.Address() }
 
@@ -206,5 +212,7 @@
 }
 
 func (d *Daemon) peerServer() http.Handler {
-	return peer.NewServer(d.secrets.peer, d.node, d.spreader, d.limiter, d.clock)
+	s := peer.NewServer(d.secrets.peer, d.node, d.spreader, d.limiter, d.clock)
+	s.HandleLedger(d.billing.holder)
+	return s
 }
--- a/internal/entryd/matrix_test.go
+++ b/internal/entryd/matrix_test.go
@@ -23,6 +23,7 @@
 const (
 	quickIdle  = 300
 	quickStore = 400
+	quickBill  = 500
 )
 
 // mostAsks bounds the requests made until a fault has struck.
@@ -33,14 +34,19 @@
 	*environment.Environment
 	caller *caller.Caller
 	asked  int
+	// answers are all that were given.
+	answers []caller.Answer
 }
 
-func newBench(ctx context.Context) *bench {
+func newBench(ctx context.Context, changes ...func(*settings.Entry)) *bench {
 	e, err := environment.Start(ctx, environment.Options{
 		Document: examples.Quickstart,
 		VMs: []environment.VM{{ID: "vm-1", Domain: "local-1", Settings: func(s *settings.Entry) {
 			s.Timeouts.HeadersMS, s.Timeouts.IdleMS, s.Timeouts.StoreMS = quickIdle, quickIdle, quickStore
-			s.Timeouts.FreshForMS = 60_000
+			s.Timeouts.FreshForMS, s.Timeouts.BillMS = 60_000, quickBill
+			for _, change := range changes {
+				change(s)
+			}
 		}}},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -124,6 +130,7 @@
 	a, err := s.ask(b, prompt)
 	Expect(err).NotTo(HaveOccurred())
 	b.check(s, prompt, a, before)
+	b.answers = append(b.answers, a)
 	return a
 }
 
@@ -198,6 +205,7 @@
 		Expect(b.struck(f.rule.Kind)).To(BeNumerically(">", 0), "the fault never struck")
 	}
 	Expect(b.ask(s).Reason).To(BeEmpty())
+	b.checkLedger()
 }
 
 // struck returns how often a fault struck any upstream.
@@ -236,4 +244,5 @@
 	}
 	b.Platform.Faults.Clear()
 	Expect(b.ask(s).Reason).To(BeEmpty())
+	b.checkLedger()
 }
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -27,8 +27,10 @@
 	Rollouts []versions.State `json:"rollouts,omitempty"`
 	// Stopped are the versions stopped as bad on this VM.
 	Stopped []model.Ref `json:"stopped,omitempty"`
-	// Backlog is the number of billing records that wait to be written.
-	Backlog int `json:"backlog"`
+	// Backlog is the billing records that wait to be written, in bytes.
+	Backlog int `json:"backlog_bytes"`
+	// Held is the number of other VMs' ledger segments that wait here.
+	Held int `json:"held_segments"`
 	// Store tells whether this VM reaches the platform's store.
 	Store string `json:"store"`
 }
@@ -52,6 +54,6 @@
 		Ready: ready, Reason: reason, Revision: rev, Known: d.node.Known().Number,
 		Freshness: d.node.Freshness(now), InForce: d.node.InForce(rev.Number, rev.Time, now),
 		InFlight: d.entry.InFlight(), Rollouts: d.versions.States(), Stopped: d.versions.StoppedVersions(),
-		Backlog: d.billing.Backlog(), Store: d.storeState(now),
+		Backlog: d.billing.biller.Backlog(), Held: d.billing.holder.Held(), Store: d.storeState(now),
 	}
 }
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -36,7 +36,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body is the whole body, or the data of a stream's last piece.
+	Body []byte
 	// Text is the answer's text, of completions.
 	Text string
 	// Pieces counts the pieces of a streamed answer; LastID is the id of the last.
@@ -149,6 +150,7 @@
 			break
 		}
 		a.Pieces++
+		a.Body = []byte(ev.Data)
 		a.LastID = ev.LastEventID
 		var c completion
 		if json.Unmarshal([]byte(ev.Data), &c) == nil && len(c.Choices) > 0 {
