Tell the roll-out's holder when the rating service is out

Cause: Decide holds without a rating service, but no VM ever said so. Change: ratings counts unanswered requests in a row and says when the service goes out and comes back; versions passes it into reports.

--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -187,7 +187,7 @@
 	d.limits = limits.New(d.limiter, d.clock, d.registry)
 	d.ratings = ratings.New(ratings.Options{
 		Rater: d.platform.rater, Share: float64(d.settings.Requests.RatedSharePerMil) / 1000,
-		Rated: d.versions.Rated, Clock: d.clock,
+		Rated: d.versions.Rated, Out: d.versions.SetRaterOut, Clock: d.clock,
 	}, d.registry)
 	return nil
 }
--- a/internal/ratings/ratings.go
+++ b/internal/ratings/ratings.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/poplarshore/poplarshore/internal/entry"
@@ -20,6 +22,9 @@
 	ringSize = 1024
 	// workers is the number of ratings asked for at once.
 	workers = 4
+	// outAfter is the number of requests in a row that the rating service left
+	// unanswered from which on it is out.
+	outAfter = 20
 )
 
 // Options set up Ratings.
@@ -30,6 +35,8 @@
 	Share float64
 	// Rated is told of each rating.
 	Rated func(ref model.Ref, score float64)
+	// Out is told when the rating service goes out and comes back.
+	Out   func(out bool)
 	Clock clockwork.Clock
 }
 
@@ -38,6 +45,8 @@
 	opts  Options
 	ring  *ring.Ring[entry.Rating]
 	count *prometheus.CounterVec
+	// missed is the number of unanswered requests since the last answer.
+	missed atomic.Int64
 }
 
 // New returns ratings.
@@ -62,6 +71,7 @@
 		Attempt: a.Attempt, Model: string(a.Ref.Model), Version: string(a.Ref.Version),
 		Class: a.Class, Prompt: a.Prompt, Answer: a.Answer,
 	})
+	r.answered(err == nil || errorx.IsOfType(err, platform.ErrUnrated))
 	if err != nil {
 		r.count.WithLabelValues("missing").Inc()
 		return 0, err
@@ -71,6 +81,16 @@
 	return rating.Score, nil
 }
 
+// answered notes whether the rating service answered, even without an opinion.
+func (r *Ratings) answered(ok bool) {
+	switch {
+	case !ok && r.missed.Add(1) == outAfter:
+		r.opts.Out(true)
+	case ok && r.missed.Swap(0) >= outAfter:
+		r.opts.Out(false)
+	}
+}
+
 // Sampled implements entry.Ratings.
 func (r *Ratings) Sampled() bool {
 	return r.opts.Rater != nil && rand.Float64() < r.opts.Share
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -33,6 +33,8 @@
 	guards  map[rollout.ID]*rollout.Guard
 	plans   map[rollout.ID]rollout.Plan
 	watches map[model.Ref]*watched
+	// raterOut says that this VM gets no ratings.
+	raterOut bool
 }
 
 // watched is a version in service.
@@ -85,6 +87,9 @@
 		}
 		guards[plan.ID] = rollout.NewGuard(plan, row, v.self.ID, v.self.Domain, rollout.GuardOptions{SlowAfter: slowAfter, LowBelow: lowBelow})
 	}
+	for _, guard := range guards {
+		guard.SetRaterOut(v.raterOut)
+	}
 	v.guards, v.plans = guards, plans
 	v.installWatches(x)
 }
@@ -268,3 +273,15 @@
 		}
 	}
 }
+
+// SetRaterOut says whether this VM gets no ratings; reports carry it to the
+// holder of the roll-out job.
+func (v *Versions) SetRaterOut(out bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.raterOut = out
+	for _, guard := range v.guards {
+		guard.SetRaterOut(out)
+	}
+	v.log.Warn("rating service", "out", out)
+}
