--- a/coord/ledger/writer_test.go
+++ b/coord/ledger/writer_test.go
@@ -180,3 +180,14 @@
 		Entry("negative cost", func(e *ledger.Entry) { e.Attempts[0].Cost = -1 }),
 	)
 })
+
+var _ = DescribeTable("Pace", func(mean, sinceSeal, want time.Duration, writers int) {
+	p := ledger.Pace{Factor: 2, MinInterval: 50 * time.Millisecond, MaxInterval: 500 * time.Millisecond}
+	p.GroupWrites, p.Writers = 200, func() int { return writers }
+	Expect(p.Delay(mean, sinceSeal)).To(Equal(want))
+},
+	Entry("a lone request goes at once", 20*time.Millisecond, time.Second, time.Duration(0), 1),
+	Entry("a fast store", time.Millisecond, 10*time.Millisecond, 40*time.Millisecond, 1),
+	Entry("a slow store", time.Second, 100*time.Millisecond, 400*time.Millisecond, 1),
+	Entry("many writers", time.Millisecond, time.Duration(0), 5*time.Second, 1000),
+)
--- a/coord/revision/digest.go
+++ b/coord/revision/digest.go
@@ -1,16 +1,39 @@
 package revision
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // NodeID identifies one node.
 type NodeID string
 
-// Statement says that a node had installed Number, and had no proposal open,
-// AgeMillis before the digest which carries it was made.
-type Statement struct {
-	Node      NodeID `json:"n"`
-	Number    uint64 `json:"r"`
-	AgeMillis int64  `json:"a"`
+// ageUnit is the resolution of the ages in Ages, which are rounded up.
+const ageUnit = 100 * time.Millisecond
+
+// Ages maps nodes to the age, in tenths of a second, of a statement by each: that
+// it had installed a revision and had no proposal open.
+type Ages map[NodeID]int64
+
+// Statements maps revision numbers to the nodes that had installed them.
+type Statements map[uint64]Ages
+
+func (s Statements) add(id NodeID, number uint64, age time.Duration) {
+	if s[number] == nil {
+		s[number] = make(Ages)
+	}
+	s[number][id] = int64((age + ageUnit - 1) / ageUnit)
+}
+
+// each calls visit for every statement in a fixed order.
+func (s Statements) each(visit func(id NodeID, number uint64, age time.Duration)) {
+	for _, number := range slices.Sorted(maps.Keys(s)) {
+		ages := s[number]
+		for _, id := range slices.Sorted(maps.Keys(ages)) {
+			visit(id, number, time.Duration(max(ages[id], 0))*ageUnit)
+		}
+	}
 }
 
 // Contact says that the head row named Number AgeMillis before the digest was made.
@@ -32,7 +55,7 @@
 	// Contact is the sender's newest evidence about the head row, if any.
 	Contact *Contact `json:"contact,omitempty"`
 	// Statements is a bounded sample of what the sender knows of others.
-	Statements []Statement `json:"statements,omitempty"`
+	Statements Statements `json:"statements,omitempty"`
 }
 
 func millis(age time.Duration) int64 {
--- a/coord/revision/freshness.go
+++ b/coord/revision/freshness.go
@@ -94,18 +94,19 @@
 }
 
 // sample returns at most opts.Statements recent statements, from a random place
-// in the order in which the nodes were first heard of.
-func (n *Node) sample(now time.Time) []Statement {
+// on in the order in which nodes were first heard of.
+func (n *Node) sample(now time.Time) Statements {
 	size := len(n.order)
 	if size == 0 {
 		return nil
 	}
-	picked := make([]Statement, 0, min(size, n.opts.Statements))
-	start := n.opts.Rand.IntN(size)
-	for i := 0; i < size && len(picked) < n.opts.Statements; i++ {
+	picked := make(Statements)
+	start, count := n.opts.Rand.IntN(size), 0
+	for i := 0; i < size && count < n.opts.Statements; i++ {
 		id := n.order[(start+i)%size]
 		if e := n.peers[id]; n.recent(e.at, now) {
-			picked = append(picked, Statement{Node: id, Number: e.number, AgeMillis: millis(now.Sub(e.at))})
+			picked.add(id, e.number, now.Sub(e.at))
+			count++
 		}
 	}
 	return picked
--- a/coord/revision/node.go
+++ b/coord/revision/node.go
@@ -185,9 +185,9 @@
 	if d.Vouches {
 		n.state(d.From, evidence{d.Installed.Number, sentAt})
 	}
-	for _, s := range d.Statements {
-		n.state(s.Node, evidence{s.Number, before(sentAt, s.AgeMillis)})
-	}
+	d.Statements.each(func(id NodeID, number uint64, age time.Duration) {
+		n.state(id, evidence{number, sentAt.Add(-age)})
+	})
 }
 
 // beginProposal stops the node from vouching until endProposal.
@@ -215,9 +215,9 @@
 		n.learn(*d.Known)
 	}
 	n.raiseNumber(d.From, d.Installed.Number)
-	for _, s := range d.Statements {
-		n.raiseNumber(s.Node, s.Number)
-	}
+	d.Statements.each(func(id NodeID, number uint64, _ time.Duration) {
+		n.raiseNumber(id, number)
+	})
 }
 
 func (n *Node) raiseNumber(id NodeID, number uint64) {
