Test pauses under one fencing token, and nodes behind their peers

Cause: breaking the code by hand showed two checks that no test needed: that a bucket row is still there before it is added to a total (the fence struck first), and that a member vouching for a higher revision covers nothing. Change: the pause test also runs with equal fencing tokens; a test of a node that can't fetch what a peer vouches for. Conclusion: both breaks are now caught.

--- a/coord/ledger/settler_test.go
+++ b/coord/ledger/settler_test.go
@@ -123,13 +123,13 @@
 		Entry("request lost", memory.RequestLost),
 	)
 
-	It("counts each request once when it pauses at any step while another does the work", func() {
+	DescribeTable("counts each request once when it pauses at any step while another does the work", func(fence uint64) {
 		for nth, struck := 1, true; struck; nth++ {
 			b, seen := prepare(), 0
 			b.faults(func(context.Context, memory.Op, string) memory.Fault {
 				if seen++; seen == nth {
 					b.faults(nil)
-					Expect(work(b, 2)).To(Succeed())
+					Expect(work(b, fence)).To(Succeed())
 				}
 				return memory.None
 			})
@@ -139,7 +139,10 @@
 			Expect(work(b, 3)).To(Succeed())
 			Expect(b.requests()).To(Equal(want), "pause at operation %d", nth)
 		}
-	})
+	},
+		Entry("with a higher fencing token", uint64(2)),
+		Entry("with the same fencing token", uint64(1)),
+	)
 
 	It("ignores segments that come back after they were folded", func() {
 		b := newBench()
--- a/coord/revision/node_test.go
+++ b/coord/revision/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -157,6 +158,26 @@
 		Expect(m.installed(2)).To(Equal(5))
 	})
 
+	It("is behind while a peer vouches for a revision that it can't fetch", func() {
+		clock := clockwork.NewFakeClock()
+		node := revision.NewNode(revision.Options{
+			ID: "a", Clock: clock, Members: func() []revision.NodeID { return []revision.NodeID{"a", "b"} },
+		})
+		rev := func(number uint64) revision.Revision {
+			return revision.Revision{Number: number, Hash: revision.HashOf([]byte("x"))}
+		}
+		Expect(node.Install(rev(1), []byte("x"))).To(BeTrue())
+		node.ObserveReply(revision.Digest{From: "b", Installed: rev(1), Vouches: true}, clock.Now())
+		Expect(node.Freshness(clock.Now())).To(Equal(revision.FreshByMembers))
+		clock.Advance(time.Second)
+		node.ObserveReply(revision.Digest{From: "b", Installed: rev(2), Vouches: true}, clock.Now())
+		Expect(node.Freshness(clock.Now())).To(Equal(revision.Behind))
+		node.ObserveHead(rev(2), clock.Now())
+		Expect(node.Freshness(clock.Now())).To(Equal(revision.Behind))
+		Expect(node.Install(rev(2), []byte("x"))).To(BeTrue())
+		Expect(node.Freshness(clock.Now())).To(Equal(revision.FreshByStore))
+	})
+
 	It("takes no proof of age from a request, which may have been long under way", func() {
 		m := settled(ctx, 2)
 		stale := m.members[m.order[0]].node.Digest(m.clock.Now())
