Don't take the refusal of a doubled write for its outcome

Cause: a write that arrives twice is refused the second time; a proposal whose reads then failed was reported as not accepted although it was. Change: after any refusal of a write the outcome is open until the head has been read. Late and doubled writes join the fault matrices. Conclusion: the new test fails on the former code.

--- a/coord/ledger/settler_test.go
+++ b/coord/ledger/settler_test.go
@@ -115,12 +115,15 @@
 				b.faults(nil)
 				Expect(b.requests().Requests).To(BeNumerically("<=", 8))
 				Expect(work(b, 2)).To(Succeed())
+				b.table.Deliver()
 				Expect(b.requests()).To(Equal(want), "fault at operation %d", nth)
 			}
 		},
 		Entry("store down", memory.Down),
 		Entry("reply lost", memory.ReplyLost),
 		Entry("request lost", memory.RequestLost),
+		Entry("late", memory.Late),
+		Entry("twice", memory.Twice),
 	)
 
 	DescribeTable("counts each request once when it pauses at any step while another does the work", func(fence uint64) {
--- a/coord/ledger/writer_test.go
+++ b/coord/ledger/writer_test.go
@@ -58,6 +58,7 @@
 		Entry("reply lost", 1, memory.ReplyLost, memory.None),
 		Entry("reply lost, then down", 1, memory.ReplyLost, memory.Down),
 		Entry("reply lost twice", 1, memory.ReplyLost, memory.ReplyLost),
+		Entry("twice", 1, memory.Twice, memory.None),
 		Entry("no answer", 1, hang, memory.None),
 		Entry("second segment: reply lost", 2, memory.ReplyLost, memory.None),
 		Entry("final mark: reply lost", 3, memory.ReplyLost, memory.None),
--- a/coord/revision/publisher.go
+++ b/coord/revision/publisher.go
@@ -177,10 +177,14 @@
 	if err == nil {
 		return Accepted{Revision: next}, true, nil
 	}
-	if errorx.IsOfType(err, store.ErrUnknown) {
+	if errorx.IsOfType(err, store.ErrInvalid) {
+		return Accepted{}, !*uncertain, err
+	}
+	if !errorx.IsOfType(err, store.ErrUnavailable) {
+		// A refusal, too, may answer the second copy of a write that took effect.
 		*uncertain = true
 	}
-	return Accepted{}, errorx.IsOfType(err, store.ErrInvalid) && !*uncertain, err
+	return Accepted{}, false, err
 }
 
 func repeated(found, next Revision, own bool) (Accepted, bool, error) {
--- a/coord/revision/publisher_test.go
+++ b/coord/revision/publisher_test.go
@@ -55,6 +55,10 @@
 				accepted, err := publish(base, fmt.Sprint("op", base))
 				Expect(err).NotTo(HaveOccurred())
 				Expect(accepted.Revision.Number).To(Equal(base + 1))
+				table.Deliver()
+				accepted, err = publish(base, fmt.Sprint("op", base))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(accepted.Repeated).To(BeTrue())
 			}
 		},
 		Entry("body: down", memory.OpCreate, memory.Down, true),
@@ -67,8 +71,26 @@
 		Entry("update: down", memory.OpUpdate, memory.Down, false),
 		Entry("update: reply lost", memory.OpUpdate, memory.ReplyLost, false),
 		Entry("update: request lost", memory.OpUpdate, memory.RequestLost, false),
+		Entry("body: twice", memory.OpCreate, memory.Twice, true),
+		Entry("insert: twice", memory.OpInsert, memory.Twice, false),
+		Entry("insert: late", memory.OpInsert, memory.Late, false),
+		Entry("update: twice", memory.OpUpdate, memory.Twice, false),
+		Entry("update: late", memory.OpUpdate, memory.Late, false),
 	)
 
+	It("does not take the refusal of a second copy for its own", func() {
+		written := false
+		table.Faults = func(_ context.Context, op memory.Op, _ string) memory.Fault {
+			if written {
+				return memory.Down
+			}
+			written = op == memory.OpInsert
+			return memory.Twice
+		}
+		_, err := publish(0, "a")
+		Expect(errorx.IsOfType(err, revision.ErrUnknown)).To(BeTrue(), "%v", err)
+	})
+
 	It("finds a lost reply's operation after others have moved on", func() {
 		written := false
 		table.Faults = func(_ context.Context, op memory.Op, _ string) memory.Fault {
