Don't open a version's breaker for one bad upstream

Cause: with two upstreams, one of which fails all, half of a version's outcomes are failures, and its breaker opened for the good one too.

Conclusion: the upstream's own breaker handles one bad upstream.

--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -35,6 +35,10 @@
 	MinRequests int
 	// ErrorRate opens a breaker when it is reached, 0 to 1.
 	ErrorRate float64
+	// VersionMinRequests and VersionErrorRate stand in their place for the
+	// breaker of a version, which should not open for one bad upstream.
+	VersionMinRequests int
+	VersionErrorRate   float64
 	// OpenFor is how long a breaker stays open at first; each failed probe
 	// doubles it.
 	OpenFor time.Duration
@@ -54,6 +58,8 @@
 	defaultWindow      = 10 * time.Second
 	defaultMinRequests = 5
 	defaultErrorRate   = 0.5
+	defaultVersionMin  = 10
+	defaultVersionRate = 0.9
 	defaultOpenFor     = time.Second
 	defaultMaxOpenFor  = 30 * time.Second
 	defaultProbes      = 2
@@ -63,13 +69,15 @@
 // DefaultBreakerOptions returns the default options.
 func DefaultBreakerOptions() BreakerOptions {
 	return BreakerOptions{
-		Window:      defaultWindow,
-		MinRequests: defaultMinRequests,
-		ErrorRate:   defaultErrorRate,
-		OpenFor:     defaultOpenFor,
-		MaxOpenFor:  defaultMaxOpenFor,
-		Probes:      defaultProbes,
-		ProbeLease:  defaultProbeLease,
+		Window:             defaultWindow,
+		MinRequests:        defaultMinRequests,
+		ErrorRate:          defaultErrorRate,
+		VersionMinRequests: defaultVersionMin,
+		VersionErrorRate:   defaultVersionRate,
+		OpenFor:            defaultOpenFor,
+		MaxOpenFor:         defaultMaxOpenFor,
+		Probes:             defaultProbes,
+		ProbeLease:         defaultProbeLease,
 	}
 }
 
@@ -192,11 +200,21 @@
 	}
 	sum := b.window.sum(now)
 	n := sum.good + sum.bad
-	if n >= b.opts.MinRequests && float64(sum.bad) >= b.opts.ErrorRate*float64(n) {
+	least, rate := b.threshold()
+	if n >= least && float64(sum.bad) >= rate*float64(n) {
 		b.open(now)
 	}
 }
 
+// threshold returns the least number of outcomes and the error rate that open
+// the breaker.
+func (b *breaker) threshold() (int, float64) {
+	if b.key.Upstream == "" {
+		return b.opts.VersionMinRequests, b.opts.VersionErrorRate
+	}
+	return b.opts.MinRequests, b.opts.ErrorRate
+}
+
 func (b *breaker) doneProbe(good bool, now time.Time) {
 	if !good {
 		b.openFor = min(2*b.openFor, b.opts.MaxOpenFor)
