Heed a version's circuit breaker when an upstream is chosen

Cause: the breaker of a version was fed but never asked, so a version that fails everywhere went on getting new work from this VM.

Change: placement chooses no upstream while the version's breaker is open.

Conclusion: the entry's tests pass unchanged.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -114,6 +114,9 @@
 		d, ok := p.services.Select(&r, view)
 		return chosen(d, ok, want.Tried)
 	}
+	if !p.breakers.VersionReady(want.Ref, now) {
+		return nil
+	}
 	r.Refs = []model.Ref{want.Ref}
 	r.PromptTokens = len(want.Prompt) / route.BytesPerToken
 	r.AnswerTokens = int(want.AnswerTokens)
