Keep requests of a decision off the heap

Cause: p99 of a decision follows the collector's work, and each request to decide on was a quarter of a kilobyte on the heap.

--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -38,3 +38,18 @@
 		})
 	}
 }
+
+// BenchmarkSelectRefused is the worst case: all candidates but one are refused.
+func BenchmarkSelectRefused(b *testing.B) {
+	s := engines(500)
+	for i := range s[1:] {
+		s[i+1].Leaving = true
+	}
+	policy, r := route.NewPolicy(route.DefaultOptions()), request()
+	for b.Loop() {
+		r.Draw++
+		if _, ok := policy.Select(r, s); !ok {
+			b.Fatal("no candidate")
+		}
+	}
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -92,6 +92,8 @@
 }
 
 type scratch struct {
+	// request is a copy, so that the caller's need not be on the heap.
+	request    Request
 	candidates [MaxSample + MaxHints + 2]Candidate
 	n          int
 	seen       [MaxHints + 2]int
@@ -111,15 +113,15 @@
 func (p *Policy) Select(r *Request, s Source) (Decision, bool) {
 	w := p.scratch.Get().(*scratch)
 	defer p.scratch.Put(w)
-	w.n, w.nSeen = 0, 0
+	w.request, w.n, w.nSeen = *r, 0, 0
 	var d Decision
-	p.takeNamed(r, s, w, &d.Refused)
-	p.takeSample(r, s, w, &d.Refused)
+	p.takeNamed(&w.request, s, w, &d.Refused)
+	p.takeSample(&w.request, s, w, &d.Refused)
 	p.report(d.Refused)
 	if w.n == 0 {
 		return d, false
 	}
-	p.pick(r, w, &d)
+	p.pick(&w.request, w, &d)
 	return d, true
 }
 
