Let a cascade go on when its streamed step fails; make the rolling restart exact

Cause: (1) a streamed cascade whose strong model failed before its first piece was refused although a cheap answer was at hand, and a failed step was billed at zero under the request's id, which would have hidden the later bill. Found by reading. Change: the decider says what follows a failed streamed step, and only the end of the exchange is billed. The environment has a balancer that counts requests on their way, and the grace of a planned stop ends when the balancer noticed.

--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -20,7 +20,9 @@
 	// ended receives the ends of the attempts in flight.
 	ended  chan stepEnd
 	cancel map[int]context.CancelCauseFunc
-	last   error
+	// last and lastAttempt are those of the last step to fail.
+	last        error
+	lastAttempt *attempt
 }
 
 // stepEnd is the end of one option's attempt, rated if that was asked for.
@@ -29,6 +31,8 @@
 	held    *holdSink
 	attempt *attempt
 	err     error
+	// begun tells that a part has reached the caller.
+	begun bool
 }
 
 // answerCascade tries models from cheap to strong. Nothing of an answer
@@ -47,26 +51,34 @@
 	defer cr.cancelAll()
 	shadow := step.Shadow
 	for {
-		switch step.Kind {
-		case cascade.Accept:
+		var end stepEnd
+		switch {
+		case step.Kind == cascade.Accept:
 			return s.acceptStep(cr, step, shadow)
-		case cascade.Exhausted:
+		case step.Kind == cascade.Exhausted:
 			return s.exhaustedStep(cr)
-		case cascade.Wait:
-		default:
-			if step.Stream != cascade.NoOption && c.request.Stream && len(step.Start) == 1 {
-				return s.streamStep(ctx, cr, step, release)
+		case c.request.Stream && step.Stream != cascade.NoOption && len(step.Start) == 1:
+			var done bool
+			if end, done, err = s.streamStep(ctx, cr, step, release); done {
+				return err
 			}
+		default:
 			s.startSteps(ctx, cr, step)
+			end = s.awaitStep(cr)
 		}
-		end, err := s.awaitStep(ctx, cr)
-		if err != nil {
-			return err
+		if end.err != nil && s.over(ctx, end) {
+			s.billPart(c.x, end.attempt, end.err)
+			return end.err
 		}
 		step = s.Cascades.Next(run, end.outcome, s.Clock.Now())
 	}
 }
 
+// over tells whether the whole exchange is over after a step failed.
+func (s *Server) over(ctx context.Context, end stepEnd) bool {
+	return end.begun || ctx.Err() != nil || refusal.Of(end.err).Reason == refusal.UpstreamRejected
+}
+
 // cascadeRequest describes the request to the decider: the models that the
 // contract allows, with the price and quality of the version in use.
 func (s *Server) cascadeRequest(c *completion, def *model.Cascade) (cascade.Request, error) {
@@ -126,31 +138,33 @@
 	end.outcome.Score = score
 }
 
-// awaitStep waits for the end of an attempt in flight. It returns an error
-// where the whole exchange is over.
-func (s *Server) awaitStep(ctx context.Context, cr *cascadeRun) (stepEnd, error) {
+// awaitStep waits for the end of an attempt in flight.
+func (s *Server) awaitStep(cr *cascadeRun) stepEnd {
 	end := <-cr.ended
 	if end.err == nil {
 		cr.held[end.outcome.Option] = end.held
-		return end, nil
+	} else {
+		cr.last, cr.lastAttempt = end.err, end.attempt
 	}
-	cr.last = end.err
-	if ctx.Err() != nil || refusal.Of(end.err).Reason == refusal.UpstreamRejected {
-		s.billPart(cr.c.x, end.attempt, end.err)
-		return end, end.err
-	}
-	return end, nil
+	return end
 }
 
-// streamStep passes the answer of an option on as it comes. Where that fails
-// before anything reached the caller, the decider says what follows.
-func (s *Server) streamStep(ctx context.Context, cr *cascadeRun, step cascade.Step, release *deadlineTimer) error {
-	cr.c.request.Model = cr.request.Options[step.Stream].Model
+// streamStep passes the answer of an option on as it comes. It is done when the
+// whole answer was passed on, whether or not it could be ended.
+func (s *Server) streamStep(ctx context.Context, cr *cascadeRun, step cascade.Step, release *deadlineTimer) (end stepEnd, done bool, err error) {
+	c := *cr.c
+	c.request = c.request.clone()
+	c.request.Model = cr.request.Options[step.Stream].Model
 	began := s.Clock.Now()
-	err := s.answerStream(ctx, cr.c, release)
-	outcome := cascade.Outcome{Option: step.Stream, Failed: err != nil, Latency: s.Clock.Since(began)}
-	s.Cascades.Learn(cr.run, outcome, s.Clock.Now())
-	return err
+	out, a, err := s.stream(ctx, &c, release)
+	end = stepEnd{attempt: a, err: err, begun: out.begun()}
+	end.outcome = cascade.Outcome{Option: step.Stream, Failed: err != nil, Latency: s.Clock.Since(began)}
+	if err != nil {
+		cr.last, cr.lastAttempt = err, a
+		return end, false, nil
+	}
+	s.Cascades.Learn(cr.run, end.outcome, s.Clock.Now())
+	return end, true, s.endStream(&c, out, a)
 }
 
 // acceptStep delivers the accepted answer and stops the others.
@@ -171,6 +185,7 @@
 
 func (s *Server) exhaustedStep(cr *cascadeRun) error {
 	if cr.last != nil {
+		s.billPart(cr.c.x, cr.lastAttempt, cr.last)
 		return cr.last
 	}
 	return refusal.New(refusal.UpstreamFailed).WithRan(cr.c.x.ran())
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -108,6 +108,16 @@
 
 // answerStream passes pieces on as they come.
 func (s *Server) answerStream(ctx context.Context, c *completion, release *deadlineTimer) error {
+	out, a, err := s.stream(ctx, c, release)
+	if err != nil {
+		s.billPart(c.x, a, err)
+		return err
+	}
+	return s.endStream(c, out, a)
+}
+
+// stream passes the pieces of one model's answer on, up to the last.
+func (s *Server) stream(ctx context.Context, c *completion, release *deadlineTimer) (*streamSink, *attempt, error) {
 	out := &streamSink{w: c.w, sampled: s.Ratings.Sampled()}
 	out.headers = func(h http.Header, ref model.Ref) { s.answerHeaders(c, h, ref, out.attempt) }
 	out.onBegin = func() {
@@ -115,10 +125,11 @@
 		s.metrics.firstPiece.Observe(s.Clock.Since(c.x.Started).Seconds())
 	}
 	a, err := s.dispatch(ctx, c.x, s.newJob(c, c.request.Model), out)
-	if err != nil {
-		s.billPart(c.x, a, err)
-		return err
-	}
+	return out, a, err
+}
+
+// endStream bills a streamed answer and ends it.
+func (s *Server) endStream(c *completion, out *streamSink, a *attempt) error {
 	if err := s.bill(c.x, a); err != nil {
 		return err
 	}
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -279,14 +279,21 @@
 // stopGrace bounds the end of the listeners at a stop.
 const stopGrace = 5 * time.Second
 
+// BeginStop turns the daemon not ready, so that the balancer sends callers
+// elsewhere. Stop calls it too.
+func (d *Daemon) BeginStop() {
+	d.beginStop.Do(func() { close(d.stopping) })
+}
+
 // Stop ends the daemon without cutting off a request: not ready first, then no
 // new work once the balancer had time to notice, then the end of all requests
-// in flight, then what must be kept. It returns the number of requests cut off
-// because ctx or the drain limit ended first.
-func (d *Daemon) Stop(ctx context.Context) int {
-	close(d.stopping)
+// in flight, then what must be kept. The wait for the balancer ends early when
+// noticed is closed; nil waits for the whole grace. Stop returns the number of
+// requests cut off because ctx or the drain limit ended first.
+func (d *Daemon) Stop(ctx context.Context, noticed <-chan struct{}) int {
+	d.BeginStop()
 	d.log.Info("stopping", "in_flight", d.entry.InFlight())
-	d.wait(ctx, d.settings.Stop.BalancerGraceMS.Duration(), nil)
+	d.wait(ctx, d.settings.Stop.BalancerGraceMS.Duration(), noticed)
 	d.entry.Drain()
 	d.wait(ctx, d.settings.Stop.DrainMS.Duration(), d.entry.Idle())
 	cut := d.entry.InFlight()
--- a/internal/entryd/command.go
+++ b/internal/entryd/command.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	<-first.Done()
-	if cut := d.Stop(second); cut > 0 {
+	if cut := d.Stop(second, nil); cut > 0 {
 		return ErrCut.New("stopped with %d requests in flight", cut)
 	}
 	return nil
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +69,8 @@
 	peerPort  *listen.Server
 	stopping  chan struct{}
 	// requests counts the request ids issued.
-	requests atomic.Uint64
+	requests  atomic.Uint64
+	beginStop sync.Once
 }
 
 // New joins the parts; nothing runs before Start.
--- a/internal/entryd/path_test.go
+++ b/internal/entryd/path_test.go
@@ -15,6 +15,7 @@
 	"github.com/poplarshore/poplarshore/standin/environment"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	"github.com/poplarshore/poplarshore/standin/service"
+	"github.com/poplarshore/poplarshore/upstream"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -67,6 +68,20 @@
 		}
 	})
 
+	It("falls back to the cheap answer of a cascade when the strong model fails before its first piece", func() {
+		e, c := start(ctx, examples.Quickstart)
+		for _, id := range []upstream.ID{"cheap-1", "cheap-2"} {
+			Expect(e.Engines[id].Faults.Add(fault.Rule{Kind: engine.BadQuality})).To(Succeed())
+		}
+		Expect(e.Engines["strong-1"].Faults.Add(fault.Rule{Kind: engine.Refuse})).To(Succeed())
+		for _, stream := range []bool{true, false} {
+			a, err := c.Chat(ctx, caller.Ask("draft", "plan", stream), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(own(a, "plan")).To(BeTrue(), "%s", a.Body)
+			Expect(a.Header.Get("Poplarshore-Model")).To(Equal("cheap"))
+		}
+	})
+
 	It("keeps a session on its version, and ends it when the version is withdrawn", func() {
 		e, c := start(ctx, examples.Quickstart)
 		a, err := c.Chat(ctx, caller.Ask("cheap", "one", false), map[string]string{"Poplarshore-Session": "new"})
--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -89,6 +89,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	balancer balancer
+
 	mu       sync.RWMutex
 	vms      map[vm.ID]*entryd.Daemon
 	controls []*controld.Daemon
@@ -304,7 +306,7 @@
 	for _, name := range e.doc.Session.Keys {
 		s.SessionKeyFiles[name] = e.Secret("session")
 	}
-	s.Stop.BalancerGraceMS = 1
+	s.Stop.BalancerGraceMS = graceMS
 	s.Timeouts.VMListPeriod = listPeriod
 	if v.Settings != nil {
 		v.Settings(s)
@@ -312,6 +314,10 @@
 	return s
 }
 
+// graceMS is the longest time for the balancer to notice a planned stop, in ms.
+// The environment's own balancer ends it earlier.
+const graceMS = 60_000
+
 // listPeriod is the time between a VM's reads of the list of VMs, in ms.
 const listPeriod = 100
 
@@ -346,15 +352,20 @@
 	return ids[0]
 }
 
-// ReadyVMs returns the entry VMs to which a balancer would send callers.
-func (e *Environment) ReadyVMs() []vm.ID {
-	var ready []vm.ID
-	for _, id := range e.running() {
+// Assign chooses a ready entry VM for a request, as the platform's balancer
+// does. The caller calls arrived once, when the VM has begun to answer or the
+// request has failed. The VM is nil where none is ready.
+func (e *Environment) Assign(turn int) (d *entryd.Daemon, arrived func()) {
+	ids := e.running()
+	for i := range ids {
+		id := ids[(turn+i)%len(ids)]
+		arrived := e.balancer.begin(id)
 		if d := e.VM(id); d != nil && d.IsReady() {
-			ready = append(ready, id)
+			return d, arrived
 		}
+		arrived()
 	}
-	return ready
+	return nil, func() {}
 }
 
 func (e *Environment) running() []vm.ID {
@@ -403,7 +414,9 @@
 
 // StopVM stops an entry VM as planned and returns the requests cut off.
 func (e *Environment) StopVM(id vm.ID) int {
-	cut := e.VM(id).Stop(context.Background())
+	d := e.VM(id)
+	d.BeginStop()
+	cut := d.Stop(context.Background(), e.balancer.drained(id))
 	e.take(id)
 	e.Platform.RemoveMember(string(id))
 	return cut
--- a/standin/scenario/load.go
+++ b/standin/scenario/load.go
@@ -10,7 +10,7 @@
 
 	"github.com/poplarshore/poplarshore/standin/caller"
 	"github.com/poplarshore/poplarshore/standin/engine"
-	"github.com/poplarshore/poplarshore/vm"
+	"github.com/poplarshore/poplarshore/standin/environment"
 )
 
 // load is a set of callers that ask without pause, one after the other, of the
@@ -37,22 +37,21 @@
 	for i := range number(ts, args[2]) {
 		l.wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				l.ask(s, env.ReadyVMs(), args[1], fmt.Sprintf("load %s %d %d", args[0], i, n), i+n)
+				l.ask(s, env, args[1], fmt.Sprintf("load %s %d %d", args[0], i, n), i+n)
 			}
 		})
 	}
 }
 
 // ask sends one request to one of the ready VMs.
-func (l *load) ask(s *state, ready []vm.ID, name, prompt string, turn int) {
-	if len(ready) == 0 {
-		return
-	}
-	d := s.env.VM(ready[turn%len(ready)])
+func (l *load) ask(s *state, env *environment.Environment, name, prompt string, turn int) {
+	d, arrived := env.Assign(turn)
 	if d == nil {
 		return
 	}
-	c := &caller.Caller{Address: d.CallersAddress(), Key: s.keys, Client: s.client}
+	once := sync.OnceFunc(arrived)
+	defer once()
+	c := &caller.Caller{Address: d.CallersAddress(), Key: s.keys, Client: s.client, OnPiece: func(int) { once() }}
 	a, err := c.Chat(context.Background(), caller.Ask(name, prompt, true), nil)
 	switch {
 	case err != nil:
