Bound the wait for a billing record

Cause: scenarios with the store down waited 5 s at the end of the first answer, after which their VMs' configuration had gone stale. Change: bill_ms is 2 s by default, 300 ms in scenarios. Conclusion: the record waits in the backlog either way.

--- a/settings/entry.go
+++ b/settings/entry.go
@@ -66,7 +66,7 @@
 	ConnectMS     Millis `json:"connect_ms" doc:"Opening a connection to an upstream, in ms. Default 1000."`
 	HeadersMS     Millis `json:"headers_ms" doc:"Wait for an engine's headers, in ms. Default 2000."`
 	IdleMS        Millis `json:"idle_ms" doc:"Wait between an engine's pieces, in ms. Default 2000."`
-	BillMS        Millis `json:"bill_ms" doc:"Wait for a billing record at the end of an answer, in ms. Default 5000."`
+	BillMS        Millis `json:"bill_ms" doc:"Wait for a billing record at the end of an answer, in ms. Default 2000."`
 	StoreMS       Millis `json:"store_ms" doc:"Wait for one operation of the platform's store, in ms. Default 2000."`
 	LoadPeriodMS  Millis `json:"load_period_ms" doc:"Time between reads of each engine's load report, in ms. Default 500."`
 	FreshForMS    Millis `json:"fresh_for_ms" doc:"How long a VM serves without word on the newest configuration, in ms. Default 5000."`
@@ -93,7 +93,7 @@
 			MaxBillBacklog: 100000, RatedSharePerMil: 200,
 		},
 		Timeouts: Timeouts{
-			ConnectMS: 1000, HeadersMS: 2000, IdleMS: 2000, BillMS: 5000, StoreMS: 2000, LoadPeriodMS: 500,
+			ConnectMS: 1000, HeadersMS: 2000, IdleMS: 2000, BillMS: 2000, StoreMS: 2000, LoadPeriodMS: 500,
 			FreshForMS: 5000, VMListPeriod: 5000, ReportsPeriod: 2000,
 		},
 		Stop: Stop{BalancerGraceMS: 3000, DrainMS: 300000},
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -141,12 +141,13 @@
 const (
 	quickIdle  = 400
 	quickStore = 500
+	quickBill  = 300
 	quickFresh = 3000
 )
 
 func quick(s *settings.Entry) {
 	s.Timeouts.HeadersMS, s.Timeouts.IdleMS, s.Timeouts.StoreMS = quickIdle, quickIdle, quickStore
-	s.Timeouts.FreshForMS = quickFresh
+	s.Timeouts.FreshForMS, s.Timeouts.BillMS = quickFresh, quickBill
 	s.Timeouts.ReportsPeriod = 100
 }
 
