Test routing on even engines as well

Change: a second test on even engines, where the policy must beat round robin and least requests as well.

--- a/experiment/latency/latency_test.go
+++ b/experiment/latency/latency_test.go
@@ -25,13 +25,26 @@
 		Expect(latency.Run(opts, 3, policy)).To(Equal(latency.Run(opts, 3, policy)))
 	})
 
-	It("finds the policy at least twice better than round robin and better than least requests", func() {
+	compare := func(opts latency.Options) (ours, turns, least latency.Result) {
 		filters := route.DefaultFilters()
-		ours := latency.Run(opts, 1, policy)
-		turns := latency.Run(opts, 1, func() route.Selector { return &route.RoundRobin{Filters: filters} })
-		least := latency.Run(opts, 1, func() route.Selector { return route.LeastRequests{Filters: filters} })
+		ours = latency.Run(opts, 1, policy)
+		turns = latency.Run(opts, 1, func() route.Selector { return &route.RoundRobin{Filters: filters} })
+		least = latency.Run(opts, 1, func() route.Selector { return route.LeastRequests{Filters: filters} })
+		Expect(ours.Refused).To(BeZero())
+		return ours, turns, least
+	}
+
+	It("finds the policy at least twice better than round robin and better than least requests", func() {
+		ours, turns, least := compare(opts)
 		Expect(2 * ours.P99).To(BeNumerically("<", turns.P99))
 		Expect(ours.P99).To(BeNumerically("<", least.P99))
-		Expect(ours.Refused).To(BeZero())
+	})
+
+	It("finds the policy better than both also on even engines", func() {
+		even := opts
+		even.Skewed = false
+		ours, turns, least := compare(even)
+		Expect(ours.P99).To(BeNumerically("<", turns.P99))
+		Expect(ours.P99).To(BeNumerically("<", least.P99))
 	})
 })
