Test what comes to a bucket while it is compacted

Cause: ignoring a row's seal broke no test: nothing new came to a bucket during its compaction. Change: new requests of old times are settled at each step of a compaction; each is counted once or set aside. Conclusion: the break is now caught.

--- a/coord/ledger/settler_test.go
+++ b/coord/ledger/settler_test.go
@@ -72,6 +72,20 @@
 	return out
 }
 
+// passLate settles new requests of the times at which the first ones were made.
+func (b *bench) passLate() ledger.Report {
+	GinkgoHelper()
+	late := b.entries(0, 4)
+	for i := range late {
+		late[i].RequestID = fmt.Sprint("late", i)
+		late[i].Time = late[i].Time.Add(-26 * time.Hour)
+	}
+	b.write("late", false, late...)
+	report, err := b.settler(1).Pass(context.Background())
+	Expect(err).NotTo(HaveOccurred())
+	return report
+}
+
 func (b *bench) requests() ledger.Totals {
 	GinkgoHelper()
 	totals, err := b.settler(9).Totals(context.Background(), account)
@@ -147,6 +161,32 @@
 		Entry("with the same fencing token", uint64(1)),
 	)
 
+	It("counts what comes at any step of a compaction once, or sets it aside", func() {
+		for nth, struck := 1, true; struck; nth++ {
+			b, seen := prepare(), 0
+			_, err := b.settler(1).Pass(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			b.clock.Advance(26 * time.Hour)
+			var report ledger.Report
+			b.faults(func(context.Context, memory.Op, string) memory.Fault {
+				if seen++; seen == nth {
+					b.faults(nil)
+					report = b.passLate()
+				}
+				return memory.None
+			})
+			_, _ = b.settler(1).Compact(ctx)
+			struck = seen >= nth
+			b.faults(nil)
+			Expect(report.Requests + report.Late).To(Equal(map[bool]int{true: 4}[struck]))
+			for range 2 {
+				Expect(b.requests().Requests).To(BeEquivalentTo(6+report.Requests), "at operation %d", nth)
+				_, err = b.settler(1).Compact(ctx)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+	})
+
 	It("ignores segments that come back after they were folded", func() {
 		b := newBench()
 		sealed := b.write("a", true, b.entries(0, 6)...)
