--- a/internal/entryd/hedge_test.go
+++ b/internal/entryd/hedge_test.go
@@ -31,6 +31,7 @@
 			a, err := b.caller.Chat(context.Background(), caller.Ask("cheap", prompt, true), nil)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(own(a, prompt)).To(BeTrue())
+			b.answers = append(b.answers, a)
 		}
 		for i := range 20 {
 			ask(fmt.Sprintf("learn %d", i))
@@ -47,5 +48,6 @@
 			}
 		}
 		Expect(b.metrics()).NotTo(ContainSubstring("\npoplarshore_hedges_total 0\n"))
+		b.checkLedger()
 	})
 })
