Share the store's writes among the VMs' ledgers, and quicken a test

Cause: each VM paced its segments alone, so that many VMs together would ask for more writes than the store takes; the test of a hand-over waited for the platform's list at its usual period. Change: the pace knows the number of live VMs; the test reads the list often.

--- a/internal/entryd/billing.go
+++ b/internal/entryd/billing.go
@@ -46,6 +46,7 @@
 	var err error
 	p.writer, err = ledger.NewWriter(ledger.WriterOptions{
 		Objects: d.platform.objects, Prefix: d.rows.Ledger(), Incarnation: string(d.self.ID) + "." + string(d.life),
+		Pace:         ledger.Pace{Writers: func() int { return len(d.book.All()) }},
 		BacklogBytes: bytes, Custodian: p.custodian, CallTimeout: timeout, Clock: d.clock,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: observer,
 	})
--- a/internal/entryd/ledger_test.go
+++ b/internal/entryd/ledger_test.go
@@ -21,6 +21,7 @@
 	"github.com/poplarshore/poplarshore/standin/environment"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	"github.com/poplarshore/poplarshore/standin/platform"
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 var ledgerPrefix = rows.Names{Prefix: settings.DefaultEntry().Platform.Prefix}.Ledger()
@@ -133,7 +134,14 @@
 	})
 
 	It("hands records over when a VM stops while the store is out", func() {
-		e, c := start(ctx, examples.Quickstart, "vm-1", "vm-2")
+		quick := func(s *settings.Entry) { s.Timeouts.VMListPeriod, s.Timeouts.BillMS = 10, quickBill }
+		e, c := start(ctx, examples.Quickstart)
+		e.StopVM("vm-1")
+		for _, id := range []vm.ID{"vm-1", "vm-2"} {
+			_, err := e.StartVM(environment.VM{ID: id, Domain: "local-1", Settings: quick})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		c.Address = e.VM("vm-1").CallersAddress()
 		Eventually(e.VM("vm-1").Peers, "1m").ShouldNot(BeEmpty())
 		Expect(e.Platform.Faults.Add(fault.Rule{Kind: platform.Down, Path: "/objects"})).To(Succeed())
 		a, err := c.Chat(ctx, caller.Ask("cheap", "one", false), nil)
