--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -31,7 +31,7 @@
 )
 
 // contenders is the number of VMs that contend for one job.
-const contenders = 5
+const contenders = 3
 
 // listPeriod is the time between reads of the list of VMs.
 const listPeriod = 10 * time.Second
@@ -139,9 +139,13 @@
 		d.metrics.listFailed.Inc()
 		return
 	}
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
 	wanted := make(map[string]lease.Func)
 	for name, work := range d.jobs(members) {
-		if picked(name, string(d.settings.VM.ID), members) {
+		if lease.IsCandidate(name, string(d.settings.VM.ID), ids, contenders) {
 			wanted[name] = work
 		}
 	}
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/poplarshore/poplarshore/coord/lease"
+	"github.com/poplarshore/poplarshore/coord/once"
 	"github.com/poplarshore/poplarshore/order"
 	"github.com/poplarshore/poplarshore/rollout"
 )
@@ -18,6 +19,9 @@
 	listFailed    prometheus.Counter
 	settleFailed  prometheus.Counter
 	settled       prometheus.Counter
+	claims        *prometheus.CounterVec
+	swept         prometheus.Counter
+	sweepFailed   prometheus.Counter
 }
 
 func newCounters(reg prometheus.Registerer) *counters {
@@ -38,9 +42,12 @@
 		rolloutFailed: one("rollout_store_failures_total", "Rounds of a roll-out that the store did not serve."),
 		listFailed:    one("vm_list_failures_total", "Reads of the list of VMs that failed."),
 		settleFailed:  one("settlement_failures_total", "Rounds of ledger settlement that failed."),
+		claims:        vec("claim_events_total", "Events of the sweep of claims, by kind.", "event"),
+		swept:         one("swept_claims_total", "Claims deleted past their retention."),
+		sweepFailed:   one("sweep_failures_total", "Pages of claims that the store did not serve."),
 		settled:       one("settled_segments_total", "Ledger segments folded into totals."),
 	}
-	reg.MustRegister(m.leases, m.orders, m.decisions, m.stalled, m.rolloutFailed, m.listFailed, m.settleFailed, m.settled)
+	reg.MustRegister(m.leases, m.orders, m.decisions, m.stalled, m.rolloutFailed, m.listFailed, m.settleFailed, m.settled, m.claims, m.swept, m.sweepFailed)
 	return m
 }
 
@@ -49,6 +56,11 @@
 	m.leases.WithLabelValues(string(e)).Inc()
 }
 
+// OnceEvent implements once.Observer.
+func (m *counters) OnceEvent(e once.Event) {
+	m.claims.WithLabelValues(string(e)).Inc()
+}
+
 // OrderEvent implements order.Observer.
 func (m *counters) OrderEvent(e order.Event) {
 	m.orders.WithLabelValues(string(e)).Inc()
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -75,7 +75,7 @@
 	// Choose returns an upstream, or nil where none can take the work.
 	Choose(x *document.Index, want Want) *upstream.Upstream
 	// Expected returns the usual time to the first piece; zero is unknown.
-	Expected(u *upstream.Upstream, ref model.Ref) time.Duration
+	Expected(u *upstream.Upstream, want Want) time.Duration
 	// Begin counts an attempt in flight; the function returned ends it.
 	Begin(u *upstream.Upstream, want Want) func(Outcome)
 }
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -81,7 +81,7 @@
 	s := r.server
 	r.start(ctx, first)
 	running := 1
-	slow, stop := s.hedgeTimer(state, first)
+	slow, stop := s.hedgeTimer(state, first, r.job.want(r.x.Client))
 	defer stop()
 	var best raceEnd
 	for running > 0 {
@@ -102,8 +102,9 @@
 
 // hedgeTimer returns a channel that receives when the attempt is slow; nil
 // where it is not hedged or nothing is known of the engine's pace.
-func (s *Server) hedgeTimer(state *retry.State, a *attempt) (<-chan time.Time, func()) {
-	expected := s.Placement.Expected(a.engine, a.ref)
+func (s *Server) hedgeTimer(state *retry.State, a *attempt, want Want) (<-chan time.Time, func()) {
+	want.Ref = a.ref
+	expected := s.Placement.Expected(a.engine, want)
 	after, hedged := s.Retry.HedgeAfter(state, expected)
 	if !hedged || expected == 0 {
 		return nil, func() {}
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -206,8 +206,11 @@
 func (d *Daemon) buildEntry() error {
 	t := d.settings.Timeouts
 	d.engines = engineclient.New(d.pools, engineclient.Limits{Headers: t.HeadersMS.Duration(), Idle: t.IdleMS.Duration()})
-	claims, err := once.New(d.platform.table, string(d.self.ID)+"/"+string(d.life), once.Options{
+	claims := counterVec("claim_events_total", "Events of claims of non-idempotent calls, by kind.", "event")
+	d.registry.MustRegister(claims)
+	claimed, err := once.New(d.platform.table, string(d.self.ID)+"/"+string(d.life), once.Options{
 		StoreTimeout: t.StoreMS.Duration(), MaxResult: maxOnceResult, Prefix: d.rows.Claims(), Clock: d.clock,
+		Observer: claimEvents{claims},
 	})
 	if err != nil {
 		return err
@@ -219,12 +222,13 @@
 	giveUps := counterVec("retries_refused_total", "Retries not made, by reason.", "reason")
 	steps := counterVec("cascade_steps_total", "Steps of cascades, by reason.", "reason")
 	d.registry.MustRegister(giveUps, steps)
+	d.budgets = retry.NewBudgets(retry.DefaultBudgetOptions())
 	retryOpts := retry.DefaultOptions()
 	retryOpts.Hooks.OnGiveUp = func(_ retry.Kind, r retry.Reason) { giveUps.WithLabelValues(r.String()).Inc() }
 	d.entry = entry.New(entry.Deps{
 		Config: d.follower, Versions: d.versions, Placement: d.placement,
-		Retry:  retry.NewPolicy(retryOpts, retry.NewBudgets(retry.DefaultBudgetOptions())),
-		Limits: d.limits, Ratings: d.ratings, Biller: d.billing.biller, Claims: claims,
+		Retry:  retry.NewPolicy(retryOpts, d.budgets),
+		Limits: d.limits, Ratings: d.ratings, Biller: d.billing.biller, Claims: claimed,
 		Cascades: cascade.New(cascade.Options{
 			Rand:  randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64())),
 			Hooks: cascade.Hooks{Step: func(_ cascade.Kind, r cascade.Reason) { steps.WithLabelValues(string(r)).Inc() }},
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/internal/versions"
 	"github.com/poplarshore/poplarshore/limit"
+	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/settings"
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -55,6 +56,7 @@
 	follower  *config.Follower
 	versions  *versions.Versions
 	placement *placement.Placement
+	budgets   *retry.Budgets
 	limiter   *limit.Limiter
 	limits    *limits.Limits
 	ratings   *ratings.Ratings
@@ -141,6 +143,7 @@
 	d.runner.Start("load reports", puller.Run)
 	reporter := &limits.Reporter{Limiter: d.limiter, Peers: d.peers, Clock: d.clock, MaxDelay: limitReportDelay}
 	d.runner.Every("limit reports", d.clock, limitReportPeriod, reporter.Round)
+	d.runner.Every("retry budgets", d.clock, sweepPeriod, func(context.Context) { d.budgets.Sweep(d.clock.Now()) })
 	d.runner.Every("gauges", d.clock, gaugePeriod, func(context.Context) { d.gauge() })
 	exchange := &versions.Exchange{
 		Versions: d.versions, Table: d.platform.table, Rows: d.rows,
@@ -159,6 +162,7 @@
 	limitReportPeriod = time.Second
 	limitReportDelay  = time.Second
 	gaugePeriod       = time.Second
+	sweepPeriod       = time.Minute
 )
 
 // readVMList takes over the platform's list of live VMs.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -87,6 +87,7 @@
 		}
 	}
 	p.sight.Store(&sight)
+	p.breakers.Retain(func(key retry.BreakerKey) bool { return key.Upstream == "" || sight[key.Upstream] })
 	p.state.Reconcile(loadstate.Placement{
 		Region: p.self.Region, Links: x.Links, RegionOf: x.Region, Groups: groups,
 	})
@@ -144,26 +145,19 @@
 }
 
 // Expected implements entry.Placement.
-func (p *Placement) Expected(u *upstream.Upstream, ref model.Ref) time.Duration {
-	view, ok := p.state.View(loadstate.Key{Ref: ref}, p.clock.Now())
-	if !ok {
-		return 0
-	}
-	i, ok := view.Find(u.ID)
-	if !ok {
-		return 0
-	}
-	var c route.Candidate
-	view.Fill(i, &c)
-	if c.FirstToken == 0 {
+func (p *Placement) Expected(u *upstream.Upstream, want entry.Want) time.Duration {
+	now := p.clock.Now()
+	c, ok := p.candidate(u, want.Ref, now)
+	if !ok || c.FirstToken == 0 {
 		return 0
 	}
-	return c.FirstToken + 2*c.LinkLatency
+	return c.FirstToken + p.fixed(u, want.Ref, want.Prompt, now)
 }
 
 // Begin implements entry.Placement.
 func (p *Placement) Begin(u *upstream.Upstream, want entry.Want) func(entry.Outcome) {
 	now := p.clock.Now()
+	fixed := p.fixed(u, want.Ref, want.Prompt, now)
 	call, err := p.state.Begin(u.ID, now)
 	trial, through := p.breakers.Begin(u.ID, want.Ref, now)
 	if want.Service == "" {
@@ -172,7 +166,7 @@
 	return func(o entry.Outcome) {
 		end := p.clock.Now()
 		if err == nil {
-			p.endCall(call, o, end)
+			endCall(call, o, fixed, end)
 		}
 		if through {
 			endTrial(&trial, o, end)
@@ -181,9 +175,39 @@
 	}
 }
 
-func (p *Placement) endCall(call *loadstate.Call, o entry.Outcome, end time.Time) {
+// fixed returns the part of the time to the first piece that link and prefill
+// are expected to take.
+func (p *Placement) fixed(u *upstream.Upstream, ref model.Ref, prompt []byte, now time.Time) time.Duration {
+	c, ok := p.candidate(u, ref, now)
+	if !ok {
+		return 0
+	}
+	cached := 0
+	for _, hint := range p.locality.AppendHints(nil, route.AppendPrefixes(nil, ref.String(), prompt), now) {
+		if hint.Upstream == u.ID {
+			cached = hint.Blocks * route.BlockBytes
+		}
+	}
+	tokens := max(len(prompt)-cached, 0) / route.BytesPerToken
+	return 2*c.LinkLatency + time.Duration(tokens)*route.DefaultPerToken
+}
+
+func (p *Placement) candidate(u *upstream.Upstream, ref model.Ref, now time.Time) (route.Candidate, bool) {
+	var c route.Candidate
+	view, ok := p.state.View(loadstate.Key{Ref: ref}, now)
+	if !ok {
+		return c, false
+	}
+	i, ok := view.Find(u.ID)
+	if ok {
+		view.Fill(i, &c)
+	}
+	return c, ok
+}
+
+func endCall(call *loadstate.Call, o entry.Outcome, fixed time.Duration, end time.Time) {
 	if o.FirstPiece > 0 {
-		call.FirstToken(o.FirstPiece)
+		call.FirstToken(o.FirstPiece - fixed)
 	}
 	call.End(end, o.Err == nil && o.Whole)
 }
--- a/route/policy.go
+++ b/route/policy.go
@@ -50,7 +50,8 @@
 	defaultOrdinary   = 0.75
 	defaultHold       = 2 * time.Second
 	defaultBatchSlope = 0.1
-	defaultPerToken   = 50 * time.Microsecond
+	// DefaultPerToken is the time that an engine takes to read one prompt token.
+	DefaultPerToken   = 50 * time.Microsecond
 	defaultBound      = 1.25
 	defaultHomeCredit = 0.25
 	defaultSecond     = 1000.0
@@ -71,7 +72,7 @@
 func DefaultScorers() []Scorer {
 	return []Scorer{
 		QueueScorer{Hold: defaultHold, BatchSlope: defaultBatchSlope, Echo: defaultEcho},
-		PrefillScorer{PerToken: defaultPerToken, Bound: defaultBound, Home: defaultHomeCredit},
+		PrefillScorer{PerToken: DefaultPerToken, Bound: defaultBound, Home: defaultHomeCredit},
 		LinkScorer{},
 		PriceScorer{MicrosPerSecond: defaultSecond},
 		LoadScorer{Loading: defaultLoading},
--- a/settings/control.go
+++ b/settings/control.go
@@ -24,6 +24,9 @@
 	StoreMS         Millis `json:"store_ms" doc:"Wait for one operation of the platform's store, in ms. Default 2000."`
 }
 
+// minLongestOrderMS is the time that the sending of one order may take, in ms.
+const minLongestOrderMS = 2000
+
 // DefaultControl returns the defaults.
 func DefaultControl() *Control {
 	return &Control{
@@ -47,7 +50,9 @@
 	positive(text, "jobs.settle_period_ms", c.Jobs.SettlePeriodMS)
 	positive(text, "jobs.rollout_period_ms", c.Jobs.RolloutPeriodMS)
 	positive(text, "jobs.order_period_ms", c.Jobs.OrderPeriodMS)
-	positive(text, "jobs.longest_order_ms", c.Jobs.LongestOrderMS)
+	if c.Jobs.LongestOrderMS < minLongestOrderMS {
+		text.Add("jobs.longest_order_ms", "must be at least %d", minLongestOrderMS)
+	}
 	positive(text, "jobs.loads_per_minute", c.Jobs.LoadsPerMinute)
 	positive(text, "jobs.store_ms", c.Jobs.StoreMS)
 }
--- a/standin/scenario/rollouts.go
+++ b/standin/scenario/rollouts.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/poplarshore/poplarshore/coord/ledger"
 	"github.com/poplarshore/poplarshore/internal/entryd"
 	"github.com/poplarshore/poplarshore/rollout"
 	"github.com/poplarshore/poplarshore/settings"
+	"github.com/poplarshore/poplarshore/upstream"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -23,6 +26,7 @@
 	plain(ts, neg)
 	need(ts, args, 1, "control VM@DOMAIN")
 	ts.Check(of(ts).environment(ts).StartControl(vmOf(ts, args[0], nil), func(s *settings.Control) {
+		s.Jobs.LoadsPerMinute, s.Jobs.LongestOrderMS = 6000, 10_000
 		s.Jobs.LeaseTTLMS, s.Jobs.RolloutPeriodMS, s.Jobs.SettlePeriodMS, s.Jobs.OrderPeriodMS = 1000, 50, 100, 100
 	}))
 }
@@ -71,3 +75,41 @@
 		return false
 	})
 }
+
+// loaded ENGINE MODEL@VERSION waits until an engine has loaded a version.
+func loaded(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 2, "loaded ENGINE MODEL@VERSION")
+	e := of(ts).environment(ts).Engines[upstream.ID(args[0])]
+	if e == nil {
+		ts.Fatalf("engine %q does not exist", args[0])
+	}
+	for range awaitTries {
+		for _, v := range e.Load().Versions {
+			if v.Loaded && v.Model+"@"+v.Version == args[1] {
+				return
+			}
+		}
+		time.Sleep(awaitPause)
+	}
+	ts.Fatalf("%s never loaded %s", args[0], args[1])
+}
+
+// totals VM ACCOUNT N waits until the settled ledger has billed N requests to a
+// client account, and checks that it bills no more.
+func totals(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 3, "totals VM ACCOUNT N")
+	want := int64(number(ts, args[2]))
+	var got ledger.Totals
+	for range awaitTries {
+		operate(ts, false, []string{"ledger", "totals", args[1], "--operators", "@" + args[0], "--token-file", "@token"})
+		if json.Unmarshal([]byte(ts.ReadFile("out")), &got) == nil && got.Requests >= want {
+			break
+		}
+		time.Sleep(awaitPause)
+	}
+	if got.Requests != want {
+		ts.Fatalf("%d requests are billed to %s", got.Requests, args[1])
+	}
+}
