Test that failed attempts are kept in the ledger once, at no charge

Cause: nothing checked what is recorded of a request whose attempts all failed. Change: a table of a whole answer, a cascade and a streamed cascade.

--- a/internal/entryd/ledger_test.go
+++ b/internal/entryd/ledger_test.go
@@ -18,6 +18,7 @@
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/settings"
 	"github.com/poplarshore/poplarshore/standin/caller"
+	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/environment"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	"github.com/poplarshore/poplarshore/standin/platform"
@@ -97,9 +98,9 @@
 			Expect(entries).To(BeEmpty(), "refused as not run: %s", a.Reason)
 		}
 	}
-	totals := settled(b.Environment)
-	Expect(totals.Requests).To(Equal(requests))
-	Expect(totals.Amount).To(Equal(amount))
+	b.settled = settled(b.Environment)
+	Expect(b.settled.Requests).To(Equal(requests))
+	Expect(b.settled.Amount).To(Equal(amount))
 }
 
 var _ = Describe("billing", func() {
@@ -154,6 +155,22 @@
 		Expect(settled(e).Requests).To(BeEquivalentTo(1))
 	})
 
+	DescribeTable("keeps the cost of attempts that all failed, once, and charges nothing", func(s step, rule fault.Rule) {
+		b := newBench(ctx)
+		for _, e := range b.Engines {
+			Expect(e.Faults.Add(rule)).To(Succeed())
+		}
+		Expect(b.ask(s).Ran).To(Equal("unknown"))
+		b.checkLedger()
+		Expect(b.settled.Requests).To(BeEquivalentTo(1))
+		Expect(b.settled.Cost).To(BeNumerically(">", 0))
+		Expect(b.settled.Amount).To(BeZero())
+	},
+		Entry("of a whole answer", steps[0], fault.Rule{Kind: engine.HalfAnswer, AfterPieces: 3}),
+		Entry("of a cascade", steps[2], fault.Rule{Kind: engine.HalfAnswer, AfterPieces: 3}),
+		Entry("of a streamed cascade", steps[3], fault.Rule{Kind: engine.ResetAfterRead}),
+	)
+
 	It("refuses new work truly when the backlog is full", func() {
 		b := newBench(ctx, func(s *settings.Entry) { s.Requests.MaxBillBacklog = 10 })
 		Expect(b.Platform.Faults.Add(fault.Rule{Kind: platform.Down, Path: "/objects"})).To(Succeed())
--- a/internal/entryd/matrix_test.go
+++ b/internal/entryd/matrix_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/coord/ledger"
 	"github.com/poplarshore/poplarshore/examples"
 	"github.com/poplarshore/poplarshore/settings"
 	"github.com/poplarshore/poplarshore/standin/caller"
@@ -36,6 +37,8 @@
 	asked  int
 	// answers are all that were given.
 	answers []caller.Answer
+	// settled is the account's totals at the end.
+	settled ledger.Totals
 }
 
 func newBench(ctx context.Context, changes ...func(*settings.Entry)) *bench {
