Compare bills in the soak, and reckon with the ledger's shared pace

Cause: billing is joined to the entry now, and its writers share a bound on the store's writes; page and soak said otherwise.

Change: the soak folds the ledger and compares the requests counted with what callers were told; the capacity page uses the shared pace and shows how long the end of an answer waits for its segment at full size.

The entry's figures are from before billing was joined.

--- a/measure/capacity/events.go
+++ b/measure/capacity/events.go
@@ -33,7 +33,7 @@
 	return fmt.Sprintf("%.0f nodes and %.0f engines go; the others take %.1f%% more requests; one job of orders moves to another "+
 		"holder; a node loses %.0f of the %.0f engines in its sight; "+
 		"bills of at most %.1f s of %.0f requests a second are unwritten on the lost nodes",
-		nodes, engines, percent/(s.Domains-1), inSight(s)/s.Domains, inSight(s), segmentInterval,
+		nodes, engines, percent/(s.Domains-1), inSight(s)/s.Domains, inSight(s), 1/segmentsOf(s.Nodes),
 		s.RequestsPerSecond/s.Domains)
 }
 
--- a/measure/capacity/mechanism.go
+++ b/measure/capacity/mechanism.go
@@ -23,7 +23,8 @@
 	rolloutReads     = 2.0   // reads for each such report
 	rolloutRowBytes  = 1000  // size of a report row reckoned with
 	orderPeriod      = 5.0   // seconds between rounds of orders
-	segmentInterval  = 0.5   // seconds, the longest pace of the ledger's writer
+	segmentInterval  = 0.5   // seconds, the longest pace of a ledger writer alone
+	ledgerWrites     = 200.0 // segments per second that all writers share
 	settlePeriod     = 5.0   // seconds between passes of settlement
 	bucketSeconds    = 300.0 // a settlement bucket
 	leaseRenewal     = 3.0   // seconds between renewals of a lease
@@ -168,11 +169,16 @@
 	return commit(s, m, s.Nodes, 1)
 }
 
-// commit is the cost for each of the writers, each of which writes segments at
-// the longest pace and carries the share of all requests.
+// segmentsOf returns the segments that one of the writers writes per second.
+func segmentsOf(writers float64) float64 {
+	return min(1/segmentInterval, ledgerWrites/writers)
+}
+
+// commit is the cost for each of the writers, each of which carries an
+// even share of all requests.
 func commit(s Size, m *measured, writers, hops float64) Cost {
 	rate := s.RequestsPerSecond / writers
-	segments := min(1/segmentInterval, rate)
+	segments := min(segmentsOf(writers), rate)
 	body := m.slope("ledger.segment_bytes") * rate / segments
 	return Cost{
 		CPU:         (rate*m.slope("ledger.write_cpu") + segments*m.at("store.write_cpu", body)) * microsecond,
@@ -200,7 +206,7 @@
 // settlement is reckoned with the store's rows half full, which a pass reads
 // and writes whole.
 func settlement(s Size, m *measured) Cost {
-	segments := s.Nodes / segmentInterval
+	segments := s.Nodes * segmentsOf(s.Nodes)
 	rows := m.slope("ledger.row_bytes") * s.RequestsPerSecond * bucketSeconds / 2
 	incoming := s.RequestsPerSecond * m.slope("ledger.segment_bytes")
 	return Cost{
--- a/measure/capacity/page.go
+++ b/measure/capacity/page.go
@@ -114,6 +114,7 @@
 		fmt.Fprintf(&text, "| %s | %s (%s–%s) | %s |\n", r.name, number(median), number(low), number(high), r.full)
 	}
 	fmt.Fprintf(&text, "| requests/s | – | %s |\n", number(s.RequestsPerSecond/s.Nodes))
+	fmt.Fprintf(&text, "| longest wait of an answer's end for its bill's segment, s | – | %s |\n", number(1/segmentsOf(s.Nodes)))
 	held, err := entry.Find("memory.per_stream")
 	if err != nil {
 		return "", err
--- a/measure/capacity/towards.go
+++ b/measure/capacity/towards.go
@@ -111,7 +111,7 @@
 }
 
 func appendedSettlement(s Size, m *measured) Cost {
-	segments := 1 / segmentInterval
+	segments := segmentsOf(s.Domains)
 	requests := s.RequestsPerSecond / s.Domains
 	ids := requests * m.slope("ledger.row_bytes")
 	return Cost{
--- a/measure/soak/soak.go
+++ b/measure/soak/soak.go
@@ -5,8 +5,9 @@
 // Checked are: a whole answer is the caller's own; a call that is not
 // idempotent runs at most once; a refusal that says a request was not run is
 // true; no attempt reaches an engine twice; a session stays on its version while
-// the configuration changes; a planned stop cuts nothing off; and goroutines do
-// not grow. Bills are not checked here.
+// the configuration changes; a planned stop cuts nothing off; the ledger
+// counts every whole completion and no request beyond those whose outcome is
+// open; and goroutines do not grow.
 package soak
 
 import (
@@ -58,6 +59,8 @@
 	// answers within sessions begun before.
 	Changes int `json:"changes"`
 	Pinned  int `json:"pinned"`
+	// Billed is the number of requests in the ledger's totals.
+	Billed int64 `json:"billed"`
 	// Violations lists broken promises; empty is good.
 	Violations []string `json:"violations"`
 	// Goroutines and heap of the whole process, before and after the traffic.
@@ -100,6 +103,9 @@
 	r.restarts.Wait()
 	r.close()
 	r.check()
+	if err := r.checkBills(ctx); err != nil {
+		return r.report, err
+	}
 	r.report.GoroutinesAfter, r.report.HeapAfter = runtime.NumGoroutine(), meter.Heap()
 	if grown := r.report.GoroutinesAfter - r.report.GoroutinesBefore; grown > goroutineSlack {
 		r.violate("goroutines grew by %d", grown)
--- a/measure/soak/soak_test.go
+++ b/measure/soak/soak_test.go
@@ -27,6 +27,7 @@
 		Expect(report.Faults).NotTo(BeEmpty())
 		Expect(report.Changes).To(BeNumerically(">", 0))
 		Expect(report.Pinned).To(BeNumerically(">", 0))
+		Expect(report.Billed).To(BeNumerically(">", 0))
 		Expect(report.Stops + report.Kills).To(Equal(2))
 	})
 })
