Count a rating once

Cause: an answer rated in a cascade and rated again by audit or sample counted twice in the evidence of its version. Change: ratings of answers that were rated before are not evidence. Conclusion: evidence holds one rating an answer.

--- a/internal/entry/cascade.go
+++ b/internal/entry/cascade.go
@@ -15,8 +15,9 @@
 	c       *completion
 	request cascade.Request
 	run     *cascade.Run
-	// held keeps the whole answers by option.
-	held map[int]*holdSink
+	// held keeps the whole answers by option; rated tells which were rated.
+	held  map[int]*holdSink
+	rated map[int]bool
 	// ended receives the ends of the attempts in flight.
 	ended  chan stepEnd
 	cancel map[int]context.CancelCauseFunc
@@ -45,7 +46,7 @@
 	}
 	run, step := s.Cascades.Start(request, s.Clock.Now())
 	cr := &cascadeRun{
-		c: c, request: request, run: run, held: make(map[int]*holdSink),
+		c: c, request: request, run: run, held: make(map[int]*holdSink), rated: make(map[int]bool),
 		ended: make(chan stepEnd, len(request.Options)), cancel: make(map[int]context.CancelCauseFunc),
 	}
 	defer cr.cancelAll()
@@ -143,6 +144,7 @@
 	end := <-cr.ended
 	if end.err == nil {
 		cr.held[end.outcome.Option] = end.held
+		cr.rated[end.outcome.Option] = end.outcome.Rated
 	} else {
 		cr.last, cr.lastAttempt = end.err, end.attempt
 	}
@@ -174,11 +176,11 @@
 	if held == nil {
 		return refusal.New(refusal.InternalFault).WithRan(cr.c.x.ran())
 	}
-	if err := s.sendHeld(cr.c, held); err != nil {
+	if err := s.sendHeld(cr.c, held, !cr.rated[step.Answer] && s.Ratings.Sampled()); err != nil {
 		return err
 	}
 	if step.Audit || shadow != cascade.NoOption {
-		s.learners.Offer(lesson{cr: cr, held: held, audit: step.Audit, shadow: shadow})
+		s.learners.Offer(lesson{cr: cr, held: held, option: step.Answer, audit: step.Audit, shadow: shadow})
 	}
 	return nil
 }
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -147,7 +147,7 @@
 		s.billPart(c.x, a, err)
 		return err
 	}
-	return s.sendHeld(c, out)
+	return s.sendHeld(c, out, s.Ratings.Sampled())
 }
 
 func (s *Server) newHold(c *completion) *holdSink {
@@ -155,11 +155,12 @@
 }
 
 // sendHeld bills a held answer and sends it in the form the caller asked for.
-func (s *Server) sendHeld(c *completion, held *holdSink) error {
+// A sampled answer is offered for rating.
+func (s *Server) sendHeld(c *completion, held *holdSink, sampled bool) error {
 	if err := s.bill(c.x, held.attempt); err != nil {
 		return err
 	}
-	if s.Ratings.Sampled() {
+	if sampled {
 		s.Ratings.Sample(c.rating(held.attempt, held.answer.Text()))
 	}
 	s.metrics.firstPiece.Observe(s.Clock.Since(c.x.Started).Seconds())
--- a/internal/entry/deps.go
+++ b/internal/entry/deps.go
@@ -120,6 +120,8 @@
 	Class   string
 	Prompt  string
 	Answer  string
+	// Repeated tells that the answer was rated before.
+	Repeated bool
 }
 
 // Ratings rates answers.
--- a/internal/entry/learn.go
+++ b/internal/entry/learn.go
@@ -21,6 +21,7 @@
 type lesson struct {
 	cr     *cascadeRun
 	held   *holdSink
+	option int
 	audit  bool
 	shadow int
 }
@@ -41,7 +42,9 @@
 	defer cancel()
 	if l.audit {
 		began := s.Clock.Now()
-		score, err := s.Ratings.Rate(ctx, l.cr.c.rating(l.held.attempt, l.held.answer.Text()))
+		rating := l.cr.c.rating(l.held.attempt, l.held.answer.Text())
+		rating.Repeated = l.cr.rated[l.option]
+		score, err := s.Ratings.Rate(ctx, rating)
 		s.Cascades.Audit(l.cr.run, err == nil, score, s.Clock.Since(began), s.Clock.Now())
 	}
 	if l.shadow != cascade.NoOption {
--- a/internal/ratings/ratings.go
+++ b/internal/ratings/ratings.go
@@ -77,7 +77,9 @@
 		return 0, err
 	}
 	r.count.WithLabelValues("rated").Inc()
-	r.opts.Rated(a.Ref, rating.Score)
+	if !a.Repeated {
+		r.opts.Rated(a.Ref, rating.Score)
+	}
 	return rating.Score, nil
 }
 
