Pack documents between entry VMs

Change: peers send documents packed by gzip, kept for the last one asked for; bounded when unpacked.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -106,6 +106,7 @@
 		return nil, ErrMalformed.Wrap(err, "address of %q", id)
 	}
 	req.Header.Set("Authorization", "Bearer "+string(c.Token))
+	req.Header.Set("Accept-Encoding", encodingGzip)
 	resp, err := c.Via.RoundTrip(req)
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err, "VM %q", id)
@@ -118,5 +119,8 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, ErrRefused.New("VM %q answered %s", id, resp.Status)
 	}
+	if resp.Header.Get("Content-Encoding") == encodingGzip {
+		return Unpack(reply)
+	}
 	return reply, nil
 }
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,56 @@
+package peer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/coord/revision"
+	"github.com/poplarshore/poplarshore/examples"
+	"github.com/poplarshore/poplarshore/internal/peer"
+	"github.com/poplarshore/poplarshore/limit"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+func TestPeer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "peer")
+}
+
+var _ = Describe("a document between entry VMs", func() {
+	const token = "token-of-the-test"
+
+	start := func() (*revision.Node, *peer.Client) {
+		clock := clockwork.NewFakeClock()
+		node := revision.NewNode(revision.Options{ID: "a", Clock: clock})
+		limiter := limit.New(limit.DefaultOptions("a", "life"))
+		server := httptest.NewServer(peer.NewServer([]byte(token), node, nil, limiter, clock))
+		DeferCleanup(server.Close)
+		book := peer.NewBook("b")
+		book.Set(map[vm.ID]string{"a": strings.TrimPrefix(server.URL, "http://")})
+		return node, &peer.Client{Scheme: "http", Token: []byte(token), Book: book, Via: http.DefaultTransport}
+	}
+
+	It("arrives as it was, and packed on the way", func() {
+		node, client := start()
+		hash := revision.HashOf(examples.Hsinchu)
+		Expect(node.Install(revision.Revision{Number: 1, Hash: hash}, examples.Hsinchu)).To(BeTrue())
+		Expect(client.Peer("a").Fetch(context.Background(), hash)).To(Equal(examples.Hsinchu))
+		Expect(len(peer.Pack(examples.Hsinchu))).To(BeNumerically("<", len(examples.Hsinchu)/2))
+	})
+
+	It("is not given to a stranger, and a torn one is refused", func() {
+		_, client := start()
+		client.Token = []byte("other")
+		_, err := client.Peer("a").Fetch(context.Background(), "x")
+		Expect(err).To(HaveOccurred())
+		_, err = peer.Unpack(peer.Pack(examples.Hsinchu)[:100])
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,7 @@
 	limiter  *limit.Limiter
 	clock    clockwork.Clock
 	mux      *http.ServeMux
+	packed   packed
 }
 
 // NewServer returns a server.
@@ -73,7 +74,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_, _ = w.Write(body)
+	s.writeBody(w, r, revision.Hash(r.PathValue("hash")), body)
 }
 
 func (s *Server) limits(w http.ResponseWriter, r *http.Request) {
--- a/measure/capacity/mechanism.go
+++ b/measure/capacity/mechanism.go
@@ -87,9 +87,9 @@
 	rate := s.ChangesPerSecond()
 	size := m.at("document.bytes", s.Engines)
 	return Cost{
-		CPU:      rate * m.at("document.install_cpu", s.Engines) * microsecond,
+		CPU:      rate * (m.at("document.install_cpu", s.Engines) + m.at("document.unpack_cpu", s.Engines)) * microsecond,
 		Memory:   2 * (m.at("document.heap", s.Engines) + size),
-		Bytes:    rate * size * bothWays,
+		Bytes:    rate * m.at("document.packed_bytes", s.Engines) * bothWays,
 		Messages: rate * messagesPerCall * bothWays,
 		// One object and one head row for each change.
 		StoreWrites: rate * 2,
--- a/measure/slopes/documents.go
+++ b/measure/slopes/documents.go
@@ -10,6 +10,7 @@
 	"github.com/poplarshore/poplarshore/contract"
 	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/peer"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/upstream"
 )
@@ -54,7 +55,17 @@
 		return err
 	}
 	record("decode_cpu", Microseconds, plain)
+	packed := peer.Pack(src)
+	unpack, err := perOperation(documentParses, func(int) error {
+		_, err := peer.Unpack(packed)
+		return err
+	})
+	if err != nil {
+		return err
+	}
 	record("bytes", Bytes, float64(len(src)))
+	record("packed_bytes", Bytes, float64(len(packed)))
+	record("unpack_cpu", Microseconds, unpack)
 	record("install_cpu", Microseconds, cost)
 	record("heap", Bytes, heapOf(func() *document.Index {
 		doc, _ := document.Parse(src)
