Correct the capacity page

Change: the text; events reckon with packed documents and the entry's bound on its backlog. Conclusion: the page says what was measured.

--- a/measure/capacity/events.go
+++ b/measure/capacity/events.go
@@ -22,7 +22,7 @@
 
 func replacedVMs(s Size, m *measured) string {
 	starts := (s.FailuresPerDay + s.ReplacedPerDay) / secondsPerDay
-	start := m.at("document.bytes", s.Engines) + m.at("vmlist.read_bytes", s.Nodes) + inSight(s)*m.at("load.pull_bytes", inSight(s))
+	start := m.at("document.packed_bytes", s.Engines) + m.at("vmlist.read_bytes", s.Nodes) + inSight(s)*m.at("load.pull_bytes", inSight(s))
 	return fmt.Sprintf("a start each %.0f s; each reads %.1f MB (document, list, load reports of %.0f engines), %.0f KB/s in sum; "+
 		"one head read each; reports of all engines in sight take %.0f s to read at %.0f a second",
 		1/starts, start/megabyte, inSight(s), starts*start/kilobyte, inSight(s)/pullsPerSecond, pullsPerSecond)
@@ -40,9 +40,9 @@
 func regionApart(s Size, m *measured) string {
 	nodes := s.Nodes / s.Regions
 	changes := s.ChangesPerDay / 24
-	size := m.at("document.bytes", s.Engines)
+	size := m.at("document.packed_bytes", s.Engines)
 	return fmt.Sprintf("the side without the store turns not ready within its freshness bound: %.0f nodes of one region, %.0f requests "+
-		"a second for the others to take; %.0f changes are accepted meanwhile, of which each node then fetches the newest alone: %.0f MB in sum",
+		"a second for the others to take; %.0f changes are accepted meanwhile, of which each node then fetches the newest alone: %.1f MB in sum",
 		nodes, s.RequestsPerSecond/s.Regions, changes, nodes*size/megabyte)
 }
 
@@ -50,7 +50,7 @@
 	each := s.RequestsPerSecond / s.Nodes * m.slope("ledger.segment_bytes")
 	lasts := backlogBytes / each
 	return fmt.Sprintf("no change is accepted (%.0f in that hour wait); bills grow by %.1f KB/s on each node, so the backlog "+
-		"of %.1f MB lasts %.0f min of %d, after which requests are refused truly; then %.1f GB are written, at %.0f segments of 256 KiB",
-		s.ChangesPerDay/24, each/kilobyte, backlogBytes/megabyte, lasts/60, secondsPerHour/60,
+		"of %.1f MB would last %.0f min; requests are refused truly once it is full; then %.1f GB are written, at %.0f segments of 256 KiB",
+		s.ChangesPerDay/24, each/kilobyte, backlogBytes/megabyte, lasts/60,
 		min(lasts, secondsPerHour)*each*s.Nodes/1e9, min(lasts, secondsPerHour)*each*s.Nodes/(256<<10))
 }
