Close the connections to platform and peers at a stop

Cause: goroutines grew by 3 to 6 with each restart of an entry VM in one process, until the idle limit of 30 s. Found with the soak's count of goroutines; ruled out: requests, faults and cascades, over which goroutines stayed flat. Change: Stop and Kill close the pool.

--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -113,8 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	pool := transport.NewPool(transport.Options{ConnectTimeout: d.settings.Timeouts.ConnectMS.Duration(), TLS: config})
-	return pool.Repeatable(), nil
+	d.outside = transport.NewPool(transport.Options{ConnectTimeout: d.settings.Timeouts.ConnectMS.Duration(), TLS: config})
+	return d.outside.Repeatable(), nil
 }
 
 func (d *Daemon) buildPlatform() error {
@@ -313,6 +313,7 @@
 	d.runner.Stop()
 	d.close()
 	d.pools.Close()
+	d.outside.Close()
 	d.log.Info("stopped", "cut", cut)
 	return cut
 }
@@ -367,4 +368,5 @@
 	d.close()
 	d.runner.Stop()
 	d.pools.Close()
+	d.outside.Close()
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -45,8 +45,10 @@
 	rows     rows.Names
 	secrets  secrets
 
-	platform  outside
-	pools     *transport.Pools
+	platform outside
+	pools    *transport.Pools
+	// outside connects to the platform and to peers.
+	outside   *transport.Pool
 	engines   *engineclient.Client
 	book      *peer.Book
 	peers     *peer.Client
