Take a refusal that says draining as a sign of leaving

Cause: an engine that drains answers new work with 503 and its draining header, which was lost with the error, so that only load reports told of the departure. Change: the error carries the sign as a property, and the attempt passes it on. Conclusion: the first refusal is a sign.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -155,8 +155,11 @@
 }
 
 func statusError(resp *http.Response) error {
-	kind := statusKind(resp)
-	return kind.New("engine answered %s", resp.Status)
+	err := statusKind(resp).New("engine answered %s", resp.Status)
+	if resp.Header.Get(headerDraining) != "" {
+		return err.WithProperty(drainingProperty, true)
+	}
+	return err
 }
 
 func statusKind(resp *http.Response) *errorx.Type {
--- a/internal/engineclient/errors.go
+++ b/internal/engineclient/errors.go
@@ -33,3 +33,11 @@
 func Started(err error) bool {
 	return !errorx.IsOfType(err, ErrConnect) && !errorx.IsOfType(err, ErrNotStarted)
 }
+
+var drainingProperty = errorx.RegisterProperty("engine_draining")
+
+// Draining tells whether the engine said, with the refusal, that it is leaving.
+func Draining(err error) bool {
+	_, ok := errorx.ExtractProperty(err, drainingProperty)
+	return ok
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -60,10 +60,12 @@
 		Priority: x.Client.Contract.Priority,
 		Deadline: s.remaining(x),
 	})
-	if err == nil {
-		a.draining = stream.Draining
+	if err != nil {
+		a.draining = engineclient.Draining(err)
+		return nil, err
 	}
-	return stream, err
+	a.draining = stream.Draining
+	return stream, nil
 }
 
 // relay reads one connection of the attempt to its end.
