Let stand-in engines hide their load report and count what they refuse while draining

Cause: a scenario could not tell a sign in a refusal from one in a load report, and refusals while draining were not counted. Change: the fault no_load, and a count in Refused. Conclusion: refused work can be checked at the engine.

--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -95,6 +95,7 @@
 // refused answers requests that the engine can't take.
 func (s *Server) refused(w http.ResponseWriter, j job) bool {
 	if s.state.isDraining() {
+		s.counts.refuse()
 		s.notStarted(w, http.StatusServiceUnavailable, "draining")
 		return true
 	}
--- a/standin/engine/counts.go
+++ b/standin/engine/counts.go
@@ -69,6 +69,13 @@
 	c.counts.Refused++
 }
 
+// refuse counts a request that came while draining.
+func (c *counter) refuse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts.Refused++
+}
+
 func (c *counter) started(attempt, prompt string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,8 @@
 	ErrorStatus fault.Kind = "error_status"
 	// BadQuality makes the answer one of poor quality.
 	BadQuality fault.Kind = "bad_quality"
+	// NoLoad answers an error in place of the load report.
+	NoLoad fault.Kind = "no_load"
 	// Crash cuts all connections and stops listening.
 	Crash fault.Kind = "crash"
 )
@@ -146,7 +148,7 @@
 	o = o.withDefaults()
 	s := &Server{
 		Faults: fault.NewSet(o.Seed, Refuse, ResetBefore, ResetAfterRead, Silent, Slow, HalfAnswer,
-			DuplicatePiece, ReorderPieces, ForeignPiece, ErrorStatus, BadQuality, Crash),
+			DuplicatePiece, ReorderPieces, ForeignPiece, ErrorStatus, BadQuality, NoLoad, Crash),
 		options:  o,
 		clock:    o.Clock,
 		batch:    newBatch(o.Capacity, o.Waiting),
--- a/standin/engine/state.go
+++ b/standin/engine/state.go
@@ -135,7 +135,11 @@
 	taken time.Time
 }
 
-func (s *Server) getLoad(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) getLoad(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.Faults.Take(r, NoLoad); ok {
+		writeError(w, http.StatusServiceUnavailable, "server_error", "injected error")
+		return
+	}
 	host.WriteJSON(w, http.StatusOK, s.Load())
 }
 
