Tell all entry VMs of a leaving upstream

Cause: each VM learnt of a departure by its own requests and load reports alone, and never took an upstream back. Change: entry VMs pass signs of leaving on through a roster and POST /peer/v1/roster; each applies them to its placement at once. The status names the leaving upstreams, and roster events are counted. A scenario shows a sign seen by one VM only; tests show the way back. Conclusion: a sign seen by any VM keeps new work of all VMs away.

--- a/internal/cli/reading.go
+++ b/internal/cli/reading.go
@@ -121,5 +121,8 @@
 	for _, v := range s.Stopped {
 		say(cmd, "  version %s is stopped on this VM", v)
 	}
+	if len(s.Leaving) > 0 {
+		say(cmd, "  upstreams leaving: %v", s.Leaving)
+	}
 	say(cmd, "  billing: %d bytes of records wait, %d segments of other VMs held; store: %s", s.Backlog, s.Held, s.Store)
 }
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -19,6 +19,7 @@
 	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/internal/billing"
 	"github.com/poplarshore/poplarshore/internal/config"
+	"github.com/poplarshore/poplarshore/internal/departures"
 	"github.com/poplarshore/poplarshore/internal/engineclient"
 	"github.com/poplarshore/poplarshore/internal/entry"
 	"github.com/poplarshore/poplarshore/internal/limits"
@@ -168,6 +169,7 @@
 // in force.
 func (d *Daemon) install(x *document.Index) {
 	d.placement.Install(x)
+	d.departures.Apply()
 	d.versions.Install(x)
 }
 
@@ -181,8 +183,15 @@
 	routeOpts := route.DefaultOptions()
 	routeOpts.OnRefused = func(reason route.Reason, n int) { routed.WithLabelValues(reason.String()).Add(float64(n)) }
 	d.placement = placement.New(d.self, d.clock, retry.NewBreakers(breakerOpts), routeOpts, placement.Hooks{
-		Ended: d.versions.Ended, Leaving: d.upstreamLeaving,
+		Ended:   d.versions.Ended,
+		Leaving: func(id upstream.ID) { d.departures.Leaving(id) },
+		Staying: func(id upstream.ID, taken time.Time) { d.departures.Staying(id, taken) },
 	})
+	d.departures = departures.New(departures.Options{
+		Self: d.self.ID, Directory: peer.RosterDirectory{Client: d.peers}, Sight: d.placement.Sight,
+		SetLeaving: func(id upstream.ID, leaving bool) { _ = d.placement.State().SetLeaving(id, leaving) },
+		Clock:      d.clock,
+	}, d.registry)
 	d.limiter = limit.New(limit.DefaultOptions(d.self.ID, d.life))
 	d.limits = limits.New(d.limiter, d.clock, d.registry)
 	d.ratings = ratings.New(ratings.Options{
@@ -192,10 +201,6 @@
 	return nil
 }
 
-func (d *Daemon) upstreamLeaving(id upstream.ID) {
-	d.log.Debug("upstream says it is leaving", "upstream", id)
-}
-
 func counterVec(name, help, label string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "poplarshore", Name: name, Help: help}, []string{label})
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/poplarshore/poplarshore/coord/revision"
 	"github.com/poplarshore/poplarshore/internal/config"
+	"github.com/poplarshore/poplarshore/internal/departures"
 	"github.com/poplarshore/poplarshore/internal/duty"
 	"github.com/poplarshore/poplarshore/internal/engineclient"
 	"github.com/poplarshore/poplarshore/internal/entry"
@@ -48,22 +49,23 @@
 	platform outside
 	pools    *transport.Pools
 	// outside connects to the platform and to peers.
-	outside   *transport.Pool
-	engines   *engineclient.Client
-	book      *peer.Book
-	peers     *peer.Client
-	node      *revision.Node
-	spreader  *revision.Spreader
-	publisher *revision.Publisher
-	follower  *config.Follower
-	versions  *versions.Versions
-	placement *placement.Placement
-	budgets   *retry.Budgets
-	limiter   *limit.Limiter
-	limits    *limits.Limits
-	ratings   *ratings.Ratings
-	billing   *billingParts
-	entry     *entry.Server
+	outside    *transport.Pool
+	engines    *engineclient.Client
+	book       *peer.Book
+	peers      *peer.Client
+	node       *revision.Node
+	spreader   *revision.Spreader
+	publisher  *revision.Publisher
+	follower   *config.Follower
+	versions   *versions.Versions
+	placement  *placement.Placement
+	departures *departures.Departures
+	budgets    *retry.Budgets
+	limiter    *limit.Limiter
+	limits     *limits.Limits
+	ratings    *ratings.Ratings
+	billing    *billingParts
+	entry      *entry.Server
 
 	readyGauge prometheus.Gauge
 
@@ -143,6 +145,7 @@
 		Index: d.follower.Index, Period: s.Timeouts.LoadPeriodMS.Duration(),
 	}
 	d.runner.Start("load reports", puller.Run)
+	d.departures.Start(d.runner)
 	reporter := &limits.Reporter{Limiter: d.limiter, Peers: d.peers, Clock: d.clock, MaxDelay: limitReportDelay}
 	d.runner.Every("limit reports", d.clock, limitReportPeriod, reporter.Round)
 	d.runner.Every("retry budgets", d.clock, sweepPeriod, func(context.Context) { d.budgets.Sweep(d.clock.Now()) })
@@ -222,5 +225,6 @@
 func (d *Daemon) peerServer() http.Handler {
 	s := peer.NewServer(d.secrets.peer, d.node, d.spreader, d.limiter, d.clock)
 	s.HandleLedger(d.billing.holder)
+	s.HandleRoster(d.departures.Gossip())
 	return s
 }
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -7,6 +7,7 @@
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/versions"
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/upstream"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -27,6 +28,8 @@
 	Rollouts []versions.State `json:"rollouts,omitempty"`
 	// Stopped are the versions stopped as bad on this VM.
 	Stopped []model.Ref `json:"stopped,omitempty"`
+	// Leaving are the upstreams that get no new work here as they are leaving.
+	Leaving []upstream.ID `json:"upstreams_leaving,omitempty"`
 	// Backlog is the billing records that wait to be written, in bytes.
 	Backlog int `json:"backlog_bytes"`
 	// Held is the number of other VMs' ledger segments that wait here.
@@ -54,6 +57,7 @@
 		Ready: ready, Reason: reason, Revision: rev, Known: d.node.Known().Number,
 		Freshness: d.node.Freshness(now), InForce: d.node.InForce(rev.Number, rev.Time, now),
 		InFlight: d.entry.InFlight(), Rollouts: d.versions.States(), Stopped: d.versions.StoppedVersions(),
+		Leaving: d.departures.InForce(),
 		Backlog: d.billing.biller.Backlog(), Held: d.billing.holder.Held(), Store: d.storeState(now),
 	}
 }
--- /dev/null
+++ b/internal/peer/roster.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/poplarshore/poplarshore/coord/roster"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+const pathRoster = "/peer/v1/roster"
+
+// HandleRoster answers other VMs' exchanges of signs about upstreams.
+func (s *Server) HandleRoster(gossip *roster.Gossip) {
+	s.Handle("POST "+pathRoster, func(w http.ResponseWriter, r *http.Request) {
+		var d roster.Digest
+		if !ReadJSON(w, r, &d) {
+			return
+		}
+		answer, err := gossip.Answer(d)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		WriteJSON(w, answer)
+	})
+}
+
+// RosterDirectory reaches the other VMs in the client's book. It implements
+// roster.Directory.
+type RosterDirectory struct {
+	Client *Client
+}
+
+// Peers implements roster.Directory.
+func (d RosterDirectory) Peers() []roster.Peer {
+	others := d.Client.Book.Others()
+	peers := make([]roster.Peer, len(others))
+	for i, id := range others {
+		peers[i] = rosterPeer{client: d.Client, id: vm.ID(id)}
+	}
+	return peers
+}
+
+// rosterPeer is one other entry VM.
+type rosterPeer struct {
+	client *Client
+	id     vm.ID
+}
+
+// Exchange implements roster.Peer.
+func (p rosterPeer) Exchange(ctx context.Context, d roster.Digest) (roster.Digest, error) {
+	var answer roster.Digest
+	err := p.client.call(ctx, p.id, pathRoster, d, &answer)
+	return answer, err
+}
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -101,10 +101,12 @@
 		Taken: now.Add(-age), Loaded: loaded(load.Versions),
 	}
 	_, _ = p.Placement.state.ObserveLoad(id, report)
-	if load.Draining {
-		_ = p.Placement.state.SetLeaving(id, true)
-		p.Placement.hooks.Leaving(id)
+	if !load.Draining {
+		p.Placement.hooks.Staying(id, report.Taken)
+		return
 	}
+	p.Placement.hooks.Leaving(id)
+	_ = p.Placement.state.SetLeaving(id, true)
 }
 
 func loaded(versions []engineclient.VersionLoad) []model.Ref {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,7 +3,9 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +36,8 @@
 	Ended func(ref model.Ref, failed bool, latency time.Duration)
 	// Leaving is told that an upstream said it is leaving.
 	Leaving func(id upstream.ID)
+	// Staying is told of a load report, taken at the time, without such a sign.
+	Staying func(id upstream.ID, taken time.Time)
 }
 
 // Placement implements entry.Placement.
@@ -99,6 +103,15 @@
 	return sight != nil && (*sight)[id]
 }
 
+// Sight returns the upstreams in sight of this VM, in no order.
+func (p *Placement) Sight() []upstream.ID {
+	sight := p.sight.Load()
+	if sight == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(*sight))
+}
+
 // Choose implements entry.Placement.
 func (p *Placement) Choose(_ *document.Index, want entry.Want) *upstream.Upstream {
 	now := p.clock.Now()
@@ -222,8 +235,8 @@
 
 func (p *Placement) tell(u *upstream.Upstream, want entry.Want, o entry.Outcome) {
 	if o.Draining {
-		_ = p.state.SetLeaving(u.ID, true)
 		p.hooks.Leaving(u.ID)
+		_ = p.state.SetLeaving(u.ID, true)
 	}
 	if want.Service == "" && (o.Err != nil || o.Whole) {
 		p.hooks.Ended(want.Ref, o.Err != nil, o.Duration)
--- a/standin/scenario/rollouts.go
+++ b/standin/scenario/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -62,6 +63,15 @@
 	})
 }
 
+// leaving VM UPSTREAM waits until the VM gives the upstream no new work.
+func leaving(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 2, "leaving VM UPSTREAM")
+	of(ts).await(ts, args[0], "the leaving of "+args[1], func(s entryd.Status) bool {
+		return slices.Contains(s.Leaving, upstream.ID(args[1]))
+	})
+}
+
 // rollout VM ID PHASE waits until the VM knows that a roll-out is in a phase.
 func rolloutPhase(ts *testscript.TestScript, neg bool, args []string) {
 	plain(ts, neg)
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -68,7 +68,7 @@
 		"account": account, "ask": ask, "call": call, "resume": resume, "cut": cut,
 		"refused": refused, "answered": answered, "status": status, "body": body,
 		"fault": injectFault, "heal": heal, "publish": publish, "inforce": inForce, "drain": drain,
-		"runs": runs, "atmostonce": atMostOnce, "ready": ready,
+		"runs": runs, "refusals": refusals, "leaving": leaving, "atmostonce": atMostOnce, "ready": ready,
 		"control": control, "stopped": stopped, "rollout": rolloutPhase, "loaded": loaded, "totals": totals,
 		"replace": replace, "load": startLoad, "endload": endLoad, "poplarshore": operate,
 	}
--- a/standin/scenario/stand_ins.go
+++ b/standin/scenario/stand_ins.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// refusals ENGINE N checks how often the engine refused work.
+func refusals(ts *testscript.TestScript, neg bool, args []string) {
+	plain(ts, neg)
+	need(ts, args, 2, "refusals ENGINE N")
+	e := of(ts).environment(ts).Engines[upstream.ID(args[0])]
+	if e == nil {
+		ts.Fatalf("engine %q does not exist", args[0])
+	}
+	if got := strconv.FormatUint(e.Counts().Refused, 10); got != args[1] {
+		ts.Fatalf("%s has refused %s", args[0], got)
+	}
+}
+
 // atmostonce checks that no content was run twice by all plain services together.
 func atMostOnce(ts *testscript.TestScript, neg bool, _ []string) {
 	plain(ts, neg)
