Commit bills sooner, keep engines' connections, read the VM list more seldom

Cause: the end of an answer waited 28 ms at the median for its bill although the store was idle; a connection was given up when the end mark was read before the end of the response; each VM read the whole list each 5 s at any size. Change: segments follow one another after 5 ms at the least, beside the bounds by the store's latency and the number of VMs; what follows the end mark is read aside; all VMs together read the list 33 times a second.

--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -18,6 +18,9 @@
 // doneMark is the data of the event that ends an answer.
 const doneMark = "[DONE]"
 
+// maxTrailBytes bounds what is read after the end mark.
+const maxTrailBytes = 4 << 10
+
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -43,7 +46,24 @@
 // nil after the end mark, the error of yield, or ErrBroken, ErrSilent or
 // ErrMalformed.
 func (s *Stream) Pieces(yield func(sequence.Piece) error, flush func()) error {
+	err := s.read(yield, flush)
+	if err == nil {
+		go s.drain()
+	} else {
+		s.Close()
+	}
+	return err
+}
+
+// drain reads what follows the end mark, which is the end of the response, so
+// that the connection can be used again. It holds nobody up.
+func (s *Stream) drain() {
 	defer s.Close()
+	s.quiet.Reset(s.idle)
+	_, _ = io.CopyN(io.Discard, s.resp.Body, maxTrailBytes)
+}
+
+func (s *Stream) read(yield func(sequence.Piece) error, flush func()) error {
 	body := &watched{stream: s, flush: flush}
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
--- a/internal/entryd/billing.go
+++ b/internal/entryd/billing.go
@@ -20,6 +20,9 @@
 	flushTime = 3 * time.Second
 	// mostHolders bounds the VMs that are asked to hold a segment.
 	mostHolders = 3
+	// leastCommitInterval is the least time between two segments; the store's
+	// latency and the number of VMs lengthen it.
+	leastCommitInterval = 5 * time.Millisecond
 	// recordBytes is the usual size of a billing record.
 	recordBytes = 640
 )
@@ -46,7 +49,7 @@
 	var err error
 	p.writer, err = ledger.NewWriter(ledger.WriterOptions{
 		Objects: d.platform.objects, Prefix: d.rows.Ledger(), Incarnation: string(d.self.ID) + "." + string(d.life),
-		Pace:         ledger.Pace{Writers: func() int { return len(d.book.All()) }},
+		Pace:         ledger.Pace{MinInterval: leastCommitInterval, Writers: func() int { return len(d.book.All()) }},
 		BacklogBytes: bytes, Custodian: p.custodian, CallTimeout: timeout, Clock: d.clock,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Observer: observer,
 	})
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -139,7 +139,7 @@
 func (d *Daemon) startDuties() {
 	s := d.settings
 	d.runner.Start("spread", d.spreader.Run)
-	d.runner.Every("vm list", d.clock, s.Timeouts.VMListPeriod.Duration(), d.readVMList)
+	d.runner.Start("vm list", d.followVMList)
 	puller := &placement.Puller{
 		Placement: d.placement, Engines: d.engines, Addresses: s.Upstreams,
 		Index: d.follower.Index, Period: s.Timeouts.LoadPeriodMS.Duration(),
@@ -170,6 +170,24 @@
 	sweepPeriod       = time.Minute
 )
 
+// listReadsPerSecond bounds the reads of the list of VMs by all VMs together.
+const listReadsPerSecond = 33
+
+// followVMList reads the list of VMs again and again, more seldom the more VMs
+// there are, as each read brings all of them.
+func (d *Daemon) followVMList(ctx context.Context) {
+	for {
+		d.readVMList(ctx)
+		members := time.Duration(len(d.book.All()))
+		pause := max(d.settings.Timeouts.VMListPeriod.Duration(), members*time.Second/listReadsPerSecond)
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.clock.After(pause):
+		}
+	}
+}
+
 // readVMList takes over the platform's list of live VMs.
 func (d *Daemon) readVMList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Timeouts.StoreMS.Duration())
--- a/measure/capacity/mechanism.go
+++ b/measure/capacity/mechanism.go
@@ -20,7 +20,8 @@
 	pullsPerSecond   = 20.0  // load reports read per node
 	subsetPerVersion = 16.0  // engines in sight for one version
 	limitReports     = 1.0   // reports to each other node per second
-	listPeriod       = 5.0   // seconds between reads of the list of VMs
+	listPeriod       = 5.0   // least seconds between reads of the list of VMs
+	listReads        = 33.0  // reads of the list per second, all nodes
 	rolloutWrites    = 50.0  // reports on one roll-out per second, all nodes
 	rolloutReads     = 2.0   // reads for each such report
 	rolloutRowBytes  = 1000  // size of a report row reckoned with
@@ -111,7 +112,7 @@
 }
 
 func vmList(s Size, m *measured) Cost {
-	return readList(s, m, listPeriod)
+	return readList(s, m, max(listPeriod, s.Nodes/listReads))
 }
 
 func readList(s Size, m *measured, period float64) Cost {
