--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -46,10 +46,10 @@
 	rows     rows.Names
 	secrets  secrets
 
-	platform outside
+	platform platformPorts
 	pools    *transport.Pools
-	// outside connects to the platform and to peers.
-	outside    *transport.Pool
+	// outbound connects to the platform and to peers.
+	outbound   *transport.Pool
 	engines    *engineclient.Client
 	book       *peer.Book
 	peers      *peer.Client
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -61,3 +61,16 @@
 		Backlog: d.billing.biller.Backlog(), Held: d.billing.holder.Held(), Store: d.storeState(now),
 	}
 }
+
+// Members returns the number of live entry VMs known, this one included.
+func (d *Daemon) Members() int {
+	return len(d.book.All())
+}
+
+// Revision returns the number of the configuration in force.
+func (d *Daemon) Revision() uint64 {
+	if x := d.follower.Index(); x != nil {
+		return x.Number
+	}
+	return 0
+}
