Verify upstreams by the authorities that the settings name

Cause: the connections to upstreams were made without the settings' authorities, so engines with certificates of a private authority could not be reached. Found by reading. Conclusion: upstream_ca_file does what its comment says.

--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -4,7 +4,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	randv2 "math/rand/v2"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -105,24 +104,23 @@
 	return nil
 }
 
-// transportFor returns the connections to platform services and peers. Writes
-// to the store get connections that net/http can't resend on by themselves, as
-// their requests have no way to be read twice.
-func (d *Daemon) transportFor() (http.RoundTripper, error) {
+// buildTransport makes the connections to upstreams, and to platform services
+// and peers. net/http does not resend writes to the store by itself, as their
+// requests have no way to be read twice.
+func (d *Daemon) buildTransport() error {
 	config, err := listen.ClientTLS(d.settings.UpstreamCAFile, d.settings.Peers.TLS)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	d.outbound = transport.NewPool(transport.Options{ConnectTimeout: d.settings.Timeouts.ConnectMS.Duration(), TLS: config})
-	return d.outbound.Repeatable(), nil
+	opts := transport.Options{ConnectTimeout: d.settings.Timeouts.ConnectMS.Duration(), TLS: config}
+	d.pools = transport.NewPools(opts)
+	d.outbound = transport.NewPool(opts)
+	return nil
 }
 
 func (d *Daemon) buildPlatform() error {
 	p := d.settings.Platform
-	via, err := d.transportFor()
-	if err != nil {
-		return err
-	}
+	via := d.outbound.Repeatable()
 	d.platform.table = httpstore.NewTable(httpstore.Options{BaseURL: p.Table, Transport: via})
 	d.platform.objects = httpstore.NewObjects(httpstore.Options{BaseURL: p.Objects, Transport: via})
 	d.platform.list = httplist.New(httplist.Options{BaseURL: p.VMList, Transport: via})
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -83,14 +83,13 @@
 func New(s *settings.Entry, log *slog.Logger, clock clockwork.Clock) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, log: log, clock: clock, registry: newRegistry(),
-		self:  vm.VM{ID: s.VM.ID, Domain: s.VM.Domain, Region: s.VM.Region},
-		life:  vm.Incarnation(newID()),
-		rows:  rows.Names{Prefix: s.Platform.Prefix},
-		pools: transport.NewPools(transport.Options{ConnectTimeout: s.Timeouts.ConnectMS.Duration()}),
-		book:  peer.NewBook(s.VM.ID), stopping: make(chan struct{}),
+		self: vm.VM{ID: s.VM.ID, Domain: s.VM.Domain, Region: s.VM.Region},
+		life: vm.Incarnation(newID()),
+		rows: rows.Names{Prefix: s.Platform.Prefix},
+		book: peer.NewBook(s.VM.ID), stopping: make(chan struct{}),
 	}
 	for _, build := range []func() error{
-		d.buildSecrets, d.buildPlatform, d.buildConfiguration, d.buildDecisions, d.buildBilling, d.buildEntry,
+		d.buildSecrets, d.buildTransport, d.buildPlatform, d.buildConfiguration, d.buildDecisions, d.buildBilling, d.buildEntry,
 	} {
 		if err := build(); err != nil {
 			return nil, err
--- a/internal/entryd/matrix_test.go
+++ b/internal/entryd/matrix_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -30,6 +31,9 @@
 // mostAsks bounds the requests made until a fault has struck.
 const mostAsks = 40
 
+// waitLong bounds waits whose outcome does not depend on it.
+const waitLong = 20 * time.Second
+
 // bench is an environment under faults, with counts from its stand-ins.
 type bench struct {
 	*environment.Environment
