Limit every wait for plain services and the older router

Cause: a service that fell silent in the middle of its answer, or the older router behind a stream, held the caller for as long as the deadline, or for ever. Found by reading. Change: one limit for the wait for headers and between parts, in the settings; silence has a type of its own. The matrix makes services silent too. Conclusion: no wait is without an end.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -99,7 +99,7 @@
 		return retry.NotConnected
 	case errorx.IsOfType(err, engineclient.ErrNotStarted), errorx.IsOfType(err, errNotStarted):
 		return retry.NotStarted
-	case errorx.IsOfType(err, engineclient.ErrSilent), errorx.IsOfType(err, errHeadersLate):
+	case errorx.IsOfType(err, engineclient.ErrSilent), errorx.IsOfType(err, errSilent):
 		return retry.Silent
 	case errorx.IsOfType(err, engineclient.ErrStatus), errorx.IsOfType(err, engineclient.ErrGone):
 		return retry.Unavailable
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -13,12 +13,12 @@
 var namespace = errorx.NewNamespace("entry")
 
 var (
-	errConnect     = namespace.NewType("connect")
-	errNotStarted  = namespace.NewType("not_started")
-	errBroken      = namespace.NewType("broken")
-	errHeadersLate = namespace.NewType("headers_late")
-	errAddress     = namespace.NewType("address")
-	errLost        = namespace.NewType("lost_race")
+	errConnect    = namespace.NewType("connect")
+	errNotStarted = namespace.NewType("not_started")
+	errBroken     = namespace.NewType("broken")
+	errSilent     = namespace.NewType("silent")
+	errAddress    = namespace.NewType("address")
+	errLost       = namespace.NewType("lost_race")
 )
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,6 +35,9 @@
 	MaxResumes int
 	// MaxHeldBytes bounds an answer that is held whole. Default 8 MiB.
 	MaxHeldBytes int64
+	// ServiceIdle is the longest wait for the headers of a plain service's or
+	// the older router's answer, and between its parts. Default 10 s.
+	ServiceIdle time.Duration
 	// WriteTimeout is the longest time for a caller to take what it was sent.
 	// Default 30 s.
 	WriteTimeout time.Duration
@@ -49,6 +52,7 @@
 	setDefault(&o.DefaultTokens, 256)
 	setDefault(&o.MaxResumes, 3)
 	setDefault(&o.MaxHeldBytes, 8<<20)
+	setDefault(&o.ServiceIdle, 10*time.Second)
 	setDefault(&o.WriteTimeout, 30*time.Second)
 	setDefault(&o.BillTimeout, 5*time.Second)
 	return o
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -10,16 +10,14 @@
 	"net/url"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/service"
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
-// serviceHeadersTimeout is the longest wait for the headers of a service's
-// answer where the deadline is later.
-const serviceHeadersTimeout = 10 * time.Second
-
 // serviceCall is a call of a plain service in work.
 type serviceCall struct {
 	x       *Exchange
@@ -134,14 +132,17 @@
 	return resp, err
 }
 
-// roundTrip sends a request under the limit on the wait for headers, and tells
-// apart what certainly did not run.
+// roundTrip sends a request under the limit on each wait, and tells apart what
+// certainly did not run.
 func (s *Server) roundTrip(req *http.Request, via http.RoundTripper) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	timer := time.AfterFunc(serviceHeadersTimeout, func() { cancel(errHeadersLate.New("no headers in time")) })
+	quiet := time.AfterFunc(s.opts.ServiceIdle, func() { cancel(errSilent.New("nothing came in time")) })
 	resp, err := via.RoundTrip(req.WithContext(ctx))
-	timer.Stop()
+	quiet.Stop()
 	if err != nil {
+		if cause := context.Cause(ctx); errorx.IsOfType(cause, errSilent) {
+			return nil, cause
+		}
 		cancel(nil)
 		return nil, sendError(err)
 	}
@@ -150,14 +151,25 @@
 		cancel(nil)
 		return nil, errNotStarted.New("upstream refused before it started")
 	}
-	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel}
+	resp.Body = &cancelBody{ReadCloser: resp.Body, cancel: cancel, quiet: quiet, idle: s.opts.ServiceIdle}
 	return resp, nil
 }
 
-// cancelBody ends the request's context with the body.
+// cancelBody ends the request's context with the body, and when nothing came
+// for too long.
 type cancelBody struct {
 	io.ReadCloser
 	cancel context.CancelCauseFunc
+	quiet  *time.Timer
+	idle   time.Duration
+}
+
+// Read implements io.Reader.
+func (b *cancelBody) Read(p []byte) (int, error) {
+	b.quiet.Reset(b.idle)
+	n, err := b.ReadCloser.Read(p)
+	b.quiet.Stop()
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -247,6 +247,7 @@
 		Region: s.VM.Region, Hop: string(s.VM.ID), MaxBodyBytes: s.Requests.MaxBodyBytes,
 		BodyTimeout: s.Requests.BodyTimeoutMS.Duration(), MaxTokens: s.Requests.MaxTokens,
 		DefaultTokens: s.Requests.DefaultTokens, MaxHeldBytes: s.Requests.MaxHeldBytes,
+		ServiceIdle:  s.Timeouts.ServiceIdleMS.Duration(),
 		WriteTimeout: s.Requests.WriteTimeoutMS.Duration(),
 		BillTimeout:  s.Timeouts.BillMS.Duration(),
 	}
--- a/internal/entryd/matrix_test.go
+++ b/internal/entryd/matrix_test.go
@@ -50,7 +50,7 @@
 		Document: examples.Quickstart,
 		VMs: []environment.VM{{ID: "vm-1", Domain: "local-1", Settings: func(s *settings.Entry) {
 			s.Timeouts.HeadersMS, s.Timeouts.IdleMS, s.Timeouts.StoreMS = quickIdle, quickIdle, quickStore
-			s.Timeouts.FreshForMS, s.Timeouts.BillMS = 60_000, quickBill
+			s.Timeouts.FreshForMS, s.Timeouts.BillMS, s.Timeouts.ServiceIdleMS = 60_000, quickBill, quickIdle
 			for _, change := range changes {
 				change(s)
 			}
@@ -155,7 +155,7 @@
 	{rule: fault.Rule{Kind: engine.ResetBefore}, engines: true, services: true, unknown: true},
 	{rule: fault.Rule{Kind: engine.ResetAfterRead}, engines: true, services: true, unknown: true},
 	{rule: fault.Rule{Kind: engine.ResetAfterRead, ReusedOnly: true}, engines: true, services: true},
-	{rule: fault.Rule{Kind: engine.Silent}, engines: true},
+	{rule: fault.Rule{Kind: engine.Silent}, engines: true, services: true, unknown: true},
 	{rule: fault.Rule{Kind: engine.Silent, AfterPieces: 3}, engines: true},
 	{rule: fault.Rule{Kind: engine.HalfAnswer, AfterPieces: 3}, engines: true, services: true, unknown: true},
 	{rule: fault.Rule{Kind: engine.DuplicatePiece, AfterPieces: 2}, engines: true},
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -66,6 +66,7 @@
 	ConnectMS     Millis `json:"connect_ms" doc:"Opening a connection to an upstream, in ms. Default 1000."`
 	HeadersMS     Millis `json:"headers_ms" doc:"Wait for an engine's headers, in ms. Default 2000."`
 	IdleMS        Millis `json:"idle_ms" doc:"Wait between an engine's pieces, in ms. Default 2000."`
+	ServiceIdleMS Millis `json:"service_idle_ms" doc:"Wait for the headers of a plain service's answer and between its parts, in ms. Default 10000."`
 	BillMS        Millis `json:"bill_ms" doc:"Wait for a billing record at the end of an answer, in ms. Default 2000."`
 	StoreMS       Millis `json:"store_ms" doc:"Wait for one operation of the platform's store, in ms. Default 2000."`
 	LoadPeriodMS  Millis `json:"load_period_ms" doc:"Time between reads of each engine's load report, in ms. Default 500."`
@@ -93,7 +94,7 @@
 			MaxBillBacklog: 100000, RatedSharePerMil: 200,
 		},
 		Timeouts: Timeouts{
-			ConnectMS: 1000, HeadersMS: 2000, IdleMS: 2000, BillMS: 2000, StoreMS: 2000, LoadPeriodMS: 500,
+			ConnectMS: 1000, HeadersMS: 2000, IdleMS: 2000, ServiceIdleMS: 10000, BillMS: 2000, StoreMS: 2000, LoadPeriodMS: 500,
 			FreshForMS: 5000, VMListPeriod: 5000, ReportsPeriod: 2000,
 		},
 		Stop: Stop{BalancerGraceMS: 3000, DrainMS: 300000},
@@ -137,6 +138,7 @@
 	positive(text, "timeouts.connect_ms", t.ConnectMS)
 	positive(text, "timeouts.headers_ms", t.HeadersMS)
 	positive(text, "timeouts.idle_ms", t.IdleMS)
+	positive(text, "timeouts.service_idle_ms", t.ServiceIdleMS)
 	positive(text, "timeouts.bill_ms", t.BillMS)
 	positive(text, "timeouts.store_ms", t.StoreMS)
 	positive(text, "timeouts.load_period_ms", t.LoadPeriodMS)
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -148,6 +148,7 @@
 func quick(s *settings.Entry) {
 	s.Timeouts.HeadersMS, s.Timeouts.IdleMS, s.Timeouts.StoreMS = quickIdle, quickIdle, quickStore
 	s.Timeouts.FreshForMS, s.Timeouts.BillMS = quickFresh, quickBill
+	s.Timeouts.ServiceIdleMS = quickIdle
 	s.Timeouts.ReportsPeriod = 100
 }
 
