Show the shares taken over in status

Cause: operators could not see at a glance how much is taken from the older router. Conclusion: status tells it on every VM.

--- a/internal/cli/reading.go
+++ b/internal/cli/reading.go
@@ -118,6 +118,9 @@
 	for _, r := range s.Rollouts {
 		say(cmd, "  roll-out %s of %s: %s, step %d, share %.3g, held for %q", r.ID, r.Model, r.Phase, r.Step, r.Share, r.HeldFor)
 	}
+	for _, r := range s.Takeover {
+		say(cmd, "  takes %.3g of account %q, model %q, service %q, region %q", r.Share, r.Account, r.Model, r.Service, r.Region)
+	}
 	for _, v := range s.Stopped {
 		say(cmd, "  version %s is stopped on this VM", v)
 	}
--- a/internal/entryd/status.go
+++ b/internal/entryd/status.go
@@ -7,6 +7,7 @@
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/versions"
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/takeover"
 	"github.com/poplarshore/poplarshore/upstream"
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -34,6 +35,9 @@
 	Backlog int `json:"backlog_bytes"`
 	// Held is the number of other VMs' ledger segments that wait here.
 	Held int `json:"held_segments"`
+	// Takeover lists the shares taken over from the older router; nil where
+	// there is none.
+	Takeover []takeover.Rule `json:"takeover,omitempty"`
 	// Store tells whether this VM reaches the platform's store.
 	Store string `json:"store"`
 }
@@ -47,6 +51,15 @@
 	return "reached " + (time.Duration(digest.Contact.AgeMillis) * time.Millisecond).String() + " ago"
 }
 
+// takeoverRules returns the rules in force.
+func (d *Daemon) takeoverRules() []takeover.Rule {
+	x := d.follower.Index()
+	if x == nil {
+		return nil
+	}
+	return x.Doc.Takeover.Rules
+}
+
 // Status returns what this VM shows to operators.
 func (d *Daemon) Status() Status {
 	now := d.clock.Now()
@@ -58,7 +71,7 @@
 		Freshness: d.node.Freshness(now), InForce: d.node.InForce(rev.Number, rev.Time, now),
 		InFlight: d.entry.InFlight(), Rollouts: d.versions.States(), Stopped: d.versions.StoppedVersions(),
 		Leaving: d.departures.InForce(),
-		Backlog: d.billing.biller.Backlog(), Held: d.billing.holder.Held(), Store: d.storeState(now),
+		Backlog: d.billing.biller.Backlog(), Held: d.billing.holder.Held(), Takeover: d.takeoverRules(), Store: d.storeState(now),
 	}
 }
 
