--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -374,6 +374,16 @@
 	return slices.Sorted(maps.Keys(e.vms))
 }
 
+// Current returns the version of a model that the first document has in use.
+func (e *Environment) Current(name string) string {
+	for _, m := range e.doc.Models {
+		if string(m.Name) == name {
+			return string(m.Current)
+		}
+	}
+	return ""
+}
+
 // Published returns the number of the newest revision published here.
 func (e *Environment) Published() uint64 {
 	return e.published
--- a/standin/scenario/load.go
+++ b/standin/scenario/load.go
@@ -60,13 +60,23 @@
 		l.note(&l.refused, a.Reason)
 	case !a.Whole:
 		l.note(&l.broken, "cut")
-	case !engine.IsAnswer(a.Text, a.Header.Get("Poplarshore-Model"), a.Header.Get("Poplarshore-Version"), prompt, minTokens, maxTokens, 0):
+	case !own(env, a, name, prompt):
 		l.note(&l.broken, "not the caller's answer")
 	default:
 		l.whole.Add(1)
 	}
 }
 
+// own tells whether an answer is that of the model to the prompt. One that came
+// through the older router does not name its model and is of the current version.
+func own(env *environment.Environment, a caller.Answer, asked, prompt string) bool {
+	name, version := a.Header.Get("Poplarshore-Model"), a.Header.Get("Poplarshore-Version")
+	if name == "" {
+		name, version = asked, env.Current(asked)
+	}
+	return engine.IsAnswer(a.Text, name, version, prompt, minTokens, maxTokens, 0)
+}
+
 func (l *load) note(counter *atomic.Int64, reason string) {
 	counter.Add(1)
 	l.mu.Lock()
