--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -422,6 +422,14 @@
 	return d.Start(e.ctx)
 }
 
+// StopControls stops all control processes as planned.
+func (e *Environment) StopControls() {
+	for _, d := range e.controls {
+		d.Stop()
+	}
+	e.controls = nil
+}
+
 // StopVM stops an entry VM as planned and returns the requests cut off.
 func (e *Environment) StopVM(id vm.ID) int {
 	d := e.VM(id)
@@ -442,9 +450,7 @@
 	for _, id := range e.running() {
 		e.KillVM(id)
 	}
-	for _, d := range e.controls {
-		d.Stop()
-	}
+	e.StopControls()
 	e.cancel()
 	for _, s := range e.Engines {
 		_ = s.Close()
--- a/standin/scenario/rollouts.go
+++ b/standin/scenario/rollouts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -72,13 +73,21 @@
 	})
 }
 
-// rollout VM ID PHASE waits until the VM knows that a roll-out is in a phase.
+// stopcontrol stops all control processes as planned.
+func stopControl(ts *testscript.TestScript, neg bool, _ []string) {
+	plain(ts, neg)
+	of(ts).environment(ts).StopControls()
+}
+
+// rollout VM ID PHASE waits until the VM knows that a roll-out is in a phase, or
+// on the step "step=N".
 func rolloutPhase(ts *testscript.TestScript, neg bool, args []string) {
 	plain(ts, neg)
 	need(ts, args, 3, "rollout VM ID PHASE")
 	of(ts).await(ts, args[0], "roll-out "+args[1]+" "+args[2], func(s entryd.Status) bool {
 		for _, r := range s.Rollouts {
-			if r.ID == rollout.ID(args[1]) && r.Phase == rollout.Phase(args[2]) {
+			step := "step=" + strconv.Itoa(r.Step)
+			if r.ID == rollout.ID(args[1]) && (r.Phase == rollout.Phase(args[2]) || step == args[2]) {
 				return true
 			}
 		}
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -69,7 +69,7 @@
 		"refused": refused, "answered": answered, "status": status, "body": body,
 		"fault": injectFault, "heal": heal, "publish": publish, "inforce": inForce, "drain": drain,
 		"runs": runs, "refusals": refusals, "leaving": leaving, "atmostonce": atMostOnce, "ready": ready,
-		"control": control, "stopped": stopped, "rollout": rolloutPhase, "loaded": loaded, "totals": totals,
+		"control": control, "stopcontrol": stopControl, "stopped": stopped, "rollout": rolloutPhase, "loaded": loaded, "totals": totals,
 		"replace": replace, "load": startLoad, "endload": endLoad, "poplarshore": operate,
 	}
 }
