--- a/cmd/poplarshored/main.go
+++ b/cmd/poplarshored/main.go
@@ -6,10 +6,13 @@
 	"os"
 
 	"github.com/poplarshore/poplarshore/internal/entryd"
+	"github.com/poplarshore/poplarshore/internal/gatewayd"
 )
 
 func main() {
-	if err := entryd.NewCommand().ExecuteContext(context.Background()); err != nil {
+	root := entryd.NewCommand()
+	root.AddCommand(gatewayd.NewCommand())
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/engines/engine.go
@@ -0,0 +1,143 @@
+package engines
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/retry"
+	"github.com/poplarshore/poplarshore/route"
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+// Engine is one upstream as this VM sees it. It is safe for concurrent use.
+type Engine struct {
+	directory *Directory
+	current   atomic.Pointer[Entry]
+	placed    upstream.Upstream
+	hash      uint64
+
+	mu       sync.Mutex
+	inFlight int
+	report   route.Load
+	reportAt time.Time
+	// others counts the requests of other senders at the last report.
+	others int
+	// hold is the smoothed time that a request occupies the upstream.
+	hold time.Duration
+	// failing is the smoothed part of requests that it failed, 0 to 1.
+	failing float64
+}
+
+func newEngine(e Entry, d *Directory) *Engine {
+	out := &Engine{directory: d, hash: route.HashID(e.ID)}
+	out.placed = upstream.Upstream{ID: e.ID, Domain: e.Domain, Service: e.Service, Capacity: e.Capacity}
+	out.set(e)
+	return out
+}
+
+func (e *Engine) set(entry Entry) { e.current.Store(&entry) }
+
+func (e *Engine) entry() *Entry { return e.current.Load() }
+
+// ID returns the upstream's id.
+func (e *Engine) ID() upstream.ID { return e.entry().ID }
+
+// Address returns the upstream's host:port.
+func (e *Engine) Address() string { return e.entry().Address }
+
+// Version returns the version of its software.
+func (e *Engine) Version() model.VersionID { return e.entry().Version }
+
+// Leaving tells that it gets no new work.
+func (e *Engine) Leaving() bool { return e.entry().Leaving }
+
+// MarkLeaving notes that the upstream said it is leaving.
+func (e *Engine) MarkLeaving() {
+	entry := *e.entry()
+	entry.Leaving = true
+	e.set(entry)
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	// Failed tells that the upstream is to blame.
+	Failed bool
+	// Void attempts say nothing about the upstream.
+	Void bool
+	// Took is the time that the attempt occupied the upstream; zero is unknown.
+	Took time.Duration
+}
+
+const (
+	// smoothing is the weight of the newest observation.
+	smoothing = 0.15
+	// reportLife is how long a load report counts.
+	reportLife = 3 * time.Second
+)
+
+// Begin counts an attempt in flight; the function returned ends it.
+func (e *Engine) Begin() func(Result) {
+	now := e.directory.clock.Now()
+	trial, admitted := e.directory.breakers.Begin(e.ID(), model.Ref{}, now)
+	e.mu.Lock()
+	e.inFlight++
+	e.mu.Unlock()
+	return func(r Result) {
+		if admitted {
+			e.judge(&trial, r)
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.inFlight--
+		if r.Void {
+			return
+		}
+		bad := 0.0
+		if r.Failed {
+			bad = 1
+		}
+		e.failing += smoothing * (bad - e.failing)
+		if r.Took > 0 && !r.Failed {
+			e.hold += time.Duration(smoothing * float64(r.Took-e.hold))
+		}
+	}
+}
+
+func (e *Engine) judge(trial *retry.Trial, r Result) {
+	if r.Void {
+		trial.Abandon()
+		return
+	}
+	trial.Done(!r.Failed, e.directory.clock.Now())
+}
+
+// Report takes in the upstream's own word on its load.
+func (e *Engine) Report(l route.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.report, e.reportAt = l, e.directory.clock.Now()
+	e.others = max(l.Running+l.Waiting-e.inFlight, 0)
+}
+
+// fill writes the upstream as a candidate.
+func (e *Engine) fill(c *route.Candidate, now time.Time) {
+	d := e.directory
+	entry := e.entry()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	*c = route.Candidate{
+		Upstream: &e.placed, Capacity: entry.Capacity, InFlight: e.inFlight,
+		Loaded: true, Leaving: entry.Leaving, Hold: e.hold,
+		Open:        !d.breakers.Ready(entry.ID, model.Ref{}, now),
+		FirstToken:  time.Duration(e.failing * float64(d.opts.Placement.FailingCost)),
+		LinkLatency: d.linkLatency(entry.Domain),
+	}
+	if now.Sub(e.reportAt) < reportLife {
+		c.Others = e.others
+	}
+	if d.opts.RegionOf(entry.Domain) != d.opts.Region {
+		c.PricePerMB = d.opts.Placement.CrossRegionPrice
+	}
+}
--- /dev/null
+++ b/internal/gatewayd/daemon.go
@@ -0,0 +1,268 @@
+package gatewayd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/boundlog"
+	"github.com/poplarshore/poplarshore/internal/duty"
+	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/metrics"
+	"github.com/poplarshore/poplarshore/internal/relay"
+	"github.com/poplarshore/poplarshore/internal/shifts"
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/platform/rowstore"
+	"github.com/poplarshore/poplarshore/platform/wire"
+	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/retry"
+	"github.com/poplarshore/poplarshore/rollout/shift"
+	"github.com/poplarshore/poplarshore/settings"
+)
+
+var namespace = errorx.NewNamespace("gatewayd")
+
+// ErrCut reports a stop that cut off requests.
+var ErrCut = namespace.NewType("cut")
+
+// phase is how far the life of the daemon is.
+type phase int32
+
+const (
+	serving phase = iota
+	// leaving daemons are not ready, but take what still comes.
+	leaving
+	// refusing daemons only end what they have.
+	refusing
+)
+
+// Daemon is the gateway of one VM.
+type Daemon struct {
+	settings *settings.Gateway
+	log      *slog.Logger
+	lines    *boundlog.Writer
+	out      io.Writer
+	clock    clockwork.Clock
+	registry *metrics.Registry
+
+	store     *rowstore.Client
+	operators *operatorRows
+	directory *engines.Directory
+	shifts    *shifts.Manager
+	pool      *upconn.Pool
+	relay     *relay.Server
+	phase     atomic.Int32
+
+	runner    *duty.Runner
+	logRunner *duty.Runner
+	callers   *listen.Server
+	health    *listen.Server
+	metrics   *listen.Server
+}
+
+const (
+	// memoryShare is the part of the VM's memory at which the collector works harder.
+	memoryShare = 0.6
+	bytesPerMB  = 1 << 20
+	// lapsedReturn is how long after the store's return a lapsed entry may come back.
+	lapsedReturn = 2 * time.Second
+)
+
+// New returns a daemon that does nothing yet. Logs go to out.
+func New(s *settings.Gateway, out io.Writer, clock clockwork.Clock) *Daemon {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB*bytesPerMB) * memoryShare))
+	}
+	d := &Daemon{settings: s, out: out, clock: clock, registry: metrics.NewRegistry()}
+	d.lines = boundlog.New(d.registry)
+	d.log = slog.New(d.lines.Handler(logHandler(d.lines, s.Log))).With("vm", s.VM.ID)
+	d.store = rowstore.New(rowstore.Options{
+		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Log: d.log, Registry: d.registry,
+	})
+	d.pool = upconn.NewPool(upconn.DefaultOptions())
+	d.directory = engines.New(engines.Options{
+		Region: s.VM.Region, Domain: s.VM.Domain,
+		RegionOf:  func(id domain.ID) domain.Region { return s.Regions[id] },
+		Return:    lapsedReturn,
+		Placement: engines.DefaultPlacement(),
+		OnGone:    d.pool.Drop,
+	}, clock, d.log)
+	d.shifts = shifts.New(shifts.Options{
+		VM: s.VM.ID, Plan: shift.DefaultPlan(), Shared: d.store, Writer: d.store,
+		Announce: wire.AnnounceRollout, Clock: clock, Log: d.log,
+	})
+	d.operators = &operatorRows{log: d.log, shifts: d.shifts}
+	d.relay = d.newRelay()
+	return d
+}
+
+func logHandler(w io.Writer, l settings.Log) slog.Handler {
+	var level slog.Level
+	// The settings were checked, so the level is known.
+	_ = level.UnmarshalText([]byte(l.Level))
+	opts := &slog.HandlerOptions{Level: level}
+	if l.Format == "json" {
+		return slog.NewJSONHandler(w, opts)
+	}
+	return slog.NewTextHandler(w, opts)
+}
+
+// Further attempts are paid from these budgets, which stay within the ratio
+// that the platform allows over all VMs.
+const (
+	budgetRatio     = 0.8
+	budgetPerSecond = 0.05
+	budgetMax       = 4
+	budgetIdle      = 10 * time.Minute
+)
+
+func (d *Daemon) newRelay() *relay.Server {
+	options := retry.DefaultOptions()
+	options.Backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: 100 * time.Millisecond}
+	budgets := retry.NewBudgets(retry.BudgetOptions{
+		Ratio: budgetRatio, PerSecond: budgetPerSecond, Max: budgetMax, Idle: budgetIdle,
+	})
+	return relay.New(relay.Deps{
+		Protocol: wire.Protocol{}, Tables: d.operators, Placement: d.directory, Versions: d.shifts,
+		Retry: retry.NewPolicy(options, budgets), Worth: retry.NewWorth(), Pool: d.pool,
+		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
+		Refusing: d.refusal, Closing: func() bool { return phase(d.phase.Load()) != serving },
+	}, relay.DefaultOptions())
+}
+
+// known tells whether all that a request needs was read once.
+func (d *Daemon) known() bool {
+	return d.operators.listed.Load() && d.operators.Table() != nil && d.directory.Listed() && d.shifts.Listed()
+}
+
+// refusal returns why no new work is taken, or nil.
+func (d *Daemon) refusal() *refusal.Refusal {
+	if phase(d.phase.Load()) == refusing {
+		return refusal.New(refusal.Draining)
+	}
+	if !d.known() {
+		return refusal.New(refusal.ConfigurationStale)
+	}
+	return nil
+}
+
+// Ready tells whether the balancer should send callers here.
+func (d *Daemon) Ready() bool {
+	return phase(d.phase.Load()) == serving && d.known()
+}
+
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	// callerIdle is longer than callers keep unused connections.
+	callerIdle = 60 * time.Second
+
+	tickEvery   = 100 * time.Millisecond
+	settleEvery = 200 * time.Millisecond
+	sweepEvery  = 2 * time.Second
+)
+
+// Start opens the listeners and starts the duties.
+func (d *Daemon) Start(ctx context.Context) error {
+	d.logRunner = duty.NewRunner(context.WithoutCancel(ctx), d.log)
+	d.logRunner.Start("log", func(ctx context.Context) { d.lines.Run(ctx, d.out) })
+	d.log.Info("starting", "domain", d.settings.VM.Domain, "region", d.settings.VM.Region,
+		"callers", d.settings.Callers.Address, "store", d.settings.Store.Address)
+	if err := d.listen(); err != nil {
+		d.log.Error("can't listen", "error", err)
+		d.logRunner.Stop()
+		return err
+	}
+	d.runner = duty.NewRunner(ctx, d.log)
+	d.follow(wire.OperatorTable, d.operators)
+	d.follow(wire.UpstreamTable, &upstreamRows{log: d.log, directory: d.directory})
+	d.follow(shifts.Table, &shiftRows{manager: d.shifts})
+	d.runner.Every("roll-outs", d.clock, tickEvery, d.shifts.Tick)
+	d.runner.Every("entries", d.clock, settleEvery, func(context.Context) { d.directory.Settle() })
+	d.runner.Every("connections", d.clock, sweepEvery, func(context.Context) { d.pool.Sweep(time.Now()) })
+	return nil
+}
+
+func (d *Daemon) follow(table string, sink watch.Sink) {
+	w := watch.New(d.store, table, sink, d.clock, d.log, watch.DefaultOptions())
+	d.runner.Start("watch "+table, w.Run)
+}
+
+func (d *Daemon) listen() error {
+	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, KeepAlive: callerIdle}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	d.registry.MustRegister(prometheus.NewGoCollector())
+	d.registry.MustRegister(&stateCollector{daemon: d})
+	for _, l := range []struct {
+		server  **listen.Server
+		at      settings.Listener
+		handler http.Handler
+	}{
+		{&d.callers, d.settings.Callers, d.relay},
+		{&d.health, d.settings.Health, http.HandlerFunc(d.serveHealth)},
+		{&d.metrics, d.settings.Metrics, mux},
+	} {
+		server, err := listen.Open(l.at, l.handler, bounds, d.log)
+		if err != nil {
+			return err
+		}
+		*l.server = server
+	}
+	return nil
+}
+
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Stop ends the daemon: not ready at once, no new work after a while, and what
+// is still running at the end of the grace is broken off.
+func (d *Daemon) Stop(ctx context.Context) {
+	began := d.clock.Now()
+	d.phase.Store(int32(leaving))
+	d.log.Info("leaving", "grace_ms", int64(d.settings.Stop.GraceMS))
+	d.wait(ctx, d.settings.Stop.TakeMS.Duration())
+	d.phase.Store(int32(refusing))
+	left := d.settings.Stop.GraceMS.Duration() - d.clock.Since(began)
+	ending, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	if err := d.callers.Shutdown(ending); err != nil {
+		d.log.Warn("requests broken off", "error", err)
+	}
+	d.close()
+	d.log.Info("stopped", "took_ms", d.clock.Since(began).Milliseconds())
+	d.logRunner.Stop()
+}
+
+func (d *Daemon) wait(ctx context.Context, limit time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-d.clock.After(limit):
+	}
+}
+
+// close ends all listeners, duties and connections.
+func (d *Daemon) close() {
+	d.callers.Close()
+	d.health.Close()
+	d.metrics.Close()
+	d.runner.Stop()
+	d.pool.Close()
+}
--- /dev/null
+++ b/internal/gatewayd/state.go
@@ -0,0 +1,48 @@
+package gatewayd
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var (
+	upstreamsDesc = prometheus.NewDesc("poplarshore_gateway_upstreams",
+		"Upstreams by service and state.", []string{"service", "state"}, nil)
+	configDesc = prometheus.NewDesc("poplarshore_gateway_config_version",
+		"Version of the configuration in force; 0 before the first.", nil, nil)
+	readyDesc = prometheus.NewDesc("poplarshore_gateway_ready",
+		"1 while the balancer is told to send callers here.", nil, nil)
+	dialsDesc = prometheus.NewDesc("poplarshore_gateway_upstream_dials_total",
+		"Connections opened to upstreams.", nil, nil)
+)
+
+// stateCollector tells the daemon's state as metrics.
+type stateCollector struct {
+	daemon *Daemon
+}
+
+// Describe implements prometheus.Collector.
+func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- upstreamsDesc
+	ch <- configDesc
+	ch <- readyDesc
+	ch <- dialsDesc
+}
+
+// Collect implements prometheus.Collector.
+func (c *stateCollector) Collect(ch chan<- prometheus.Metric) {
+	d := c.daemon
+	for key, n := range d.directory.Counts() {
+		ch <- prometheus.MustNewConstMetric(upstreamsDesc, prometheus.GaugeValue, float64(n), key[0], key[1])
+	}
+	version := 0.0
+	if table := d.operators.Table(); table != nil {
+		version = float64(table.Version())
+	}
+	ch <- prometheus.MustNewConstMetric(configDesc, prometheus.GaugeValue, version)
+	ready := 0.0
+	if d.Ready() {
+		ready = 1
+	}
+	ch <- prometheus.MustNewConstMetric(readyDesc, prometheus.GaugeValue, ready)
+	ch <- prometheus.MustNewConstMetric(dialsDesc, prometheus.CounterValue, float64(d.pool.Dials()))
+}
--- /dev/null
+++ b/internal/relay/attempts.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/shifts"
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/retry"
+)
+
+var (
+	// errFailed reports a failure that the upstream answered itself.
+	errFailed = upconn.ErrBroken.NewSubtype("failed")
+	// errNotRun reports that the upstream did not run the request.
+	errNotRun = upconn.ErrNotSent.NewSubtype("not_run")
+	// errWeak reports an answer that was dropped for a stronger model's.
+	errWeak = upconn.ErrNotSent.NewSubtype("weak")
+)
+
+// maxRefused bounds the attempts of one request that upstreams refuse to run.
+const maxRefused = 3
+
+// run makes attempts until the caller has its answer. Errors are refusals.
+func (x *exchange) run(ctx context.Context) error {
+	s := x.server
+	s.Retry.Begin(&x.state, s.Clock.Now())
+	for {
+		choice := s.Placement.Choose(x.want())
+		if choice.Engine == nil {
+			return x.giveUp(refusal.New(refusal.NoUpstream))
+		}
+		err := x.attempt(ctx, choice.Engine)
+		if err == nil {
+			return nil
+		}
+		if why := ended(ctx); why != nil {
+			return why
+		}
+		if callerGone(err) {
+			return err
+		}
+		if errorx.IsOfType(err, errWeak) {
+			continue
+		}
+		if more, err := x.again(ctx, err); !more {
+			return err
+		}
+	}
+}
+
+// again decides whether another attempt follows a failed one, and else how the
+// exchange ends.
+func (x *exchange) again(ctx context.Context, err error) (bool, error) {
+	s := x.server
+	failure := retry.Failure{Kind: kindOf(err), Elsewhere: true}
+	if x.sends-x.state.Attempts > maxRefused {
+		return false, x.giveUp(refusal.Because(refusal.RetriesExhausted, err))
+	}
+	if errorx.IsOfType(err, errFailed) && !x.worthRepeating() {
+		return false, x.giveUp(refusal.Because(refusal.UpstreamFailed, err))
+	}
+	v := s.Retry.Decide(&x.state, failure, x.uniform(), s.Clock.Now())
+	s.Metrics.retries.WithLabelValues(failure.Kind.String(), v.Reason.String()).Inc()
+	if v.Action != retry.Retry {
+		return false, x.giveUp(refusal.Because(finalReason(failure.Kind), err))
+	}
+	x.repeats = x.repeats || errorx.IsOfType(err, errFailed)
+	select {
+	case <-ctx.Done():
+		return false, ended(ctx)
+	case <-s.Clock.After(v.After):
+		return true, nil
+	}
+}
+
+// worthRepeating tells whether a request is repeated that an upstream failed.
+func (x *exchange) worthRepeating() bool {
+	if x.repeats {
+		x.server.Worth.Record(x.route.Name, false)
+	}
+	return x.server.Worth.Try(x.route.Name, x.server.Clock.Now())
+}
+
+// giveUp passes the upstream's own failure on where there is one, and else
+// returns the refusal.
+func (x *exchange) giveUp(why *refusal.Refusal) error {
+	if x.failure != nil && !x.begun {
+		return x.failure.send(x)
+	}
+	if x.begun {
+		return refusal.Because(refusal.AnswerCut, why)
+	}
+	return why
+}
+
+func finalReason(k retry.Kind) refusal.Reason {
+	if k.MayHaveRun() {
+		return refusal.UpstreamFailed
+	}
+	return refusal.RetriesExhausted
+}
+
+func kindOf(err error) retry.Kind {
+	switch {
+	case errorx.IsOfType(err, errNotRun):
+		return retry.NotStarted
+	case errorx.IsOfType(err, upconn.ErrNotSent):
+		return retry.NotConnected
+	case errorx.IsOfType(err, errFailed):
+		return retry.Unavailable
+	case errorx.IsOfType(err, upconn.ErrSilent):
+		return retry.Silent
+	}
+	return retry.Broken
+}
+
+// uniform returns a number in [0, 1) that differs between attempts.
+func (x *exchange) uniform() float64 {
+	x.draw = x.draw*6364136223846793005 + 1442695040888963407
+	return float64(x.draw>>(64-hashBits)) / (1 << hashBits)
+}
+
+// attempt sends the request to one upstream and passes its answer on.
+func (x *exchange) attempt(ctx context.Context, e *engines.Engine) error {
+	began := x.server.Clock.Now()
+	x.sends++
+	end := e.Begin()
+	a := &attempt{exchange: x, engine: e, began: began}
+	if x.chooses() {
+		a.model = x.route.Models[x.model]
+	}
+	err := a.exchangeOnce(ctx)
+	took := x.server.Clock.Since(began)
+	if !errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, errWeak) {
+		x.state.Attempts++
+	}
+	x.conclude(ctx, a, err, took, end)
+	return err
+}
+
+// conclude accounts for the end of an attempt.
+func (x *exchange) conclude(ctx context.Context, a *attempt, err error, took time.Duration, end func(engines.Result)) {
+	gone := err != nil && ctx.Err() != nil
+	failed := err != nil && !gone && !errorx.IsOfType(err, errWeak) && !callerGone(err)
+	void := gone || callerGone(err) || errorx.IsOfType(err, errNotRun)
+	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Void: void}
+	if err == nil {
+		result.Took = took
+	}
+	end(result)
+	if failed {
+		x.state.Tried = append(x.state.Tried, a.engine.ID())
+		if errorx.IsOfType(err, upconn.ErrSilent) {
+			x.server.Pool.Drop(a.engine.Address())
+		}
+	}
+	if !void && !errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, errWeak) {
+		x.server.Versions.Ended(shifts.Outcome{
+			Service: x.service, Version: a.engine.Version(), Kind: x.route.Name + "/" + string(a.model),
+			Failed: failed, Took: a.first, PromptTokens: x.request.PromptTokens,
+		})
+	}
+	if err == nil && x.repeats {
+		x.server.Worth.Record(x.route.Name, true)
+	}
+	x.note(a, err, took)
+}
+
+func (x *exchange) note(a *attempt, err error, took time.Duration) {
+	outcome := "answered"
+	var why *refusal.Refusal
+	switch {
+	case err == nil:
+	case errors.As(err, &why):
+		outcome = string(why.Reason)
+	default:
+		if e := errorx.Cast(err); e != nil {
+			outcome = e.Type().FullName()
+		}
+	}
+	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
+	x.trail = append(x.trail, step{
+		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
+		Outcome: outcome, MS: took.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/relay/record.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the relay's counters and histograms.
+type Metrics struct {
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	steps      *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	firstEvent *prometheus.HistogramVec
+	inFlight   prometheus.Gauge
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	buckets := prometheus.ExponentialBuckets(0.005, 2, 14)
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_relay_requests_total", Help: "Requests by route, outcome and status."},
+			[]string{"route", "outcome", "status"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_relay_attempts_total", Help: "Attempts at upstreams by service and outcome."},
+			[]string{"service", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_relay_retries_total", Help: "Decisions on a further attempt by failure and reason."},
+			[]string{"failure", "reason"}),
+		steps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_relay_cascade_steps_total", Help: "Weak answers of a cascade by what became of them."},
+			[]string{"outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "poplarshore_relay_request_seconds", Help: "Time to the end of an answer by route.", Buckets: buckets},
+			[]string{"route"}),
+		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "poplarshore_relay_first_event_seconds", Help: "Time to the first event of a stream by route.", Buckets: buckets},
+			[]string{"route"}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "poplarshore_relay_in_flight", Help: "Requests in flight."}),
+	}
+	r.MustRegister(m.requests, m.attempts, m.retries, m.steps, m.latency, m.firstEvent, m.inFlight)
+	return m
+}
+
+// record counts the end of an exchange and writes its line.
+func (s *Server) record(x *exchange, outcome string, status int) {
+	name, version := "", int64(0)
+	if x.route != nil {
+		name = x.route.Name
+	}
+	if x.table != nil {
+		version = x.table.Version()
+	}
+	took := s.Clock.Since(x.began)
+	s.Metrics.requests.WithLabelValues(name, outcome, strconv.Itoa(status)).Inc()
+	s.Metrics.latency.WithLabelValues(name).Observe(took.Seconds())
+	level := slog.LevelInfo
+	if outcome != "answered" {
+		level = slog.LevelWarn
+	}
+	s.Log.Log(context.Background(), level, "request", "request", x.request.ID, "outcome", outcome, "status", status, "route", name,
+		"account", x.account, "service", x.service, "config", version, "priority", x.priority,
+		"attempts", x.trail, "weak", x.weak, "last_event", x.lastEvent, "ms", took.Milliseconds(),
+		"left_ms", x.left().Milliseconds())
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,178 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/refusal"
+)
+
+const (
+	// headShare is the part of a route's target that an attempt may stay
+	// silent before another upstream is asked.
+	headNumerator, headDenominator = 3, 4
+	leastHeadWait                  = 300 * time.Millisecond
+	// pauseFactor × the longest pause in time is how long a stream may be
+	// silent before it goes on elsewhere.
+	pauseFactor  = 2
+	defaultPause = 5 * time.Second
+	// leastWait bounds every wait from below.
+	leastWait = time.Millisecond
+)
+
+// patience returns how long the attempt may stay silent before its answer.
+func (a *attempt) patience() time.Duration {
+	x := a.exchange
+	left := max(x.left(), leastWait)
+	another := x.state.Repeatable && x.state.Attempts+1 < x.state.MaxAttempts
+	if !another || x.route.Target <= 0 {
+		return left
+	}
+	return min(left, max(x.route.Target*headNumerator/headDenominator, leastHeadWait))
+}
+
+// pause returns how long the stream may be silent between events.
+func (a *attempt) pause() time.Duration {
+	x := a.exchange
+	wait := defaultPause
+	if x.route.MaxPause > 0 {
+		wait = pauseFactor * x.route.MaxPause
+	}
+	return max(min(wait, x.left()), leastWait)
+}
+
+// events cuts a stream into whole events.
+type events struct {
+	buf []byte
+	// used is the length of the events already taken.
+	used int
+}
+
+// separator ends an event.
+var separator = []byte("\n\n")
+
+// next returns the next whole event, or nil if none has come yet.
+func (e *events) next() []byte {
+	i := bytes.Index(e.buf[e.used:], separator)
+	if i < 0 {
+		return nil
+	}
+	event := e.buf[e.used : e.used+i+len(separator)]
+	e.used += len(event)
+	return event
+}
+
+// compact drops the events that were taken.
+func (e *events) compact() {
+	e.buf = append(e.buf[:0], e.buf[e.used:]...)
+	e.used = 0
+}
+
+// partial tells that an event has come in part.
+func (e *events) partial() bool {
+	return len(bytes.TrimSpace(e.buf[e.used:])) > 0
+}
+
+var idField = []byte("id:")
+
+// eventID returns the id of an event; empty for none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
+
+const streamBufferBytes = 4 << 10
+
+// stream passes a stream's whole events on as they come. The head is sent with
+// the first event, so that until then another upstream may answer.
+func (a *attempt) stream(ctx context.Context, answer *upconn.Answer) error {
+	x := a.exchange
+	var in events
+	buf := make([]byte, streamBufferBytes)
+	for {
+		wait := a.pause()
+		if a.first == 0 {
+			wait = max(a.patience()-x.server.Clock.Since(a.began), a.pause())
+		}
+		n, err := answer.Read(buf, wait)
+		in.buf = append(in.buf, buf[:n]...)
+		if sendErr := a.forward(answer, &in); sendErr != nil {
+			return sendErr
+		}
+		switch {
+		case err == nil:
+			continue
+		case !errors.Is(err, io.EOF):
+			return err
+		case in.partial():
+			return upconn.ErrBroken.New("stream of %s ended within an event", a.engine.ID())
+		}
+		return a.endStream(ctx, answer)
+	}
+}
+
+// endStream ends the answer.
+func (a *attempt) endStream(ctx context.Context, answer *upconn.Answer) error {
+	x := a.exchange
+	if !x.begun {
+		x.open(answer.Status, answer.Header)
+	}
+	return ended(ctx)
+}
+
+// forward passes the whole events on that have come.
+func (a *attempt) forward(answer *upconn.Answer, in *events) error {
+	x := a.exchange
+	wrote := false
+	for event := in.next(); event != nil; event = in.next() {
+		if a.first == 0 {
+			a.first = x.server.Clock.Since(a.began)
+		}
+		id := eventID(event)
+		if id != "" && !follows(id, x.lastEvent) {
+			return upconn.ErrBroken.New("event %q of %s does not follow %q", id, a.engine.ID(), x.lastEvent)
+		}
+		if !x.begun {
+			x.open(answer.Status, answer.Header)
+			x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.began).Seconds())
+		}
+		if _, err := x.w.Write(event); err != nil {
+			return refusal.Because(refusal.CallerGone, err)
+		}
+		wrote = true
+		if id != "" {
+			x.lastEvent = id
+		}
+	}
+	in.compact()
+	if !wrote {
+		return nil
+	}
+	if err := x.control.Flush(); err != nil {
+		return refusal.Because(refusal.CallerGone, err)
+	}
+	return nil
+}
+
+// follows tells that an event may come next after the last one. Numbers have
+// to grow; other ids can't be compared.
+func follows(id, last string) bool {
+	if last == "" {
+		return true
+	}
+	n, err := strconv.ParseInt(id, 10, 64)
+	before, lastErr := strconv.ParseInt(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > before
+}
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -66,6 +66,10 @@
 	Nested bool
 	// Hedged tells that a hedge was sent.
 	Hedged bool
+	// Resumable tells that an answer that has begun can go on elsewhere.
+	Resumable bool
+	// MaxAttempts replaces the policy's bound where it is set.
+	MaxAttempts int
 	// Tried are the upstreams of failed attempts.
 	Tried []upstream.ID
 }
@@ -216,18 +220,35 @@
 	switch {
 	case f.Kind.MayHaveRun() && !s.Repeatable:
 		return MayHaveRun
-	case s.Answering:
+	case s.Answering && !s.Resumable:
 		return AnswerBegun
 	case f.Kind == Rejected:
 		return Final
 	case s.Nested:
 		return SenderRetries
-	case s.Attempts >= p.opts.MaxAttempts:
+	case p.spent(s):
 		return AttemptsSpent
 	}
 	return Allowed
 }
 
+// spent tells that the request has had all of its attempts.
+func (p *Policy) spent(s *State) bool {
+	if s.MaxAttempts > 0 {
+		return s.Attempts >= s.MaxAttempts
+	}
+	return s.Attempts >= p.opts.MaxAttempts
+}
+
+// DecideStep pays for asking another model in place of an answer that is too
+// weak. Allowed means that it may be asked.
+func (p *Policy) DecideStep(s *State, now time.Time) Reason {
+	if p.spent(s) {
+		return AttemptsSpent
+	}
+	return p.pay(s, now)
+}
+
 // after returns the wait before the next attempt. What the upstream asked for
 // holds only if the next attempt goes to it again.
 func (p *Policy) after(s *State, f Failure, draw float64) time.Duration {
@@ -288,7 +309,7 @@
 		return SenderRetries
 	case s.Hedged:
 		return AlreadyHedged
-	case s.Attempts >= p.opts.MaxAttempts:
+	case p.spent(s):
 		return AttemptsSpent
 	}
 	return Allowed
--- /dev/null
+++ b/rollout/shift/shift.go
@@ -0,0 +1,151 @@
+package shift
+
+import (
+	"time"
+
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/rollout"
+)
+
+// Order is what operators ask for.
+type Order struct {
+	// ID names the order; a later one of the same service has a higher ID.
+	ID       int64           `json:"id"`
+	Service  string          `json:"service"`
+	To       model.VersionID `json:"to"`
+	Duration time.Duration   `json:"duration"`
+}
+
+// Phase tells how far a shift is.
+type Phase string
+
+// The phases.
+const (
+	Active   Phase = "active"
+	Complete Phase = "complete"
+	Reverted Phase = "reverted"
+)
+
+// State is the row of a shift.
+type State struct {
+	Order Order `json:"order"`
+	Phase Phase `json:"phase"`
+	// Step is the number of steps taken; without any the new version gets nothing.
+	Step int `json:"step"`
+	// Started is when the order was first seen, on the shared clock.
+	Started time.Duration `json:"started"`
+	// Verdict is why the shift was reverted.
+	Verdict rollout.Verdict `json:"verdict,omitzero"`
+}
+
+// Ended tells whether the shift takes no further step.
+func (s State) Ended() bool { return s.Phase != Active }
+
+// Step is a share of the sessions from a part of the time on.
+type Step struct {
+	// At is the part of the order's duration, 0 to 1.
+	At float64
+	// Share is the part of the sessions that get the new version, 0 to 1.
+	Share float64
+}
+
+// Plan says how shifts go.
+type Plan struct {
+	// Steps grow in time and share; the last one has share 1.
+	Steps []Step
+	// Lead is how long before the deadline a shift completes.
+	Lead time.Duration
+	// MinFresh is the least number of the VM's own good answers of the new
+	// version on which it takes a further step.
+	MinFresh int64
+	// Evidence is the strength of evidence that reverts a shift.
+	Evidence float64
+	// Tolerance is how much worse the new version may be.
+	Tolerance rollout.Tolerance
+}
+
+// DefaultPlan returns the default plan.
+func DefaultPlan() Plan {
+	return Plan{
+		Steps:     []Step{{At: 0.53, Share: 0.15}, {At: 0.70, Share: 0.5}, {At: 0.76, Share: 1}},
+		Lead:      1500 * time.Millisecond,
+		MinFresh:  2,
+		Evidence:  3,
+		Tolerance: rollout.Tolerance{Errors: 0.02, Slow: 0.1},
+	}
+}
+
+// Evidence is what is known of both versions since the first step.
+type Evidence struct {
+	// Fresh and Old are the counts of the new and the replaced version.
+	Fresh, Old rollout.Counts
+	// Own is the part of Fresh that this VM saw itself.
+	Own rollout.Counts
+}
+
+// Begin returns the state of an order that was just seen.
+func Begin(o Order, now time.Duration) State {
+	return State{Order: o, Phase: Active, Started: now}
+}
+
+// Next returns the state that follows, and whether it differs. Now is on the
+// shared clock.
+func (p Plan) Next(s State, now time.Duration, e Evidence) (State, bool) {
+	if s.Ended() {
+		return s, false
+	}
+	if v := p.Verdict(e); v.Bad {
+		s.Phase, s.Verdict = Reverted, v
+		return s, true
+	}
+	elapsed := now - s.Started
+	if s.Step == len(p.Steps) {
+		if elapsed >= s.Order.Duration-p.Lead && p.trusted(e) {
+			s.Phase = Complete
+			return s, true
+		}
+		return s, false
+	}
+	if elapsed < p.due(s) || s.Step > 0 && !p.trusted(e) {
+		return s, false
+	}
+	s.Step++
+	return s, true
+}
+
+// Verdict tells whether the evidence shows that the new version is bad.
+func (p Plan) Verdict(e Evidence) rollout.Verdict {
+	return rollout.Compare(e.Fresh, e.Old, rollout.Counts{}, p.Tolerance, p.Evidence)
+}
+
+// trusted tells whether a VM may take a further step on its evidence: silence
+// is not health, and neither is a suspicion.
+func (p Plan) trusted(e Evidence) bool {
+	if e.Own.Requests-e.Own.Errors < p.MinFresh {
+		return false
+	}
+	_, suspect := rollout.Suspect(e.Fresh, e.Old, rollout.Counts{}, p.Tolerance)
+	return !suspect
+}
+
+// due returns the time after the start at which the next step may be taken.
+func (p Plan) due(s State) time.Duration {
+	return time.Duration(p.Steps[s.Step].At * float64(s.Order.Duration))
+}
+
+// Share returns the part of the sessions that get the new version.
+func (p Plan) Share(s State) float64 {
+	switch {
+	case s.Phase == Complete:
+		return 1
+	case s.Phase == Reverted || s.Step == 0:
+		return 0
+	}
+	return p.Steps[min(s.Step, len(p.Steps))-1].Share
+}
+
+// Fresh tells whether a session gets the new version. Position is the hash of
+// the session's key, 0 to 1; it is the same on all VMs.
+func (p Plan) Fresh(s State, position float64) bool {
+	return position < p.Share(s)
+}
--- a/route/score.go
+++ b/route/score.go
@@ -55,11 +55,13 @@
 }
 
 // PrefillScorer is the time to read the part of the prompt that is not cached.
-// Candidates whose use exceeds Bound × the sample's mean get no credit for
-// their cache, so that a popular prefix spreads.
+// Candidates whose use exceeds Bound × the sample's mean by more than Slack get
+// no credit for their cache, so that a popular prefix spreads.
 type PrefillScorer struct {
 	PerToken time.Duration
 	Bound    float64
+	// Slack is a part of the capacity.
+	Slack float64
 	// Home is the credit of the home upstream, as a part of the prefill.
 	Home float64
 }
@@ -67,7 +69,7 @@
 // Score implements Scorer.
 func (p PrefillScorer) Score(r *Request, s *Sample, c *Candidate) float64 {
 	whole := float64(r.PromptTokens) * p.PerToken.Seconds()
-	if c.Use() > p.Bound*s.MeanUse && c.Use() > 0 {
+	if c.Use() > p.Bound*s.MeanUse+p.Slack && c.Use() > 0 {
 		return whole
 	}
 	cached := min(c.Blocks*BlockBytes/BytesPerToken, r.PromptTokens)
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,97 @@
+package routing
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is a configuration compiled for lookups. It is safe for concurrent use.
+type Table struct {
+	config   Config
+	byHost   map[string][]*Route
+	byKey    map[[sha256.Size]byte]*Account
+	services map[string]*Service
+}
+
+// Compile returns the table of a configuration.
+func Compile(c Config) *Table {
+	t := &Table{
+		config:   c,
+		byHost:   make(map[string][]*Route),
+		byKey:    make(map[[sha256.Size]byte]*Account),
+		services: make(map[string]*Service),
+	}
+	for i := range t.config.Routes {
+		r := &t.config.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range t.config.Accounts {
+		a := &t.config.Accounts[i]
+		for _, key := range a.Keys {
+			t.byKey[sha256.Sum256([]byte(key))] = a
+		}
+	}
+	for i := range t.config.Services {
+		s := &t.config.Services[i]
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Version returns the configuration's version.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Keyed tells whether routes that are not public ask for a key.
+func (t *Table) Keyed() bool { return t.config.Keyed }
+
+// Limits returns the bounds on what callers send.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Account returns the client account that holds the key, or nil.
+func (t *Table) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return t.byKey[sha256.Sum256([]byte(key))]
+}
+
+// Service returns a service, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Pick returns the service of a request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	sum := 0.0
+	for _, target := range r.Targets {
+		sum += target.Weight
+	}
+	draw *= sum
+	for _, target := range r.Targets {
+		if draw -= target.Weight; draw < 0 {
+			return target.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
