--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -210,6 +210,16 @@
 	return d.byService[service]
 }
 
+// Burden notes heavy work that another VM sent to an upstream.
+func (d *Directory) Burden(id upstream.ID, work time.Duration) {
+	d.mu.RLock()
+	e := d.byID[id]
+	d.mu.RUnlock()
+	if e != nil {
+		e.Burden(work)
+	}
+}
+
 // Counts returns the numbers of upstreams by service and state.
 func (d *Directory) Counts() map[[2]string]int {
 	d.mu.RLock()
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,13 @@
 	reportAt time.Time
 	// others counts the requests of other senders at the last report.
 	others int
+	// work is the time that own requests without an answer yet are expected
+	// to keep the upstream busy before it answers another one.
+	work time.Duration
+	// waiting holds the own requests without an answer yet, oldest first.
+	waiting []*Attempt
+	// busyUntil is when the heavy work that other VMs sent should be done.
+	busyUntil time.Time
 	// hold is the smoothed time that a request occupies the upstream.
 	hold time.Duration
 	// failing is the smoothed part of requests that it failed, 0 to 1.
@@ -75,33 +83,81 @@
 	smoothing = 0.15
 	// reportLife is how long a load report counts.
 	reportLife = 3 * time.Second
+	// maxBurden bounds what one hint can add.
+	maxBurden = 10 * time.Second
 )
 
-// Begin counts an attempt in flight; the function returned ends it.
-func (e *Engine) Begin() func(Result) {
+// Attempt is one request in flight on an upstream.
+type Attempt struct {
+	engine   *Engine
+	trial    retry.Trial
+	admitted bool
+	// work is what the request still adds to the upstream's work.
+	work  time.Duration
+	begun time.Time
+}
+
+// Begin counts an attempt in flight. Work is how long the upstream is expected
+// to be busy with it before it answers.
+func (e *Engine) Begin(work time.Duration) *Attempt {
 	now := e.directory.clock.Now()
-	trial, admitted := e.directory.breakers.Begin(e.ID(), model.Ref{}, now)
+	a := &Attempt{engine: e, work: work, begun: now}
+	a.trial, a.admitted = e.directory.breakers.Begin(e.ID(), model.Ref{}, now)
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.inFlight++
-	e.mu.Unlock()
-	return func(r Result) {
-		if admitted {
-			e.judge(&trial, r)
-		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.inFlight--
-		if r.Void {
-			return
-		}
-		bad := 0.0
-		if r.Failed {
-			bad = 1
-		}
-		e.failing += smoothing * (bad - e.failing)
-		if r.Took > 0 && !r.Failed {
-			e.hold += time.Duration(smoothing * float64(r.Took-e.hold))
-		}
+	e.work += work
+	e.waiting = append(e.waiting, a)
+	return a
+}
+
+// Burden notes heavy work that another VM sent to the upstream.
+func (e *Engine) Burden(work time.Duration) {
+	now := e.directory.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busyUntil.Before(now) {
+		e.busyUntil = now
+	}
+	e.busyUntil = e.busyUntil.Add(min(work, maxBurden))
+}
+
+// Heard notes that the upstream sent a part of the answer.
+func (a *Attempt) Heard() {
+	a.engine.mu.Lock()
+	defer a.engine.mu.Unlock()
+	a.engine.answered(a)
+}
+
+// answered takes an attempt off the work that waits.
+func (e *Engine) answered(a *Attempt) {
+	e.work -= a.work
+	a.work = 0
+	if i := slices.Index(e.waiting, a); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+	}
+}
+
+// End takes in how the attempt ended. Call it once.
+func (a *Attempt) End(r Result) {
+	e := a.engine
+	if a.admitted {
+		e.judge(&a.trial, r)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inFlight--
+	e.answered(a)
+	if r.Void {
+		return
+	}
+	bad := 0.0
+	if r.Failed {
+		bad = 1
+	}
+	e.failing += smoothing * (bad - e.failing)
+	if r.Took > 0 && !r.Failed {
+		e.hold += time.Duration(smoothing * float64(r.Took-e.hold))
 	}
 }
 
@@ -134,6 +190,7 @@
 		FirstToken:  time.Duration(e.failing * float64(d.opts.Placement.FailingCost)),
 		LinkLatency: d.linkLatency(entry.Domain),
 	}
+	c.FirstToken += e.delay(now)
 	if now.Sub(e.reportAt) < reportLife {
 		c.Others = e.others
 	}
@@ -141,3 +198,14 @@
 		c.PricePerMB = d.opts.Placement.CrossRegionPrice
 	}
 }
+
+// delay returns how long another request is expected to wait for its answer:
+// for the work sent before it, and as much longer as the oldest request waits
+// beyond what was expected.
+func (e *Engine) delay(now time.Time) time.Duration {
+	out := e.work + max(e.busyUntil.Sub(now), 0)
+	if len(e.waiting) > 0 {
+		out += max(now.Sub(e.waiting[0].begun)-out, 0)
+	}
+	return out
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/poplarshore/poplarshore/internal/boundlog"
 	"github.com/poplarshore/poplarshore/internal/duty"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/listen"
 	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/relay"
@@ -30,6 +31,7 @@
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/settings"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 var namespace = errorx.NewNamespace("gatewayd")
@@ -62,6 +64,7 @@
 	directory *engines.Directory
 	shifts    *shifts.Manager
 	pool      *upconn.Pool
+	hints     *hints.Exchange
 	relay     *relay.Server
 	phase     atomic.Int32
 
@@ -138,6 +141,9 @@
 		Protocol: wire.Protocol{}, Tables: d.operators, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(options, budgets), Worth: retry.NewWorth(), Pool: d.pool,
 		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
+		Heavy: func(id upstream.ID, work time.Duration) {
+			d.hints.Tell(hints.Hint{Upstream: id, WorkMS: work.Milliseconds()})
+		},
 		Refusing: d.refusal, Closing: func() bool { return phase(d.phase.Load()) != serving },
 	}, relay.DefaultOptions())
 }
@@ -169,6 +175,9 @@
 	// callerIdle is longer than callers keep unused connections.
 	callerIdle = 60 * time.Second
 
+	// entrySettle is how long changes of entries are gathered.
+	entrySettle = 250 * time.Millisecond
+
 	tickEvery   = 100 * time.Millisecond
 	settleEvery = 200 * time.Millisecond
 	sweepEvery  = 2 * time.Second
@@ -186,21 +195,30 @@
 		return err
 	}
 	d.runner = duty.NewRunner(ctx, d.log)
-	d.follow(wire.OperatorTable, d.operators)
-	d.follow(wire.UpstreamTable, &upstreamRows{log: d.log, directory: d.directory})
-	d.follow(shifts.Table, &shiftRows{manager: d.shifts})
+	d.follow(wire.OperatorTable, d.operators, 0)
+	d.follow(wire.UpstreamTable, &upstreamRows{log: d.log, directory: d.directory}, entrySettle)
+	d.follow(shifts.Table, &ownRows{manager: d.shifts, hints: d.hints}, 0)
+	d.runner.Start("announce", func(ctx context.Context) { d.hints.Announce(ctx, shifts.Table, d.store) })
+	d.runner.Start("hints out", d.hints.Send)
+	d.runner.Start("hints in", d.hints.Receive)
 	d.runner.Every("roll-outs", d.clock, tickEvery, d.shifts.Tick)
 	d.runner.Every("entries", d.clock, settleEvery, func(context.Context) { d.directory.Settle() })
 	d.runner.Every("connections", d.clock, sweepEvery, func(context.Context) { d.pool.Sweep(time.Now()) })
 	return nil
 }
 
-func (d *Daemon) follow(table string, sink watch.Sink) {
-	w := watch.New(d.store, table, sink, d.clock, d.log, watch.DefaultOptions())
+func (d *Daemon) follow(table string, sink watch.Sink, settle time.Duration) {
+	options := watch.DefaultOptions()
+	options.Settle = settle
+	w := watch.New(d.store, table, sink, d.clock, d.log, options)
 	d.runner.Start("watch "+table, w.Run)
 }
 
 func (d *Daemon) listen() error {
+	var err error
+	if d.hints, err = hints.Open(d.settings.VM.ID, d.settings.Hints, d.takeHint, d.log, d.registry); err != nil {
+		return err
+	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, KeepAlive: callerIdle}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
@@ -224,6 +242,10 @@
 	return nil
 }
 
+func (d *Daemon) takeHint(h hints.Hint) {
+	d.directory.Burden(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
+}
+
 func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	if !d.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -263,6 +285,7 @@
 	d.callers.Close()
 	d.health.Close()
 	d.metrics.Close()
+	d.hints.Close()
 	d.runner.Stop()
 	d.pool.Close()
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -20,6 +20,7 @@
 	exchange *exchange
 	engine   *engines.Engine
 	model    model.Name
+	flight   *engines.Attempt
 	began    time.Time
 	// first is the time to the first event, or to the whole answer.
 	first time.Duration
@@ -33,6 +34,7 @@
 	answer, err := s.Pool.Do(ctx, upconn.Call{
 		Address:     a.engine.Address(),
 		HeadTimeout: a.patience(),
+		OnSilence:   a.silent,
 		Request:     a.request(),
 		Mine:        func(h http.Header) bool { return s.Protocol.Mine(x.request, h) },
 		Keep: func(h http.Header) time.Duration {
@@ -47,7 +49,7 @@
 	if head.HasLoad {
 		a.engine.Report(head.Load)
 	}
-	return a.accept(ctx, answer, head)
+	return a.accept(answer, head)
 }
 
 func (a *attempt) request() upconn.Request {
@@ -62,7 +64,7 @@
 }
 
 // accept decides on the head of an answer and passes the answer on.
-func (a *attempt) accept(ctx context.Context, answer *upconn.Answer, head Head) error {
+func (a *attempt) accept(answer *upconn.Answer, head Head) error {
 	x := a.exchange
 	switch {
 	case head.NotRun:
@@ -73,9 +75,10 @@
 	case answer.Status >= http.StatusInternalServerError:
 		return a.hold(answer, true)
 	case a.weak(head):
+		a.heard()
 		return errWeak.New("confidence %d of %s", head.Confidence, a.model)
 	case streams(answer.Header):
-		return a.stream(ctx, answer)
+		return a.stream(answer)
 	case x.begun:
 		return upconn.ErrBroken.New("no stream to go on with from %s", a.engine.ID())
 	}
@@ -114,7 +117,7 @@
 func (a *attempt) drain(answer *upconn.Answer) {
 	buf := make([]byte, maxDrainBytes)
 	for read := 0; read < maxDrainBytes; {
-		n, err := answer.Read(buf, a.exchange.left())
+		n, err := answer.Read(buf, a.exchange.left(), nil)
 		if err != nil {
 			return
 		}
@@ -136,7 +139,7 @@
 	h := &held{status: answer.Status, header: answer.Header}
 	buf := make([]byte, maxDrainBytes)
 	for {
-		n, err := answer.Read(buf, max(x.left(), time.Millisecond))
+		n, err := answer.Read(buf, max(x.left(), leastWait), nil)
 		h.body = append(h.body, buf[:n]...)
 		if errors.Is(err, io.EOF) {
 			break
@@ -148,7 +151,7 @@
 			return upconn.ErrBroken.New("answer of over %d bytes from %s", x.server.opts.MaxHeldBytes, a.engine.ID())
 		}
 	}
-	a.first = x.server.Clock.Since(a.began)
+	a.heard()
 	if failure {
 		x.failure = h
 		return errFailed.New("status %d from %s", answer.Status, a.engine.ID())
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -39,8 +39,8 @@
 		if err == nil {
 			return nil
 		}
-		if why := ended(ctx); why != nil {
-			return why
+		if over, err := x.over(ctx); over {
+			return err
 		}
 		if callerGone(err) {
 			return err
@@ -58,6 +58,10 @@
 // exchange ends.
 func (x *exchange) again(ctx context.Context, err error) (bool, error) {
 	s := x.server
+	if x.paid {
+		x.paid = false
+		return true, nil
+	}
 	failure := retry.Failure{Kind: kindOf(err), Elsewhere: true}
 	if x.sends-x.state.Attempts > maxRefused {
 		return false, x.giveUp(refusal.Because(refusal.RetriesExhausted, err))
@@ -73,7 +77,8 @@
 	x.repeats = x.repeats || errorx.IsOfType(err, errFailed)
 	select {
 	case <-ctx.Done():
-		return false, ended(ctx)
+		_, err := x.over(ctx)
+		return false, err
 	case <-s.Clock.After(v.After):
 		return true, nil
 	}
@@ -126,26 +131,33 @@
 	return float64(x.draw>>(64-hashBits)) / (1 << hashBits)
 }
 
+// heavyWork is the work from which other VMs are told of it.
+const heavyWork = 150 * time.Millisecond
+
 // attempt sends the request to one upstream and passes its answer on.
 func (x *exchange) attempt(ctx context.Context, e *engines.Engine) error {
 	began := x.server.Clock.Now()
 	x.sends++
-	end := e.Begin()
 	a := &attempt{exchange: x, engine: e, began: began}
 	if x.chooses() {
 		a.model = x.route.Models[x.model]
 	}
+	work := x.server.reading.estimate(a.model, x.request.PromptTokens)
+	a.flight = e.Begin(work)
+	if work >= heavyWork {
+		x.server.Heavy(e.ID(), work)
+	}
 	err := a.exchangeOnce(ctx)
 	took := x.server.Clock.Since(began)
 	if !errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, errWeak) {
 		x.state.Attempts++
 	}
-	x.conclude(ctx, a, err, took, end)
+	x.conclude(ctx, a, err, took)
 	return err
 }
 
 // conclude accounts for the end of an attempt.
-func (x *exchange) conclude(ctx context.Context, a *attempt, err error, took time.Duration, end func(engines.Result)) {
+func (x *exchange) conclude(ctx context.Context, a *attempt, err error, took time.Duration) {
 	gone := err != nil && ctx.Err() != nil
 	failed := err != nil && !gone && !errorx.IsOfType(err, errWeak) && !callerGone(err)
 	void := gone || callerGone(err) || errorx.IsOfType(err, errNotRun)
@@ -153,7 +165,7 @@
 	if err == nil {
 		result.Took = took
 	}
-	end(result)
+	a.flight.End(result)
 	if failed {
 		x.state.Tried = append(x.state.Tried, a.engine.ID())
 		if errorx.IsOfType(err, upconn.ErrSilent) {
@@ -187,6 +199,6 @@
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
 	x.trail = append(x.trail, step{
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
-		Outcome: outcome, MS: took.Milliseconds(),
+		Outcome: outcome, At: a.began.Sub(x.began).Milliseconds(), First: a.first.Milliseconds(), MS: took.Milliseconds(),
 	})
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -48,6 +48,9 @@
 	// repeats tells that the request was repeated after such a failure.
 	repeats bool
 
+	// paid tells that the next attempt was paid for by a silent one.
+	paid bool
+
 	// begun tells that something reached the caller.
 	begun  bool
 	status int
@@ -62,7 +65,11 @@
 	Version  string `json:"version"`
 	Model    string `json:"model,omitempty"`
 	Outcome  string `json:"outcome"`
-	MS       int64  `json:"ms"`
+	// At is when the attempt began, after the request; First the time to its
+	// first event. Both are in ms.
+	At    int64 `json:"at"`
+	First int64 `json:"first,omitempty"`
+	MS    int64 `json:"ms"`
 }
 
 // admit finds the route and the account, and reads the body.
@@ -204,14 +211,14 @@
 	return x.deadline.Sub(x.server.Clock.Now())
 }
 
-// ended returns why the exchange's context ended, or nil.
-func ended(ctx context.Context) error {
-	if ctx.Err() == nil {
-		return nil
-	}
-	var why *refusal.Refusal
-	if errors.As(context.Cause(ctx), &why) {
-		return why
+// over tells that no further attempt can be made, as the caller left or the time
+// is up, and how the exchange ends.
+func (x *exchange) over(ctx context.Context) (bool, error) {
+	switch {
+	case x.left() <= leastWait:
+		return true, x.giveUp(refusal.New(refusal.DeadlineExceeded))
+	case ctx.Err() != nil:
+		return true, refusal.Because(refusal.CallerGone, ctx.Err())
 	}
-	return refusal.Because(refusal.CallerGone, ctx.Err())
+	return false, nil
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,6 +15,7 @@
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 // Options bound what an exchange may take.
@@ -52,6 +53,8 @@
 	Clock     clockwork.Clock
 	Log       *slog.Logger
 	Metrics   *Metrics
+	// Heavy tells other VMs of heavy work sent to an upstream.
+	Heavy func(id upstream.ID, work time.Duration)
 	// Refusing returns why no new work is taken, or nil.
 	Refusing func() *refusal.Refusal
 	// Closing tells that callers are to leave their connections.
@@ -61,12 +64,13 @@
 // Server answers callers. It implements http.Handler.
 type Server struct {
 	Deps
-	opts Options
+	opts    Options
+	reading *reading
 }
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	return &Server{Deps: deps, opts: opts}
+	return &Server{Deps: deps, opts: opts, reading: newReading()}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -10,27 +9,30 @@
 
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/retry"
 )
 
 const (
-	// headShare is the part of a route's target that an attempt may stay
-	// silent before another upstream is asked.
+	// An attempt may stay silent for this part of its route's target before
+	// another upstream is thought of.
 	headNumerator, headDenominator = 3, 4
 	leastHeadWait                  = 300 * time.Millisecond
 	// pauseFactor × the longest pause in time is how long a stream may be
 	// silent before it goes on elsewhere.
 	pauseFactor  = 2
 	defaultPause = 5 * time.Second
+	// askAgain is the time between two looks at an exhausted budget.
+	askAgain = 250 * time.Millisecond
 	// leastWait bounds every wait from below.
 	leastWait = time.Millisecond
 )
 
-// patience returns how long the attempt may stay silent before its answer.
+// patience returns how long the attempt may stay silent before another upstream
+// is thought of.
 func (a *attempt) patience() time.Duration {
 	x := a.exchange
 	left := max(x.left(), leastWait)
-	another := x.state.Repeatable && x.state.Attempts+1 < x.state.MaxAttempts
-	if !another || x.route.Target <= 0 {
+	if !x.state.Repeatable || x.route.Target <= 0 {
 		return left
 	}
 	return min(left, max(x.route.Target*headNumerator/headDenominator, leastHeadWait))
@@ -46,6 +48,37 @@
 	return max(min(wait, x.left()), leastWait)
 }
 
+// silent decides on an attempt that has been silent for long: zero gives it up
+// for another one, which is then paid for; else it is how long to wait on.
+func (a *attempt) silent() time.Duration {
+	x := a.exchange
+	left := x.left()
+	if left <= leastWait {
+		return 0
+	}
+	// This attempt counts too: its upstream may run it.
+	state := x.state
+	state.Attempts++
+	v := x.server.Retry.Decide(&state, retry.Failure{Kind: retry.Silent, Elsewhere: true}, 0, x.server.Clock.Now())
+	if v.Action == retry.Retry {
+		x.paid = true
+		return 0
+	}
+	if v.Reason == retry.AccountBudget || v.Reason == retry.UpstreamBudget {
+		return min(left, askAgain)
+	}
+	return left
+}
+
+// heard notes that a part of the answer has come.
+func (a *attempt) heard() {
+	a.flight.Heard()
+	if a.first == 0 {
+		a.first = a.exchange.server.Clock.Since(a.began)
+		a.exchange.server.reading.add(a.model, a.exchange.request.PromptTokens, a.first)
+	}
+}
+
 // events cuts a stream into whole events.
 type events struct {
 	buf []byte
@@ -94,7 +127,7 @@
 
 // stream passes a stream's whole events on as they come. The head is sent with
 // the first event, so that until then another upstream may answer.
-func (a *attempt) stream(ctx context.Context, answer *upconn.Answer) error {
+func (a *attempt) stream(answer *upconn.Answer) error {
 	x := a.exchange
 	var in events
 	buf := make([]byte, streamBufferBytes)
@@ -103,7 +136,7 @@
 		if a.first == 0 {
 			wait = max(a.patience()-x.server.Clock.Since(a.began), a.pause())
 		}
-		n, err := answer.Read(buf, wait)
+		n, err := answer.Read(buf, wait, a.silent)
 		in.buf = append(in.buf, buf[:n]...)
 		if sendErr := a.forward(answer, &in); sendErr != nil {
 			return sendErr
@@ -116,17 +149,11 @@
 		case in.partial():
 			return upconn.ErrBroken.New("stream of %s ended within an event", a.engine.ID())
 		}
-		return a.endStream(ctx, answer)
-	}
-}
-
-// endStream ends the answer.
-func (a *attempt) endStream(ctx context.Context, answer *upconn.Answer) error {
-	x := a.exchange
-	if !x.begun {
-		x.open(answer.Status, answer.Header)
+		if !x.begun {
+			x.open(answer.Status, answer.Header)
+		}
+		return nil
 	}
-	return ended(ctx)
 }
 
 // forward passes the whole events on that have come.
@@ -134,9 +161,7 @@
 	x := a.exchange
 	wrote := false
 	for event := in.next(); event != nil; event = in.next() {
-		if a.first == 0 {
-			a.first = x.server.Clock.Since(a.began)
-		}
+		a.heard()
 		id := eventID(event)
 		if id != "" && !follows(id, x.lastEvent) {
 			return upconn.ErrBroken.New("event %q of %s does not follow %q", id, a.engine.ID(), x.lastEvent)
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -19,7 +19,7 @@
 )
 
 // Table is the name of the table that holds the rows.
-const Table = "poplarshore_shifts"
+const Table = "poplarshore"
 
 const (
 	statePrefix    = "state/"
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -30,6 +29,9 @@
 	Mine func(http.Header) bool
 	// HeadTimeout bounds the wait for the head of the answer.
 	HeadTimeout time.Duration
+	// OnSilence is asked when HeadTimeout has passed without a byte: it returns
+	// how long to wait on, or zero to give up. Nil gives up.
+	OnSilence func() time.Duration
 	// Keep returns how long the upstream keeps an unused connection; zero is
 	// unknown.
 	Keep func(http.Header) time.Duration
@@ -75,12 +77,15 @@
 }
 
 func (a *Answer) exchange(call Call) error {
-	if err := a.conn.SetDeadline(time.Now().Add(call.HeadTimeout)); err != nil {
+	if err := a.conn.SetWriteDeadline(time.Now().Add(a.pool.opts.DeadAfter)); err != nil {
 		return ErrNotSent.Wrap(err, "deadline")
 	}
 	if err := a.write(call.Request); err != nil {
 		return err
 	}
+	if err := a.await(call.HeadTimeout, call.OnSilence); err != nil {
+		return a.readError(err)
+	}
 	resp, err := a.head(call)
 	if err != nil {
 		return err
@@ -162,19 +167,48 @@
 	}
 }
 
+// headRest is the longest time for the rest of a head to arrive.
+const headRest = 2 * time.Second
+
+// await waits for the next byte from the upstream. Errors are the connection's.
+func (a *Answer) await(limit time.Duration, onSilence func() time.Duration) error {
+	for {
+		if err := a.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return err
+		}
+		_, err := a.conn.reader.Peek(1)
+		if err == nil {
+			return a.conn.SetReadDeadline(time.Now().Add(headRest))
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || onSilence == nil {
+			return err
+		}
+		if limit = onSilence(); limit <= 0 {
+			return err
+		}
+	}
+}
+
 func (a *Answer) readError(err error) error {
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return ErrSilent.Wrap(err, "no answer from %s", a.conn.address)
 	}
 	return ErrBroken.Wrap(err, "answer from %s", a.conn.address)
 }
 
-// Read reads the body, waiting at most limit for the next bytes. At the end of
-// a whole body it returns io.EOF. Errors: ErrBroken, ErrSilent.
-func (a *Answer) Read(buf []byte, limit time.Duration) (int, error) {
-	if err := a.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		return 0, ErrBroken.Wrap(err, "deadline")
+// Read reads the body, waiting for the next bytes for limit, and on as long as
+// onSilence says; nil gives up. At the end of a whole body it returns io.EOF.
+// Errors: ErrBroken, ErrSilent.
+func (a *Answer) Read(buf []byte, limit time.Duration, onSilence func() time.Duration) (int, error) {
+	if !a.whole && a.body != http.NoBody && a.conn.reader.Buffered() == 0 {
+		err := a.await(limit, onSilence)
+		if errors.Is(err, io.EOF) && !a.framed {
+			a.whole = true
+			return 0, io.EOF
+		}
+		if err != nil {
+			return 0, a.readError(err)
+		}
 	}
 	n, err := a.body.Read(buf)
 	switch {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -64,6 +64,8 @@
 	Wait time.Duration
 	// Slack is how much longer than Wait an answer may take.
 	Slack time.Duration
+	// Settle is the pause after changes, so that more of them come at once.
+	Settle time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a failure.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
@@ -107,11 +109,11 @@
 }
 
 // step makes one read.
-func (w *Watch) step(ctx context.Context) error {
+func (w *Watch) step(parent context.Context) error {
 	if !w.listed {
-		return w.list(ctx)
+		return w.list(parent)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.opts.Wait+w.opts.Slack)
+	ctx, cancel := context.WithTimeout(parent, w.opts.Wait+w.opts.Slack)
 	defer cancel()
 	b, err := w.source.Changes(ctx, w.table, w.at, w.opts.Wait)
 	if errorx.IsOfType(err, ErrHistoryGone) {
@@ -130,10 +132,21 @@
 	w.at = b.At
 	if len(b.Rows) > 0 {
 		w.sink.Change(b)
+		w.pause(parent, w.opts.Settle)
 	}
 	return nil
 }
 
+func (w *Watch) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-w.clock.After(d):
+	}
+}
+
 // errStale reports a listing that is older than what was seen before.
 var errStale = namespace.NewType("stale")
 
@@ -161,11 +174,7 @@
 		w.sink.Lost(err)
 	}
 	w.backoff = min(max(2*w.backoff, w.opts.MinBackoff), w.opts.MaxBackoff)
-	pause := w.backoff/2 + rand.N(w.backoff/2)
-	select {
-	case <-ctx.Done():
-	case <-w.clock.After(pause):
-	}
+	w.pause(ctx, w.backoff/2+rand.N(w.backoff/2))
 }
 
 func (w *Watch) answered() {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -14,6 +14,7 @@
 	Callers Listener                    `json:"callers" doc:"Where callers connect."`
 	Health  Listener                    `json:"health" doc:"Where the balancer asks whether this VM is ready."`
 	Metrics Listener                    `json:"metrics" doc:"Where metrics are read, under /metrics."`
+	Hints   string                      `json:"hints" doc:"Where the other VMs' hints on heavy work arrive, over UDP; port 0 takes a free one."`
 	Store   Store                       `json:"store" doc:"The platform's store."`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
@@ -39,6 +40,7 @@
 		Callers: Listener{Address: "127.0.0.1:8080"},
 		Health:  Listener{Address: "127.0.0.1:8081"},
 		Metrics: Listener{Address: "127.0.0.1:8082"},
+		Hints:   "127.0.0.1:8083",
 		Store:   Store{CallMS: 1000},
 		Stop:    GatewayStop{TakeMS: 2700, GraceMS: 7600},
 		Log:     Log{Format: "json", Level: "info"},
@@ -53,6 +55,9 @@
 	g.Callers.check(text, "callers")
 	g.Health.check(text, "health")
 	g.Metrics.check(text, "metrics")
+	if _, _, err := net.SplitHostPort(g.Hints); err != nil {
+		text.Add("hints", "must be host:port: %v", err)
+	}
 	if _, _, err := net.SplitHostPort(g.Store.Address); err != nil {
 		text.Add("store.address", "must be host:port: %v", err)
 	}
