--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -14,9 +14,10 @@
 }
 
 // First returns the model to ask first, as an index into models that stand
-// smallest first. With one run left only the strongest is sure to suffice.
-func (c Confidence) First(models, runsLeft int) int {
-	if runsLeft <= 1 {
+// smallest first. Where no second one can be asked, as no run is left or none
+// is affordable, only the strongest is sure to suffice.
+func (c Confidence) First(models, runsLeft int, affordable bool) int {
+	if runsLeft <= 1 || !affordable {
 		return models - 1
 	}
 	return 0
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -139,6 +139,9 @@
 	x.peers.Store(&next)
 }
 
+// Peers returns the number of other VMs that are known.
+func (x *Exchange) Peers() int { return len(*x.peers.Load()) }
+
 // Tell offers a hint to all other VMs; it never waits.
 func (x *Exchange) Tell(h Hint) {
 	if !x.out.Offer(h) {
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -30,6 +30,7 @@
 func (x *exchange) run(ctx context.Context) error {
 	s := x.server
 	s.Retry.Begin(&x.state, s.Clock.Now())
+	x.firstModel()
 	for {
 		choice := s.Placement.Choose(x.want())
 		if choice.Engine == nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -173,9 +173,16 @@
 		Repeatable: x.route.Repeatable(), Resumable: x.route.Streaming && x.route.Resumable,
 		MaxAttempts: max(x.route.MaxAttempts, 1),
 	}
-	if x.chooses() {
-		x.model = x.server.opts.Cascade.First(len(x.route.Models), x.state.MaxAttempts)
+}
+
+// firstModel settles which model is asked first.
+func (x *exchange) firstModel() {
+	if !x.chooses() {
+		return
 	}
+	s := x.server
+	affordable := s.Retry.Affords(&x.state, s.Clock.Now())
+	x.model = s.opts.Cascade.First(len(x.route.Models), x.state.MaxAttempts, affordable)
 }
 
 // chooses tells that the router names the model.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,6 +13,8 @@
 	PerSecond float64
 	// Max bounds what is saved up, in attempts.
 	Max float64
+	// AccountMax stands in its place for client accounts; 0 means Max.
+	AccountMax float64
 	// Idle is how long an unused budget is kept.
 	Idle time.Duration
 }
@@ -29,15 +31,34 @@
 	return BudgetOptions{Ratio: defaultRatio, PerSecond: defaultPerSecond, Max: defaultMaxTokens, Idle: defaultIdle}
 }
 
+// limit returns what a budget of the kind saves up at most.
+func (o BudgetOptions) limit(kind ScopeKind) float64 {
+	if kind == AccountScope && o.AccountMax > 0 {
+		return o.AccountMax
+	}
+	return o.Max
+}
+
+// SetMax changes what upstream groups save up, as when the number of VMs that
+// share a bound changes.
+func (b *Budgets) SetMax(limit float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opts.Max = limit
+	for s, at := range b.byScope {
+		at.tokens = min(at.tokens, b.opts.limit(s.Kind))
+	}
+}
+
 // budget is a token bucket that first attempts fill. It begins full.
 type budget struct {
 	tokens float64
 	at     time.Time
 }
 
-func (b *budget) refill(o BudgetOptions, now time.Time) {
+func (b *budget) refill(o BudgetOptions, limit float64, now time.Time) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*o.PerSecond, o.Max)
+		b.tokens = min(b.tokens+elapsed.Seconds()*o.PerSecond, limit)
 		b.at = now
 	}
 }
@@ -77,7 +98,7 @@
 	defer b.mu.Unlock()
 	for _, s := range scopes {
 		at := b.get(s, now)
-		at.tokens = min(at.tokens+b.opts.Ratio, b.opts.Max)
+		at.tokens = min(at.tokens+b.opts.Ratio, b.opts.limit(s.Kind))
 	}
 }
 
@@ -97,13 +118,25 @@
 	return Scope{}, true
 }
 
+// Affords tells whether Withdraw would take an attempt now.
+func (b *Budgets) Affords(now time.Time, scopes ...Scope) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range scopes {
+		if b.get(s, now).tokens < 1 {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *Budgets) get(s Scope, now time.Time) *budget {
 	at, ok := b.byScope[s]
 	if !ok {
-		at = &budget{tokens: b.opts.Max, at: now}
+		at = &budget{tokens: b.opts.limit(s.Kind), at: now}
 		b.byScope[s] = at
 	}
-	at.refill(b.opts, now)
+	at.refill(b.opts, b.opts.limit(s.Kind), now)
 	return at
 }
 
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -240,6 +240,11 @@
 	return s.Attempts >= p.opts.MaxAttempts
 }
 
+// Affords tells whether the budgets have a further attempt for the request.
+func (p *Policy) Affords(s *State, now time.Time) bool {
+	return p.budgets.Affords(now, s.scopes()...)
+}
+
 // DecideStep pays for asking another model in place of an answer that is too
 // weak. Allowed means that it may be asked.
 func (p *Policy) DecideStep(s *State, now time.Time) Reason {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,6 +16,7 @@
 	Metrics Listener                    `json:"metrics" doc:"Where metrics are read, under /metrics."`
 	Hints   string                      `json:"hints" doc:"Where the other VMs' hints on heavy work arrive, over UDP; port 0 takes a free one."`
 	Store   Store                       `json:"store" doc:"The platform's store."`
+	Retries Retries                     `json:"retries" doc:"What all VMs together may send beyond the first attempts."`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
 	Stop     GatewayStop `json:"stop" doc:"Planned stops."`
@@ -28,6 +29,12 @@
 	CallMS  Millis `json:"call_ms" doc:"Longest time for one transaction, in ms. Default 1000."`
 }
 
+// Retries bounds the further attempts of all VMs together, for each service.
+type Retries struct {
+	Ratio float64 `json:"ratio" doc:"Further attempts for each request, over some seconds. Default 0.9."`
+	Slack float64 `json:"slack" doc:"Further attempts beyond that, over the same time. Default 50."`
+}
+
 // GatewayStop says how a planned stop goes.
 type GatewayStop struct {
 	TakeMS  Millis `json:"take_ms" doc:"Time after the signal during which new requests are still taken, in ms. Default 2700."`
@@ -42,6 +49,7 @@
 		Metrics: Listener{Address: "127.0.0.1:8082"},
 		Hints:   "127.0.0.1:8083",
 		Store:   Store{CallMS: 1000},
+		Retries: Retries{Ratio: 0.9, Slack: 50},
 		Stop:    GatewayStop{TakeMS: 2700, GraceMS: 7600},
 		Log:     Log{Format: "json", Level: "info"},
 	}
@@ -62,6 +70,9 @@
 		text.Add("store.address", "must be host:port: %v", err)
 	}
 	positive(text, "store.call_ms", g.Store.CallMS)
+	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
+		text.Add("retries", "must not be negative")
+	}
 	if g.MemoryMB < 0 {
 		text.Add("memory_mb", "must not be negative")
 	}
