--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -6,13 +6,36 @@
 // which comes with the head of an answer, before any of it is delivered. It
 // needs no rater. The cheapest model is asked first and the strongest next,
 // as the steps between cost more than they save.
+//
+// The less time a stronger answer would leave, the weaker an answer it takes to
+// ask for one: a late answer is worth less than a fair one in time, and under
+// overload each strong one makes others late.
 type Confidence struct {
-	// Least is the confidence from which an answer is delivered, 0 to 100.
-	Least int
+	// Least is the confidence from which an answer is delivered while engines
+	// are idle, 0 to 100; LeastLate the same when a stronger one would be late.
+	Least, LeastLate int
+	// Idle is the part of the target, 0 to 1, below which an expected answer
+	// speaks for idle engines.
+	Idle float64
 	// StepTime is the least time left at which another model is asked.
 	StepTime time.Duration
 }
 
+// Answer is a weak model's answer before any of it is delivered.
+type Answer struct {
+	// Model is an index into models that stand smallest first.
+	Model, Models int
+	// Confidence is the model's opinion, 0 to 100; negative if it has none.
+	Confidence int
+	// RunsLeft is the number of further runs that the request may have.
+	RunsLeft int
+	// TimeLeft is the time to the deadline.
+	TimeLeft time.Duration
+	// Expected is when a stronger answer is expected to begin, as a part of the
+	// target.
+	Expected float64
+}
+
 // First returns the model to ask first, as an index into models that stand
 // smallest first. Where no second one can be asked, as no run is left or none
 // is affordable, only the strongest is sure to suffice.
@@ -23,12 +46,21 @@
 	return 0
 }
 
-// Next returns the model to ask in place of the answer of model i, and whether
-// that answer is to be dropped.
-func (c Confidence) Next(i, models, confidence, runsLeft int, timeLeft time.Duration) (int, bool) {
-	strongest := models - 1
-	if i >= strongest || confidence < 0 || confidence >= c.Least || runsLeft < 1 || timeLeft < c.StepTime {
-		return i, false
+// Next returns the model to ask in place of an answer, and whether that answer
+// is to be dropped.
+func (c Confidence) Next(a Answer) (int, bool) {
+	strongest := a.Models - 1
+	if a.Model >= strongest || a.Confidence < 0 || a.RunsLeft < 1 || a.TimeLeft < c.StepTime {
+		return a.Model, false
+	}
+	if a.Confidence >= c.least(a.Expected) {
+		return a.Model, false
 	}
 	return strongest, true
 }
+
+// least returns the confidence from which an answer is delivered.
+func (c Confidence) least(expected float64) int {
+	part := (expected - c.Idle) / (1 - c.Idle)
+	return c.Least - int(min(max(part, 0), 1)*float64(c.Least-c.LeastLate))
+}
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -199,6 +199,13 @@
 	}
 }
 
+// Delay returns how long another request is expected to wait for its answer.
+func (e *Engine) Delay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.delay(e.directory.clock.Now())
+}
+
 // delay returns how long another request is expected to wait for its answer:
 // for the work sent before it, and as much longer as the oldest request waits
 // beyond what was expected.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -31,7 +31,6 @@
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/settings"
-	"github.com/poplarshore/poplarshore/upstream"
 )
 
 var namespace = errorx.NewNamespace("gatewayd")
@@ -65,7 +64,7 @@
 	shifts    *shifts.Manager
 	pool      *upconn.Pool
 	hints     *hints.Exchange
-	budgets   *retry.Budgets
+	purse     *retry.Windows
 	relay     *relay.Server
 	phase     atomic.Int32
 
@@ -123,45 +122,6 @@
 	return slog.NewTextHandler(w, opts)
 }
 
-// Further attempts are paid from budgets that each VM keeps for itself, within
-// its part of what all may send together.
-const (
-	// ratioShare and slackShare are the parts of the bounds that are used.
-	ratioShare = 0.95
-	slackShare = 0.8
-	// fewVMs is the number assumed before the others are known.
-	fewVMs = 10
-	// leastBudget lets a VM make a further attempt however many VMs there are.
-	leastBudget     = 1.5
-	budgetPerSecond = 0.05
-	accountBudget   = 20
-	budgetIdle      = 10 * time.Minute
-)
-
-// shareBudgets gives this VM its part of the slack.
-func (d *Daemon) shareBudgets(context.Context) {
-	vms := max(d.hints.Peers()+1, 2)
-	d.budgets.SetMax(max(d.settings.Retries.Slack*slackShare/float64(vms), leastBudget))
-}
-
-func (d *Daemon) newRelay() *relay.Server {
-	options := retry.DefaultOptions()
-	options.Backoff = retry.Backoff{Base: 10 * time.Millisecond, Max: 100 * time.Millisecond}
-	d.budgets = retry.NewBudgets(retry.BudgetOptions{
-		Ratio: d.settings.Retries.Ratio * ratioShare, PerSecond: budgetPerSecond,
-		Max: d.settings.Retries.Slack * slackShare / fewVMs, AccountMax: accountBudget, Idle: budgetIdle,
-	})
-	return relay.New(relay.Deps{
-		Protocol: wire.Protocol{}, Tables: d.operators, Placement: d.directory, Versions: d.shifts,
-		Retry: retry.NewPolicy(options, d.budgets), Worth: retry.NewWorth(), Pool: d.pool,
-		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
-		Heavy: func(id upstream.ID, work time.Duration) {
-			d.hints.Tell(hints.Hint{Upstream: id, WorkMS: work.Milliseconds()})
-		},
-		Refusing: d.refusal, Closing: func() bool { return phase(d.phase.Load()) != serving },
-	}, relay.DefaultOptions())
-}
-
 // known tells whether all that a request needs was read once.
 func (d *Daemon) known() bool {
 	return d.operators.listed.Load() && d.operators.Table() != nil && d.directory.Listed() && d.shifts.Listed()
@@ -216,7 +176,7 @@
 	d.runner.Start("hints out", d.hints.Send)
 	d.runner.Start("hints in", d.hints.Receive)
 	d.runner.Every("roll-outs", d.clock, tickEvery, d.shifts.Tick)
-	d.runner.Every("budgets", d.clock, sweepEvery, d.shareBudgets)
+	d.runner.Every("purse", d.clock, sweepEvery, d.sharePurse)
 	d.runner.Every("entries", d.clock, settleEvery, func(context.Context) { d.directory.Settle() })
 	d.runner.Every("connections", d.clock, sweepEvery, func(context.Context) { d.pool.Sweep(time.Now()) })
 	return nil
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/model"
@@ -95,8 +96,10 @@
 	if !x.chooses() || x.begun {
 		return false
 	}
-	runsLeft := x.state.MaxAttempts - x.state.Attempts - 1
-	next, drop := x.server.opts.Cascade.Next(x.model, len(x.route.Models), head.Confidence, runsLeft, x.left())
+	next, drop := x.server.opts.Cascade.Next(cascade.Answer{
+		Model: x.model, Models: len(x.route.Models), Confidence: head.Confidence,
+		RunsLeft: x.state.MaxAttempts - x.state.Attempts - 1, TimeLeft: x.left(), Expected: x.expected(),
+	})
 	if !drop {
 		return false
 	}
@@ -110,6 +113,20 @@
 	return true
 }
 
+// expected returns when the strongest model's answer would begin, as a part of
+// the route's target.
+func (x *exchange) expected() float64 {
+	s := x.server
+	if x.route.Target <= 0 {
+		return 0
+	}
+	choice := s.Placement.Choose(x.want())
+	if choice.Engine == nil {
+		return 1
+	}
+	return float64(choice.Engine.Delay()) / float64(x.route.Target)
+}
+
 // maxDrainBytes bounds the body of a refusal that is read to keep the connection.
 const maxDrainBytes = 4 << 10
 
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -24,7 +24,7 @@
 )
 
 // maxRefused bounds the attempts of one request that upstreams refuse to run.
-const maxRefused = 3
+const maxRefused = 5
 
 // run makes attempts until the caller has its answer. Errors are refusals.
 func (x *exchange) run(ctx context.Context) error {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -181,7 +181,7 @@
 		return
 	}
 	s := x.server
-	affordable := s.Retry.Affords(&x.state, s.Clock.Now())
+	affordable := s.Retry.AffordsStep(&x.state, s.Clock.Now())
 	x.model = s.opts.Cascade.First(len(x.route.Models), x.state.MaxAttempts, affordable)
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,8 +13,6 @@
 	PerSecond float64
 	// Max bounds what is saved up, in attempts.
 	Max float64
-	// AccountMax stands in its place for client accounts; 0 means Max.
-	AccountMax float64
 	// Idle is how long an unused budget is kept.
 	Idle time.Duration
 }
@@ -31,34 +29,15 @@
 	return BudgetOptions{Ratio: defaultRatio, PerSecond: defaultPerSecond, Max: defaultMaxTokens, Idle: defaultIdle}
 }
 
-// limit returns what a budget of the kind saves up at most.
-func (o BudgetOptions) limit(kind ScopeKind) float64 {
-	if kind == AccountScope && o.AccountMax > 0 {
-		return o.AccountMax
-	}
-	return o.Max
-}
-
-// SetMax changes what upstream groups save up, as when the number of VMs that
-// share a bound changes.
-func (b *Budgets) SetMax(limit float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.opts.Max = limit
-	for s, at := range b.byScope {
-		at.tokens = min(at.tokens, b.opts.limit(s.Kind))
-	}
-}
-
 // budget is a token bucket that first attempts fill. It begins full.
 type budget struct {
 	tokens float64
 	at     time.Time
 }
 
-func (b *budget) refill(o BudgetOptions, limit float64, now time.Time) {
+func (b *budget) refill(o BudgetOptions, now time.Time) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*o.PerSecond, limit)
+		b.tokens = min(b.tokens+elapsed.Seconds()*o.PerSecond, o.Max)
 		b.at = now
 	}
 }
@@ -77,6 +56,9 @@
 const (
 	AccountScope ScopeKind = iota
 	UpstreamScope
+	// StepScope pays for the steps of cascades, beside the other two, so that
+	// they leave something for what fails.
+	StepScope
 )
 
 // Budgets holds a budget for each scope. Unused ones are dropped by Sweep.
@@ -98,7 +80,7 @@
 	defer b.mu.Unlock()
 	for _, s := range scopes {
 		at := b.get(s, now)
-		at.tokens = min(at.tokens+b.opts.Ratio, b.opts.limit(s.Kind))
+		at.tokens = min(at.tokens+b.opts.Ratio, b.opts.Max)
 	}
 }
 
@@ -118,7 +100,7 @@
 	return Scope{}, true
 }
 
-// Affords tells whether Withdraw would take an attempt now.
+// Affords implements Purse.
 func (b *Budgets) Affords(now time.Time, scopes ...Scope) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -133,10 +115,10 @@
 func (b *Budgets) get(s Scope, now time.Time) *budget {
 	at, ok := b.byScope[s]
 	if !ok {
-		at = &budget{tokens: b.opts.limit(s.Kind), at: now}
+		at = &budget{tokens: b.opts.Max, at: now}
 		b.byScope[s] = at
 	}
-	at.refill(b.opts, b.opts.limit(s.Kind), now)
+	at.refill(b.opts, now)
 	return at
 }
 
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -170,24 +170,29 @@
 
 // Policy decides on retries and hedges.
 type Policy struct {
-	opts    Options
-	budgets *Budgets
+	opts  Options
+	purse Purse
 }
 
-// NewPolicy returns a policy that pays from the budgets.
-func NewPolicy(opts Options, budgets *Budgets) *Policy {
-	return &Policy{opts: opts, budgets: budgets}
+// NewPolicy returns a policy that pays from the purse.
+func NewPolicy(opts Options, purse Purse) *Policy {
+	return &Policy{opts: opts, purse: purse}
 }
 
 // Begin records the first attempt of a request.
 func (p *Policy) Begin(s *State, now time.Time) {
-	p.budgets.Deposit(now, s.scopes()...)
+	p.purse.Deposit(now, s.steps()...)
 }
 
 func (s *State) scopes() []Scope {
 	return []Scope{{Kind: AccountScope, Name: string(s.Account)}, {Kind: UpstreamScope, Name: s.Group}}
 }
 
+// steps returns the scopes that pay for a step of a cascade.
+func (s *State) steps() []Scope {
+	return append(s.scopes(), Scope{Kind: StepScope, Name: s.Group})
+}
+
 // Decide answers a failed attempt with Retry or GiveUp. A Retry has been paid
 // for. Draw is uniform in [0, 1).
 func (p *Policy) Decide(s *State, f Failure, draw float64, now time.Time) Verdict {
@@ -209,7 +214,11 @@
 	if now.Add(after + s.Expected).After(s.Deadline) {
 		return Verdict{Action: GiveUp, Reason: NoTime}
 	}
-	if r := p.pay(s, now); r != Allowed {
+	if f.Kind == NotConnected {
+		// Nothing was sent, so nothing is added to the load.
+		return Verdict{Action: Retry, Reason: Allowed, After: after}
+	}
+	if r := p.pay(s.scopes(), now); r != Allowed {
 		return Verdict{Action: GiveUp, Reason: r}
 	}
 	return Verdict{Action: Retry, Reason: Allowed, After: after}
@@ -240,9 +249,9 @@
 	return s.Attempts >= p.opts.MaxAttempts
 }
 
-// Affords tells whether the budgets have a further attempt for the request.
-func (p *Policy) Affords(s *State, now time.Time) bool {
-	return p.budgets.Affords(now, s.scopes()...)
+// AffordsStep tells whether DecideStep would pay now.
+func (p *Policy) AffordsStep(s *State, now time.Time) bool {
+	return p.purse.Affords(now, s.steps()...)
 }
 
 // DecideStep pays for asking another model in place of an answer that is too
@@ -251,7 +260,7 @@
 	if p.spent(s) {
 		return AttemptsSpent
 	}
-	return p.pay(s, now)
+	return p.pay(s.steps(), now)
 }
 
 // after returns the wait before the next attempt. What the upstream asked for
@@ -264,9 +273,9 @@
 	return after
 }
 
-// pay takes one attempt from the budgets.
-func (p *Policy) pay(s *State, now time.Time) Reason {
-	scope, ok := p.budgets.Withdraw(now, s.scopes()...)
+// pay takes one attempt from the purse.
+func (p *Policy) pay(scopes []Scope, now time.Time) Reason {
+	scope, ok := p.purse.Withdraw(now, scopes...)
 	switch {
 	case ok:
 		return Allowed
@@ -293,7 +302,7 @@
 		r = NoTime
 	}
 	if r == Allowed {
-		r = p.pay(s, now)
+		r = p.pay(s.scopes(), now)
 	}
 	if p.opts.Hooks.OnHedge != nil {
 		p.opts.Hooks.OnHedge(r)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -31,8 +31,9 @@
 
 // Retries bounds the further attempts of all VMs together, for each service.
 type Retries struct {
-	Ratio float64 `json:"ratio" doc:"Further attempts for each request, over some seconds. Default 0.9."`
-	Slack float64 `json:"slack" doc:"Further attempts beyond that, over the same time. Default 50."`
+	SpanMS Millis  `json:"span_ms" doc:"Time over which attempts are counted, in ms. Default 10000."`
+	Ratio  float64 `json:"ratio" doc:"Further attempts for each request, over any span. Default 0.9."`
+	Slack  float64 `json:"slack" doc:"Further attempts beyond that, over any span. Default 50."`
 }
 
 // GatewayStop says how a planned stop goes.
@@ -49,7 +50,7 @@
 		Metrics: Listener{Address: "127.0.0.1:8082"},
 		Hints:   "127.0.0.1:8083",
 		Store:   Store{CallMS: 1000},
-		Retries: Retries{Ratio: 0.9, Slack: 50},
+		Retries: Retries{SpanMS: 10000, Ratio: 0.9, Slack: 50},
 		Stop:    GatewayStop{TakeMS: 2700, GraceMS: 7600},
 		Log:     Log{Format: "json", Level: "info"},
 	}
@@ -70,6 +71,7 @@
 		text.Add("store.address", "must be host:port: %v", err)
 	}
 	positive(text, "store.call_ms", g.Store.CallMS)
+	positive(text, "retries.span_ms", g.Retries.SpanMS)
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
 		text.Add("retries", "must not be negative")
 	}
