--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -14,9 +14,9 @@
 	// Least is the confidence from which an answer is delivered while engines
 	// are idle, 0 to 100; LeastLate the same when a stronger one would be late.
 	Least, LeastLate int
-	// Idle is the part of the target, 0 to 1, below which an expected answer
-	// speaks for idle engines.
-	Idle float64
+	// Idle and Busy are parts of the target, 0 to 1: a wait below Idle speaks for
+	// idle engines, and one above Busy for a late answer.
+	Idle, Busy float64
 	// StepTime is the least time left at which another model is asked.
 	StepTime time.Duration
 }
@@ -31,9 +31,9 @@
 	RunsLeft int
 	// TimeLeft is the time to the deadline.
 	TimeLeft time.Duration
-	// Expected is when a stronger answer is expected to begin, as a part of the
-	// target.
-	Expected float64
+	// Wait is how long an engine is expected to be busy before it begins a
+	// stronger answer, as a part of the target.
+	Wait float64
 }
 
 // First returns the model to ask first, as an index into models that stand
@@ -53,14 +53,14 @@
 	if a.Model >= strongest || a.Confidence < 0 || a.RunsLeft < 1 || a.TimeLeft < c.StepTime {
 		return a.Model, false
 	}
-	if a.Confidence >= c.least(a.Expected) {
+	if a.Confidence >= c.least(a.Wait) {
 		return a.Model, false
 	}
 	return strongest, true
 }
 
 // least returns the confidence from which an answer is delivered.
-func (c Confidence) least(expected float64) int {
-	part := (expected - c.Idle) / (1 - c.Idle)
+func (c Confidence) least(wait float64) int {
+	part := (wait - c.Idle) / (c.Busy - c.Idle)
 	return c.Least - int(min(max(part, 0), 1)*float64(c.Least-c.LeastLate))
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -22,6 +22,8 @@
 	engine   *engines.Engine
 	model    model.Name
 	flight   *engines.Attempt
+	// expected is how long the upstream was expected to be busy before.
+	expected time.Duration
 	began    time.Time
 	// first is the time to the first event, or to the whole answer.
 	first time.Duration
@@ -98,7 +100,7 @@
 	}
 	next, drop := x.server.opts.Cascade.Next(cascade.Answer{
 		Model: x.model, Models: len(x.route.Models), Confidence: head.Confidence,
-		RunsLeft: x.state.MaxAttempts - x.state.Attempts - 1, TimeLeft: x.left(), Expected: x.expected(),
+		RunsLeft: x.state.MaxAttempts - x.state.Attempts - 1, TimeLeft: x.left(), Wait: x.expectedWait(),
 	})
 	if !drop {
 		return false
@@ -113,9 +115,9 @@
 	return true
 }
 
-// expected returns when the strongest model's answer would begin, as a part of
-// the route's target.
-func (x *exchange) expected() float64 {
+// expectedWait returns how long the best engine is expected to be busy, as a
+// part of the route's target.
+func (x *exchange) expectedWait() float64 {
 	s := x.server
 	if x.route.Target <= 0 {
 		return 0
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -139,7 +139,7 @@
 func (x *exchange) attempt(ctx context.Context, e *engines.Engine) error {
 	began := x.server.Clock.Now()
 	x.sends++
-	a := &attempt{exchange: x, engine: e, began: began}
+	a := &attempt{exchange: x, engine: e, began: began, expected: e.Delay()}
 	if x.chooses() {
 		a.model = x.route.Models[x.model]
 	}
@@ -200,6 +200,6 @@
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
 	x.trail = append(x.trail, step{
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
-		Outcome: outcome, At: a.began.Sub(x.began).Milliseconds(), First: a.first.Milliseconds(), MS: took.Milliseconds(),
+		Outcome: outcome, Expected: a.expected.Milliseconds(), At: a.began.Sub(x.began).Milliseconds(), First: a.first.Milliseconds(), MS: took.Milliseconds(),
 	})
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -65,6 +65,8 @@
 	Version  string `json:"version"`
 	Model    string `json:"model,omitempty"`
 	Outcome  string `json:"outcome"`
+	// Expected is how long the upstream was expected to be busy, in ms.
+	Expected int64 `json:"expected"`
 	// At is when the attempt began, after the request; First the time to its
 	// first event. Both are in ms.
 	At    int64 `json:"at"`
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -7,28 +7,32 @@
 	"github.com/poplarshore/poplarshore/model"
 )
 
-// reading learns how long upstreams take to read prompts, by model.
+// reading learns how long upstreams take to read prompts, by model. Most of the
+// time to a first event may be waiting, so it follows a low quantile.
 type reading struct {
 	mu       sync.Mutex
-	perToken map[model.Name]time.Duration
+	perToken map[model.Name]float64
 }
 
 const (
-	// usualPerToken is assumed before any answer of a model came.
-	usualPerToken = 20 * time.Microsecond
+	// usualPerToken is assumed before any answer of a model came, in
+	// nanoseconds.
+	usualPerToken = 20_000
 	// headBase is the part of the time to a first event that does not depend
 	// on the prompt.
 	headBase = 60 * time.Millisecond
 	// leastTokens is the length from which prompts tell about reading.
-	leastTokens = 500
-	// readingSmoothing is the weight of the newest answer.
-	readingSmoothing = 0.1
+	leastTokens = 2000
+	// readingQuantile is the quantile followed, readingStep the relative change
+	// at each answer.
+	readingQuantile = 0.3
+	readingStep     = 0.1
 	// serviceWork stands for requests without a prompt.
 	serviceWork = 30 * time.Millisecond
 )
 
 func newReading() *reading {
-	return &reading{perToken: make(map[model.Name]time.Duration)}
+	return &reading{perToken: make(map[model.Name]float64)}
 }
 
 // estimate returns how long an upstream is busy before it answers a prompt.
@@ -38,11 +42,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	per, ok := r.perToken[name]
-	if !ok {
-		per = usualPerToken
-	}
-	return time.Duration(tokens) * per
+	return time.Duration(float64(tokens) * r.get(name))
 }
 
 // add takes in the time to a first event.
@@ -50,13 +50,21 @@
 	if tokens < leastTokens {
 		return
 	}
-	seen := max(first-headBase, 0) / time.Duration(tokens)
+	seen := float64(max(first-headBase, 0)) / float64(tokens)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	per, ok := r.perToken[name]
-	if !ok {
-		r.perToken[name] = seen
-		return
+	per := r.get(name)
+	if seen > per {
+		per *= 1 + readingStep*readingQuantile
+	} else {
+		per *= 1 - readingStep*(1-readingQuantile)
+	}
+	r.perToken[name] = per
+}
+
+func (r *reading) get(name model.Name) float64 {
+	if per, ok := r.perToken[name]; ok {
+		return per
 	}
-	r.perToken[name] = per + time.Duration(readingSmoothing*float64(seen-per))
+	return usualPerToken
 }
