--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -79,10 +79,10 @@
 	s := x.server
 	x.weak = -1
 	x.deadline = x.began.Add(s.opts.DefaultDeadline)
-	if why := s.Refusing(); why != nil {
+	if why := x.awaitStart(r.Context()); why != nil {
 		return why
 	}
-	if x.table == nil {
+	if x.table = s.Tables.Table(); x.table == nil {
 		return refusal.New(refusal.ConfigurationStale)
 	}
 	if x.route = x.table.Match(x.request.Host, x.request.Path); x.route == nil {
@@ -100,6 +100,35 @@
 	return nil
 }
 
+const (
+	// startWait is how long a request waits for a process that has just
+	// started, within the part startShare of the caller's deadline.
+	startWait  = 250 * time.Millisecond
+	startShare = 20
+	startPoll  = 5 * time.Millisecond
+)
+
+// awaitStart returns why no new work is taken. A process that has just started
+// knows its configuration within moments, so that a refusal would come too soon.
+func (x *exchange) awaitStart(ctx context.Context) *refusal.Refusal {
+	s := x.server
+	limit := startWait
+	if x.request.Deadline > 0 {
+		limit = min(limit, x.request.Deadline/startShare)
+	}
+	for {
+		why := s.Refusing()
+		if why == nil || why.Reason != refusal.ConfigurationStale || s.Clock.Since(x.began) >= limit {
+			return why
+		}
+		select {
+		case <-ctx.Done():
+			return refusal.Because(refusal.CallerGone, ctx.Err())
+		case <-s.Clock.After(startPoll):
+		}
+	}
+}
+
 // identify finds the client account of the key.
 func (x *exchange) identify() error {
 	if !x.table.Keyed() || x.route.Public {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -79,7 +79,7 @@
 	defer s.Metrics.inFlight.Dec()
 	x := &exchange{
 		server: s, w: w, began: s.Clock.Now(), control: http.NewResponseController(w),
-		request: s.Protocol.ReadRequest(r), table: s.Tables.Table(), draw: rand.Uint64(),
+		request: s.Protocol.ReadRequest(r), draw: rand.Uint64(),
 	}
 	if s.Closing() {
 		w.Header().Set("Connection", "close")
