--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -66,16 +66,19 @@
 	Slack time.Duration
 	// Settle is the pause after changes, so that more of them come at once.
 	Settle time.Duration
-	// MinBackoff and MaxBackoff bound the pause after a failure.
-	MinBackoff time.Duration
-	MaxBackoff time.Duration
+	// MinBackoff and MaxBackoff bound the pause after a failure, FirstBackoff
+	// that before the first listing.
+	MinBackoff   time.Duration
+	MaxBackoff   time.Duration
+	FirstBackoff time.Duration
 }
 
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Wait: 4 * time.Second, Slack: 800 * time.Millisecond,
-		MinBackoff: 100 * time.Millisecond, MaxBackoff: 400 * time.Millisecond,
+		Wait: 5500 * time.Millisecond, Slack: 800 * time.Millisecond,
+		MinBackoff: 100 * time.Millisecond, MaxBackoff: 1200 * time.Millisecond,
+		FirstBackoff: 300 * time.Millisecond,
 	}
 }
 
@@ -173,7 +176,11 @@
 		w.log.Warn("store lost", "table", w.table, "at", w.at, "error", err)
 		w.sink.Lost(err)
 	}
-	w.backoff = min(max(2*w.backoff, w.opts.MinBackoff), w.opts.MaxBackoff)
+	limit := w.opts.MaxBackoff
+	if w.at == 0 {
+		limit = w.opts.FirstBackoff
+	}
+	w.backoff = min(max(2*w.backoff, w.opts.MinBackoff), limit)
 	w.pause(ctx, w.backoff/2+rand.N(w.backoff/2))
 }
 
