--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -30,6 +30,8 @@
 	work time.Duration
 	// waiting holds the own requests without an answer yet, oldest first.
 	waiting []*Attempt
+	// heardAt is when the upstream last sent anything.
+	heardAt time.Time
 	// busyUntil is when the heavy work that other VMs sent should be done.
 	busyUntil time.Time
 	// hold is the smoothed time that a request occupies the upstream.
@@ -126,9 +128,17 @@
 func (a *Attempt) Heard() {
 	a.engine.mu.Lock()
 	defer a.engine.mu.Unlock()
+	a.engine.heardAt = a.engine.directory.clock.Now()
 	a.engine.answered(a)
 }
 
+// Silence returns how long the upstream has sent nothing to this VM.
+func (e *Engine) Silence() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.directory.clock.Since(e.heardAt)
+}
+
 // answered takes an attempt off the work that waits.
 func (e *Engine) answered(a *Attempt) {
 	e.work -= a.work
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -25,8 +26,32 @@
 	// expected is how long the upstream was expected to be busy before.
 	expected time.Duration
 	began    time.Time
-	// first is the time to the first event, or to the whole answer.
-	first time.Duration
+	// first is the time to the first event, or to the whole answer; last that to
+	// the newest event.
+	first, last time.Duration
+	events      int
+	// counted tells that the attempt was counted as slow.
+	counted bool
+}
+
+// named returns what the roll-out of the attempt's version knows it by.
+func (a *attempt) named() shifts.Attempt {
+	x := a.exchange
+	return shifts.Attempt{
+		Service: x.service, Version: a.engine.Version(), Kind: string(a.model),
+		PromptTokens: x.request.PromptTokens,
+	}
+}
+
+// paceEvents is the least number of events that tell about their pace.
+const paceEvents = 4
+
+// gap returns the mean time between events; zero while it is unknown.
+func (a *attempt) gap() time.Duration {
+	if a.events < paceEvents {
+		return 0
+	}
+	return (a.last - a.first) / time.Duration(a.events-1)
 }
 
 // exchangeOnce sends the request, judges the head of the answer and passes the
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -173,10 +173,13 @@
 			x.server.Pool.Drop(a.engine.Address())
 		}
 	}
-	if !void && !errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, errWeak) {
+	if a.counted && errorx.IsOfType(err, upconn.ErrBroken) && !errorx.IsOfType(err, errFailed) {
+		x.server.Versions.Retract(a.named())
+	}
+	if a.judges(err, void) {
 		x.server.Versions.Ended(shifts.Outcome{
-			Service: x.service, Version: a.engine.Version(), Kind: x.route.Name + "/" + string(a.model),
-			Failed: failed, Took: a.first, PromptTokens: x.request.PromptTokens,
+			Attempt: a.named(), Failed: errorx.IsOfType(err, errFailed), Whole: err == nil, First: a.first,
+			Gap: a.gap(), Counted: a.counted,
 		})
 	}
 	if err == nil && x.repeats {
@@ -185,6 +188,24 @@
 	x.note(a, err, took)
 }
 
+// judges tells whether the end of an attempt says something about its version.
+// A connection that breaks tells of the upstream, and so does a silence, unless
+// the upstream answers others meanwhile.
+func (a *attempt) judges(err error, void bool) bool {
+	switch {
+	case err == nil, errorx.IsOfType(err, errFailed), errorx.IsOfType(err, errWeak):
+		return true
+	case void || !errorx.IsOfType(err, upconn.ErrSilent) || a.first > 0:
+		return false
+	}
+	elapsed := a.exchange.server.Clock.Since(a.began)
+	if a.engine.Silence() >= elapsed {
+		return false
+	}
+	a.first = elapsed
+	return true
+}
+
 func (x *exchange) note(a *attempt, err error, took time.Duration) {
 	outcome := "answered"
 	var why *refusal.Refusal
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -102,5 +102,13 @@
 // Versions says which versions a session may use and learns how they fare.
 type Versions interface {
 	Allowed(service string, position float64) func(model.VersionID) bool
+	// SlowSilence returns how long an attempt may be silent between events
+	// before Slow should be asked; zero for never.
+	SlowSilence(a shifts.Attempt) time.Duration
+	// Slow tells whether the events of an attempt that goes on come too slowly
+	// for its version to be good; it then counts the attempt.
+	Slow(a shifts.Attempt, gap time.Duration) bool
+	// Retract takes back what Slow counted, as the upstream was to blame.
+	Retract(a shifts.Attempt)
 	Ended(o shifts.Outcome)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// paced notes the time of an event.
+func (a *attempt) paced() {
+	a.events++
+	a.last = a.exchange.server.Clock.Since(a.began)
+	if gap := a.gap(); gap > 0 && !a.counted {
+		a.counted = a.exchange.server.Versions.Slow(a.named(), gap)
+	}
+}
+
 // events cuts a stream into whole events.
 type events struct {
 	buf []byte
@@ -136,7 +145,7 @@
 		if a.first == 0 {
 			wait = max(a.patience()-x.server.Clock.Since(a.began), a.pause())
 		}
-		n, err := answer.Read(buf, wait, a.silent)
+		n, err := a.read(answer, buf, wait)
 		in.buf = append(in.buf, buf[:n]...)
 		if sendErr := a.forward(answer, &in); sendErr != nil {
 			return sendErr
@@ -156,12 +165,35 @@
 	}
 }
 
+// read reads the next bytes. On the way a silence that speaks against the
+// attempt's version is counted.
+func (a *attempt) read(answer *upconn.Answer, buf []byte, wait time.Duration) (int, error) {
+	versions := a.exchange.server.Versions
+	early := time.Duration(0)
+	if a.first > 0 && !a.counted {
+		early = versions.SlowSilence(a.named())
+	}
+	if early <= 0 || early >= wait {
+		return answer.Read(buf, wait, a.silent)
+	}
+	asked := false
+	return answer.Read(buf, early, func() time.Duration {
+		if asked {
+			return a.silent()
+		}
+		asked = true
+		a.counted = versions.Slow(a.named(), early)
+		return wait - early
+	})
+}
+
 // forward passes the whole events on that have come.
 func (a *attempt) forward(answer *upconn.Answer, in *events) error {
 	x := a.exchange
 	wrote := false
 	for event := in.next(); event != nil; event = in.next() {
 		a.heard()
+		a.paced()
 		id := eventID(event)
 		if id != "" && !follows(id, x.lastEvent) {
 			return upconn.ErrBroken.New("event %q of %s does not follow %q", id, a.engine.ID(), x.lastEvent)
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -11,7 +11,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/poplarshore/poplarshore/model"
-	"github.com/poplarshore/poplarshore/rollout"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/vm"
 
@@ -63,9 +62,13 @@
 	state    shift.State
 	revision watch.Revision
 	// own holds what this VM saw of both versions in the current shift.
-	own struct{ fresh, old rollout.Counts }
+	own struct {
+		fresh, old shift.Seen
+		// good counts whole answers of the new version at a usual pace.
+		good int64
+	}
 	// others holds what other VMs saw of the new version.
-	others map[vm.ID]rollout.Counts
+	others map[vm.ID]shift.Seen
 	// published is the number of failures last written.
 	published   int64
 	publishedAt time.Time
@@ -78,8 +81,8 @@
 
 // evidenceRow is what a VM saw of a new version.
 type evidenceRow struct {
-	Order  int64          `json:"order"`
-	Counts rollout.Counts `json:"counts"`
+	Order int64      `json:"order"`
+	Seen  shift.Seen `json:"seen"`
 }
 
 // New returns a manager without shifts.
@@ -97,7 +100,7 @@
 func (m *Manager) get(name string) *service {
 	s := m.byService[name]
 	if s == nil {
-		s = &service{others: make(map[vm.ID]rollout.Counts), pace: make(map[string]*pace)}
+		s = &service{others: make(map[vm.ID]shift.Seen), pace: make(map[string]*pace)}
 		m.byService[name] = s
 	}
 	return s
@@ -165,7 +168,7 @@
 		return
 	}
 	if state.Order.ID != s.state.Order.ID {
-		s.own.fresh, s.own.old = rollout.Counts{}, rollout.Counts{}
+		s.own.fresh, s.own.old, s.own.good = shift.Seen{}, shift.Seen{}, 0
 		clear(s.others)
 		s.published, s.stopped = 0, false
 	}
@@ -184,13 +187,13 @@
 	if vm.ID(node) == m.opts.VM || e.Order != s.state.Order.ID {
 		return nil
 	}
-	s.others[vm.ID(node)] = e.Counts
+	s.others[vm.ID(node)] = e.Seen
 	return nil
 }
 
 // evidence merges what all VMs saw.
 func (s *service) evidence() shift.Evidence {
-	e := shift.Evidence{Fresh: s.own.fresh, Old: s.own.old, Own: s.own.fresh}
+	e := shift.Evidence{Fresh: s.own.fresh, Old: s.own.old, Good: s.own.good}
 	for c := range maps.Values(s.others) {
 		e.Fresh = e.Fresh.Add(c)
 	}
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -114,11 +114,11 @@
 
 // evidenceTask publishes new failures of the new version.
 func (m *Manager) evidenceTask(name string, s *service) (task, bool) {
-	failures := s.own.fresh.Errors + s.own.fresh.Slow
+	failures := s.own.fresh.Bad()
 	if s.revision == 0 || s.state.Ended() || failures <= s.published || m.opts.Clock.Since(s.publishedAt) < publishEvery {
 		return task{}, false
 	}
-	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Counts: s.own.fresh})
+	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Seen: s.own.fresh})
 	if err != nil {
 		m.opts.Log.Error("evidence can't be written", "service", name, "error", err)
 		return task{}, false
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -58,8 +58,9 @@
 	// MinFresh is the least number of the VM's own good answers of the new
 	// version on which it takes a further step.
 	MinFresh int64
-	// Evidence is the strength of evidence that reverts a shift.
-	Evidence float64
+	// Evidence is the strength of evidence that reverts a shift, Suspicion that
+	// at which no further step is taken.
+	Evidence, Suspicion float64
 	// Tolerance is how much worse the new version may be.
 	Tolerance rollout.Tolerance
 }
@@ -67,20 +68,39 @@
 // DefaultPlan returns the default plan.
 func DefaultPlan() Plan {
 	return Plan{
-		Steps:     []Step{{At: 0.53, Share: 0.15}, {At: 0.70, Share: 0.5}, {At: 0.76, Share: 1}},
+		Steps:     []Step{{At: 0.51, Share: 0.15}, {At: 0.74, Share: 0.5}, {At: 0.80, Share: 1}},
 		Lead:      1500 * time.Millisecond,
 		MinFresh:  2,
 		Evidence:  3,
+		Suspicion: 1,
 		Tolerance: rollout.Tolerance{Errors: 0.02, Slow: 0.1},
 	}
 }
 
-// Evidence is what is known of both versions since the first step.
+// Seen is what was seen of a version. Not every answer shows its pace, so that
+// the two are counted apart.
+type Seen struct {
+	// Answers counts the answers and which of them were errors.
+	Answers rollout.Counts `json:"answers"`
+	// Paced counts the answers that showed their pace and which were slow.
+	Paced rollout.Counts `json:"paced"`
+}
+
+// Add returns the sum of both.
+func (s Seen) Add(o Seen) Seen {
+	return Seen{Answers: s.Answers.Add(o.Answers), Paced: s.Paced.Add(o.Paced)}
+}
+
+// Bad returns the number of errors and slow answers.
+func (s Seen) Bad() int64 { return s.Answers.Errors + s.Paced.Slow }
+
+// Evidence is what is known of both versions.
 type Evidence struct {
-	// Fresh and Old are the counts of the new and the replaced version.
-	Fresh, Old rollout.Counts
-	// Own is the part of Fresh that this VM saw itself.
-	Own rollout.Counts
+	// Fresh and Old are what was seen of the new and the replaced version.
+	Fresh, Old Seen
+	// Good is the number of the new version's whole answers at a usual pace that
+	// this VM saw itself.
+	Good int64
 }
 
 // Begin returns the state of an order that was just seen.
@@ -115,17 +135,24 @@
 
 // Verdict tells whether the evidence shows that the new version is bad.
 func (p Plan) Verdict(e Evidence) rollout.Verdict {
-	return rollout.Compare(e.Fresh, e.Old, rollout.Counts{}, p.Tolerance, p.Evidence)
+	return p.compare(e, p.Evidence)
+}
+
+func (p Plan) compare(e Evidence, strength float64) rollout.Verdict {
+	v := rollout.Compare(e.Fresh.Answers, e.Old.Answers, rollout.Counts{}, p.Tolerance, strength)
+	if v.Bad {
+		return v
+	}
+	return rollout.Compare(e.Fresh.Paced, e.Old.Paced, rollout.Counts{}, p.Tolerance, strength)
 }
 
 // trusted tells whether a VM may take a further step on its evidence: silence
 // is not health, and neither is a suspicion.
 func (p Plan) trusted(e Evidence) bool {
-	if e.Own.Requests-e.Own.Errors < p.MinFresh {
+	if e.Good < p.MinFresh {
 		return false
 	}
-	_, suspect := rollout.Suspect(e.Fresh, e.Old, rollout.Counts{}, p.Tolerance)
-	return !suspect
+	return !p.compare(e, p.Suspicion).Bad
 }
 
 // due returns the time after the start at which the next step may be taken.
--- a/rollout/shift/shift_test.go
+++ b/rollout/shift/shift_test.go
@@ -13,9 +13,13 @@
 
 var order = shift.Order{ID: 7, Service: "models", To: "v2", Duration: 24 * time.Second}
 
+func answers(n, errors int64) shift.Seen {
+	return shift.Seen{Answers: rollout.Counts{Requests: n, Errors: errors}, Paced: rollout.Counts{Requests: n}}
+}
+
 func good(n int64) shift.Evidence {
 	return shift.Evidence{
-		Fresh: rollout.Counts{Requests: n}, Own: rollout.Counts{Requests: n}, Old: rollout.Counts{Requests: 50, Errors: 1},
+		Fresh: answers(n, 0), Good: n, Old: answers(50, 1),
 	}
 }
 
@@ -43,7 +47,7 @@
 	plan := shift.DefaultPlan()
 	s := shift.Begin(order, 0)
 	for now := time.Duration(0); now < 2*order.Duration; now += 100 * time.Millisecond {
-		s, _ = plan.Next(s, now, shift.Evidence{Old: rollout.Counts{Requests: 100}})
+		s, _ = plan.Next(s, now, shift.Evidence{Old: answers(100, 0)})
 	}
 	g.Expect(s.Phase).To(Equal(shift.Active))
 	g.Expect(plan.Share(s)).To(Equal(plan.Steps[0].Share))
@@ -54,13 +58,26 @@
 	plan := shift.DefaultPlan()
 	s := shift.Begin(order, 0)
 	s.Step = 1
-	bad := shift.Evidence{Fresh: rollout.Counts{Requests: 16, Errors: 7}, Old: rollout.Counts{Requests: 100, Errors: 2}}
+	bad := shift.Evidence{Fresh: answers(16, 7), Old: answers(100, 2)}
 	next, changed := plan.Next(s, 14*time.Second, bad)
 	g.Expect(changed).To(BeTrue())
 	g.Expect(next.Phase).To(Equal(shift.Reverted))
 	g.Expect(plan.Fresh(next, 0)).To(BeFalse())
 }
 
+func TestASlowVersionIsRevertedThoughNoAnswerFails(t *testing.T) {
+	g := NewWithT(t)
+	plan := shift.DefaultPlan()
+	s := shift.Begin(order, 0)
+	s.Step = 1
+	slow := shift.Evidence{Fresh: answers(40, 0), Old: answers(100, 0)}
+	// Of 40 answers 10 showed their pace.
+	slow.Fresh.Paced = rollout.Counts{Requests: 10, Slow: 6}
+	next, _ := plan.Next(s, 14*time.Second, slow)
+	g.Expect(next.Phase).To(Equal(shift.Reverted))
+	g.Expect(next.Verdict.Metric).To(Equal(rollout.MetricSlow))
+}
+
 // TestPhasesGoOneWay draws evidence at random: a share never falls but to
 // nothing at a revert, and nothing follows an end.
 func TestPhasesGoOneWay(t *testing.T) {
@@ -71,9 +88,9 @@
 		for range 60 {
 			now += time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(rt, "pause"))
 			requests := rapid.Int64Range(0, 40).Draw(rt, "requests")
-			counts := rollout.Counts{Requests: requests, Errors: rapid.Int64Range(0, requests).Draw(rt, "errors")}
+			fresh := answers(requests, rapid.Int64Range(0, requests).Draw(rt, "errors"))
 			next, changed := plan.Next(s, now, shift.Evidence{
-				Fresh: counts, Own: counts, Old: rollout.Counts{Requests: 60, Errors: 1},
+				Fresh: fresh, Good: requests - fresh.Bad(), Old: answers(60, 1),
 			})
 			if s.Ended() && changed {
 				rt.Fatalf("%v followed the end %v", next, s)
