--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -193,8 +193,8 @@
 func (x *exchange) place() {
 	x.position = float64(x.draw>>(64-hashBits)) / (1 << hashBits)
 	spread := x.position
-	if n := len(x.request.Parts); n > 0 {
-		hash := xxhash.Sum64String(x.request.Parts[n-1].ID)
+	if x.request.Session != "" {
+		hash := xxhash.Sum64String(x.request.Session)
 		x.position = float64(hash>>(64-hashBits)) / (1 << hashBits)
 	}
 	x.service = x.route.Pick(spread)
@@ -227,7 +227,6 @@
 		Service: x.service, Allowed: x.server.Versions.Allowed(x.service, x.position),
 		Tried: x.state.Tried, Draw: x.draw, Bytes: int64(len(x.body)) + answerBytes,
 	}
-	// The last part belongs to the request or its session alone.
 	shared := x.request.Parts
 	if len(shared) > 1 {
 		shared = shared[:len(shared)-1]
--- a/internal/relay/ports.go
+++ b/internal/relay/ports.go
@@ -32,8 +32,10 @@
 	Deadline time.Duration
 	// Model is what the caller asks for; empty leaves it to the router.
 	Model model.Name
+	// Session names what requests that belong together share; empty for none.
+	Session string
 	// PromptTokens is the length of the prompt, Parts its parts in order. The
-	// last part names the session.
+	// last part belongs to the request alone.
 	PromptTokens int
 	Parts        []Part
 	// LastEvent is the id of the last event that the caller has; empty for none.
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -68,8 +68,8 @@
 // DefaultPlan returns the default plan.
 func DefaultPlan() Plan {
 	return Plan{
-		Steps:     []Step{{At: 0.51, Share: 0.15}, {At: 0.74, Share: 0.5}, {At: 0.80, Share: 1}},
-		Lead:      1500 * time.Millisecond,
+		Steps:     []Step{{At: 0.505, Share: 0.25}, {At: 0.72, Share: 0.6}, {At: 0.78, Share: 1}},
+		Lead:      1300 * time.Millisecond,
 		MinFresh:  2,
 		Evidence:  3,
 		Suspicion: 1,
