--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -264,3 +264,12 @@
 	d.runner.Stop()
 	d.pool.Close()
 }
+
+// CallersAddress returns the address on which callers are served.
+func (d *Daemon) CallersAddress() string { return d.callers.Address() }
+
+// Kill ends the daemon at once, as the loss of its VM does.
+func (d *Daemon) Kill() {
+	d.close()
+	d.logRunner.Stop()
+}
--- /dev/null
+++ b/internal/gatewayd/rig_test.go
@@ -0,0 +1,162 @@
+package gatewayd_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/gatewayd"
+	"github.com/poplarshore/poplarshore/platform/standin"
+	"github.com/poplarshore/poplarshore/settings"
+)
+
+const (
+	host   = "site.example"
+	key    = "key-of-a"
+	models = "models"
+	calls  = "calls"
+)
+
+// rig is a gateway between stand-ins.
+type rig struct {
+	*WithT
+	t       *testing.T
+	store   *standin.Store
+	daemon  *gatewayd.Daemon
+	address string
+	version int64
+}
+
+func routes() []standin.Route {
+	return []standin.Route{
+		{Name: "stream", Host: host, Prefix: "/s/", Kind: "streaming", Service: models, TimeoutMS: 8000, TargetMS: 800,
+			Sizes: []string{"small", "middle", "large"}, MaxAttempts: 3, Resumable: true},
+		{Name: "order", Host: host, Prefix: "/o/", Kind: "non_idempotent", Service: calls, TimeoutMS: 3000, TargetMS: 400, MaxAttempts: 2},
+		{Name: "look", Host: host, Prefix: "/l/", Kind: "idempotent", Service: calls, TimeoutMS: 3000, TargetMS: 400, MaxAttempts: 2},
+		{Name: "open", Host: host, Prefix: "/p/", Kind: "idempotent", Service: calls, TimeoutMS: 3000, TargetMS: 400, MaxAttempts: 1, Public: true},
+	}
+}
+
+// newRig starts a gateway; configure runs before it.
+func newRig(t *testing.T, configure func(*rig)) *rig {
+	r := &rig{WithT: NewWithT(t), t: t, store: standin.NewStore()}
+	server := httptest.NewServer(r.store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	if configure != nil {
+		configure(r)
+	}
+	s := settings.DefaultGateway()
+	s.VM = settings.VM{ID: "vm-1", Domain: "d1", Region: "r1"}
+	s.Regions = map[domain.ID]domain.Region{"d1": "r1", "d2": "r2"}
+	s.Callers.Address, s.Health.Address, s.Metrics.Address, s.Hints = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	s.Store.Address = strings.TrimPrefix(server.URL, "http://")
+	s.Stop = settings.GatewayStop{TakeMS: 50, GraceMS: 4000}
+	s.Log.Level = "error"
+	r.daemon = gatewayd.New(s, io.Discard, clockwork.NewRealClock())
+	r.Expect(r.daemon.Start(context.Background())).To(Succeed())
+	t.Cleanup(r.daemon.Kill)
+	r.address = r.daemon.CallersAddress()
+	return r
+}
+
+// serving starts a gateway with the usual routes and the engines given.
+func serving(t *testing.T, engines ...*standin.Engine) *rig {
+	r := newRig(t, func(r *rig) {
+		r.configure()
+		for _, e := range engines {
+			r.add(e)
+		}
+	})
+	r.Eventually(r.daemon.Ready).Should(BeTrue())
+	return r
+}
+
+func (r *rig) configure() {
+	r.version++
+	r.store.Put("op", "config", standin.Config(r.version, routes(), map[string][]string{"a": {key}}))
+}
+
+func (r *rig) add(e *standin.Engine) {
+	if e.Zone == "" {
+		e.Zone = "d1"
+	}
+	if e.Version == "" {
+		e.Version = "v1"
+	}
+	e.Start()
+	r.t.Cleanup(e.Close)
+	r.store.Put("servers", e.ID, e.Entry("ready"))
+}
+
+func service(id string, behave func(*http.Request) standin.Behaviour) *standin.Engine {
+	return &standin.Engine{ID: id, Service: calls, Behave: behave}
+}
+
+func engine(id string, behave func(*http.Request) standin.Behaviour) *standin.Engine {
+	return &standin.Engine{ID: id, Service: models, Behave: behave}
+}
+
+func always(b standin.Behaviour) func(*http.Request) standin.Behaviour {
+	return func(*http.Request) standin.Behaviour { return b }
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut tells that the answer ended early.
+	cut bool
+}
+
+var attempts int
+
+// call sends a request as the platform's clients do.
+func (r *rig) call(method, path string, header map[string]string) answer {
+	req, err := http.NewRequest(method, "http://"+r.address+path, strings.NewReader("body"))
+	r.Expect(err).NotTo(HaveOccurred())
+	attempts++
+	req.Host = host
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("attempt-%d", attempts))
+	req.Header.Set("X-Deadline-Ms", "5000")
+	req.Header.Set("Authorization", "Bearer "+key)
+	if strings.HasPrefix(path, "/s/") {
+		req.Header.Set("X-Model", "*")
+		req.Header.Set("X-Token-Usage", "100,20")
+		req.Header.Set("X-Prefix-Hash", "aa:50,bb:30,cc:20")
+		req.Header.Set("Session", "session-1")
+	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return answer{cut: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil}
+}
+
+// events returns a stream of the pieces 1 to n.
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+const soon = 5 * time.Second
--- /dev/null
+++ b/retry/purse_test.go
@@ -0,0 +1,98 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/poplarshore/poplarshore/retry"
+)
+
+const span = 10 * time.Second
+
+func windows(ratio, slack float64) *retry.Windows {
+	return retry.NewWindows(retry.WindowOptions{Span: span, Allowances: map[retry.ScopeKind]retry.Allowance{
+		retry.UpstreamScope: {Ratio: ratio, Slack: slack},
+	}})
+}
+
+// TestNoSpanHoldsMoreThanAllowed draws attempts at random: whatever comes, no
+// span has more further attempts than the allowance of its first ones.
+func TestNoSpanHoldsMoreThanAllowed(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		scope := retry.Scope{Kind: retry.UpstreamScope, Name: "s"}
+		w := windows(0.5, 3)
+		now := time.Unix(1000, 0)
+		var first, further []time.Time
+		for range 200 {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(400*time.Millisecond)).Draw(rt, "pause")))
+			if rapid.Bool().Draw(rt, "first") {
+				w.Deposit(now, scope)
+				first = append(first, now)
+				continue
+			}
+			if _, ok := w.Withdraw(now, scope); ok {
+				further = append(further, now)
+			}
+			if n := inSpan(further, now); float64(n) > 0.5*float64(inSpan(first, now))+3 {
+				rt.Fatalf("%d further attempts for %d first ones", n, inSpan(first, now))
+			}
+		}
+	})
+}
+
+func inSpan(times []time.Time, now time.Time) int {
+	n := 0
+	for _, at := range times {
+		if now.Sub(at) < span {
+			n++
+		}
+	}
+	return n
+}
+
+func TestStepsLeaveSomethingForFailures(t *testing.T) {
+	g := NewWithT(t)
+	w := retry.NewWindows(retry.WindowOptions{Span: span, Allowances: map[retry.ScopeKind]retry.Allowance{
+		retry.UpstreamScope: {Ratio: 1}, retry.StepScope: {Ratio: 0.5},
+	}})
+	p := retry.NewPolicy(retry.DefaultOptions(), w)
+	now := time.Unix(1000, 0)
+	s := &retry.State{Group: "s", Deadline: now.Add(time.Minute), Repeatable: true}
+	for range 10 {
+		p.Begin(s, now)
+	}
+	now = now.Add(time.Second)
+	steps := 0
+	for p.DecideStep(s, now) == retry.Allowed {
+		steps++
+	}
+	g.Expect(steps).To(Equal(5))
+	g.Expect(p.AffordsStep(s, now)).To(BeFalse())
+	v := p.Decide(s, retry.Failure{Kind: retry.Broken, Elsewhere: true}, 0, now)
+	g.Expect(v.Action).To(Equal(retry.Retry))
+}
+
+func TestAnAttemptThatNeverLeftIsFree(t *testing.T) {
+	g := NewWithT(t)
+	p := retry.NewPolicy(retry.DefaultOptions(), windows(0, 0))
+	now := time.Unix(1000, 0)
+	s := &retry.State{Group: "s", Deadline: now.Add(time.Minute)}
+	g.Expect(p.Decide(s, retry.Failure{Kind: retry.NotConnected, Elsewhere: true}, 0, now).Action).To(Equal(retry.Retry))
+	g.Expect(p.Decide(s, retry.Failure{Kind: retry.NotStarted, Elsewhere: true}, 0, now).Action).To(Equal(retry.GiveUp))
+}
+
+func TestRepeatsThatNeverHelpBecomeSamples(t *testing.T) {
+	g := NewWithT(t)
+	w := retry.NewWorth()
+	now := time.Unix(1000, 0)
+	for range 10 {
+		w.Record("lookup", false)
+	}
+	g.Expect(w.Try("lookup", now)).To(BeTrue())
+	g.Expect(w.Try("lookup", now.Add(time.Second))).To(BeFalse())
+	g.Expect(w.Try("lookup", now.Add(6*time.Second))).To(BeTrue())
+	g.Expect(w.Try("other", now)).To(BeTrue())
+}
