--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -11,7 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
-	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/poplarshore/poplarshore/domain"
@@ -197,7 +197,7 @@
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, KeepAlive: callerIdle}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	d.registry.MustRegister(prometheus.NewGoCollector())
+	d.registry.MustRegister(collectors.NewGoCollector())
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	for _, l := range []struct {
 		server  **listen.Server
