--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,9 @@
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/metrics"
+	"github.com/poplarshore/poplarshore/internal/peerfeed"
 	"github.com/poplarshore/poplarshore/internal/relay"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
@@ -63,6 +66,8 @@
 	directory *engines.Directory
 	shifts    *shifts.Manager
 	pool      *upconn.Pool
+	vms       *members.List
+	feed      *peerfeed.Feed
 	hints     *hints.Exchange
 	purse     *retry.Windows
 	relay     *relay.Server
@@ -94,6 +99,10 @@
 	d.store = rowstore.New(rowstore.Options{
 		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Log: d.log, Registry: d.registry,
 	})
+	d.vms = members.NewList(s.VM.ID, d.log)
+	options := peerfeed.DefaultOptions()
+	options.VM, options.Domain = s.VM.ID, s.VM.Domain
+	d.feed = peerfeed.New(options, d.store, d.vms, clock, d.log, d.registry)
 	d.pool = upconn.NewPool(upconn.DefaultOptions())
 	d.directory = engines.New(engines.Options{
 		Region: s.VM.Region, Domain: s.VM.Domain,
@@ -149,8 +158,10 @@
 	// callerIdle is longer than callers keep unused connections.
 	callerIdle = 60 * time.Second
 
-	// entrySettle is how long changes of entries are gathered.
-	entrySettle = 250 * time.Millisecond
+	// entrySettle and memberSettle are how long changes of entries and of the
+	// list of VMs are gathered.
+	entrySettle  = 500 * time.Millisecond
+	memberSettle = 300 * time.Millisecond
 
 	tickEvery   = 100 * time.Millisecond
 	settleEvery = 200 * time.Millisecond
@@ -171,8 +182,9 @@
 	d.runner = duty.NewRunner(ctx, d.log)
 	d.follow(wire.OperatorTable, d.operators, 0)
 	d.follow(wire.UpstreamTable, &upstreamRows{log: d.log, directory: d.directory}, entrySettle)
-	d.follow(shifts.Table, &ownRows{manager: d.shifts, hints: d.hints}, 0)
-	d.runner.Start("announce", func(ctx context.Context) { d.hints.Announce(ctx, shifts.Table, d.store) })
+	d.follow(shifts.Table, &shiftRows{manager: d.shifts}, 0)
+	d.follow(members.Table, d.vms, memberSettle)
+	d.runner.Start("announce", d.announce)
 	d.runner.Start("hints out", d.hints.Send)
 	d.runner.Start("hints in", d.hints.Receive)
 	d.runner.Every("roll-outs", d.clock, tickEvery, d.shifts.Tick)
@@ -185,17 +197,18 @@
 func (d *Daemon) follow(table string, sink watch.Sink, settle time.Duration) {
 	options := watch.DefaultOptions()
 	options.Settle = settle
-	w := watch.New(d.store, table, sink, d.clock, d.log, options)
+	w := watch.New(d.feed, table, sink, d.clock, d.log, options)
 	d.runner.Start("watch "+table, w.Run)
 }
 
 func (d *Daemon) listen() error {
 	var err error
-	if d.hints, err = hints.Open(d.settings.VM.ID, d.settings.Hints, d.takeHint, d.log, d.registry); err != nil {
+	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.takeHint, d.log, d.registry); err != nil {
 		return err
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, KeepAlive: callerIdle}
 	mux := http.NewServeMux()
+	mux.Handle(peerfeed.Path, d.feed)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	d.registry.MustRegister(collectors.NewGoCollector())
 	d.registry.MustRegister(&stateCollector{daemon: d})
@@ -217,6 +230,18 @@
 	return nil
 }
 
+// announce tells the other VMs where this one takes what they tell it.
+func (d *Daemon) announce(ctx context.Context) {
+	feed, err := netip.ParseAddrPort(d.metrics.Address())
+	if err != nil {
+		d.log.Error("VM can't be announced", "error", err)
+		return
+	}
+	d.vms.Announce(ctx, members.Member{
+		Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed,
+	}, d.store)
+}
+
 func (d *Daemon) takeHint(h hints.Hint) {
 	d.directory.Burden(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
 }
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -64,7 +64,7 @@
 
 // sharePurse follows the number of VMs.
 func (d *Daemon) sharePurse(context.Context) {
-	if peers := d.hints.Peers(); peers > 0 {
+	if peers := len(d.vms.Others()); peers > 0 {
 		d.allow(peers + 1)
 	}
 	d.purse.Sweep(d.clock.Now())
--- a/internal/gatewayd/tables.go
+++ b/internal/gatewayd/tables.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/engines"
-	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/platform/wire"
@@ -127,27 +126,19 @@
 // Regained implements watch.Sink.
 func (u *upstreamRows) Regained(time.Duration) { u.directory.Regained() }
 
-// ownRows takes in the rows that the VMs write themselves: of roll-outs, and of
-// where VMs take hints. It implements watch.Sink.
-type ownRows struct {
+// shiftRows takes in the rows of roll-outs. It implements watch.Sink.
+type shiftRows struct {
 	manager *shifts.Manager
-	hints   *hints.Exchange
 }
 
 // Reset implements watch.Sink.
-func (o *ownRows) Reset(b watch.Batch) {
-	o.manager.Replace(b.Rows)
-	o.hints.Rows(b.Rows)
-}
+func (s *shiftRows) Reset(b watch.Batch) { s.manager.Replace(b.Rows) }
 
 // Change implements watch.Sink.
-func (o *ownRows) Change(b watch.Batch) {
-	o.manager.Change(b.Rows)
-	o.hints.Rows(b.Rows)
-}
+func (s *shiftRows) Change(b watch.Batch) { s.manager.Change(b.Rows) }
 
 // Lost implements watch.Sink. Roll-outs wait; a bad version is stopped locally.
-func (o *ownRows) Lost(error) {}
+func (s *shiftRows) Lost(error) {}
 
 // Regained implements watch.Sink.
-func (o *ownRows) Regained(time.Duration) {}
+func (s *shiftRows) Regained(time.Duration) {}
--- a/internal/hints/hints_test.go
+++ b/internal/hints/hints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"testing"
@@ -10,12 +11,21 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/poplarshore/poplarshore/internal/hints"
+	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
-func open(t *testing.T, id vm.ID, take func(hints.Hint)) *hints.Exchange {
-	x, err := hints.Open(id, "127.0.0.1:0", take, slog.New(slog.NewTextHandler(io.Discard, nil)), prometheus.NewRegistry())
+// node is a VM with its exchange and its list of the others.
+type node struct {
+	*hints.Exchange
+	vms *members.List
+}
+
+func open(t *testing.T, id vm.ID, take func(hints.Hint)) node {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	vms := members.NewList(id, log)
+	x, err := hints.Open("127.0.0.1:0", vms, take, log, prometheus.NewRegistry())
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
@@ -31,13 +41,13 @@
 		<-done
 		<-done
 	})
-	return x
+	return node{x, vms}
 }
 
-func row(t *testing.T, x *hints.Exchange) watch.Row {
-	put, err := x.Row("table")
+func row(t *testing.T, id string, n node) watch.Row {
+	value, err := json.Marshal(members.Member{Hints: n.Address()})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	return watch.Row{Key: put.Key, Value: put.Value}
+	return watch.Row{Key: id, Value: value}
 }
 
 func TestHintsReachTheOtherVMsOnly(t *testing.T) {
@@ -45,8 +55,8 @@
 	got := make(chan hints.Hint, 8)
 	a := open(t, "a", func(hints.Hint) { t.Error("a hint came back to its sender") })
 	b := open(t, "b", func(h hints.Hint) { got <- h })
-	a.Rows([]watch.Row{row(t, a), row(t, b), {Key: "vm/odd", Value: []byte("{")}, {Key: "state/s"}})
-	g.Expect(a.Peers()).To(Equal(1))
+	a.vms.Reset(watch.Batch{Rows: []watch.Row{row(t, "a", a), row(t, "b", b), {Key: "odd", Value: []byte("{")}}})
+	g.Expect(a.vms.Others()).To(HaveLen(1))
 	h := hints.Hint{Upstream: "e1", WorkMS: 1500}
 	a.Tell(h)
 	g.Eventually(got).Should(Receive(Equal(h)))
@@ -55,7 +65,7 @@
 func TestAVMThatLeftIsForgotten(t *testing.T) {
 	g := NewWithT(t)
 	a, b := open(t, "a", nil), open(t, "b", nil)
-	a.Rows([]watch.Row{row(t, b)})
-	a.Rows([]watch.Row{{Key: "vm/b", Deleted: true}})
-	g.Expect(a.Peers()).To(BeZero())
+	a.vms.Reset(watch.Batch{Rows: []watch.Row{row(t, "b", b)}})
+	a.vms.Change(watch.Batch{Rows: []watch.Row{{Key: "b", Deleted: true}}})
+	g.Expect(a.vms.Others()).To(BeEmpty())
 }
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -18,7 +18,7 @@
 )
 
 // Table is the name of the table that holds the rows.
-const Table = "poplarshore"
+const Table = "poplarshore_shifts"
 
 const (
 	statePrefix    = "state/"
