--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -216,6 +216,22 @@
 	return e.delay(e.directory.clock.Now())
 }
 
+// Use returns the requests believed to be on the upstream over its capacity;
+// zero if the capacity is unknown.
+func (e *Engine) Use() float64 {
+	capacity := e.entry().Capacity
+	if capacity <= 0 {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	requests := e.inFlight
+	if e.directory.clock.Since(e.reportAt) < reportLife {
+		requests += e.others
+	}
+	return float64(requests) / float64(capacity)
+}
+
 // delay returns how long another request is expected to wait for its answer:
 // for the work sent before it, and as much longer as the oldest request waits
 // beyond what was expected.
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -42,6 +42,9 @@
 	ReaderWait, FollowerWait time.Duration
 	// Slack is how much longer a reader's answer may take.
 	Slack time.Duration
+	// StoreAgain is how long the store is left alone after it failed this VM,
+	// while the reader knows nothing fresh either.
+	StoreAgain time.Duration
 	// Avoid is how long a reader that did not answer is left alone, AvoidStale
 	// one that answered that it knows nothing fresh.
 	Avoid, AvoidStale time.Duration
@@ -52,7 +55,7 @@
 	return Options{
 		FromVMs: 6, MaxAge: 2200 * time.Millisecond,
 		ReaderWait: 1500 * time.Millisecond, FollowerWait: 1500 * time.Millisecond,
-		Slack: 400 * time.Millisecond, Avoid: 10 * time.Second, AvoidStale: time.Second,
+		Slack: 400 * time.Millisecond, StoreAgain: 3 * time.Second, Avoid: 10 * time.Second, AvoidStale: time.Second,
 	}
 }
 
@@ -74,6 +77,8 @@
 	mu      sync.Mutex
 	tables  map[string]*history
 	avoided map[vm.ID]time.Time
+	// failedAt is when the store last failed a read of this VM.
+	failedAt time.Time
 }
 
 // New returns a feed over the store.
@@ -128,6 +133,19 @@
 	return f.clock.Now().Before(f.avoided[id])
 }
 
+// storeFailed tells whether the store has just failed this VM.
+func (f *Feed) storeFailed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failedAt.IsZero() && f.clock.Since(f.failedAt) < f.opts.StoreAgain
+}
+
+func (f *Feed) noteFailure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedAt = f.clock.Now()
+}
+
 func (f *Feed) avoid(id vm.ID, table string, err error) {
 	pause := f.opts.Avoid
 	if errorx.IsOfType(err, errStale) {
@@ -174,6 +192,9 @@
 		if err == nil || errorx.IsOfType(err, watch.ErrHistoryGone) {
 			return b, err
 		}
+		if errorx.IsOfType(err, errStale) && f.storeFailed() {
+			return watch.Batch{}, err
+		}
 		f.avoid(m.ID, table, err)
 	}
 	if len(f.vms.In(f.opts.Domain))+1 >= f.opts.FromVMs {
@@ -184,6 +205,9 @@
 	}
 	b, err := f.store.Changes(ctx, table, after, wait)
 	f.count("store", err)
+	if err != nil && !errorx.IsOfType(err, watch.ErrHistoryGone) {
+		f.noteFailure()
+	}
 	if err != nil {
 		h.stale()
 		return b, err
--- /dev/null
+++ b/internal/peerfeed/feed_test.go
@@ -0,0 +1,242 @@
+package peerfeed_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/peerfeed"
+	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+// source is a store whose reads are counted by VM.
+type source struct {
+	mu    sync.Mutex
+	at    watch.Revision
+	rows  []watch.Row
+	down  map[vm.ID]bool
+	reads map[vm.ID]int
+}
+
+// view is the store as one VM sees it.
+type view struct {
+	*source
+	id vm.ID
+}
+
+func (v view) read(after watch.Revision) (watch.Batch, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.reads[v.id]++
+	if v.down[v.id] {
+		return watch.Batch{}, store.ErrUnavailable.New("away from %s", v.id)
+	}
+	b := watch.Batch{At: v.at}
+	for _, r := range v.rows {
+		if r.Revision > after {
+			b.Rows = append(b.Rows, r)
+		}
+	}
+	return b, nil
+}
+
+func (v view) List(context.Context, string) (watch.Batch, error) { return v.read(-1) }
+
+func (v view) Changes(_ context.Context, _ string, after watch.Revision, _ time.Duration) (watch.Batch, error) {
+	return v.read(after)
+}
+
+func (s *source) put(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	s.rows = append(s.rows, watch.Row{Key: key, Revision: s.at})
+}
+
+func (s *source) fail(id vm.ID, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[id] = down
+}
+
+// fleet is VMs of one failure domain.
+type fleet struct {
+	*WithT
+	store   *source
+	feeds   map[vm.ID]*peerfeed.Feed
+	servers map[vm.ID]*httptest.Server
+	clock   *clockwork.FakeClock
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{
+		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
+		store:   &source{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int)},
+		servers: make(map[vm.ID]*httptest.Server),
+	}
+	f.store.put("a")
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	var rows []watch.Row
+	lists := make(map[vm.ID]*members.List)
+	for i := range n {
+		id := vm.ID(fmt.Sprintf("vm-%d", i))
+		opts := peerfeed.DefaultOptions()
+		opts.VM, opts.Domain, opts.FromVMs, opts.FollowerWait = id, "d", 3, 0
+		lists[id] = members.NewList(id, log)
+		f.feeds[id] = peerfeed.New(opts, view{f.store, id}, lists[id], f.clock, log, prometheus.NewRegistry())
+		mux := http.NewServeMux()
+		mux.Handle(peerfeed.Path, f.feeds[id])
+		f.servers[id] = httptest.NewServer(mux)
+		t.Cleanup(f.servers[id].Close)
+		at := netip.MustParseAddrPort(strings.TrimPrefix(f.servers[id].URL, "http://"))
+		value, err := json.Marshal(members.Member{Domain: "d", Feed: at})
+		f.Expect(err).NotTo(HaveOccurred())
+		rows = append(rows, watch.Row{Key: string(id), Value: value})
+	}
+	for id, feed := range f.feeds {
+		// Each lists the table before it knows the others.
+		_, err := feed.List(t.Context(), "t")
+		f.Expect(err).NotTo(HaveOccurred())
+		lists[id].Reset(watch.Batch{Rows: rows})
+	}
+	f.store.mu.Lock()
+	clear(f.store.reads)
+	f.store.mu.Unlock()
+	return f
+}
+
+// read makes each VM read once, readers first, and returns the VMs that read the store.
+func (f *fleet) read(t *testing.T, after watch.Revision) (map[vm.ID]watch.Batch, []vm.ID) {
+	got := make(map[vm.ID]watch.Batch)
+	for range 2 {
+		for id, feed := range f.feeds {
+			b, err := feed.Changes(t.Context(), "t", after, time.Second)
+			if err == nil {
+				got[id] = b
+			}
+		}
+	}
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	var readers []vm.ID
+	for id := range f.store.reads {
+		readers = append(readers, id)
+	}
+	clear(f.store.reads)
+	return got, readers
+}
+
+func TestOneVMReadsForAll(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	f.store.put("b")
+	f.read(t, 1)
+	got, readers := f.read(t, 1)
+	f.Expect(readers).To(HaveLen(1))
+	f.Expect(got).To(HaveLen(5))
+	for _, b := range got {
+		f.Expect(b.At).To(BeEquivalentTo(2))
+		f.Expect(b.Rows).To(HaveLen(1))
+	}
+}
+
+func TestFewVMsReadForThemselves(t *testing.T) {
+	f := newFleet(t, 2)
+	_, readers := f.read(t, 1)
+	f.Expect(readers).To(HaveLen(2))
+}
+
+func TestAReaderThatIsCutOffFromTheStoreHoldsNobodyBack(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	_, readers := f.read(t, 1)
+	f.Expect(readers).To(HaveLen(1))
+	f.store.fail(readers[0], true)
+	f.clock.Advance(3 * time.Second)
+	f.store.put("b")
+	got, _ := f.read(t, 1)
+	for id := range f.feeds {
+		if id != readers[0] {
+			f.Expect(got[id].At).To(BeEquivalentTo(2), string(id))
+		}
+	}
+}
+
+func TestAReaderThatIsGoneIsReplaced(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	_, readers := f.read(t, 1)
+	gone := readers[0]
+	f.servers[gone].Close()
+	delete(f.feeds, gone)
+	f.store.put("b")
+	got, _ := f.read(t, 1)
+	f.Expect(got).To(HaveLen(4))
+	f.clock.Advance(time.Second + time.Millisecond)
+	f.read(t, 2)
+	_, readers = f.read(t, 2)
+	f.Expect(readers).To(HaveLen(1))
+}
+
+func TestAnOutageOfTheStoreIsNotPolledByAll(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	f.read(t, 1)
+	for id := range f.feeds {
+		f.store.fail(id, true)
+	}
+	f.clock.Advance(3 * time.Second)
+	for range 10 {
+		f.clock.Advance(100 * time.Millisecond)
+		for _, feed := range f.feeds {
+			_, err := feed.Changes(t.Context(), "t", 1, time.Second)
+			f.Expect(err).To(HaveOccurred())
+		}
+	}
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	total := 0
+	for _, n := range f.store.reads {
+		total += n
+	}
+	// The reader keeps trying; each other VM tries a few times.
+	f.Expect(total).To(BeNumerically("<=", 10+4*4))
+}
+
+func TestAFollowerBehindTheHistoryListsAnew(t *testing.T) {
+	f := newFleet(t, 3)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	_, readers := f.read(t, 1)
+	for id, feed := range f.feeds {
+		if id == readers[0] {
+			continue
+		}
+		_, err := feed.Changes(t.Context(), "t", 0, time.Second)
+		f.Expect(errorx.IsOfType(err, watch.ErrHistoryGone)).To(BeTrue())
+		b, err := feed.List(t.Context(), "t")
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(b.Rows).To(HaveLen(1))
+	}
+}
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -57,13 +57,16 @@
 		return
 	}
 	for _, r := range b.Rows {
+		if r.Revision <= h.at {
+			continue
+		}
 		if r.Deleted {
 			delete(h.rows, r.Key)
 		} else {
 			h.rows[r.Key] = r
 		}
+		h.log = append(h.log, r)
 	}
-	h.log = append(h.log, b.Rows...)
 	if extra := len(h.log) - maxLog; extra > 0 {
 		h.oldest = h.log[extra-1].Revision
 		h.log = slices.Delete(h.log, 0, extra)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -151,9 +151,18 @@
 	if choice.Engine == nil {
 		return 1
 	}
-	return float64(choice.Engine.Delay()) / float64(x.route.Target)
+	crowd := max(choice.Engine.Use()-crowdedFrom, 0) * crowdWeight
+	return float64(choice.Engine.Delay())/float64(x.route.Target) + crowd
 }
 
+const (
+	// crowdedFrom is the use of an engine's batch, 0 to 1, from which a strong
+	// answer takes the place of others, crowdWeight what a whole batch counts
+	// for as a part of the target.
+	crowdedFrom = 0.5
+	crowdWeight = 0.6
+)
+
 // maxDrainBytes bounds the body of a refusal that is read to keep the connection.
 const maxDrainBytes = 4 << 10
 
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -39,7 +39,7 @@
 // GatewayStop says how a planned stop goes.
 type GatewayStop struct {
 	TakeMS  Millis `json:"take_ms" doc:"Time after the signal during which new requests are still taken, in ms. Default 2700."`
-	GraceMS Millis `json:"grace_ms" doc:"Time after the signal at which what is still running is broken off, in ms. Default 7600."`
+	GraceMS Millis `json:"grace_ms" doc:"Time after the signal at which what is still running is broken off, in ms. Default 7300."`
 }
 
 // DefaultGateway returns the defaults.
@@ -51,7 +51,7 @@
 		Hints:   "127.0.0.1:8083",
 		Store:   Store{CallMS: 1000},
 		Retries: Retries{SpanMS: 10000, Ratio: 0.9, Slack: 50},
-		Stop:    GatewayStop{TakeMS: 2700, GraceMS: 7600},
+		Stop:    GatewayStop{TakeMS: 2700, GraceMS: 7300},
 		Log:     Log{Format: "json", Level: "info"},
 	}
 }
