--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -66,6 +66,9 @@
 
 // New returns an empty directory.
 func New(opts Options, clock clockwork.Clock, log *slog.Logger) *Directory {
+	opts.Placement.Breaker.OnChange = func(key retry.BreakerKey, state retry.BreakerState) {
+		log.Info("circuit breaker", "upstream", key.Upstream, "state", state.String())
+	}
 	return &Directory{
 		opts: opts, clock: clock, log: log,
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
--- a/internal/entryd/metrics_test.go
+++ b/internal/entryd/metrics_test.go
@@ -15,11 +15,12 @@
 
 	"github.com/poplarshore/poplarshore/examples"
 	"github.com/poplarshore/poplarshore/internal/controld"
+	"github.com/poplarshore/poplarshore/internal/gatewayd"
 	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/settings"
 )
 
-// registered returns the metrics of both daemons.
+// registered returns the metrics of all daemons.
 func registered() map[string]string {
 	e, _ := start(context.Background(), examples.Quickstart)
 	all := e.VM("vm-1").Metrics()
@@ -28,6 +29,8 @@
 	control, err := controld.New(s, slog.New(slog.NewTextHandler(io.Discard, nil)), clockwork.NewFakeClock())
 	Expect(err).NotTo(HaveOccurred())
 	maps.Copy(all, control.Metrics())
+	gateway := gatewayd.New(settings.DefaultGateway(), io.Discard, clockwork.NewFakeClock())
+	maps.Copy(all, gateway.Metrics())
 	return all
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -12,11 +12,13 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/boundlog"
+	"github.com/poplarshore/poplarshore/internal/command"
 	"github.com/poplarshore/poplarshore/internal/duty"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/hints"
@@ -69,9 +71,11 @@
 	vms       *members.List
 	feed      *peerfeed.Feed
 	hints     *hints.Exchange
-	purse     *retry.Windows
-	relay     *relay.Server
-	phase     atomic.Int32
+	// hintCounts counts hints by what became of them.
+	hintCounts *prometheus.CounterVec
+	purse      *retry.Windows
+	relay      *relay.Server
+	phase      atomic.Int32
 
 	runner    *duty.Runner
 	logRunner *duty.Runner
@@ -95,9 +99,9 @@
 	}
 	d := &Daemon{settings: s, out: out, clock: clock, registry: metrics.NewRegistry()}
 	d.lines = boundlog.New(d.registry)
-	d.log = slog.New(d.lines.Handler(logHandler(d.lines, s.Log))).With("vm", s.VM.ID)
+	d.log = slog.New(d.lines.Handler(command.Logger(d.lines, s.Log).Handler())).With("vm", s.VM.ID)
 	d.store = rowstore.New(rowstore.Options{
-		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Log: d.log, Registry: d.registry,
+		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Registry: d.registry,
 	})
 	d.vms = members.NewList(s.VM.ID, d.log)
 	options := peerfeed.DefaultOptions()
@@ -115,22 +119,13 @@
 		VM: s.VM.ID, Plan: shift.DefaultPlan(), Shared: d.store, Writer: d.store,
 		Announce: wire.AnnounceRollout, Clock: clock, Log: d.log,
 	})
+	d.hintCounts = hints.NewCounter(d.registry)
+	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operators = &operatorRows{log: d.log, shifts: d.shifts}
 	d.relay = d.newRelay()
 	return d
 }
 
-func logHandler(w io.Writer, l settings.Log) slog.Handler {
-	var level slog.Level
-	// The settings were checked, so the level is known.
-	_ = level.UnmarshalText([]byte(l.Level))
-	opts := &slog.HandlerOptions{Level: level}
-	if l.Format == "json" {
-		return slog.NewJSONHandler(w, opts)
-	}
-	return slog.NewTextHandler(w, opts)
-}
-
 // known tells whether all that a request needs was read once.
 func (d *Daemon) known() bool {
 	return d.operators.listed.Load() && d.operators.Table() != nil && d.directory.Listed() && d.shifts.Listed()
@@ -203,7 +198,7 @@
 
 func (d *Daemon) listen() error {
 	var err error
-	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.takeHint, d.log, d.registry); err != nil {
+	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.takeHint, d.log, d.hintCounts); err != nil {
 		return err
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, KeepAlive: callerIdle}
@@ -211,7 +206,6 @@
 	mux.Handle(peerfeed.Path, d.feed)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	d.registry.MustRegister(collectors.NewGoCollector())
-	d.registry.MustRegister(&stateCollector{daemon: d})
 	for _, l := range []struct {
 		server  **listen.Server
 		at      settings.Listener
@@ -293,6 +287,9 @@
 // CallersAddress returns the address on which callers are served.
 func (d *Daemon) CallersAddress() string { return d.callers.Address() }
 
+// Metrics returns the help of each metric.
+func (d *Daemon) Metrics() map[string]string { return d.registry.Descriptions("poplarshore_") }
+
 // Kill ends the daemon at once, as the loss of its VM does.
 func (d *Daemon) Kill() {
 	d.close()
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -49,9 +49,18 @@
 	counts *prometheus.CounterVec
 }
 
+// NewCounter registers the counter of hints.
+func NewCounter(registry prometheus.Registerer) *prometheus.CounterVec {
+	counts := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_hints_total", Help: "Hints on heavy work by what became of them.",
+	}, []string{"outcome"})
+	registry.MustRegister(counts)
+	return counts
+}
+
 // Open listens on the address and passes the hints that come to take. Errors:
 // ErrListen.
-func Open(address string, vms *members.List, take func(Hint), log *slog.Logger, registry prometheus.Registerer) (*Exchange, error) {
+func Open(address string, vms *members.List, take func(Hint), log *slog.Logger, counts *prometheus.CounterVec) (*Exchange, error) {
 	at, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "address %q", address)
@@ -60,13 +69,7 @@
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "address %q", address)
 	}
-	x := &Exchange{conn: conn, vms: vms, out: ring.New[Hint](ringHints), take: take, log: log,
-		counts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "poplarshore_hints_total", Help: "Hints on heavy work by what became of them.",
-		}, []string{"outcome"}),
-	}
-	registry.MustRegister(x.counts)
-	return x, nil
+	return &Exchange{conn: conn, vms: vms, out: ring.New[Hint](ringHints), take: take, log: log, counts: counts}, nil
 }
 
 // Address returns where hints are taken.
--- a/internal/hints/hints_test.go
+++ b/internal/hints/hints_test.go
@@ -25,7 +25,7 @@
 func open(t *testing.T, id vm.ID, take func(hints.Hint)) node {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	vms := members.NewList(id, log)
-	x, err := hints.Open("127.0.0.1:0", vms, take, log, prometheus.NewRegistry())
+	x, err := hints.Open("127.0.0.1:0", vms, take, log, hints.NewCounter(prometheus.NewRegistry()))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/settings"
 )
 
@@ -34,6 +35,27 @@
 		Expect(bytes.Count(out.Bytes(), []byte("// "))).To(BeNumerically(">=", fields))
 	})
 
+	It("reads what Print wrote of a gateway's settings", func() {
+		var out bytes.Buffer
+		want := settings.DefaultGateway()
+		want.VM = settings.VM{ID: "v", Domain: "d", Region: "r"}
+		want.Regions = map[domain.ID]domain.Region{"d": "r"}
+		want.Store.Address = "10.0.0.1:80"
+		Expect(settings.Print(&out, want)).To(Succeed())
+		got := settings.DefaultGateway()
+		Expect(settings.Parse(out.Bytes(), got)).To(Succeed())
+		Expect(got).To(Equal(want))
+	})
+
+	It("tells what a gateway's settings lack", func() {
+		err := settings.Parse([]byte(`{"vm": {"id": "v", "domain": "d", "region": "r"}, "hints": "x",
+  "stop": {"take_ms": 5, "grace_ms": 5}}`), settings.DefaultGateway())
+		Expect(err).To(MatchError(And(
+			ContainSubstring("regions: must name the region"), ContainSubstring("store.address: must be host:port"),
+			ContainSubstring("1:60: hints: must be host:port"), ContainSubstring("stop.grace_ms: must be over"),
+		)))
+	})
+
 	It("tells all faults of a file at once, with line and column", func() {
 		err := settings.Parse([]byte(`{
   "callers": {"address": "0.0.0.0:80"},
