--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -279,7 +279,6 @@
 	d.callers.Close()
 	d.health.Close()
 	d.metrics.Close()
-	d.hints.Close()
 	d.runner.Stop()
 	d.pool.Close()
 }
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -111,8 +111,10 @@
 	}
 }
 
-// Receive takes hints until the exchange is closed.
-func (x *Exchange) Receive(context.Context) {
+// Receive takes hints until ctx ends, and closes the exchange then.
+func (x *Exchange) Receive(ctx context.Context) {
+	stop := context.AfterFunc(ctx, x.Close)
+	defer stop()
 	buf := make([]byte, maxHintBytes)
 	for {
 		n, _, err := x.conn.ReadFromUDPAddrPort(buf)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -64,6 +64,9 @@
 	Wait time.Duration
 	// Slack is how much longer than Wait an answer may take.
 	Slack time.Duration
+	// LostWait stands for Wait until the store answers again, as a poll that was
+	// swallowed in an outage is never answered.
+	LostWait time.Duration
 	// Settle is the pause after changes, so that more of them come at once.
 	Settle time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a failure, FirstBackoff
@@ -76,7 +79,7 @@
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Wait: 5500 * time.Millisecond, Slack: 800 * time.Millisecond,
+		Wait: 5500 * time.Millisecond, LostWait: 200 * time.Millisecond, Slack: 800 * time.Millisecond,
 		MinBackoff: 100 * time.Millisecond, MaxBackoff: 1200 * time.Millisecond,
 		FirstBackoff: 300 * time.Millisecond,
 	}
@@ -116,9 +119,13 @@
 	if !w.listed {
 		return w.list(parent)
 	}
-	ctx, cancel := context.WithTimeout(parent, w.opts.Wait+w.opts.Slack)
+	wait := w.opts.Wait
+	if !w.lostAt.IsZero() {
+		wait = w.opts.LostWait
+	}
+	ctx, cancel := context.WithTimeout(parent, wait+w.opts.Slack)
 	defer cancel()
-	b, err := w.source.Changes(ctx, w.table, w.at, w.opts.Wait)
+	b, err := w.source.Changes(ctx, w.table, w.at, wait)
 	if errorx.IsOfType(err, ErrHistoryGone) {
 		w.log.Info("history gone, listing again", "table", w.table, "after", w.at)
 		w.listed = false
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -20,6 +20,8 @@
 	mu    sync.Mutex
 	lists []any
 	polls []any
+	// waits are those of the polls so far.
+	waits []time.Duration
 }
 
 func next(list *[]any) any {
@@ -49,7 +51,10 @@
 	return s.read(ctx, &s.lists)
 }
 
-func (s *script) Changes(ctx context.Context, _ string, _ watch.Revision, _ time.Duration) (watch.Batch, error) {
+func (s *script) Changes(ctx context.Context, _ string, _ watch.Revision, wait time.Duration) (watch.Batch, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
 	return s.read(ctx, &s.polls)
 }
 
@@ -119,3 +124,20 @@
 	sink := play(t, &script{lists: []any{out, out, batch(5, "a")}, polls: []any{out, out, out, batch(6, "b")}})
 	g.Eventually(sink.all).Should(Equal([]string{"lost", "regained", "reset a", "lost", "regained", "change b"}))
 }
+
+// A poll that the store swallowed while it was away is never answered, so that
+// polls are short until it answers again.
+func TestPollsAreShortWhileTheStoreIsAway(t *testing.T) {
+	g := NewWithT(t)
+	out := store.ErrUnavailable.New("out")
+	s := &script{lists: []any{batch(5, "a")}, polls: []any{out, out, batch(6, "b")}}
+	sink := play(t, s)
+	g.Eventually(sink.all).Should(Equal([]string{"reset a", "lost", "regained", "change b"}))
+	g.Eventually(func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.waits)
+	}).Should(Equal(4))
+	opts := watch.DefaultOptions()
+	g.Expect(s.waits).To(Equal([]time.Duration{opts.Wait, opts.LostWait, opts.LostWait, opts.Wait}))
+}
