--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -52,6 +52,8 @@
 	leaving
 	// refusing daemons only end what they have.
 	refusing
+	// cutting daemons break off what is left.
+	cutting
 )
 
 // Daemon is the gateway of one VM.
@@ -133,7 +135,7 @@
 
 // refusal returns why no new work is taken, or nil.
 func (d *Daemon) refusal() *refusal.Refusal {
-	if phase(d.phase.Load()) == refusing {
+	if phase(d.phase.Load()) >= refusing {
 		return refusal.New(refusal.Draining)
 	}
 	if !d.known() {
@@ -259,7 +261,9 @@
 	left := d.settings.Stop.GraceMS.Duration() - d.clock.Since(began)
 	ending, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	if err := d.callers.Shutdown(ending); err != nil {
+	err := d.callers.Shutdown(ending)
+	d.phase.Store(int32(cutting))
+	if err != nil {
 		d.log.Warn("requests broken off", "error", err)
 	}
 	d.close()
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -47,6 +47,7 @@
 		Heavy: func(id upstream.ID, work time.Duration) {
 			d.hints.Tell(hints.Hint{Upstream: id, WorkMS: work.Milliseconds()})
 		},
+		Cutting:  func() bool { return phase(d.phase.Load()) == cutting },
 		Refusing: d.refusal, Closing: func() bool { return phase(d.phase.Load()) != serving },
 	}, relay.DefaultOptions())
 }
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -215,7 +216,8 @@
 		outcome = string(why.Reason)
 	default:
 		if e := errorx.Cast(err); e != nil {
-			outcome = e.Type().FullName()
+			name := e.Type().FullName()
+			outcome = name[strings.LastIndexByte(name, '.')+1:]
 		}
 	}
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -57,6 +57,8 @@
 	Heavy func(id upstream.ID, work time.Duration)
 	// Refusing returns why no new work is taken, or nil.
 	Refusing func() *refusal.Refusal
+	// Cutting tells that what is still running is being broken off.
+	Cutting func() bool
 	// Closing tells that callers are to leave their connections.
 	Closing func() bool
 }
@@ -101,7 +103,10 @@
 		return
 	}
 	why := refusal.Of(err)
-	if r.Context().Err() != nil {
+	switch {
+	case s.Cutting():
+		why = refusal.Because(refusal.Draining, err)
+	case r.Context().Err() != nil:
 		why = refusal.Because(refusal.CallerGone, err)
 	}
 	if x.begun {
