--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
 
+	"github.com/poplarshore/poplarshore/platform/standin"
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/oldrouter"
 	"github.com/poplarshore/poplarshore/standin/platform"
@@ -33,7 +34,7 @@
 		Short:        "Stand-ins of engines, services, the platform and the older router",
 		SilenceUsage: true,
 	}
-	root.AddCommand(quickstart.NewCommand(), engineCommand(), serviceCommand(), platformCommand(), oldRouterCommand())
+	root.AddCommand(quickstart.NewCommand(), standin.NewCommand(), engineCommand(), serviceCommand(), platformCommand(), oldRouterCommand())
 	return root
 }
 
