--- a/retry/purse_test.go
+++ b/retry/purse_test.go
@@ -96,3 +96,15 @@
 	g.Expect(w.Try("lookup", now.Add(6*time.Second))).To(BeTrue())
 	g.Expect(w.Try("other", now)).To(BeTrue())
 }
+
+func TestFirstAttemptsOutsideTheSpanAllowNothing(t *testing.T) {
+	g := NewWithT(t)
+	scope := retry.Scope{Kind: retry.UpstreamScope, Name: "s"}
+	w := windows(1, 0)
+	began := time.Unix(1000, 0)
+	for range 10 {
+		w.Deposit(began, scope)
+	}
+	g.Expect(w.Affords(began.Add(span/2), scope)).To(BeTrue())
+	g.Expect(w.Affords(began.Add(span+span/40), scope)).To(BeFalse())
+}
