--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -55,7 +55,7 @@
 	return Options{
 		FromVMs: 6, MaxAge: 2200 * time.Millisecond,
 		ReaderWait: 1500 * time.Millisecond, FollowerWait: 1500 * time.Millisecond,
-		Slack: 400 * time.Millisecond, StoreAgain: 3 * time.Second, Avoid: 10 * time.Second, AvoidStale: time.Second,
+		Slack: 400 * time.Millisecond, StoreAgain: 1500 * time.Millisecond, Avoid: 10 * time.Second, AvoidStale: time.Second,
 	}
 }
 
@@ -76,9 +76,16 @@
 
 	mu      sync.Mutex
 	tables  map[string]*history
-	avoided map[vm.ID]time.Time
-	// failedAt is when the store last failed a read of this VM.
-	failedAt time.Time
+	avoided map[avoidance]time.Time
+	// failedAt is when the store last failed a read of a table.
+	failedAt map[string]time.Time
+}
+
+// avoidance is a reader that is left alone for a table. A reader may know one
+// table and not another.
+type avoidance struct {
+	reader vm.ID
+	table  string
 }
 
 // New returns a feed over the store.
@@ -86,7 +93,7 @@
 	f := &Feed{
 		opts: opts, store: source, vms: vms, clock: clock, log: log,
 		http:   &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}},
-		tables: make(map[string]*history), avoided: make(map[vm.ID]time.Time),
+		tables: make(map[string]*history), avoided: make(map[avoidance]time.Time), failedAt: make(map[string]time.Time),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "poplarshore_feed_reads_total", Help: "Reads of the store's tables, by where they went and outcome.",
 		}, []string{"from", "outcome"}),
@@ -108,14 +115,14 @@
 
 // reader returns the VM to read from; false means the store. The VMs of the
 // failure domain rank each other alike, and leave out who did not answer.
-func (f *Feed) reader() (members.Member, bool) {
+func (f *Feed) reader(table string) (members.Member, bool) {
 	near := f.vms.In(f.opts.Domain)
 	if len(near)+1 < f.opts.FromVMs {
 		return members.Member{}, false
 	}
 	ids := []string{string(f.opts.VM)}
 	for _, m := range near {
-		if !f.avoids(m.ID) {
+		if !f.avoids(avoidance{m.ID, table}) {
 			ids = append(ids, string(m.ID))
 		}
 	}
@@ -127,23 +134,24 @@
 	return members.Member{}, false
 }
 
-func (f *Feed) avoids(id vm.ID) bool {
+func (f *Feed) avoids(a avoidance) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.clock.Now().Before(f.avoided[id])
+	return f.clock.Now().Before(f.avoided[a])
 }
 
-// storeFailed tells whether the store has just failed this VM.
-func (f *Feed) storeFailed() bool {
+// storeFailed tells whether the store has just failed a read of the table.
+func (f *Feed) storeFailed(table string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.failedAt.IsZero() && f.clock.Since(f.failedAt) < f.opts.StoreAgain
+	at, failed := f.failedAt[table]
+	return failed && f.clock.Since(at) < f.opts.StoreAgain
 }
 
-func (f *Feed) noteFailure() {
+func (f *Feed) noteFailure(table string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failedAt = f.clock.Now()
+	f.failedAt[table] = f.clock.Now()
 }
 
 func (f *Feed) avoid(id vm.ID, table string, err error) {
@@ -152,7 +160,7 @@
 		pause = f.opts.AvoidStale
 	}
 	f.mu.Lock()
-	f.avoided[id] = f.clock.Now().Add(pause)
+	f.avoided[avoidance{id, table}] = f.clock.Now().Add(pause)
 	f.mu.Unlock()
 	f.log.Info("reader left alone", "reader", id, "table", table, "error", err)
 }
@@ -160,7 +168,7 @@
 // List implements watch.Source.
 func (f *Feed) List(ctx context.Context, table string) (watch.Batch, error) {
 	h := f.history(table)
-	if m, ok := f.reader(); ok {
+	if m, ok := f.reader(table); ok {
 		b, err := f.ask(ctx, m, table, -1, 0)
 		f.count("reader", err)
 		if err == nil {
@@ -175,14 +183,16 @@
 		h.stale()
 		return b, err
 	}
-	h.reset(b, f.clock.Now())
+	// A listing may lag behind the store's changes, so that it is not passed on
+	// before a poll has confirmed it.
+	h.reset(b, time.Time{})
 	return b, nil
 }
 
 // Changes implements watch.Source.
 func (f *Feed) Changes(ctx context.Context, table string, after watch.Revision, wait time.Duration) (watch.Batch, error) {
 	h := f.history(table)
-	if m, ok := f.reader(); ok {
+	if m, ok := f.reader(table); ok {
 		h.stale()
 		b, err := f.ask(ctx, m, table, after, f.opts.FollowerWait)
 		f.count("reader", err)
@@ -192,7 +202,7 @@
 		if err == nil || errorx.IsOfType(err, watch.ErrHistoryGone) {
 			return b, err
 		}
-		if errorx.IsOfType(err, errStale) && f.storeFailed() {
+		if errorx.IsOfType(err, errStale) && f.storeFailed(table) {
 			return watch.Batch{}, err
 		}
 		f.avoid(m.ID, table, err)
@@ -206,7 +216,7 @@
 	b, err := f.store.Changes(ctx, table, after, wait)
 	f.count("store", err)
 	if err != nil && !errorx.IsOfType(err, watch.ErrHistoryGone) {
-		f.noteFailure()
+		f.noteFailure(table)
 	}
 	if err != nil {
 		h.stale()
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -240,3 +240,45 @@
 		f.Expect(b.Rows).To(HaveLen(1))
 	}
 }
+
+// A listing may be older than the changes that the store has made known, so
+// that a reader which has only listed passes nothing on.
+func TestAListingAloneIsNotPassedOn(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	_, readers := f.read(t, 1)
+	_, err := f.feeds[readers[0]].List(t.Context(), "t")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.store.mu.Lock()
+	clear(f.store.reads)
+	f.store.mu.Unlock()
+	for id, feed := range f.feeds {
+		if id == readers[0] {
+			continue
+		}
+		_, err := feed.Changes(t.Context(), "t", 1, time.Second)
+		f.Expect(err).NotTo(HaveOccurred())
+	}
+	f.Expect(f.store.reads).To(HaveLen(4))
+}
+
+// What happens to one table says nothing about another one.
+func TestTablesAreReadApart(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(time.Second + time.Millisecond)
+	_, readers := f.read(t, 1)
+	for id, feed := range f.feeds {
+		if id == readers[0] {
+			continue
+		}
+		// The reader knows nothing of another table.
+		_, err := feed.Changes(t.Context(), "other", 1, time.Second)
+		f.Expect(err).NotTo(HaveOccurred())
+	}
+	_, again := f.read(t, 1)
+	f.Expect(again).NotTo(BeEmpty())
+	_, again = f.read(t, 1)
+	f.Expect(again).To(Equal(readers))
+}
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -35,8 +35,8 @@
 	return &history{rows: make(map[string]watch.Row), changed: make(chan struct{})}
 }
 
-// reset takes in a listing. Now is when the store itself answered; zero stands
-// for a reader's answer, which is not passed on.
+// reset takes in a listing. Now is when the store is known to be no further;
+// zero stands for a listing that is not passed on yet.
 func (h *history) reset(b watch.Batch, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -48,7 +48,8 @@
 	h.wake()
 }
 
-// change takes in changed rows; now is as for reset.
+// change takes in changed rows. Now is when the store itself answered; zero
+// stands for a reader's answer, which is not passed on.
 func (h *history) change(b watch.Batch, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
