--- a/rollout/shift/shift_test.go
+++ b/rollout/shift/shift_test.go
@@ -102,3 +102,26 @@
 		}
 	})
 }
+
+// TestAVersionThatIsNeverFoundBadStaysWithinTheExposureBound plays a whole
+// shift of a version that fails only under load: what it gets between the order
+// and the deadline must stay within the users' bound.
+func TestAVersionThatIsNeverFoundBadStaysWithinTheExposureBound(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		perSecond     = 75.0
+		exposureShare = 0.15
+		exposureSlack = 30.0
+		tick          = 50 * time.Millisecond
+	)
+	brief := order
+	brief.Duration = 12 * time.Second
+	plan := shift.DefaultPlan()
+	s := shift.Begin(brief, 0)
+	exposed := 0.0
+	for now := time.Duration(0); now < brief.Duration; now += tick {
+		s, _ = plan.Next(s, now, good(20))
+		exposed += plan.Share(s) * perSecond * tick.Seconds()
+	}
+	g.Expect(exposed).To(BeNumerically("<=", exposureShare*perSecond*brief.Duration.Seconds()+exposureSlack))
+}
