--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -127,9 +127,15 @@
 	return retry.Broken
 }
 
+// The generator of Knuth's MMIX.
+const (
+	drawMultiplier = 6364136223846793005
+	drawIncrement  = 1442695040888963407
+)
+
 // uniform returns a number in [0, 1) that differs between attempts.
 func (x *exchange) uniform() float64 {
-	x.draw = x.draw*6364136223846793005 + 1442695040888963407
+	x.draw = x.draw*drawMultiplier + drawIncrement
 	return float64(x.draw>>(64-hashBits)) / (1 << hashBits)
 }
 
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -221,10 +221,6 @@
 	return n, a.readError(err)
 }
 
-// Framed tells that the body has an end of its own, other than the end of its
-// connection.
-func (a *Answer) Framed() bool { return a.framed }
-
 // Close ends the exchange. The connection is kept if the answer was read whole
 // and nothing followed it.
 func (a *Answer) Close() {
