Keep every roll-out's plan within the bound on exposure

Cause: a version that fails only under load showed nothing during the shift, and the plan's steps alone gave it 31 in 100 of its service's requests; 15 are allowed. Change: the plan follows from the bound, which the settings now take from the platform (exposure). Sessions move in two steps: few from the middle on, all just before the deadline, so that even a version that is never found bad stays within 85 in 100 of the bound. Spans and graces of the settings are in seconds with fractions, as the platform's bounds may have some, and the grace follows the platform's file. A version bad only under load that never fails is completed: a duty missed.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -118,7 +118,7 @@
 		OnGone:    d.pool.Drop,
 	}, clock, d.log)
 	d.shifts = shifts.New(shifts.Options{
-		VM: s.VM.ID, Plan: shift.DefaultPlan(), Shared: d.store, Writer: d.store,
+		VM: s.VM.ID, Plan: shift.PlanWithin(s.Exposure), Shared: d.store, Writer: d.store,
 		Announce: wire.AnnounceRollout, Clock: clock, Log: d.log,
 	})
 	d.hintCounts = hints.NewCounter(d.registry)
@@ -163,6 +163,9 @@
 	tickEvery   = 100 * time.Millisecond
 	settleEvery = 200 * time.Millisecond
 	sweepEvery  = 2 * time.Second
+
+	// endMargin is how long before the kill what still runs is broken off.
+	endMargin = 700 * time.Millisecond
 )
 
 // Start opens the listeners and starts the duties.
@@ -255,10 +258,11 @@
 func (d *Daemon) Stop(ctx context.Context) {
 	began := d.clock.Now()
 	d.phase.Store(int32(leaving))
-	d.log.Info("leaving", "grace_ms", int64(d.settings.Stop.GraceMS))
-	d.wait(ctx, d.settings.Stop.TakeMS.Duration())
+	grace := d.settings.Stop.GraceS.Duration()
+	d.log.Info("leaving", "grace_ms", grace.Milliseconds())
+	d.wait(ctx, d.settings.Stop.TakeS.Duration())
 	d.phase.Store(int32(refusing))
-	left := d.settings.Stop.GraceMS.Duration() - d.clock.Since(began)
+	left := grace - endMargin - d.clock.Since(began)
 	ending, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	err := d.callers.Shutdown(ending)
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -34,7 +34,7 @@
 	options := retry.DefaultOptions()
 	options.Backoff = retry.Backoff{Base: backoffBase, Max: backoffMax}
 	d.purse = retry.NewWindows(retry.WindowOptions{
-		Span: d.settings.Retries.SpanMS.Duration(),
+		Span: d.settings.Retries.SpanS.Duration(),
 		Allowances: map[retry.ScopeKind]retry.Allowance{
 			retry.AccountScope: {Ratio: d.settings.Retries.Ratio, Slack: accountSlack},
 		},
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -65,11 +65,32 @@
 	Tolerance rollout.Tolerance
 }
 
-// DefaultPlan returns the default plan.
-func DefaultPlan() Plan {
+const (
+	// DefaultExposure is the part of a service's requests, 0 to 1, that a bad
+	// version may get between the order and the deadline.
+	DefaultExposure = 0.15
+	// exposureUsed is the part of the bound that a plan makes use of; bursts of
+	// traffic late in a shift need the rest.
+	exposureUsed = 0.85
+	// wholePart is the part of that for the time in which the new version gets
+	// all sessions.
+	wholePart = 0.62
+	// firstStepAt is the part of an order's time at which sessions begin to move.
+	firstStepAt = 0.505
+)
+
+// DefaultPlan returns the plan for the default exposure.
+func DefaultPlan() Plan { return PlanWithin(DefaultExposure) }
+
+// PlanWithin returns a plan by which a new version gets at most the given part
+// of the requests between the order and the deadline, even if it is never found
+// bad: some kinds of failure show only under load, or late.
+func PlanWithin(exposure float64) Plan {
+	whole := exposure * exposureUsed * wholePart
+	first := exposure * exposureUsed * (1 - wholePart) / (1 - whole - firstStepAt)
 	return Plan{
-		Steps:     []Step{{At: 0.505, Share: 0.25}, {At: 0.72, Share: 0.6}, {At: 0.78, Share: 1}},
-		Lead:      1300 * time.Millisecond,
+		Steps:     []Step{{At: firstStepAt, Share: first}, {At: 1 - whole, Share: 1}},
+		Lead:      700 * time.Millisecond,
 		MinFresh:  2,
 		Evidence:  3,
 		Suspicion: 1,
--- a/rollout/shift/shift_test.go
+++ b/rollout/shift/shift_test.go
@@ -125,3 +125,27 @@
 	}
 	g.Expect(exposed).To(BeNumerically("<=", exposureShare*perSecond*brief.Duration.Seconds()+exposureSlack))
 }
+
+// TestEveryPlanStaysWithinItsExposure draws bounds and times of orders: a
+// version that is never found bad stays within the bound, and completes.
+func TestEveryPlanStaysWithinItsExposure(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const tick = 20 * time.Millisecond
+		bound := rapid.Float64Range(0.08, 0.4).Draw(rt, "bound")
+		o := order
+		o.Duration = time.Duration(rapid.Int64Range(12, 60).Draw(rt, "seconds")) * time.Second
+		plan := shift.PlanWithin(bound)
+		s := shift.Begin(o, 0)
+		exposed := 0.0
+		for now := time.Duration(0); now < o.Duration; now += tick {
+			s, _ = plan.Next(s, now, good(20))
+			exposed += plan.Share(s) * tick.Seconds() / o.Duration.Seconds()
+		}
+		if exposed > bound {
+			rt.Fatalf("%.3f of the requests went to the new version, %.3f are allowed", exposed, bound)
+		}
+		if s.Phase != shift.Complete {
+			rt.Fatalf("not complete: %v", s)
+		}
+	})
+}
--- a/settings/common.go
+++ b/settings/common.go
@@ -19,6 +19,14 @@
 	return time.Duration(m) * time.Millisecond
 }
 
+// Seconds is a time in seconds, with fractions.
+type Seconds float64
+
+// Duration returns the time.
+func (s Seconds) Duration() time.Duration {
+	return time.Duration(float64(s) * float64(time.Second))
+}
+
 // VM tells a process where it runs.
 type VM struct {
 	ID     vm.ID         `json:"id" doc:"Name of this VM, unique in the environment. Required."`
@@ -132,7 +140,7 @@
 	}
 }
 
-func positive[T int64 | Millis | int](text *strictjson.Text, path string, value T) {
+func positive[T int64 | Millis | int | Seconds](text *strictjson.Text, path string, value T) {
 	if value <= 0 {
 		text.Add(path, "must be over 0")
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/strictjson"
 )
 
@@ -17,6 +18,8 @@
 	Hints   string                      `json:"hints" doc:"Where the other VMs' hints on heavy work arrive, over UDP; port 0 takes a free one."`
 	Store   Store                       `json:"store" doc:"The platform's store."`
 	Retries Retries                     `json:"retries" doc:"What all VMs together may send beyond the first attempts."`
+	// Exposure is the part of a service's requests, 0 to 1, that a bad version may get.
+	Exposure float64 `json:"exposure" doc:"Part of a service's requests, 0 to 1, that a new version may get by its deadline if it is bad. Default 0.15."`
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
 	Stop     GatewayStop `json:"stop" doc:"Planned stops."`
@@ -31,28 +34,29 @@
 
 // Retries bounds the further attempts of all VMs together, for each service.
 type Retries struct {
-	SpanMS Millis  `json:"span_ms" doc:"Time over which attempts are counted, in ms. Default 10000."`
-	Ratio  float64 `json:"ratio" doc:"Further attempts for each request, over any span. Default 0.9."`
-	Slack  float64 `json:"slack" doc:"Further attempts beyond that, over any span. Default 50."`
+	SpanS Seconds `json:"span_s" doc:"Time over which attempts are counted, in seconds. Default 10."`
+	Ratio float64 `json:"ratio" doc:"Further attempts for each request, over any span. Default 0.9."`
+	Slack float64 `json:"slack" doc:"Further attempts beyond that, over any span. Default 50."`
 }
 
 // GatewayStop says how a planned stop goes.
 type GatewayStop struct {
-	TakeMS  Millis `json:"take_ms" doc:"Time after the signal during which new requests are still taken, in ms. Default 2700."`
-	GraceMS Millis `json:"grace_ms" doc:"Time after the signal at which what is still running is broken off, in ms. Default 7300."`
+	TakeS  Seconds `json:"take_s" doc:"Time after the signal during which new requests are still taken, in seconds. Default 2.7."`
+	GraceS Seconds `json:"grace_s" doc:"Time after the signal at which the process is killed, in seconds. Default 8."`
 }
 
 // DefaultGateway returns the defaults.
 func DefaultGateway() *Gateway {
 	return &Gateway{
-		Callers: Listener{Address: "127.0.0.1:8080"},
-		Health:  Listener{Address: "127.0.0.1:8081"},
-		Metrics: Listener{Address: "127.0.0.1:8082"},
-		Hints:   "127.0.0.1:8083",
-		Store:   Store{CallMS: 1000},
-		Retries: Retries{SpanMS: 10000, Ratio: 0.9, Slack: 50},
-		Stop:    GatewayStop{TakeMS: 2700, GraceMS: 7300},
-		Log:     Log{Format: "json", Level: "info"},
+		Callers:  Listener{Address: "127.0.0.1:8080"},
+		Health:   Listener{Address: "127.0.0.1:8081"},
+		Metrics:  Listener{Address: "127.0.0.1:8082"},
+		Hints:    "127.0.0.1:8083",
+		Store:    Store{CallMS: 1000},
+		Retries:  Retries{SpanS: 10, Ratio: 0.9, Slack: 50},
+		Exposure: shift.DefaultExposure,
+		Stop:     GatewayStop{TakeS: 2.7, GraceS: 8},
+		Log:      Log{Format: "json", Level: "info"},
 	}
 }
 
@@ -71,16 +75,19 @@
 		text.Add("store.address", "must be host:port: %v", err)
 	}
 	positive(text, "store.call_ms", g.Store.CallMS)
-	positive(text, "retries.span_ms", g.Retries.SpanMS)
+	positive(text, "retries.span_s", g.Retries.SpanS)
+	if g.Exposure <= 0 || g.Exposure > 1 {
+		text.Add("exposure", "must be over 0 and at most 1")
+	}
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
 		text.Add("retries", "must not be negative")
 	}
 	if g.MemoryMB < 0 {
 		text.Add("memory_mb", "must not be negative")
 	}
-	positive(text, "stop.take_ms", g.Stop.TakeMS)
-	if g.Stop.GraceMS <= g.Stop.TakeMS {
-		text.Add("stop.grace_ms", "must be over stop.take_ms")
+	positive(text, "stop.take_s", g.Stop.TakeS)
+	if g.Stop.GraceS <= g.Stop.TakeS {
+		text.Add("stop.grace_s", "must be over stop.take_s")
 	}
 	g.Log.check(text)
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -49,10 +49,10 @@
 
 	It("tells what a gateway's settings lack", func() {
 		err := settings.Parse([]byte(`{"vm": {"id": "v", "domain": "d", "region": "r"}, "hints": "x",
-  "stop": {"take_ms": 5, "grace_ms": 5}}`), settings.DefaultGateway())
+  "stop": {"take_s": 5, "grace_s": 5}}`), settings.DefaultGateway())
 		Expect(err).To(MatchError(And(
 			ContainSubstring("regions: must name the region"), ContainSubstring("store.address: must be host:port"),
-			ContainSubstring("1:60: hints: must be host:port"), ContainSubstring("stop.grace_ms: must be over"),
+			ContainSubstring("1:60: hints: must be host:port"), ContainSubstring("stop.grace_s: must be over"),
 		)))
 	})
 
