Gather long shared prompts on one engine of all regions

Change: a shared part that costs more to read than the crossing costs has its home among all engines.

--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -54,6 +54,27 @@
 	g.Expect(chosen(d, engines.Want{Bytes: 10_000})).To(BeEquivalentTo("far"))
 }
 
+// TestPromptsThatAreDearToReadMeetInOnePlace shares a part of a prompt between
+// VMs of two regions: where reading it costs more than the crossing, both choose
+// one upstream.
+func TestPromptsThatAreDearToReadMeetInOnePlace(t *testing.T) {
+	g := NewWithT(t)
+	entries := []engines.Entry{entry("a", "d1"), entry("b", "d1"), entry("c", "d2"), entry("d", "d2")}
+	here, _ := directory()
+	there := engines.New(engines.Options{
+		Region: "r2", Domain: "d2", Return: 2 * time.Second, Placement: engines.DefaultPlacement(),
+		RegionOf: func(id domain.ID) domain.Region { return domain.Region("r" + string(id[1:])) },
+	}, clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	here.Replace(entries)
+	there.Replace(entries)
+	for part := uint64(1); part <= 20; part++ {
+		long := engines.Want{Locality: part, SharedTokens: 5000, Bytes: 15_000}
+		g.Expect(chosen(here, long)).To(Equal(chosen(there, long)))
+		short := engines.Want{Locality: part, SharedTokens: 300, Bytes: 5000}
+		g.Expect(chosen(here, short)).NotTo(Equal(chosen(there, short)))
+	}
+}
+
 func TestHeavyWorkElsewhereIsOverInTime(t *testing.T) {
 	g := NewWithT(t)
 	d, clock := directory()
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -38,7 +38,7 @@
 	return Placement{
 		SameRegion: time.Millisecond, CrossRegion: 30 * time.Millisecond,
 		CrossRegionPrice: 10_000, MicrosPerSecond: 1000,
-		PerToken: 30 * time.Microsecond, Hold: 2 * time.Second, BatchSlope: 1,
+		PerToken: 66 * time.Microsecond, Hold: 2 * time.Second, BatchSlope: 1,
 		FailingCost: 500 * time.Millisecond, Slack: 0.15,
 		Breaker: retry.BreakerOptions{
 			Window: 5 * time.Second, MinRequests: 3, ErrorRate: 0.6,
@@ -136,22 +136,33 @@
 	return out
 }
 
+// crossing returns the cost of sending a request to another region, as a time.
+func (p Placement) crossing(w Want) time.Duration {
+	price := float64(p.CrossRegionPrice) * float64(w.Bytes) / bytesPerMB / p.MicrosPerSecond
+	return 2*p.CrossRegion + time.Duration(price*float64(time.Second))
+}
+
+const bytesPerMB = 1e6
+
 // home returns the upstream on which requests with the same prompt part are
-// gathered, among those nearest to this VM.
+// gathered: among those of this VM's region or, where the part is worth the
+// crossing, among all.
 func (d *Directory) home(w Want, allowed []*Engine) upstream.ID {
 	if w.Locality == 0 {
 		return ""
 	}
-	near := make([]*Engine, 0, len(allowed))
+	p := d.opts.Placement
+	anywhere := time.Duration(w.SharedTokens)*p.PerToken > p.crossing(w)
+	homes := make([]*Engine, 0, len(allowed))
 	hashes := make([]uint64, 0, len(allowed))
 	for _, e := range allowed {
-		if d.opts.RegionOf(e.entry().Domain) == d.opts.Region && !e.Leaving() {
-			near = append(near, e)
+		if (anywhere || d.opts.RegionOf(e.entry().Domain) == d.opts.Region) && !e.Leaving() {
+			homes = append(homes, e)
 			hashes = append(hashes, e.hash)
 		}
 	}
 	if i := route.Home(w.Locality, hashes); i >= 0 {
-		return near[i].ID()
+		return homes[i].ID()
 	}
 	return ""
 }
