--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -9,7 +9,7 @@
 	"github.com/poplarshore/poplarshore/cascade"
 )
 
-var byConfidence = cascade.Confidence{Least: 60, LeastLate: 20, Idle: 0.1, Busy: 0.5, StepTime: time.Second}
+var byConfidence = cascade.Confidence{Least: 60, LeastLate: 20, Idle: 0.1, Busy: 0.5, InTime: 0.9, StepTime: time.Second}
 
 func weak(confidence int) cascade.Answer {
 	return cascade.Answer{Models: 3, Confidence: confidence, RunsLeft: 2, TimeLeft: 9 * time.Second}
@@ -58,7 +58,29 @@
 
 func TestTheStrongestModelIsFirstWhereNoOtherFollows(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(byConfidence.First(3, 3, true)).To(Equal(0))
-	g.Expect(byConfidence.First(3, 1, true)).To(Equal(2))
-	g.Expect(byConfidence.First(3, 3, false)).To(Equal(2))
+	g.Expect(byConfidence.First(cascade.Start{Models: 3, RunsLeft: 3, Affordable: true})).To(Equal(0))
+	g.Expect(byConfidence.First(cascade.Start{Models: 3, RunsLeft: 1, Affordable: true})).To(Equal(2))
+	g.Expect(byConfidence.First(cascade.Start{Models: 3, RunsLeft: 3})).To(Equal(2))
+}
+
+// TestLongPromptsTakeTheWayThatIsInTime asks the strongest model at once where
+// asking the smallest before would make it late, and takes fair answers where
+// it is late either way.
+func TestLongPromptsTakeTheWayThatIsInTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		direct, stepped float64
+		first           int
+	}{{0.5, 0.8, 0}, {0.8, 1, 2}, {1, 1.2, 0}} {
+		g.Expect(byConfidence.First(cascade.Start{
+			Models: 3, RunsLeft: 3, Affordable: true, Direct: c.direct, Stepped: c.stepped,
+		})).To(Equal(c.first), "%v", c)
+	}
+	late := weak(21)
+	late.Begins = 1
+	_, drop := byConfidence.Next(late)
+	g.Expect(drop).To(BeFalse())
+	late.Begins = 0.8
+	_, drop = byConfidence.Next(late)
+	g.Expect(drop).To(BeTrue())
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -25,7 +25,9 @@
 	flight   *engines.Attempt
 	// expected is how long the upstream was expected to be busy before.
 	expected time.Duration
-	began    time.Time
+	// work is how long it was expected to be busy with the request.
+	work  time.Duration
+	began time.Time
 	// first is the time to the first event, or to the whole answer; last that to
 	// the newest event.
 	first, last time.Duration
@@ -125,7 +127,8 @@
 	}
 	next, drop := x.server.opts.Cascade.Next(cascade.Answer{
 		Model: x.model, Models: len(x.route.Models), Confidence: head.Confidence,
-		RunsLeft: x.state.MaxAttempts - x.state.Attempts - 1, TimeLeft: x.left(), Wait: x.expectedWait(),
+		RunsLeft: x.state.MaxAttempts - x.state.Attempts - 1, TimeLeft: x.left(),
+		Wait: x.expectedWait(), Begins: x.strongBegins(0),
 	})
 	if !drop {
 		return false
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -150,10 +150,10 @@
 	if x.chooses() {
 		a.model = x.route.Models[x.model]
 	}
-	work := x.server.reading.estimate(a.model, x.request.PromptTokens)
-	a.flight = e.Begin(work)
-	if work >= heavyWork {
-		x.server.Heavy(e.ID(), work)
+	a.work = x.server.reading.estimate(a.model, x.request.PromptTokens)
+	a.flight = e.Begin(a.work)
+	if a.work >= heavyWork {
+		x.server.Heavy(e.ID(), a.work)
 	}
 	err := a.exchangeOnce(ctx)
 	took := x.server.Clock.Since(began)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarshore/poplarshore/account"
+	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
@@ -212,8 +213,24 @@
 		return
 	}
 	s := x.server
-	affordable := s.Retry.AffordsStep(&x.state, s.Clock.Now())
-	x.model = s.opts.Cascade.First(len(x.route.Models), x.state.MaxAttempts, affordable)
+	x.model = s.opts.Cascade.First(cascade.Start{
+		Models: len(x.route.Models), RunsLeft: x.state.MaxAttempts,
+		Affordable: s.Retry.AffordsStep(&x.state, s.Clock.Now()),
+		Direct:     x.strongBegins(0),
+		Stepped:    x.strongBegins(s.reading.estimate(x.route.Models[0], x.request.PromptTokens) + headBase),
+	})
+}
+
+// strongBegins returns when an answer of the strongest model is expected to
+// begin if it is asked after a time, as a part of the target.
+func (x *exchange) strongBegins(after time.Duration) float64 {
+	s := x.server
+	if x.route.Target <= 0 {
+		return 0
+	}
+	strongest := x.route.Models[len(x.route.Models)-1]
+	begins := s.Clock.Since(x.began) + after + s.reading.estimate(strongest, x.request.PromptTokens) + headBase
+	return float64(begins) / float64(x.route.Target)
 }
 
 // chooses tells that the router names the model.
--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -8,7 +8,8 @@
 )
 
 // reading learns how long upstreams take to read prompts, by model. Most of the
-// time to a first event may be waiting, so it follows a low quantile.
+// time to a first event may be waiting, so it follows a low quantile. Attention
+// makes long prompts cost more for each token.
 type reading struct {
 	mu       sync.Mutex
 	perToken map[model.Name]float64
@@ -27,6 +28,8 @@
 	// at each answer.
 	readingQuantile = 0.3
 	readingStep     = 0.1
+	// attentionTokens is the length at which attention takes as long as the rest.
+	attentionTokens = 60_000
 	// serviceWork stands for requests without a prompt.
 	serviceWork = 30 * time.Millisecond
 )
@@ -42,7 +45,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(float64(tokens) * r.get(name))
+	return time.Duration(weight(tokens) * r.get(name))
+}
+
+// weight returns the length of a prompt in tokens of a short one.
+func weight(tokens int) float64 {
+	return float64(tokens) * (1 + float64(tokens)/attentionTokens)
 }
 
 // add takes in the time to a first event.
@@ -50,7 +58,7 @@
 	if tokens < leastTokens {
 		return
 	}
-	seen := float64(max(first-headBase, 0)) / float64(tokens)
+	seen := float64(max(first-headBase, 0)) / weight(tokens)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	per := r.get(name)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,6 +17,9 @@
 	// another upstream is thought of.
 	headNumerator, headDenominator = 3, 4
 	leastHeadWait                  = 300 * time.Millisecond
+	// patienceFactor × the time at which an answer is due is how long an attempt
+	// may stay silent at least.
+	patienceFactor = 2
 	// pauseFactor × the longest pause in time is how long a stream may be
 	// silent before it goes on elsewhere.
 	pauseFactor  = 2
@@ -35,7 +38,8 @@
 	if !x.state.Repeatable || x.route.Target <= 0 {
 		return left
 	}
-	return min(left, max(x.route.Target*headNumerator/headDenominator, leastHeadWait))
+	due := patienceFactor * (a.expected + a.work)
+	return min(left, max(x.route.Target*headNumerator/headDenominator, due, leastHeadWait))
 }
 
 // pause returns how long the stream may be silent between events.
