--- a/internal/relay/reading.go
+++ b/internal/relay/reading.go
@@ -11,8 +11,14 @@
 // time to a first event may be waiting, so it follows a low quantile. Attention
 // makes long prompts cost more for each token.
 type reading struct {
-	mu       sync.Mutex
-	perToken map[model.Name]float64
+	mu      sync.Mutex
+	byModel map[model.Name]*pace
+}
+
+// pace is how long a model takes for a token of a short prompt, in nanoseconds.
+type pace struct {
+	perToken float64
+	seen     int
 }
 
 const (
@@ -25,9 +31,10 @@
 	// leastTokens is the length from which prompts tell about reading.
 	leastTokens = 2000
 	// readingQuantile is the quantile followed, readingStep the relative change
-	// at each answer.
-	readingQuantile = 0.3
+	// at each answer, which is firstStep over their number at the beginning.
+	readingQuantile = 0.4
 	readingStep     = 0.1
+	firstStep       = 0.8
 	// attentionTokens is the length at which attention takes as long as the rest.
 	attentionTokens = 60_000
 	// serviceWork stands for requests without a prompt.
@@ -35,7 +42,7 @@
 )
 
 func newReading() *reading {
-	return &reading{perToken: make(map[model.Name]float64)}
+	return &reading{byModel: make(map[model.Name]*pace)}
 }
 
 // estimate returns how long an upstream is busy before it answers a prompt.
@@ -45,7 +52,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(weight(tokens) * r.get(name))
+	return time.Duration(weight(tokens) * r.get(name).perToken)
 }
 
 // weight returns the length of a prompt in tokens of a short one.
@@ -61,18 +68,21 @@
 	seen := float64(max(first-headBase, 0)) / weight(tokens)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	per := r.get(name)
-	if seen > per {
-		per *= 1 + readingStep*readingQuantile
+	p := r.get(name)
+	p.seen++
+	step := max(readingStep, firstStep/float64(p.seen))
+	if seen > p.perToken {
+		p.perToken *= 1 + step*readingQuantile
 	} else {
-		per *= 1 - readingStep*(1-readingQuantile)
+		p.perToken *= 1 - step*(1-readingQuantile)
 	}
-	r.perToken[name] = per
 }
 
-func (r *reading) get(name model.Name) float64 {
-	if per, ok := r.perToken[name]; ok {
-		return per
+func (r *reading) get(name model.Name) *pace {
+	p := r.byModel[name]
+	if p == nil {
+		p = &pace{perToken: usualPerToken}
+		r.byModel[name] = p
 	}
-	return usualPerToken
+	return p
 }
