Log confidence and the longest pause of each attempt

Cause: the confidence that decided on an accepted answer, and the pause that made a stream late, could not be told from a request's line. Change: both stand with each attempt; the field weak, which held the first alone for dropped answers, goes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -32,6 +32,10 @@
 	// the newest event.
 	first, last time.Duration
 	events      int
+	// pause is the longest time between events.
+	pause time.Duration
+	// confidence is the model's opinion of its answer; negative for none.
+	confidence int
 	// counted tells that the attempt was counted as slow.
 	counted bool
 }
@@ -76,6 +80,7 @@
 	}
 	defer answer.Close()
 	head := s.Protocol.ReadHead(answer.Status, answer.Header)
+	a.confidence = head.Confidence
 	if head.HasLoad {
 		a.engine.Report(head.Load)
 	}
@@ -139,7 +144,7 @@
 		return false
 	}
 	x.server.Metrics.steps.WithLabelValues("dropped").Inc()
-	x.model, x.weak = next, head.Confidence
+	x.model = next
 	return true
 }
 
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -146,7 +146,7 @@
 func (x *exchange) attempt(ctx context.Context, e *engines.Engine) error {
 	began := x.server.Clock.Now()
 	x.sends++
-	a := &attempt{exchange: x, engine: e, began: began, expected: e.Delay()}
+	a := &attempt{exchange: x, engine: e, began: began, expected: e.Delay(), confidence: -1}
 	if x.chooses() {
 		a.model = x.route.Models[x.model]
 	}
@@ -227,8 +227,13 @@
 		}
 	}
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
-	x.trail = append(x.trail, step{
+	s := step{
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
 		Outcome: outcome, Expected: a.expected.Milliseconds(), At: a.began.Sub(x.began).Milliseconds(), First: a.first.Milliseconds(), MS: took.Milliseconds(),
-	})
+		Pause: a.pause.Milliseconds(),
+	}
+	if a.confidence >= 0 {
+		s.Confidence = &a.confidence
+	}
+	x.trail = append(x.trail, s)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -42,8 +42,6 @@
 	sends int
 	// model is the index of the model to ask.
 	model int
-	// weak holds the confidence of a dropped answer; negative without one.
-	weak int
 	// failure is an upstream's own failure, to pass on if nothing better comes.
 	failure *held
 	// repeats tells that the request was repeated after such a failure.
@@ -72,13 +70,16 @@
 	// first event. Both are in ms.
 	At    int64 `json:"at"`
 	First int64 `json:"first,omitempty"`
-	MS    int64 `json:"ms"`
+	// Pause is the longest time between events, in ms.
+	Pause int64 `json:"pause,omitempty"`
+	// Confidence is the model's opinion of its answer, 0 to 100.
+	Confidence *int  `json:"confidence,omitempty"`
+	MS         int64 `json:"ms"`
 }
 
 // admit finds the route and the account, and reads the body.
 func (x *exchange) admit(r *http.Request) error {
 	s := x.server
-	x.weak = -1
 	x.deadline = x.began.Add(s.opts.DefaultDeadline)
 	if why := x.awaitStart(r.Context()); why != nil {
 		return why
--- a/internal/relay/record.go
+++ b/internal/relay/record.go
@@ -66,6 +66,6 @@
 	}
 	s.Log.Log(context.Background(), level, "request", "request", x.request.ID, "outcome", outcome, "status", status, "route", name,
 		"account", x.account, "service", x.service, "config", version, "priority", x.priority,
-		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "attempts", x.trail, "weak", x.weak, "last_event", x.lastEvent, "ms", took.Milliseconds(),
+		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "attempts", x.trail, "last_event", x.lastEvent, "ms", took.Milliseconds(),
 		"left_ms", x.left().Milliseconds())
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,8 +42,8 @@
 	return min(left, max(x.route.Target*headNumerator/headDenominator, due, leastHeadWait))
 }
 
-// pause returns how long the stream may be silent between events.
-func (a *attempt) pause() time.Duration {
+// maxPause returns how long the stream may be silent between events.
+func (a *attempt) maxPause() time.Duration {
 	x := a.exchange
 	wait := defaultPause
 	if x.route.MaxPause > 0 {
@@ -86,7 +86,11 @@
 // paced notes the time of an event.
 func (a *attempt) paced() {
 	a.events++
-	a.last = a.exchange.server.Clock.Since(a.began)
+	at := a.exchange.server.Clock.Since(a.began)
+	if a.events > 1 {
+		a.pause = max(a.pause, at-a.last)
+	}
+	a.last = at
 	if gap := a.gap(); gap > 0 && !a.counted {
 		a.counted = a.exchange.server.Versions.Slow(a.named(), gap)
 	}
@@ -145,9 +149,9 @@
 	var in events
 	buf := make([]byte, streamBufferBytes)
 	for {
-		wait := a.pause()
+		wait := a.maxPause()
 		if a.first == 0 {
-			wait = max(a.patience()-x.server.Clock.Since(a.began), a.pause())
+			wait = max(a.patience()-x.server.Clock.Since(a.began), a.maxPause())
 		}
 		n, err := a.read(answer, buf, wait)
 		in.buf = append(in.buf, buf[:n]...)
