--- a/internal/cli/conflict.go
+++ b/internal/cli/conflict.go
@@ -22,8 +22,8 @@
 	return newest
 }
 
-// explain adds to a conflict what the other operator changed in the meantime.
-func explain(cmd *cobra.Command, client *operatorclient.Client, p operatorclient.Proposal, err error) error {
+// describe adds to a conflict what the other operator changed in the meantime.
+func describe(cmd *cobra.Command, client *operatorclient.Client, p operatorclient.Proposal, err error) error {
 	if !errorx.IsOfType(err, operatorclient.ErrConflict) {
 		return err
 	}
--- a/internal/cli/documents.go
+++ b/internal/cli/documents.go
@@ -137,7 +137,7 @@
 	p.Operation, p.Author = c.operation, c.author
 	accepted, err := client.Propose(cmd.Context(), p)
 	if err != nil {
-		return explain(cmd, client, p, err)
+		return describe(cmd, client, p, err)
 	}
 	return c.report(cmd, client, accepted)
 }
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -111,7 +111,7 @@
 		SilenceUsage: true,
 	}
 	root.AddCommand(newValidate(), newDiff(), newTry(), newPromote(), newStatus(), newHistory(),
-		newWithdraw(), newRollout(), newTakeover(), newLedger(), newMan())
+		newWithdraw(), newRollout(), newTakeover(), newLedger(), newExplain(), newMan())
 	return root
 }
 
