Catch up over thin links

Its reader had lost power amid a storm of configurations; the store then sent some 25 versions of one row over a link of 10 Mbit/s, which took longer than the 0.4 s that the read was given, and the store was left alone for 2.5 s. Readers sent each of their 26 followers all 25 versions too. Change: an answer has a limit for its head and for silence within its body, not for the whole (fetch); readers pass on a row's newest state alone, compressed. Weak answers that are doubted little go to the next larger model before the strongest.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -4,8 +4,9 @@
 
 // Confidence decides a cascade by the models' own opinion of their answers,
 // which comes with the head of an answer, before any of it is delivered. It
-// needs no rater. The cheapest model is asked first and the strongest next,
-// as the steps between cost more than they save.
+// needs no rater. The cheapest model is asked first; then the next one where the
+// answer is doubted little, and else the strongest, as steps through all models
+// cost more than they save.
 //
 // The less time a stronger answer would leave, the weaker an answer it takes to
 // ask for one: a late answer is worth less than a fair one in time, and under
@@ -14,6 +15,9 @@
 	// Least is the confidence from which an answer is delivered while engines
 	// are idle, 0 to 100; LeastLate the same when a stronger one would be late.
 	Least, LeastLate int
+	// Fair is the confidence from which the next larger model is likely to
+	// suffice, 0 to 100; below it the strongest is asked.
+	Fair int
 	// Idle and Busy are parts of the target, 0 to 1: a wait below Idle speaks for
 	// idle engines, and one above Busy for a late answer.
 	Idle, Busy float64
@@ -76,6 +80,9 @@
 	if a.Confidence >= c.least(a) {
 		return a.Model, false
 	}
+	if a.Confidence >= c.Fair && a.RunsLeft > 1 {
+		return a.Model + 1, true
+	}
 	return strongest, true
 }
 
--- a/internal/peerfeed/exchange.go
+++ b/internal/peerfeed/exchange.go
@@ -1,13 +1,16 @@
 package peerfeed
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/poplarshore/poplarshore/internal/fetch"
 	"github.com/poplarshore/poplarshore/internal/watch"
 )
 
@@ -53,28 +56,25 @@
 
 // ask polls another VM. Errors: ErrNoReader, watch.ErrHistoryGone.
 func (f *Feed) ask(ctx context.Context, p peer, q query) (watch.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.wait+f.opts.Slack)
-	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, q.encode(p.address), nil)
 	if err != nil {
 		return watch.Batch{}, ErrNoReader.Wrap(err, "request")
 	}
-	resp, err := f.http.Do(req)
+	reply, err := fetch.Do(f.http, req, fetch.Limits{Head: q.wait + f.opts.Slack, Silence: f.opts.Slack, MaxBytes: maxBatchBytes})
 	if err != nil {
 		return watch.Batch{}, ErrNoReader.Wrap(err, "reader %s", p.name)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	switch resp.StatusCode {
+	switch reply.Status {
 	case http.StatusOK:
 	case http.StatusGone:
 		return watch.Batch{}, watch.ErrHistoryGone.New("reader %s, after %d", p.name, q.after)
 	case http.StatusServiceUnavailable:
 		return watch.Batch{}, errStale.New("reader %s", p.name)
 	default:
-		return watch.Batch{}, ErrNoReader.New("reader %s: status %d", p.name, resp.StatusCode)
+		return watch.Batch{}, ErrNoReader.New("reader %s: status %d", p.name, reply.Status)
 	}
 	var b watch.Batch
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+	if err := json.Unmarshal(reply.Body, &b); err != nil {
 		return watch.Batch{}, ErrNoReader.Wrap(err, "reader %s", p.name)
 	}
 	return b, nil
@@ -101,8 +101,37 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(a.batch); err != nil {
+	if err := write(w, r, a.batch); err != nil {
 		f.log.Debug("follower left", "error", err)
 	}
 }
+
+const (
+	// compressFromBytes is the length from which an answer is compressed, as
+	// links between VMs may be thin.
+	compressFromBytes = 4 << 10
+	// maxBatchBytes bounds an answer.
+	maxBatchBytes = 16 << 20
+)
+
+// write answers with a batch.
+func write(w http.ResponseWriter, r *http.Request, b watch.Batch) error {
+	text, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if len(text) < compressFromBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, err = w.Write(text)
+		return err
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	out, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if _, err := out.Write(text); err != nil {
+		return err
+	}
+	return out.Close()
+}
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -55,7 +55,7 @@
 func New(opts Options, source watch.Source, vms *members.List, clock clockwork.Clock, log *slog.Logger, registry prometheus.Registerer) *Feed {
 	f := &Feed{
 		opts: opts, store: source, vms: vms, clock: clock, log: log, started: clock.Now(),
-		http:   &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}},
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 		tables: make(map[string]*history), avoided: make(map[avoidance]time.Time),
 		failedAt: make(map[string]time.Time), askedAt: make(map[string]time.Time),
 		waiting: make(map[string]context.CancelFunc),
@@ -214,9 +214,6 @@
 		if !h.fresh(f.clock.Now(), f.opts.MaxAge) {
 			wait = 0
 		}
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+f.opts.Slack)
-		defer cancel()
 	}
 	b, err := f.interruptible(ctx, table, wait, func(ctx context.Context) (watch.Batch, error) {
 		return f.store.Changes(ctx, table, after, wait)
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -401,3 +401,22 @@
 	f.Expect(resp.Body.Close()).To(Succeed())
 	f.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 }
+
+// A row that changed often is passed on once, as it is now.
+func TestWhatChangedOftenIsPassedOnOnce(t *testing.T) {
+	f := newFleet(t, 5)
+	f.read(t, 1)
+	f.clock.Advance(settles)
+	_, readers := f.read(t, 1)
+	for range 3 {
+		f.store.put("a")
+	}
+	got, _ := f.read(t, 1)
+	for id, b := range got {
+		if id == readers[0] {
+			continue
+		}
+		f.Expect(b.At).To(BeEquivalentTo(4), string(id))
+		f.Expect(b.Rows).To(ConsistOf(HaveField("Revision", watch.Revision(4))), string(id))
+	}
+}
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -74,6 +74,8 @@
 		} else {
 			h.rows[r.Key] = r
 		}
+		// Followers need the newest state of a row alone.
+		h.log = slices.DeleteFunc(h.log, func(old watch.Row) bool { return old.Key == r.Key })
 		h.log = append(h.log, r)
 	}
 	if extra := len(h.log) - maxLog; extra > 0 {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -35,7 +35,7 @@
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Cascade:      cascade.Confidence{Least: 60, LeastLate: 25, Idle: 0.02, Busy: 0.2, InTime: 0.85, StepTime: 300 * time.Millisecond},
+		Cascade:      cascade.Confidence{Least: 58, LeastLate: 25, Fair: 48, Idle: 0.02, Busy: 0.2, InTime: 0.85, StepTime: 300 * time.Millisecond},
 		MaxHeldBytes: 8 << 20, DefaultDeadline: 30 * time.Second,
 		WriteTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second,
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -62,7 +62,7 @@
 type Options struct {
 	// Wait is how long one poll waits for changes.
 	Wait time.Duration
-	// Slack is how much longer than Wait an answer may take.
+	// Slack is how much longer than Wait an answer may take as a whole.
 	Slack time.Duration
 	// LostWait stands for Wait until the store answers again, as a poll that was
 	// swallowed in an outage is never answered.
@@ -79,7 +79,7 @@
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Wait: 5500 * time.Millisecond, LostWait: 200 * time.Millisecond, Slack: 800 * time.Millisecond,
+		Wait: 5500 * time.Millisecond, LostWait: 200 * time.Millisecond, Slack: 4 * time.Second,
 		MinBackoff: 100 * time.Millisecond, MaxBackoff: 1200 * time.Millisecond,
 		FirstBackoff: 300 * time.Millisecond,
 	}
