Revert what was once found bad

A VM stopped a version on two failures of two answers, and before its turn to write came, thousands of good answers of the old version made the same evidence weaker than the bound, as the test is against a mean that may still move. The version stayed stopped on that VM alone, and the roll-out active for good. Change: the verdict by which a VM stopped a version stands until the order ends. The new test fails without the change. Conclusion: a fault of the roll-out, not of the test.

--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/rollout"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/vm"
 
@@ -74,8 +75,9 @@
 	// published is the number of failures last written.
 	published   int64
 	publishedAt time.Time
-	// stopped tells that this VM found the new version bad.
-	stopped bool
+	// found is the verdict by which this VM stopped the new version. It stands,
+	// though further answers of the old one may make the evidence look weaker.
+	found rollout.Verdict
 	// dueAt is when the next step was first seen to be due.
 	dueAt time.Time
 	pace  map[string]*pace
@@ -172,7 +174,7 @@
 	if state.Order.ID != s.state.Order.ID {
 		s.own.fresh, s.own.old, s.own.good = shift.Seen{}, shift.Seen{}, 0
 		clear(s.others)
-		s.published, s.stopped = 0, false
+		s.published, s.found = 0, rollout.Verdict{}
 	}
 	s.state, s.revision, s.dueAt = state, revision, time.Time{}
 	m.opts.Log.Info("rollout state", "service", name, "to", state.Order.To, "order", state.Order.ID,
@@ -216,7 +218,7 @@
 		return func(v model.VersionID) bool { return v != to }
 	}
 	to := s.state.Order.To
-	if !s.stopped && m.opts.Plan.Fresh(s.state, position) || s.state.Phase == shift.Complete {
+	if !s.found.Bad && m.opts.Plan.Fresh(s.state, position) || s.state.Phase == shift.Complete {
 		return func(v model.VersionID) bool { return v == to }
 	}
 	return func(v model.VersionID) bool { return v != to }
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -225,3 +225,23 @@
 	f.pass(9 * time.Second)
 	f.Expect(f.table.writes).To(BeNumerically("<=", 3))
 }
+
+// A version that was found bad on few answers is reverted, also where good
+// answers of the old version, which come before this VM's turn to write, make
+// the evidence look weaker.
+func TestAVersionOnceFoundBadIsReverted(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.pass(11 * time.Second)
+	f.Expect(f.state().Step).To(Equal(1))
+	f.ended(0, 400, outcome("v1", usual, false))
+	f.ended(0, 2, outcome("v2", usual, true))
+	f.table.fail = store.ErrUnavailable.New("away")
+	f.pass(200 * time.Millisecond)
+	f.Expect(f.vms[0].Allowed("s", 0)("v2")).To(BeFalse())
+	f.ended(0, 20_000, outcome("v1", usual, false))
+	f.table.fail = nil
+	f.pass(time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+	f.Expect(f.state().Verdict.Bad).To(BeTrue())
+}
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -75,6 +75,8 @@
 	next, changed := s.state, false
 	if s.order.ID > s.state.Order.ID {
 		next, changed = shift.Begin(s.order, now), true
+	} else if s.revision != 0 && s.found.Bad && !s.state.Ended() {
+		next, changed = shift.Revert(s.state, s.found), true
 	} else if s.revision != 0 {
 		next, changed = m.opts.Plan.Next(s.state, now, s.evidence())
 	}
@@ -82,8 +84,8 @@
 		s.dueAt = time.Time{}
 		return next, false
 	}
-	if next.Phase == shift.Reverted && !s.stopped {
-		s.stopped = true
+	if next.Phase == shift.Reverted && !s.found.Bad {
+		s.found = next.Verdict
 		m.opts.Log.Warn("version stopped", "service", name, "version", next.Order.To, "metric", next.Verdict.Metric,
 			"seen", next.Verdict.Seen, "reference", next.Verdict.Reference, "fresh", s.evidence().Fresh, "old", s.own.old)
 	}
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -129,6 +129,12 @@
 	return State{Order: o, Phase: Active, Started: now}
 }
 
+// Revert returns the state after a verdict against the new version.
+func Revert(s State, v rollout.Verdict) State {
+	s.Phase, s.Verdict = Reverted, v
+	return s
+}
+
 // Next returns the state that follows, and whether it differs. Now is on the
 // shared clock.
 func (p Plan) Next(s State, now time.Duration, e Evidence) (State, bool) {
@@ -136,8 +142,7 @@
 		return s, false
 	}
 	if v := p.Verdict(e); v.Bad {
-		s.Phase, s.Verdict = Reverted, v
-		return s, true
+		return Revert(s, v), true
 	}
 	elapsed := now - s.Started
 	if s.Step == len(p.Steps) {
