Name the planned stop in attempts that it cuts

Cause: TestACutByAPlannedStopIsNotLoggedAsTheCallers failed once in six runs at the same time: the write to a caller whose connection the stop had closed failed first, and the attempt was logged as left by its caller. Change: attempts and requests ask the same question.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -219,7 +219,7 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &why):
-		outcome = string(why.Reason)
+		outcome = string(x.server.blame(why.Reason))
 	default:
 		if e := errorx.Cast(err); e != nil {
 			name := e.Type().FullName()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -150,6 +150,15 @@
 	return max(left/patienceShare, leastPatience)
 }
 
+// blame tells an end by a planned stop from one by the caller: both end the
+// caller's connection.
+func (s *Server) blame(reason refusal.Reason) refusal.Reason {
+	if reason == refusal.CallerGone && s.Cutting() {
+		return refusal.Draining
+	}
+	return reason
+}
+
 // callerGone tells whether an error means that the caller left.
 func callerGone(err error) bool {
 	var why *refusal.Refusal
