Set engines apart for small models where a region has many

Change: from four engines on in a region a quarter is preferred by all models but the largest, and avoided by it; shared prompts have their homes on either side. Either side takes the other's work when it is busy.

--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -211,3 +211,45 @@
 	find(d, home).Burden(time.Second)
 	g.Expect(chosen(d, w)).NotTo(Equal(home))
 }
+
+// TestSmallModelsPreferEnginesOfTheirOwn parts eight engines of a region; either
+// side takes the other's work once its own engines are busy.
+func TestSmallModelsPreferEnginesOfTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := directory()
+	var entries []engines.Entry
+	for i := range 8 {
+		entries = append(entries, entry(fmt.Sprint("e", i), "d1"))
+	}
+	d.Replace(entries)
+	used := func(small bool) map[upstream.ID]bool {
+		ids := make(map[upstream.ID]bool)
+		for draw := range uint64(40) {
+			ids[chosen(d, engines.Want{Chooses: true, Small: small, Draw: draw, Locality: draw + 1, SharedTokens: 500})] = true
+		}
+		return ids
+	}
+	small, large := used(true), used(false)
+	g.Expect(small).To(HaveLen(2))
+	g.Expect(large).To(HaveLen(6))
+	for id := range small {
+		g.Expect(large).NotTo(HaveKey(id))
+		find(d, id).Burden(3 * time.Second)
+	}
+	for id := range used(true) {
+		g.Expect(large).To(HaveKey(id))
+	}
+}
+
+// TestFewEnginesAreNotParted leaves three engines to all models.
+func TestFewEnginesAreNotParted(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := directory()
+	d.Replace([]engines.Entry{entry("a", "d1"), entry("b", "d1"), entry("c", "d1")})
+	for draw := range uint64(20) {
+		w := engines.Want{Chooses: true, Draw: draw, Locality: draw + 1, SharedTokens: 500}
+		large := chosen(d, w)
+		w.Small = true
+		g.Expect(chosen(d, w)).To(Equal(large))
+	}
+}
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -27,6 +27,10 @@
 	BatchSlope float64
 	// FailingCost is the cost of an upstream that fails all requests.
 	FailingCost time.Duration
+	// SmallShare is the part of upstreams that small models prefer, Apart the cost
+	// of the others to them and the other way round.
+	SmallShare float64
+	Apart      time.Duration
 	// Slack is the use beyond the mean up to which a cache is credited.
 	Slack float64
 	// Breaker sets up the circuit breaker of each upstream.
@@ -39,7 +43,7 @@
 		SameRegion: time.Millisecond, CrossRegion: 30 * time.Millisecond,
 		CrossRegionPrice: 10_000, MicrosPerSecond: 1000,
 		PerToken: 66 * time.Microsecond, Hold: 2 * time.Second, BatchSlope: 1,
-		FailingCost: 500 * time.Millisecond, Slack: 0.15,
+		FailingCost: 500 * time.Millisecond, Slack: 0.15, SmallShare: 0.25, Apart: 300 * time.Millisecond,
 		Breaker: retry.BreakerOptions{
 			Window: 5 * time.Second, MinRequests: 3, ErrorRate: 0.6,
 			OpenFor: time.Second, MaxOpenFor: 4 * time.Second, Probes: 1, ProbeLease: 3 * time.Second,
@@ -87,6 +91,9 @@
 	Tried []upstream.ID
 	// Draw is a random number.
 	Draw uint64
+	// Chooses tells that the model is one of several, Small that it is not the
+	// largest.
+	Chooses, Small bool
 }
 
 // Choice is the outcome of Choose.
@@ -114,9 +121,18 @@
 		candidates = append(candidates, route.Candidate{})
 		e.fill(&candidates[len(candidates)-1], now)
 	}
+	var small map[*Engine]bool
+	if w.Chooses {
+		small = d.pools(allowed)
+		for i, e := range allowed {
+			if len(small) > 0 && small[e] != w.Small {
+				candidates[i].FirstToken += d.opts.Placement.Apart
+			}
+		}
+	}
 	request := route.Request{
 		Service: w.Service, PromptTokens: w.SharedTokens, Bytes: w.Bytes, Tried: w.Tried, Draw: w.Draw,
-		Home: d.home(w, allowed),
+		Home: d.home(w, allowed, small),
 	}
 	out := Choice{Candidates: len(allowed)}
 	decision, ok := d.policies.guarded.Select(&request, candidates)
@@ -147,7 +163,7 @@
 // home returns the upstream on which requests with the same prompt part are
 // gathered: among those of this VM's region or, where the part is worth the
 // crossing, among all.
-func (d *Directory) home(w Want, allowed []*Engine) upstream.ID {
+func (d *Directory) home(w Want, allowed []*Engine, small map[*Engine]bool) upstream.ID {
 	if w.Locality == 0 {
 		return ""
 	}
@@ -156,7 +172,8 @@
 	homes := make([]*Engine, 0, len(allowed))
 	hashes := make([]uint64, 0, len(allowed))
 	for _, e := range allowed {
-		if (anywhere || d.opts.RegionOf(e.entry().Domain) == d.opts.Region) && !e.Leaving() {
+		if (anywhere || d.opts.RegionOf(e.entry().Domain) == d.opts.Region) && !e.Leaving() &&
+			(len(small) == 0 || small[e] == w.Small) {
 			homes = append(homes, e)
 			hashes = append(hashes, e.hash)
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -245,6 +245,9 @@
 		Service: x.service, Allowed: x.server.Versions.Allowed(x.service, x.position),
 		Tried: x.state.Tried, Draw: x.draw, Bytes: int64(len(x.body)) + answerBytes,
 	}
+	if x.chooses() {
+		w.Chooses, w.Small = true, x.model < len(x.route.Models)-1
+	}
 	shared := x.request.Parts
 	if len(shared) > 1 {
 		shared = shared[:len(shared)-1]
