Let the soak find its addresses at once and name versions apart

Three runs did not start, as a port was given to two VMs. Change: all addresses are held until the last is found; each roll-out has a version of its own; upstreams that are removed take nothing more.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -33,6 +34,8 @@
 	report *Report
 	// replacing holds who changes the set of engines.
 	replacing sync.Mutex
+	// rollouts counts the roll-outs; it is guarded by replacing.
+	rollouts int
 }
 
 // step is one kind of fault. It returns when the fault is over.
@@ -215,7 +218,8 @@
 	defer t.replacing.Unlock()
 	began := time.Now()
 	old := t.site.of(models, "")
-	version := old[0].Version + "+"
+	t.rollouts++
+	version := fmt.Sprintf("v%d", 1+t.rollouts)
 	for i := range old {
 		if err := t.site.add(models, version, domains[i%len(domains)]); err != nil {
 			t.report.violate("no engine of %s: %v", version, err)
--- a/soak/process.go
+++ b/soak/process.go
@@ -44,23 +44,21 @@
 	disturbed, stopping spans
 }
 
+// addresses are where a VM listens.
+type addresses struct{ callers, health, metrics, peers string }
+
 // newVM prepares a VM; dir takes its settings and its log.
-func newVM(id vm.ID, d domain.ID, binary, dir, store string, seeds []string, peers string) (*VM, error) {
+func newVM(id vm.ID, d domain.ID, binary, dir, store string, seeds []string, at addresses) (*VM, error) {
 	link, err := NewLink(store)
 	if err != nil {
 		return nil, err
 	}
-	v := &VM{ID: id, binary: binary, store: link, file: filepath.Join(dir, string(id)+".json")}
+	v := &VM{ID: id, Callers: at.callers, binary: binary, store: link, file: filepath.Join(dir, string(id)+".json")}
 	s := settings.DefaultGateway()
 	s.VM = settings.VM{ID: id, Domain: d, Region: domain.Region("region-" + string(d))}
 	s.Regions = regions()
-	addresses, err := freeAddresses(3)
-	if err != nil {
-		return nil, err
-	}
-	v.Callers = addresses[0]
-	s.Callers.Address, s.Health.Address, s.Metrics.Address = addresses[0], addresses[1], addresses[2]
-	s.Hints, s.Peers.Address, s.Seeds, s.Store.Address = "127.0.0.1:0", peers, seeds, link.Address()
+	s.Callers.Address, s.Health.Address, s.Metrics.Address, s.Peers.Address = at.callers, at.health, at.metrics, at.peers
+	s.Hints, s.Seeds, s.Store.Address = "127.0.0.1:0", seeds, link.Address()
 	var text bytes.Buffer
 	if err := settings.Print(&text, s); err != nil {
 		return nil, ErrStart.Wrap(err, "settings of %s", id)
@@ -92,17 +90,19 @@
 	return fmt.Sprintf("127.%d.%d.1", firstNet+pid>>8%nets, pid&0xff)
 }
 
-// freeAddresses returns addresses on loopback that nothing listens on. All are
+// freeAddresses returns addresses for all VMs on which nothing listens. All are
 // held until the last one is found, so that they differ.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", ownHost()+":0")
-		if err != nil {
-			return nil, ErrStart.Wrap(err, "free address")
+func freeAddresses(vms int) ([]addresses, error) {
+	out := make([]addresses, vms)
+	for i := range out {
+		for _, at := range []*string{&out[i].callers, &out[i].health, &out[i].metrics, &out[i].peers} {
+			l, err := net.Listen("tcp", ownHost()+":0")
+			if err != nil {
+				return nil, ErrStart.Wrap(err, "free address")
+			}
+			defer func() { _ = l.Close() }()
+			*at = l.Addr().String()
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
 	}
 	return out, nil
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -88,13 +88,17 @@
 }
 
 func (s *site) addVMs(o Options, dir string) error {
-	peers, err := freeAddresses(o.VMs)
+	at, err := freeAddresses(o.VMs)
 	if err != nil {
 		return err
 	}
+	var seeds []string
+	for _, a := range at[:min(len(at), len(domains))] {
+		seeds = append(seeds, a.peers)
+	}
 	for i := range o.VMs {
 		v, err := newVM(vm.ID(fmt.Sprintf("vm-%d", i+1)), domains[i%len(domains)], o.Binary, dir,
-			strings.TrimPrefix(s.storeHTTP.URL, "http://"), peers[:min(len(peers), len(domains))], peers[i])
+			strings.TrimPrefix(s.storeHTTP.URL, "http://"), seeds, at[i])
 		if err != nil {
 			return err
 		}
@@ -163,8 +167,9 @@
 	return out
 }
 
-// remove takes an upstream's entry away.
+// remove takes an upstream and its entry away.
 func (s *site) remove(e *engine) {
+	e.link.Set(Refusing)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.engines, e.ID)
