--- a/soak/link.go
+++ b/soak/link.go
@@ -24,11 +24,6 @@
 	Refusing
 )
 
-var modeNames = [...]string{"open", "delayed", "one_way", "silent", "refusing"}
-
-// String returns the mode's name.
-func (m Mode) String() string { return modeNames[m] }
-
 const (
 	linkDelay  = 80 * time.Millisecond
 	linkBuffer = 32 << 10
--- a/soak/site.go
+++ b/soak/site.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// newest returns the configurations so far.
+// history returns the configurations so far, oldest first.
 func (s *site) history() []change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
