Give each stand-in environment a peers' token of its own

All stand-in environments shared one peers' token, so that a VM which took the port of a killed VM of another scenario was believed as that VM's peer. Change: the peers' token is drawn for each environment. Scenarios that promote sign with the operators' token. Conclusion: the product tells environments apart by this token; the stand-in gave it away.

--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+
 	"io"
 	"log/slog"
 	"maps"
@@ -44,7 +46,6 @@
 // Secrets that all parts of the environment share.
 const (
 	OperatorToken = "operator-token-of-the-stand-in"
-	peerToken     = "peer-token-of-the-stand-in"
 	sessionSecret = "session-secret-of-the-stand-in-32-bytes"
 )
 
@@ -160,13 +161,15 @@
 	}
 }
 
+// writeSecrets writes the secrets. The peers' one differs between environments,
+// as a VM of another one may take the port of a VM that was killed.
 func (e *Environment) writeSecrets() error {
 	dir, err := os.MkdirTemp("", "poplarshore-")
 	if err != nil {
 		return ErrStart.Wrap(err, "directory for secrets")
 	}
 	e.dir = dir
-	for name, secret := range map[string]string{"peer": peerToken, "operator": OperatorToken, "session": sessionSecret} {
+	for name, secret := range map[string]string{"peer": rand.Text(), "operator": OperatorToken, "session": sessionSecret} {
 		if err := os.WriteFile(e.Secret(name), []byte(secret), 0o600); err != nil {
 			return ErrStart.Wrap(err, "secret %q", name)
 		}
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -110,7 +110,7 @@
 	s := of(ts)
 	s.trial = run(ts, neg, args, func(e *settings.Entry) {
 		quick(e)
-		e.Promotion = settings.Promotion{Role: settings.RoleTrial, KeyFile: e.PeerTokenFile}
+		e.Promotion = settings.Promotion{Role: settings.RoleTrial, KeyFile: e.OperatorTokenFile}
 	})
 }
 
@@ -124,7 +124,7 @@
 		inner := set
 		set = func(e *settings.Entry) {
 			inner(e)
-			e.Promotion = settings.Promotion{Role: settings.RoleProduction, KeyFile: e.PeerTokenFile}
+			e.Promotion = settings.Promotion{Role: settings.RoleProduction, KeyFile: e.OperatorTokenFile}
 		}
 	}
 	opts := environment.Options{Document: []byte(text(ts, args[0]))}
