--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
@@ -46,6 +47,8 @@
 	ReregistrationGrace time.Duration
 	// Placement configures how upstreams are selected.
 	Placement Placement
+	// Registry registers the directory's metrics.
+	Registry prometheus.Registerer
 	// OnRemove is called with the address of an upstream that was removed; nil is
 	// not called. It is called with the directory locked.
 	OnRemove func(address string)
@@ -59,6 +62,8 @@
 	log      *slog.Logger
 	breakers *retry.Breakers
 	policies policies
+	// selfReports counts what upstreams report of themselves in their answers.
+	selfReports *prometheus.CounterVec
 
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
@@ -71,6 +76,11 @@
 	// lapsed holds the entries that disappeared during or shortly after an
 	// outage.
 	lapsed map[upstream.ID]bool
+	// removed holds the upstreams that were removed lately.
+	removed map[upstream.ID]removal
+	// withheld holds the entries of removed upstreams that reappeared when the store
+	// was restored from an older copy.
+	withheld map[upstream.ID]withheldEntry
 }
 
 // New returns an empty directory.
@@ -78,13 +88,20 @@
 	opts.Placement.Breaker.OnChange = func(key retry.BreakerKey, state retry.BreakerState) {
 		log.Info("circuit breaker", "upstream", key.Upstream, "state", state.String())
 	}
+	selfReports := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_upstream_self_reports_total",
+		Help: "What upstreams report of themselves in their answers: leaving, or paused for a while.",
+	}, []string{"report"})
+	opts.Registry.MustRegister(selfReports)
 	return &Directory{
-		opts: opts, clock: clock, log: log,
+		opts: opts, clock: clock, log: log, selfReports: selfReports,
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
 		policies:  newPolicies(opts.Placement),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
+		removed:   make(map[upstream.ID]removal),
+		withheld:  make(map[upstream.ID]withheldEntry),
 	}
 }
 
@@ -106,12 +123,22 @@
 		present[e.ID] = true
 		d.put(e)
 	}
+	d.removeAbsent(present)
+	d.rebuildIndex()
+}
+
+// removeAbsent removes the entries that are not present. The caller holds mu.
+func (d *Directory) removeAbsent(present map[upstream.ID]bool) {
+	for id := range d.withheld {
+		if !present[id] {
+			delete(d.withheld, id)
+		}
+	}
 	for id := range d.byID {
 		if !present[id] {
 			d.removeEntry(id)
 		}
 	}
-	d.rebuildIndex()
 }
 
 // Put adds or updates an entry.
@@ -147,10 +174,12 @@
 }
 
 // ExpireLapsed removes the lapsed entries once Options.ReregistrationGrace has passed since the
-// store became available again. It is to be called periodically.
+// store became available again, and adds the withheld entries whose time has passed. It
+// is to be called periodically.
 func (d *Directory) ExpireLapsed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.releaseWithheld()
 	if len(d.lapsed) == 0 || d.inOutageGrace() {
 		return
 	}
@@ -171,7 +200,11 @@
 // state. The caller holds mu, as for removeEntry, evict and rebuildIndex.
 func (d *Directory) put(e Entry) {
 	delete(d.lapsed, e.ID)
+	delete(d.withheld, e.ID)
 	old := d.byID[e.ID]
+	if old == nil && d.refuseRemoved(e) {
+		return
+	}
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		d.byID[e.ID] = newEngine(e, d)
 		d.log.Info("upstream registered", "upstream", e.ID, "service", e.Service, "version", e.Version,
@@ -188,11 +221,12 @@
 // removeEntry evicts an upstream, or marks it as lapsed during an outage unless it
 // is leaving.
 func (d *Directory) removeEntry(id upstream.ID) {
+	delete(d.withheld, id)
 	e := d.byID[id]
 	if e == nil {
 		return
 	}
-	if d.inOutageGrace() && !e.entry().Leaving {
+	if d.inOutageGrace() && !e.Leaving() {
 		d.lapsed[id] = true
 		return
 	}
@@ -207,6 +241,7 @@
 	}
 	delete(d.byID, id)
 	delete(d.lapsed, id)
+	d.removed[id] = removal{incarnation: e.entry().Incarnation, leaving: e.Leaving(), at: d.clock.Now()}
 	d.log.Info("upstream removed", "upstream", id, "service", e.entry().Service, "reason", reason)
 	if d.opts.OnRemove != nil {
 		d.opts.OnRemove(e.entry().Address)
@@ -252,7 +287,7 @@
 	for _, e := range d.byID {
 		entry := e.entry()
 		state := "ready"
-		if entry.Leaving {
+		if e.Leaving() {
 			state = "leaving"
 		}
 		counts[[2]string{entry.Service, state}]++
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -21,6 +21,9 @@
 	identity upstream.Upstream
 	// hash is the hash of the ID, for rendezvous hashing.
 	hash uint64
+	// leaving is set once the entry or the upstream itself reports that the upstream is
+	// leaving, and is never cleared: an upstream that returns is a new incarnation.
+	leaving atomic.Bool
 
 	mu sync.Mutex
 	// inFlight is the number of this VM's requests on the upstream.
@@ -44,6 +47,8 @@
 	// serviceTime is the smoothed time that a request occupies the upstream;
 	// zero while unknown.
 	serviceTime time.Duration
+	// pausedUntil is until when the upstream asked this VM to send it nothing.
+	pausedUntil time.Time
 	// failureRate is the smoothed share of requests that the upstream failed, 0
 	// to 1.
 	failureRate float64
@@ -56,7 +61,12 @@
 	return engine
 }
 
-func (e *Engine) set(entry Entry) { e.current.Store(&entry) }
+func (e *Engine) set(entry Entry) {
+	if entry.Leaving {
+		e.leaving.Store(true)
+	}
+	e.current.Store(&entry)
+}
 
 func (e *Engine) entry() *Entry { return e.current.Load() }
 
@@ -70,13 +80,36 @@
 func (e *Engine) Version() model.VersionID { return e.entry().Version }
 
 // Leaving reports whether the upstream is draining and gets no new requests.
-func (e *Engine) Leaving() bool { return e.entry().Leaving }
+func (e *Engine) Leaving() bool { return e.leaving.Load() }
 
 // MarkLeaving marks the upstream as leaving, as it reported itself.
 func (e *Engine) MarkLeaving() {
-	entry := *e.entry()
-	entry.Leaving = true
-	e.set(entry)
+	if !e.leaving.CompareAndSwap(false, true) {
+		return
+	}
+	d := e.directory
+	d.selfReports.WithLabelValues("leaving").Inc()
+	d.log.Info("upstream reports that it is leaving", "upstream", e.ID(), "service", e.entry().Service)
+}
+
+// maxPause bounds the time for which an upstream may pause this VM.
+const maxPause = time.Minute
+
+// Pause sends no new requests to the upstream for the given time, because it asked for
+// that. A shorter pause does not end a longer one.
+func (e *Engine) Pause(d time.Duration) {
+	d = min(d, maxPause)
+	until := e.directory.clock.Now().Add(d)
+	e.mu.Lock()
+	extended := until.After(e.pausedUntil)
+	if extended {
+		e.pausedUntil = until
+	}
+	e.mu.Unlock()
+	if extended {
+		e.directory.selfReports.WithLabelValues("paused").Inc()
+		e.directory.log.Info("upstream asks for a pause", "upstream", e.ID(), "pause_ms", d.Milliseconds())
+	}
 }
 
 // Result describes how an attempt ended.
@@ -201,6 +234,14 @@
 	e.remoteRequests = max(l.Running+l.Waiting-e.inFlight, 0)
 }
 
+// pauseLeft returns how long the upstream's pause still lasts; zero or less if it is not
+// paused.
+func (e *Engine) pauseLeft(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pausedUntil.Sub(now)
+}
+
 // fillCandidate fills in the upstream as a candidate for selection. FirstToken is
 // the expected wait plus the penalty for recent failures.
 func (e *Engine) fillCandidate(c *route.Candidate, now time.Time) {
@@ -210,7 +251,7 @@
 	defer e.mu.Unlock()
 	*c = route.Candidate{
 		Upstream: &e.identity, Capacity: entry.Capacity, InFlight: e.inFlight,
-		Loaded: true, Leaving: entry.Leaving, RequestDuration: e.serviceTime,
+		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), RequestDuration: e.serviceTime,
 		BreakerOpen: !d.breakers.Ready(entry.ID, model.Ref{}, now),
 		FirstToken:  time.Duration(e.failureRate * float64(d.opts.Placement.FailurePenalty)),
 		LinkLatency: d.linkLatency(entry.Domain),
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
@@ -23,6 +24,7 @@
 	return engines.New(engines.Options{
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
 		RegionOf: func(id domain.ID) domain.Region { return domain.Region("r" + string(id[1:])) },
+		Registry: prometheus.NewRegistry(),
 	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil))), clock
 }
 
@@ -68,6 +70,7 @@
 	region2 := engines.New(engines.Options{
 		Region: "r2", Domain: "d2", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
 		RegionOf: func(id domain.ID) domain.Region { return domain.Region("r" + string(id[1:])) },
+		Registry: prometheus.NewRegistry(),
 	}, clockwork.NewFakeClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	region1.Replace(entries)
 	region2.Replace(entries)
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
@@ -75,7 +76,7 @@
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
-	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}}
+	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}}
 	options := func(filters ...route.Filter) route.Options {
 		return route.Options{Sample: route.MaxSample, Filters: append(filters, always...), Scorers: scorers}
 	}
@@ -114,6 +115,9 @@
 	Candidates int
 	// Refused counts the rejected candidates by reason.
 	Refused route.RefusalCounts
+	// PauseLeft is how long the shortest pause of the refused upstreams still lasts if
+	// Engine is nil; zero if none of them is paused.
+	PauseLeft time.Duration
 	// BreakersIgnored reports whether no candidate passed with the circuit
 	// breakers in effect, so that they were ignored.
 	BreakersIgnored bool
@@ -155,6 +159,7 @@
 		decision, ok = d.policies.ignoringBreakers.Select(&request, candidates)
 	}
 	if !ok {
+		choice.PauseLeft = shortestPause(allowed, req.Tried, now)
 		return choice
 	}
 	for _, e := range allowed {
@@ -165,6 +170,22 @@
 	return choice
 }
 
+// shortestPause returns how long the shortest pause of the upstreams still lasts, zero
+// if none is paused. Upstreams that were tried or are leaving don't count.
+func shortestPause(engines []*Engine, tried []upstream.ID, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, e := range engines {
+		left := e.pauseLeft(now)
+		if left <= 0 || e.Leaving() || slices.Contains(tried, e.ID()) {
+			continue
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // crossRegionCost returns the cost of sending a request to another region: the
 // round trip and the price of the traffic, as a time.
 func (p Placement) crossRegionCost(req Requirements) time.Duration {
--- a/internal/entryd/hedge_test.go
+++ b/internal/entryd/hedge_test.go
@@ -39,16 +39,14 @@
 		for i := range 20 {
 			chat(fmt.Sprintf("learn %d", i))
 		}
-		slow := h.Engines["cheap-1"]
-		if other := h.Engines["cheap-2"]; other.Counts().Runs > slow.Counts().Runs {
-			slow = other
+		// Placement may choose either engine, so each of them delays its next request.
+		cheapEngines := []*engine.Server{h.Engines["cheap-1"], h.Engines["cheap-2"]}
+		for _, e := range cheapEngines {
+			Expect(e.Faults.Add(fault.Rule{Kind: engine.Slow, DelayMs: 1000, Count: 1})).To(Succeed())
 		}
-		Expect(slow.Faults.Add(fault.Rule{Kind: engine.Slow, DelayMs: 250})).To(Succeed())
-		for i := range maxRequests {
-			chat(fmt.Sprintf("slow %d", i))
-			if slow.Faults.Report().Injected[engine.Slow] > 0 {
-				break
-			}
+		chat("slow")
+		for _, e := range cheapEngines {
+			Expect(e.Faults.Report().Injected[engine.Slow]).To(BeEquivalentTo(1), "the request must reach both engines")
 		}
 		Expect(h.metrics()).NotTo(ContainSubstring("\npoplarshore_hedges_total 0\n"))
 		h.checkLedger()
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -30,6 +30,7 @@
 // Response is a response with its complete body.
 type Response struct {
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -58,7 +59,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(&idleReader{body: io.LimitReader(resp.Body, l.MaxBytes),
 		timer: timer, idleTimeout: l.IdleTimeout})
-	return Response{Status: resp.StatusCode, Body: body}, err
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, err
 }
 
 // idleReader restarts the timer with the idle timeout at each read of the body.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -126,6 +126,7 @@
 		ReregistrationGrace: reregistrationGrace,
 		Placement:           engines.DefaultPlacement(),
 		OnRemove:            d.pool.CloseIdle,
+		Registry:            d.registry,
 	}, clock, d.log)
 	d.shifts = shifts.New(shifts.Options{
 		VM: s.VM.ID, Table: vmTable, VMCount: func() int { return len(d.vms.Others()) + 1 },
@@ -262,7 +263,7 @@
 	}
 	d.vms.Announce(ctx, members.Member{
 		Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed,
-	}, d.store)
+	}, d.store, d.clock)
 }
 
 // applyHint adds the work that another VM sent to an upstream to the upstream's
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -43,7 +43,7 @@
 		case wire.IsConfig(row.Key):
 			err = o.installConfig(row)
 		case wire.IsRollout(row.Key):
-			err = o.orderRollout(row)
+			err = o.orderRollout(row, b.Era)
 		}
 		if err != nil {
 			o.log.Error("ignoring invalid row of the operators' table", "key", row.Key,
@@ -69,8 +69,8 @@
 }
 
 // orderRollout passes the order in a row to the roll-out manager.
-func (o *operatorSink) orderRollout(row watch.Row) error {
-	order, err := wire.DecodeOrder(row)
+func (o *operatorSink) orderRollout(row watch.Row, era watch.Era) error {
+	order, err := wire.DecodeOrder(row, era)
 	if err != nil {
 		return err
 	}
@@ -89,6 +89,8 @@
 type upstreamSink struct {
 	log       *slog.Logger
 	directory *engines.Directory
+	// era is that of the last listing.
+	era watch.Era
 }
 
 // Reset implements watch.Sink.
@@ -99,6 +101,12 @@
 			entries = append(entries, e)
 		}
 	}
+	restored := u.directory.Listed() && b.Era > u.era
+	u.era = b.Era
+	if restored {
+		u.directory.Restore(entries)
+		return
+	}
 	u.directory.Replace(entries)
 }
 
@@ -146,13 +154,13 @@
 // Reset implements watch.Sink.
 func (v *vmSink) Reset(b watch.Batch) {
 	v.vms.Reset(b)
-	v.shifts.Replace(b.Rows)
+	v.shifts.Replace(b)
 }
 
 // Change implements watch.Sink.
 func (v *vmSink) Change(b watch.Batch) {
 	v.vms.Change(b)
-	v.shifts.Change(b.Rows)
+	v.shifts.Change(b)
 }
 
 // StoreUnavailable implements watch.Sink. While the store is unavailable,
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -168,7 +168,7 @@
 // Changes implements watch.Source. It polls up to maxReadersPerPoll readers and
 // then the store. While the store is in backoff and readers are stale, it returns
 // ErrNoReader.
-func (f *Feed) Changes(ctx context.Context, table string, after watch.Revision,
+func (f *Feed) Changes(ctx context.Context, table string, after watch.Cursor,
 	wait time.Duration) (watch.Batch, error) {
 	h := f.history(table)
 	for range maxReadersPerPoll {
@@ -213,7 +213,7 @@
 
 // pollReader polls a reader. It returns errInterrupted if another VM polls this
 // one meanwhile.
-func (f *Feed) pollReader(ctx context.Context, p peer, table string, after watch.Revision,
+func (f *Feed) pollReader(ctx context.Context, p peer, table string, after watch.Cursor,
 	wait time.Duration) (watch.Batch, error) {
 	return f.pollInterruptible(ctx, table, wait, func(ctx context.Context) (watch.Batch, error) {
 		return f.pollPeer(ctx, p, query{table: table, after: after, wait: wait})
@@ -222,7 +222,7 @@
 
 // pollStore polls the store. If other VMs rely on this one and its data is not
 // fresh, the poll doesn't wait for changes.
-func (f *Feed) pollStore(ctx context.Context, h *history, table string, after watch.Revision,
+func (f *Feed) pollStore(ctx context.Context, h *history, table string, after watch.Cursor,
 	wait time.Duration) (watch.Batch, error) {
 	f.mu.Lock()
 	shared := f.sharesReads() || f.polledRecently(table) || f.isSeed() && f.inStartup()
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -33,6 +33,7 @@
 // unavailable to some VMs.
 type fakeStore struct {
 	mu    sync.Mutex
+	era   watch.Era
 	at    watch.Revision
 	rows  []watch.Row
 	down  map[vm.ID]bool
@@ -52,7 +53,7 @@
 	if v.down[v.id] {
 		return watch.Batch{}, store.ErrUnavailable.New("store unreachable from %s", v.id)
 	}
-	b := watch.Batch{At: v.at}
+	b := watch.Batch{At: v.at, Era: v.era}
 	for _, r := range v.rows {
 		if r.Revision > after {
 			b.Rows = append(b.Rows, r)
@@ -63,8 +64,21 @@
 
 func (v storeView) List(context.Context, string) (watch.Batch, error) { return v.read(-1) }
 
-func (v storeView) Changes(_ context.Context, _ string, after watch.Revision, _ time.Duration) (watch.Batch, error) {
-	return v.read(after)
+func (v storeView) Changes(_ context.Context, _ string, after watch.Cursor, _ time.Duration) (watch.Batch, error) {
+	b, err := v.read(after.Revision)
+	if err == nil && after.Era != b.Era {
+		return watch.Batch{}, watch.ErrHistoryGone.New("the store is in era %d", b.Era)
+	}
+	return b, err
+}
+
+// restore replaces the store's contents by its first count rows and begins a new era.
+func (s *fakeStore) restore(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rows = s.rows[:count]
+	s.at = s.rows[count-1].Revision
 }
 
 func (s *fakeStore) put(key string) {
@@ -173,7 +187,7 @@
 	batches := make(map[vm.ID]watch.Batch)
 	for range 2 {
 		for _, id := range f.readerFirst() {
-			b, err := f.feeds[id].Changes(t.Context(), "t", after, time.Second)
+			b, err := f.feeds[id].Changes(t.Context(), "t", watch.Cursor{Revision: after}, time.Second)
 			if err == nil {
 				batches[id] = b
 			}
@@ -256,7 +270,7 @@
 	for range 10 {
 		f.clock.Advance(100 * time.Millisecond)
 		for _, feed := range f.feeds {
-			_, err := feed.Changes(t.Context(), "t", 1, time.Second)
+			_, err := feed.Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
 			f.Expect(err).To(HaveOccurred())
 		}
 	}
@@ -279,7 +293,7 @@
 		if id == readers[0] {
 			continue
 		}
-		_, err := feed.Changes(t.Context(), "t", 0, time.Second)
+		_, err := feed.Changes(t.Context(), "t", watch.Cursor{}, time.Second)
 		f.Expect(errorx.IsOfType(err, watch.ErrHistoryGone)).To(BeTrue())
 		b, err := feed.List(t.Context(), "t")
 		f.Expect(err).NotTo(HaveOccurred())
@@ -305,7 +319,7 @@
 		if id == readers[0] {
 			continue
 		}
-		b, err := feed.Changes(t.Context(), "t", 1, time.Second)
+		b, err := feed.Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
 		f.Expect(err).NotTo(HaveOccurred())
 		f.Expect(b.At).To(BeEquivalentTo(2), string(id))
 		f.Expect(b.Rows).To(HaveLen(1), string(id))
@@ -324,7 +338,7 @@
 			continue
 		}
 		// The reader has never read the other table.
-		_, err := feed.Changes(t.Context(), "other", 1, time.Second)
+		_, err := feed.Changes(t.Context(), "other", watch.Cursor{Revision: 1}, time.Second)
 		f.Expect(err).NotTo(HaveOccurred())
 	}
 	_, readersAfter := f.readAll(t, 1)
@@ -347,7 +361,7 @@
 		}
 	}
 	poll := func() int {
-		resp, err := http.Get(f.servers[other].URL + "/feed/t?after=1&wait_ms=0&old=false")
+		resp, err := http.Get(f.servers[other].URL + "/feed/t?after=1&wait_ms=0&era=0&old=false")
 		f.Expect(err).NotTo(HaveOccurred())
 		f.Expect(resp.Body.Close()).To(Succeed())
 		return resp.StatusCode
@@ -368,7 +382,7 @@
 	seed := f.feeds["vm-0"]
 	_, err := seed.List(t.Context(), "t")
 	f.Expect(err).NotTo(HaveOccurred())
-	_, err = seed.Changes(t.Context(), "t", 1, time.Second)
+	_, err = seed.Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
 	f.Expect(err).NotTo(HaveOccurred())
 	for id, feed := range f.feeds {
 		if id == "vm-0" {
@@ -377,7 +391,7 @@
 		b, err := feed.List(t.Context(), "t")
 		f.Expect(err).NotTo(HaveOccurred())
 		f.Expect(b.Rows).To(HaveLen(1))
-		_, err = feed.Changes(t.Context(), "t", 1, time.Second)
+		_, err = feed.Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
 		f.Expect(err).NotTo(HaveOccurred())
 	}
 	f.Expect(f.store.reads).To(Equal(map[vm.ID]int{"vm-0": 2}))
@@ -400,10 +414,10 @@
 	// Once the store is available again, the VM serves what it reads.
 	f.store.setDown("vm-1", false)
 	f.clock.Advance(2 * time.Hour)
-	b, err = f.feeds["vm-1"].Changes(t.Context(), "t", 1, time.Second)
+	b, err = f.feeds["vm-1"].Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(b.At).To(BeEquivalentTo(2))
-	resp, err := http.Get(f.servers["vm-1"].URL + "/feed/t?after=1&wait_ms=0&old=false")
+	resp, err := http.Get(f.servers["vm-1"].URL + "/feed/t?after=1&wait_ms=0&era=0&old=false")
 	f.Expect(err).NotTo(HaveOccurred())
 	f.Expect(resp.Body.Close()).To(Succeed())
 	f.Expect(resp.StatusCode).To(Equal(http.StatusOK))
@@ -427,3 +441,46 @@
 		f.Expect(b.Rows).To(ConsistOf(HaveField("Revision", watch.Revision(4))), string(id))
 	}
 }
+
+// TestReadersFollowStoreIntoNewEra restores the store from a copy without the newest row.
+// Each VM must list the table again, and none may take rows of the era before from a
+// reader that has not noticed the restore.
+func TestReadersFollowStoreIntoNewEra(t *testing.T) {
+	f := newFleet(t, 5)
+	f.store.put("lost")
+	f.readAll(t, 1)
+	f.clock.Advance(readerSettleTime)
+	f.readAll(t, 2)
+	f.store.restore(1)
+	f.store.put("b")
+	cursors := make(map[vm.ID]watch.Cursor)
+	for range 4 {
+		for _, id := range f.readerFirst() {
+			b, err := f.feeds[id].Changes(t.Context(), "t", cursors[id], 0)
+			if errorx.IsOfType(err, watch.ErrHistoryGone) {
+				b, err = f.feeds[id].List(t.Context(), "t")
+			}
+			if err == nil {
+				cursors[id] = b.Cursor()
+			}
+		}
+		f.clock.Advance(readerSettleTime)
+	}
+	for id, cursor := range cursors {
+		f.Expect(cursor).To(Equal(watch.Cursor{Era: 1, Revision: 2}), string(id))
+	}
+	f.store.put("c")
+	for _, id := range append(f.readerFirst(), f.readerFirst()...) {
+		b, err := f.feeds[id].Changes(t.Context(), "t", cursors[id], 0)
+		f.Expect(err).NotTo(HaveOccurred(), string(id))
+		if b.At > cursors[id].Revision {
+			f.Expect(b.Rows).To(ConsistOf(HaveField("Key", "c")), string(id))
+			cursors[id] = b.Cursor()
+		}
+	}
+	for id, cursor := range cursors {
+		f.Expect(cursor).To(Equal(watch.Cursor{Era: 1, Revision: 3}), string(id))
+	}
+	_, err := f.feeds["vm-0"].Changes(t.Context(), "t", watch.Cursor{Revision: 2}, 0)
+	f.Expect(errorx.IsOfType(err, watch.ErrHistoryGone)).To(BeTrue(), "a position of the era before is void")
+}
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -25,6 +25,7 @@
 	mu sync.Mutex
 	// rows is the table as of the revision, by key.
 	rows     map[string]watch.Row
+	era      watch.Era
 	revision watch.Revision
 	// log holds the rows changed after the revision logStart, in order.
 	log      []watch.Row
@@ -42,24 +43,35 @@
 	return &history{rows: make(map[string]watch.Row), changed: make(chan struct{})}
 }
 
+// cursor returns the position of the rows. The caller holds mu.
+func (h *history) cursor() watch.Cursor { return watch.Cursor{Era: h.era, Revision: h.revision} }
+
 // reset replaces the history with a listing. now is when the store confirmed that
-// there are no later changes, or unconfirmed: then the listing is not served yet.
+// there are no later changes, or unconfirmed: then the listing is not served yet. A
+// listing of an earlier era is ignored.
 func (h *history) reset(b watch.Batch, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if b.Era < h.era {
+		return
+	}
 	clear(h.rows)
 	for _, r := range b.Rows {
 		h.rows[r.Key] = r
 	}
-	h.revision, h.logStart, h.log, h.listed, h.confirmedAt = b.At, b.At, nil, true, now
+	h.era, h.revision, h.logStart, h.log, h.listed, h.confirmedAt = b.Era, b.At, b.At, nil, true, now
 	h.notify()
 }
 
 // apply adds changed rows. now is when the store answered, or unconfirmed if the
-// rows come from a reader: then they are not served to other VMs.
+// rows come from a reader: then they are not served to other VMs. Rows of another era
+// are ignored, because that era has to be listed first.
 func (h *history) apply(b watch.Batch, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if b.Era != h.era {
+		return
+	}
 	shouldNotify := h.confirmedAt.IsZero() != now.IsZero() || len(b.Rows) > 0
 	h.confirmedAt = now
 	if shouldNotify {
@@ -140,17 +152,18 @@
 	changed chan struct{}
 }
 
-// changesSince returns the changes after a revision, or all rows if after is
-// negative.
-func (h *history) changesSince(after watch.Revision, now time.Time, maxAge time.Duration) response {
+// changesSince returns the changes after a position, or all rows if after is
+// fullTable. The changes after a position of an earlier era are not known. A copy of an
+// earlier era than the requested position is stale.
+func (h *history) changesSince(after watch.Cursor, now time.Time, maxAge time.Duration) response {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	resp := response{batch: watch.Batch{At: h.revision}, complete: h.listed && (after < 0 || after >= h.logStart),
-		changed: h.changed}
-	if h.listed && !h.confirmedAt.IsZero() {
+	resp := response{batch: watch.Batch{At: h.revision, Era: h.era}, changed: h.changed}
+	resp.complete = h.listed && (after == fullTable || after.Era == h.era && after.Revision >= h.logStart)
+	if h.listed && !h.confirmedAt.IsZero() && after.Era <= h.era {
 		resp.freshFor = maxAge - now.Sub(h.confirmedAt)
 	}
-	if after < 0 {
+	if after == fullTable {
 		for _, r := range h.rows {
 			resp.batch.Rows = append(resp.batch.Rows, r)
 		}
@@ -158,25 +171,25 @@
 		return resp
 	}
 	for _, r := range h.log {
-		if r.Revision > after {
+		if r.Revision > after.Revision {
 			resp.batch.Rows = append(resp.batch.Rows, r)
 		}
 	}
 	// A reader that is behind its follower has no changes for it, and must not
 	// lower its revision.
-	resp.batch.At = max(resp.batch.At, after)
+	resp.batch.At = max(resp.batch.At, after.Revision)
 	return resp
 }
 
-// poll returns the changes after a revision. If there are none, it waits for them
+// poll returns the changes after a position. If there are none, it waits for them
 // until the wait has passed, the history becomes stale or ctx ends.
-func (h *history) poll(ctx context.Context, clock clockwork.Clock, after watch.Revision,
+func (h *history) poll(ctx context.Context, clock clockwork.Clock, after watch.Cursor,
 	wait, maxAge time.Duration) response {
 	deadline := clock.Now().Add(wait)
 	for {
 		resp := h.changesSince(after, clock.Now(), maxAge)
 		timeLeft := min(deadline.Sub(clock.Now()), resp.freshFor)
-		if !resp.complete || resp.freshFor <= 0 || len(resp.batch.Rows) > 0 || after < 0 || timeLeft <= 0 {
+		if !resp.complete || resp.freshFor <= 0 || len(resp.batch.Rows) > 0 || after == fullTable || timeLeft <= 0 {
 			return resp
 		}
 		select {
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -18,13 +18,13 @@
 // tables to other VMs.
 const Path = "GET /feed/{table}"
 
-// fullTable in place of a revision requests all rows of the table.
-const fullTable watch.Revision = -1
+// fullTable in place of a position requests all rows of the table.
+var fullTable = watch.Cursor{Revision: -1}
 
 // query is a VM's request to another one.
 type query struct {
 	table string
-	after watch.Revision
+	after watch.Cursor
 	// wait is how long the other VM may wait for changes.
 	wait time.Duration
 	// allowStale accepts data that is not fresh.
@@ -34,7 +34,8 @@
 // requestURL returns the URL of the query to the VM at address.
 func (q query) requestURL(address string) string {
 	values := url.Values{
-		"after":   {strconv.FormatInt(int64(q.after), 10)},
+		"after":   {strconv.FormatInt(int64(q.after.Revision), 10)},
+		"era":     {strconv.FormatInt(int64(q.after.Era), 10)},
 		"wait_ms": {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 		"old":     {strconv.FormatBool(q.allowStale)},
 	}
@@ -48,14 +49,18 @@
 	if err != nil {
 		return query{}, err
 	}
+	era, err := strconv.ParseInt(values.Get("era"), 10, 64)
+	if err != nil {
+		return query{}, err
+	}
 	wait, err := strconv.ParseInt(values.Get("wait_ms"), 10, 64)
 	if err != nil {
 		return query{}, err
 	}
 	allowStale, err := strconv.ParseBool(values.Get("old"))
 	return query{
-		table: r.PathValue("table"), after: watch.Revision(after), wait: time.Duration(wait) * time.Millisecond,
-		allowStale: allowStale,
+		table: r.PathValue("table"), wait: time.Duration(wait) * time.Millisecond, allowStale: allowStale,
+		after: watch.Cursor{Era: watch.Era(era), Revision: watch.Revision(after)},
 	}, err
 }
 
@@ -74,8 +79,8 @@
 	switch resp.Status {
 	case http.StatusOK:
 	case http.StatusGone:
-		return watch.Batch{}, watch.ErrHistoryGone.New("reader %s no longer has the changes after revision %d",
-			p.name, q.after)
+		return watch.Batch{}, watch.ErrHistoryGone.New("reader %s does not have the changes after revision %d of era %d",
+			p.name, q.after.Revision, q.after.Era)
 	case http.StatusServiceUnavailable:
 		return watch.Batch{}, errStale.New("reader %s has no fresh data", p.name)
 	default:
@@ -94,7 +99,7 @@
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q, err := parseQuery(r)
 	if err != nil {
-		http.Error(w, "after, wait_ms and old are needed: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, "after, era, wait_ms and old are needed: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	h := f.history(q.table)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -41,6 +41,9 @@
 	// confidence is the model's confidence in its response, 0 to 100; negative if
 	// it reported none.
 	confidence int
+	// paused reports whether the upstream turned the request away and asked for a pause.
+	// Such an attempt is evidence neither about the upstream nor about its version.
+	paused bool
 	// countedSlow reports whether the attempt has been counted as slow for its
 	// version.
 	countedSlow bool
@@ -86,6 +89,13 @@
 	}
 	defer resp.Close()
 	head := s.Protocol.ReadHead(resp.Status, resp.Header)
+	if head.Leaving {
+		a.engine.MarkLeaving()
+	}
+	if head.Pause > 0 {
+		a.paused = true
+		a.engine.Pause(head.Pause)
+	}
 	a.confidence = head.Confidence
 	if head.HasLoad {
 		a.engine.UpdateLoad(head.Load)
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -74,6 +74,11 @@
 	Sealed bool
 	// NotRun reports whether the upstream states that it did not run the request.
 	NotRun bool
+	// Leaving reports whether the upstream states that it is leaving.
+	Leaving bool
+	// Pause is how long the upstream, which turned the request away, wants no requests
+	// from this VM; zero if it sets no time.
+	Pause time.Duration
 	// Load is the upstream's load report; valid only if HasLoad is set.
 	Load    route.Load
 	HasLoad bool
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -39,7 +39,7 @@
 	for {
 		choice := s.Placement.Choose(x.requirements())
 		if choice.Engine == nil {
-			return x.fail(refusal.New(refusal.NoUpstream))
+			return x.fail(noUpstream(choice))
 		}
 		err := x.tryUpstream(ctx, choice.Engine)
 		if err == nil {
@@ -60,6 +60,15 @@
 	}
 }
 
+// noUpstream returns the refusal for a choice without an upstream. The caller may come
+// back when the first pause of an upstream has ended.
+func noUpstream(choice engines.Choice) *refusal.Refusal {
+	if choice.PauseLeft > 0 {
+		return refusal.New(refusal.UpstreamsPaused).WithRetryAfter(choice.PauseLeft)
+	}
+	return refusal.New(refusal.NoUpstream)
+}
+
 // shouldRetry reports whether to make another attempt after one failed with err,
 // and waits for the backoff. If it reports false, the error is the result of the
 // exchange; nil means that a response has been sent.
@@ -183,7 +192,7 @@
 func (x *exchange) finishAttempt(ctx context.Context, a *attempt, err error, took time.Duration) {
 	ended := err != nil && ctx.Err() != nil
 	failed := err != nil && !ended && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
-	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun)
+	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || a.paused
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive}
 	if err == nil {
 		result.Took = took
@@ -216,7 +225,7 @@
 // that case the time so far is used as the time to first event.
 func (a *attempt) countsForVersion(err error, inconclusive bool) bool {
 	switch {
-	case err == nil, errorx.IsOfType(err, errFailed), errorx.IsOfType(err, errLowConfidence):
+	case err == nil, errorx.IsOfType(err, errFailed) && !a.paused, errorx.IsOfType(err, errLowConfidence):
 		return true
 	case inconclusive || !errorx.IsOfType(err, upconn.ErrSilent) || a.firstAfter > 0:
 		return false
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -56,16 +56,29 @@
 	mu        sync.Mutex
 	byService map[string]*serviceState
 	listed    bool
+	// era is the era of the rows; latestEra is the latest era seen in rows or orders, if
+	// eraKnown is set. restoredAt is when this VM saw the last restore; zero for none.
+	era, latestEra watch.Era
+	eraKnown       bool
+	restoredAt     time.Time
 }
 
 // serviceState is the state of the shifts of one service.
 type serviceState struct {
-	// order is the newest order; its ID is 0 before the first one.
-	order shift.Order
-	// state is the row at the given revision; revision 0 means that there is no
-	// row.
-	state    shift.State
+	// order is the newest order; its ID is 0 before the first one. pastOrders holds the
+	// orders before it.
+	order      shift.Order
+	pastOrders []shift.Order
+	// state is the newest known state, if known is set. It may be ahead of the row
+	// after the store was restored from an older copy.
+	state shift.State
+	known bool
+	// row is the state in the row of the current era at the given revision; revision 0
+	// means that there is no row.
+	row      shift.State
 	revision watch.Revision
+	// olderState is the state in a row of an earlier era that was just read, or nil.
+	olderState *shift.State
 	// local holds this VM's observations of both versions in the current shift.
 	local struct {
 		newVersion, oldVersion shift.Observations
@@ -90,6 +103,7 @@
 // evidenceRow holds a VM's observations of the new version of an order.
 type evidenceRow struct {
 	Order int64              `json:"order"`
+	Era   int64              `json:"era,omitzero"`
 	Seen  shift.Observations `json:"seen"`
 }
 
@@ -114,38 +128,53 @@
 	return s
 }
 
-// Order records an order. It is ignored unless its ID is higher than that of the
-// service's last order.
+// Order records an order. It is ignored unless it is newer than the service's last
+// order. An order that returns because the store was restored from an older copy is
+// ignored too.
 func (m *Manager) Order(o shift.Order) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeEra(watch.Era(o.Era))
 	s := m.getOrCreate(o.Service)
-	if o.ID <= s.order.ID {
+	if !o.After(s.order) || m.returns(o, s.pastOrders) {
 		return
 	}
+	if s.order.ID != 0 && !m.isRewrite(o, s.order) {
+		s.pastOrders = append(s.pastOrders, s.order)
+	}
 	s.order = o
 	m.opts.Log.Info("roll-out order received", "service", o.Service, "to", o.To,
-		"order", o.ID, "duration_ms", o.Duration.Milliseconds())
+		"order", o.ID, "era", o.Era, "duration_ms", o.Duration.Milliseconds())
 }
 
 // Replace applies a complete listing of the table. Rows that it no longer contains
 // are not removed.
-func (m *Manager) Replace(rows []watch.Row) {
+func (m *Manager) Replace(b watch.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
-	for _, r := range rows {
-		m.applyRow(r)
-	}
+	m.apply(b)
 }
 
 // Change applies changed rows.
-func (m *Manager) Change(rows []watch.Row) {
+func (m *Manager) Change(b watch.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, r := range rows {
+	m.apply(b)
+}
+
+// apply applies the rows of a batch. The caller holds mu.
+func (m *Manager) apply(b watch.Batch) {
+	m.observeEra(b.Era)
+	if b.Era > m.era {
+		m.enterEra(b.Era)
+	}
+	for _, r := range b.Rows {
 		m.applyRow(r)
 	}
+	for _, s := range m.byService {
+		m.adoptOlderState(s)
+	}
 }
 
 func (m *Manager) applyRow(r watch.Row) {
@@ -153,8 +182,8 @@
 		return
 	}
 	var err error
-	if serviceName, ok := strings.CutPrefix(r.Key, statePrefix); ok {
-		err = m.applyState(serviceName, r)
+	if keySuffix, ok := strings.CutPrefix(r.Key, statePrefix); ok {
+		err = m.applyState(keySuffix, r)
 	} else if keySuffix, ok := strings.CutPrefix(r.Key, evidencePrefix); ok {
 		err = m.applyEvidence(keySuffix, r)
 	}
@@ -163,30 +192,43 @@
 	}
 }
 
-func (m *Manager) applyState(serviceName string, r watch.Row) error {
+func (m *Manager) applyState(keySuffix string, r watch.Row) error {
+	serviceName, era, err := parseStateKey(keySuffix)
+	if err != nil {
+		return err
+	}
 	var state shift.State
 	if err := json.Unmarshal(r.Value, &state); err != nil {
 		return err
 	}
-	m.installState(serviceName, state, r.Revision)
+	s := m.getOrCreate(serviceName)
+	switch {
+	case era < m.era:
+		s.olderState = &state
+	case era == m.era && r.Revision > s.revision:
+		s.row, s.revision, s.dueSince = state, r.Revision, time.Time{}
+		if state != s.state && !(s.known && m.supersedes(s.state, state)) {
+			m.installState(s, state)
+		}
+	}
 	return nil
 }
 
-// installState replaces the state if the row is newer. The observations of both
-// versions are reset if the row belongs to another order.
-func (m *Manager) installState(serviceName string, state shift.State, revision watch.Revision) {
-	s := m.getOrCreate(serviceName)
-	if revision != 0 && revision <= s.revision {
-		return
-	}
-	if state.Order.ID != s.state.Order.ID {
+// installState replaces the state. The observations of both versions are reset if it
+// belongs to another order. The caller holds mu.
+func (m *Manager) installState(s *serviceState, state shift.State) {
+	if !s.known || !m.isSameOrder(state.Order, s.state.Order) {
 		s.local.newVersion, s.local.oldVersion, s.local.goodAnswers = shift.Observations{}, shift.Observations{}, 0
 		clear(s.remote)
-		s.publishedFailures, s.localVerdict = 0, rollout.Verdict{}
+		s.localVerdict = rollout.Verdict{}
+	}
+	if state.Order != s.state.Order {
+		s.publishedFailures = 0
 	}
-	s.state, s.revision, s.dueSince = state, revision, time.Time{}
-	m.opts.Log.Info("roll-out state installed", "service", serviceName, "to", state.Order.To, "order", state.Order.ID,
-		"phase", state.Phase, "step", state.Step, "revision", revision, "verdict", state.Verdict.Metric)
+	s.state, s.known = state, true
+	m.opts.Log.Info("roll-out state installed", "service", state.Order.Service, "to", state.Order.To, "order", state.Order.ID,
+		"era", state.Order.Era, "phase", state.Phase, "step", state.Step, "revision", s.revision,
+		"verdict", state.Verdict.Metric)
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
@@ -196,7 +238,7 @@
 		return err
 	}
 	s := m.getOrCreate(serviceName)
-	if vm.ID(vmID) == m.opts.VM || row.Order != s.state.Order.ID {
+	if vm.ID(vmID) == m.opts.VM || row.Order != s.state.Order.ID || row.Era != s.state.Order.Era {
 		return nil
 	}
 	s.remote[vm.ID(vmID)] = row.Seen
@@ -221,9 +263,9 @@
 	defer m.mu.Unlock()
 	s := m.byService[serviceName]
 	switch {
-	case s == nil || s.order.ID == 0 && s.revision == 0:
+	case s == nil || s.order.ID == 0 && !s.known:
 		return func(model.VersionID) bool { return true }
-	case s.order.ID > s.state.Order.ID:
+	case m.isNewOrder(s):
 		to := s.order.To
 		return func(v model.VersionID) bool { return v != to }
 	}
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -100,7 +100,7 @@
 
 // isNewVersion reports whether v is the new version of the current shift.
 func (s *serviceState) isNewVersion(v model.VersionID) bool {
-	return s.revision != 0 && v == s.state.Order.To
+	return s.known && v == s.state.Order.To
 }
 
 // MaxSilence returns the time without events after which the caller passes that
@@ -111,7 +111,7 @@
 	defer m.mu.Unlock()
 	s := m.getOrCreate(a.Service)
 	gap := s.latencyModel(a.Kind).eventGap
-	if s.revision == 0 || s.state.Ended() || gap.samples < minLatencySamples {
+	if !s.known || s.state.Ended() || gap.samples < minLatencySamples {
 		return 0
 	}
 	return time.Duration(silenceFactor * slowFactor * gap.value * float64(time.Second))
@@ -124,7 +124,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.getOrCreate(a.Service)
-	if s.revision == 0 || s.state.Ended() || !s.latencyModel(a.Kind).eventGap.isSlow(gap.Seconds()) {
+	if !s.known || s.state.Ended() || !s.latencyModel(a.Kind).eventGap.isSlow(gap.Seconds()) {
 		return false
 	}
 	s.record(a.Version, slowAnswer)
@@ -197,7 +197,7 @@
 // was reverted.
 func (s *serviceState) record(v model.VersionID, observed shift.Observations) {
 	switch {
-	case s.revision == 0 || s.state.Phase == shift.Reverted:
+	case !s.known || s.state.Phase == shift.Reverted:
 	case s.isNewVersion(v):
 		s.local.newVersion = s.local.newVersion.Add(observed)
 	default:
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -22,6 +22,7 @@
 // table is the shared table. The test passes its rows to the managers.
 type table struct {
 	rows      map[string]watch.Row
+	era       watch.Era
 	revision  watch.Revision
 	log       []watch.Row
 	commitErr error
@@ -46,6 +47,11 @@
 	return nil
 }
 
+// batch returns all rows and changes of the current era.
+func (t *table) batch() watch.Batch {
+	return watch.Batch{Rows: t.log, At: t.revision, Era: t.era}
+}
+
 // fleet is a group of VMs with their managers and a shared clock.
 type fleet struct {
 	*WithT
@@ -61,17 +67,22 @@
 	f := &fleet{WithT: NewWithT(t), table: &table{rows: make(map[string]watch.Row)}, clock: clockwork.NewFakeClock()}
 	f.startedAt = f.clock.Now()
 	for _, id := range vms {
-		m := shifts.New(shifts.Options{
-			VM: id, Table: "own", VMCount: func() int { return 3 }, Plan: shift.DefaultPlan(), SharedClock: f, Writer: f.table, Clock: f.clock,
-			Announce: func(shift.State) ([]watch.Put, error) { return nil, nil },
-			Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
-		})
-		m.Replace(nil)
-		f.vms = append(f.vms, m)
+		f.addVM(string(id))
 	}
 	return f
 }
 
+// addVM adds a VM that has listed the empty table.
+func (f *fleet) addVM(id string) {
+	m := shifts.New(shifts.Options{
+		VM: vm.ID(id), Table: "own", VMCount: func() int { return 3 }, Plan: shift.DefaultPlan(), SharedClock: f, Writer: f.table, Clock: f.clock,
+		Announce: func(shift.State) ([]watch.Put, error) { return nil, nil },
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	m.Replace(watch.Batch{})
+	f.vms = append(f.vms, m)
+}
+
 // advance advances the clock by d in steps of 100 ms, with a tick of each VM and
 // delivery of all rows in each step.
 func (f *fleet) advance(d time.Duration) {
@@ -79,7 +90,7 @@
 		f.clock.Advance(100 * time.Millisecond)
 		for _, m := range f.vms {
 			m.Tick(context.Background())
-			m.Change(f.table.log)
+			m.Change(f.table.batch())
 		}
 	}
 }
@@ -200,7 +211,7 @@
 	restarted := newFleet(t, "a")
 	restarted.table, restarted.clock, restarted.startedAt = f.table, f.clock, f.startedAt
 	m := restarted.vms[0]
-	m.Replace(f.table.log)
+	m.Replace(f.table.batch())
 	m.Order(shift.Order{ID: 1, Service: "s", To: "v2", Duration: 20 * time.Second})
 	f.Expect(m.Allowed("s", 0)("v2")).To(BeTrue())
 }
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -77,12 +77,16 @@
 // nextState returns the next state, and whether this VM should write it now.
 func (m *Manager) nextState(serviceName string, s *serviceState, now time.Duration) (shift.State, bool) {
 	next, changed := s.state, false
-	if s.order.ID > s.state.Order.ID {
+	if s.order.After(s.state.Order) {
+		next.Order = s.order
+	}
+	if m.isNewOrder(s) {
 		next, changed = shift.Begin(s.order, now), true
-	} else if s.revision != 0 && s.localVerdict.Bad && !s.state.Ended() {
-		next, changed = shift.Revert(s.state, s.localVerdict), true
-	} else if s.revision != 0 {
-		next, changed = m.opts.Plan.Next(s.state, now, s.evidence())
+	} else if s.known && s.localVerdict.Bad && !s.state.Ended() {
+		next, changed = shift.Revert(next, s.localVerdict), true
+	} else if s.known {
+		next, changed = m.opts.Plan.Next(next, now, s.evidence())
+		changed = changed || next != s.row
 	}
 	if !changed {
 		s.dueSince = time.Time{}
@@ -116,8 +120,9 @@
 	if err != nil {
 		return pendingWrite{}, err
 	}
-	key := statePrefix + serviceName
+	key := stateKey(serviceName, m.era)
 	return pendingWrite{service: serviceName, next: next, change: watch.Change{
+		Era:      m.era,
 		Expected: []watch.Expect{{Table: m.opts.Table, Key: key, Revision: s.revision}},
 		Puts:     append(announcements, watch.Put{Table: m.opts.Table, Key: key, Value: value}),
 	}}, nil
@@ -127,11 +132,11 @@
 // the new version and the last write is at least minEvidenceInterval old.
 func (m *Manager) evidenceWrite(serviceName string, s *serviceState) (pendingWrite, bool) {
 	failures := s.local.newVersion.Failures()
-	if s.revision == 0 || s.state.Ended() || failures <= s.publishedFailures ||
+	if !s.known || s.state.Ended() || failures <= s.publishedFailures ||
 		m.opts.Clock.Since(s.publishedAt) < minEvidenceInterval {
 		return pendingWrite{}, false
 	}
-	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Seen: s.local.newVersion})
+	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Era: s.state.Order.Era, Seen: s.local.newVersion})
 	if err != nil {
 		m.opts.Log.Error("cannot encode roll-out evidence; nothing written", "service", serviceName, "error", err)
 		return pendingWrite{}, false
--- a/internal/watch/change.go
+++ b/internal/watch/change.go
@@ -18,13 +18,16 @@
 // Change is a transaction: if all expected revisions match, all puts are applied,
 // otherwise none.
 type Change struct {
+	// Era is the era of the expected revisions. A change with expected revisions is not
+	// sent to a store that is known to have begun a later era.
+	Era      Era
 	Expected []Expect
 	Puts     []Put
 }
 
 // Writer commits transactions.
 type Writer interface {
-	// Commit applies the change. Errors: ErrConflict, ErrUnavailable, ErrUnknown
-	// and ErrInvalid of package coord/store.
+	// Commit applies the change. Errors: ErrConflict, also for expected revisions of an
+	// earlier era; ErrUnavailable, ErrUnknown and ErrInvalid of package coord/store.
 	Commit(ctx context.Context, change Change) error
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -16,9 +16,29 @@
 // that the table has to be listed again.
 var ErrHistoryGone = namespace.NewType("history_gone")
 
-// Revision is the number of a transaction of the store, in ascending order.
+// Era counts how often the store was restored from an older copy. A restore loses the
+// newest transactions, and their revisions are assigned again. Revisions can therefore be
+// compared only within an era.
+type Era int64
+
+// Revision is the number of a transaction of the store, in ascending order within an era.
 type Revision int64
 
+// Cursor is a position in the history of the store.
+type Cursor struct {
+	Era      Era
+	Revision Revision
+}
+
+// Before reports whether c is an earlier position than o. A later era is a later position
+// whatever the revisions.
+func (c Cursor) Before(o Cursor) bool {
+	if c.Era != o.Era {
+		return c.Era < o.Era
+	}
+	return c.Revision < o.Revision
+}
+
 // Row is one row of a table as of a revision.
 type Row struct {
 	Key   string
@@ -34,17 +54,23 @@
 	Rows []Row
 	// At is the revision up to which the batch includes all changes.
 	At Revision
+	// Era is the era of At and of the rows' revisions.
+	Era Era `json:",omitzero"`
 }
 
+// Cursor returns the position up to which the batch includes all changes.
+func (b Batch) Cursor() Cursor { return Cursor{Era: b.Era, Revision: b.At} }
+
 // Source is a store whose tables can be followed.
 type Source interface {
 	// List returns all rows of a table. Errors: ErrUnavailable and ErrInvalid of
 	// package coord/store.
 	List(ctx context.Context, table string) (Batch, error)
-	// Changes returns the rows changed after a revision as soon as there is one,
-	// or no rows once the wait has passed. Errors: ErrHistoryGone; ErrUnavailable
-	// and ErrInvalid of package coord/store.
-	Changes(ctx context.Context, table string, after Revision, wait time.Duration) (Batch, error)
+	// Changes returns the rows changed after a position as soon as there is one,
+	// or no rows once the wait has passed. The position must be of the store's
+	// current era. Errors: ErrHistoryGone, also if the store was restored since;
+	// ErrUnavailable and ErrInvalid of package coord/store.
+	Changes(ctx context.Context, table string, after Cursor, wait time.Duration) (Batch, error)
 }
 
 // Sink receives the rows of a watched table and the state of the store. A Watch
@@ -99,7 +125,7 @@
 	log    *slog.Logger
 	opts   Options
 
-	revision         Revision
+	cursor           Cursor
 	listed           bool
 	backoff          time.Duration
 	unavailableSince time.Time
@@ -130,10 +156,10 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, wait+w.opts.Slack)
 	defer cancel()
-	b, err := w.source.Changes(ctx, w.table, w.revision, wait)
+	b, err := w.source.Changes(ctx, w.table, w.cursor, wait)
 	if errorx.IsOfType(err, ErrHistoryGone) {
 		w.log.Info("changes since the last known revision no longer kept, listing the table again", "table", w.table,
-			"after", w.revision)
+			"after", w.cursor.Revision, "era", w.cursor.Era)
 		w.listed = false
 		return nil
 	}
@@ -141,11 +167,12 @@
 		return err
 	}
 	w.markAvailable()
-	if b.At < w.revision {
-		w.log.Warn("ignored changes older than the known revision", "table", w.table, "at", b.At, "known", w.revision)
+	if b.Cursor().Before(w.cursor) {
+		w.log.Warn("ignored changes older than the known revision", "table", w.table, "at", b.At, "era", b.Era,
+			"known", w.cursor.Revision, "known_era", w.cursor.Era)
 		return nil
 	}
-	w.revision = b.At
+	w.cursor = b.Cursor()
 	if len(b.Rows) > 0 {
 		w.sink.Change(b)
 		w.sleep(parent, w.opts.BatchDelay)
@@ -175,11 +202,16 @@
 	if err != nil {
 		return err
 	}
-	if b.At < w.revision {
-		return errStale.New("listing at revision %d is older than known revision %d", b.At, w.revision)
+	if b.Cursor().Before(w.cursor) {
+		return errStale.New("listing at revision %d of era %d is older than known revision %d of era %d",
+			b.At, b.Era, w.cursor.Revision, w.cursor.Era)
 	}
 	w.markAvailable()
-	w.revision, w.listed = b.At, true
+	if w.cursor != (Cursor{}) && b.Era > w.cursor.Era {
+		w.log.Warn("store was restored from an older copy", "table", w.table, "era", b.Era, "at", b.At,
+			"known_era", w.cursor.Era, "known", w.cursor.Revision)
+	}
+	w.cursor, w.listed = b.Cursor(), true
 	w.sink.Reset(b)
 	return nil
 }
@@ -189,11 +221,11 @@
 func (w *Watch) handleFailure(ctx context.Context, err error) {
 	if w.unavailableSince.IsZero() {
 		w.unavailableSince = w.clock.Now()
-		w.log.Warn("store unavailable, keeping the last known rows", "table", w.table, "at", w.revision, "error", err)
+		w.log.Warn("store unavailable, keeping the last known rows", "table", w.table, "at", w.cursor.Revision, "error", err)
 		w.sink.StoreUnavailable(err)
 	}
 	maxBackoff := w.opts.MaxBackoff
-	if w.revision == 0 {
+	if w.cursor == (Cursor{}) {
 		maxBackoff = w.opts.MaxInitialBackoff
 	}
 	w.backoff = min(max(2*w.backoff, w.opts.MinBackoff), maxBackoff)
@@ -209,6 +241,6 @@
 	}
 	outage := w.clock.Since(w.unavailableSince)
 	w.unavailableSince = time.Time{}
-	w.log.Info("store available again", "table", w.table, "at", w.revision, "away_ms", outage.Milliseconds())
+	w.log.Info("store available again", "table", w.table, "at", w.cursor.Revision, "away_ms", outage.Milliseconds())
 	w.sink.StoreAvailable(outage)
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -52,7 +52,7 @@
 	return s.read(ctx, &s.lists)
 }
 
-func (s *scriptedSource) Changes(ctx context.Context, _ string, _ watch.Revision,
+func (s *scriptedSource) Changes(ctx context.Context, _ string, _ watch.Cursor,
 	wait time.Duration) (watch.Batch, error) {
 	s.mu.Lock()
 	s.waits = append(s.waits, wait)
@@ -122,6 +122,24 @@
 	g.Eventually(sink.events).Should(Equal([]string{"reset a", "change b", "unavailable", "available", "reset c"}))
 }
 
+// TestWatchFollowsStoreIntoNewEra covers a store that was restored from an older copy:
+// its listing has a lower revision, and late rows of the era before are ignored.
+func TestWatchFollowsStoreIntoNewEra(t *testing.T) {
+	g := NewWithT(t)
+	inEra := func(era watch.Era, b watch.Batch) watch.Batch {
+		b.Era = era
+		return b
+	}
+	sink := startWatch(t, &scriptedSource{
+		lists: []any{inEra(1, batch(50, "a")), inEra(2, batch(20, "b")), inEra(1, batch(90, "late")), inEra(2, batch(30, "d"))},
+		polls: []any{
+			watch.ErrHistoryGone.New("new era"), inEra(2, batch(21, "c")), inEra(1, batch(60, "late")),
+			watch.ErrHistoryGone.New("dropped"),
+		},
+	})
+	g.Eventually(sink.events).Should(Equal([]string{"reset a", "reset b", "change c", "unavailable", "available", "reset d"}))
+}
+
 func TestSinkIsNotifiedOncePerOutage(t *testing.T) {
 	g := NewWithT(t)
 	unavailable := store.ErrUnavailable.New("outage")
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -48,6 +48,7 @@
 	QueueFull          Reason = "queue_full"
 	Overloaded         Reason = "overloaded"
 	NoUpstream         Reason = "no_healthy_upstream"
+	UpstreamsPaused    Reason = "upstreams_paused"
 	RetriesExhausted   Reason = "retries_exhausted"
 	DeadlineExceeded   Reason = "deadline_exceeded"
 	UpstreamFailed     Reason = "upstream_failed"
@@ -125,6 +126,7 @@
 	{QueueFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Too many requests are waiting."},
 	{Overloaded, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "The request could not start in time."},
 	{NoUpstream, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No healthy upstream serves this."},
+	{UpstreamsPaused, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has asked for a pause."},
 	{RetriesExhausted, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every try failed before an upstream started."},
 	{DeadlineExceeded, ClassUnavailable, http.StatusGatewayTimeout, RanUnknown, 0, "The answer did not come before the deadline."},
 	{UpstreamFailed, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The upstream failed after it was sent the request."},
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -9,13 +9,30 @@
 
 // Order is an operators' request to move a service to a version.
 type Order struct {
-	// ID identifies the order. Later orders for the same service have higher IDs.
-	ID       int64           `json:"id"`
+	// ID identifies the order. Later orders for the same service have higher IDs, or
+	// belong to a later era of the store.
+	ID  int64 `json:"id"`
+	Era int64 `json:"era,omitzero"`
+
 	Service  string          `json:"service"`
 	To       model.VersionID `json:"to"`
 	Duration time.Duration   `json:"duration"`
 }
 
+// After reports whether o was written after p.
+func (o Order) After(p Order) bool {
+	if o.Era != p.Era {
+		return o.Era > p.Era
+	}
+	return o.ID > p.ID
+}
+
+// SameRequest reports whether o and p request the same. They may still be different
+// orders.
+func (o Order) SameRequest(p Order) bool {
+	return o.Service == p.Service && o.To == p.To && o.Duration == p.Duration
+}
+
 // Phase is the state of a shift.
 type Phase string
 
@@ -50,6 +67,14 @@
 	Share float64
 }
 
+// Ahead reports whether s has progressed further than other, a state of the same order.
+func (s State) Ahead(other State) bool {
+	if s.Ended() != other.Ended() {
+		return s.Ended()
+	}
+	return !s.Ended() && s.Step > other.Step
+}
+
 // Plan holds the schedule of shifts and the limits for new versions.
 type Plan struct {
 	// Steps are in increasing order of time and share. The last one has share 1.
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -54,6 +54,8 @@
 	Loaded bool
 	// Leaving reports that the upstream gets no new work.
 	Leaving bool
+	// Paused reports that the upstream asked this VM to send it nothing for a while.
+	Paused bool
 	// BreakerOpen reports that a circuit breaker refuses requests to the upstream.
 	BreakerOpen bool
 	// CachedBlocks is the number of leading prompt blocks that are probably in
--- a/route/filter.go
+++ b/route/filter.go
@@ -11,6 +11,8 @@
 	Tried
 	// Leaving: the upstream gets no new work.
 	Leaving
+	// Paused: the upstream asked this VM to send it nothing for a while.
+	Paused
 	// BreakerOpen: a circuit breaker refuses requests to the upstream.
 	BreakerOpen
 	// Full: the upstream's requests have reached the bound of FullFilter.
@@ -20,7 +22,7 @@
 )
 
 var reasonNames = [ReasonCount]string{
-	"not_allowed", "tried", "leaving", "breaker_open", "full",
+	"not_allowed", "tried", "leaving", "paused", "breaker_open", "full",
 }
 
 // String returns the label of the reason in metrics.
@@ -72,6 +74,16 @@
 // Pass implements Filter.
 func (LeavingFilter) Pass(_ *Request, c *Candidate) bool { return !c.Leaving }
 
+// PausedFilter passes upstreams that have not asked this VM to send them nothing for a
+// while.
+type PausedFilter struct{}
+
+// Reason implements Filter.
+func (PausedFilter) Reason() Reason { return Paused }
+
+// Pass implements Filter.
+func (PausedFilter) Pass(_ *Request, c *Candidate) bool { return !c.Paused }
+
 // BreakerFilter passes upstreams to which no circuit breaker refuses requests.
 type BreakerFilter struct{}
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -71,10 +71,14 @@
 
 func (f *injector) pickVM(rng *rand.Rand) *VM { return f.bed.vms[rng.IntN(len(f.bed.vms))] }
 
-// stopVM stops a VM by SIGTERM and restarts it. It is a violation if the process has not
-// exited 9 s after the signal.
+// stopVM stops a VM by SIGTERM and restarts it, unless it is being stopped already. It is a
+// violation if the process has not exited 9 s after the signal.
 func (f *injector) stopVM(ctx context.Context, rng *rand.Rand) {
 	v := f.pickVM(rng)
+	if !v.stopMu.TryLock() {
+		return
+	}
+	defer v.stopMu.Unlock()
 	stop := plannedStop{vm: v, at: time.Now(), acceptsFor: time.Second}
 	defer v.stopPeriods.begin()()
 	v.signal(syscall.SIGTERM)
--- a/soak/process.go
+++ b/soak/process.go
@@ -34,7 +34,10 @@
 	settingsFile string
 	logFile      *os.File
 
-	mu sync.Mutex // guards process, exited and incarnation
+	// stopMu is held during a planned stop. A second SIGTERM would end the grace period
+	// of the first one.
+	stopMu sync.Mutex
+	mu     sync.Mutex // guards process, exited and incarnation
 	// process is the running process; nil while the VM is down.
 	process *exec.Cmd
 	// exited is closed when the process has exited.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,7 @@
 }{
 	{502, 3, "a good version had the name of a version that had been reverted, and the run mistook that result for its own"},
 	{2008, 3, "the stand-in store blocked on calls without a response, as it had not read their body"},
+	{9303, 3, "two faults stopped the same VM 0.6 s apart, and the second SIGTERM ended its grace period"},
 }
 
 // binary builds poplarshored in a temporary directory and returns its path.
