Restore the store from older copies in the soak

Change: a fault of the soak takes a copy, lets time pass, makes the store unavailable for a moment and restores it; operators and engines write again what they lost. Seeds of regressions are run without it, as their draws depend on the number of faults.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -34,8 +34,12 @@
 	bed    *testbed
 	bounds Bounds
 	report *Report
+	// kinds are the kinds of faults, drawn with equal probability.
+	kinds []faultKind
 	// replaceMu allows only one fault at a time to replace engines.
 	replaceMu sync.Mutex
+	// restoreMu allows only one restore of the store at a time.
+	restoreMu sync.Mutex
 	// rolloutCount is the number of roll-outs started; guarded by replaceMu.
 	rolloutCount int
 }
@@ -47,7 +51,7 @@
 	inject func(f *injector, ctx context.Context, rng *rand.Rand)
 }
 
-// faultKinds are drawn with equal probability.
+// faultKinds are the kinds of faults in all runs.
 var faultKinds = []faultKind{
 	{"stop", (*injector).stopVM}, {"kill", (*injector).killVM}, {"pause", (*injector).pauseVM}, {"hangup", (*injector).hangup},
 	{"kill_all", (*injector).killAllVMs}, {"link", (*injector).disturbStoreLink}, {"links_reset", (*injector).resetStoreLinks},
@@ -56,6 +60,10 @@
 	{"keys", (*injector).changeKeys}, {"rollout_good", (*injector).rollOutGood}, {"rollout_bad", (*injector).rollOutBad},
 }
 
+// restoreFault restores the store from an older copy. It is a kind of its own list,
+// because the seeds of regressions depend on the number of faultKinds.
+var restoreFault = faultKind{"store_restored", (*injector).restoreStore}
+
 // randomDuration returns the duration of a fault, 0.3 to 3 s.
 func randomDuration(rng *rand.Rand) time.Duration {
 	return time.Duration(300+rng.IntN(2700)) * time.Millisecond
@@ -166,6 +174,25 @@
 	f.bed.store.DropHistory()
 }
 
+// restoreStore restores the store from a copy that is up to 3 s old, after a short outage.
+// Operators and engines write what they lost again within a second.
+func (f *injector) restoreStore(ctx context.Context, rng *rand.Rand) {
+	if !f.restoreMu.TryLock() {
+		return
+	}
+	defer f.restoreMu.Unlock()
+	snapshot := f.bed.store.Snapshot()
+	sleep(ctx, randomDuration(rng))
+	defer f.bed.disturbances.begin()()
+	f.bed.storeFault.Store(int32(standin.FaultUnavailable))
+	sleep(ctx, randomDuration(rng)/4)
+	f.bed.store.Restore(snapshot)
+	f.bed.storeFault.Store(int32(standin.FaultNone))
+	sleep(ctx, randomDuration(rng)/3)
+	f.bed.store.RewriteLost()
+	sleep(ctx, f.bounds.HostAllowance)
+}
+
 // pickEngine returns a random registered upstream, with a model in two of three cases.
 func (f *injector) pickEngine(rng *rand.Rand) *engine {
 	candidates := f.bed.registered(modelService, "")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,6 +25,9 @@
 	VMs, Engines int
 	// ConcurrentFaults is the maximum number of faults at the same time.
 	ConcurrentFaults int
+	// Restores includes restores of the store from older copies among the faults.
+	// Default true.
+	Restores bool
 	// Bounds are the time bounds that are checked.
 	Bounds Bounds
 }
@@ -32,7 +36,8 @@
 // to be set.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Bounds: DefaultBounds(),
+		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true,
+		Bounds: DefaultBounds(),
 	}
 }
 
@@ -123,7 +128,10 @@
 	defer endTraffic()
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Duration)
 	defer endFaults()
-	faults := &injector{bed: bed, bounds: o.Bounds, report: report}
+	faults := &injector{bed: bed, bounds: o.Bounds, report: report, kinds: faultKinds}
+	if o.Restores {
+		faults.kinds = append(slices.Clip(faultKinds), restoreFault)
+	}
 	var wait sync.WaitGroup
 	for worker := range o.ConcurrentFaults {
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(worker)+1))
@@ -143,7 +151,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		kind := faultKinds[rng.IntN(len(faultKinds))]
+		kind := f.kinds[rng.IntN(len(f.kinds))]
 		f.report.addFault(kind.name)
 		kind.inject(f, ctx, rng)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,11 +32,12 @@
 }
 
 // run does a short run with 3 VMs and checks that it has no violations.
-func run(t *testing.T, binaryPath string, seed uint64, concurrentFaults int) {
+func run(t *testing.T, binaryPath string, seed uint64, concurrentFaults int, restores bool) {
 	t.Helper()
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
 	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binaryPath, t.TempDir(), seed, concurrentFaults
+	o.Restores = restores
 	o.Duration, o.VMs, o.Engines, o.Rate = 6*time.Second, 3, 3, 30
 	report, err := soak.Run(t.Context(), o)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -46,13 +47,13 @@
 }
 
 func TestShortSoakHasNoViolations(t *testing.T) {
-	run(t, binary(t), 1, 1)
+	run(t, binary(t), 1, 1, true)
 }
 
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
 	path := binary(t)
 	for _, r := range regressions {
 		t.Log(r.seed, r.cause)
-		run(t, path, r.seed, r.concurrentFaults)
+		run(t, path, r.seed, r.concurrentFaults, false)
 	}
 }
