Start from the seeds, and write the rows of starting VMs together

Cause: at a start nearly every VM listed three tables from the store and wrote its row, 4.9 calls a VM and start: seeds start later than others and were tried for 120 ms only.

Change: a VM tries the seeds one after the other for 0.9 s. Its row is written only if the listing lacks it, and by a seed, for many VMs in one transaction; a row that doesn't appear is written by its VM.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -74,6 +74,7 @@
 	shifts       *shifts.Manager
 	pool         *upconn.Pool
 	vms          *members.List
+	collector    *members.Collector
 	peerFeed     *peerfeed.Feed
 	hints        *hints.Exchange
 	// hintCounts counts hints by outcome.
@@ -114,6 +115,7 @@
 		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Registry: d.registry,
 	})
 	d.vms = members.NewList(s.VM.ID, vmTable, d.log)
+	d.collector = members.NewCollector(vmTable, d.store, clock, d.log)
 	feedOptions := peerfeed.DefaultOptions()
 	regionOf := func(id domain.ID) domain.Region { return s.Regions[id] }
 	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, regionOf
@@ -205,6 +207,7 @@
 	d.watchTable(wire.UpstreamTable, &upstreamSink{log: d.log, directory: d.directory}, upstreamBatchDelay)
 	d.watchTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms}, vmBatchDelay)
 	d.runner.Start("announce", d.announceVM)
+	d.runner.Start("collect VMs", d.collector.Run)
 	d.runner.Start("hints out", d.hints.Send)
 	d.runner.Start("hints in", d.hints.Receive)
 	d.runner.Every("roll-outs", d.clock, rolloutInterval, d.shifts.Tick)
@@ -232,6 +235,7 @@
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
 	peerMux, metricsMux := http.NewServeMux(), http.NewServeMux()
 	peerMux.Handle(peerfeed.Path, d.peerFeed)
+	peerMux.Handle(members.Path, d.collector)
 	metricsMux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	d.registry.MustRegister(collectors.NewGoCollector())
 	for _, l := range []struct {
@@ -261,9 +265,11 @@
 		d.log.Error("VM is not announced to the other VMs: invalid address of its peers listener", "error", err)
 		return
 	}
-	d.vms.Announce(ctx, members.Member{
-		Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed,
-	}, d.store, d.clock)
+	members.NewAnnouncer(members.AnnouncerOptions{
+		List: d.vms, Member: members.Member{Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed},
+		Seeds: d.settings.Seeds, Self: d.settings.Peers.Address, Collector: d.collector,
+		Writer: d.store, Clock: d.clock, Log: d.log,
+	}).Run(ctx)
 }
 
 // applyHint adds the work that another VM sent to an upstream to the upstream's
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -1,22 +1,14 @@
-// Package members lists the VMs and the addresses at which they serve each other.
-// Each VM writes one row to the platform's store at its start, and again if a listing
-// lacks it because the store was restored from an older copy. Rows of stopped VMs
-// are not deleted, so callers have to expect that a VM doesn't answer.
 package members
 
 import (
-	"context"
+	"bytes"
 	"encoding/json"
 	"log/slog"
 	"maps"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync/atomic"
-	"time"
-
-	"github.com/jonboulle/clockwork"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/watch"
@@ -45,16 +37,16 @@
 	table string
 	log   *slog.Logger
 	all   atomic.Pointer[map[vm.ID]Member]
-	// ownRowListed reports whether the last known rows include this VM's row;
-	// ownRowMissing receives a value when a listing lacks it.
-	ownRowListed  atomic.Bool
-	ownRowMissing chan struct{}
+	// ownRow is the value of this VM's row in the last known rows, nil without one.
+	// ownRowRead receives a value after each listing and each change of that row.
+	ownRow     atomic.Pointer[[]byte]
+	ownRowRead chan struct{}
 }
 
 // NewList returns an empty list of the VMs other than self. The table is the one
 // that Announce writes to.
 func NewList(self vm.ID, table string, log *slog.Logger) *List {
-	l := &List{self: self, table: table, log: log, ownRowMissing: make(chan struct{}, 1)}
+	l := &List{self: self, table: table, log: log, ownRowRead: make(chan struct{}, 1)}
 	l.all.Store(&map[vm.ID]Member{})
 	return l
 }
@@ -64,17 +56,25 @@
 
 // Reset replaces the list by the rows of a listing of the table.
 func (l *List) Reset(b watch.Batch) {
-	l.ownRowListed.Store(false)
+	l.ownRow.Store(nil)
 	l.apply(make(map[vm.ID]Member), b.Rows)
-	if l.ownRowListed.Load() {
-		return
-	}
+	l.signalOwnRow()
+}
+
+// signalOwnRow notifies the Announcer that this VM's row may have changed.
+func (l *List) signalOwnRow() {
 	select {
-	case l.ownRowMissing <- struct{}{}:
+	case l.ownRowRead <- struct{}{}:
 	default:
 	}
 }
 
+// hasOwnRow reports whether the last known rows include this VM's row with the value.
+func (l *List) hasOwnRow(value []byte) bool {
+	current := l.ownRow.Load()
+	return current != nil && bytes.Equal(*current, value)
+}
+
 // Change applies changed rows of the table.
 func (l *List) Change(b watch.Batch) { l.apply(maps.Clone(l.Others()), b.Rows) }
 
@@ -88,7 +88,8 @@
 			continue
 		}
 		if id == l.self {
-			l.ownRowListed.Store(!r.Deleted)
+			l.ownRow.Store(&r.Value)
+			l.signalOwnRow()
 			continue
 		}
 		delete(all, id)
@@ -117,64 +118,3 @@
 	}
 	return matching
 }
-
-const (
-	// announceRetryDelay is the pause after a failure to write the VM's row.
-	announceRetryDelay = time.Second
-	// minRewriteDelay is the least time between a listing without the VM's row and the
-	// check whether the row has to be written again; the VM's first write may still be on
-	// its way. rewriteSpreadPerVM spreads the writes of all VMs after a restore.
-	minRewriteDelay    = 500 * time.Millisecond
-	rewriteSpreadPerVM = 10 * time.Millisecond
-)
-
-// Announce writes the row of this VM, and again whenever a listing lacks it, until ctx
-// ends.
-func (l *List) Announce(ctx context.Context, m Member, writer watch.Writer, clock clockwork.Clock) {
-	value, err := json.Marshal(m)
-	if err != nil {
-		l.log.Error("can't encode this VM's row, other VMs won't find it", "error", err)
-		return
-	}
-	put := watch.Change{Puts: []watch.Put{{Table: l.table, Key: Prefix + string(l.self), Value: value}}}
-	l.write(ctx, put, writer, clock)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.ownRowMissing:
-		}
-		spread := time.Duration(len(l.Others())+1) * rewriteSpreadPerVM
-		if !sleep(ctx, clock, minRewriteDelay+rand.N(spread)) {
-			return
-		}
-		if !l.ownRowListed.Load() {
-			l.log.Info("this VM's row is missing in the store, writing it again")
-			l.write(ctx, put, writer, clock)
-		}
-	}
-}
-
-// write writes the VM's row and retries until that succeeds or ctx ends.
-func (l *List) write(ctx context.Context, put watch.Change, writer watch.Writer, clock clockwork.Clock) {
-	for {
-		err := writer.Commit(ctx, put)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		l.log.Warn("this VM's row not written, retrying", "error", err)
-		if !sleep(ctx, clock, announceRetryDelay) {
-			return
-		}
-	}
-}
-
-// sleep waits for d and returns false if ctx ends before that.
-func sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-clock.After(d):
-		return true
-	}
-}
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -110,31 +110,48 @@
 	return b, nil
 }
 
-// listFromReader lists a table from a seed or the reader; false means that it got
-// no listing. A seed is retried during startup, as it may have started at the
-// same time and not listen yet.
+// listFromReader lists a table from the region's reader, or during startup from a
+// seed; false means that it got no listing.
 func (f *Feed) listFromReader(ctx context.Context, table string) (watch.Batch, bool) {
+	if f.inStartup() {
+		return f.listFromSeeds(ctx, table)
+	}
 	p, ok := f.selectReader(table)
 	if !ok {
 		return watch.Batch{}, false
 	}
-	if f.inStartup() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, f.opts.SeedTimeout)
-		defer cancel()
+	b, err := f.pollPeer(ctx, p, query{table: table, after: fullTable, wait: f.opts.FreshWait})
+	f.countRead("reader", err)
+	if err != nil {
+		f.startBackoff(p, table, err)
 	}
+	return b, err == nil
+}
+
+// listFromSeeds lists a table from the seeds, one after the other, until one answers or
+// SeedTimeout has passed. The seeds may have started at the same time and not listen
+// yet, and all VMs that start would otherwise list the table from the store.
+func (f *Feed) listFromSeeds(ctx context.Context, table string) (watch.Batch, bool) {
+	ctx, cancel := context.WithTimeout(ctx, f.opts.SeedTimeout)
+	defer cancel()
 	for {
-		b, err := f.pollPeer(ctx, p, query{table: table, after: fullTable, wait: f.opts.FreshWait})
-		f.countRead("reader", err)
-		if err == nil {
-			return b, true
+		f.mu.Lock()
+		seeds := f.rankSeeds(table)
+		f.mu.Unlock()
+		if len(seeds) == 0 {
+			return watch.Batch{}, false
 		}
-		if f.inStartup() {
+		for _, p := range seeds {
+			b, err := f.pollPeer(ctx, p, query{table: table, after: fullTable, wait: f.opts.FreshWait})
+			f.countRead("seed", err)
+			if err == nil {
+				return b, true
+			}
 			f.sleep(ctx, f.opts.SeedRetryDelay)
-		}
-		if !f.inStartup() || ctx.Err() != nil {
-			f.startBackoff(p, table, err)
-			return watch.Batch{}, false
+			if ctx.Err() != nil {
+				f.startBackoff(p, table, err)
+				return watch.Batch{}, false
+			}
 		}
 	}
 }
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -20,8 +20,8 @@
 	Seeds []string
 	Self  string
 	// StartupPeriod is how long after the start the seeds are polled. SeedTimeout
-	// is how long a listing waits for a seed, which may be down or not listening
-	// yet, before it reads the store. Within it the seed is retried every
+	// is how long a listing tries the seeds, which may be down or not listening
+	// yet, before it reads the store. The pause between two tries is
 	// SeedRetryDelay.
 	StartupPeriod, SeedTimeout, SeedRetryDelay time.Duration
 	// MinVMs is the number of VMs in a region, this one included, from which
@@ -54,7 +54,7 @@
 // RegionOf, Seeds and Self.
 func DefaultOptions() Options {
 	return Options{
-		StartupPeriod: 3 * time.Second, SeedTimeout: 120 * time.Millisecond, SeedRetryDelay: 30 * time.Millisecond,
+		StartupPeriod: 3 * time.Second, SeedTimeout: 900 * time.Millisecond, SeedRetryDelay: 30 * time.Millisecond,
 		MinVMs: 6, MaxAge: 2200 * time.Millisecond,
 		ReaderPollWait: 1500 * time.Millisecond, FollowerPollWait: 1500 * time.Millisecond,
 		FreshWait: 250 * time.Millisecond, ReaderDuration: 4 * time.Second,
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -1,6 +1,7 @@
 package peerfeed
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -71,20 +72,29 @@
 func (f *Feed) inStartup() bool { return f.clock.Since(f.started) < f.opts.StartupPeriod }
 
 // selectSeed returns the seed to poll for a table; false means to read the store.
-// Seeds themselves always read the store.
 func (f *Feed) selectSeed(table string) (peer, bool) {
-	if f.isSeed() || f.polledRecently(table) && !f.storeFailedRecently(table) {
+	seeds := f.rankSeeds(table)
+	if len(seeds) == 0 {
 		return peer{}, false
 	}
-	var best peer
-	var bestWeight uint64
+	return seeds[0], true
+}
+
+// rankSeeds returns the seeds that can be polled for a table, in an order that spreads
+// the VMs over them. Seeds themselves always read the store, so it returns none for them.
+func (f *Feed) rankSeeds(table string) []peer {
+	if f.isSeed() || f.polledRecently(table) && !f.storeFailedRecently(table) {
+		return nil
+	}
+	var ranked []peer
 	for _, s := range f.opts.Seeds {
-		weight := xxhash.Sum64String(s + "/" + string(f.opts.VM))
-		if !f.inBackoff(s, table) && (best.name == "" || weight > bestWeight) {
-			best, bestWeight = peer{s, s}, weight
+		if !f.inBackoff(s, table) {
+			ranked = append(ranked, peer{s, s})
 		}
 	}
-	return best, best.name != ""
+	weight := func(p peer) uint64 { return xxhash.Sum64String(p.address + "/" + string(f.opts.VM)) }
+	slices.SortFunc(ranked, func(a, b peer) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked
 }
 
 func (f *Feed) isSeed() bool { return slices.Contains(f.opts.Seeds, f.opts.Self) }
