Encode a batch once for all followers

Cause: many VMs ask a seed or reader for the same batch at the same time, and each was encoded and compressed anew.

--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -37,6 +37,8 @@
 	// changed is closed and replaced at each change of the rows or of confirmedAt
 	// that waiting calls have to see.
 	changed chan struct{}
+	// encodings holds encoded responses to followers.
+	encodings encodings
 }
 
 func newHistory() *history {
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -1,13 +1,11 @@
 package peerfeed
 
 import (
-	"compress/gzip"
 	"context"
 	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/fetch"
@@ -116,38 +114,13 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
-	if err := writeBatch(w, r, resp.batch); err != nil {
-		f.log.Debug("response to a follower not written completely", "error", err)
-	}
-}
-
-const (
-	// compressFromBytes is the length of a response body from which it is
-	// compressed, as links between VMs may have little bandwidth.
-	compressFromBytes = 4 << 10
-	// maxBatchBytes bounds the body of a response.
-	maxBatchBytes = 16 << 20
-)
-
-// writeBatch writes a batch as JSON. It compresses long ones if the client accepts
-// that.
-func writeBatch(w http.ResponseWriter, r *http.Request, b watch.Batch) error {
-	body, err := json.Marshal(b)
+	body, err := h.encodings.get(q.after, resp.batch)
 	if err != nil {
-		return err
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if len(body) < compressFromBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		_, err = w.Write(body)
-		return err
-	}
-	w.Header().Set("Content-Encoding", "gzip")
-	gz, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
-	if err != nil {
-		return err
+		f.log.Error("batch can't be encoded for a follower", "table", q.table, "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	}
-	if _, err := gz.Write(body); err != nil {
-		return err
+	if err := body.writeTo(w, r); err != nil {
+		f.log.Debug("response to a follower not written completely", "error", err)
 	}
-	return gz.Close()
 }
