Give up early on a seed without power

Cause: after a loss of power of all VMs a third of them first asked a seed that was not up yet, and waited 0.65 s for it.

Change: opening a connection to another VM takes at most 150 ms.

--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -61,7 +62,7 @@
 	registry prometheus.Registerer) *Feed {
 	f := &Feed{
 		opts: opts, store: store, vms: vms, clock: clock, log: log, started: clock.Now(),
-		http:      &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		http:      &http.Client{Transport: newTransport(opts.DialTimeout)},
 		histories: make(map[string]*history), backoffUntil: make(map[backoffKey]time.Time),
 		storeFailedAt: make(map[string]time.Time), polledAt: make(map[string]time.Time),
 		cancelWait: make(map[string]context.CancelFunc),
@@ -73,6 +74,12 @@
 	return f
 }
 
+// newTransport returns the transport for polls of other VMs.
+func newTransport(dialTimeout time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}
+}
+
 // history returns the history of a table. It creates an empty one if needed.
 func (f *Feed) history(table string) *history {
 	f.mu.Lock()
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -39,6 +39,9 @@
 	// ReaderDuration is how long a VM reads the store after it was last polled by
 	// another VM.
 	ReaderDuration time.Duration
+	// DialTimeout is how long opening a connection to another VM may take. It is short,
+	// because a VM without power doesn't answer and there are others to poll.
+	DialTimeout time.Duration
 	// Slack is the time that a reader's response header may take beyond the wait
 	// of the poll, and the idle timeout of the response body.
 	Slack time.Duration
@@ -58,7 +61,7 @@
 		MinVMs: 6, MaxAge: 2200 * time.Millisecond,
 		ReaderPollWait: 1500 * time.Millisecond, FollowerPollWait: 1500 * time.Millisecond,
 		FreshWait: 250 * time.Millisecond, ReaderDuration: 4 * time.Second,
-		Slack: 400 * time.Millisecond, StoreRetryDelay: 2500 * time.Millisecond,
+		DialTimeout: 150 * time.Millisecond, Slack: 400 * time.Millisecond, StoreRetryDelay: 2500 * time.Millisecond,
 		ReaderBackoff: 10 * time.Second, StaleReaderBackoff: 2 * time.Second,
 	}
 }
