Let requests wait longer for the first configuration

Cause: 66 requests were refused after the kill of all VMs by VMs that knew their configuration a moment later.

Change: a request that arrives before the first configuration waits for up to 0.6 s instead of 0.25 s, at most a twentieth of its deadline.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -122,7 +122,7 @@
 	// startupWait is how long a request waits for the first configuration after
 	// the process started, but at most the caller's deadline divided by
 	// startupWaitDivisor.
-	startupWait        = 250 * time.Millisecond
+	startupWait        = 600 * time.Millisecond
 	startupWaitDivisor = 20
 	// startupPoll is the interval at which the configuration is checked.
 	startupPoll = 5 * time.Millisecond
