Poll as rarely as the bounds for changes allow

Cause: readers confirmed their data every 1.5 s, which a bound of 3 s for configurations and drains asks for; larger sites have 4 and 5 s.

Change: settings changes.config_ms and changes.drain_ms, filled in from the platform's bounds; polls and the age at which data counts as stale follow from the shorter one.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -116,7 +116,7 @@
 	})
 	d.vms = members.NewList(s.VM.ID, vmTable, d.log)
 	d.collector = members.NewCollector(vmTable, d.store, clock, d.log)
-	feedOptions := peerfeed.DefaultOptions()
+	feedOptions := peerfeed.OptionsWithin(s.Changes.Bound())
 	regionOf := func(id domain.ID) domain.Region { return s.Regions[id] }
 	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, regionOf
 	feedOptions.Seeds, feedOptions.Self = s.Seeds, s.Peers.Address
@@ -174,10 +174,10 @@
 	// the callers close them first.
 	callerIdleTimeout = 60 * time.Second
 
-	// upstreamBatchDelay and vmBatchDelay are the pauses after changes of upstream
-	// entries and of VMs' rows, so that further changes arrive in one batch.
-	upstreamBatchDelay = 500 * time.Millisecond
-	vmBatchDelay       = 100 * time.Millisecond
+	// Pauses after changes, so that further changes arrive in one batch: vmBatchDelay for
+	// VMs' rows, and for upstream entries upstreamBatchFraction of the bound for changes.
+	upstreamBatchFraction = 0.17
+	vmBatchDelay          = 100 * time.Millisecond
 
 	// Intervals of background tasks: steps of roll-outs, expiry of lapsed upstream
 	// entries, and cleanup of retry budgets and unused connections.
@@ -204,6 +204,7 @@
 	}
 	d.runner = duty.NewRunner(ctx, d.log)
 	d.watchTable(wire.OperatorTable, d.operatorSink, 0)
+	upstreamBatchDelay := time.Duration(float64(d.settings.Changes.Bound()) * upstreamBatchFraction)
 	d.watchTable(wire.UpstreamTable, &upstreamSink{log: d.log, directory: d.directory}, upstreamBatchDelay)
 	d.watchTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms}, vmBatchDelay)
 	d.runner.Start("announce", d.announceVM)
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -203,6 +203,21 @@
 	return batches, readers
 }
 
+// TestDefaultOptionsAreThoseOfDefaultBound also checks that a reader's data is confirmed
+// before it becomes stale, and that time is left to find another reader.
+func TestDefaultOptionsAreThoseOfDefaultBound(t *testing.T) {
+	g := NewWithT(t)
+	got, want := peerfeed.OptionsWithin(peerfeed.DefaultChangeBound), peerfeed.DefaultOptions()
+	g.Expect([]time.Duration{got.MaxAge, got.ReaderPollWait, got.FollowerPollWait}).
+		To(Equal([]time.Duration{want.MaxAge, want.ReaderPollWait, want.FollowerPollWait}))
+	for _, bound := range []time.Duration{2 * time.Second, 5 * time.Second, 20 * time.Second} {
+		o := peerfeed.OptionsWithin(bound)
+		g.Expect(o.ReaderPollWait).To(BeNumerically(">", 0))
+		g.Expect(o.MaxAge).To(BeNumerically(">", o.ReaderPollWait+o.FreshWait))
+		g.Expect(bound).To(BeNumerically(">", o.MaxAge+o.DialTimeout+o.FreshWait))
+	}
+}
+
 func TestOneReaderPollsStoreForRegion(t *testing.T) {
 	f := newFleet(t, 5)
 	f.readAll(t, 1)
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -53,8 +53,35 @@
 	ReaderBackoff, StaleReaderBackoff time.Duration
 }
 
-// DefaultOptions returns the default options. The caller has to set VM, Region,
-// RegionOf, Seeds and Self.
+// DefaultChangeBound is the time within which the default options deliver a change of
+// the store to all VMs.
+const DefaultChangeBound = 3 * time.Second
+
+const (
+	// switchTime is the time in which a VM finds another reader once the data of its
+	// reader has become stale.
+	switchTime = 800 * time.Millisecond
+	// confirmSlack is how much longer than the wait of its poll a reader's data stays
+	// fresh, so that it is confirmed again in time.
+	confirmSlack = 700 * time.Millisecond
+	// readerSlack is how much longer than the wait of its followers' polls a VM remains a
+	// reader without being polled.
+	readerSlack = 2500 * time.Millisecond
+)
+
+// OptionsWithin returns the default options with polls that are as long as possible if
+// each change has to reach all VMs within the given time, at least 2 s.
+func OptionsWithin(bound time.Duration) Options {
+	o := DefaultOptions()
+	o.MaxAge = bound - switchTime
+	o.ReaderPollWait = o.MaxAge - confirmSlack
+	o.FollowerPollWait = o.ReaderPollWait
+	o.ReaderDuration = o.FollowerPollWait + readerSlack
+	return o
+}
+
+// DefaultOptions returns the default options, for DefaultChangeBound. The caller has to
+// set VM, Region, RegionOf, Seeds and Self.
 func DefaultOptions() Options {
 	return Options{
 		StartupPeriod: 3 * time.Second, SeedTimeout: 900 * time.Millisecond, SeedRetryDelay: 30 * time.Millisecond,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/rollout/shift"
@@ -19,6 +20,7 @@
 	Seeds   []string                    `json:"seeds" doc:"Addresses of some VMs' peers listeners, to ask after the start; may be stale. Default none."`
 	Hints   string                      `json:"hints" doc:"Where the other VMs' hints on heavy work arrive, over UDP; port 0 takes a free one."`
 	Store   Store                       `json:"store" doc:"The platform's store."`
+	Changes Changes                     `json:"changes" doc:"Bounds for changes of the store to reach every VM."`
 	Retries Retries                     `json:"retries" doc:"What all VMs together may send beyond the first attempts."`
 	// Exposure is the maximum share of a service's requests, over 0 and at most 1,
 	// that a new version may get by its deadline if it is bad.
@@ -35,6 +37,19 @@
 	CallMS  Millis `json:"call_ms" doc:"Longest time for one transaction, in ms. Default 1000."`
 }
 
+// Changes bounds the time from the store's acceptance of a change until it has effect on
+// every VM. The VMs read the store less often the longer the bounds are.
+type Changes struct {
+	ConfigMS Millis `json:"config_ms" doc:"Bound for configurations, in ms; at least 2000. Default 3000."`
+	DrainMS  Millis `json:"drain_ms" doc:"Bound for upstreams that are leaving, in ms; at least 2000. Default 3000."`
+}
+
+// Bound returns the shorter one of the bounds.
+func (c Changes) Bound() time.Duration { return min(c.ConfigMS, c.DrainMS).Duration() }
+
+// minChangeBound is the shortest bound that polls of the store and of other VMs can meet.
+const minChangeBound = 2000
+
 // Retries limits the additional attempts of all VMs together, for each service: in any
 // time span of SpanS, at most Ratio for each request, plus Slack.
 type Retries struct {
@@ -59,6 +74,7 @@
 		Seeds:    []string{},
 		Hints:    "127.0.0.1:8083",
 		Store:    Store{CallMS: 1000},
+		Changes:  Changes{ConfigMS: 3000, DrainMS: 3000},
 		Retries:  Retries{SpanS: 10, Ratio: 0.9, Slack: 50},
 		Exposure: shift.DefaultExposure,
 		Stop:     GatewayStop{TakeS: 2.7, GraceS: 8},
@@ -87,6 +103,12 @@
 		text.AddFault("store.address", "must be host:port: %v", err)
 	}
 	checkPositive(text, "store.call_ms", g.Store.CallMS)
+	if g.Changes.ConfigMS < minChangeBound {
+		text.AddFault("changes.config_ms", "must be at least %d", minChangeBound)
+	}
+	if g.Changes.DrainMS < minChangeBound {
+		text.AddFault("changes.drain_ms", "must be at least %d", minChangeBound)
+	}
 	checkPositive(text, "retries.span_s", g.Retries.SpanS)
 	if g.Exposure <= 0 || g.Exposure > 1 {
 		text.AddFault("exposure", "must be over 0 and at most 1")
