Let one VM read the store for the fleet

Cause: each region's reader, and each VM of a region with fewer than six VMs, polled the store.

Change: the readers of regions, and VMs of small regions, poll the fleet's reader, chosen by rank like them. Responses state how old their data is, and a region's reader is told of each confirmation at once. Data that is not fresh is read from the store at once, as before. The store's clock travels with the data, as most VMs no longer call the store.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -119,6 +119,7 @@
 	feedOptions := peerfeed.OptionsWithin(s.Changes.Bound())
 	regionOf := func(id domain.ID) domain.Region { return s.Regions[id] }
 	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, regionOf
+	feedOptions.StoreClock = d.store
 	feedOptions.Seeds, feedOptions.Self = s.Seeds, s.Peers.Address
 	d.peerFeed = peerfeed.New(feedOptions, d.store, d.vms, clock, d.log, d.registry)
 	d.pool = upconn.NewPool(upconn.DefaultOptions())
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -170,7 +170,7 @@
 		if s == f.opts.Self {
 			continue
 		}
-		b, err := f.pollPeer(ctx, peer{s, s}, query{table: table, after: fullTable, allowStale: true})
+		b, err := f.pollPeer(ctx, peer{name: s, address: s}, query{table: table, after: fullTable, allowStale: true})
 		f.countRead("seed_old", err)
 		if err == nil {
 			f.log.Warn("store unavailable, using a seed's copy of the table that may be stale", "table", table,
@@ -200,12 +200,14 @@
 		if !ok {
 			break
 		}
-		h.markStale()
-		b, err := f.pollReader(ctx, p, table, after, min(wait, f.opts.FollowerPollWait))
+		if !p.relay {
+			h.markStale()
+		}
+		b, confirmedAt, err := f.pollReader(ctx, p, table, after, min(wait, f.opts.FollowerPollWait))
 		f.countRead("reader", err)
 		switch {
 		case err == nil:
-			h.apply(b, unconfirmed)
+			h.apply(b, confirmedAt)
 			return b, nil
 		case errorx.IsOfType(err, watch.ErrHistoryGone):
 			return b, err
@@ -213,7 +215,7 @@
 			continue
 		}
 		f.startBackoff(p, table, err)
-		if !errorx.IsOfType(err, errStale) {
+		if p.relay || !errorx.IsOfType(err, errStale) {
 			break
 		}
 		if f.storeInBackoff(table) {
@@ -236,12 +238,22 @@
 }
 
 // pollReader polls a reader. It returns errInterrupted if another VM polls this
-// one meanwhile.
+// one meanwhile. The time is when the store confirmed the batch if this VM serves it to
+// others, or unconfirmed.
 func (f *Feed) pollReader(ctx context.Context, p peer, table string, after watch.Cursor,
-	wait time.Duration) (watch.Batch, error) {
-	return f.pollInterruptible(ctx, table, wait, func(ctx context.Context) (watch.Batch, error) {
-		return f.pollPeer(ctx, p, query{table: table, after: after, wait: wait})
+	wait time.Duration) (watch.Batch, time.Time, error) {
+	q := query{table: table, after: after, wait: wait, renew: p.relay}
+	var age time.Duration
+	b, err := f.pollInterruptible(ctx, table, wait, func(ctx context.Context) (watch.Batch, error) {
+		var b watch.Batch
+		var err error
+		b, age, err = f.pollPeerWithAge(ctx, p, q)
+		return b, err
 	})
+	if err != nil || !p.relay {
+		return b, unconfirmed, err
+	}
+	return b, f.clock.Now().Add(-age), nil
 }
 
 // pollStore polls the store. If other VMs rely on this one and its data is not
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -94,13 +94,33 @@
 	s.down[id] = down
 }
 
+// fakeClock is a StoreClock that is set by hand. ok reports whether it is known.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Duration
+	ok  bool
+}
+
+func (c *fakeClock) Now() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now, c.ok
+}
+
+func (c *fakeClock) ObserveClock(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now, c.ok = now, true
+}
+
 // fleet is a number of VMs in one failure domain that share a store.
 type fleet struct {
 	*WithT
-	store   *fakeStore
-	feeds   map[vm.ID]*peerfeed.Feed
-	servers map[vm.ID]*httptest.Server
-	clock   *clockwork.FakeClock
+	storeClocks map[vm.ID]*fakeClock
+	store       *fakeStore
+	feeds       map[vm.ID]*peerfeed.Feed
+	servers     map[vm.ID]*httptest.Server
+	clock       *clockwork.FakeClock
 }
 
 // newFleet starts n VMs past their startup period, which know each other and have
@@ -113,7 +133,7 @@
 	f := &fleet{
 		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
 		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int)},
-		servers: make(map[vm.ID]*httptest.Server),
+		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock),
 	}
 	f.store.put("a")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -126,6 +146,8 @@
 		opts.VM, opts.Region, opts.MinVMs, opts.FollowerPollWait = id, "r", 3, 0
 		opts.RegionOf = func(domain.ID) domain.Region { return "r" }
 		opts.StartupPeriod, opts.FreshWait = startupPeriod, 0
+		f.storeClocks[id] = &fakeClock{}
+		opts.StoreClock = f.storeClocks[id]
 		mux := http.NewServeMux()
 		f.servers[id] = httptest.NewServer(mux)
 		t.Cleanup(f.servers[id].Close)
@@ -395,6 +417,7 @@
 func TestStartingVMsReadFromSeed(t *testing.T) {
 	f := startFleet(t, 5, time.Hour)
 	seed := f.feeds["vm-0"]
+	f.storeClocks["vm-0"].ObserveClock(7 * time.Second)
 	_, err := seed.List(t.Context(), "t")
 	f.Expect(err).NotTo(HaveOccurred())
 	_, err = seed.Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
@@ -410,6 +433,11 @@
 		f.Expect(err).NotTo(HaveOccurred())
 	}
 	f.Expect(f.store.reads).To(Equal(map[vm.ID]int{"vm-0": 2}))
+	for id, clock := range f.storeClocks {
+		now, known := clock.Now()
+		f.Expect(known).To(BeTrue(), "%s learns the store's clock without a call to the store", id)
+		f.Expect(now).To(Equal(7 * time.Second))
+	}
 }
 
 // A VM that starts during an outage of the store uses the seed's copy, although it
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -37,12 +37,14 @@
 	// changed is closed and replaced at each change of the rows or of confirmedAt
 	// that waiting calls have to see.
 	changed chan struct{}
+	// confirmed is closed and replaced when the store confirms the rows.
+	confirmed chan struct{}
 	// encodings holds encoded responses to followers.
 	encodings encodings
 }
 
 func newHistory() *history {
-	return &history{rows: make(map[string]watch.Row), changed: make(chan struct{})}
+	return &history{rows: make(map[string]watch.Row), changed: make(chan struct{}), confirmed: make(chan struct{})}
 }
 
 // cursor returns the position of the rows. The caller holds mu.
@@ -65,8 +67,8 @@
 	h.notify()
 }
 
-// apply adds changed rows. now is when the store answered, or unconfirmed if the
-// rows come from a reader: then they are not served to other VMs. Rows of another era
+// apply adds changed rows. now is when the store confirmed them, or unconfirmed if the
+// rows come from a reader and are not served to other VMs. Rows of another era
 // are ignored, because that era has to be listed first.
 func (h *history) apply(b watch.Batch, now time.Time) {
 	h.mu.Lock()
@@ -76,6 +78,10 @@
 	}
 	shouldNotify := h.confirmedAt.IsZero() != now.IsZero() || len(b.Rows) > 0
 	h.confirmedAt = now
+	if !now.IsZero() {
+		close(h.confirmed)
+		h.confirmed = make(chan struct{})
+	}
 	if shouldNotify {
 		defer h.notify()
 	}
@@ -183,22 +189,35 @@
 	return resp
 }
 
-// poll returns the changes after a position. If there are none, it waits for them
-// until the wait has passed, the history becomes stale or ctx ends.
-func (h *history) poll(ctx context.Context, clock clockwork.Clock, after watch.Cursor,
-	wait, maxAge time.Duration) response {
-	deadline := clock.Now().Add(wait)
+// poll answers a query. If there are no changes, it waits for them until the wait has
+// passed, the history becomes stale or ctx ends, and for a query with renew also until the
+// store has confirmed the rows again.
+func (h *history) poll(ctx context.Context, clock clockwork.Clock, q query, maxAge time.Duration) response {
+	deadline := clock.Now().Add(q.wait)
+	renewed := h.nextConfirmation()
+	if !q.renew {
+		renewed = nil
+	}
 	for {
-		resp := h.changesSince(after, clock.Now(), maxAge)
+		resp := h.changesSince(q.after, clock.Now(), maxAge)
 		timeLeft := min(deadline.Sub(clock.Now()), resp.freshFor)
-		if !resp.complete || resp.freshFor <= 0 || len(resp.batch.Rows) > 0 || after == fullTable || timeLeft <= 0 {
+		if !resp.complete || resp.freshFor <= 0 || len(resp.batch.Rows) > 0 || q.after == fullTable || timeLeft <= 0 {
 			return resp
 		}
 		select {
 		case <-ctx.Done():
 			return resp
 		case <-resp.changed:
+		case <-renewed:
+			return h.changesSince(q.after, clock.Now(), maxAge)
 		case <-clock.After(timeLeft):
 		}
 	}
 }
+
+// nextConfirmation returns a channel that is closed when the store confirms the rows.
+func (h *history) nextConfirmation() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmed
+}
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -25,6 +25,8 @@
 	after watch.Cursor
 	// wait is how long the other VM may wait for changes.
 	wait time.Duration
+	// renew requests a response as soon as the store has confirmed the data again, too.
+	renew bool
 	// allowStale accepts data that is not fresh.
 	allowStale bool
 }
@@ -36,6 +38,7 @@
 		"era":     {strconv.FormatInt(int64(q.after.Era), 10)},
 		"wait_ms": {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 		"old":     {strconv.FormatBool(q.allowStale)},
+		"renew":   {strconv.FormatBool(q.renew)},
 	}
 	return "http://" + address + "/feed/" + url.PathEscape(q.table) + "?" + values.Encode()
 }
@@ -57,6 +60,7 @@
 	}
 	allowStale, err := strconv.ParseBool(values.Get("old"))
 	return query{
+		renew: values.Get("renew") == "true",
 		table: r.PathValue("table"), wait: time.Duration(wait) * time.Millisecond, allowStale: allowStale,
 		after: watch.Cursor{Era: watch.Era(era), Revision: watch.Revision(after)},
 	}, err
@@ -65,30 +69,77 @@
 // pollPeer sends a query to another VM. Errors: ErrNoReader, its subtype errStale,
 // and watch.ErrHistoryGone.
 func (f *Feed) pollPeer(ctx context.Context, p peer, q query) (watch.Batch, error) {
+	b, _, err := f.pollPeerWithAge(ctx, p, q)
+	return b, err
+}
+
+const (
+	// headerAge is the response header with the time since the store confirmed the
+	// batch, in milliseconds.
+	headerAge = "Data-Age-Ms"
+	// headerStoreClock is the response header with the time on the store's steady clock,
+	// in milliseconds; it is missing while that is unknown.
+	headerStoreClock = "Store-Clock-Ms"
+)
+
+// pollPeerWithAge is pollPeer with the time since the store confirmed the batch.
+func (f *Feed) pollPeerWithAge(ctx context.Context, p peer, q query) (watch.Batch, time.Duration, error) {
+	resp, err := f.fetchFromPeer(ctx, p, q)
+	if err != nil {
+		return watch.Batch{}, 0, err
+	}
+	var b watch.Batch
+	if err := json.Unmarshal(resp.Body, &b); err != nil {
+		return watch.Batch{}, 0, ErrNoReader.Wrap(err, "decode response of reader %s", p.name)
+	}
+	f.observeClock(resp.Header)
+	ms, err := strconv.ParseInt(resp.Header.Get(headerAge), 10, 64)
+	if err != nil && p.relay {
+		return watch.Batch{}, 0, ErrNoReader.Wrap(err, "response of reader %s without the age of its data", p.name)
+	}
+	return b, time.Duration(ms) * time.Millisecond, nil
+}
+
+// setClock adds the time on the store's clock to a response, if it is known.
+func (f *Feed) setClock(h http.Header) {
+	if f.opts.StoreClock == nil {
+		return
+	}
+	if now, known := f.opts.StoreClock.Now(); known {
+		h.Set(headerStoreClock, strconv.FormatInt(now.Milliseconds(), 10))
+	}
+}
+
+// observeClock learns the time on the store's clock from the response of a reader.
+func (f *Feed) observeClock(h http.Header) {
+	ms, err := strconv.ParseInt(h.Get(headerStoreClock), 10, 64)
+	if err == nil && f.opts.StoreClock != nil {
+		f.opts.StoreClock.ObserveClock(time.Duration(ms) * time.Millisecond)
+	}
+}
+
+// fetchFromPeer sends a query and returns the response if it has status 200. Errors: as
+// for pollPeer.
+func (f *Feed) fetchFromPeer(ctx context.Context, p peer, q query) (fetch.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, q.requestURL(p.address), nil)
 	if err != nil {
-		return watch.Batch{}, ErrNoReader.Wrap(err, "create request")
+		return fetch.Response{}, ErrNoReader.Wrap(err, "create request")
 	}
 	resp, err := fetch.Do(f.http, req,
 		fetch.Limits{HeaderTimeout: q.wait + f.opts.Slack, IdleTimeout: f.opts.Slack, MaxBytes: maxBatchBytes})
 	if err != nil {
-		return watch.Batch{}, ErrNoReader.Wrap(err, "poll reader %s", p.name)
+		return fetch.Response{}, ErrNoReader.Wrap(err, "poll reader %s", p.name)
 	}
 	switch resp.Status {
 	case http.StatusOK:
+		return resp, nil
 	case http.StatusGone:
-		return watch.Batch{}, watch.ErrHistoryGone.New("reader %s does not have the changes after revision %d of era %d",
+		return fetch.Response{}, watch.ErrHistoryGone.New("reader %s does not have the changes after revision %d of era %d",
 			p.name, q.after.Revision, q.after.Era)
 	case http.StatusServiceUnavailable:
-		return watch.Batch{}, errStale.New("reader %s has no fresh data", p.name)
-	default:
-		return watch.Batch{}, ErrNoReader.New("reader %s answered with unexpected status %d", p.name, resp.Status)
-	}
-	var b watch.Batch
-	if err := json.Unmarshal(resp.Body, &b); err != nil {
-		return watch.Batch{}, ErrNoReader.Wrap(err, "decode response of reader %s", p.name)
+		return fetch.Response{}, errStale.New("reader %s has no fresh data", p.name)
 	}
-	return b, nil
+	return fetch.Response{}, ErrNoReader.New("reader %s answered with unexpected status %d", p.name, resp.Status)
 }
 
 // ServeHTTP implements http.Handler for Path. It answers a query with the rows, as
@@ -105,7 +156,7 @@
 		f.recordPoll(q.table, h.isFresh(f.clock.Now(), f.opts.MaxAge))
 		h.waitFresh(r.Context(), f.clock, min(q.wait, f.opts.FreshWait), f.opts.MaxAge)
 	}
-	resp := h.poll(r.Context(), f.clock, q.after, q.wait, f.opts.MaxAge)
+	resp := h.poll(r.Context(), f.clock, q, f.opts.MaxAge)
 	switch {
 	case q.allowStale && !resp.complete, !q.allowStale && resp.freshFor <= 0:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -114,6 +165,8 @@
 		w.WriteHeader(http.StatusGone)
 		return
 	}
+	f.setClock(w.Header())
+	w.Header().Set(headerAge, strconv.FormatInt((f.opts.MaxAge-resp.freshFor).Milliseconds(), 10))
 	body, err := h.encodings.get(q.after, resp.batch)
 	if err != nil {
 		f.log.Error("batch can't be encoded for a follower", "table", q.table, "error", err)
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -7,6 +7,14 @@
 	"github.com/poplarshore/poplarshore/vm"
 )
 
+// StoreClock is an estimate of the store's steady clock.
+type StoreClock interface {
+	// Now returns the time on the clock, and false while it is not known.
+	Now() (time.Duration, bool)
+	// ObserveClock updates the estimate from the current time on another VM's clock.
+	ObserveClock(now time.Duration)
+}
+
 // Options configure a Feed. DefaultOptions sets all of them but VM, Region,
 // RegionOf, Seeds and Self.
 type Options struct {
@@ -19,6 +27,9 @@
 	// is the address of this VM.
 	Seeds []string
 	Self  string
+	// StoreClock is the store's steady clock. VMs that don't read the store themselves
+	// learn it from their readers. Nil passes no clock on.
+	StoreClock StoreClock
 	// StartupPeriod is how long after the start the seeds are polled. SeedTimeout
 	// is how long a listing tries the seeds, which may be down or not listening
 	// yet, before it reads the store. The pause between two tries is
@@ -27,6 +38,9 @@
 	// MinVMs is the number of VMs in a region, this one included, from which
 	// reads are shared.
 	MinVMs int
+	// MinFleet is the number of VMs of all regions from which the fleet has a reader,
+	// which the regions' readers poll instead of the store.
+	MinFleet int
 	// MaxAge is how long a VM's data stays fresh after the store last answered
 	// one of its polls.
 	MaxAge time.Duration
@@ -85,7 +99,7 @@
 func DefaultOptions() Options {
 	return Options{
 		StartupPeriod: 3 * time.Second, SeedTimeout: 900 * time.Millisecond, SeedRetryDelay: 30 * time.Millisecond,
-		MinVMs: 6, MaxAge: 2200 * time.Millisecond,
+		MinVMs: 6, MinFleet: 4, MaxAge: 2200 * time.Millisecond,
 		ReaderPollWait: 1500 * time.Millisecond, FollowerPollWait: 1500 * time.Millisecond,
 		FreshWait: 250 * time.Millisecond, ReaderDuration: 4 * time.Second,
 		DialTimeout: 150 * time.Millisecond, Slack: 400 * time.Millisecond, StoreRetryDelay: 2500 * time.Millisecond,
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -17,6 +17,8 @@
 // peer is a VM that can be polled. The name is its ID, or for a seed its address.
 type peer struct {
 	name, address string
+	// relay reports that other VMs rely on what this VM reads from the peer.
+	relay bool
 }
 
 // backoffKey identifies a backoff. Backoffs are kept for each table, because a
@@ -25,38 +27,76 @@
 	peer, table string
 }
 
-// selectReader returns the VM to poll for a table; false means to read the store.
-// All VMs of a region rank the candidates in the same way. VMs in backoff are no
-// candidates, nor is this VM after a failed read of the store.
+// selectReader returns the VM to poll for a table; false means to read the store. VMs of
+// a region that shares reads poll the region's reader. The readers of the regions, and
+// the VMs of other regions, poll the fleet's reader. VMs in backoff are no candidates,
+// nor is this VM after a failed read of the store.
 func (f *Feed) selectReader(table string) (peer, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.inStartup() {
 		return f.selectSeed(table)
 	}
-	peers := f.regionPeers()
-	if len(peers)+1 < f.opts.MinVMs || f.polledRecently(table) && !f.storeFailedRecently(table) {
+	if !f.sharesReads() {
+		return f.selectFleetReader(table)
+	}
+	if f.polledRecently(table) && !f.storeFailedRecently(table) {
+		return f.selectRelayed(table)
+	}
+	if p, ok := f.topRanked(f.regionPeers(), table); ok {
+		return p, true
+	}
+	return f.selectRelayed(table)
+}
+
+// The caller of the functions from here to storeFailedRecently holds f.mu.
+
+// selectFleetReader returns the fleet's reader; false if this VM is it, or if the fleet is
+// too small to share reads.
+func (f *Feed) selectFleetReader(table string) (peer, bool) {
+	if f.polledRecently(table) && !f.storeFailedRecently(table) {
+		return f.selectRelayed(table)
+	}
+	others := f.vms.Filter(func(members.Member) bool { return true })
+	if len(others)+1 < f.opts.MinFleet {
 		return peer{}, false
 	}
+	return f.topRanked(others, table)
+}
+
+// selectRelayed returns the fleet's reader for a VM whose data other VMs rely on. Such a
+// VM reads the store itself while its data is not fresh, because that is faster.
+func (f *Feed) selectRelayed(table string) (peer, bool) {
+	others := f.vms.Filter(func(members.Member) bool { return true })
+	h := f.histories[table]
+	if len(others)+1 < f.opts.MinFleet || h == nil || !h.isFresh(f.clock.Now(), f.opts.MaxAge) {
+		return peer{}, false
+	}
+	p, ok := f.topRanked(others, table)
+	p.relay = true
+	return p, ok
+}
+
+// topRanked returns the VM that ranks highest among the given ones; false if this VM
+// ranks higher. All VMs rank in the same way.
+func (f *Feed) topRanked(others []members.Member, table string) (peer, bool) {
 	var ids []string
 	if !f.storeFailedRecently(table) {
 		ids = append(ids, string(f.opts.VM))
 	}
-	for _, m := range peers {
+	for _, m := range others {
 		if !f.inBackoff(string(m.ID), table) {
 			ids = append(ids, string(m.ID))
 		}
 	}
-	for _, m := range peers {
+	for _, m := range others {
 		if lease.IsCandidate(readerJob, string(m.ID), ids, 1) {
-			return peer{string(m.ID), m.Feed.String()}, true
+			return peer{name: string(m.ID), address: m.Feed.String()}, true
 		}
 	}
 	return peer{}, false
 }
 
-// The caller of the functions from here to storeFailedRecently holds f.mu.
-
 // regionPeers returns the other VMs of the region.
 func (f *Feed) regionPeers() []members.Member {
 	return f.vms.Filter(func(m members.Member) bool { return f.opts.RegionOf(m.Domain) == f.opts.Region })
@@ -89,7 +129,7 @@
 	var ranked []peer
 	for _, s := range f.opts.Seeds {
 		if !f.inBackoff(s, table) {
-			ranked = append(ranked, peer{s, s})
+			ranked = append(ranked, peer{name: s, address: s})
 		}
 	}
 	weight := func(p peer) uint64 { return xxhash.Sum64String(p.address + "/" + string(f.opts.VM)) }
