Send hints to a bounded set of VMs

Change: in fleets of more than 33 VMs a hint goes to at most 32 VMs of the upstream's region, the same ones for each upstream. A request that arrives before the first configuration waits for up to an eighth of its deadline, instead of a twentieth.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -70,6 +70,9 @@
 
 func (e *Engine) entry() *Entry { return e.current.Load() }
 
+// Upstream returns the part of the entry that selection uses.
+func (e *Engine) Upstream() upstream.Upstream { return e.identity }
+
 // ID returns the upstream's id.
 func (e *Engine) ID() upstream.ID { return e.entry().ID }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -117,15 +117,14 @@
 	d.vms = members.NewList(s.VM.ID, vmTable, d.log)
 	d.collector = members.NewCollector(vmTable, d.store, clock, d.log)
 	feedOptions := peerfeed.OptionsWithin(s.Changes.Bound())
-	regionOf := func(id domain.ID) domain.Region { return s.Regions[id] }
-	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, regionOf
+	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, d.regionOf
 	feedOptions.StoreClock = d.store
 	feedOptions.Seeds, feedOptions.Self = s.Seeds, s.Peers.Address
 	d.peerFeed = peerfeed.New(feedOptions, d.store, d.vms, clock, d.log, d.registry)
 	d.pool = upconn.NewPool(upconn.DefaultOptions())
 	d.directory = engines.New(engines.Options{
 		Region: s.VM.Region, Domain: s.VM.Domain,
-		RegionOf:            regionOf,
+		RegionOf:            d.regionOf,
 		ReregistrationGrace: reregistrationGrace,
 		Placement:           engines.DefaultPlacement(),
 		OnRemove:            d.pool.CloseIdle,
@@ -143,6 +142,9 @@
 	return d
 }
 
+// regionOf returns the region of a failure domain.
+func (d *Daemon) regionOf(id domain.ID) domain.Region { return d.settings.Regions[id] }
+
 // synced reports whether everything needed to serve requests has been read at
 // least once: the operators' table with a configuration, the upstreams and the
 // roll-outs.
@@ -231,7 +233,7 @@
 // openListeners opens the socket for hints and the HTTP listeners.
 func (d *Daemon) openListeners() error {
 	var err error
-	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.applyHint, d.log, d.hintCounts); err != nil {
+	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.regionOf, d.applyHint, d.log, d.hintCounts); err != nil {
 		return err
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -47,8 +47,8 @@
 		Protocol: wire.Protocol{}, Tables: d.operatorSink, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
 		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
-		AnnounceWork: func(id upstream.ID, work time.Duration) {
-			d.hints.Broadcast(hints.Hint{Upstream: id, WorkMS: work.Milliseconds()})
+		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
+			d.hints.Broadcast(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
 		},
 		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -1,4 +1,4 @@
-// Package hints notifies the other VMs of expensive requests that this VM has just
+// Package hints notifies other VMs of expensive requests that this VM has just
 // sent to an upstream, so that they prefer other upstreams. Upstreams report their
 // load with their answers, and send no report while they prefill a long prompt.
 //
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/ring"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -32,6 +33,8 @@
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
 	// the request.
 	WorkMS int64 `json:"work_ms"`
+	// Region is the upstream's region. It is not sent.
+	Region domain.Region `json:"-"`
 }
 
 const (
@@ -46,6 +49,7 @@
 type Exchange struct {
 	conn     *net.UDPConn
 	vms      *members.List
+	regionOf func(domain.ID) domain.Region
 	queue    *ring.Ring[Hint]
 	onHint   func(Hint)
 	log      *slog.Logger
@@ -65,7 +69,7 @@
 
 // Open listens on a UDP address. Receive calls onHint for each hint received.
 // Errors: ErrListen.
-func Open(address string, vms *members.List, onHint func(Hint), log *slog.Logger, outcomes *prometheus.CounterVec) (*Exchange, error) {
+func Open(address string, vms *members.List, regionOf func(domain.ID) domain.Region, onHint func(Hint), log *slog.Logger, outcomes *prometheus.CounterVec) (*Exchange, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "cannot resolve UDP address %q", address)
@@ -75,7 +79,7 @@
 		return nil, ErrListen.Wrap(err, "cannot listen on UDP address %q", address)
 	}
 	return &Exchange{
-		conn: conn, vms: vms, queue: ring.New[Hint](maxQueuedHints), onHint: onHint, log: log, outcomes: outcomes}, nil
+		conn: conn, vms: vms, regionOf: regionOf, queue: ring.New[Hint](maxQueuedHints), onHint: onHint, log: log, outcomes: outcomes}, nil
 }
 
 // Address returns the address that the exchange listens on.
@@ -83,7 +87,7 @@
 	return x.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// Broadcast queues a hint for sending to all other VMs. It does not block; the hint is
+// Broadcast queues a hint for sending to the VMs that it concerns. It does not block; the hint is
 // dropped if the queue is full.
 func (x *Exchange) Broadcast(h Hint) {
 	if !x.queue.Offer(h) {
@@ -103,14 +107,14 @@
 	}
 }
 
-// send sends a hint to each of the other VMs and counts the outcomes.
+// send sends a hint to the VMs that it concerns and counts the outcomes.
 func (x *Exchange) send(h Hint) {
 	payload, err := json.Marshal(h)
 	if err != nil {
 		x.log.Error("cannot encode hint; it is not sent", "error", err)
 		return
 	}
-	for _, m := range x.vms.Others() {
+	for _, m := range selectRecipients(x.vms.Others(), x.regionOf, h) {
 		outcome := "sent"
 		if _, err := x.conn.WriteToUDPAddrPort(payload, m.Hints); err != nil {
 			outcome = "send_failed"
--- a/internal/hints/hints_test.go
+++ b/internal/hints/hints_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/watch"
@@ -26,7 +27,7 @@
 func openNode(t *testing.T, id vm.ID, onHint func(hints.Hint)) node {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	vms := members.NewList(id, "own", log)
-	x, err := hints.Open("127.0.0.1:0", vms, onHint, log, hints.NewCounter(prometheus.NewRegistry()))
+	x, err := hints.Open("127.0.0.1:0", vms, func(domain.ID) domain.Region { return "r" }, onHint, log, hints.NewCounter(prometheus.NewRegistry()))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -123,7 +123,7 @@
 	// the process started, but at most the caller's deadline divided by
 	// startupWaitDivisor.
 	startupWait        = 600 * time.Millisecond
-	startupWaitDivisor = 20
+	startupWaitDivisor = 8
 	// startupPoll is the interval at which the configuration is checked.
 	startupPoll = 5 * time.Millisecond
 )
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -176,7 +176,7 @@
 	a.expectedWork = x.server.prefill.estimate(a.model, x.request.PromptTokens)
 	a.tracked = e.Begin(a.expectedWork)
 	if a.expectedWork >= minAnnouncedWork {
-		x.server.AnnounceWork(e.ID(), a.expectedWork)
+		x.server.AnnounceWork(e.Upstream(), a.expectedWork)
 	}
 	err := a.send(ctx)
 	took := x.server.Clock.Since(startedAt)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -63,7 +63,7 @@
 	Metrics         *Metrics
 	// AnnounceWork informs other VMs that a request with a long prefill was sent to an
 	// upstream.
-	AnnounceWork func(id upstream.ID, work time.Duration)
+	AnnounceWork func(u upstream.Upstream, work time.Duration)
 	// AdmissionRefusal returns the reason why new requests are refused, or nil.
 	AdmissionRefusal func() *refusal.Refusal
 	// Aborting reports whether running requests are being aborted.
