Refuse at once what cannot begin in time, and spread the returns

Cause: the gateway sent each request to an engine, also if the best one had more prompts to read than fit into the request's deadline: its caller learnt of the refusal at the deadline, and others waited longer. Refused callers of the same kind were all told the same time to come back.

The first attempt of a request is refused (`overloaded`, 503) if its answer is not expected to begin before the deadline; Retry-After is spread over half as long again, up to a third of the time that the caller has left.

--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -11,6 +11,8 @@
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/limit"
+	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 )
@@ -41,6 +43,9 @@
 		if choice.Engine == nil {
 			return x.fail(noUpstream(choice))
 		}
+		if refused := x.refuseHopeless(choice.Engine); refused != nil {
+			return x.fail(refused)
+		}
 		err := x.tryUpstream(ctx, choice.Engine)
 		if err == nil {
 			return nil
@@ -69,6 +74,35 @@
 	return refusal.New(refusal.NoUpstream)
 }
 
+// refuseHopeless returns a refusal if the upstream, the best one for the request, is not
+// expected to begin its answer before the deadline. It decides on the first attempt only:
+// a request that has been sent already is tried again as long as there is time.
+func (x *exchange) refuseHopeless(e *engines.Engine) *refusal.Refusal {
+	if x.dispatches > 0 {
+		return nil
+	}
+	outlook := limit.Outlook{Wait: e.ExpectedWait(), Work: x.expectedWork(), TimeLeft: x.timeLeft()}
+	if !outlook.Hopeless() {
+		return nil
+	}
+	return refusal.New(refusal.Overloaded).WithRetryAfter(outlook.Wait).
+		With("The first answer is expected in %v, the request ends in %v.", outlook.Wait+outlook.Work, outlook.TimeLeft)
+}
+
+// model returns the model to ask; empty if the router does not select it.
+func (x *exchange) model() model.Name {
+	if !x.routerPicksModel() {
+		return ""
+	}
+	return x.route.Models[x.modelIndex]
+}
+
+// expectedWork returns how long an upstream is expected to process the prompt with the
+// model to ask.
+func (x *exchange) expectedWork() time.Duration {
+	return x.server.prefill.estimate(x.model(), x.request.PromptTokens)
+}
+
 // shouldRetry reports whether to make another attempt after one failed with err,
 // and waits for the backoff. If it reports false, the error is the result of the
 // exchange; nil means that a response has been sent.
@@ -170,10 +204,7 @@
 	startedAt := x.server.Clock.Now()
 	x.dispatches++
 	a := &attempt{exchange: x, engine: e, startedAt: startedAt, expectedWait: e.ExpectedWait(), confidence: -1}
-	if x.routerPicksModel() {
-		a.model = x.route.Models[x.modelIndex]
-	}
-	a.expectedWork = x.server.prefill.estimate(a.model, x.request.PromptTokens)
+	a.model, a.expectedWork = x.model(), x.expectedWork()
 	a.tracked = e.Begin(a.expectedWork)
 	if a.expectedWork >= minAnnouncedWork {
 		x.server.AnnounceWork(e.Upstream(), a.expectedWork)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/limit"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -131,7 +132,8 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if retryAfter := refused.RetryAfter; retryAfter > 0 && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(min(retryAfter, x.maxRetryAfter()).Seconds(), 'f', 3, 64))
+		wait := limit.SpreadReturn(retryAfter, x.maxRetryAfter(), x.randFloat())
+		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write([]byte(string(refused.Reason) + "\n")); err != nil {
@@ -151,7 +153,7 @@
 const (
 	// Retry-After is at most the remaining time divided by retryAfterDivisor,
 	// so that the caller can retry within its deadline.
-	retryAfterDivisor = 5
+	retryAfterDivisor = 3
 	minRetryAfter     = 50 * time.Millisecond
 )
 
