--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -47,9 +47,6 @@
 	return &history{rows: make(map[string]watch.Row), changed: make(chan struct{}), confirmed: make(chan struct{})}
 }
 
-// cursor returns the position of the rows. The caller holds mu.
-func (h *history) cursor() watch.Cursor { return watch.Cursor{Era: h.era, Revision: h.revision} }
-
 // reset replaces the history with a listing. now is when the store confirmed that
 // there are no later changes, or unconfirmed: then the listing is not served yet. A
 // listing of an earlier era is ignored.
