--- a/internal/peerfeed/encoding_test.go
+++ b/internal/peerfeed/encoding_test.go
@@ -29,8 +29,8 @@
 	b := watch.Batch{At: 400}
 	for i := range 250 {
 		value, err := json.Marshal(map[string]any{
-			"Service": "models", "Address": fmt.Sprintf("10.%d.64.%d:8223", i%6, i), "Zone": fmt.Sprintf("zone-%d", i%6),
-			"Version": "v1", "Capacity": 12, "Phase": "ready", "ColdRemainingMs": 0, "Sequence": i * 7 % 90, "born": 1777461388176 + i*131,
+			"service": "models", "address": fmt.Sprintf("10.%d.64.%d:8223", i%6, i), "domain": fmt.Sprintf("domain-%d", i%6),
+			"version": "v1", "capacity": 12, "state": "ready", "heartbeats": i * 7 % 90, "started_ms": 1777461388176 + i*131,
 		})
 		g.Expect(err).NotTo(HaveOccurred())
 		b.Rows = append(b.Rows, watch.Row{Key: fmt.Sprintf("i-%08x", i*2654435761), Value: value, Revision: watch.Revision(i)})
