--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -18,12 +18,15 @@
 // within its limit.
 var ErrTimeout = namespace.NewType("silent", errorx.Timeout())
 
+// ErrTooLong reports a body of more than Limits.MaxBytes.
+var ErrTooLong = namespace.NewType("too_long")
+
 // Limits bound one response.
 type Limits struct {
 	// HeaderTimeout is the longest time until the response header arrives,
 	// IdleTimeout the longest time between parts of the body.
 	HeaderTimeout, IdleTimeout time.Duration
-	// MaxBytes is the length at which the body is cut off.
+	// MaxBytes is the largest length of the body.
 	MaxBytes int64
 }
 
@@ -34,8 +37,8 @@
 	Body   []byte
 }
 
-// Do sends a request and reads its response. Errors: ErrTimeout and those of the
-// client. After an error in the body the response has its status.
+// Do sends a request and reads its response. Errors: ErrTimeout, ErrTooLong and those of
+// the client. After an error in the body the response has its status.
 func Do(client *http.Client, req *http.Request, l Limits) (Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
@@ -57,8 +60,11 @@
 		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(&idleReader{body: io.LimitReader(resp.Body, l.MaxBytes),
+	body, err := io.ReadAll(&idleReader{body: io.LimitReader(resp.Body, l.MaxBytes+1),
 		timer: timer, idleTimeout: l.IdleTimeout})
+	if err == nil && int64(len(body)) > l.MaxBytes {
+		err = ErrTooLong.New("body from %s is longer than %d bytes", req.URL.Host, l.MaxBytes)
+	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, err
 }
 
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -63,3 +63,15 @@
 		g.Expect(time.Since(start)).To(BeNumerically("<", 10*timeout))
 	}
 }
+
+// A body over the limit must not pass for a complete one.
+func TestBodyOverLimitIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	limits := fetch.Limits{HeaderTimeout: timeout, IdleTimeout: timeout, MaxBytes: parts * int64(len("part "))}
+	resp, err := fetch.Do(http.DefaultClient, slowRequest(t, 0, -1), limits)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Body).To(HaveLen(int(limits.MaxBytes)))
+	limits.MaxBytes--
+	_, err = fetch.Do(http.DefaultClient, slowRequest(t, 0, -1), limits)
+	g.Expect(errorx.IsOfType(err, fetch.ErrTooLong)).To(BeTrue())
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -40,9 +40,6 @@
 
 var namespace = errorx.NewNamespace("gatewayd")
 
-// ErrRequestsAborted reports a stop that aborted running requests.
-var ErrRequestsAborted = namespace.NewType("cut")
-
 // phase is the stage of the daemon's life cycle. Phases only advance, in the order
 // of the constants.
 type phase int32
