Poll no reader that is in backoff

The fleet's reader was turned away by the store; VMs in touch again after a cut were 3.4 s behind. A VM that ranks highest was selected although it was in backoff, as lease.IsCandidate doesn't ask that a candidate is listed; each poll lost 0.3 s twice before it went to the store. Which VM was taken depended on the order of the IDs.

Change: VMs in backoff are left out. While all readers are in backoff and the store failed recently, a poll ends at once, as before for a stale reader.

--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -222,6 +222,9 @@
 			return watch.Batch{}, err
 		}
 	}
+	if f.readersInBackoff(table) && f.storeInBackoff(table) {
+		return watch.Batch{}, ErrNoReader.New("all readers of table %s and the store failed recently", table)
+	}
 	return f.pollStore(ctx, h, table, after, wait)
 }
 
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -117,10 +117,13 @@
 type fleet struct {
 	*WithT
 	storeClocks map[vm.ID]*fakeClock
-	store       *fakeStore
-	feeds       map[vm.ID]*peerfeed.Feed
-	servers     map[vm.ID]*httptest.Server
-	clock       *clockwork.FakeClock
+	// polls counts the polls that each VM received from others.
+	pollsMu sync.Mutex
+	polls   map[vm.ID]int
+	store   *fakeStore
+	feeds   map[vm.ID]*peerfeed.Feed
+	servers map[vm.ID]*httptest.Server
+	clock   *clockwork.FakeClock
 }
 
 // newFleet starts n VMs past their startup period, which know each other and have
@@ -133,7 +136,7 @@
 	f := &fleet{
 		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
 		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int)},
-		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock),
+		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock), polls: make(map[vm.ID]int),
 	}
 	f.store.put("a")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -149,7 +152,12 @@
 		f.storeClocks[id] = &fakeClock{}
 		opts.StoreClock = f.storeClocks[id]
 		mux := http.NewServeMux()
-		f.servers[id] = httptest.NewServer(mux)
+		f.servers[id] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.pollsMu.Lock()
+			f.polls[id]++
+			f.pollsMu.Unlock()
+			mux.ServeHTTP(w, r)
+		}))
 		t.Cleanup(f.servers[id].Close)
 		address := strings.TrimPrefix(f.servers[id].URL, "http://")
 		if seed == "" {
@@ -527,3 +535,37 @@
 	_, err := f.feeds["vm-0"].Changes(t.Context(), "t", watch.Cursor{Revision: 2}, 0)
 	f.Expect(errorx.IsOfType(err, watch.ErrHistoryGone)).To(BeTrue(), "a position of the era before is void")
 }
+
+// TestStaleReaderIsNotPolledAgainDuringBackoff makes the store unreachable for the reader
+// that all VMs rank highest. The other VMs must not lose time on it at each of their
+// polls, whatever the order of the VMs' IDs.
+func TestStaleReaderIsNotPolledAgainDuringBackoff(t *testing.T) {
+	for n := 4; n <= 12; n++ {
+		f := newFleet(t, n)
+		f.readAll(t, 1)
+		f.clock.Advance(readerSettleTime)
+		f.readAll(t, 1)
+		reader := f.readerFirst()[0]
+		f.store.setDown(reader, true)
+		f.clock.Advance(readerSettleTime)
+		poll := func(id vm.ID) error {
+			_, err := f.feeds[id].Changes(t.Context(), "t", watch.Cursor{Revision: 1}, 0)
+			return err
+		}
+		f.Expect(poll(reader)).NotTo(Succeed())
+		for range 3 {
+			for _, id := range f.readerFirst()[1:] {
+				_ = poll(id)
+			}
+		}
+		f.pollsMu.Lock()
+		clear(f.polls)
+		f.pollsMu.Unlock()
+		for _, id := range f.readerFirst()[1:] {
+			f.Expect(poll(id)).To(Succeed(), "%s of %d", id, n)
+		}
+		f.pollsMu.Lock()
+		f.Expect(f.polls[reader]).To(BeZero(), "%d VMs", n)
+		f.pollsMu.Unlock()
+	}
+}
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -90,7 +90,7 @@
 		}
 	}
 	for _, m := range others {
-		if lease.IsCandidate(readerJob, string(m.ID), ids, 1) {
+		if !f.inBackoff(string(m.ID), table) && lease.IsCandidate(readerJob, string(m.ID), ids, 1) {
 			return peer{name: string(m.ID), address: m.Feed.String()}, true
 		}
 	}
@@ -111,6 +111,21 @@
 // It needs no lock.
 func (f *Feed) inStartup() bool { return f.clock.Since(f.started) < f.opts.StartupPeriod }
 
+// readersInBackoff reports whether other VMs share reads with this one and all of them are
+// in backoff. It takes f.mu.
+func (f *Feed) readersInBackoff(table string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	others := f.regionPeers()
+	if !f.sharesReads() {
+		others = f.vms.Filter(func(members.Member) bool { return true })
+		if len(others)+1 < f.opts.MinFleet {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(others, func(m members.Member) bool { return !f.inBackoff(string(m.ID), table) })
+}
+
 // selectSeed returns the seed to poll for a table; false means to read the store.
 func (f *Feed) selectSeed(table string) (peer, bool) {
 	seeds := f.rankSeeds(table)
