Give listings of large tables the time that they take

A listing of the entries is about 1 MB in six pages, and the whole of it had the 4 s of a poll's slack; over a narrow link it was cut off and begun again.

Change: watch.Options.ListTimeout, 30 s. Silent connections are noticed by the source, within a second.

Figures: TestListingMayTakeLongerThanSlackOfPoll failed before.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -91,9 +91,11 @@
 type Options struct {
 	// Wait is how long a poll waits for changes.
 	Wait time.Duration
-	// Slack is how much longer than its wait a complete response may take. It is
-	// also the timeout of a listing.
+	// Slack is how much longer than its wait a complete response may take.
 	Slack time.Duration
+	// ListTimeout is the timeout of a listing. It is long, because a large table takes
+	// its time over a narrow link; the source notices silent connections itself.
+	ListTimeout time.Duration
 	// OutageWait replaces Wait during an outage: a poll whose request was lost is
 	// never answered, so short polls notice sooner that the store is available.
 	OutageWait time.Duration
@@ -111,7 +113,8 @@
 func DefaultOptions() Options {
 	return Options{
 		Wait: 5500 * time.Millisecond, OutageWait: 200 * time.Millisecond, Slack: 4 * time.Second,
-		MinBackoff: 100 * time.Millisecond, MaxBackoff: 1200 * time.Millisecond,
+		ListTimeout: 30 * time.Second,
+		MinBackoff:  100 * time.Millisecond, MaxBackoff: 1200 * time.Millisecond,
 		MaxInitialBackoff: 300 * time.Millisecond,
 	}
 }
@@ -196,7 +199,7 @@
 
 // list replaces the rows of the sink by a listing of the table.
 func (w *Watch) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, w.opts.Slack)
+	ctx, cancel := context.WithTimeout(ctx, w.opts.ListTimeout)
 	defer cancel()
 	b, err := w.source.List(ctx, w.table)
 	if err != nil {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -89,9 +89,15 @@
 
 // startWatch runs a watch of the source until the test ends.
 func startWatch(t *testing.T, source *scriptedSource) *recordingSink {
+	return startWatchWith(t, source, func(*watch.Options) {})
+}
+
+// startWatchWith is startWatch with changed options.
+func startWatchWith(t *testing.T, source watch.Source, change func(*watch.Options)) *recordingSink {
 	sink := &recordingSink{}
 	opts := watch.DefaultOptions()
 	opts.MinBackoff, opts.MaxBackoff, opts.MaxInitialBackoff = time.Millisecond, time.Millisecond, time.Millisecond
+	change(&opts)
 	w := watch.New(source, "table", sink, clockwork.NewRealClock(), slog.New(slog.NewTextHandler(io.Discard, nil)), opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -122,6 +128,31 @@
 	g.Eventually(sink.events).Should(Equal([]string{"reset a", "change b", "unavailable", "available", "reset c"}))
 }
 
+// slowListing is a source whose listings take longer than the slack of a poll, as those of
+// a large table over a narrow link.
+type slowListing struct {
+	scriptedSource
+	takes time.Duration
+}
+
+func (s *slowListing) List(ctx context.Context, table string) (watch.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return watch.Batch{}, store.ErrUnavailable.Wrap(ctx.Err(), "list")
+	case <-time.After(s.takes):
+		return s.scriptedSource.List(ctx, table)
+	}
+}
+
+// TestListingMayTakeLongerThanSlackOfPoll guards against listings that are started over
+// again and again, because each is cut off before it is complete.
+func TestListingMayTakeLongerThanSlackOfPoll(t *testing.T) {
+	g := NewWithT(t)
+	source := &slowListing{scriptedSource: scriptedSource{lists: []any{batch(5, "a")}}, takes: 60 * time.Millisecond}
+	sink := startWatchWith(t, source, func(o *watch.Options) { o.Slack = 20 * time.Millisecond })
+	g.Eventually(sink.events).Should(Equal([]string{"reset a"}))
+}
+
 // TestWatchFollowsStoreIntoNewEra covers a store that was restored from an older copy:
 // its listing has a lower revision, and late rows of the era before are ignored.
 func TestWatchFollowsStoreIntoNewEra(t *testing.T) {
