--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -109,10 +109,12 @@
 
 // startMain implements the command
 //
-//	start [-production] FILE VM@DOMAIN...
+//	start [-production] [-patient] FILE VM@DOMAIN...
 //
 // It starts the environment that all other commands use. With -production, its configuration can only
-// be changed by promotion from a trial environment.
+// be changed by promotion from a trial environment. With -patient, the VMs have the default idle
+// timeouts; it is for scripts without silent connections, so that they don't depend on how soon a
+// busy machine answers.
 func startMain(ts *testscript.TestScript, neg bool, args []string) {
 	s := stateOf(ts)
 	s.env = startEnvironment(ts, neg, args, useShortTimeouts)
@@ -134,7 +136,7 @@
 // startEnvironment starts an environment whose VMs have the settings that configure sets.
 func startEnvironment(ts *testscript.TestScript, neg bool, args []string, configure func(*settings.Entry)) *environment.Environment {
 	rejectNegation(ts, neg)
-	args, flags := parseFlags(ts, args, "production")
+	args, flags := parseFlags(ts, args, "production", "patient")
 	if len(args) < 2 {
 		ts.Fatalf("usage: start FILE VM@DOMAIN...")
 	}
@@ -145,6 +147,13 @@
 			e.Promotion = settings.Promotion{Role: settings.RoleProduction, KeyFile: e.OperatorTokenFile}
 		}
 	}
+	if flags["patient"] != "" {
+		configureBase := configure
+		configure = func(e *settings.Entry) {
+			configureBase(e)
+			useDefaultIdleTimeouts(e)
+		}
+	}
 	options := environment.Options{Document: []byte(documentText(ts, args[0]))}
 	for _, arg := range args[1:] {
 		options.VMs = append(options.VMs, parseVM(ts, arg, configure))
@@ -171,6 +180,12 @@
 	s.Timeouts.ReportsPeriodMS = 100
 }
 
+// useDefaultIdleTimeouts sets the idle timeouts of an entry VM to their defaults.
+func useDefaultIdleTimeouts(s *settings.Entry) {
+	defaults := settings.DefaultEntry().Timeouts
+	s.Timeouts.HeadersMS, s.Timeouts.IdleMS, s.Timeouts.ServiceIdleMS = defaults.HeadersMS, defaults.IdleMS, defaults.ServiceIdleMS
+}
+
 // parseVM parses VM@DOMAIN.
 func parseVM(ts *testscript.TestScript, arg string, configure func(*settings.Entry)) environment.VM {
 	id, domain, ok := strings.Cut(arg, "@")
