Close the open listeners when a start fails

Change: gatewayd closes them, and the socket for hints, also at a stop; failures to close are logged.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -251,6 +251,7 @@
 	} {
 		server, err := listen.Open(l.config, l.handler, bounds, d.log)
 		if err != nil {
+			d.closeListeners()
 			return err
 		}
 		*l.server = server
@@ -323,14 +324,24 @@
 // close closes all listeners and connections and stops the background tasks,
 // except for the log.
 func (d *Daemon) close() {
-	d.callerServer.Close()
-	d.healthServer.Close()
-	d.metricsServer.Close()
-	d.peerServer.Close()
+	d.closeListeners()
 	d.runner.Stop()
 	d.pool.Close()
 }
 
+// closeListeners closes the socket for hints and the listeners that are open.
+func (d *Daemon) closeListeners() {
+	d.hints.Close()
+	for _, server := range []*listen.Server{d.callerServer, d.healthServer, d.metricsServer, d.peerServer} {
+		if server == nil {
+			continue
+		}
+		if err := server.Close(); err != nil {
+			d.log.Warn("listener not closed", "address", server.Address(), "error", err)
+		}
+	}
+}
+
 // CallersAddress returns the host:port of the listener for callers. It must not be
 // called before Start.
 func (d *Daemon) CallersAddress() string { return d.callerServer.Address() }
