Describe the readers of the fleet and of regions where they are

Change: comments, and the order of fields in one literal. Conclusion: no change of what the code does.

--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -59,9 +59,8 @@
 	}
 	allowStale, err := strconv.ParseBool(values.Get("old"))
 	return query{
-		renew: values.Get("renew") == "true",
-		table: r.PathValue("table"), wait: time.Duration(wait) * time.Millisecond, allowStale: allowStale,
-		after: watch.Cursor{Era: watch.Era(era), Revision: watch.Revision(after)},
+		table: r.PathValue("table"), after: watch.Cursor{Era: watch.Era(era), Revision: watch.Revision(after)},
+		wait: time.Duration(wait) * time.Millisecond, renew: values.Get("renew") == "true", allowStale: allowStale,
 	}, err
 }
 
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -35,8 +35,8 @@
 	// yet, before it reads the store. The pause between two tries is
 	// SeedRetryDelay.
 	StartupPeriod, SeedTimeout, SeedRetryDelay time.Duration
-	// MinVMs is the number of VMs in a region, this one included, from which
-	// reads are shared.
+	// MinVMs is the number of VMs in a region, this one included, from which the
+	// region has a reader of its own.
 	MinVMs int
 	// MinFleet is the number of VMs of all regions from which the fleet has a reader,
 	// which the regions' readers poll instead of the store.
