Avoid an upstream that sent nothing while a request timed out

Cause: an upstream that goes dark looks idle: nothing is in flight there but what it doesn't answer, and its last report expires. Under a load that fills the others, the record of one failure (75 ms of cost) does not keep further requests from it, each of which waits for its timeout. A breaker opens after three failures on the same VM, which a VM of hundreds doesn't see.

Change: such an upstream counts as busy for 3 s on this VM, and on those VMs that a hint about it reaches, unless it answered them within the last half second.

The test under load failed before.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -278,6 +278,21 @@
 	}
 }
 
+// MarkSilent records that another VM's request to an upstream timed out while nothing came
+// from it. Unknown upstreams are ignored, and so is one that has answered this VM lately.
+func (d *Directory) MarkSilent(id upstream.ID) {
+	d.mu.RLock()
+	e := d.byID[id]
+	d.mu.RUnlock()
+	if e != nil && e.SinceLastReceived() >= recentAnswer {
+		e.MarkSilent()
+	}
+}
+
+// recentAnswer is the time since an upstream's last answer within which another VM's report
+// that it is silent is ignored: the path from that VM may be cut.
+const recentAnswer = 500 * time.Millisecond
+
 // Counts returns the number of upstreams by service and state, which is "ready"
 // or "leaving".
 func (d *Directory) Counts() map[[2]string]int {
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -172,6 +172,22 @@
 	e.remoteWorkUntil = e.remoteWorkUntil.Add(min(work, maxHintedWork))
 }
 
+// SilencePenalty is for how long an upstream counts as busy after a request to it timed
+// out while nothing came from it.
+const SilencePenalty = 3 * time.Second
+
+// MarkSilent records that a request to the upstream timed out while nothing came from it.
+// The upstream may be dark. Without this it would look idle, above all under a load that
+// fills the others.
+func (e *Engine) MarkSilent() {
+	until := e.directory.clock.Now().Add(SilencePenalty)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until.After(e.remoteWorkUntil) {
+		e.remoteWorkUntil = until
+	}
+}
+
 // MarkReceived records that a part of the response arrived.
 func (a *Attempt) MarkReceived() {
 	a.engine.mu.Lock()
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -59,6 +59,44 @@
 	g.Expect(chooseID(d, engines.Requirements{Bytes: 10_000})).To(BeEquivalentTo("far"))
 }
 
+// TestSilentUpstreamIsAvoidedUnderLoad replays a load under which the other upstream is
+// nearly full. One that has answered nothing looks idle then, and without more than the
+// record of one failure it would get the next requests, each of which waits for its
+// timeout.
+func TestSilentUpstreamIsAvoidedUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("dark", "d1"), newEntry("busy", "d1")})
+	for range 8 {
+		find(d, "busy").Begin(0).MarkReceived()
+	}
+	attempt := find(d, "dark").Begin(100 * time.Millisecond)
+	clock.Advance(1500 * time.Millisecond)
+	attempt.End(engines.Result{Failed: true})
+	find(d, "dark").MarkSilent()
+	for range 20 {
+		g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("busy"))
+	}
+	clock.Advance(engines.SilencePenalty)
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("dark"), "it is tried again")
+}
+
+// TestSilenceReportedByOtherVMIsIgnoredAfterAnswer covers a VM whose path to an upstream is
+// cut. Its report must not keep others from the upstream that answers them.
+func TestSilenceReportedByOtherVMIsIgnoredAfterAnswer(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("a", "d1"), newEntry("b", "d1")})
+	clock.Advance(time.Minute)
+	find(d, "a").Begin(0).MarkReceived()
+	find(d, "b").Begin(0)
+	d.MarkSilent("a")
+	d.MarkSilent("b")
+	g.Expect(find(d, "a").ExpectedWait()).To(BeZero())
+	g.Expect(find(d, "b").ExpectedWait()).To(Equal(engines.SilencePenalty))
+	d.MarkSilent("unknown")
+}
+
 // TestChooseSharesHomeAcrossRegionsForLongPrefixes sends requests with the same
 // prompt prefix to VMs of two regions. Prefilling a long prefix costs more than
 // sending the request to the other region, so both VMs choose the same upstream.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -275,8 +275,12 @@
 }
 
 // applyHint adds the work that another VM sent to an upstream to the upstream's
-// expected load.
+// expected load, or avoids an upstream that is silent.
 func (d *Daemon) applyHint(h hints.Hint) {
+	if h.Silent {
+		d.directory.MarkSilent(h.Upstream)
+		return
+	}
 	d.directory.AddRemoteWork(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
 }
 
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -50,6 +50,9 @@
 		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
 			d.hints.Broadcast(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
 		},
+		AnnounceSilence: func(u upstream.Upstream) {
+			d.hints.Broadcast(hints.Hint{Upstream: u.ID, Silent: true, Region: d.regionOf(u.Domain)})
+		},
 		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
 	}, relay.DefaultOptions())
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -27,12 +27,16 @@
 // ErrListen is returned for an address that cannot be resolved or listened on.
 var ErrListen = namespace.NewType("listen")
 
-// Hint announces an expensive request that was sent to an upstream.
+// Hint announces an expensive request that was sent to an upstream, or that the upstream
+// is silent.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
 	// the request.
 	WorkMS int64 `json:"work_ms"`
+	// Silent announces instead that a request to the upstream timed out while nothing
+	// came from it.
+	Silent bool `json:"silent,omitzero"`
 	// Region is the upstream's region. It is not sent.
 	Region domain.Region `json:"-"`
 }
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -233,6 +233,7 @@
 		x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
 		if errorx.IsOfType(err, upconn.ErrSilent) {
 			x.server.Pool.CloseIdle(a.engine.Address())
+			a.reportSilence(took)
 		}
 	}
 	if a.countedSlow && errorx.IsOfType(err, upconn.ErrBroken) && !errorx.IsOfType(err, errFailed) {
@@ -250,6 +251,16 @@
 	x.logAttempt(a, err, took)
 }
 
+// reportSilence makes this VM and others avoid an upstream that sent nothing to any
+// request while this one waited.
+func (a *attempt) reportSilence(waited time.Duration) {
+	if a.engine.SinceLastReceived() < waited {
+		return
+	}
+	a.engine.MarkSilent()
+	a.exchange.server.AnnounceSilence(a.engine.Upstream())
+}
+
 // countsForVersion reports whether the end of an attempt is evidence about its
 // version. A broken connection is evidence about the upstream only, and so is an
 // upstream that sends nothing, unless it responded to other requests meanwhile. In
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -65,6 +65,9 @@
 	// AnnounceWork informs other VMs that a request with a long prefill was sent to an
 	// upstream.
 	AnnounceWork func(u upstream.Upstream, work time.Duration)
+	// AnnounceSilence informs other VMs that a request to an upstream timed out while
+	// nothing came from it.
+	AnnounceSilence func(u upstream.Upstream)
 	// AdmissionRefusal returns the reason why new requests are refused, or nil.
 	AdmissionRefusal func() *refusal.Refusal
 	// Aborting reports whether running requests are being aborted.
