Let silent upstreams cost more instead of making them seem busy

Cause: read in the diff: the time for which a silent upstream counted as busy entered limit.Outlook. A VM that wakes up from a freeze finds all of its requests timed out; it would have refused calls with short deadlines for 3 s although all upstreams are well.

Change: silence adds to an upstream's cost and not to its expected wait.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -49,6 +49,8 @@
 	serviceTime time.Duration
 	// pausedUntil is until when the upstream asked this VM to send it nothing.
 	pausedUntil time.Time
+	// silentUntil is until when the upstream is avoided because it was silent.
+	silentUntil time.Time
 	// failureRate is the smoothed share of requests that the upstream failed, 0
 	// to 1.
 	failureRate float64
@@ -172,19 +174,20 @@
 	e.remoteWorkUntil = e.remoteWorkUntil.Add(min(work, maxHintedWork))
 }
 
-// SilencePenalty is for how long an upstream counts as busy after a request to it timed
-// out while nothing came from it.
+// SilencePenalty is for how long an upstream is avoided after a request to it timed out
+// while nothing came from it.
 const SilencePenalty = 3 * time.Second
 
 // MarkSilent records that a request to the upstream timed out while nothing came from it.
 // The upstream may be dark. Without this it would look idle, above all under a load that
-// fills the others.
+// fills the others. It adds to the cost of the upstream and not to its expected wait: it
+// is used if there is no other, as this VM may itself have been frozen or cut off.
 func (e *Engine) MarkSilent() {
 	until := e.directory.clock.Now().Add(SilencePenalty)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if until.After(e.remoteWorkUntil) {
-		e.remoteWorkUntil = until
+	if until.After(e.silentUntil) {
+		e.silentUntil = until
 	}
 }
 
@@ -275,7 +278,7 @@
 		FirstToken:  time.Duration(e.failureRate * float64(d.opts.Placement.FailurePenalty)),
 		LinkLatency: d.linkLatency(entry.Domain),
 	}
-	c.FirstToken += e.expectedWait(now)
+	c.FirstToken += e.expectedWait(now) + max(e.silentUntil.Sub(now), 0)
 	if now.Sub(e.reportedAt) < reportTTL {
 		c.RemoteInFlight = e.remoteRequests
 	}
