Name what a reader that passes data on does, and write the list of its peers once

Cause: the diff read as a newcomer: 'relay' is another package's word, and three places filtered the same VMs.

Change: names, one function.

--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -200,7 +200,7 @@
 		if !ok {
 			break
 		}
-		if !p.relay {
+		if !p.passesOn {
 			h.markStale()
 		}
 		b, confirmedAt, err := f.pollReader(ctx, p, table, after, min(wait, f.opts.FollowerPollWait))
@@ -215,7 +215,7 @@
 			continue
 		}
 		f.startBackoff(p, table, err)
-		if p.relay || !errorx.IsOfType(err, errStale) {
+		if p.passesOn || !errorx.IsOfType(err, errStale) {
 			break
 		}
 		if f.storeInBackoff(table) {
@@ -245,7 +245,7 @@
 // others, or unconfirmed.
 func (f *Feed) pollReader(ctx context.Context, p peer, table string, after watch.Cursor,
 	wait time.Duration) (watch.Batch, time.Time, error) {
-	q := query{table: table, after: after, wait: wait, renew: p.relay}
+	q := query{table: table, after: after, wait: wait, renew: p.passesOn}
 	var age time.Duration
 	b, err := f.pollInterruptible(ctx, table, wait, func(ctx context.Context) (watch.Batch, error) {
 		var b watch.Batch
@@ -253,7 +253,7 @@
 		b, age, err = f.pollPeerWithAge(ctx, p, q)
 		return b, err
 	})
-	if err != nil || !p.relay {
+	if err != nil || !p.passesOn {
 		return b, unconfirmed, err
 	}
 	return b, f.clock.Now().Add(-age), nil
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -92,7 +92,7 @@
 	}
 	f.observeClock(resp.Header)
 	ms, err := strconv.ParseInt(resp.Header.Get(headerAge), 10, 64)
-	if err != nil && p.relay {
+	if err != nil && p.passesOn {
 		return watch.Batch{}, 0, ErrNoReader.Wrap(err, "response of reader %s without the age of its data", p.name)
 	}
 	return b, time.Duration(ms) * time.Millisecond, nil
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -17,8 +17,8 @@
 // peer is a VM that can be polled. The name is its ID, or for a seed its address.
 type peer struct {
 	name, address string
-	// relay reports that other VMs rely on what this VM reads from the peer.
-	relay bool
+	// passesOn reports that this VM passes what it reads from the peer on to other VMs.
+	passesOn bool
 }
 
 // backoffKey identifies a backoff. Backoffs are kept for each table, because a
@@ -41,12 +41,24 @@
 		return f.selectFleetReader(table)
 	}
 	if f.polledRecently(table) && !f.storeFailedRecently(table) {
-		return f.selectRelayed(table)
+		return f.selectToPassOn(table)
 	}
 	if p, ok := f.topRanked(f.regionPeers(), table); ok {
 		return p, true
 	}
-	return f.selectRelayed(table)
+	return f.selectToPassOn(table)
+}
+
+// readersInBackoff reports whether other VMs share reads with this one and all of them are
+// in backoff. It takes f.mu.
+func (f *Feed) readersInBackoff(table string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	others := f.regionPeers()
+	if !f.sharesReads() {
+		others = f.fleetPeers()
+	}
+	return len(others) > 0 && !slices.ContainsFunc(others, func(m members.Member) bool { return !f.inBackoff(string(m.ID), table) })
 }
 
 // The caller of the functions from here to storeFailedRecently holds f.mu.
@@ -55,25 +67,20 @@
 // too small to share reads.
 func (f *Feed) selectFleetReader(table string) (peer, bool) {
 	if f.polledRecently(table) && !f.storeFailedRecently(table) {
-		return f.selectRelayed(table)
-	}
-	others := f.vms.Filter(func(members.Member) bool { return true })
-	if len(others)+1 < f.opts.MinFleet {
-		return peer{}, false
+		return f.selectToPassOn(table)
 	}
-	return f.topRanked(others, table)
+	return f.topRanked(f.fleetPeers(), table)
 }
 
-// selectRelayed returns the fleet's reader for a VM whose data other VMs rely on. Such a
+// selectToPassOn returns the fleet's reader for a VM that passes its data on to others. Such a
 // VM reads the store itself while its data is not fresh, because that is faster.
-func (f *Feed) selectRelayed(table string) (peer, bool) {
-	others := f.vms.Filter(func(members.Member) bool { return true })
+func (f *Feed) selectToPassOn(table string) (peer, bool) {
 	h := f.histories[table]
-	if len(others)+1 < f.opts.MinFleet || h == nil || !h.isFresh(f.clock.Now(), f.opts.MaxAge) {
+	if h == nil || !h.isFresh(f.clock.Now(), f.opts.MaxAge) {
 		return peer{}, false
 	}
-	p, ok := f.topRanked(others, table)
-	p.relay = true
+	p, ok := f.topRanked(f.fleetPeers(), table)
+	p.passesOn = true
 	return p, ok
 }
 
@@ -97,6 +104,16 @@
 	return peer{}, false
 }
 
+// fleetPeers returns the other VMs of all regions; none if the fleet is too small to have
+// a reader.
+func (f *Feed) fleetPeers() []members.Member {
+	others := f.vms.Filter(func(members.Member) bool { return true })
+	if len(others)+1 < f.opts.MinFleet {
+		return nil
+	}
+	return others
+}
+
 // regionPeers returns the other VMs of the region.
 func (f *Feed) regionPeers() []members.Member {
 	return f.vms.Filter(func(m members.Member) bool { return f.opts.RegionOf(m.Domain) == f.opts.Region })
@@ -111,21 +128,6 @@
 // It needs no lock.
 func (f *Feed) inStartup() bool { return f.clock.Since(f.started) < f.opts.StartupPeriod }
 
-// readersInBackoff reports whether other VMs share reads with this one and all of them are
-// in backoff. It takes f.mu.
-func (f *Feed) readersInBackoff(table string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	others := f.regionPeers()
-	if !f.sharesReads() {
-		others = f.vms.Filter(func(members.Member) bool { return true })
-		if len(others)+1 < f.opts.MinFleet {
-			return false
-		}
-	}
-	return !slices.ContainsFunc(others, func(m members.Member) bool { return !f.inBackoff(string(m.ID), table) })
-}
-
 // selectSeed returns the seed to poll for a table; false means to read the store.
 func (f *Feed) selectSeed(table string) (peer, bool) {
 	seeds := f.rankSeeds(table)
