--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -53,6 +53,10 @@
 	// failure.
 	retriedFailure bool
 
+	// refusalDetail is what the request log tells of a refusal beside its reason; may be
+	// empty.
+	refusalDetail string
+
 	// retryPrepaid reports whether the retry budget has already been charged for
 	// the next attempt, when a silent one was given up.
 	retryPrepaid bool
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -71,5 +71,5 @@
 		"account", x.account, "service", x.service, "config", version, "priority", x.priority,
 		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "attempts", x.attemptLog,
 		"last_event", x.lastEvent, "ms", took.Milliseconds(),
-		"left_ms", x.timeLeft().Milliseconds())
+		"left_ms", x.timeLeft().Milliseconds(), "detail", x.refusalDetail)
 }
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -86,7 +86,8 @@
 		return nil
 	}
 	return refusal.New(refusal.Overloaded).WithRetryAfter(outlook.Wait).
-		With("The first answer is expected in %v, the request ends in %v.", outlook.Wait+outlook.Work, outlook.TimeLeft)
+		With("Upstream %s is expected to be busy for %v and to begin the answer %v later; %v are left.",
+			e.ID(), outlook.Wait, outlook.Work, outlook.TimeLeft)
 }
 
 // model returns the model to ask; empty if the router does not select it.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -123,6 +123,7 @@
 	case r.Context().Err() != nil:
 		refused = refusal.Wrap(refusal.CallerGone, err)
 	}
+	x.refusalDetail = refused.Detail
 	if x.headerSent {
 		s.record(x, string(refused.Reason), 0)
 		panic(http.ErrAbortHandler)
