Start also with a bound for changes that is too short or not given

Cause: read in the diff: a deployment whose bound is under 2 s, or that lacks one of the two, would have kept the gateway from starting.

Hints are announced, not broadcast, by their name too.

Conclusion: a fault of the setting's first form.

--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -48,10 +48,10 @@
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
 		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
 		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
-			d.hints.Broadcast(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
+			d.hints.Announce(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
 		},
 		AnnounceSilence: func(u upstream.Upstream) {
-			d.hints.Broadcast(hints.Hint{Upstream: u.ID, Silent: true, Region: d.regionOf(u.Domain)})
+			d.hints.Announce(hints.Hint{Upstream: u.ID, Silent: true, Region: d.regionOf(u.Domain)})
 		},
 		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -91,9 +91,9 @@
 	return x.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// Broadcast queues a hint for sending to the VMs that it concerns. It does not block; the hint is
+// Announce queues a hint for sending to the VMs that it concerns. It does not block; the hint is
 // dropped if the queue is full.
-func (x *Exchange) Broadcast(h Hint) {
+func (x *Exchange) Announce(h Hint) {
 	if !x.queue.Offer(h) {
 		x.outcomes.WithLabelValues("ring_full").Inc()
 	}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -40,15 +40,18 @@
 // Changes bounds the time from the store's acceptance of a change until it has effect on
 // every VM. The VMs read the store less often the longer the bounds are.
 type Changes struct {
-	ConfigMS Millis `json:"config_ms" doc:"Bound for configurations, in ms; at least 2000. Default 3000."`
-	DrainMS  Millis `json:"drain_ms" doc:"Bound for upstreams that are leaving, in ms; at least 2000. Default 3000."`
+	ConfigMS Millis `json:"config_ms" doc:"Bound for configurations, in ms; under 2000 counts as 2000. Default 3000."`
+	DrainMS  Millis `json:"drain_ms" doc:"Bound for upstreams that are leaving, in ms; under 2000 counts as 2000. Default 3000."`
 }
 
-// Bound returns the shorter one of the bounds.
-func (c Changes) Bound() time.Duration { return min(c.ConfigMS, c.DrainMS).Duration() }
+// Bound returns the shorter one of the bounds, but at least minChangeBound.
+func (c Changes) Bound() time.Duration {
+	return max(min(c.ConfigMS, c.DrainMS), minChangeBound).Duration()
+}
 
-// minChangeBound is the shortest bound that polls of the store and of other VMs can meet.
-const minChangeBound = 2000
+// minChangeBound is the shortest bound, in ms, that polls of the store and of other VMs
+// can meet.
+const minChangeBound Millis = 2000
 
 // Retries limits the additional attempts of all VMs together, for each service: in any
 // time span of SpanS, at most Ratio for each request, plus Slack.
@@ -103,12 +106,8 @@
 		text.AddFault("store.address", "must be host:port: %v", err)
 	}
 	checkPositive(text, "store.call_ms", g.Store.CallMS)
-	if g.Changes.ConfigMS < minChangeBound {
-		text.AddFault("changes.config_ms", "must be at least %d", minChangeBound)
-	}
-	if g.Changes.DrainMS < minChangeBound {
-		text.AddFault("changes.drain_ms", "must be at least %d", minChangeBound)
-	}
+	checkPositive(text, "changes.config_ms", g.Changes.ConfigMS)
+	checkPositive(text, "changes.drain_ms", g.Changes.DrainMS)
 	checkPositive(text, "retries.span_s", g.Retries.SpanS)
 	if g.Exposure <= 0 || g.Exposure > 1 {
 		text.AddFault("exposure", "must be over 0 and at most 1")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -47,6 +48,13 @@
 		Expect(got).To(Equal(want))
 	})
 
+	It("takes a bound for changes that is too short as the shortest that can be met", func() {
+		c := settings.Changes{ConfigMS: 900, DrainMS: 4000}
+		Expect(c.Bound()).To(Equal(2 * time.Second))
+		c.ConfigMS = 3500
+		Expect(c.Bound()).To(Equal(3500 * time.Millisecond))
+	})
+
 	It("reports missing and invalid settings of a gateway", func() {
 		err := settings.Parse([]byte(`{"vm": {"id": "v", "domain": "d", "region": "r"}, "hints": "x",
   "stop": {"take_s": 5, "grace_s": 5}}`), settings.DefaultGateway())
