Free a listener's address when it is closed at once after it was opened

Cause: TestFailedStartLeavesNoOpenListener failed in 4 of 14 runs beside load. http.Server.Close knows only listeners that it serves already; one that was opened a moment before was closed by its own goroutine later.

Change: Close closes the listener itself, too. Conclusion: traced and mended.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -95,9 +96,15 @@
 	return s.http.Shutdown(ctx)
 }
 
-// Close closes the listener and all connections, which aborts requests in flight.
+// Close closes the listener and all connections, which aborts requests in flight. The
+// address is free when it returns.
 func (s *Server) Close() error {
-	return s.http.Close()
+	err := s.http.Close()
+	// The http.Server does not know the listener if serve has not run yet.
+	if closeErr := s.listener.Close(); !errors.Is(closeErr, net.ErrClosed) {
+		err = errors.Join(err, closeErr)
+	}
+	return err
 }
 
 // ServerTLS returns the TLS configuration of a listener, for TLS 1.3. If t names a file
