--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -38,8 +37,6 @@
 	"github.com/poplarshore/poplarshore/settings"
 )
 
-var namespace = errorx.NewNamespace("gatewayd")
-
 // phase is the stage of the daemon's life cycle. Phases only advance, in the order
 // of the constants.
 type phase int32
