--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -179,7 +179,7 @@
 const SilencePenalty = 3 * time.Second
 
 // MarkSilent records that a request to the upstream timed out while nothing came from it.
-// The upstream may be dark. Without this it would look idle, above all under a load that
+// The upstream may have stopped responding. Without this it would look idle, above all under a load that
 // fills the others. It adds to the cost of the upstream and not to its expected wait: it
 // is used if there is no other, as this VM may itself have been frozen or cut off.
 func (e *Engine) MarkSilent() {
--- a/internal/peerfeed/doc.go
+++ b/internal/peerfeed/doc.go
@@ -6,7 +6,7 @@
 //     polls the fleet's reader; the others, its followers, poll the region's reader.
 //   - VMs of smaller regions poll the fleet's reader.
 //
-// All of them use the same List and Changes calls. No VM holds an office: all VMs rank
+// All of them use the same List and Changes calls. No VM has a fixed role: all VMs rank
 // the candidates in the same way, and a VM that others poll becomes a reader. A VM that
 // has just started polls the seeds in its settings, because it doesn't know the other
 // VMs yet.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -94,7 +94,7 @@
 	// Slack is how much longer than its wait a complete response may take.
 	Slack time.Duration
 	// ListTimeout is the timeout of a listing. It is long, because a large table takes
-	// its time over a narrow link; the source notices silent connections itself.
+	// long to transfer over a narrow link; the source notices silent connections itself.
 	ListTimeout time.Duration
 	// OutageWait replaces Wait during an outage: a poll whose request was lost is
 	// never answered, so short polls notice sooner that the store is available.
