Log the evidence on which a roll-out state is written, and the mean gap of each attempt

Change: 'roll-out state written' has the answers of both versions and how many of them are the VM's own; the request log has each attempt's mean gap and whether it was counted as slow. Conclusion: more evidence in the log, a line a state; no decision changes.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -88,6 +88,10 @@
 	First int64 `json:"first,omitempty"`
 	// Pause is the longest time between two events, in ms.
 	Pause int64 `json:"pause,omitempty"`
+	// Gap is the mean time between two events, in ms; 0 if it is unknown.
+	Gap int64 `json:"gap,omitempty"`
+	// Slow reports whether the attempt was counted as slow for its version while it ran.
+	Slow bool `json:"slow,omitempty"`
 	// Confidence is the model's confidence in its response, 0 to 100; nil if it
 	// reported none.
 	Confidence *int `json:"confidence,omitempty"`
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -301,6 +301,7 @@
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
 		First: a.firstAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
+		Gap: a.meanGap().Milliseconds(), Slow: a.countedSlow,
 	}
 	if a.confidence >= 0 {
 		record.Confidence = &a.confidence
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -29,6 +29,8 @@
 	service string
 	next    shift.State
 	change  watch.Change
+	// evidence is what this VM knows when it decides on the state.
+	evidence shift.Evidence
 	// isEvidence reports that the write is this VM's evidence, with the given
 	// number of failures; otherwise it is the state next.
 	isEvidence bool
@@ -121,7 +123,7 @@
 		return pendingWrite{}, err
 	}
 	key := stateKey(serviceName, m.era)
-	return pendingWrite{service: serviceName, next: next, change: watch.Change{
+	return pendingWrite{service: serviceName, next: next, evidence: s.evidence(), change: watch.Change{
 		Era:      m.era,
 		Expected: []watch.Expect{{Table: m.opts.Table, Key: key, Revision: s.revision}},
 		Puts:     append(announcements, watch.Put{Table: m.opts.Table, Key: key, Value: value}),
@@ -156,8 +158,10 @@
 	case err == nil && write.isEvidence:
 		s.publishedFailures = write.failures
 	case err == nil:
+		e := write.evidence
 		m.opts.Log.Info("roll-out state written", "service", write.service,
-			"to", write.next.Order.To, "phase", write.next.Phase, "step", write.next.Step)
+			"to", write.next.Order.To, "phase", write.next.Phase, "step", write.next.Step,
+			"own_good", e.GoodAnswers, "new", e.New, "own_new", s.local.newVersion, "old", e.Old)
 	case errorx.IsOfType(err, store.ErrConflict):
 		// Another VM wrote first; its row arrives through the watch.
 		s.dueSince = m.opts.Clock.Now()
