--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -257,3 +257,40 @@
 	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
 	f.Expect(f.state().Verdict.Bad).To(BeTrue())
 }
+
+// plainAnswer is a good answer of a service without prompts.
+func plainAnswer(v model.VersionID, latency time.Duration) shifts.Outcome {
+	return shifts.Outcome{Attempt: shifts.Attempt{Service: "s", Version: v}, Complete: true, FirstEventLatency: latency}
+}
+
+// Some answers of the old version take ten times as long as usual. They must not hide
+// that half of the answers of the new one do.
+func TestSlowAnswersOfPlainServiceRevertVersionDespiteLatencyTail(t *testing.T) {
+	const usual, slow = 15 * time.Millisecond, 130 * time.Millisecond
+	f := newFleet(t, "a")
+	f.order()
+	f.advance(11 * time.Second)
+	for range 12 {
+		f.recordOutcomes(0, 9, plainAnswer("v1", usual))
+		f.recordOutcomes(0, 1, plainAnswer("v1", slow))
+		f.recordOutcomes(0, 1, plainAnswer("v2", usual))
+		f.recordOutcomes(0, 1, plainAnswer("v2", slow))
+	}
+	f.advance(time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+}
+
+// A VM that saw two good answers must not complete a version that fails on other VMs.
+func TestVMWithTwoGoodAnswersDoesNotCompleteVersionThatFailsElsewhere(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	f.order()
+	f.advance(11 * time.Second)
+	for i := range f.vms {
+		f.recordOutcomes(i, 12, outcome("v1", usualGap, false))
+		f.recordOutcomes(i, 2, outcome("v1", 0, true))
+	}
+	f.recordOutcomes(0, 2, outcome("v2", usualGap, false))
+	f.recordOutcomes(1, 2, outcome("v2", 0, true))
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).NotTo(Equal(shift.Complete))
+}
--- a/rollout/shift/shift_test.go
+++ b/rollout/shift/shift_test.go
@@ -78,6 +78,40 @@
 	g.Expect(next.Verdict.Metric).To(Equal(rollout.MetricSlow))
 }
 
+// atDeadline returns the state after all ticks of a shift that had the same evidence from
+// its first step on.
+func atDeadline(e shift.Evidence) shift.State {
+	plan := shift.DefaultPlan()
+	s := shift.Begin(order, 0)
+	for now := time.Duration(0); now <= order.Duration; now += 100 * time.Millisecond {
+		s, _ = plan.Next(s, now, e)
+	}
+	return s
+}
+
+// Two good answers among as many failures don't show that a version is good.
+func TestFailingVersionWithFewAnswersIsNotCompleted(t *testing.T) {
+	g := NewWithT(t)
+	e := shift.Evidence{GoodAnswers: 2}
+	e.New = shift.Observations{Answers: rollout.Counts{Requests: 9, Errors: 4}, Paced: rollout.Counts{Requests: 5}}
+	e.Old = shift.Observations{Answers: rollout.Counts{Requests: 52, Errors: 9}, Paced: rollout.Counts{Requests: 43}}
+	g.Expect(atDeadline(e).Phase).NotTo(Equal(shift.Complete))
+}
+
+// An absence of failures among a few answers doesn't show that a version is good.
+func TestVersionWithTwoAnswersIsNotCompleted(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(atDeadline(healthyEvidence(2)).Phase).NotTo(Equal(shift.Complete))
+}
+
+func TestSlowVersionWithFewAnswersIsNotCompleted(t *testing.T) {
+	g := NewWithT(t)
+	e := shift.Evidence{GoodAnswers: 4}
+	e.New = shift.Observations{Answers: rollout.Counts{Requests: 14}, Paced: rollout.Counts{Requests: 9, Slow: 4}}
+	e.Old = shift.Observations{Answers: rollout.Counts{Requests: 382}, Paced: rollout.Counts{Requests: 162, Slow: 36}}
+	g.Expect(atDeadline(e).Phase).NotTo(Equal(shift.Complete))
+}
+
 // TestShareNeverShrinksExceptOnRevert uses random evidence. The share must never
 // decrease except to zero on a revert, and the state must not change after the shift
 // has ended.
