Share the evidence on both versions among all VMs, and keep it across a restart

Cause: VMs published failures of the new version only. A VM knew how much failed everywhere, but not how much was tried, and compared the new version on all VMs with the old one on itself: where one failure domain was worse, a good version looked bad elsewhere. A VM that was restarted published less than before. Class: a comparison of counts that cover different things. Change: a row has the counts of both versions; it is written at new failures as before, and otherwise once a second (25 ms times the number of VMs in large fleets, so that 300 VMs write at most 40 times a second). A VM begins with its own row of before. Tests, each failing before: TestFailuresOfOneVMAreComparedWithItsOldVersion, TestEvidenceOfRestartedVMIsKept, TestGoodAnswersArePublishedAtMostOnceASecond. Cost: up to one row a second and VM during the second half of a roll-out. Conclusion: the state's evidence is of all VMs; what is made of it follows.

--- /dev/null
+++ b/internal/shifts/evidence.go
@@ -0,0 +1,102 @@
+package shifts
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/rollout/shift"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+const (
+	// minEvidenceInterval is the minimum time between two writes of evidence that has new
+	// failures.
+	minEvidenceInterval = 300 * time.Millisecond
+	// Evidence without new failures is written less often: with few VMs every
+	// minCountsInterval, with many at countsIntervalPerVM for each VM, so that their
+	// writes together stay below a rate of 1/countsIntervalPerVM.
+	minCountsInterval   = time.Second
+	countsIntervalPerVM = 25 * time.Millisecond
+)
+
+// observed holds the observations of both versions in a shift. Both cover the same VMs
+// and the same time, so that they can be compared.
+type observed struct {
+	New shift.Observations `json:"seen"`
+	Old shift.Observations `json:"old"`
+}
+
+func (o observed) add(p observed) observed {
+	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old)}
+}
+
+// evidenceRow holds a VM's observations in the shift of an order.
+type evidenceRow struct {
+	Order int64 `json:"order"`
+	Era   int64 `json:"era,omitzero"`
+	observed
+}
+
+// own returns what this VM observed, also before it was restarted.
+func (s *serviceState) own() observed { return s.inherited.add(s.local) }
+
+// evidence merges the observations of all VMs.
+func (s *serviceState) evidence() shift.Evidence {
+	total := s.own()
+	for o := range maps.Values(s.remote) {
+		total = total.add(o)
+	}
+	good := total.New.Paced.Requests - total.New.Paced.Slow
+	return shift.Evidence{New: total.New, Old: total.Old, GoodAnswers: good}
+}
+
+func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
+	serviceName, vmID, _ := strings.Cut(keySuffix, "/")
+	var row evidenceRow
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return err
+	}
+	s := m.getOrCreate(serviceName)
+	if row.Order != s.state.Order.ID || row.Era != s.state.Order.Era {
+		return nil
+	}
+	if vm.ID(vmID) != m.opts.VM {
+		s.remote[vm.ID(vmID)] = row.observed
+	} else if s.publishedAt.IsZero() {
+		s.inherited = row.observed
+	}
+	return nil
+}
+
+// evidenceDue reports whether this VM should publish its evidence now.
+func (m *Manager) evidenceDue(s *serviceState) bool {
+	if !s.known || s.state.Ended() {
+		return false
+	}
+	own, elapsed := s.own(), m.opts.Clock.Since(s.publishedAt)
+	if own.New.Failures() > s.published.New.Failures() {
+		return elapsed >= minEvidenceInterval
+	}
+	interval := max(minCountsInterval, time.Duration(m.opts.VMCount())*countsIntervalPerVM)
+	return own.New.Answers.Requests > s.published.New.Answers.Requests && elapsed >= interval
+}
+
+// evidenceWrite returns the write of this VM's evidence, if it is due.
+func (m *Manager) evidenceWrite(serviceName string, s *serviceState) (pendingWrite, bool) {
+	if !m.evidenceDue(s) {
+		return pendingWrite{}, false
+	}
+	own := s.own()
+	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Era: s.state.Order.Era, observed: own})
+	if err != nil {
+		m.opts.Log.Error("cannot encode roll-out evidence; nothing written", "service", serviceName, "error", err)
+		return pendingWrite{}, false
+	}
+	s.publishedAt = m.opts.Clock.Now()
+	return pendingWrite{service: serviceName, isEvidence: true, published: own, change: watch.Change{
+		Puts: []watch.Put{{Table: m.opts.Table, Key: evidencePrefix + serviceName + "/" + string(m.opts.VM), Value: value}},
+	}}, true
+}
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -79,18 +78,15 @@
 	revision watch.Revision
 	// olderState is the state in a row of an earlier era that was just read, or nil.
 	olderState *shift.State
-	// local holds this VM's observations of both versions in the current shift.
-	local struct {
-		newVersion, oldVersion shift.Observations
-		// goodAnswers counts complete answers of the new version at usual speed.
-		goodAnswers int64
-	}
-	// remote holds the other VMs' observations of the new version.
-	remote map[vm.ID]shift.Observations
-	// publishedFailures is the number of failures in the evidence row as last
-	// written; publishedAt is the time of the last attempt to write it.
-	publishedFailures int64
-	publishedAt       time.Time
+	// local holds what this VM observed in the current shift. inherited holds what the
+	// VM had published before it was restarted.
+	local, inherited observed
+	// remote holds what the other VMs published.
+	remote map[vm.ID]observed
+	// published is what this VM last published; publishedAt is the time of the last
+	// attempt, zero before the first one.
+	published   observed
+	publishedAt time.Time
 	// localVerdict is the verdict by which this VM stopped the new version. It
 	// is kept even if further answers of the old version weaken the evidence.
 	localVerdict rollout.Verdict
@@ -100,13 +96,6 @@
 	latencyModels map[string]*latencyModel
 }
 
-// evidenceRow holds a VM's observations of the new version of an order.
-type evidenceRow struct {
-	Order int64              `json:"order"`
-	Era   int64              `json:"era,omitzero"`
-	Seen  shift.Observations `json:"seen"`
-}
-
 // New returns a Manager without shifts.
 func New(opts Options) *Manager {
 	return &Manager{opts: opts, byService: make(map[string]*serviceState)}
@@ -122,7 +111,7 @@
 func (m *Manager) getOrCreate(serviceName string) *serviceState {
 	s := m.byService[serviceName]
 	if s == nil {
-		s = &serviceState{remote: make(map[vm.ID]shift.Observations), latencyModels: make(map[string]*latencyModel)}
+		s = &serviceState{remote: make(map[vm.ID]observed), latencyModels: make(map[string]*latencyModel)}
 		m.byService[serviceName] = s
 	}
 	return s
@@ -218,12 +207,12 @@
 // belongs to another order. The caller holds mu.
 func (m *Manager) installState(s *serviceState, state shift.State) {
 	if !s.known || !m.isSameOrder(state.Order, s.state.Order) {
-		s.local.newVersion, s.local.oldVersion, s.local.goodAnswers = shift.Observations{}, shift.Observations{}, 0
+		s.local, s.inherited = observed{}, observed{}
 		clear(s.remote)
 		s.localVerdict = rollout.Verdict{}
 	}
 	if state.Order != s.state.Order {
-		s.publishedFailures = 0
+		s.published, s.publishedAt = observed{}, time.Time{}
 	}
 	s.state, s.known = state, true
 	m.opts.Log.Info("roll-out state installed", "service", state.Order.Service, "to", state.Order.To, "order", state.Order.ID,
@@ -231,30 +220,6 @@
 		"verdict", state.Verdict.Metric)
 }
 
-func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
-	serviceName, vmID, _ := strings.Cut(keySuffix, "/")
-	var row evidenceRow
-	if err := json.Unmarshal(r.Value, &row); err != nil {
-		return err
-	}
-	s := m.getOrCreate(serviceName)
-	if vm.ID(vmID) == m.opts.VM || row.Order != s.state.Order.ID || row.Era != s.state.Order.Era {
-		return nil
-	}
-	s.remote[vm.ID(vmID)] = row.Seen
-	return nil
-}
-
-// evidence merges this VM's observations with those of the other VMs. It covers the
-// old version by this VM's observations only.
-func (s *serviceState) evidence() shift.Evidence {
-	e := shift.Evidence{New: s.local.newVersion, Old: s.local.oldVersion, GoodAnswers: s.local.goodAnswers}
-	for seen := range maps.Values(s.remote) {
-		e.New = e.New.Add(seen)
-	}
-	return e
-}
-
 // Allowed returns a function that reports whether a session may use a version of
 // the service. Position is the hash of the session's key, 0 to 1. Until the state
 // row of a new order is known, sessions may use all versions but the new one.
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -143,9 +143,9 @@
 	if s.state.Ended() {
 		return
 	}
-	counted := &s.local.oldVersion
+	counted := &s.local.Old
 	if s.isNewVersion(a.Version) {
-		counted = &s.local.newVersion
+		counted = &s.local.New
 	}
 	if counted.Paced.Slow > 0 {
 		counted.Answers = counted.Answers.Sub(slowAnswer.Answers)
@@ -169,9 +169,6 @@
 		return
 	}
 	s.record(o.Version, observed)
-	if s.isNewVersion(o.Version) && o.Complete && observed.Paced.Requests > observed.Paced.Slow {
-		s.local.goodAnswers++
-	}
 }
 
 // observations converts an outcome to counts. Whether an answer without a mean gap
@@ -199,8 +196,8 @@
 	switch {
 	case !s.known || s.state.Phase == shift.Reverted:
 	case s.isNewVersion(v):
-		s.local.newVersion = s.local.newVersion.Add(observed)
+		s.local.New = s.local.New.Add(observed)
 	default:
-		s.local.oldVersion = s.local.oldVersion.Add(observed)
+		s.local.Old = s.local.Old.Add(observed)
 	}
 }
--- a/internal/shifts/restore.go
+++ b/internal/shifts/restore.go
@@ -58,7 +58,7 @@
 	m.era = era
 	for _, s := range m.byService {
 		s.row, s.revision, s.dueSince = shift.State{}, 0, time.Time{}
-		s.publishedFailures = 0
+		s.published = observed{}
 	}
 }
 
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -294,3 +294,65 @@
 	f.advance(9 * time.Second)
 	f.Expect(f.state().Phase).NotTo(Equal(shift.Complete))
 }
+
+// Both versions fail as often on b, and on a nothing fails. a must not hold the failures
+// on b against the new version.
+func TestFailuresOfOneVMAreComparedWithItsOldVersion(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.order()
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 60, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 10, outcome("v2", usualGap, false))
+	for _, v := range []model.VersionID{"v1", "v2"} {
+		f.recordOutcomes(1, 10, outcome(v, usualGap, false))
+		f.recordOutcomes(1, 10, outcome(v, 0, true))
+	}
+	f.advance(2 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Active))
+	f.Expect(f.vms[0].Allowed("s", 0)("v2")).To(BeTrue())
+}
+
+// The answers that a VM saw before it was killed still count.
+func TestEvidenceOfRestartedVMIsKept(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.order()
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 1, outcome("v2", 0, true))
+	f.advance(500 * time.Millisecond)
+	f.vms = nil
+	f.addVM("a")
+	f.order()
+	f.vms[0].Replace(f.table.batch())
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 3, outcome("v2", 0, true))
+	f.advance(time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+	f.Expect(f.state().Verdict.Seen).To(BeNumerically("==", 1))
+	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeEquivalentTo(4))
+}
+
+// evidenceRow is the row with the observations of a VM.
+type evidenceRow struct {
+	Seen shift.Observations `json:"seen"`
+}
+
+func (f *fleet) evidence(vmID string) evidenceRow {
+	var row evidenceRow
+	f.Expect(json.Unmarshal(f.table.rows["evidence/s/"+vmID].Value, &row)).To(Succeed())
+	return row
+}
+
+// Good answers are published too, but seldom.
+func TestGoodAnswersArePublishedAtMostOnceASecond(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	f.order()
+	f.advance(11 * time.Second)
+	writes := f.table.writes
+	for range 40 {
+		f.recordOutcomes(0, 1, outcome("v2", usualGap, false))
+		f.advance(100 * time.Millisecond)
+	}
+	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeNumerically(">", 25))
+	f.Expect(f.table.writes - writes).To(BeNumerically("<=", 5))
+}
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -20,8 +20,6 @@
 	// turnSpreadPerVM extends it if there are many VMs.
 	minTurnSpread   = 200 * time.Millisecond
 	turnSpreadPerVM = 8 * time.Millisecond
-	// minEvidenceInterval is the minimum time between two writes of evidence.
-	minEvidenceInterval = 300 * time.Millisecond
 )
 
 // pendingWrite is a write that is due.
@@ -31,10 +29,10 @@
 	change  watch.Change
 	// evidence is what this VM knows when it decides on the state.
 	evidence shift.Evidence
-	// isEvidence reports that the write is this VM's evidence, with the given
-	// number of failures; otherwise it is the state next.
+	// isEvidence reports that the write is this VM's evidence, published; otherwise it is
+	// the state next.
 	isEvidence bool
-	failures   int64
+	published  observed
 }
 
 // Tick writes the states and the evidence that are due. It does nothing while the
@@ -98,7 +96,7 @@
 		s.localVerdict = next.Verdict
 		m.opts.Log.Warn("new version found bad; stopped on this VM", "service", serviceName, "version", next.Order.To,
 			"metric", next.Verdict.Metric, "seen", next.Verdict.Seen, "reference", next.Verdict.Reference,
-			"fresh", s.evidence().New, "old", s.local.oldVersion)
+			"fresh", s.evidence().New, "old", s.evidence().Old)
 	}
 	if s.dueSince.IsZero() {
 		s.dueSince = m.opts.Clock.Now()
@@ -130,25 +128,6 @@
 	}}, nil
 }
 
-// evidenceWrite returns the write of this VM's evidence if there are new failures of
-// the new version and the last write is at least minEvidenceInterval old.
-func (m *Manager) evidenceWrite(serviceName string, s *serviceState) (pendingWrite, bool) {
-	failures := s.local.newVersion.Failures()
-	if !s.known || s.state.Ended() || failures <= s.publishedFailures ||
-		m.opts.Clock.Since(s.publishedAt) < minEvidenceInterval {
-		return pendingWrite{}, false
-	}
-	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Era: s.state.Order.Era, Seen: s.local.newVersion})
-	if err != nil {
-		m.opts.Log.Error("cannot encode roll-out evidence; nothing written", "service", serviceName, "error", err)
-		return pendingWrite{}, false
-	}
-	s.publishedAt = m.opts.Clock.Now()
-	return pendingWrite{service: serviceName, isEvidence: true, failures: failures, change: watch.Change{
-		Puts: []watch.Put{{Table: m.opts.Table, Key: evidencePrefix + serviceName + "/" + string(m.opts.VM), Value: value}},
-	}}, true
-}
-
 func (m *Manager) commit(ctx context.Context, write pendingWrite) {
 	err := m.opts.Writer.Commit(ctx, write.change)
 	m.mu.Lock()
@@ -156,12 +135,12 @@
 	s := m.getOrCreate(write.service)
 	switch {
 	case err == nil && write.isEvidence:
-		s.publishedFailures = write.failures
+		s.published = write.published
 	case err == nil:
 		e := write.evidence
 		m.opts.Log.Info("roll-out state written", "service", write.service,
 			"to", write.next.Order.To, "phase", write.next.Phase, "step", write.next.Step,
-			"own_good", e.GoodAnswers, "new", e.New, "own_new", s.local.newVersion, "old", e.Old)
+			"new", e.New, "own_new", s.own().New, "old", e.Old)
 	case errorx.IsOfType(err, store.ErrConflict):
 		// Another VM wrote first; its row arrives through the watch.
 		s.dueSince = m.opts.Clock.Now()
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -81,8 +81,8 @@
 	Steps []Step
 	// CompletionLead is how long before the deadline a shift completes.
 	CompletionLead time.Duration
-	// MinGoodAnswers is the minimum number of good answers of the new version
-	// that a VM must have seen itself to make a step after the first.
+	// MinGoodAnswers is the minimum number of good answers of the new version from which
+	// a step after the first is made.
 	MinGoodAnswers int64
 	// RevertEvidence is the evidence against the new version, as a natural
 	// logarithm, from which a shift is reverted. HoldEvidence is that from which
@@ -147,10 +147,10 @@
 
 // Evidence holds the observations of both versions.
 type Evidence struct {
-	// New and Old are the observations of the new and the replaced version.
+	// New and Old are the observations of the new and the replaced version by the same
+	// VMs.
 	New, Old Observations
-	// GoodAnswers is the number of complete answers of the new version at usual
-	// speed that this VM saw itself.
+	// GoodAnswers is the number of answers of the new version at usual speed.
 	GoodAnswers int64
 }
 
@@ -203,10 +203,9 @@
 	return rollout.Compare(e.New.Paced, e.Old.Paced, rollout.Counts{}, p.Tolerance, threshold)
 }
 
-// mayProceed reports whether a VM may make a further step with its evidence: it
-// must have seen enough good answers of the new version, because the absence of
-// failures does not show that it works, and the evidence against the version must
-// be below HoldEvidence.
+// mayProceed reports whether the evidence allows a further step: there must be enough
+// good answers of the new version, because the absence of failures does not show that
+// it works, and the evidence against the version must be below HoldEvidence.
 func (p Plan) mayProceed(e Evidence) bool {
 	if e.GoodAnswers < p.MinGoodAnswers {
 		return false
