Complete a roll-out only on proof that the new version is good

Cause: the absence of proof completed. Two good answers and an evidence against the version below 1 were enough; a step that was held until late was followed by 'complete' 0.3 s later. Class: a decision that can't be undone, taken for want of evidence. Evidence: states 'complete' with 4 failures of 9 answers against 9 of 52, and with 8 slow of 14 against 9 of 83. Change: Plan.Next completes at evidence 2, a natural logarithm, that errors are less than 0.2 and slow answers less than 0.25 above the old version's (rollout.EvidenceNotWorse), steps to all sessions at evidence 1, and lets 0.3 s pass between both. What can't be shown by the deadline stays at its share until the evidence decides: a good version that is late is a missed duty, a bad one that is complete can't be taken back. Weighed: completing (now), which is the fault; reverting, which loses a good version that few requests came to, and gains nothing, as a bad one is still found and reverted then. Why it works: a bad version's good answers are not enough for proof, however few its failures; at 28 answers with 6 failures and an old rate of 0.1 the evidence is -0.9, with 2 failures 3.9. TestAllVMsApplyStepsOfSharedRow expected a completion after five answers; now it expects none after five and one after 25, which is stricter.

--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -49,8 +49,7 @@
 	for o := range maps.Values(s.remote) {
 		total = total.add(o)
 	}
-	good := total.New.Paced.Requests - total.New.Paced.Slow
-	return shift.Evidence{New: total.New, Old: total.Old, GoodAnswers: good}
+	return shift.Evidence{New: total.New, Old: total.Old}
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -138,6 +138,9 @@
 	}
 	f.recordOutcomes(1, 5, outcome("v2", usualGap, false))
 	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Active))
+	f.recordOutcomes(1, 20, outcome("v2", usualGap, false))
+	f.advance(2 * time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Complete))
 	f.Expect(f.vms[2].Allowed("s", 0.9)("v1")).To(BeFalse())
 }
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -101,6 +101,33 @@
 	})
 }
 
+// EvidenceNotWorse returns the logarithm of the evidence that the new version's mean of
+// the metric is less than the old version's mean plus the margin. If it is not, the
+// evidence ever exceeds x with a probability of at most exp(-x). The mean of the old
+// version is taken as known, as far more of its values are observed; it is 0 without
+// any.
+func EvidenceNotWorse(metric Metric, newCounts, oldCounts Counts, margin Tolerance) float64 {
+	oldSamples := oldCounts.metricSamples(margin)
+	for i, newSample := range newCounts.metricSamples(margin) {
+		if newSample.metric != metric {
+			continue
+		}
+		limit := min(oldSamples[i].mean()+newSample.tolerance, 1)
+		if newSample.mean() >= limit {
+			return 0
+		}
+		return newBetaMixture(newSample.sum, newSample.n, goodMean, goodMeanWeight).logRatio(limit)
+	}
+	return 0
+}
+
+// goodMean is a usual mean of errors or slow answers of a good version, and
+// goodMeanWeight the number of values that it counts for.
+const (
+	goodMean       = 0.05
+	goodMeanWeight = 10
+)
+
 // maxBaselineWeight is the maximum number of values that a baseline counts for.
 // It is limited because traffic changes over time.
 const maxBaselineWeight = 500
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -50,8 +50,10 @@
 	// Step is the number of steps made so far. At 0 no session gets the new
 	// version.
 	Step int `json:"step"`
-	// Started is when a VM first saw the order, on the shared clock.
+	// Started is when a VM first saw the order, and Stepped when the last step was made, on
+	// the shared clock.
 	Started time.Duration `json:"started"`
+	Stepped time.Duration `json:"stepped,omitzero"`
 	// Verdict is why the shift was reverted, if it was.
 	Verdict rollout.Verdict `json:"verdict,omitzero"`
 }
@@ -79,11 +81,15 @@
 type Plan struct {
 	// Steps are in increasing order of time and share. The last one has share 1.
 	Steps []Step
-	// CompletionLead is how long before the deadline a shift completes.
-	CompletionLead time.Duration
-	// MinGoodAnswers is the minimum number of good answers of the new version from which
-	// a step after the first is made.
-	MinGoodAnswers int64
+	// CompletionLead is how long before the deadline a shift completes, and MinFullShare
+	// the minimum time with all sessions on the new version before that. A shift whose last
+	// step was late completes after the deadline.
+	CompletionLead, MinFullShare time.Duration
+	// StepProof is the evidence that the new version is good, as a natural logarithm, from
+	// which a step after the first is made. CompletionProof is that from which the shift
+	// completes. A good version is worse than the old one by less than Margin.
+	StepProof, CompletionProof float64
+	Margin                     rollout.Tolerance
 	// RevertEvidence is the evidence against the new version, as a natural
 	// logarithm, from which a shift is reverted. HoldEvidence is that from which
 	// no further step is made.
@@ -118,12 +124,15 @@
 	fullShareTime := exposure * plannedExposureFraction * fullShareFraction
 	firstShare := exposure * plannedExposureFraction * (1 - fullShareFraction) / (1 - fullShareTime - firstStepFraction)
 	return Plan{
-		Steps:          []Step{{AtFraction: firstStepFraction, Share: firstShare}, {AtFraction: 1 - fullShareTime, Share: 1}},
-		CompletionLead: 700 * time.Millisecond,
-		MinGoodAnswers: 2,
-		RevertEvidence: 3,
-		HoldEvidence:   1,
-		Tolerance:      rollout.Tolerance{Errors: 0.02, Slow: 0.1},
+		Steps:           []Step{{AtFraction: firstStepFraction, Share: firstShare}, {AtFraction: 1 - fullShareTime, Share: 1}},
+		CompletionLead:  700 * time.Millisecond,
+		MinFullShare:    300 * time.Millisecond,
+		StepProof:       1,
+		CompletionProof: 2,
+		Margin:          rollout.Tolerance{Errors: 0.2, Slow: 0.25},
+		RevertEvidence:  3,
+		HoldEvidence:    1,
+		Tolerance:       rollout.Tolerance{Errors: 0.02, Slow: 0.1},
 	}
 }
 
@@ -150,8 +159,6 @@
 	// New and Old are the observations of the new and the replaced version by the same
 	// VMs.
 	New, Old Observations
-	// GoodAnswers is the number of answers of the new version at usual speed.
-	GoodAnswers int64
 }
 
 // Begin returns the first state of an order. Now is on the shared clock.
@@ -166,7 +173,8 @@
 }
 
 // Next returns the next state and whether it differs from s. Now is on the shared
-// clock.
+// clock. A version that is not shown to be good by the deadline stays at its share,
+// because it can still be reverted then, and cannot once the shift is complete.
 func (p Plan) Next(s State, now time.Duration, e Evidence) (State, bool) {
 	if s.Ended() {
 		return s, false
@@ -174,21 +182,27 @@
 	if v := p.Verdict(e); v.Bad {
 		return Revert(s, v), true
 	}
-	elapsed := now - s.Started
-	if s.Step == len(p.Steps) {
-		if elapsed >= s.Order.Duration-p.CompletionLead && p.mayProceed(e) {
-			s.Phase = Complete
-			return s, true
+	switch {
+	case s.Step == len(p.Steps):
+		if now < p.completeAfter(s) || !p.isProven(e, p.CompletionProof) {
+			return s, false
 		}
+		s.Phase = Complete
+	case now-s.Started < p.nextStepAfter(s) || s.Step > 0 && !p.isProven(e, p.StepProof):
 		return s, false
+	default:
+		s.Step++
+		s.Stepped = now
 	}
-	if elapsed < p.nextStepAfter(s) || s.Step > 0 && !p.mayProceed(e) {
-		return s, false
-	}
-	s.Step++
 	return s, true
 }
 
+// completeAfter returns the time, on the shared clock, from which a shift after its last
+// step may complete.
+func (p Plan) completeAfter(s State) time.Duration {
+	return max(s.Started+s.Order.Duration-p.CompletionLead, s.Stepped+p.MinFullShare)
+}
+
 // Verdict returns whether the evidence shows that the new version is bad, and on
 // which metric.
 func (p Plan) Verdict(e Evidence) rollout.Verdict {
@@ -203,14 +217,16 @@
 	return rollout.Compare(e.New.Paced, e.Old.Paced, rollout.Counts{}, p.Tolerance, threshold)
 }
 
-// mayProceed reports whether the evidence allows a further step: there must be enough
-// good answers of the new version, because the absence of failures does not show that
-// it works, and the evidence against the version must be below HoldEvidence.
-func (p Plan) mayProceed(e Evidence) bool {
-	if e.GoodAnswers < p.MinGoodAnswers {
+// isProven reports whether the evidence that the new version is good reaches the
+// threshold on errors and on speed, and the evidence against it is below HoldEvidence.
+// The absence of failures among few answers is no proof.
+func (p Plan) isProven(e Evidence, threshold float64) bool {
+	if p.compare(e, p.HoldEvidence).Bad {
 		return false
 	}
-	return !p.compare(e, p.HoldEvidence).Bad
+	errors := rollout.EvidenceNotWorse(rollout.MetricErrors, e.New.Answers, e.Old.Answers, p.Margin)
+	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced, e.Old.Paced, p.Margin)
+	return min(errors, slow) >= threshold
 }
 
 // nextStepAfter returns the time after the start from which the next step may be
--- a/rollout/shift/shift_test.go
+++ b/rollout/shift/shift_test.go
@@ -19,7 +19,7 @@
 
 func healthyEvidence(n int64) shift.Evidence {
 	return shift.Evidence{
-		New: observations(n, 0), GoodAnswers: n, Old: observations(50, 1),
+		New: observations(n, 0), Old: observations(50, 1),
 	}
 }
 
@@ -92,7 +92,7 @@
 // Two good answers among as many failures don't show that a version is good.
 func TestFailingVersionWithFewAnswersIsNotCompleted(t *testing.T) {
 	g := NewWithT(t)
-	e := shift.Evidence{GoodAnswers: 2}
+	var e shift.Evidence
 	e.New = shift.Observations{Answers: rollout.Counts{Requests: 9, Errors: 4}, Paced: rollout.Counts{Requests: 5}}
 	e.Old = shift.Observations{Answers: rollout.Counts{Requests: 52, Errors: 9}, Paced: rollout.Counts{Requests: 43}}
 	g.Expect(atDeadline(e).Phase).NotTo(Equal(shift.Complete))
@@ -106,12 +106,42 @@
 
 func TestSlowVersionWithFewAnswersIsNotCompleted(t *testing.T) {
 	g := NewWithT(t)
-	e := shift.Evidence{GoodAnswers: 4}
+	var e shift.Evidence
 	e.New = shift.Observations{Answers: rollout.Counts{Requests: 14}, Paced: rollout.Counts{Requests: 9, Slow: 4}}
 	e.Old = shift.Observations{Answers: rollout.Counts{Requests: 382}, Paced: rollout.Counts{Requests: 162, Slow: 36}}
 	g.Expect(atDeadline(e).Phase).NotTo(Equal(shift.Complete))
 }
 
+// A version that is bad under load only must carry all sessions for some time before it
+// is complete, even if that takes the shift past its deadline.
+func TestLateStepIsNotFollowedByCompletionAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	plan := shift.DefaultPlan()
+	s := shift.Begin(order, 0)
+	s.Step = 1
+	s, _ = plan.Next(s, order.Duration-50*time.Millisecond, healthyEvidence(30))
+	g.Expect(plan.Share(s)).To(Equal(1.0))
+	s, _ = plan.Next(s, order.Duration+50*time.Millisecond, healthyEvidence(32))
+	g.Expect(s.Phase).To(Equal(shift.Active))
+	s, _ = plan.Next(s, order.Duration+500*time.Millisecond, healthyEvidence(40))
+	g.Expect(s.Phase).To(Equal(shift.Complete))
+}
+
+// Without proof until the deadline, the evidence afterwards decides.
+func TestUnprovenVersionIsDecidedAfterDeadline(t *testing.T) {
+	g := NewWithT(t)
+	plan := shift.DefaultPlan()
+	s := atDeadline(healthyEvidence(4))
+	g.Expect(s.Phase).To(Equal(shift.Active))
+	for now := order.Duration; now < order.Duration+2*time.Second; now += 100 * time.Millisecond {
+		s, _ = plan.Next(s, now, healthyEvidence(30))
+	}
+	g.Expect(s.Phase).To(Equal(shift.Complete))
+	s = atDeadline(healthyEvidence(4))
+	s, _ = plan.Next(s, order.Duration+time.Second, shift.Evidence{New: observations(12, 7), Old: observations(50, 1)})
+	g.Expect(s.Phase).To(Equal(shift.Reverted))
+}
+
 // TestShareNeverShrinksExceptOnRevert uses random evidence. The share must never
 // decrease except to zero on a revert, and the state must not change after the shift
 // has ended.
@@ -125,7 +155,7 @@
 			requests := rapid.Int64Range(0, 40).Draw(rt, "requests")
 			newVersion := observations(requests, rapid.Int64Range(0, requests).Draw(rt, "errors"))
 			next, changed := plan.Next(s, now, shift.Evidence{
-				New: newVersion, GoodAnswers: requests - newVersion.Failures(), Old: observations(60, 1),
+				New: newVersion, Old: observations(60, 1),
 			})
 			if s.Ended() && changed {
 				rt.Fatalf("state %v after the shift ended with %v", next, s)
