Compare a new version also with what the old one did before the first step

Cause: answers of the old version from before the first step, most of them, were mixed with those from after it, and the test treated its rate as hardly known. rollout.Compare has a place for such answers, which shift did not use. Evidence: 18 slow answers of 24, against 30 of 120 from after the step, don't revert; with 120 from before they do. Change: VMs count answers before the first step apart (Before) and pass them to Compare as its baseline, whose prior only sharpens the test; proof takes both together.

--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -22,15 +22,17 @@
 	countsIntervalPerVM = 25 * time.Millisecond
 )
 
-// observed holds the observations of both versions in a shift. Both cover the same VMs
-// and the same time, so that they can be compared.
+// observed holds the observations of both versions in a shift. New and Old cover the
+// same VMs and the same time, from the first step on, so that they can be compared;
+// Before is what the old version did before that step.
 type observed struct {
-	New shift.Observations `json:"seen"`
-	Old shift.Observations `json:"old"`
+	New    shift.Observations `json:"seen"`
+	Old    shift.Observations `json:"old"`
+	Before shift.Observations `json:"before"`
 }
 
 func (o observed) add(p observed) observed {
-	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old)}
+	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before)}
 }
 
 // evidenceRow holds a VM's observations in the shift of an order.
@@ -49,7 +51,7 @@
 	for o := range maps.Values(s.remote) {
 		total = total.add(o)
 	}
-	return shift.Evidence{New: total.New, Old: total.Old}
+	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before}
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -134,8 +134,11 @@
 		return
 	}
 	counted := &s.local.Old
-	if s.isNewVersion(a.Version) {
+	switch {
+	case s.isNewVersion(a.Version):
 		counted = &s.local.New
+	case s.state.Step == 0:
+		counted = &s.local.Before
 	}
 	if counted.Paced.Slow > 0 {
 		counted.Answers = counted.Answers.Sub(slowAnswer.Answers)
@@ -187,6 +190,8 @@
 	case !s.known || s.state.Phase == shift.Reverted:
 	case s.isNewVersion(v):
 		s.local.New = s.local.New.Add(observed)
+	case s.state.Step == 0:
+		s.local.Before = s.local.Before.Add(observed)
 	default:
 		s.local.Old = s.local.Old.Add(observed)
 	}
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -266,23 +266,43 @@
 	return shifts.Outcome{Attempt: shifts.Attempt{Service: "s", Version: v}, Complete: true, FirstEventLatency: latency}
 }
 
-// Some answers of the old version take ten times as long as usual. They must not hide
-// that half of the answers of the new one do.
-func TestSlowAnswersOfPlainServiceRevertVersionDespiteLatencyTail(t *testing.T) {
+// recordPlainAnswers records answers of a plain service: a quarter of those of v1 takes
+// nine times as long as usual, and of 24 of v2 the given number.
+func (f *fleet) recordPlainAnswers(slowAnswers int) {
 	const usual, slow = 15 * time.Millisecond, 130 * time.Millisecond
+	oldVersion := func() {
+		f.recordOutcomes(0, 6, plainAnswer("v1", usual))
+		f.recordOutcomes(0, 2, plainAnswer("v1", slow))
+	}
+	f.advance(time.Second)
+	for range 15 {
+		oldVersion()
+	}
+	f.advance(10 * time.Second)
+	for range 15 {
+		oldVersion()
+	}
+	f.recordOutcomes(0, slowAnswers, plainAnswer("v2", slow))
+	f.recordOutcomes(0, 24-slowAnswers, plainAnswer("v2", usual))
+}
+
+// The slow answers of the old version must not hide that most of the new one's are slow.
+func TestSlowAnswersOfPlainServiceRevertVersionDespiteLatencyTail(t *testing.T) {
 	f := newFleet(t, "a")
 	f.order()
-	f.advance(11 * time.Second)
-	for range 12 {
-		f.recordOutcomes(0, 9, plainAnswer("v1", usual))
-		f.recordOutcomes(0, 1, plainAnswer("v1", slow))
-		f.recordOutcomes(0, 1, plainAnswer("v2", usual))
-		f.recordOutcomes(0, 1, plainAnswer("v2", slow))
-	}
+	f.recordPlainAnswers(18)
 	f.advance(time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
 }
 
+func TestPlainServiceWithManySlowAnswersIsNotCompleted(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordPlainAnswers(13)
+	f.advance(20 * time.Second)
+	f.Expect(f.state().Phase).NotTo(Equal(shift.Complete))
+}
+
 // A VM that saw two good answers must not complete a version that fails on other VMs.
 func TestVMWithTwoGoodAnswersDoesNotCompleteVersionThatFailsElsewhere(t *testing.T) {
 	f := newFleet(t, "a", "b", "c")
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -157,8 +157,9 @@
 // Evidence holds the observations of both versions.
 type Evidence struct {
 	// New and Old are the observations of the new and the replaced version by the same
-	// VMs.
-	New, Old Observations
+	// VMs from the first step on. Before is what the same VMs observed of the replaced
+	// version before that.
+	New, Old, Before Observations
 }
 
 // Begin returns the first state of an order. Now is on the shared clock.
@@ -210,11 +211,11 @@
 }
 
 func (p Plan) compare(e Evidence, threshold float64) rollout.Verdict {
-	v := rollout.Compare(e.New.Answers, e.Old.Answers, rollout.Counts{}, p.Tolerance, threshold)
+	v := rollout.Compare(e.New.Answers, e.Old.Answers, e.Before.Answers, p.Tolerance, threshold)
 	if v.Bad {
 		return v
 	}
-	return rollout.Compare(e.New.Paced, e.Old.Paced, rollout.Counts{}, p.Tolerance, threshold)
+	return rollout.Compare(e.New.Paced, e.Old.Paced, e.Before.Paced, p.Tolerance, threshold)
 }
 
 // isProven reports whether the evidence that the new version is good reaches the
@@ -224,8 +225,9 @@
 	if p.compare(e, p.HoldEvidence).Bad {
 		return false
 	}
-	errors := rollout.EvidenceNotWorse(rollout.MetricErrors, e.New.Answers, e.Old.Answers, p.Margin)
-	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced, e.Old.Paced, p.Margin)
+	old := e.Old.Add(e.Before)
+	errors := rollout.EvidenceNotWorse(rollout.MetricErrors, e.New.Answers, old.Answers, p.Margin)
+	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced, old.Paced, p.Margin)
 	return min(errors, slow) >= threshold
 }
 
