Judge the speed of a stream at its eighth event, and hold a roll-out for overdue attempts

Cause: slow streams were counted while they ran, from the fourth event on, good ones at their end only, seconds later. Until the deadline both versions' counts were of different kinds of answers: few answers at all, with too many slow ones of a good version; and answers that had not begun were not counted at all, so that a slow version looked good by its fast answers. Class: counting what ends early instead of what began. Change: each attempt is a shifts.Running. It is counted once, at its eighth event or at its end, for all versions, and becomes slow later if it slows down. Attempts on the new version without an event, for longer than a slow answer would take, hold 'complete' and the last step as if they were slow; they are no evidence for a verdict, as their upstream may be the cause. Tests: TestOverdueAnswersHoldCompletion fails if overdue attempts aren't counted; TestGoodStreamsInProgressCompleteVersion, TestSlowStreamsInProgressRevertVersion and TestRetractedSlowStreamsDoNotRevertVersion fail if streams are judged at their end only; TestStreamThatGetsSlowCountsOnceAsSlow guards the change from fast to slow.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -31,24 +31,20 @@
 	// expectedWork is how long the upstream was expected to process the prompt.
 	expectedWork time.Duration
 	startedAt    time.Time
+	// running is the attempt as the roll-out of its version sees it.
+	running *shifts.Running
 	// firstAfter is the time from startedAt to the first event, or to the
 	// complete response if it has no events; lastAfter is the time to the newest
-	// event.
+	// event, zero without events.
 	firstAfter, lastAfter time.Duration
-	eventCount            int
 	// maxGap is the longest time between two events.
 	maxGap time.Duration
-	// newConnection reports whether a connection was opened for the attempt.
-	newConnection bool
 	// confidence is the model's confidence in its response, 0 to 100; negative if
 	// it reported none.
 	confidence int
 	// paused reports whether the upstream turned the request away and asked for a pause.
 	// Such an attempt is evidence neither about the upstream nor about its version.
 	paused bool
-	// countedSlow reports whether the attempt has been counted as slow for its
-	// version.
-	countedSlow bool
 }
 
 // versionAttempt describes the attempt for the roll-out of its version.
@@ -66,25 +62,14 @@
 
 // networkLatency returns the part of the time to the first event that the distance to
 // the upstream takes.
-func (a *attempt) networkLatency() time.Duration {
+func (a *attempt) networkLatency(newConnection bool) time.Duration {
 	roundTrip := 2 * a.engine.LinkLatency()
-	if a.newConnection {
+	if newConnection {
 		return 2 * roundTrip
 	}
 	return roundTrip
 }
 
-// minGapEvents is the least number of events from which a mean gap is computed.
-const minGapEvents = 4
-
-// meanGap returns the mean time between events; zero while it is unknown.
-func (a *attempt) meanGap() time.Duration {
-	if a.eventCount < minGapEvents {
-		return 0
-	}
-	return (a.lastAfter - a.firstAfter) / time.Duration(a.eventCount-1)
-}
-
 // send sends the request, records what the response's header reports, and
 // handles the response.
 func (a *attempt) send(ctx context.Context) error {
@@ -104,7 +89,7 @@
 		return err
 	}
 	defer resp.Close()
-	a.newConnection = resp.NewConnection
+	a.running.SetNetworkLatency(a.networkLatency(resp.NewConnection))
 	head := s.Protocol.ReadHead(resp.Status, resp.Header)
 	if head.Leaving {
 		a.engine.MarkLeaving()
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -123,15 +123,6 @@
 	// Allowed returns a filter of the versions that a session at the given
 	// position, 0 to 1, may use.
 	Allowed(service string, position float64) func(model.VersionID) bool
-	// MaxSilence returns the gap between events after which CountIfSlow should be
-	// called; zero for never.
-	MaxSilence(a shifts.Attempt) time.Duration
-	// CountIfSlow reports whether the gap between events of a running attempt is too
-	// long for a good version. If so, it counts the attempt as slow.
-	CountIfSlow(a shifts.Attempt, gap time.Duration) bool
-	// RetractSlow undoes the count made by CountIfSlow, because the upstream was at fault
-	// and not its version.
-	RetractSlow(a shifts.Attempt)
-	// RecordOutcome records the end of an attempt.
-	RecordOutcome(o shifts.Outcome)
+	// Begin registers an attempt in progress. End must be called on the result.
+	Begin(a shifts.Attempt) *shifts.Running
 }
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -207,6 +207,7 @@
 	a := &attempt{exchange: x, engine: e, startedAt: startedAt, expectedWait: e.ExpectedWait(), confidence: -1}
 	a.model, a.expectedWork = x.model(), x.expectedWork()
 	a.tracked = e.Begin(a.expectedWork)
+	a.running = x.server.Versions.Begin(a.versionAttempt())
 	if a.expectedWork >= minAnnouncedWork {
 		x.server.AnnounceWork(e.Upstream(), a.expectedWork)
 	}
@@ -237,15 +238,7 @@
 			a.reportSilence(took)
 		}
 	}
-	if a.countedSlow && errorx.IsOfType(err, upconn.ErrBroken) && !errorx.IsOfType(err, errFailed) {
-		x.server.Versions.RetractSlow(a.versionAttempt())
-	}
-	if a.countsForVersion(err, inconclusive) {
-		x.server.Versions.RecordOutcome(shifts.Outcome{
-			Attempt: a.versionAttempt(), Failed: errorx.IsOfType(err, errFailed), Complete: err == nil,
-			FirstEventLatency: a.firstAfter, NetworkLatency: a.networkLatency(), MeanGap: a.meanGap(), CountedSlow: a.countedSlow,
-		})
-	}
+	a.running.End(a.versionResult(err, inconclusive))
 	if err == nil && x.retriedFailure {
 		x.server.RepeatEstimator.Record(x.route.Name, true)
 	}
@@ -262,23 +255,25 @@
 	a.exchange.server.AnnounceSilence(a.engine.Upstream())
 }
 
-// countsForVersion reports whether the end of an attempt is evidence about its
-// version. A broken connection is evidence about the upstream only, and so is an
-// upstream that sends nothing, unless it responded to other requests meanwhile. In
-// that case the time so far is used as the time to first event.
-func (a *attempt) countsForVersion(err error, inconclusive bool) bool {
+// versionResult returns what the end of an attempt says about its version. A broken
+// connection is evidence about the upstream only, and so is an upstream that sends
+// nothing, unless it responded to other requests meanwhile.
+func (a *attempt) versionResult(err error, inconclusive bool) shifts.Result {
 	switch {
-	case err == nil, errorx.IsOfType(err, errFailed) && !a.paused, errorx.IsOfType(err, errLowConfidence):
-		return true
-	case inconclusive || !errorx.IsOfType(err, upconn.ErrSilent) || a.firstAfter > 0:
-		return false
-	}
-	elapsed := a.exchange.server.Clock.Since(a.startedAt)
-	if a.engine.SinceLastReceived() >= elapsed {
-		return false
+	case err == nil, errorx.IsOfType(err, errLowConfidence):
+		return shifts.Succeeded
+	case inconclusive:
+		return shifts.Inconclusive
+	case errorx.IsOfType(err, errFailed):
+		return shifts.Failed
+	case errorx.IsOfType(err, upconn.ErrBroken):
+		return shifts.Broken
+	case !errorx.IsOfType(err, upconn.ErrSilent) || a.firstAfter > 0:
+		return shifts.Inconclusive
+	case a.engine.SinceLastReceived() >= a.exchange.server.Clock.Since(a.startedAt):
+		return shifts.Inconclusive
 	}
-	a.firstAfter = elapsed
-	return true
+	return shifts.Overdue
 }
 
 // logAttempt counts the attempt by outcome and appends it to the log of the
@@ -301,7 +296,7 @@
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
 		First: a.firstAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
-		Gap: a.meanGap().Milliseconds(), Slow: a.countedSlow,
+		Gap: a.running.MeanGap().Milliseconds(), Slow: a.running.IsSlow(),
 	}
 	if a.confidence >= 0 {
 		record.Confidence = &a.confidence
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -86,21 +86,18 @@
 	if a.firstAfter == 0 {
 		a.firstAfter = a.exchange.server.Clock.Since(a.startedAt)
 		a.exchange.server.prefill.observe(a.model, a.exchange.request.PromptTokens, a.firstAfter)
+		a.running.RecordFirst()
 	}
 }
 
-// recordEvent updates the gaps between events and counts the attempt if it is too
-// slow for its version.
+// recordEvent records an event of a stream.
 func (a *attempt) recordEvent() {
-	a.eventCount++
 	at := a.exchange.server.Clock.Since(a.startedAt)
-	if a.eventCount > 1 {
+	if a.lastAfter > 0 {
 		a.maxGap = max(a.maxGap, at-a.lastAfter)
 	}
 	a.lastAfter = at
-	if gap := a.meanGap(); gap > 0 && !a.countedSlow {
-		a.countedSlow = a.exchange.server.Versions.CountIfSlow(a.versionAttempt(), gap)
-	}
+	a.running.RecordEvent()
 }
 
 // eventBuffer splits a stream into complete server-sent events.
@@ -187,11 +184,7 @@
 // time. Meanwhile, a pause that is too long for a good version is counted against
 // the attempt's version.
 func (a *attempt) readMonitored(resp *upconn.Response, buf []byte, wait time.Duration) (int, error) {
-	versions := a.exchange.server.Versions
-	slowAfter := time.Duration(0)
-	if a.firstAfter > 0 && !a.countedSlow {
-		slowAfter = versions.MaxSilence(a.versionAttempt())
-	}
+	slowAfter := a.running.MaxSilence()
 	if slowAfter <= 0 || slowAfter >= wait {
 		return resp.Read(buf, wait, a.onSilence)
 	}
@@ -201,7 +194,7 @@
 			return a.onSilence()
 		}
 		slowChecked = true
-		a.countedSlow = versions.CountIfSlow(a.versionAttempt(), slowAfter)
+		a.running.RecordSilence()
 		return wait - slowAfter
 	})
 }
--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -29,12 +29,18 @@
 	New    shift.Observations `json:"seen"`
 	Old    shift.Observations `json:"old"`
 	Before shift.Observations `json:"before"`
+	// Overdue is the number of attempts in progress on the new version that are slow, as far
+	// as their first event shows.
+	Overdue int64 `json:"overdue,omitzero"`
 }
 
 func (o observed) add(p observed) observed {
-	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before)}
+	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before), Overdue: o.Overdue + p.Overdue}
 }
 
+// problems returns the number of failures and of overdue attempts of the new version.
+func (o observed) problems() int64 { return o.New.Failures() + o.Overdue }
+
 // evidenceRow holds a VM's observations in the shift of an order.
 type evidenceRow struct {
 	Order int64 `json:"order"`
@@ -43,15 +49,25 @@
 }
 
 // own returns what this VM observed, also before it was restarted.
-func (s *serviceState) own() observed { return s.inherited.add(s.local) }
+func (m *Manager) own(s *serviceState) observed {
+	own := s.inherited.add(s.local)
+	own.Overdue = 0
+	now := m.opts.Clock.Now()
+	for r := range s.unanswered {
+		if r.isOverdue(s, now) {
+			own.Overdue++
+		}
+	}
+	return own
+}
 
 // evidence merges the observations of all VMs.
-func (s *serviceState) evidence() shift.Evidence {
-	total := s.own()
+func (m *Manager) evidence(s *serviceState) shift.Evidence {
+	total := m.own(s)
 	for o := range maps.Values(s.remote) {
 		total = total.add(o)
 	}
-	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before}
+	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before, Overdue: total.Overdue}
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
@@ -77,12 +93,13 @@
 	if !s.known || s.state.Ended() {
 		return false
 	}
-	own, elapsed := s.own(), m.opts.Clock.Since(s.publishedAt)
-	if own.New.Failures() > s.published.New.Failures() {
+	own, elapsed := m.own(s), m.opts.Clock.Since(s.publishedAt)
+	if own.problems() > s.published.problems() {
 		return elapsed >= minEvidenceInterval
 	}
 	interval := max(minCountsInterval, time.Duration(m.opts.VMCount())*countsIntervalPerVM)
-	return own.New.Answers.Requests > s.published.New.Answers.Requests && elapsed >= interval
+	changed := own.New.Answers.Requests > s.published.New.Answers.Requests || own.Overdue != s.published.Overdue
+	return changed && elapsed >= interval
 }
 
 // evidenceWrite returns the write of this VM's evidence, if it is due.
@@ -90,7 +107,7 @@
 	if !m.evidenceDue(s) {
 		return pendingWrite{}, false
 	}
-	own := s.own()
+	own := m.own(s)
 	value, err := json.Marshal(evidenceRow{Order: s.state.Order.ID, Era: s.state.Order.Era, observed: own})
 	if err != nil {
 		m.opts.Log.Error("cannot encode roll-out evidence; nothing written", "service", serviceName, "error", err)
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -83,6 +83,8 @@
 	local, inherited observed
 	// remote holds what the other VMs published.
 	remote map[vm.ID]observed
+	// unanswered holds the attempts in progress on the new version without an event yet.
+	unanswered map[*Running]struct{}
 	// published is what this VM last published; publishedAt is the time of the last
 	// attempt, zero before the first one.
 	published   observed
@@ -111,7 +113,10 @@
 func (m *Manager) getOrCreate(serviceName string) *serviceState {
 	s := m.byService[serviceName]
 	if s == nil {
-		s = &serviceState{remote: make(map[vm.ID]observed), latencyModels: make(map[string]*latencyModel)}
+		s = &serviceState{
+			remote: make(map[vm.ID]observed), unanswered: make(map[*Running]struct{}),
+			latencyModels: make(map[string]*latencyModel),
+		}
 		m.byService[serviceName] = s
 	}
 	return s
@@ -209,6 +214,7 @@
 	if !s.known || !m.isSameOrder(state.Order, s.state.Order) {
 		s.local, s.inherited = observed{}, observed{}
 		clear(s.remote)
+		clear(s.unanswered)
 		s.localVerdict = rollout.Verdict{}
 	}
 	if state.Order != s.state.Order {
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -25,8 +25,6 @@
 	Attempt
 	// Failed reports that the attempt failed because of the upstream.
 	Failed bool
-	// Complete reports that the complete answer was received.
-	Complete bool
 	// FirstEventLatency is the time to the first event or, if the answer has no events, to
 	// the answer. Zero means unknown.
 	FirstEventLatency time.Duration
@@ -34,8 +32,6 @@
 	NetworkLatency time.Duration
 	// MeanGap is the mean time between events. Zero means unknown.
 	MeanGap time.Duration
-	// CountedSlow reports that Manager.CountIfSlow has already counted the attempt.
-	CountedSlow bool
 }
 
 const (
@@ -93,75 +89,19 @@
 	return s.known && v == s.state.Order.To
 }
 
-// MaxSilence returns the time without events after which the caller passes that
-// time to Manager.CountIfSlow. Zero means that it need not do so: no shift is in progress,
-// or the usual time between events is not known.
-func (m *Manager) MaxSilence(a Attempt) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.getOrCreate(a.Service)
-	gap := s.latencyModel(a.Kind).eventGap
-	if !s.known || s.state.Ended() || gap.samples < minLatencySamples {
-		return 0
-	}
-	return time.Duration(silenceFactor * slowFactor * gap.value * float64(time.Second))
-}
-
-// CountIfSlow reports whether the events of an attempt in progress arrive too slowly, given
-// their mean time between events or the time since the last one. If so it counts the
-// attempt as slow without waiting for its end, which may be much later.
-func (m *Manager) CountIfSlow(a Attempt, gap time.Duration) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.getOrCreate(a.Service)
-	if !s.known || s.state.Ended() || !s.latencyModel(a.Kind).eventGap.isSlow(gap.Seconds()) {
-		return false
-	}
-	s.record(a.Version, slowAnswer)
-	return true
+// judge converts an outcome to counts.
+func (s *serviceState) judge(o Outcome) shift.Observations {
+	return o.observations(s.latencyModel(o.Kind))
 }
 
-// slowAnswer counts one attempt in progress as slow.
-var slowAnswer = shift.Observations{Answers: rollout.Counts{Requests: 1}, Paced: rollout.Counts{Requests: 1, Slow: 1}}
-
-// RetractSlow removes the count of an attempt that Manager.CountIfSlow counted as slow, because
-// the upstream and not the version was the cause.
-func (m *Manager) RetractSlow(a Attempt) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.getOrCreate(a.Service)
-	if s.state.Ended() {
+// learn updates the usual latency by an attempt on another version than the new one.
+func (s *serviceState) learn(o Outcome) {
+	if s.isNewVersion(o.Version) {
 		return
 	}
-	counted := &s.local.Old
-	switch {
-	case s.isNewVersion(a.Version):
-		counted = &s.local.New
-	case s.state.Step == 0:
-		counted = &s.local.Before
-	}
-	if counted.Paced.Slow > 0 {
-		counted.Answers = counted.Answers.Sub(slowAnswer.Answers)
-		counted.Paced = counted.Paced.Sub(slowAnswer.Paced)
-	}
-}
-
-// RecordOutcome records the result of an attempt that has ended. Attempts on other versions
-// than the new one also update the usual latency.
-func (m *Manager) RecordOutcome(o Outcome) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.getOrCreate(o.Service)
 	usual := s.latencyModel(o.Kind)
-	observed := o.observations(usual)
-	if !s.isNewVersion(o.Version) {
-		usual.firstEvent.add(o.firstEventRatio())
-		usual.eventGap.add(o.MeanGap.Seconds())
-	}
-	if o.CountedSlow {
-		return
-	}
-	s.record(o.Version, observed)
+	usual.firstEvent.add(o.firstEventRatio())
+	usual.eventGap.add(o.MeanGap.Seconds())
 }
 
 // observations converts an outcome to counts. Whether an answer without a mean gap
@@ -183,16 +123,14 @@
 	return observed
 }
 
-// record adds to this VM's observations of a version, unless there is no shift or it
-// was reverted.
-func (s *serviceState) record(v model.VersionID, observed shift.Observations) {
+// counts returns this VM's observations of a version at the current step.
+func (s *serviceState) counts(v model.VersionID) *shift.Observations {
 	switch {
-	case !s.known || s.state.Phase == shift.Reverted:
 	case s.isNewVersion(v):
-		s.local.New = s.local.New.Add(observed)
+		return &s.local.New
 	case s.state.Step == 0:
-		s.local.Before = s.local.Before.Add(observed)
+		return &s.local.Before
 	default:
-		s.local.Old = s.local.Old.Add(observed)
+		return &s.local.Old
 	}
 }
--- /dev/null
+++ b/internal/shifts/running.go
@@ -0,0 +1,212 @@
+package shifts
+
+import (
+	"time"
+
+	"github.com/poplarshore/poplarshore/rollout"
+	"github.com/poplarshore/poplarshore/rollout/shift"
+)
+
+const (
+	// judgedEvents is the number of events of a stream from which its speed is judged.
+	// Streams of all versions are judged there and not at their end: a slow stream takes
+	// long to end, and would be counted late.
+	judgedEvents = 8
+	// minGapEvents is the least number of events from which the mean gap of a stream that
+	// ended is known.
+	minGapEvents = 4
+)
+
+// Running is an attempt in progress. It is counted once: when its speed is judged, or at
+// its end. It may be used by one goroutine at a time.
+type Running struct {
+	manager   *Manager
+	attempt   Attempt
+	startedAt time.Time
+	// network is the part of the time to the first event that the distance takes.
+	network time.Duration
+	// firstAfter is the time from the start to the first event, lastAfter to the newest
+	// one; zero before the first.
+	firstAfter, lastAfter time.Duration
+	events                int
+	// counted is where the attempt was counted, in the shift of order, and recorded as
+	// what; nil while it was not counted.
+	counted  *shift.Observations
+	order    shift.Order
+	recorded shift.Observations
+}
+
+// Begin registers an attempt in progress. Running.End must be called on the result.
+func (m *Manager) Begin(a Attempt) *Running {
+	r := &Running{manager: m, attempt: a, startedAt: m.opts.Clock.Now()}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.getOrCreate(a.Service)
+	if s.isNewVersion(a.Version) && !s.state.Ended() {
+		s.unanswered[r] = struct{}{}
+	}
+	return r
+}
+
+// SetNetworkLatency sets the part of the time to the first event that the distance to the
+// upstream takes.
+func (r *Running) SetNetworkLatency(d time.Duration) { r.network = d }
+
+// RecordFirst records the first event or, if the answer has no events, the answer. Calls
+// after the first one have no effect.
+func (r *Running) RecordFirst() {
+	if r.firstAfter > 0 {
+		return
+	}
+	m := r.manager
+	r.firstAfter = m.opts.Clock.Since(r.startedAt)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.getOrCreate(r.attempt.Service).unanswered, r)
+}
+
+// RecordEvent records an event of a stream.
+func (r *Running) RecordEvent() {
+	r.RecordFirst()
+	m := r.manager
+	r.events++
+	r.lastAfter = m.opts.Clock.Since(r.startedAt)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.getOrCreate(r.attempt.Service)
+	switch {
+	case r.events < judgedEvents:
+	case r.counted == nil:
+		r.count(s, s.judge(r.outcome()))
+	case s.latencyModel(r.attempt.Kind).eventGap.isSlow(r.MeanGap().Seconds()):
+		r.countSlow(s)
+	}
+}
+
+// MeanGap returns the mean time between events; zero while it is unknown.
+func (r *Running) MeanGap() time.Duration {
+	if r.events < minGapEvents {
+		return 0
+	}
+	return (r.lastAfter - r.firstAfter) / time.Duration(r.events-1)
+}
+
+// IsSlow reports whether the attempt was counted as slow.
+func (r *Running) IsSlow() bool { return r.recorded.Paced.Slow > 0 }
+
+// MaxSilence returns the time without events after which the caller should call
+// RecordSilence. Zero means that it need not do so: the attempt was counted as slow, no
+// shift is in progress, or the usual time between events is not known.
+func (r *Running) MaxSilence() time.Duration {
+	m := r.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.getOrCreate(r.attempt.Service)
+	gap := s.latencyModel(r.attempt.Kind).eventGap
+	if r.firstAfter == 0 || r.IsSlow() || !s.known || s.state.Ended() || gap.samples < minLatencySamples {
+		return 0
+	}
+	return time.Duration(silenceFactor * slowFactor * gap.value * float64(time.Second))
+}
+
+// RecordSilence counts the attempt as slow because no event came for MaxSilence. Its end
+// may be much later.
+func (r *Running) RecordSilence() {
+	m := r.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.countSlow(m.getOrCreate(r.attempt.Service))
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// Results. Inconclusive attempts say nothing about their version.
+const (
+	Succeeded Result = iota
+	Failed
+	// Overdue means that the upstream answers, but not this attempt: the time so far
+	// counts as the time to its first event.
+	Overdue
+	// Broken means that the connection broke, which is the upstream's fault and not its
+	// version's.
+	Broken
+	Inconclusive
+)
+
+// End records the end of the attempt.
+func (r *Running) End(result Result) {
+	m := r.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.getOrCreate(r.attempt.Service)
+	delete(s.unanswered, r)
+	switch result {
+	case Broken:
+		r.retract(s)
+		return
+	case Inconclusive:
+		return
+	case Overdue:
+		r.firstAfter = m.opts.Clock.Since(r.startedAt)
+	}
+	o := r.outcome()
+	o.Failed = result == Failed
+	r.finish(s, o)
+}
+
+func (r *Running) outcome() Outcome {
+	return Outcome{Attempt: r.attempt, FirstEventLatency: r.firstAfter, NetworkLatency: r.network, MeanGap: r.MeanGap()}
+}
+
+// The caller of the following methods holds the manager's mu.
+
+// finish learns from the outcome and counts the attempt, unless it was counted before.
+func (r *Running) finish(s *serviceState, o Outcome) {
+	observed := s.judge(o)
+	s.learn(o)
+	if r.counted == nil {
+		r.count(s, observed)
+	}
+}
+
+// count counts the attempt.
+func (r *Running) count(s *serviceState, observed shift.Observations) {
+	if !s.known || s.state.Ended() {
+		return
+	}
+	r.counted, r.order, r.recorded = s.counts(r.attempt.Version), s.state.Order, observed
+	*r.counted = r.counted.Add(observed)
+}
+
+// countSlow counts the attempt as slow, also if it was counted before as fast.
+func (r *Running) countSlow(s *serviceState) {
+	switch {
+	case r.IsSlow():
+	case r.counted == nil:
+		r.count(s, shift.Observations{Answers: rollout.Counts{Requests: 1}, Paced: rollout.Counts{Requests: 1, Slow: 1}})
+	case r.isCurrent(s):
+		slow := shift.Observations{Paced: rollout.Counts{Requests: 1 - r.recorded.Paced.Requests, Slow: 1}}
+		r.recorded = r.recorded.Add(slow)
+		*r.counted = r.counted.Add(slow)
+	}
+}
+
+// retract undoes the count.
+func (r *Running) retract(s *serviceState) {
+	if r.counted != nil && r.isCurrent(s) {
+		*r.counted = r.counted.Sub(r.recorded)
+	}
+}
+
+// isCurrent reports whether the shift in which the attempt was counted is in progress.
+func (r *Running) isCurrent(s *serviceState) bool {
+	return r.order == s.state.Order && !s.state.Ended()
+}
+
+// isOverdue reports whether the first event takes longer than is usual for slow answers.
+func (r *Running) isOverdue(s *serviceState, now time.Time) bool {
+	o := r.outcome()
+	o.FirstEventLatency = now.Sub(r.startedAt)
+	return s.latencyModel(r.attempt.Kind).firstEvent.isSlow(o.firstEventRatio())
+}
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -110,7 +110,7 @@
 func outcome(v model.VersionID, gap time.Duration, failed bool) shifts.Outcome {
 	return shifts.Outcome{
 		Attempt: shifts.Attempt{Service: "s", Version: v, Kind: "m", PromptTokens: 100},
-		Failed:  failed, Complete: !failed, FirstEventLatency: 100 * time.Millisecond, MeanGap: gap,
+		Failed:  failed, FirstEventLatency: 100 * time.Millisecond, MeanGap: gap,
 	}
 }
 
@@ -176,17 +176,31 @@
 	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
 }
 
+// stream starts a stream on the first VM and advances the clock by its first events, with
+// the given gap between them.
+func (f *fleet) stream(v model.VersionID, events int, gap time.Duration) *shifts.Running {
+	r := f.vms[0].Begin(outcome(v, 0, false).Attempt)
+	f.clock.Advance(100 * time.Millisecond)
+	for i := range events {
+		if i > 0 {
+			f.clock.Advance(gap)
+		}
+		r.RecordEvent()
+	}
+	return r
+}
+
 func TestSlowStreamsInProgressRevertVersion(t *testing.T) {
 	f := newFleet(t, "a")
 	f.order()
 	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
 	f.advance(11 * time.Second)
 	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
-	attempt := outcome("v2", 0, false).Attempt
-	f.Expect(f.vms[0].MaxSilence(attempt)).To(BeNumerically(">", usualGap))
-	f.Expect(f.vms[0].CountIfSlow(attempt, 2*usualGap)).To(BeFalse())
+	fast := f.stream("v2", 10, 2*usualGap)
+	f.Expect(fast.IsSlow()).To(BeFalse())
+	f.Expect(fast.MaxSilence()).To(BeNumerically(">", usualGap))
 	for range 6 {
-		f.Expect(f.vms[0].CountIfSlow(attempt, 8*usualGap)).To(BeTrue())
+		f.Expect(f.stream("v2", 10, 8*usualGap).IsSlow()).To(BeTrue())
 	}
 	f.advance(time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
@@ -198,13 +212,79 @@
 	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
 	f.advance(11 * time.Second)
 	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
-	attempt := outcome("v2", 0, false).Attempt
 	for range 6 {
-		f.vms[0].CountIfSlow(attempt, 8*usualGap)
-		f.vms[0].RetractSlow(attempt)
+		broken := f.stream("v2", 10, 8*usualGap)
+		f.Expect(broken.IsSlow()).To(BeTrue())
+		broken.End(shifts.Broken)
+	}
+	f.advance(time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Active))
+}
+
+func TestSilentStreamsRevertVersion(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	for range 6 {
+		f.stream("v2", 2, usualGap).RecordSilence()
+	}
+	f.advance(time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+}
+
+// Streams that go on for longer than the roll-out must count for a good version, too.
+func TestGoodStreamsInProgressCompleteVersion(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	for range 30 {
+		f.Expect(f.stream("v2", 10, usualGap/10).IsSlow()).To(BeFalse())
+	}
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
+}
+
+// A stream may be fast in its beginning, and slow later.
+func TestStreamThatGetsSlowCountsOnceAsSlow(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	r := f.stream("v2", 10, usualGap)
+	for range 30 {
+		f.clock.Advance(8 * usualGap)
+		r.RecordEvent()
 	}
+	r.End(shifts.Succeeded)
 	f.advance(time.Second)
+	seen := f.evidence("a").Seen
+	f.Expect(seen.Answers.Requests).To(BeEquivalentTo(1))
+	f.Expect(seen.Paced.Requests).To(BeEquivalentTo(1))
+	f.Expect(seen.Paced.Slow).To(BeEquivalentTo(1))
+}
+
+// Answers that take long are known late. While they are awaited, the few fast ones don't
+// complete the version.
+func TestOverdueAnswersHoldCompletion(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	var running []*shifts.Running
+	for range 12 {
+		running = append(running, f.vms[0].Begin(outcome("v2", 0, false).Attempt))
+	}
+	f.recordOutcomes(1, 25, outcome("v2", usualGap, false))
+	f.advance(9 * time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Active))
+	for _, r := range running {
+		r.End(shifts.Inconclusive)
+	}
+	f.advance(2 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
 }
 
 func TestRestartedVMResumesShiftAtCurrentStep(t *testing.T) {
@@ -263,7 +343,7 @@
 
 // plainAnswer is a good answer of a service without prompts.
 func plainAnswer(v model.VersionID, latency time.Duration) shifts.Outcome {
-	return shifts.Outcome{Attempt: shifts.Attempt{Service: "s", Version: v}, Complete: true, FirstEventLatency: latency}
+	return shifts.Outcome{Attempt: shifts.Attempt{Service: "s", Version: v}, FirstEventLatency: latency}
 }
 
 // recordPlainAnswers records answers of a plain service: a quarter of those of v1 takes
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -85,7 +85,7 @@
 	} else if s.known && s.localVerdict.Bad && !s.state.Ended() {
 		next, changed = shift.Revert(next, s.localVerdict), true
 	} else if s.known {
-		next, changed = m.opts.Plan.Next(next, now, s.evidence())
+		next, changed = m.opts.Plan.Next(next, now, m.evidence(s))
 		changed = changed || next != s.row
 	}
 	if !changed {
@@ -96,7 +96,7 @@
 		s.localVerdict = next.Verdict
 		m.opts.Log.Warn("new version found bad; stopped on this VM", "service", serviceName, "version", next.Order.To,
 			"metric", next.Verdict.Metric, "seen", next.Verdict.Seen, "reference", next.Verdict.Reference,
-			"fresh", s.evidence().New, "old", s.evidence().Old)
+			"fresh", m.evidence(s).New, "old", m.evidence(s).Old)
 	}
 	if s.dueSince.IsZero() {
 		s.dueSince = m.opts.Clock.Now()
@@ -121,7 +121,7 @@
 		return pendingWrite{}, err
 	}
 	key := stateKey(serviceName, m.era)
-	return pendingWrite{service: serviceName, next: next, evidence: s.evidence(), change: watch.Change{
+	return pendingWrite{service: serviceName, next: next, evidence: m.evidence(s), change: watch.Change{
 		Era:      m.era,
 		Expected: []watch.Expect{{Table: m.opts.Table, Key: key, Revision: s.revision}},
 		Puts:     append(announcements, watch.Put{Table: m.opts.Table, Key: key, Value: value}),
@@ -140,7 +140,7 @@
 		e := write.evidence
 		m.opts.Log.Info("roll-out state written", "service", write.service,
 			"to", write.next.Order.To, "phase", write.next.Phase, "step", write.next.Step,
-			"new", e.New, "own_new", s.own().New, "old", e.Old)
+			"new", e.New, "own_new", m.own(s).New, "old", e.Old)
 	case errorx.IsOfType(err, store.ErrConflict):
 		// Another VM wrote first; its row arrives through the watch.
 		s.dueSince = m.opts.Clock.Now()
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -151,6 +151,11 @@
 	return Observations{Answers: s.Answers.Add(o.Answers), Paced: s.Paced.Add(o.Paced)}
 }
 
+// Sub returns s minus other.
+func (s Observations) Sub(other Observations) Observations {
+	return Observations{Answers: s.Answers.Sub(other.Answers), Paced: s.Paced.Sub(other.Paced)}
+}
+
 // Failures returns the number of errors and slow answers.
 func (s Observations) Failures() int64 { return s.Answers.Errors + s.Paced.Slow }
 
@@ -160,6 +165,9 @@
 	// VMs from the first step on. Before is what the same VMs observed of the replaced
 	// version before that.
 	New, Old, Before Observations
+	// Overdue is the number of attempts in progress on the new version that will be slow
+	// if they succeed. They may fail for another reason than their version.
+	Overdue int64
 }
 
 // Begin returns the first state of an order. Now is on the shared clock.
@@ -226,8 +234,9 @@
 		return false
 	}
 	old := e.Old.Add(e.Before)
+	paced := e.New.Paced.Add(rollout.Counts{Requests: e.Overdue, Slow: e.Overdue})
 	errors := rollout.EvidenceNotWorse(rollout.MetricErrors, e.New.Answers, old.Answers, p.Margin)
-	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced, old.Paced, p.Margin)
+	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, paced, old.Paced, p.Margin)
 	return min(errors, slow) >= threshold
 }
 
