Judge a stream by its typical gap, which prompts of other requests don't stretch

Cause: the mean of a stream's first gaps holds the pauses in which its engine prefills the prompts of others (up to 0.5 s, gaps are 25 to 60 ms), so that 40 in 100 streams of the old version were 'slow' too; and seven or eight usual gaps of silence are no more than such a pause. Evidence: 'old' of the states: paced 236, slow 91; v1's longest pauses 0.3 to 0.5 s for one stream in ten. Change: the median of the first eight gaps, for the judgement and for what is usual, both at the ninth event; silence counts from 20 usual gaps and 0.8 s on. Tests: TestPausedStreamIsNotSlow fails with the mean. TestStreamThatBecomesSilentCountsOnceAsSlow takes the place of TestStreamThatGetsSlowCountsOnceAsSlow: each stream is judged once, as the long-running ones of the old version would otherwise be judged more often; a slow-down after the ninth event counts by its silence and by the streams that begin then.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -88,7 +88,7 @@
 	First int64 `json:"first,omitempty"`
 	// Pause is the longest time between two events, in ms.
 	Pause int64 `json:"pause,omitempty"`
-	// Gap is the mean time between two events, in ms; 0 if it is unknown.
+	// Gap is the usual time between two events, in ms; 0 if it is unknown.
 	Gap int64 `json:"gap,omitempty"`
 	// Slow reports whether the attempt was counted as slow for its version while it ran.
 	Slow bool `json:"slow,omitempty"`
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -296,7 +296,7 @@
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
 		First: a.firstAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
-		Gap: a.running.MeanGap().Milliseconds(), Slow: a.running.IsSlow(),
+		Gap: a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
 	}
 	if a.confidence >= 0 {
 		record.Confidence = &a.confidence
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -30,8 +30,8 @@
 	FirstEventLatency time.Duration
 	// NetworkLatency is the part of it that the distance to the upstream takes.
 	NetworkLatency time.Duration
-	// MeanGap is the mean time between events. Zero means unknown.
-	MeanGap time.Duration
+	// TypicalGap is the usual time between events. Zero means unknown.
+	TypicalGap time.Duration
 }
 
 const (
@@ -41,10 +41,11 @@
 	// minLatencySamples is the minimum number of answers of other versions than
 	// the new one from which a usual time is known.
 	minLatencySamples = 6
-	// silenceFactor is the number of slow gaps that a single gap without events
-	// has to last to count as slow. An upstream pauses all streams while it prefills
-	// a long prompt.
-	silenceFactor = 4
+	// silenceFactor is the number of usual gaps, and minSlowSilence the time, that a single
+	// gap has to last at least to count as slow. An upstream pauses all streams while it
+	// prefills a long prompt.
+	silenceFactor  = 20
+	minSlowSilence = 800 * time.Millisecond
 	// firstEventBase plus firstEventPerToken for each prompt token is the
 	// nominal time to the first event.
 	firstEventBase     = 80 * time.Millisecond
@@ -101,10 +102,10 @@
 	}
 	usual := s.latencyModel(o.Kind)
 	usual.firstEvent.add(o.firstEventRatio())
-	usual.eventGap.add(o.MeanGap.Seconds())
+	usual.eventGap.add(o.TypicalGap.Seconds())
 }
 
-// observations converts an outcome to counts. Whether an answer without a mean gap
+// observations converts an outcome to counts. Whether an answer without a typical gap
 // is slow shows only if its first event is late, so that otherwise its speed is not
 // counted. For a request without a prompt the whole answer is the first event, so
 // that its speed is always counted.
@@ -115,9 +116,9 @@
 		observed.Answers.Errors = 1
 		return observed
 	}
-	if usual.firstEvent.isSlow(o.firstEventRatio()) || usual.eventGap.isSlow(o.MeanGap.Seconds()) {
+	if usual.firstEvent.isSlow(o.firstEventRatio()) || usual.eventGap.isSlow(o.TypicalGap.Seconds()) {
 		observed.Paced = rollout.Counts{Requests: 1, Slow: 1}
-	} else if o.MeanGap > 0 || o.PromptTokens == 0 {
+	} else if o.TypicalGap > 0 || o.PromptTokens == 0 {
 		observed.Paced.Requests = 1
 	}
 	return observed
--- a/internal/shifts/running.go
+++ b/internal/shifts/running.go
@@ -1,6 +1,7 @@
 package shifts
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/rollout"
@@ -8,13 +9,12 @@
 )
 
 const (
-	// judgedEvents is the number of events of a stream from which its speed is judged.
-	// Streams of all versions are judged there and not at their end: a slow stream takes
-	// long to end, and would be counted late.
-	judgedEvents = 8
-	// minGapEvents is the least number of events from which the mean gap of a stream that
-	// ended is known.
-	minGapEvents = 4
+	// judgedGaps is the number of gaps between events by which the speed of a stream is
+	// judged. Streams of all versions are judged then and not at their end: a slow stream
+	// takes long to end, and would be counted late.
+	judgedGaps = 8
+	// minGaps is the least number of gaps by which a stream that ended is judged.
+	minGaps = 3
 )
 
 // Running is an attempt in progress. It is counted once: when its speed is judged, or at
@@ -28,7 +28,11 @@
 	// firstAfter is the time from the start to the first event, lastAfter to the newest
 	// one; zero before the first.
 	firstAfter, lastAfter time.Duration
-	events                int
+	// gaps holds the first gaps between events.
+	gaps     [judgedGaps]time.Duration
+	gapCount int
+	// judged reports whether the speed of the attempt has been judged.
+	judged bool
 	// counted is where the attempt was counted, in the shift of order, and recorded as
 	// what; nil while it was not counted.
 	counted  *shift.Observations
@@ -67,28 +71,36 @@
 
 // RecordEvent records an event of a stream.
 func (r *Running) RecordEvent() {
-	r.RecordFirst()
 	m := r.manager
-	r.events++
-	r.lastAfter = m.opts.Clock.Since(r.startedAt)
+	at := m.opts.Clock.Since(r.startedAt)
+	if r.firstAfter == 0 {
+		r.RecordFirst()
+	} else if r.gapCount < judgedGaps {
+		r.gaps[r.gapCount] = at - r.lastAfter
+		r.gapCount++
+	} else {
+		return
+	}
+	r.lastAfter = at
+	if r.gapCount < judgedGaps {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.getOrCreate(r.attempt.Service)
-	switch {
-	case r.events < judgedEvents:
-	case r.counted == nil:
-		r.count(s, s.judge(r.outcome()))
-	case s.latencyModel(r.attempt.Kind).eventGap.isSlow(r.MeanGap().Seconds()):
-		r.countSlow(s)
-	}
+	r.finish(s, r.outcome())
 }
 
-// MeanGap returns the mean time between events; zero while it is unknown.
-func (r *Running) MeanGap() time.Duration {
-	if r.events < minGapEvents {
+// TypicalGap returns the median of the first gaps between events, which the pauses for
+// prompts of other requests don't affect; zero while there are too few.
+func (r *Running) TypicalGap() time.Duration {
+	if r.gapCount < minGaps {
 		return 0
 	}
-	return (r.lastAfter - r.firstAfter) / time.Duration(r.events-1)
+	sorted := r.gaps
+	known := sorted[:r.gapCount]
+	slices.Sort(known)
+	return known[len(known)/2]
 }
 
 // IsSlow reports whether the attempt was counted as slow.
@@ -106,7 +118,7 @@
 	if r.firstAfter == 0 || r.IsSlow() || !s.known || s.state.Ended() || gap.samples < minLatencySamples {
 		return 0
 	}
-	return time.Duration(silenceFactor * slowFactor * gap.value * float64(time.Second))
+	return max(time.Duration(silenceFactor*gap.value*float64(time.Second)), minSlowSilence)
 }
 
 // RecordSilence counts the attempt as slow because no event came for MaxSilence. Its end
@@ -156,13 +168,17 @@
 }
 
 func (r *Running) outcome() Outcome {
-	return Outcome{Attempt: r.attempt, FirstEventLatency: r.firstAfter, NetworkLatency: r.network, MeanGap: r.MeanGap()}
+	return Outcome{Attempt: r.attempt, FirstEventLatency: r.firstAfter, NetworkLatency: r.network, TypicalGap: r.TypicalGap()}
 }
 
 // The caller of the following methods holds the manager's mu.
 
-// finish learns from the outcome and counts the attempt, unless it was counted before.
+// finish learns from the outcome and counts the attempt, unless it was judged before.
 func (r *Running) finish(s *serviceState, o Outcome) {
+	if r.judged {
+		return
+	}
+	r.judged = true
 	observed := s.judge(o)
 	s.learn(o)
 	if r.counted == nil {
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -110,7 +110,7 @@
 func outcome(v model.VersionID, gap time.Duration, failed bool) shifts.Outcome {
 	return shifts.Outcome{
 		Attempt: shifts.Attempt{Service: "s", Version: v, Kind: "m", PromptTokens: 100},
-		Failed:  failed, FirstEventLatency: 100 * time.Millisecond, MeanGap: gap,
+		Failed:  failed, FirstEventLatency: 100 * time.Millisecond, TypicalGap: gap,
 	}
 }
 
@@ -247,17 +247,16 @@
 	f.Expect(f.state().Phase).To(Equal(shift.Complete))
 }
 
-// A stream may be fast in its beginning, and slow later.
-func TestStreamThatGetsSlowCountsOnceAsSlow(t *testing.T) {
+// A stream may be fast in its beginning, and silent later.
+func TestStreamThatBecomesSilentCountsOnceAsSlow(t *testing.T) {
 	f := newFleet(t, "a")
 	f.order()
 	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
 	f.advance(11 * time.Second)
 	r := f.stream("v2", 10, usualGap)
-	for range 30 {
-		f.clock.Advance(8 * usualGap)
-		r.RecordEvent()
-	}
+	f.clock.Advance(r.MaxSilence())
+	r.RecordSilence()
+	r.RecordSilence()
 	r.End(shifts.Succeeded)
 	f.advance(time.Second)
 	seen := f.evidence("a").Seen
@@ -266,6 +265,22 @@
 	f.Expect(seen.Paced.Slow).To(BeEquivalentTo(1))
 }
 
+// Prompts of other requests pause a stream. Its other gaps show its speed.
+func TestPausedStreamIsNotSlow(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	r := f.stream("v2", 3, usualGap)
+	f.clock.Advance(10 * usualGap)
+	r.RecordEvent()
+	for range 6 {
+		f.clock.Advance(usualGap)
+		r.RecordEvent()
+	}
+	f.Expect(r.IsSlow()).To(BeFalse())
+}
+
 // Answers that take long are known late. While they are awaited, the few fast ones don't
 // complete the version.
 func TestOverdueAnswersHoldCompletion(t *testing.T) {
