Read only an attempt's fixed fields while it runs

Change: overdue attempts are found by their start and the network's share, which is set with the lock held.

--- a/internal/shifts/running.go
+++ b/internal/shifts/running.go
@@ -18,12 +18,14 @@
 )
 
 // Running is an attempt in progress. It is counted once: when its speed is judged, or at
-// its end. It may be used by one goroutine at a time.
+// its end. Its methods may be called by one goroutine at a time; the manager reads the
+// first four fields meanwhile.
 type Running struct {
 	manager   *Manager
 	attempt   Attempt
 	startedAt time.Time
-	// network is the part of the time to the first event that the distance takes.
+	// network is the part of the time to the first event that the distance takes. It is
+	// changed with the manager's mu held.
 	network time.Duration
 	// firstAfter is the time from the start to the first event, lastAfter to the newest
 	// one; zero before the first.
@@ -54,7 +56,11 @@
 
 // SetNetworkLatency sets the part of the time to the first event that the distance to the
 // upstream takes.
-func (r *Running) SetNetworkLatency(d time.Duration) { r.network = d }
+func (r *Running) SetNetworkLatency(d time.Duration) {
+	r.manager.mu.Lock()
+	defer r.manager.mu.Unlock()
+	r.network = d
+}
 
 // RecordFirst records the first event or, if the answer has no events, the answer. Calls
 // after the first one have no effect.
@@ -222,7 +228,6 @@
 
 // isOverdue reports whether the first event takes longer than is usual for slow answers.
 func (r *Running) isOverdue(s *serviceState, now time.Time) bool {
-	o := r.outcome()
-	o.FirstEventLatency = now.Sub(r.startedAt)
+	o := Outcome{Attempt: r.attempt, FirstEventLatency: now.Sub(r.startedAt), NetworkLatency: r.network}
 	return s.latencyModel(r.attempt.Kind).firstEvent.isSlow(o.firstEventRatio())
 }
