Revert a version that is not shown to be good by its deadline

Cause: what wasn't shown stayed at its share. Evidence: margins of 45 decisions before the deadline against 'missed' in the reports: none of those over 0.47 s missed, all under 0.25 did. Change: Plan.Next reverts at the end of the last period, which is divided in the same way for orders of any length: all sessions move at 1.0 of it before the deadline, completion from 0.7, revert at 0.4. VMs wait for their turn to write less in very small fleets. Weighed: waiting on with the share reached (before) exposes callers to what nobody could show to be good, and the order is late either way; reverting costs a good version that got too few requests a new order.

--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -16,10 +16,11 @@
 
 const (
 	// Each VM delays its write of a due state by a part of a period, so that not
-	// all VMs write at the same time. minTurnSpread is the minimum of this period;
-	// turnSpreadPerVM extends it if there are many VMs.
-	minTurnSpread   = 200 * time.Millisecond
-	turnSpreadPerVM = 8 * time.Millisecond
+	// all VMs write at the same time. The period is turnSpreadPerOtherVM for each other VM,
+	// up to maxSmallTurnSpread, and turnSpreadPerVM for each VM if that is longer.
+	turnSpreadPerOtherVM = 40 * time.Millisecond
+	maxSmallTurnSpread   = 200 * time.Millisecond
+	turnSpreadPerVM      = 8 * time.Millisecond
 )
 
 // pendingWrite is a write that is due.
@@ -92,7 +93,7 @@
 		s.dueSince = time.Time{}
 		return next, false
 	}
-	if next.Phase == shift.Reverted && !s.localVerdict.Bad {
+	if next.Verdict.Bad && !s.localVerdict.Bad {
 		s.localVerdict = next.Verdict
 		m.opts.Log.Warn("new version found bad; stopped on this VM", "service", serviceName, "version", next.Order.To,
 			"metric", next.Verdict.Metric, "seen", next.Verdict.Seen, "reference", next.Verdict.Reference,
@@ -107,7 +108,8 @@
 // turnDelay returns how long this VM waits before it writes a state that is due. The
 // delay is spread over the VMs by a hash.
 func (m *Manager) turnDelay(serviceName string) time.Duration {
-	spread := max(minTurnSpread, time.Duration(m.opts.VMCount())*turnSpreadPerVM)
+	vms := time.Duration(m.opts.VMCount())
+	spread := max(min((vms-1)*turnSpreadPerOtherVM, maxSmallTurnSpread), vms*turnSpreadPerVM)
 	return time.Duration(xxhash.Sum64String(serviceName+"/"+string(m.opts.VM)) % uint64(spread))
 }
 
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -54,7 +54,8 @@
 	// the shared clock.
 	Started time.Duration `json:"started"`
 	Stepped time.Duration `json:"stepped,omitzero"`
-	// Verdict is why the shift was reverted, if it was.
+	// Verdict is why the shift was reverted, if it was. It is the zero value if the version
+	// was not shown to be good by the deadline.
 	Verdict rollout.Verdict `json:"verdict,omitzero"`
 }
 
@@ -81,10 +82,6 @@
 type Plan struct {
 	// Steps are in increasing order of time and share. The last one has share 1.
 	Steps []Step
-	// CompletionLead is how long before the deadline a shift completes, and MinFullShare
-	// the minimum time with all sessions on the new version before that. A shift whose last
-	// step was late completes after the deadline.
-	CompletionLead, MinFullShare time.Duration
 	// StepProof is the evidence that the new version is good, as a natural logarithm, from
 	// which a step after the first is made. CompletionProof is that from which the shift
 	// completes. A good version is worse than the old one by less than Margin.
@@ -113,6 +110,20 @@
 	firstStepFraction = 0.505
 )
 
+// The last period of a shift, from the time at which all sessions may move to the
+// deadline, is divided by these fractions of its length. VMs and operators take some
+// time to see what was decided.
+const (
+	// completionFraction is how long before the deadline a shift completes at the
+	// earliest, and minFullShareFraction how long all sessions use the new version before
+	// that.
+	completionFraction   = 0.7
+	minFullShareFraction = 0.2
+	// revertFraction is how long before the deadline a shift is reverted that is not
+	// complete.
+	revertFraction = 0.4
+)
+
 // DefaultPlan returns the plan for DefaultExposure.
 func DefaultPlan() Plan { return PlanWithin(DefaultExposure) }
 
@@ -125,8 +136,6 @@
 	firstShare := exposure * plannedExposureFraction * (1 - fullShareFraction) / (1 - fullShareTime - firstStepFraction)
 	return Plan{
 		Steps:           []Step{{AtFraction: firstStepFraction, Share: firstShare}, {AtFraction: 1 - fullShareTime, Share: 1}},
-		CompletionLead:  700 * time.Millisecond,
-		MinFullShare:    300 * time.Millisecond,
 		StepProof:       1,
 		CompletionProof: 2,
 		Margin:          rollout.Tolerance{Errors: 0.2, Slow: 0.25},
@@ -182,8 +191,8 @@
 }
 
 // Next returns the next state and whether it differs from s. Now is on the shared
-// clock. A version that is not shown to be good by the deadline stays at its share,
-// because it can still be reverted then, and cannot once the shift is complete.
+// clock. A version that is not shown to be good by the deadline is reverted, because
+// there is no way back from a shift that is complete.
 func (p Plan) Next(s State, now time.Duration, e Evidence) (State, bool) {
 	if s.Ended() {
 		return s, false
@@ -192,24 +201,49 @@
 		return Revert(s, v), true
 	}
 	switch {
-	case s.Step == len(p.Steps):
-		if now < p.completeAfter(s) || !p.isProven(e, p.CompletionProof) {
-			return s, false
-		}
+	case p.mayComplete(s, now, e):
 		s.Phase = Complete
-	case now-s.Started < p.nextStepAfter(s) || s.Step > 0 && !p.isProven(e, p.StepProof):
-		return s, false
-	default:
+	case now >= p.beforeDeadline(s, revertFraction):
+		return Revert(s, rollout.Verdict{}), true
+	case p.mayStep(s, now, e):
 		s.Step++
 		s.Stepped = now
+	default:
+		return s, false
 	}
 	return s, true
 }
 
+// mayComplete reports whether a shift after its last step may complete.
+func (p Plan) mayComplete(s State, now time.Duration, e Evidence) bool {
+	return s.Step == len(p.Steps) && now >= p.completeAfter(s) && p.isProven(e, p.CompletionProof)
+}
+
+// mayStep reports whether the next step may be made.
+func (p Plan) mayStep(s State, now time.Duration, e Evidence) bool {
+	if s.Step == len(p.Steps) || now-s.Started < p.nextStepAfter(s) {
+		return false
+	}
+	return s.Step == 0 || p.isProven(e, p.StepProof)
+}
+
+// lastPeriod returns the time from the last step, if it is made as early as it may, to
+// the deadline.
+func (p Plan) lastPeriod(o Order) time.Duration {
+	return time.Duration((1 - p.Steps[len(p.Steps)-1].AtFraction) * float64(o.Duration))
+}
+
+// beforeDeadline returns the time, on the shared clock, that is the given fraction of the
+// last period before the deadline.
+func (p Plan) beforeDeadline(s State, fraction float64) time.Duration {
+	return s.Started + s.Order.Duration - time.Duration(fraction*float64(p.lastPeriod(s.Order)))
+}
+
 // completeAfter returns the time, on the shared clock, from which a shift after its last
 // step may complete.
 func (p Plan) completeAfter(s State) time.Duration {
-	return max(s.Started+s.Order.Duration-p.CompletionLead, s.Stepped+p.MinFullShare)
+	fullShare := time.Duration(minFullShareFraction * float64(p.lastPeriod(s.Order)))
+	return max(p.beforeDeadline(s, completionFraction), s.Stepped+fullShare)
 }
 
 // Verdict returns whether the evidence shows that the new version is bad, and on
