Give a new version more answers before the decision: shares by the bound's slack, a shorter last period

Cause: the plan used the share of the bound on exposure only. Of 336 requests in 16 s, 0.15 allows 50, and the bound's slack 30 more; and of what it used, the last period, most of which passes after the decision, took most. Change: each VM publishes how many requests it got once, at 0.4 of the order's time; if all have, the slack counts (by 0.6), and the first step's share is part of the state. The last period is at most 1.2 s. The proof expects the old version's mean (20 values), which costs no validity as it takes that mean as known; slow answers may be 0.3 above, the step to all sessions needs evidence 0.5. New setting exposure_slack, default 0; package shift's schedule has its own file; plan and schedule no longer differ by build: a state without a share gets the one without slack. The requests to a version stay under 0.9 of the bound. A version that fails at the full share only is completed as before: open. TestLateStepIsNotFollowedByCompletionAtOnce has the times of the new last period.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -126,7 +126,8 @@
 	}, clock, d.log)
 	d.shifts = shifts.New(shifts.Options{
 		VM: s.VM.ID, Table: vmTable, VMCount: func() int { return len(d.vms.Others()) + 1 },
-		Plan: shift.PlanWithin(s.Exposure), SharedClock: d.store, Writer: d.store,
+		Plan:        shift.PlanWithin(shift.Exposure{Share: s.Exposure, Slack: s.ExposureSlack}),
+		SharedClock: d.store, Writer: d.store,
 		Announce: wire.EncodeRolloutStatus, Clock: clock, Log: d.log,
 	})
 	d.hintCounts = hints.NewCounter(d.registry)
--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -20,6 +20,9 @@
 	// writes together stay below a rate of 1/countsIntervalPerVM.
 	minCountsInterval   = time.Second
 	countsIntervalPerVM = 25 * time.Millisecond
+	// firstCountsFraction is the fraction of an order's duration after which all VMs
+	// publish how many requests they got, for the first step.
+	firstCountsFraction = 0.4
 )
 
 // observed holds the observations of both versions in a shift. New and Old cover the
@@ -88,12 +91,28 @@
 	return nil
 }
 
-// evidenceDue reports whether this VM should publish its evidence now.
-func (m *Manager) evidenceDue(s *serviceState) bool {
+// requestRate returns the number of requests for the service per second since the order
+// on all VMs; zero while not all of them have published their counts.
+func (m *Manager) requestRate(s *serviceState, e shift.Evidence, now time.Duration) float64 {
+	elapsed := now - s.state.Started
+	if len(s.remote)+1 < m.opts.VMCount() || elapsed <= 0 {
+		return 0
+	}
+	requests := e.New.Answers.Requests + e.Old.Answers.Requests + e.Before.Answers.Requests
+	return float64(requests) / elapsed.Seconds()
+}
+
+// evidenceDue reports whether this VM should publish its evidence now. Now is on the
+// shared clock.
+func (m *Manager) evidenceDue(serviceName string, s *serviceState, now time.Duration) bool {
 	if !s.known || s.state.Ended() {
 		return false
 	}
 	own, elapsed := m.own(s), m.opts.Clock.Since(s.publishedAt)
+	if s.publishedAt.IsZero() && own.Before.Answers.Requests > 0 {
+		first := time.Duration(firstCountsFraction * float64(s.state.Order.Duration))
+		return now-s.state.Started >= first+m.turnDelay(serviceName)
+	}
 	if own.problems() > s.published.problems() {
 		return elapsed >= minEvidenceInterval
 	}
@@ -103,8 +122,8 @@
 }
 
 // evidenceWrite returns the write of this VM's evidence, if it is due.
-func (m *Manager) evidenceWrite(serviceName string, s *serviceState) (pendingWrite, bool) {
-	if !m.evidenceDue(s) {
+func (m *Manager) evidenceWrite(serviceName string, s *serviceState, now time.Duration) (pendingWrite, bool) {
+	if !m.evidenceDue(serviceName, s, now) {
 		return pendingWrite{}, false
 	}
 	own := m.own(s)
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -18,7 +18,7 @@
 	// Each VM delays its write of a due state by a part of a period, so that not
 	// all VMs write at the same time. The period is turnSpreadPerOtherVM for each other VM,
 	// up to maxSmallTurnSpread, and turnSpreadPerVM for each VM if that is longer.
-	turnSpreadPerOtherVM = 40 * time.Millisecond
+	turnSpreadPerOtherVM = 20 * time.Millisecond
 	maxSmallTurnSpread   = 200 * time.Millisecond
 	turnSpreadPerVM      = 8 * time.Millisecond
 )
@@ -58,7 +58,7 @@
 	}
 	var writes []pendingWrite
 	for serviceName, s := range m.byService {
-		if write, ok := m.evidenceWrite(serviceName, s); ok {
+		if write, ok := m.evidenceWrite(serviceName, s, now); ok {
 			writes = append(writes, write)
 		}
 		next, ok := m.nextState(serviceName, s, now)
@@ -86,7 +86,9 @@
 	} else if s.known && s.localVerdict.Bad && !s.state.Ended() {
 		next, changed = shift.Revert(next, s.localVerdict), true
 	} else if s.known {
-		next, changed = m.opts.Plan.Next(next, now, m.evidence(s))
+		e := m.evidence(s)
+		e.RequestRate = m.requestRate(s, e, now)
+		next, changed = m.opts.Plan.Next(next, now, e)
 		changed = changed || next != s.row
 	}
 	if !changed {
@@ -141,7 +143,7 @@
 	case err == nil:
 		e := write.evidence
 		m.opts.Log.Info("roll-out state written", "service", write.service,
-			"to", write.next.Order.To, "phase", write.next.Phase, "step", write.next.Step,
+			"to", write.next.Order.To, "phase", write.next.Phase, "step", write.next.Step, "share", write.next.Share,
 			"new", e.New, "own_new", m.own(s).New, "old", e.Old)
 	case errorx.IsOfType(err, store.ErrConflict):
 		// Another VM wrote first; its row arrives through the watch.
--- a/rollout/compare.go
+++ b/rollout/compare.go
@@ -105,7 +105,7 @@
 // the metric is less than the old version's mean plus the margin. If it is not, the
 // evidence ever exceeds x with a probability of at most exp(-x). The mean of the old
 // version is taken as known, as far more of its values are observed; it is 0 without
-// any.
+// any. A good version is expected to have it, too, which makes the test more sensitive.
 func EvidenceNotWorse(metric Metric, newCounts, oldCounts Counts, margin Tolerance) float64 {
 	oldSamples := oldCounts.metricSamples(margin)
 	for i, newSample := range newCounts.metricSamples(margin) {
@@ -116,17 +116,14 @@
 		if newSample.mean() >= limit {
 			return 0
 		}
-		return newBetaMixture(newSample.sum, newSample.n, goodMean, goodMeanWeight).logRatio(limit)
+		return newBetaMixture(newSample.sum, newSample.n, oldSamples[i].mean(), oldMeanWeight).logRatio(limit)
 	}
 	return 0
 }
 
-// goodMean is a usual mean of errors or slow answers of a good version, and
-// goodMeanWeight the number of values that it counts for.
-const (
-	goodMean       = 0.05
-	goodMeanWeight = 10
-)
+// oldMeanWeight is the number of values that the expectation of the old version's mean
+// counts for.
+const oldMeanWeight = 20
 
 // maxBaselineWeight is the maximum number of values that a baseline counts for.
 // It is limited because traffic changes over time.
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -48,8 +48,11 @@
 	Order Order `json:"order"`
 	Phase Phase `json:"phase"`
 	// Step is the number of steps made so far. At 0 no session gets the new
-	// version.
+	// version, at lastStep all do.
 	Step int `json:"step"`
+	// Share is the fraction of sessions that get the new version since the last step, 0 to
+	// 1.
+	Share float64 `json:"share,omitzero"`
 	// Started is when a VM first saw the order, and Stepped when the last step was made, on
 	// the shared clock.
 	Started time.Duration `json:"started"`
@@ -62,14 +65,6 @@
 // Ended reports whether the shift is complete or reverted.
 func (s State) Ended() bool { return s.Phase != Active }
 
-// Step sets the share of sessions on the new version from a point in time on.
-type Step struct {
-	// AtFraction is that point, as a fraction of the order's duration, 0 to 1.
-	AtFraction float64
-	// Share is the fraction of sessions that get the new version, 0 to 1.
-	Share float64
-}
-
 // Ahead reports whether s has progressed further than other, a state of the same order.
 func (s State) Ahead(other State) bool {
 	if s.Ended() != other.Ended() {
@@ -78,10 +73,10 @@
 	return !s.Ended() && s.Step > other.Step
 }
 
-// Plan holds the schedule of shifts and the limits for new versions.
+// Plan holds the limits for new versions.
 type Plan struct {
-	// Steps are in increasing order of time and share. The last one has share 1.
-	Steps []Step
+	// Exposure bounds the requests that a version gets before it is known to be good.
+	Exposure Exposure
 	// StepProof is the evidence that the new version is good, as a natural logarithm, from
 	// which a step after the first is made. CompletionProof is that from which the shift
 	// completes. A good version is worse than the old one by less than Margin.
@@ -95,50 +90,18 @@
 	Tolerance rollout.Tolerance
 }
 
-const (
-	// DefaultExposure is the fraction of a service's requests, 0 to 1, that a
-	// bad version may get between the order and the deadline.
-	DefaultExposure = 0.15
-	// plannedExposureFraction is the fraction of the exposure bound that a plan
-	// uses. The rest is reserved for bursts of traffic late in a shift.
-	plannedExposureFraction = 0.85
-	// fullShareFraction is the fraction of the planned exposure for the period
-	// in which the new version gets all sessions.
-	fullShareFraction = 0.62
-	// firstStepFraction is the fraction of an order's duration after which
-	// sessions begin to move.
-	firstStepFraction = 0.505
-)
-
-// The last period of a shift, from the time at which all sessions may move to the
-// deadline, is divided by these fractions of its length. VMs and operators take some
-// time to see what was decided.
-const (
-	// completionFraction is how long before the deadline a shift completes at the
-	// earliest, and minFullShareFraction how long all sessions use the new version before
-	// that.
-	completionFraction   = 0.7
-	minFullShareFraction = 0.2
-	// revertFraction is how long before the deadline a shift is reverted that is not
-	// complete.
-	revertFraction = 0.4
-)
-
 // DefaultPlan returns the plan for DefaultExposure.
 func DefaultPlan() Plan { return PlanWithin(DefaultExposure) }
 
-// PlanWithin returns a plan under which a new version gets at most the given
-// fraction, 0 to 1, of the requests between the order and the deadline. The bound
-// holds even if the version is never found bad, because some failures appear only
-// under load or late.
-func PlanWithin(exposure float64) Plan {
-	fullShareTime := exposure * plannedExposureFraction * fullShareFraction
-	firstShare := exposure * plannedExposureFraction * (1 - fullShareFraction) / (1 - fullShareTime - firstStepFraction)
+// PlanWithin returns a plan under which a new version gets no more requests than the
+// bound allows. That holds even if the version is never found bad, because some failures
+// appear only under load or late.
+func PlanWithin(bound Exposure) Plan {
 	return Plan{
-		Steps:           []Step{{AtFraction: firstStepFraction, Share: firstShare}, {AtFraction: 1 - fullShareTime, Share: 1}},
-		StepProof:       1,
+		Exposure:        bound,
+		StepProof:       0.5,
 		CompletionProof: 2,
-		Margin:          rollout.Tolerance{Errors: 0.2, Slow: 0.25},
+		Margin:          rollout.Tolerance{Errors: 0.2, Slow: 0.3},
 		RevertEvidence:  3,
 		HoldEvidence:    1,
 		Tolerance:       rollout.Tolerance{Errors: 0.02, Slow: 0.1},
@@ -177,6 +140,9 @@
 	// Overdue is the number of attempts in progress on the new version that will be slow
 	// if they succeed. They may fail for another reason than their version.
 	Overdue int64
+	// RequestRate is the number of requests for the service per second since the order,
+	// from all VMs; zero if it is not known.
+	RequestRate float64
 }
 
 // Begin returns the first state of an order. Now is on the shared clock.
@@ -203,9 +169,10 @@
 	switch {
 	case p.mayComplete(s, now, e):
 		s.Phase = Complete
-	case now >= p.beforeDeadline(s, revertFraction):
+	case now >= p.schedule(s, e).revertAfter:
 		return Revert(s, rollout.Verdict{}), true
 	case p.mayStep(s, now, e):
+		s.Share = p.schedule(s, e).shares[s.Step]
 		s.Step++
 		s.Stepped = now
 	default:
@@ -216,36 +183,19 @@
 
 // mayComplete reports whether a shift after its last step may complete.
 func (p Plan) mayComplete(s State, now time.Duration, e Evidence) bool {
-	return s.Step == len(p.Steps) && now >= p.completeAfter(s) && p.isProven(e, p.CompletionProof)
+	schedule := p.schedule(s, e)
+	after := max(schedule.completeAfter, s.Stepped+schedule.minFullShare)
+	return s.Step == lastStep && now >= after && p.isProven(e, p.CompletionProof)
 }
 
 // mayStep reports whether the next step may be made.
 func (p Plan) mayStep(s State, now time.Duration, e Evidence) bool {
-	if s.Step == len(p.Steps) || now-s.Started < p.nextStepAfter(s) {
+	if s.Step == lastStep || now < p.schedule(s, e).stepAfter[s.Step] {
 		return false
 	}
 	return s.Step == 0 || p.isProven(e, p.StepProof)
 }
 
-// lastPeriod returns the time from the last step, if it is made as early as it may, to
-// the deadline.
-func (p Plan) lastPeriod(o Order) time.Duration {
-	return time.Duration((1 - p.Steps[len(p.Steps)-1].AtFraction) * float64(o.Duration))
-}
-
-// beforeDeadline returns the time, on the shared clock, that is the given fraction of the
-// last period before the deadline.
-func (p Plan) beforeDeadline(s State, fraction float64) time.Duration {
-	return s.Started + s.Order.Duration - time.Duration(fraction*float64(p.lastPeriod(s.Order)))
-}
-
-// completeAfter returns the time, on the shared clock, from which a shift after its last
-// step may complete.
-func (p Plan) completeAfter(s State) time.Duration {
-	fullShare := time.Duration(minFullShareFraction * float64(p.lastPeriod(s.Order)))
-	return max(p.beforeDeadline(s, completionFraction), s.Stepped+fullShare)
-}
-
 // Verdict returns whether the evidence shows that the new version is bad, and on
 // which metric.
 func (p Plan) Verdict(e Evidence) rollout.Verdict {
@@ -274,12 +224,6 @@
 	return min(errors, slow) >= threshold
 }
 
-// nextStepAfter returns the time after the start from which the next step may be
-// made.
-func (p Plan) nextStepAfter(s State) time.Duration {
-	return time.Duration(p.Steps[s.Step].AtFraction * float64(s.Order.Duration))
-}
-
 // Share returns the fraction of sessions, 0 to 1, that get the new version.
 func (p Plan) Share(s State) float64 {
 	switch {
@@ -287,8 +231,11 @@
 		return 1
 	case s.Phase == Reverted || s.Step == 0:
 		return 0
+	case s.Share > 0:
+		return s.Share
 	}
-	return p.Steps[min(s.Step, len(p.Steps))-1].Share
+	// VMs of an earlier build write no share.
+	return p.schedule(s, Evidence{}).shares[min(s.Step, lastStep)-1]
 }
 
 // GetsNewVersion reports whether a session gets the new version. Position is the
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -25,6 +25,8 @@
 	// Exposure is the maximum share of a service's requests, over 0 and at most 1,
 	// that a new version may get by its deadline if it is bad.
 	Exposure float64 `json:"exposure" doc:"Part of a service's requests, 0 to 1, that a new version may get by its deadline if it is bad. Default 0.15."`
+	// ExposureSlack is a number of requests beyond Exposure.
+	ExposureSlack float64 `json:"exposure_slack" doc:"Requests beyond that part which such a version may get. Default 0."`
 	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
 	MemoryMB int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
 	Stop     GatewayStop `json:"stop" doc:"Planned stops."`
@@ -79,7 +81,7 @@
 		Store:    Store{CallMS: 1000},
 		Changes:  Changes{ConfigMS: 3000, DrainMS: 3000},
 		Retries:  Retries{SpanS: 10, Ratio: 0.9, Slack: 50},
-		Exposure: shift.DefaultExposure,
+		Exposure: shift.DefaultExposure.Share,
 		Stop:     GatewayStop{TakeS: 2.7, GraceS: 8},
 		Log:      Log{Format: "json", Level: "info"},
 	}
@@ -112,6 +114,9 @@
 	if g.Exposure <= 0 || g.Exposure > 1 {
 		text.AddFault("exposure", "must be over 0 and at most 1")
 	}
+	if g.ExposureSlack < 0 {
+		text.AddFault("exposure_slack", "must not be negative")
+	}
 	if g.Retries.Ratio < 0 || g.Retries.Slack < 0 {
 		text.AddFault("retries", "must not be negative")
 	}
