--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -90,7 +90,7 @@
 	}
 	selfReports := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_upstream_self_reports_total",
-		Help: "What upstreams report of themselves in their answers: leaving, or paused for a while.",
+		Help: "What upstreams report of themselves in their answers: leaving, paused for a while, or limited.",
 	}, []string{"report"})
 	opts.Registry.MustRegister(selfReports)
 	return &Directory{
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -49,6 +49,9 @@
 	serviceTime time.Duration
 	// pausedUntil is until when the upstream asked this VM to send it nothing.
 	pausedUntil time.Time
+	// requestLimit is the number of requests per second that the upstream takes from all
+	// VMs together; zero if it set no limit.
+	requestLimit float64
 	// silentUntil is until when the upstream is avoided because it was silent.
 	silentUntil time.Time
 	// failureRate is the smoothed share of requests that the upstream failed, 0
@@ -120,6 +123,22 @@
 	}
 }
 
+// SetRequestLimit records the number of requests per second that the upstream, by its
+// newest answer, takes from all VMs together; zero for no limit.
+func (e *Engine) SetRequestLimit(perSecond float64) {
+	e.mu.Lock()
+	previous := e.requestLimit
+	e.requestLimit = perSecond
+	e.mu.Unlock()
+	switch {
+	case previous == 0 && perSecond > 0:
+		e.directory.selfReports.WithLabelValues("limited").Inc()
+		e.directory.log.Info("upstream names a limit", "upstream", e.ID(), "per_second", perSecond)
+	case previous > 0 && perSecond == 0:
+		e.directory.log.Info("upstream names no limit any more", "upstream", e.ID())
+	}
+}
+
 // Result describes how an attempt ended.
 type Result struct {
 	// Failed reports whether the attempt failed through the upstream's fault.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -98,6 +98,9 @@
 		a.paused = true
 		a.engine.Pause(head.Pause)
 	}
+	if resp.Status != http.StatusMisdirectedRequest {
+		a.engine.SetRequestLimit(head.RequestLimit)
+	}
 	a.confidence = head.Confidence
 	if head.HasLoad {
 		a.engine.UpdateLoad(head.Load)
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -79,6 +79,9 @@
 	// Pause is how long the upstream, which turned the request away, wants no requests
 	// from this VM; zero if it sets no time.
 	Pause time.Duration
+	// RequestLimit is the number of requests per second that the upstream takes from all
+	// VMs together, for as long as it says so; zero if it sets no limit.
+	RequestLimit float64
 	// Load is the upstream's load report; valid only if HasLoad is set.
 	Load    route.Load
 	HasLoad bool
