Keep the limit that an upstream names, all VMs together

Cause: nothing read Server-Limit. Class: a promise to upstreams that no decision knows; Server-Leaving and Retry-After, beside it, are read, counted and tested, and no other header of the pages that an engine sends was found unread. Change: limit.Grants divides the rate in turn, at times on the shared clock: a VM may send as many requests in any two seconds as it was granted in them. route.LimitFilter leaves out upstreams without a grant; Begin takes it, for each attempt, so that retries, cascade steps and probes of breakers count. VMs tell each other of a limit's begin and end by hints. If all upstreams are limited, the caller is refused at once (upstreams_limited, true, not run) until some VM's next grant. Weighed: a token bucket on each VM (300 VMs may each send one request at once, 300 of 26 allowed); buckets on a few VMs an engine (the others learn of the limit's end late, and callers at them find nothing); shares by demand (reports of demand lag behind bursts). A VM with little traffic leaves its grants unused; that costs what the engine, in need, can do without. Why it works: grants of all VMs in 4 s are 4 times the rate, whatever the traffic, and nothing is saved up.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -34,6 +34,12 @@
 	Incarnation int64
 }
 
+// Clock is the steady (monotonic) clock that all VMs share.
+type Clock interface {
+	// Now returns the time on the clock, and false while it is not known.
+	Now() (time.Duration, bool)
+}
+
 // Options configures a Directory.
 type Options struct {
 	// Region is the region of this VM.
@@ -47,6 +53,14 @@
 	ReregistrationGrace time.Duration
 	// Placement configures how upstreams are selected.
 	Placement Placement
+	// SharedClock is the clock that all VMs share. Rank returns the position of this VM
+	// among all VMs, from 0, and their number. By both the VMs divide the limits that
+	// upstreams name.
+	SharedClock Clock
+	Rank        func() (rank, vms int)
+	// OnLimit is called when an answer names another limit than before, in requests per
+	// second, zero for none; nil is not called.
+	OnLimit func(u upstream.Upstream, perSecond float64)
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
 	// OnRemove is called with the address of an upstream that was removed; nil is
@@ -278,6 +292,17 @@
 	}
 }
 
+// SetRequestLimit records the limit that an upstream named to another VM; zero for none.
+// Unknown upstreams are ignored.
+func (d *Directory) SetRequestLimit(id upstream.ID, perSecond float64) {
+	d.mu.RLock()
+	e := d.byID[id]
+	d.mu.RUnlock()
+	if e != nil {
+		e.setRequestLimit(perSecond)
+	}
+}
+
 // MarkSilent records that another VM's request to an upstream timed out while nothing came
 // from it. Unknown upstreams are ignored, and so is one that has answered this VM lately.
 func (d *Directory) MarkSilent(id upstream.ID) {
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -50,8 +50,10 @@
 	// pausedUntil is until when the upstream asked this VM to send it nothing.
 	pausedUntil time.Time
 	// requestLimit is the number of requests per second that the upstream takes from all
-	// VMs together; zero if it set no limit.
+	// VMs together; zero if it set no limit. limitedSends holds when this VM sent its latest
+	// requests under it.
 	requestLimit float64
+	limitedSends []time.Time
 	// silentUntil is until when the upstream is avoided because it was silent.
 	silentUntil time.Time
 	// failureRate is the smoothed share of requests that the upstream failed, 0
@@ -123,22 +125,6 @@
 	}
 }
 
-// SetRequestLimit records the number of requests per second that the upstream, by its
-// newest answer, takes from all VMs together; zero for no limit.
-func (e *Engine) SetRequestLimit(perSecond float64) {
-	e.mu.Lock()
-	previous := e.requestLimit
-	e.requestLimit = perSecond
-	e.mu.Unlock()
-	switch {
-	case previous == 0 && perSecond > 0:
-		e.directory.selfReports.WithLabelValues("limited").Inc()
-		e.directory.log.Info("upstream names a limit", "upstream", e.ID(), "per_second", perSecond)
-	case previous > 0 && perSecond == 0:
-		e.directory.log.Info("upstream names no limit any more", "upstream", e.ID())
-	}
-}
-
 // Result describes how an attempt ended.
 type Result struct {
 	// Failed reports whether the attempt failed through the upstream's fault.
@@ -172,13 +158,18 @@
 }
 
 // Begin registers an attempt in flight. Work is how long the upstream is expected
-// to process the request before it responds. End must be called on the result.
+// to process the request before it responds. End must be called on the result. It
+// returns nil if this VM's part of the upstream's limit has been used since the upstream
+// was chosen.
 func (e *Engine) Begin(work time.Duration) *Attempt {
 	now := e.directory.clock.Now()
-	a := &Attempt{engine: e, work: work, startedAt: now}
-	a.permit, a.admitted = e.directory.breakers.Acquire(e.ID(), model.Ref{}, now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.takeGrant(now) {
+		return nil
+	}
+	a := &Attempt{engine: e, work: work, startedAt: now}
+	a.permit, a.admitted = e.directory.breakers.Acquire(e.ID(), model.Ref{}, now)
 	e.inFlight++
 	e.pendingWork += work
 	e.pending = append(e.pending, a)
@@ -295,7 +286,7 @@
 	defer e.mu.Unlock()
 	*c = route.Candidate{
 		Upstream: &e.identity, Capacity: entry.Capacity, InFlight: e.inFlight,
-		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), RequestDuration: e.serviceTime,
+		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), OverLimit: !e.hasGrant(now), RequestDuration: e.serviceTime,
 		BreakerOpen: !d.breakers.Ready(entry.ID, model.Ref{}, now),
 		FirstToken:  time.Duration(e.failureRate * float64(d.opts.Placement.FailurePenalty)),
 		LinkLatency: d.linkLatency(entry.Domain),
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -21,11 +21,24 @@
 // r1. Failure domain dN belongs to region rN.
 func newDirectory() (*engines.Directory, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
+	return newDirectoryOf(clock, 0, 1), clock
+}
+
+// sharedClock is a clock that all VMs share.
+type sharedClock struct{ *clockwork.FakeClock }
+
+func (c sharedClock) Now() (time.Duration, bool) {
+	return time.Duration(c.FakeClock.Now().UnixNano()), true
+}
+
+// newDirectoryOf returns an empty directory of the VM of the given rank.
+func newDirectoryOf(clock *clockwork.FakeClock, rank, vms int) *engines.Directory {
 	return engines.New(engines.Options{
+		SharedClock: sharedClock{clock}, Rank: func() (int, int) { return rank, vms },
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
 		RegionOf: func(id domain.ID) domain.Region { return domain.Region("r" + string(id[1:])) },
 		Registry: prometheus.NewRegistry(),
-	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil))), clock
+	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
 func newEntry(id, failureDomain string) engines.Entry {
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -76,7 +76,7 @@
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
-	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}}
+	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}}
 	options := func(filters ...route.Filter) route.Options {
 		return route.Options{Sample: route.MaxSample, Filters: append(filters, always...), Scorers: scorers}
 	}
@@ -118,6 +118,9 @@
 	// PauseLeft is how long the shortest pause of the refused upstreams still lasts if
 	// Engine is nil; zero if none of them is paused.
 	PauseLeft time.Duration
+	// LimitLeft is the time until the limit of one of them allows some VM a request; zero if
+	// none of them has one.
+	LimitLeft time.Duration
 	// BreakersIgnored reports whether no candidate passed with the circuit
 	// breakers in effect, so that they were ignored.
 	BreakersIgnored bool
@@ -159,7 +162,8 @@
 		decision, ok = d.policies.ignoringBreakers.Select(&request, candidates)
 	}
 	if !ok {
-		choice.PauseLeft = shortestPause(allowed, req.Tried, now)
+		choice.PauseLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.pauseLeft(now) })
+		choice.LimitLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.limitLeft(now) })
 		return choice
 	}
 	for _, e := range allowed {
@@ -170,12 +174,12 @@
 	return choice
 }
 
-// shortestPause returns how long the shortest pause of the upstreams still lasts, zero
-// if none is paused. Upstreams that were tried or are leaving don't count.
-func shortestPause(engines []*Engine, tried []upstream.ID, now time.Time) time.Duration {
+// shortestWait returns the shortest positive wait for an upstream, zero if there is none.
+// Upstreams that were tried or are leaving don't count.
+func shortestWait(engines []*Engine, tried []upstream.ID, waitFor func(*Engine) time.Duration) time.Duration {
 	shortest := time.Duration(0)
 	for _, e := range engines {
-		left := e.pauseLeft(now)
+		left := waitFor(e)
 		if left <= 0 || e.Leaving() || slices.Contains(tried, e.ID()) {
 			continue
 		}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -35,6 +35,7 @@
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/settings"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 // phase is the stage of the daemon's life cycle. Phases only advance, in the order
@@ -122,7 +123,12 @@
 		ReregistrationGrace: reregistrationGrace,
 		Placement:           engines.DefaultPlacement(),
 		OnRemove:            d.pool.CloseIdle,
-		Registry:            d.registry,
+		SharedClock:         d.store,
+		Rank:                d.vms.Rank,
+		OnLimit: func(u upstream.Upstream, perSecond float64) {
+			d.hints.Announce(hints.Hint{Upstream: u.ID, Limit: &perSecond, Region: d.regionOf(u.Domain)})
+		},
+		Registry: d.registry,
 	}, clock, d.log)
 	d.shifts = shifts.New(shifts.Options{
 		VM: s.VM.ID, Table: vmTable, VMCount: func() int { return len(d.vms.Others()) + 1 },
@@ -275,11 +281,14 @@
 // applyHint adds the work that another VM sent to an upstream to the upstream's
 // expected load, or avoids an upstream that is silent.
 func (d *Daemon) applyHint(h hints.Hint) {
-	if h.Silent {
+	switch {
+	case h.Silent:
 		d.directory.MarkSilent(h.Upstream)
-		return
+	case h.Limit != nil:
+		d.directory.SetRequestLimit(h.Upstream, max(*h.Limit, 0))
+	default:
+		d.directory.AddRemoteWork(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
 	}
-	d.directory.AddRemoteWork(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
 }
 
 // serveHealth responds with status 200 if the daemon is ready and 503 otherwise.
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -27,8 +27,8 @@
 // ErrListen is returned for an address that cannot be resolved or listened on.
 var ErrListen = namespace.NewType("listen")
 
-// Hint announces an expensive request that was sent to an upstream, or that the upstream
-// is silent.
+// Hint announces an expensive request that was sent to an upstream, that the upstream is
+// silent, or that it names another limit than before.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
@@ -37,6 +37,9 @@
 	// Silent announces instead that a request to the upstream timed out while nothing
 	// came from it.
 	Silent bool `json:"silent,omitzero"`
+	// Limit announces instead the number of requests per second that the upstream takes
+	// from all VMs together, 0 for no limit; nil announces nothing.
+	Limit *float64 `json:"limit,omitempty"`
 	// Region is the upstream's region. It is not sent.
 	Region domain.Region `json:"-"`
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -54,6 +54,17 @@
 // Others returns the other VMs by ID. Callers must not change the map.
 func (l *List) Others() map[vm.ID]Member { return *l.all.Load() }
 
+// Rank returns the position of this VM among all VMs by ID, from 0, and their number.
+func (l *List) Rank() (rank, vms int) {
+	others := l.Others()
+	for id := range others {
+		if id < l.self {
+			rank++
+		}
+	}
+	return rank, len(others) + 1
+}
+
 // Reset replaces the list by the rows of a listing of the table.
 func (l *List) Reset(b watch.Batch) {
 	l.ownRow.Store(nil)
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -23,6 +23,9 @@
 	errFailed = upconn.ErrBroken.NewSubtype("failed")
 	// errNotRun reports that the upstream did not run the request.
 	errNotRun = upconn.ErrNotSent.NewSubtype("not_run")
+	// errOverLimit reports that other requests used the VM's part of the upstream's limit
+	// after the upstream was chosen. Nothing was sent.
+	errOverLimit = upconn.ErrNotSent.NewSubtype("over_limit")
 	// errLowConfidence reports a response that was dropped in order to ask a
 	// stronger model.
 	errLowConfidence = upconn.ErrNotSent.NewSubtype("weak")
@@ -50,6 +53,9 @@
 		if err == nil {
 			return nil
 		}
+		if errorx.IsOfType(err, errOverLimit) {
+			continue
+		}
 		if ended, err := x.ended(ctx); ended {
 			return err
 		}
@@ -66,9 +72,13 @@
 }
 
 // noUpstream returns the refusal for a choice without an upstream. The caller may come
-// back when the first pause of an upstream has ended.
+// back when an upstream takes another request, maybe from another VM, or when the first
+// pause of one has ended.
 func noUpstream(choice engines.Choice) *refusal.Refusal {
-	if choice.PauseLeft > 0 {
+	switch {
+	case choice.LimitLeft > 0:
+		return refusal.New(refusal.UpstreamsLimited).WithRetryAfter(choice.LimitLeft)
+	case choice.PauseLeft > 0:
 		return refusal.New(refusal.UpstreamsPaused).WithRetryAfter(choice.PauseLeft)
 	}
 	return refusal.New(refusal.NoUpstream)
@@ -200,13 +210,16 @@
 const minAnnouncedWork = 150 * time.Millisecond
 
 // tryUpstream makes one attempt: it sends the request to the upstream and
-// forwards the response.
+// forwards the response. It makes none, and returns errOverLimit, if the upstream's limit
+// allows none.
 func (x *exchange) tryUpstream(ctx context.Context, e *engines.Engine) error {
 	startedAt := x.server.Clock.Now()
-	x.dispatches++
 	a := &attempt{exchange: x, engine: e, startedAt: startedAt, expectedWait: e.ExpectedWait(), confidence: -1}
 	a.model, a.expectedWork = x.model(), x.expectedWork()
-	a.tracked = e.Begin(a.expectedWork)
+	if a.tracked = e.Begin(a.expectedWork); a.tracked == nil {
+		return errOverLimit.New("upstream %s takes no more requests from this VM now", e.ID())
+	}
+	x.dispatches++
 	a.running = x.server.Versions.Begin(a.versionAttempt())
 	if a.expectedWork >= minAnnouncedWork {
 		x.server.AnnounceWork(e.Upstream(), a.expectedWork)
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -49,6 +49,7 @@
 	Overloaded         Reason = "overloaded"
 	NoUpstream         Reason = "no_healthy_upstream"
 	UpstreamsPaused    Reason = "upstreams_paused"
+	UpstreamsLimited   Reason = "upstreams_limited"
 	RetriesExhausted   Reason = "retries_exhausted"
 	DeadlineExceeded   Reason = "deadline_exceeded"
 	UpstreamFailed     Reason = "upstream_failed"
@@ -127,6 +128,7 @@
 	{Overloaded, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "The request could not start in time."},
 	{NoUpstream, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No healthy upstream serves this."},
 	{UpstreamsPaused, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has asked for a pause."},
+	{UpstreamsLimited, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the requests that every healthy upstream takes."},
 	{RetriesExhausted, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every try failed before an upstream started."},
 	{DeadlineExceeded, ClassUnavailable, http.StatusGatewayTimeout, RanUnknown, 0, "The answer did not come before the deadline."},
 	{UpstreamFailed, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The upstream failed after it was sent the request."},
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -56,6 +56,9 @@
 	Leaving bool
 	// Paused reports that the upstream asked this VM to send it nothing for a while.
 	Paused bool
+	// OverLimit reports that the upstream limits the requests of all VMs, and that this VM has
+	// used its part of them.
+	OverLimit bool
 	// BreakerOpen reports that a circuit breaker refuses requests to the upstream.
 	BreakerOpen bool
 	// CachedBlocks is the number of leading prompt blocks that are probably in
--- a/route/filter.go
+++ b/route/filter.go
@@ -13,6 +13,8 @@
 	Leaving
 	// Paused: the upstream asked this VM to send it nothing for a while.
 	Paused
+	// OverLimit: this VM has used its part of the requests that the upstream takes.
+	OverLimit
 	// BreakerOpen: a circuit breaker refuses requests to the upstream.
 	BreakerOpen
 	// Full: the upstream's requests have reached the bound of FullFilter.
@@ -22,7 +24,7 @@
 )
 
 var reasonNames = [ReasonCount]string{
-	"not_allowed", "tried", "leaving", "paused", "breaker_open", "full",
+	"not_allowed", "tried", "leaving", "paused", "over_limit", "breaker_open", "full",
 }
 
 // String returns the label of the reason in metrics.
@@ -84,6 +86,15 @@
 // Pass implements Filter.
 func (PausedFilter) Pass(_ *Request, c *Candidate) bool { return !c.Paused }
 
+// LimitFilter passes upstreams of whose limit this VM has not used its part.
+type LimitFilter struct{}
+
+// Reason implements Filter.
+func (LimitFilter) Reason() Reason { return OverLimit }
+
+// Pass implements Filter.
+func (LimitFilter) Pass(_ *Request, c *Candidate) bool { return !c.OverLimit }
+
 // BreakerFilter passes upstreams to which no circuit breaker refuses requests.
 type BreakerFilter struct{}
 
