Show that bytes without end are read on: failing tests; let engines of the soak name limits

The soak has a fault of its own kind, an engine that names a limit of 1 to 5 a second for 8 s and more, and checks that it gets no more than 1.5 times that and 5 requests in any 4 s while no VM is disturbed.

--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -236,3 +236,46 @@
 	cancel()
 	g.Eventually(done).Should(Receive(HaveOccurred()))
 }
+
+// writeWithoutEnd writes text until the connection is closed, and sends the number of
+// bytes written.
+func writeWithoutEnd(c net.Conn, text string, written chan<- int) {
+	total := 0
+	for {
+		n, err := io.WriteString(c, text)
+		total += n
+		if err != nil {
+			written <- total
+			return
+		}
+	}
+}
+
+// Bytes that are no response must not be read until the deadline, or into memory.
+func TestHeadWithoutEndIsCutOff(t *testing.T) {
+	const mostRead = 8 << 20 // with the sockets' buffers
+	stale := strings.ReplaceAll(okResponse("other", "body"), "\n", "\r\n")
+	for name, text := range map[string]string{
+		"bytes that are no head": strings.Repeat("no response ", 400),
+		"header line":            strings.Repeat("a", 4096),
+		"header lines":           strings.Repeat("A: b\r\n", 800),
+		"informational":          strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100),
+		"stale responses":        strings.Repeat(stale, 50),
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			written := make(chan int, 1)
+			address := startUpstream(t, func(_ int, _ *http.Request, c net.Conn) {
+				if strings.HasPrefix(name, "header") {
+					write(c, "HTTP/1.1 200 OK\nA: ")
+				}
+				writeWithoutEnd(c, text, written)
+			})
+			pool := upconn.NewPool(upconn.DefaultOptions())
+			defer pool.Close()
+			_, err := pool.Do(context.Background(), newCall(address, "1"))
+			g.Expect(errorx.IsOfType(err, upconn.ErrBroken)).To(BeTrue(), "%v", err)
+			g.Eventually(written, time.Second).Should(Receive(BeNumerically("<", mostRead)))
+		})
+	}
+}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -20,6 +20,9 @@
 	// maximum time until a draining upstream receives no new requests, and Rollback the same
 	// for a version that was found bad.
 	Config, Drain, Rollback time.Duration
+	// LimitDelay is the time from which on a limit that an upstream names is kept, over any
+	// LimitSpan.
+	LimitDelay, LimitSpan time.Duration
 	// HostAllowance is added to each of them, as the host may be busy.
 	HostAllowance time.Duration
 }
@@ -28,7 +31,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		SettleTime: 4 * time.Second, Config: 3 * time.Second, Drain: 3 * time.Second, Rollback: 5 * time.Second,
-		HostAllowance: time.Second,
+		LimitDelay: 4 * time.Second, LimitSpan: 4 * time.Second, HostAllowance: time.Second,
 	}
 }
 
@@ -56,6 +59,7 @@
 	}
 	c.checkConfigurationOrder()
 	c.checkExclusions()
+	c.checkLimits()
 }
 
 // collectRuns groups the runs of all upstreams by request ID. A run that differs from the
@@ -222,6 +226,23 @@
 	}
 }
 
+// checkLimits checks that upstreams that named a limit got no more than one and a half
+// times that, and five requests, if no VM was disturbed. A disturbed VM may have been told
+// in an answer that it never got.
+func (c *checker) checkLimits() {
+	for _, l := range c.report.limits {
+		calm := c.testbed.disturbances.noneOverlap(l.since, l.until)
+		for _, v := range c.testbed.vms {
+			calm = calm && v.disturbances.noneOverlap(l.since, l.until) && v.stopPeriods.noneOverlap(l.since, l.until)
+		}
+		allowed := 1.5*l.perSecond*c.bounds.LimitSpan.Seconds() + 5
+		got := l.engine.MostArrivalsBetween(c.bounds.LimitSpan, l.since.Add(c.bounds.LimitDelay), l.until)
+		if calm && float64(got) > allowed {
+			c.addViolation("%s got %d requests in %v under a limit of %.1f a second", l.engine.ID, got, c.bounds.LimitSpan, l.perSecond)
+		}
+	}
+}
+
 // checkExclusions checks that draining upstreams and upstreams of versions found bad
 // received no new undisturbed request after the bound.
 func (c *checker) checkExclusions() {
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -39,6 +39,7 @@
 	f.IntVar(&o.VMs, "vms", o.VMs, "number of gateway processes")
 	f.IntVar(&o.Engines, "engines", o.Engines, "number of model engines")
 	f.IntVar(&o.ConcurrentFaults, "hands", o.ConcurrentFaults, "maximum number of faults at the same time")
+	f.BoolVar(&o.Limits, "limits", o.Limits, "let engines name limits, as one of the faults")
 	f.BoolVar(&o.Restores, "restores", o.Restores, "restore the store from older copies, as one of the faults")
 	return cmd
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -28,6 +28,13 @@
 	reason  string
 }
 
+// namedLimit is a limit that an upstream named for some time, in requests per second.
+type namedLimit struct {
+	engine       *engine
+	perSecond    float64
+	since, until time.Time
+}
+
 // injector injects faults. Its workers inject one fault at a time each, and run
 // concurrently.
 type injector struct {
@@ -64,6 +71,9 @@
 // because the seeds of regressions depend on the number of faultKinds.
 var restoreFault = faultKind{"store_restored", (*injector).restoreStore}
 
+// limitFault lets an engine name a limit. It is a kind of its own list for the same reason.
+var limitFault = faultKind{"engine_limit", (*injector).limitEngine}
+
 // randomDuration returns the duration of a fault, 0.3 to 3 s.
 func randomDuration(rng *rand.Rand) time.Duration {
 	return time.Duration(300+rng.IntN(2700)) * time.Millisecond
@@ -222,6 +232,17 @@
 	e.failurePercent.Store(0)
 }
 
+// limitEngine lets an upstream name a limit of 1 to 5 requests per second.
+func (f *injector) limitEngine(ctx context.Context, rng *rand.Rand) {
+	e := f.pickEngine(rng)
+	perSecond := 1 + 4*rng.Float64()
+	e.limit.Store(&perSecond)
+	since := time.Now()
+	sleep(ctx, f.bounds.LimitDelay+f.bounds.LimitSpan+randomDuration(rng))
+	f.report.addLimit(namedLimit{engine: e, perSecond: perSecond, since: since, until: time.Now()})
+	e.limit.Store(nil)
+}
+
 // replaceEngine starts a replacement of an upstream, marks the old one as draining and
 // removes it after the drain bound.
 func (f *injector) replaceEngine(ctx context.Context, rng *rand.Rand) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,8 @@
 	// Restores includes restores of the store from older copies among the faults.
 	// Default true.
 	Restores bool
+	// Limits includes engines that name limits among the faults.
+	Limits bool
 	// Bounds are the time bounds that are checked.
 	Bounds Bounds
 }
@@ -36,7 +38,7 @@
 // to be set.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true,
+		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true,
 		Bounds: DefaultBounds(),
 	}
 }
@@ -59,6 +61,7 @@
 	mu           sync.Mutex
 	plannedStops []plannedStop
 	exclusions   []exclusion
+	limits       []namedLimit
 }
 
 func (r *Report) addViolation(format string, args ...any) {
@@ -85,6 +88,12 @@
 	r.exclusions = append(r.exclusions, e)
 }
 
+func (r *Report) addLimit(l namedLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = append(r.limits, l)
+}
+
 const (
 	// readyTimeout is the maximum time until all VMs serve requests.
 	readyTimeout      = 10 * time.Second
@@ -130,7 +139,10 @@
 	defer endFaults()
 	faults := &injector{bed: bed, bounds: o.Bounds, report: report, kinds: faultKinds}
 	if o.Restores {
-		faults.kinds = append(slices.Clip(faultKinds), restoreFault)
+		faults.kinds = append(slices.Clip(faults.kinds), restoreFault)
+	}
+	if o.Limits {
+		faults.kinds = append(slices.Clip(faults.kinds), limitFault)
 	}
 	var wait sync.WaitGroup
 	for worker := range o.ConcurrentFaults {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -40,6 +40,8 @@
 	link *Link
 	// failurePercent is the percentage of requests that fail with status 500.
 	failurePercent atomic.Int32
+	// limit is the number of requests per second that it names as its limit; nil for none.
+	limit atomic.Pointer[float64]
 }
 
 // testbed is the environment of a run: the store, the upstreams and the VMs.
@@ -143,6 +145,9 @@
 // model get a low-confidence response, so that the large model runs as well.
 func (e *engine) behave(r *http.Request) standin.Behaviour {
 	b := standin.Behaviour{Confidence: -1}
+	if limit := e.limit.Load(); limit != nil {
+		b.Limit = *limit
+	}
 	if rand.Int32N(100) < e.failurePercent.Load() {
 		b.Status = http.StatusInternalServerError
 		return b
