Cut off bytes that come without end, in a head, a body or an event

Callers would see: a VM that runs out of memory, or requests that wait until their deadline for an engine that sends bytes and no answer. Cause: limits of time on silence, none on bytes: a head was read without bound (245 MB in 2 s), an event was kept and searched from its beginning at each read, and bytes that make up no event counted as progress; bodies without events were bounded for each request only (8 MB, on VMs of 134 MB). Class: an end that only the other side decides on. Change: a head has 64 KiB, the bodies of stale responses 1 MiB, and 16 responses at most are skipped (upconn.budgetReader); an event has 1 MiB, the wait for the next event is not extended by anything else, and the search goes on where it ended; all responses that are being read whole have 32 MiB together. An attempt that is cut off counts as broken, a trickle as silent, so that another engine is asked. Looked for elsewhere: the product's own engine client, the peers, the feeds and the store client bound their bodies and events already, their heads by net/http. Conclusion: shown by own tests only.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -229,8 +229,13 @@
 	x := a.exchange
 	b := &bufferedResponse{status: resp.Status, header: resp.Header}
 	buf := make([]byte, maxDrainBytes)
+	defer func() { x.server.buffered.release(len(b.body)) }()
 	for {
 		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
+		if !x.server.buffered.take(n) {
+			return upconn.ErrBroken.New("responses being read together exceed %d bytes, among them one from %s",
+				x.server.opts.MaxTotalBufferedBytes, a.engine.ID())
+		}
 		b.body = append(b.body, buf[:n]...)
 		if errors.Is(err, io.EOF) {
 			break
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -27,6 +27,9 @@
 	// MaxBufferedBytes is the largest response without events, in bytes, and the
 	// largest request body if the configuration sets no limit. Default 8 MiB.
 	MaxBufferedBytes int
+	// MaxTotalBufferedBytes is the largest size of all responses without events together that
+	// are being read. Default 32 MiB.
+	MaxTotalBufferedBytes int64
 	// DefaultDeadline is the time limit of a request if neither the caller nor
 	// the route sets one. Default 30 s.
 	DefaultDeadline time.Duration
@@ -43,7 +46,7 @@
 		Cascade: cascade.ConfidencePolicy{
 			MinConfidence: 58, MinConfidenceLate: 25, NextModelConfidence: 48,
 			IdleWait: 0.02, BusyWait: 0.2, LatestStart: 0.85, StepTime: 300 * time.Millisecond},
-		MaxBufferedBytes: 8 << 20, DefaultDeadline: 30 * time.Second,
+		MaxBufferedBytes: 8 << 20, MaxTotalBufferedBytes: 32 << 20, DefaultDeadline: 30 * time.Second,
 		WriteTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second,
 	}
 }
@@ -80,13 +83,14 @@
 // Server serves callers' requests. It implements http.Handler.
 type Server struct {
 	Deps
-	opts    Options
-	prefill *prefillEstimator
+	opts     Options
+	prefill  *prefillEstimator
+	buffered bufferBudget
 }
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	return &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator()}
+	return &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -26,11 +26,15 @@
 	// another upstream.
 	eventGapFactor  = 2
 	defaultEventGap = 5 * time.Second
+	// maxEventBytes is the largest size of an event.
+	maxEventBytes = 1 << 20
 	// budgetPoll is the interval at which an exhausted retry budget is checked
 	// again.
 	budgetPoll = 250 * time.Millisecond
-	// minWait is the lower bound of every wait.
-	minWait = time.Millisecond
+	// minWait is the lower bound of every wait, and minReadWait that of a read of a stream,
+	// in which bytes that have arrived are always found.
+	minWait     = time.Millisecond
+	minReadWait = 50 * time.Millisecond
 )
 
 // headerWait returns how long the attempt may take to send the first bytes or
@@ -103,8 +107,9 @@
 // eventBuffer splits a stream into complete server-sent events.
 type eventBuffer struct {
 	buf []byte
-	// consumed is the length of the events already returned by next.
-	consumed int
+	// consumed is the length of the events already returned by next, and searched that of
+	// the part in which no further event ends.
+	consumed, searched int
 }
 
 // eventSeparator marks the end of an event.
@@ -113,21 +118,28 @@
 // next returns the next complete event, or nil if there is none yet. The event is
 // valid until compact is called.
 func (e *eventBuffer) next() []byte {
-	i := bytes.Index(e.buf[e.consumed:], eventSeparator)
+	from := max(e.searched-len(eventSeparator)+1, e.consumed)
+	i := bytes.Index(e.buf[from:], eventSeparator)
 	if i < 0 {
+		e.searched = len(e.buf)
 		return nil
 	}
-	event := e.buf[e.consumed : e.consumed+i+len(eventSeparator)]
-	e.consumed += len(event)
+	end := from + i + len(eventSeparator)
+	event := e.buf[e.consumed:end]
+	e.consumed, e.searched = end, end
 	return event
 }
 
 // compact discards the events already returned by next.
 func (e *eventBuffer) compact() {
 	e.buf = append(e.buf[:0], e.buf[e.consumed:]...)
+	e.searched = max(e.searched-e.consumed, 0)
 	e.consumed = 0
 }
 
+// partialBytes returns the length of the incomplete event in the buffer.
+func (e *eventBuffer) partialBytes() int { return len(e.buf) - e.consumed }
+
 // hasPartial reports whether the buffer holds an incomplete event.
 func (e *eventBuffer) hasPartial() bool {
 	return len(bytes.TrimSpace(e.buf[e.consumed:])) > 0
@@ -155,17 +167,22 @@
 	x := a.exchange
 	var pending eventBuffer
 	buf := make([]byte, streamBufferBytes)
+	awaited := a.awaitEvent()
 	for {
-		wait := a.maxEventGap()
-		if a.firstAfter == 0 {
-			wait = max(a.headerWait()-x.server.Clock.Since(a.startedAt), a.maxEventGap())
-		}
-		n, err := a.readMonitored(resp, buf, wait)
+		n, err := a.readMonitored(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
 		pending.buf = append(pending.buf, buf[:n]...)
-		if sendErr := a.forwardEvents(resp, &pending); sendErr != nil {
+		forwarded, sendErr := a.forwardEvents(resp, &pending)
+		if sendErr != nil {
 			return sendErr
 		}
+		if forwarded {
+			awaited = a.awaitEvent()
+		} else if awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited) {
+			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
+		}
 		switch {
+		case pending.partialBytes() > maxEventBytes:
+			return upconn.ErrBroken.New("event larger than %d bytes from %s", maxEventBytes, a.engine.ID())
 		case err == nil:
 			continue
 		case !errors.Is(err, io.EOF):
@@ -199,9 +216,35 @@
 	})
 }
 
+// eventWait is the time until which the next event of a stream must come. Bytes that
+// make up no event don't extend it.
+type eventWait struct{ until time.Time }
+
+// awaitEvent returns the wait for the next event from now on.
+func (a *attempt) awaitEvent() eventWait {
+	now := a.exchange.server.Clock.Now()
+	wait := a.maxEventGap()
+	if a.firstAfter == 0 {
+		wait = max(a.headerWait()-now.Sub(a.startedAt), wait)
+	}
+	return eventWait{until: now.Add(wait)}
+}
+
+func (w eventWait) left(now time.Time) time.Duration { return w.until.Sub(now) }
+
+func (w eventWait) isOver(now time.Time) bool { return w.left(now) <= 0 }
+
+// mayWaitOn reports whether the attempt goes on although the wait is over, and extends it
+// then.
+func (a *attempt) mayWaitOn(w *eventWait) bool {
+	more := a.onSilence()
+	w.until = a.exchange.server.Clock.Now().Add(more)
+	return more > 0
+}
+
 // forwardEvents forwards the complete events in the buffer and flushes them to
-// the caller.
-func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) error {
+// the caller. It reports whether there were any.
+func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) (bool, error) {
 	x := a.exchange
 	written := false
 	for event := pending.next(); event != nil; event = pending.next() {
@@ -209,14 +252,14 @@
 		a.recordEvent()
 		id := eventID(event)
 		if id != "" && !isLaterEvent(id, x.lastEvent) {
-			return upconn.ErrBroken.New("event id %q from %s does not follow the last id %q", id, a.engine.ID(), x.lastEvent)
+			return written, upconn.ErrBroken.New("event id %q from %s does not follow the last id %q", id, a.engine.ID(), x.lastEvent)
 		}
 		if !x.headerSent {
 			x.sendHeader(resp.Status, resp.Header)
 			x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
 		}
 		if _, err := x.w.Write(event); err != nil {
-			return refusal.Wrap(refusal.CallerGone, err)
+			return written, refusal.Wrap(refusal.CallerGone, err)
 		}
 		written = true
 		if id != "" {
@@ -225,12 +268,12 @@
 	}
 	pending.compact()
 	if !written {
-		return nil
+		return false, nil
 	}
 	if err := x.control.Flush(); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
+		return true, refusal.Wrap(refusal.CallerGone, err)
 	}
-	return nil
+	return true, nil
 }
 
 // isLaterEvent reports whether the event with the given id may follow the last
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -154,10 +154,18 @@
 // maxStaleBodyBytes is the largest body of a stale response that is skipped.
 const maxStaleBodyBytes = 1 << 20
 
+// maxHeadBytes is the largest size of a response's header.
+const maxHeadBytes = 64 << 10
+
+// maxSkippedResponses is how many informational and stale responses are skipped.
+const maxSkippedResponses = 16
+
 // readHeader reads response headers, skipping informational and stale responses,
 // until it finds the one that belongs to the request.
 func (r *Response) readHeader(call Call) (*http.Response, error) {
-	for {
+	defer func() { r.conn.budget.left = unlimited }()
+	for range maxSkippedResponses {
+		r.conn.budget.left = maxHeadBytes
 		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: call.Request.Method})
 		if err != nil {
 			return nil, r.readError(err)
@@ -171,10 +179,12 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrBroken.New("stale response without Content-Length or chunked coding from %s", r.conn.address)
 		}
+		r.conn.budget.left = maxStaleBodyBytes
 		if _, err := io.CopyN(io.Discard, resp.Body, maxStaleBodyBytes); !errors.Is(err, io.EOF) {
 			return nil, ErrBroken.New("stale response from %s could not be skipped", r.conn.address)
 		}
 	}
+	return nil, ErrBroken.New("more than %d responses to other requests from %s", maxSkippedResponses, r.conn.address)
 }
 
 // headerReadTimeout is how long the rest of a header, or of the data that a read
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -60,7 +60,9 @@
 type conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader reads from the connection through budget.
+	budget *budgetReader
+	reader *bufio.Reader
 	// expiresAt is when the unused connection must no longer be reused; zero before its
 	// first use.
 	expiresAt time.Time
@@ -129,7 +131,8 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", address)
 	}
-	return &conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	budget := &budgetReader{source: c, left: unlimited}
+	return &conn{Conn: c, address: address, budget: budget, reader: bufio.NewReaderSize(budget, readBufferBytes)}, nil
 }
 
 // putIdle returns a connection to the pool. The upstream's idle timeout is zero
