--- a/internal/shifts/doc.go
+++ b/internal/shifts/doc.go
@@ -4,6 +4,5 @@
 //
 // Package rollout/shift makes the decisions. All rows are in one table: one row for
 // each service with the state, and one row for each service and VM with the VM's
-// counts of the new version, which is written when the VM sees new failures of that
-// version.
+// counts of both versions.
 package shifts
--- a/rollout/shift/doc.go
+++ b/rollout/shift/doc.go
@@ -13,5 +13,7 @@
 // session must not change its version during that time and no VM knows all
 // sessions. After that a session moves once, when the share exceeds the hash of its
 // key, and does not move back unless the shift is reverted. A version is found bad
-// by the sequential test of package rollout on the evidence of all VMs.
+// by the sequential test of package rollout on the evidence of all VMs. It is completed
+// only if that evidence shows that it is good; otherwise it is reverted shortly before
+// the deadline.
 package shift
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -150,7 +150,7 @@
 	return State{Order: o, Phase: Active, Started: now}
 }
 
-// Revert returns the state after a bad verdict on the new version.
+// Revert returns the state after the new version was given up, with the verdict on it.
 func Revert(s State, v rollout.Verdict) State {
 	s.Phase, s.Verdict = Reverted, v
 	return s
