Apply the evidence of a listing after the states that it belongs to

Callers would see: a roll-out decided on the answers of one VM, after it was restarted, or reverted for want of proof. Cause: a listing has the rows in the order of their keys, 'evidence/...' before 'shift/...', and evidence of an order whose state is not known yet is dropped. A VM that started knew nothing of the others until they wrote again. Class: rows applied in an order that only holds for changes. Change: states first, then evidence; the first counts are written again if that write failed. Test failed before: TestEvidenceListedBeforeItsStateIsKept (reverted in place of complete).

--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -109,9 +109,9 @@
 		return false
 	}
 	own, elapsed := m.own(s), m.opts.Clock.Since(s.publishedAt)
-	if s.publishedAt.IsZero() && own.Before.Answers.Requests > 0 {
+	if s.published == (observed{}) && own.Before.Answers.Requests > 0 {
 		first := time.Duration(firstCountsFraction * float64(s.state.Order.Duration))
-		return now-s.state.Started >= first+m.turnDelay(serviceName)
+		return now-s.state.Started >= first+m.turnDelay(serviceName) && elapsed >= minEvidenceInterval
 	}
 	if own.problems() > s.published.problems() {
 		return elapsed >= minEvidenceInterval
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -163,26 +163,24 @@
 	if b.Era > m.era {
 		m.enterEra(b.Era)
 	}
-	for _, r := range b.Rows {
-		m.applyRow(r)
-	}
+	// Evidence follows the states that it belongs to. In a listing it comes first.
+	m.applyRows(b.Rows, statePrefix, m.applyState)
 	for _, s := range m.byService {
 		m.adoptOlderState(s)
 	}
+	m.applyRows(b.Rows, evidencePrefix, m.applyEvidence)
 }
 
-func (m *Manager) applyRow(r watch.Row) {
-	if r.Deleted {
-		return
-	}
-	var err error
-	if keySuffix, ok := strings.CutPrefix(r.Key, statePrefix); ok {
-		err = m.applyState(keySuffix, r)
-	} else if keySuffix, ok := strings.CutPrefix(r.Key, evidencePrefix); ok {
-		err = m.applyEvidence(keySuffix, r)
-	}
-	if err != nil {
-		m.opts.Log.Warn("cannot decode roll-out row; row ignored", "key", r.Key, "revision", r.Revision, "error", err)
+// applyRows applies the rows whose keys have the prefix.
+func (m *Manager) applyRows(rows []watch.Row, prefix string, apply func(keySuffix string, r watch.Row) error) {
+	for _, r := range rows {
+		keySuffix, ok := strings.CutPrefix(r.Key, prefix)
+		if !ok || r.Deleted {
+			continue
+		}
+		if err := apply(keySuffix, r); err != nil {
+			m.opts.Log.Warn("cannot decode roll-out row; row ignored", "key", r.Key, "revision", r.Revision, "error", err)
+		}
 	}
 }
 
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -515,3 +518,24 @@
 	}
 	NewWithT(t).Expect(firstShare(3)).To(BeNumerically(">", 1.5*firstShare(2)))
 }
+
+// A listing has the rows in the order of their keys, so that evidence comes before the state
+// that it belongs to.
+func TestEvidenceListedBeforeItsStateIsKept(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 25, outcome("v2", usualGap, false))
+	f.advance(2 * time.Second)
+	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeEquivalentTo(25))
+	f.vms = nil
+	f.addVM("b")
+	f.vms[0].Replace(watch.Batch{
+		Rows: slices.SortedFunc(maps.Values(f.table.rows), func(a, b watch.Row) int { return strings.Compare(a.Key, b.Key) }), At: f.table.revision,
+	})
+	f.table.log = nil
+	f.advance(8 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
+}
