Count a roll-out's deadline from when the order arrived

Operators saw: states written 0.1 s (6 VMs) to 0.4 s (71 VMs) later before the deadline than planned, in part too late for them. Cause: the first state began when the VM that wrote it got its turn, not when it received the order. Change: the shared clock at the order's arrival. Test failed before: TestShiftStartsWhenOrderArrives.

--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -68,6 +68,9 @@
 	// orders before it.
 	order      shift.Order
 	pastOrders []shift.Order
+	// orderedAt is when this VM received the order, on the shared clock; zero if the clock
+	// was not known then.
+	orderedAt time.Duration
 	// state is the newest known state, if known is set. It may be ahead of the row
 	// after the store was restored from an older copy.
 	state shift.State
@@ -136,7 +139,10 @@
 	if s.order.ID != 0 && !m.isRewrite(o, s.order) {
 		s.pastOrders = append(s.pastOrders, s.order)
 	}
-	s.order = o
+	s.order, s.orderedAt = o, 0
+	if now, known := m.opts.SharedClock.Now(); known {
+		s.orderedAt = now
+	}
 	m.opts.Log.Info("roll-out order received", "service", o.Service, "to", o.To,
 		"order", o.ID, "era", o.Era, "duration_ms", o.Duration.Milliseconds())
 }
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -539,3 +539,12 @@
 	f.advance(8 * time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Complete))
 }
+
+// The deadline counts from the order and not from when a VM got its turn to write.
+func TestShiftStartsWhenOrderArrives(t *testing.T) {
+	f := newFleet(t, "a")
+	f.advance(time.Second)
+	f.order()
+	f.advance(2 * time.Second)
+	f.Expect(f.state().Started).To(Equal(time.Second))
+}
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -53,7 +53,7 @@
 	// Share is the fraction of sessions that get the new version since the last step, 0 to
 	// 1.
 	Share float64 `json:"share,omitzero"`
-	// Started is when a VM first saw the order, and Stepped when the last step was made, on
+	// Started is when the VM that wrote the first state received the order, and Stepped when the last step was made, on
 	// the shared clock.
 	Started time.Duration `json:"started"`
 	Stepped time.Duration `json:"stepped,omitzero"`
