Tell callers without a deadline when to come back

Callers saw: a Retry-After of 0.05 s at most, whatever the reason, if they sent no deadline. Change: the route's time counts then. Test failed before: TestCallerWithoutDeadlineIsToldWhenToReturn; stand-in clients without a deadline send none. Conclusion: mended.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -168,7 +168,10 @@
 // maxRetryAfter returns the upper bound for the Retry-After sent to a refused
 // caller.
 func (x *exchange) maxRetryAfter() time.Duration {
-	left := x.request.Deadline - x.server.Clock.Since(x.startedAt)
+	left := x.timeLeft()
+	if x.request.Deadline > 0 {
+		left = x.request.Deadline - x.server.Clock.Since(x.startedAt)
+	}
 	return max(left/retryAfterDivisor, minRetryAfter)
 }
 
