--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -357,6 +357,9 @@
 // called before Start.
 func (d *Daemon) CallersAddress() string { return d.callerServer.Address() }
 
+// MetricsAddress returns the address at which metrics are read.
+func (d *Daemon) MetricsAddress() string { return d.metricsServer.Address() }
+
 // Metrics returns the help text of each metric, by name.
 func (d *Daemon) Metrics() map[string]string { return d.registry.Descriptions("poplarshore_") }
 
