Don't end an upstream's limit by the answer to an earlier request

Engines would see: more requests than they named, just after they named a limit. Cause: the head of an answer to a request that was sent before may arrive after the one that names the limit, on another connection, and ended it. Change: an answer without a limit ends one only if its request was sent after the limit was last named to this VM. Test failed before: TestAnswerToEarlierRequestDoesNotEndLimit.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -50,9 +50,10 @@
 	// pausedUntil is until when the upstream asked this VM to send it nothing.
 	pausedUntil time.Time
 	// requestLimit is the number of requests per second that the upstream takes from all
-	// VMs together; zero if it set no limit. limitedSends holds when this VM sent its latest
-	// requests under it.
+	// VMs together; zero if it set no limit. limitNamedAt is when it last named one to this
+	// VM, and limitedSends holds when this VM sent its latest requests under it.
 	requestLimit float64
+	limitNamedAt time.Time
 	limitedSends []time.Time
 	// silentUntil is until when the upstream is avoided because it was silent.
 	silentUntil time.Time
--- a/internal/engines/limit.go
+++ b/internal/engines/limit.go
@@ -13,13 +13,30 @@
 const announcedLimitChange = 0.1
 
 // SetRequestLimit records the number of requests per second that the upstream, by its
-// newest answer, takes from all VMs together; zero for no limit.
-func (e *Engine) SetRequestLimit(perSecond float64) {
+// answer to a request sent at the given time, takes from all VMs together; zero for no
+// limit. An answer without a limit ends one only if its request was sent after the limit was
+// last named: answers on different connections may overtake each other.
+func (e *Engine) SetRequestLimit(perSecond float64, sentAt time.Time) {
+	if e.limitNamedAfter(perSecond, sentAt) {
+		return
+	}
 	if e.setRequestLimit(perSecond) && e.directory.opts.OnLimit != nil {
 		e.directory.opts.OnLimit(e.Upstream(), perSecond)
 	}
 }
 
+// limitNamedAfter records when a limit is named, and reports whether an answer without one
+// is older than that.
+func (e *Engine) limitNamedAfter(perSecond float64, sentAt time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if perSecond > 0 {
+		e.limitNamedAt = e.directory.clock.Now()
+		return false
+	}
+	return sentAt.Before(e.limitNamedAt)
+}
+
 // setRequestLimit sets the limit, and reports whether it changed by much.
 func (e *Engine) setRequestLimit(perSecond float64) bool {
 	e.mu.Lock()
--- a/internal/engines/limit_test.go
+++ b/internal/engines/limit_test.go
@@ -40,7 +40,7 @@
 			for i := range directories {
 				directories[i] = newDirectoryOf(clock, i, vms)
 				directories[i].Replace([]engines.Entry{newEntry("limited", "d1")})
-				find(directories[i], "limited").SetRequestLimit(perSecond)
+				find(directories[i], "limited").SetRequestLimit(perSecond, clock.Now())
 			}
 			var sent []time.Time
 			for range 200 {
@@ -70,9 +70,9 @@
 
 func TestRequestsBeyondLimitGoToOtherUpstreams(t *testing.T) {
 	g := NewWithT(t)
-	d, _ := newDirectory()
+	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("limited", "d1"), newEntry("far", "d2")})
-	find(d, "limited").SetRequestLimit(2)
+	find(d, "limited").SetRequestLimit(2, clock.Now())
 	counts := make(map[string]int)
 	for range 50 {
 		counts[sendThrough(d)]++
@@ -83,9 +83,9 @@
 
 func TestLimitOfAllUpstreamsTellsWhenToReturn(t *testing.T) {
 	g := NewWithT(t)
-	d, _ := newDirectory()
+	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("limited", "d1")})
-	find(d, "limited").SetRequestLimit(2)
+	find(d, "limited").SetRequestLimit(2, clock.Now())
 	for sendThrough(d) != "" {
 	}
 	choice := d.Choose(engines.Requirements{Service: "s"})
@@ -95,12 +95,12 @@
 
 func TestUpstreamWithoutLimitAnyMoreGetsAllRequests(t *testing.T) {
 	g := NewWithT(t)
-	d, _ := newDirectory()
+	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("limited", "d1")})
-	find(d, "limited").SetRequestLimit(2)
+	find(d, "limited").SetRequestLimit(2, clock.Now())
 	for sendThrough(d) != "" {
 	}
-	find(d, "limited").SetRequestLimit(0)
+	find(d, "limited").SetRequestLimit(0, clock.Now())
 	for range 50 {
 		g.Expect(sendThrough(d)).To(Equal("limited"))
 	}
@@ -108,11 +108,30 @@
 
 func TestRequestChosenBeforeLimitWasUsedIsNotSent(t *testing.T) {
 	g := NewWithT(t)
-	d, _ := newDirectory()
+	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("limited", "d1")})
-	find(d, "limited").SetRequestLimit(2)
+	find(d, "limited").SetRequestLimit(2, clock.Now())
 	chosen := d.Choose(engines.Requirements{Service: "s"}).Engine
 	for sendThrough(d) != "" {
 	}
 	g.Expect(chosen.Begin(0)).To(BeNil())
 }
+
+// The head of an answer may arrive after that of a request which was sent later.
+func TestAnswerToEarlierRequestDoesNotEndLimit(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("limited", "d1")})
+	earlier := clock.Now()
+	clock.Advance(100 * time.Millisecond)
+	find(d, "limited").SetRequestLimit(2, clock.Now())
+	clock.Advance(10 * time.Millisecond)
+	find(d, "limited").SetRequestLimit(0, earlier)
+	sent := 0
+	for sendThrough(d) != "" && sent < 50 {
+		sent++
+	}
+	g.Expect(sent).To(BeNumerically("<=", 4))
+	find(d, "limited").SetRequestLimit(0, clock.Now())
+	g.Expect(sendThrough(d)).To(Equal("limited"))
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -99,7 +99,7 @@
 		a.engine.Pause(head.Pause)
 	}
 	if resp.Status != http.StatusMisdirectedRequest {
-		a.engine.SetRequestLimit(head.RequestLimit)
+		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
 	}
 	a.confidence = head.Confidence
 	if head.HasLoad {
