Log when a response's header came, that a connection ended, and the shared parts of such prompts

Change: attempts log 'head' and the outcome connection_lost; requests with such an attempt log keyed digests of their shared parts; the setting digest_secret is the key. No decision reads any of it yet.

--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -7,6 +7,7 @@
 	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/relay"
 	"github.com/poplarshore/poplarshore/platform/wire"
+	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/upstream"
 )
@@ -46,7 +47,8 @@
 	return relay.New(relay.Deps{
 		Protocol: wire.Protocol{}, Tables: d.operatorSink, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
-		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
+		Digester: quarantine.NewDigester(d.settings.DigestSecret),
+		Clock:    d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
 		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
 		},
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -37,6 +37,8 @@
 	// complete response if it has no events; lastAfter is the time to the newest
 	// event, zero without events.
 	firstAfter, lastAfter time.Duration
+	// headAfter is the time from startedAt to the response's header; zero if none came.
+	headAfter time.Duration
 	// maxGap is the longest time between two events.
 	maxGap time.Duration
 	// confidence is the model's confidence in its response, 0 to 100; negative if
@@ -89,6 +91,7 @@
 		return err
 	}
 	defer resp.Close()
+	a.headAfter = s.Clock.Since(a.startedAt)
 	a.running.SetNetworkLatency(a.networkLatency(resp.NewConnection))
 	head := s.Protocol.ReadHead(resp.Status, resp.Header)
 	if head.Leaving {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/poplarshore/poplarshore/account"
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/routing"
@@ -70,6 +71,8 @@
 	// resumed a stream, or sent by this exchange.
 	lastEvent  string
 	attemptLog []attemptRecord
+	// connectionLost reports whether an attempt ended with its connection.
+	connectionLost bool
 }
 
 // attemptRecord describes one attempt in the request log. A text log shows the
@@ -86,6 +89,9 @@
 	// First the time from there to its first event, both in ms.
 	At    int64 `json:"at"`
 	First int64 `json:"first,omitempty"`
+	// Head is the time from the start of the attempt to the response's header, in ms;
+	// 0 if none came.
+	Head int64 `json:"head,omitempty"`
 	// Pause is the longest time between two events, in ms.
 	Pause int64 `json:"pause,omitempty"`
 	// Gap is the usual time between two events, in ms; 0 if it is unknown.
@@ -298,6 +304,25 @@
 	return req
 }
 
+// sharedParts returns the parts of the prompt that other requests may share: all but the
+// last one.
+func (r *Request) sharedParts() []Part {
+	return r.Parts[:max(len(r.Parts)-1, 0)]
+}
+
+// lostPartKeys returns the keys of the shared parts of a prompt for the log, if an attempt
+// lost its connection; otherwise nil.
+func (x *exchange) lostPartKeys() []quarantine.Key {
+	if !x.connectionLost {
+		return nil
+	}
+	keys := make([]quarantine.Key, 0, len(x.request.Parts))
+	for _, p := range x.request.sharedParts() {
+		keys = append(keys, x.server.Digester.Part(p.ID))
+	}
+	return keys
+}
+
 // expectedResponseBytes is the assumed size of a response, for the price of
 // links between regions.
 const expectedResponseBytes = 3000
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -304,11 +304,12 @@
 			outcome = name[strings.LastIndexByte(name, '.')+1:]
 		}
 	}
+	x.connectionLost = x.connectionLost || errorx.IsOfType(err, upconn.ErrConnectionLost)
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
 	record := attemptRecord{
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
-		First: a.firstAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
+		First: a.firstAfter.Milliseconds(), Head: a.headAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
 		Gap: a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
 	}
 	if a.confidence >= 0 {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
+	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -62,9 +63,11 @@
 	// upstream returned a failure.
 	RepeatEstimator *retry.RepeatEstimator
 	Pool            *upconn.Pool
-	Clock           clockwork.Clock
-	Log             *slog.Logger
-	Metrics         *Metrics
+	// Digester computes the keys by which parts of prompts appear in logs.
+	Digester *quarantine.Digester
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	Metrics  *Metrics
 	// AnnounceWork informs other VMs that a request with a long prefill was sent to an
 	// upstream.
 	AnnounceWork func(u upstream.Upstream, work time.Duration)
--- a/internal/upconn/errors.go
+++ b/internal/upconn/errors.go
@@ -12,6 +12,9 @@
 	// the request came, after at least a part of the request was sent. The
 	// upstream may have run the request.
 	ErrBroken = namespace.NewType("broken")
+	// ErrConnectionLost is an ErrBroken: the upstream or the network ended the
+	// connection, as after a crash of the upstream.
+	ErrConnectionLost = ErrBroken.NewSubtype("connection_lost")
 	// ErrSilent reports that nothing was received within the time limit. The
 	// upstream may have run the request.
 	ErrSilent = namespace.NewType("silent", errorx.Timeout())
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -126,7 +127,7 @@
 	case n == 0:
 		return ErrNotSent.Wrap(err, "write request to %s", r.conn.address)
 	}
-	return ErrBroken.Wrap(err, "request partly written to %s", r.conn.address)
+	return ErrConnectionLost.Wrap(err, "request partly written to %s", r.conn.address)
 }
 
 // encode returns the request in the HTTP/1.1 wire format.
@@ -211,14 +212,26 @@
 	}
 }
 
-// readError wraps an error of the connection as ErrSilent or ErrBroken.
+// readError wraps an error of a read as ErrSilent, as ErrConnectionLost, or as another
+// ErrBroken if the connection is not its cause.
 func (r *Response) readError(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return ErrSilent.Wrap(err, "timed out waiting for response from %s", r.conn.address)
+	case isConnectionEnd(err):
+		return ErrConnectionLost.Wrap(err, "read response from %s", r.conn.address)
 	}
 	return ErrBroken.Wrap(err, "read response from %s", r.conn.address)
 }
 
+// isConnectionEnd reports whether a read failed because the connection ended. It is false
+// for a connection that this process closed itself.
+func isConnectionEnd(err error) bool {
+	var netErr *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.As(err, &netErr) && !errors.Is(err, net.ErrClosed)
+}
+
 // Read reads from the body. It waits for the next bytes up to limit; then
 // onSilence returns how much longer to wait, or zero to give up, and nil gives
 // up. At the end of a complete body it returns io.EOF. Errors: ErrBroken,
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -279,3 +279,29 @@
 		})
 	}
 }
+
+// A connection that ends is told from bytes that are no response.
+func TestEndOfConnectionIsToldFromInvalidResponse(t *testing.T) {
+	g := NewWithT(t)
+	address := startUpstream(t, func(_ int, r *http.Request, c net.Conn) {
+		switch r.Header.Get("Id") {
+		case "garbled":
+			write(c, "no response\n\n")
+		case "cut":
+			write(c, "HTTP/1.1 200 OK\nId: cut\nContent-Length: 5\n\nab")
+		}
+		_ = c.Close()
+	})
+	pool := upconn.NewPool(upconn.DefaultOptions())
+	defer pool.Close()
+	_, err := pool.Do(t.Context(), newCall(address, "garbled"))
+	g.Expect(errorx.IsOfType(err, upconn.ErrBroken)).To(BeTrue(), "%v", err)
+	g.Expect(errorx.IsOfType(err, upconn.ErrConnectionLost)).To(BeFalse(), "%v", err)
+	_, err = pool.Do(t.Context(), newCall(address, "lost"))
+	g.Expect(errorx.IsOfType(err, upconn.ErrConnectionLost)).To(BeTrue(), "%v", err)
+	resp, err := pool.Do(t.Context(), newCall(address, "cut"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Close()
+	_, err = readBody(resp)
+	g.Expect(errorx.IsOfType(err, upconn.ErrConnectionLost)).To(BeTrue(), "%v", err)
+}
--- /dev/null
+++ b/quarantine/key.go
@@ -0,0 +1,72 @@
+package quarantine
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/joomcode/errorx"
+)
+
+var namespace = errorx.NewNamespace("quarantine")
+
+// ErrInvalidKey reports a text that is no Key.
+var ErrInvalidKey = namespace.NewType("invalid_key")
+
+// Kind is what a Key identifies.
+type Kind string
+
+// PromptPart is a part of a prompt that several requests share.
+const PromptPart Kind = "part"
+
+// Key identifies what is kept out.
+type Key struct {
+	Kind   Kind
+	Digest uint64
+}
+
+// digestBase is the base of a digest in the text form of a Key.
+const digestBase = 16
+
+// String returns the key as KIND-DIGEST.
+func (k Key) String() string { return string(k.Kind) + "-" + strconv.FormatUint(k.Digest, digestBase) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. Errors: ErrInvalidKey.
+func (k *Key) UnmarshalText(text []byte) error {
+	kind, digest, found := strings.Cut(string(text), "-")
+	n, err := strconv.ParseUint(digest, digestBase, 64)
+	if !found || kind == "" || err != nil {
+		return ErrInvalidKey.New("expected KIND-DIGEST with a hexadecimal digest, got %q", text)
+	}
+	*k = Key{Kind: Kind(kind), Digest: n}
+	return nil
+}
+
+// Digester computes keys. All VMs must use the same secret.
+type Digester struct{ secret []byte }
+
+// NewDigester returns a Digester with the secret.
+func NewDigester(secret string) *Digester { return &Digester{secret: []byte(secret)} }
+
+// Part returns the key of a part of a prompt, given its ID.
+func (d *Digester) Part(id string) Key {
+	return Key{Kind: PromptPart, Digest: d.digest(PromptPart, id)}
+}
+
+// digest returns the keyed digest of a kind and some texts. Each text is preceded by its
+// length, so that different texts don't concatenate to the same input.
+func (d *Digester) digest(kind Kind, texts ...string) uint64 {
+	mac := hmac.New(sha256.New, d.secret)
+	// Writing to a hash never returns an error.
+	_, _ = mac.Write([]byte(kind))
+	for _, text := range texts {
+		_, _ = mac.Write(binary.AppendUvarint(nil, uint64(len(text))))
+		_, _ = mac.Write([]byte(text))
+	}
+	return binary.BigEndian.Uint64(mac.Sum(nil))
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -30,7 +30,10 @@
 	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
 	MemoryMB int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
 	Stop     GatewayStop `json:"stop" doc:"Planned stops."`
-	Log      Log         `json:"log" doc:"Logs to standard output."`
+	// DigestSecret is the key of the digests by which requests appear in logs and in messages
+	// between VMs.
+	DigestSecret string `json:"digest_secret" doc:"Key of the digests that stand for requests in logs and between VMs; the same on all VMs. Default poplarshore."`
+	Log          Log    `json:"log" doc:"Logs to standard output."`
 }
 
 // Store configures the platform's store.
@@ -81,9 +84,9 @@
 		Store:    Store{CallMS: 1000},
 		Changes:  Changes{ConfigMS: 3000, DrainMS: 3000},
 		Retries:  Retries{SpanS: 10, Ratio: 0.9, Slack: 50},
-		Exposure: shift.DefaultExposure.Share,
-		Stop:     GatewayStop{TakeS: 2.7, GraceS: 8},
-		Log:      Log{Format: "json", Level: "info"},
+		Exposure: shift.DefaultExposure.Share, DigestSecret: "poplarshore",
+		Stop: GatewayStop{TakeS: 2.7, GraceS: 8},
+		Log:  Log{Format: "json", Level: "info"},
 	}
 }
 
