Keep requests with a part that crashes engines away from them, all VMs together

Cause: nothing told which requests crash engines. A request whose engine had ended was sent to the next one, by us and by its client, at any VM; a VM alone sees too little. Class: a request of death that retries spread. Change: package quarantine decides which keys explain the crashes, from the evidence of all VMs: suspected are requests whose answer had just begun, also those that the cascade had dropped; a sound answer clears every part of its request; upstreams that end together count once; a crash that a found key explains is held against no other. internal/quarantines follows the attempts, shares evidence by hints (in a large fleet through three VMs), and keeps what was found in one row, which VMs that start read before they serve. Such requests are refused with 503 and when to come back, by the reason 'quarantined'. An attempt that ended in a crash is a retry reason of its own; no request is tried again after two.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/route"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -84,6 +85,12 @@
 // ID returns the upstream's id.
 func (e *Engine) ID() upstream.ID { return e.entry().ID }
 
+// Incarnation identifies the upstream and its start.
+func (e *Engine) Incarnation() quarantine.Incarnation {
+	entry := e.entry()
+	return quarantine.Incarnation{Upstream: entry.ID, Born: entry.Incarnation}
+}
+
 // Address returns the upstream's host:port.
 func (e *Engine) Address() string { return e.entry().Address }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/peerfeed"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/relay"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
@@ -67,6 +68,7 @@
 	operatorSink *operatorSink
 	directory    *engines.Directory
 	shifts       *shifts.Manager
+	quarantines  *quarantines.Guard
 	pool         *upconn.Pool
 	vms          *members.List
 	collector    *members.Collector
@@ -136,6 +138,7 @@
 		SharedClock: d.store, Writer: d.store,
 		Announce: wire.EncodeRolloutStatus, Clock: clock, Log: d.log,
 	})
+	d.quarantines = d.newQuarantines()
 	d.hintCounts = hints.NewCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts}
@@ -183,11 +186,12 @@
 	upstreamBatchFraction = 0.17
 	vmBatchDelay          = 100 * time.Millisecond
 
-	// Intervals of background tasks: steps of roll-outs, expiry of lapsed upstream
+	// Intervals of background tasks: steps of roll-outs, writes of quarantines, expiry of lapsed upstream
 	// entries, and cleanup of retry budgets and unused connections.
-	rolloutInterval     = 100 * time.Millisecond
-	lapsedEntryInterval = 200 * time.Millisecond
-	sweepInterval       = 2 * time.Second
+	rolloutInterval       = 100 * time.Millisecond
+	quarantineRowInterval = 100 * time.Millisecond
+	lapsedEntryInterval   = 200 * time.Millisecond
+	sweepInterval         = 2 * time.Second
 
 	// abortMargin is the time between aborting the remaining requests and the end
 	// of the grace period, when the process is killed.
@@ -210,12 +214,14 @@
 	d.watchTable(wire.OperatorTable, d.operatorSink, 0)
 	upstreamBatchDelay := time.Duration(float64(d.settings.Changes.Bound()) * upstreamBatchFraction)
 	d.watchTable(wire.UpstreamTable, &upstreamSink{log: d.log, directory: d.directory}, upstreamBatchDelay)
-	d.watchTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms}, vmBatchDelay)
+	d.watchTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms, quarantines: d.quarantines}, vmBatchDelay)
 	d.runner.Start("announce", d.announceVM)
 	d.runner.Start("collect VMs", d.collector.Run)
 	d.runner.Start("hints out", d.hints.Send)
 	d.runner.Start("hints in", d.hints.Receive)
 	d.runner.Every("roll-outs", d.clock, rolloutInterval, d.shifts.Tick)
+	d.runner.Start("quarantine evidence", d.quarantines.Run)
+	d.runner.Every("quarantine row", d.clock, quarantineRowInterval, d.quarantines.Sync)
 	d.runner.Every("purse", d.clock, sweepInterval, d.updateRetryAllowances)
 	d.runner.Every("entries", d.clock, lapsedEntryInterval, func(context.Context) { d.directory.ExpireLapsed() })
 	d.runner.Every("connections", d.clock, sweepInterval, func(context.Context) { d.pool.Sweep(time.Now()) })
@@ -278,10 +284,12 @@
 	}).Run(ctx)
 }
 
-// applyHint adds the work that another VM sent to an upstream to the upstream's
-// expected load, or avoids an upstream that is silent.
+// applyHint applies what another VM announced: work that it sent to an upstream, an
+// upstream that is silent or limited, or evidence on requests that crash upstreams.
 func (d *Daemon) applyHint(h hints.Hint) {
 	switch {
+	case h.Quarantine != nil:
+		d.quarantines.Receive(*h.Quarantine)
 	case h.Silent:
 		d.directory.MarkSilent(h.Upstream)
 	case h.Limit != nil:
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -47,8 +47,8 @@
 	return relay.New(relay.Deps{
 		Protocol: wire.Protocol{}, Tables: d.operatorSink, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
-		Digester: quarantine.NewDigester(d.settings.DigestSecret),
-		Clock:    d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
+		Quarantine: d.quarantines, Digester: quarantine.NewDigester(d.settings.DigestSecret),
+		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
 		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
 		},
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/platform/wire"
@@ -144,22 +145,25 @@
 // vmTable is the table of the rows that VMs write for each other.
 const vmTable = "poplarshore"
 
-// vmSink applies the rows written by VMs: the list of VMs, and the state and
+// vmSink applies the rows written by VMs: the list of VMs, quarantines, and the state and
 // evidence of roll-outs. It implements watch.Sink.
 type vmSink struct {
-	shifts *shifts.Manager
-	vms    *members.List
+	shifts      *shifts.Manager
+	vms         *members.List
+	quarantines *quarantines.Guard
 }
 
 // Reset implements watch.Sink.
 func (v *vmSink) Reset(b watch.Batch) {
 	v.vms.Reset(b)
+	v.quarantines.Replace(b)
 	v.shifts.Replace(b)
 }
 
 // Change implements watch.Sink.
 func (v *vmSink) Change(b watch.Batch) {
 	v.vms.Change(b)
+	v.quarantines.Change(b)
 	v.shifts.Change(b)
 }
 
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -18,6 +18,7 @@
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/ring"
 	"github.com/poplarshore/poplarshore/upstream"
 )
@@ -28,7 +29,7 @@
 var ErrListen = namespace.NewType("listen")
 
 // Hint announces an expensive request that was sent to an upstream, that the upstream is
-// silent, or that it names another limit than before.
+// silent, that it names another limit than before, or that requests crash upstreams.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
@@ -40,6 +41,8 @@
 	// Limit announces instead the number of requests per second that the upstream takes
 	// from all VMs together, 0 for no limit; nil announces nothing.
 	Limit *float64 `json:"limit,omitempty"`
+	// Quarantine carries evidence on requests that crash upstreams; nil announces nothing.
+	Quarantine *quarantines.Message `json:"quarantine,omitempty"`
 	// Region is the upstream's region. It is not sent.
 	Region domain.Region `json:"-"`
 }
@@ -49,7 +52,7 @@
 	maxQueuedHints = 256
 	// maxDatagramBytes is the size of the receive buffer. The rest of a longer
 	// datagram is cut off.
-	maxDatagramBytes = 512
+	maxDatagramBytes = 2048
 )
 
 // Exchange sends hints to the other VMs and receives theirs.
@@ -116,12 +119,18 @@
 
 // send sends a hint to the VMs that it concerns and counts the outcomes.
 func (x *Exchange) send(h Hint) {
+	others := x.vms.Others()
+	if h.Quarantine != nil && len(others) <= maxBroadcastVMs {
+		direct := *h.Quarantine
+		direct.ForAll = false
+		h.Quarantine = &direct
+	}
 	payload, err := json.Marshal(h)
 	if err != nil {
 		x.log.Error("cannot encode hint; it is not sent", "error", err)
 		return
 	}
-	for _, m := range selectRecipients(x.vms.Others(), x.regionOf, h) {
+	for _, m := range selectRecipients(others, x.regionOf, h) {
 		outcome := "sent"
 		if _, err := x.conn.WriteToUDPAddrPort(payload, m.Hints); err != nil {
 			outcome = "send_failed"
--- /dev/null
+++ b/internal/quarantines/guard.go
@@ -0,0 +1,409 @@
+package quarantines
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/quarantine"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+// Clock is the steady (monotonic) clock that all VMs share.
+type Clock interface {
+	// Now returns the time on the clock, and false while it is not known.
+	Now() (time.Duration, bool)
+}
+
+// Options configures a Guard. All fields are required.
+type Options struct {
+	VM vm.ID
+	// Table is the name of the table with the row of quarantines.
+	Table       string
+	Blame       quarantine.Options
+	SharedClock Clock
+	Writer      watch.Writer
+	// Report sends a message to the VMs that gather evidence, and Broadcast to all others.
+	// They must not block.
+	Report, Broadcast func(Message)
+	// Rank returns the position of this VM among all VMs, from 0, and their number.
+	Rank     func() (rank, vms int)
+	Clock    clockwork.Clock
+	Log      *slog.Logger
+	Registry prometheus.Registerer
+}
+
+// Guard keeps the requests that crash upstreams away from them. It is safe for concurrent
+// use.
+type Guard struct {
+	opts    Options
+	clock   clockwork.Clock
+	metrics *metrics
+	// idle is set while nothing is held back or kept out.
+	idle atomic.Bool
+
+	mu     sync.Mutex
+	blame  *quarantine.Blame
+	trials map[quarantine.Incarnation]map[*Trial]struct{}
+	// reports holds what this VM saw, and relayed what it passes on to all VMs.
+	reports, relayed *outbox
+	list             quarantine.List
+	// unweighed reports whether there is evidence since the last decision.
+	unweighed bool
+	// announced holds when a sound answer to a key was last told to the other VMs.
+	announced map[quarantine.Key]time.Time
+	row       rowState
+	// wake receives a value when there is work for Run.
+	wake chan struct{}
+}
+
+// New returns a Guard that keeps nothing out.
+func New(opts Options) *Guard {
+	g := &Guard{
+		opts: opts, clock: opts.Clock, metrics: newMetrics(opts.Registry),
+		blame: quarantine.NewBlame(opts.Blame), trials: make(map[quarantine.Incarnation]map[*Trial]struct{}),
+		reports: newOutbox(), relayed: newOutbox(), list: make(quarantine.List),
+		announced: make(map[quarantine.Key]time.Time), row: newRowState(),
+		wake: make(chan struct{}, 1),
+	}
+	g.idle.Store(true)
+	return g
+}
+
+// Exclusion tells why a request is not sent.
+type Exclusion struct {
+	Key quarantine.Key
+	// RetryAfter is when the caller may come back.
+	RetryAfter time.Duration
+	// Evidence lists crashes that speak against the key.
+	Evidence []quarantine.Evidence
+}
+
+// Check returns why a request with the keys must not be sent now, and false if it may be.
+func (g *Guard) Check(keys []quarantine.Key) (Exclusion, bool) {
+	if g.idle.Load() {
+		return Exclusion{}, false
+	}
+	now, known := g.opts.SharedClock.Now()
+	if !known {
+		return Exclusion{}, false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, key := range keys {
+		if x, excluded := g.check(key, now); excluded {
+			return x, true
+		}
+	}
+	return Exclusion{}, false
+}
+
+// The caller of the following methods holds mu.
+
+func (g *Guard) check(key quarantine.Key, now time.Duration) (Exclusion, bool) {
+	if e, active := g.list.Active(key); active {
+		if g.usePermit(key) {
+			return Exclusion{}, false
+		}
+		g.metrics.excluded.Inc()
+		g.row.requested[key] = now
+		return Exclusion{Key: key, RetryAfter: e.RetryAfter(now), Evidence: e.Evidence}, true
+	}
+	return Exclusion{}, false
+}
+
+// Begin registers an attempt of a request with the keys of the shared parts of its prompt.
+// End must be called on the result.
+func (g *Guard) Begin(of quarantine.Incarnation, parts []quarantine.Key) *Trial {
+	t := &Trial{guard: g, of: of, parts: parts}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	there := g.trials[of]
+	if there == nil {
+		there = make(map[*Trial]struct{})
+		g.trials[of] = there
+	}
+	g.forgetAbandoned(there)
+	there[t] = struct{}{}
+	return t
+}
+
+// forgetAbandoned removes the attempts that were abandoned too long ago to be suspected.
+func (g *Guard) forgetAbandoned(trials map[*Trial]struct{}) {
+	now := g.clock.Now()
+	for t := range trials {
+		if !t.endedAt.IsZero() && now.Sub(t.endedAt) > suspectedFor {
+			delete(trials, t)
+		}
+	}
+}
+
+func (g *Guard) remove(t *Trial) {
+	there := g.trials[t.of]
+	delete(there, t)
+	if len(there) == 0 {
+		delete(g.trials, t.of)
+	}
+}
+
+// markSound records that an upstream survived a request from the beginning of its answer,
+// and tells the other VMs if they may suspect it.
+func (g *Guard) markSound(t *Trial) {
+	t.sound = true
+	now, known := g.opts.SharedClock.Now()
+	if !known {
+		return
+	}
+	at := now
+	if !t.begunAt.IsZero() {
+		at -= g.clock.Since(t.begunAt)
+	}
+	for _, key := range t.parts {
+		g.blame.RecordSound(key, at)
+		if e, active := g.list.Active(key); active && at > e.Since {
+			g.metrics.probes.WithLabelValues("sound").Inc()
+			g.lift(key, now, string(g.opts.VM))
+			continue
+		}
+		g.announceSound(key, at)
+	}
+}
+
+// soundInterval is the time between two announcements that a key was answered soundly.
+const soundInterval = 250 * time.Millisecond
+
+func (g *Guard) announceSound(key quarantine.Key, at time.Duration) {
+	if !g.blame.Suspects(key) || g.clock.Since(g.announced[key]) < soundInterval {
+		return
+	}
+	g.announced[key] = g.clock.Now()
+	g.reports.addSound(key, at)
+	g.markUnweighed()
+}
+
+// recordLoss records that the connection of an attempt ended. Attempts that this VM has
+// just abandoned at the upstream are suspected with it.
+func (g *Guard) recordLoss(t *Trial) {
+	now, known := g.opts.SharedClock.Now()
+	defer g.remove(t)
+	if !known {
+		return
+	}
+	g.metrics.lost.Inc()
+	g.reportCrash(t.of, now, g.takeSuspects(t.of, t))
+}
+
+// takeSuspects returns the suspects among an attempt that was lost and those that were
+// abandoned at its upstream, and removes the latter.
+func (g *Guard) takeSuspects(of quarantine.Incarnation, lost *Trial) []quarantine.Suspect {
+	now := g.clock.Now()
+	var suspects []quarantine.Suspect
+	for t := range g.trials[of] {
+		if t != lost && t.endedAt.IsZero() {
+			continue
+		}
+		if s, suspected := t.suspect(now); suspected {
+			suspects = append(suspects, s)
+		}
+		g.remove(t)
+	}
+	return suspects
+}
+
+// reportCrash records a crash and tells the other VMs, with the suspects that are not
+// cleared by a sound answer that this VM knows of. Others may have suspects even if this
+// VM has none.
+func (g *Guard) reportCrash(of quarantine.Incarnation, at time.Duration, suspects []quarantine.Suspect) {
+	c := quarantine.Crash{Incarnation: of, At: at}
+	for _, s := range suspects {
+		if s.Parts = g.uncleared(s.Parts, at); len(s.Parts) > 0 {
+			c.Suspects = append(c.Suspects, s)
+		}
+	}
+	g.blame.RecordCrash(c)
+	g.reports.addCrash(c)
+	g.markUnweighed()
+}
+
+// uncleared returns the keys without a recent sound answer.
+func (g *Guard) uncleared(keys []quarantine.Key, at time.Duration) []quarantine.Key {
+	var suspected []quarantine.Key
+	for _, key := range keys {
+		if !g.blame.WasSound(key, at) {
+			suspected = append(suspected, key)
+		}
+	}
+	return suspected
+}
+
+// markUnweighed records that there is new evidence.
+func (g *Guard) markUnweighed() {
+	g.unweighed = true
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// decide weighs the evidence if there is any since the last decision.
+func (g *Guard) decide(now time.Duration) {
+	if !g.unweighed {
+		return
+	}
+	d := g.blame.Decide(now)
+	g.unweighed = d.Unsettled
+	for _, v := range d.Found {
+		e := quarantine.NewEntry(v, now)
+		g.opts.Log.Warn("quarantine: requests crash the upstreams that run them", "key", v.Key, "evidence", e.Evidence)
+		g.metrics.found.WithLabelValues(string(v.Key.Kind)).Inc()
+		g.install(e)
+		g.announceEntry(e)
+	}
+}
+
+// install merges an entry into the list.
+func (g *Guard) install(e quarantine.Entry) {
+	for _, changed := range g.list.Merge(e) {
+		if _, noted := g.row.foundAt[changed.Key]; !noted && !g.isStored(changed) {
+			g.row.foundAt[changed.Key] = g.clock.Now()
+		}
+		if changed.Lifted() {
+			g.blame.Forget(changed.Key)
+			g.opts.Log.Info("quarantine lifted", "key", changed.Key, "by", changed.LiftedBy)
+			continue
+		}
+		g.blame.Find(changed.Key)
+		g.opts.Log.Info("quarantine in force", "key", changed.Key, "probes", changed.Probes)
+		g.objectTo(changed)
+	}
+	g.updateIdle()
+}
+
+// objectTo lifts a quarantine if this VM knows that an upstream survived such a request
+// since the last crash that speaks against it.
+func (g *Guard) objectTo(e quarantine.Entry) {
+	now, known := g.opts.SharedClock.Now()
+	if !known || len(e.Evidence) == 0 || !g.blame.WasSound(e.Key, e.Evidence[len(e.Evidence)-1].At) {
+		return
+	}
+	g.metrics.objections.Inc()
+	g.lift(e.Key, now, string(g.opts.VM))
+}
+
+// updateIdle records whether any request may have to be kept from an upstream.
+func (g *Guard) updateIdle() {
+	g.idle.Store(len(g.list) == 0)
+}
+
+// maxAnnouncers is the number of VMs, by rank, that tell all others of what they found.
+const maxAnnouncers = 3
+
+func (g *Guard) announceEntry(e quarantine.Entry) {
+	if rank, _ := g.opts.Rank(); rank < maxAnnouncers {
+		g.opts.Broadcast(Message{Entries: []quarantine.Entry{e}})
+	}
+}
+
+// Receive applies a message of another VM.
+func (g *Guard) Receive(m Message) {
+	if _, known := g.opts.SharedClock.Now(); !known {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range m.Crashes {
+		g.blame.RecordCrash(c)
+		g.markUnweighed()
+		if own := g.takeSuspects(c.Incarnation, nil); len(own) > 0 {
+			g.reportCrash(c.Incarnation, c.At, own)
+		}
+		g.answerSuspicion(c)
+	}
+	for _, s := range m.Sound {
+		g.blame.RecordSound(s.Key, s.At)
+		g.markUnweighed()
+	}
+	for _, e := range m.Entries {
+		g.install(e)
+	}
+	if m.ForAll {
+		g.passOn(m)
+	}
+}
+
+// answerSuspicion tells the other VMs which suspects of a crash this VM has lately seen
+// answered soundly.
+func (g *Guard) answerSuspicion(c quarantine.Crash) {
+	for _, s := range c.Suspects {
+		for _, key := range s.Parts {
+			if at, sound := g.blame.LastSound(key); sound && g.blame.WasSound(key, c.At) {
+				g.announceSound(key, at)
+			}
+		}
+	}
+}
+
+// passOn queues the evidence of a message for all VMs.
+func (g *Guard) passOn(m Message) {
+	for _, c := range m.Crashes {
+		g.relayed.addCrash(c)
+	}
+	for _, s := range m.Sound {
+		g.relayed.addSound(s.Key, s.At)
+	}
+}
+
+// tickInterval is the time between two steps of Run while there is evidence.
+const tickInterval = 20 * time.Millisecond
+
+// Run weighs new evidence and exchanges it with the other VMs until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		for more := true; more; more = g.Step() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-g.clock.After(tickInterval):
+			}
+		}
+	}
+}
+
+// Step weighs new evidence, and sends what the other VMs are to be told. It reports whether
+// there is more to do soon. Run calls it as often as needed.
+func (g *Guard) Step() bool {
+	now, known := g.opts.SharedClock.Now()
+	if !known {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decide(now)
+	g.forgetAnnounced()
+	for _, m := range g.reports.flush(g.clock.Now()) {
+		g.opts.Report(m)
+	}
+	for _, m := range g.relayed.flush(g.clock.Now()) {
+		g.opts.Broadcast(m)
+	}
+	g.metrics.dropped.Add(float64(g.reports.takeDropped() + g.relayed.takeDropped()))
+	return g.unweighed || !g.reports.isEmpty() || !g.relayed.isEmpty()
+}
+
+// forgetAnnounced removes the announcements that may be repeated.
+func (g *Guard) forgetAnnounced() {
+	now := g.clock.Now()
+	maps.DeleteFunc(g.announced, func(_ quarantine.Key, last time.Time) bool { return now.Sub(last) > soundInterval })
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/model"
@@ -31,6 +32,8 @@
 	// expectedWork is how long the upstream was expected to process the prompt.
 	expectedWork time.Duration
 	startedAt    time.Time
+	// trial is the attempt as the quarantine sees it.
+	trial *quarantines.Trial
 	// running is the attempt as the roll-out of its version sees it.
 	running *shifts.Running
 	// firstAfter is the time from startedAt to the first event, or to the
@@ -104,6 +107,9 @@
 	if resp.Status != http.StatusMisdirectedRequest {
 		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
 	}
+	if head.Sealed && !head.NotRun {
+		a.trial.BeginAnswer()
+	}
 	a.confidence = head.Confidence
 	if head.HasLoad {
 		a.engine.UpdateLoad(head.Load)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,6 +71,10 @@
 	// resumed a stream, or sent by this exchange.
 	lastEvent  string
 	attemptLog []attemptRecord
+	// keys identify the request where some crash upstreams.
+	keys []quarantine.Key
+	// answerBegan reports whether a part of the last attempt's answer came.
+	answerBegan bool
 	// connectionLost reports whether an attempt ended with its connection.
 	connectionLost bool
 }
@@ -240,6 +244,9 @@
 	}
 	x.service = x.route.Pick(serviceDraw)
 	x.lastEvent = x.request.LastEvent
+	for _, p := range x.request.sharedParts() {
+		x.keys = append(x.keys, x.server.Digester.Part(p.ID))
+	}
 	x.retryState = retry.State{
 		Account: x.account, Group: x.service, Deadline: x.deadline,
 		Repeatable: x.route.Repeatable(), Resumable: x.route.Streaming && x.route.Resumable,
@@ -316,11 +323,7 @@
 	if !x.connectionLost {
 		return nil
 	}
-	keys := make([]quarantine.Key, 0, len(x.request.Parts))
-	for _, p := range x.request.sharedParts() {
-		keys = append(keys, x.server.Digester.Part(p.ID))
-	}
-	return keys
+	return x.keys
 }
 
 // expectedResponseBytes is the assumed size of a response, for the price of
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -6,8 +6,10 @@
 
 	"github.com/poplarshore/poplarshore/account"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/route"
 	"github.com/poplarshore/poplarshore/routing"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -120,6 +122,16 @@
 	Choose(req engines.Requirements) engines.Choice
 }
 
+// Quarantine keeps requests that crash upstreams away from them.
+type Quarantine interface {
+	// Check returns why a request with the keys must not be sent now, and false if it may
+	// be.
+	Check(keys []quarantine.Key) (quarantines.Exclusion, bool)
+	// Begin registers an attempt of a request with the keys. End must be called on the
+	// result.
+	Begin(of quarantine.Incarnation, keys []quarantine.Key) *quarantines.Trial
+}
+
 // Versions decides which versions a session may use and records how attempts on
 // them end, for roll-outs.
 type Versions interface {
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
@@ -42,6 +43,9 @@
 	s.Retry.Begin(&x.retryState, s.Clock.Now())
 	x.chooseFirstModel()
 	for {
+		if refused := x.refuseQuarantined(); refused != nil {
+			return x.fail(refused)
+		}
 		choice := s.Placement.Choose(x.requirements())
 		if choice.Engine == nil {
 			return x.fail(noUpstream(choice))
@@ -100,6 +104,16 @@
 			e.ID(), outlook.Wait, outlook.Work, outlook.TimeLeft)
 }
 
+// refuseQuarantined returns a refusal if such requests crash upstreams.
+func (x *exchange) refuseQuarantined() *refusal.Refusal {
+	exclusion, excluded := x.server.Quarantine.Check(x.keys)
+	if !excluded {
+		return nil
+	}
+	return refusal.New(refusal.Quarantined).WithRetryAfter(exclusion.RetryAfter).
+		With("Key %v; crashes: %v.", exclusion.Key, exclusion.Evidence)
+}
+
 // model returns the model to ask; empty if the router does not select it.
 func (x *exchange) model() model.Name {
 	if !x.routerPicksModel() {
@@ -123,7 +137,10 @@
 		x.retryPrepaid = false
 		return true, nil
 	}
-	failure := retry.Failure{Kind: failureKind(err), HasAlternative: true}
+	failure := retry.Failure{Kind: x.failureKind(err), HasAlternative: true}
+	if failure.Kind == retry.Crashed {
+		x.retryState.Crashes++
+	}
 	if x.dispatches-x.retryState.Attempts > maxNotRun {
 		return false, x.fail(refusal.Wrap(refusal.RetriesExhausted, err))
 	}
@@ -177,10 +194,11 @@
 	return refusal.RetriesExhausted
 }
 
-// failureKind maps the error of an attempt to the kind that retries are decided
-// by.
-func failureKind(err error) retry.FailureKind {
+// failureKind maps the error of the last attempt to the kind that retries are decided by.
+func (x *exchange) failureKind(err error) retry.FailureKind {
 	switch {
+	case errorx.IsOfType(err, upconn.ErrConnectionLost) && !x.answerBegan:
+		return retry.Crashed
 	case errorx.IsOfType(err, errNotRun):
 		return retry.NotStarted
 	case errorx.IsOfType(err, upconn.ErrNotSent):
@@ -220,6 +238,7 @@
 		return errOverLimit.New("upstream %s takes no more requests from this VM now", e.ID())
 	}
 	x.dispatches++
+	a.trial = x.server.Quarantine.Begin(e.Incarnation(), x.keys)
 	a.running = x.server.Versions.Begin(a.versionAttempt())
 	if a.expectedWork >= minAnnouncedWork {
 		x.server.AnnounceWork(e.Upstream(), a.expectedWork)
@@ -252,12 +271,30 @@
 		}
 	}
 	a.running.End(a.versionResult(err, inconclusive))
+	a.trial.End(trialOutcome(err, ended))
 	if err == nil && x.retriedFailure {
 		x.server.RepeatEstimator.Record(x.route.Name, true)
 	}
+	x.answerBegan = a.firstAfter > 0
 	x.logAttempt(a, err, took)
 }
 
+// trialOutcome returns what the end of an attempt says about its request: whether its
+// upstream survived it. ended reports whether the exchange was over before.
+func trialOutcome(err error, ended bool) quarantines.Outcome {
+	switch {
+	case err == nil, errorx.IsOfType(err, errFailed):
+		return quarantines.Answered
+	case errorx.IsOfType(err, errLowConfidence):
+		return quarantines.Abandoned
+	case errorx.IsOfType(err, upconn.ErrNotSent):
+		return quarantines.NotRun
+	case errorx.IsOfType(err, upconn.ErrConnectionLost) && !ended:
+		return quarantines.Lost
+	}
+	return quarantines.Abandoned
+}
+
 // reportSilence makes this VM and others avoid an upstream that sent nothing to any
 // request while this one waited.
 func (a *attempt) reportSilence(waited time.Duration) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -63,7 +63,8 @@
 	// upstream returned a failure.
 	RepeatEstimator *retry.RepeatEstimator
 	Pool            *upconn.Pool
-	// Digester computes the keys by which parts of prompts appear in logs.
+	Quarantine      Quarantine
+	// Digester computes the keys of parts of prompts, for Quarantine and logs.
 	Digester *quarantine.Digester
 	Clock    clockwork.Clock
 	Log      *slog.Logger
@@ -142,9 +143,8 @@
 	}
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if retryAfter := refused.RetryAfter; retryAfter > 0 && status == http.StatusServiceUnavailable {
-		wait := limit.SpreadReturn(retryAfter, x.maxRetryAfter(), x.randFloat())
-		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
 	}
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write([]byte(string(refused.Reason) + "\n")); err != nil {
@@ -161,6 +161,15 @@
 	return refused.Status
 }
 
+// returnAfter returns when a refused caller is told to come back. Callers come back within
+// their deadline, and not all at once, except with a request that crashes upstreams.
+func (x *exchange) returnAfter(refused *refusal.Refusal) time.Duration {
+	if refused.Reason == refusal.Quarantined {
+		return refused.RetryAfter
+	}
+	return limit.SpreadReturn(refused.RetryAfter, x.maxRetryAfter(), x.randFloat())
+}
+
 const (
 	// Retry-After is at most the remaining time divided by retryAfterDivisor,
 	// so that the caller can retry within its deadline.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -103,6 +103,7 @@
 	}
 	a.lastAfter = at
 	a.running.RecordEvent()
+	a.trial.RecordEvent()
 }
 
 // eventBuffer splits a stream into complete server-sent events.
@@ -189,7 +190,7 @@
 		case !errors.Is(err, io.EOF):
 			return err
 		case pending.hasPartial():
-			return upconn.ErrBroken.New("stream from %s ended within an event", a.engine.ID())
+			return upconn.ErrConnectionLost.New("stream from %s ended within an event", a.engine.ID())
 		}
 		if !x.headerSent {
 			x.sendHeader(resp.Status, resp.Header)
--- /dev/null
+++ b/quarantine/blame_test.go
@@ -0,0 +1,209 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/quarantine"
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+// court is a Blame with short names for what it is told.
+type court struct {
+	*quarantine.Blame
+	*WithT
+	digester *quarantine.Digester
+	crashes  int
+}
+
+func newCourt(t *testing.T) *court {
+	return &court{Blame: quarantine.NewBlame(quarantine.DefaultOptions()), WithT: NewWithT(t), digester: quarantine.NewDigester("secret")}
+}
+
+func (c *court) key(part string) quarantine.Key { return c.digester.Part(part) }
+
+func (c *court) keys(parts ...string) []quarantine.Key {
+	var keys []quarantine.Key
+	for _, p := range parts {
+		keys = append(keys, c.key(p))
+	}
+	return keys
+}
+
+// crash reports the end of a new upstream under requests whose answer had begun, given by
+// their parts.
+func (c *court) crash(at time.Duration, suspects ...[]string) quarantine.Incarnation {
+	c.crashes++
+	of := quarantine.Incarnation{Upstream: upstream.ID(fmt.Sprintf("e-%d", c.crashes))}
+	c.report(of, at, true, suspects...)
+	return of
+}
+
+func (c *court) report(of quarantine.Incarnation, at time.Duration, begun bool, suspects ...[]string) {
+	r := quarantine.Crash{Incarnation: of, At: at}
+	for _, parts := range suspects {
+		r.Suspects = append(r.Suspects, quarantine.Suspect{Parts: c.keys(parts...), Begun: begun})
+	}
+	c.RecordCrash(r)
+}
+
+// found returns the keys that are found by a time.
+func (c *court) found(at time.Duration) []quarantine.Key {
+	var keys []quarantine.Key
+	for _, v := range c.Decide(at).Found {
+		keys = append(keys, v.Key)
+	}
+	return keys
+}
+
+const second = time.Second
+
+func TestPartPresentInThreeCrashesIsFound(t *testing.T) {
+	c := newCourt(t)
+	c.crash(10*second, []string{"route", "x", "bad"}, []string{"route", "y"})
+	c.crash(11*second, []string{"route", "z", "bad"})
+	c.Expect(c.found(12 * second)).To(BeEmpty())
+	c.crash(12*second, []string{"route", "y", "bad"}, []string{"route", "z"})
+	for _, sound := range []string{"route", "x", "y", "z"} {
+		c.RecordSound(c.key(sound), 12*second)
+	}
+	c.Expect(c.found(13 * second)).To(Equal(c.keys("bad")))
+	c.Expect(c.found(14 * second)).To(BeEmpty())
+}
+
+func TestSoundAnswerAfterCrashClearsPart(t *testing.T) {
+	c := newCourt(t)
+	for i := range 9 {
+		at := time.Duration(10+i) * second
+		c.crash(at, []string{"shared"})
+		if i%3 == 1 {
+			c.RecordSound(c.key("shared"), at+second/2)
+		}
+	}
+	c.Expect(c.found(20 * second)).To(BeEmpty())
+}
+
+func TestUpstreamsThatEndTogetherCountOnce(t *testing.T) {
+	c := newCourt(t)
+	for i := range 12 {
+		c.crash(10*second+time.Duration(i)*5*time.Millisecond, []string{"session"})
+	}
+	c.Expect(c.found(20 * second)).To(BeEmpty())
+}
+
+func TestWaitingRequestIsNotSuspectedBesideOneWhoseAnswerHadBegun(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		at := time.Duration(10+i) * second
+		of := c.crash(at, []string{"bad"})
+		c.report(of, at, false, []string{"waiting"})
+	}
+	c.Expect(c.found(20 * second)).To(Equal(c.keys("bad")))
+}
+
+func TestWaitingRequestIsSuspectedIfNoAnswerHadBegun(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crashes++
+		of := quarantine.Incarnation{Upstream: upstream.ID(fmt.Sprint(i))}
+		c.report(of, time.Duration(10+i)*second, false, []string{"bad"})
+	}
+	c.Expect(c.found(20 * second)).To(Equal(c.keys("bad")))
+}
+
+func TestCrashExplainedByFoundPartIsNotHeldAgainstOthers(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crash(time.Duration(10+i)*second, []string{"bad"})
+	}
+	c.Expect(c.found(13 * second)).To(Equal(c.keys("bad")))
+	for i := range 5 {
+		c.crash(time.Duration(14+i)*second, []string{"bad"}, []string{"beside"})
+	}
+	c.Expect(c.found(30 * second)).To(BeEmpty())
+}
+
+func TestTwoPartsThatCrashUpstreamsAreBothFound(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crash(time.Duration(10+2*i)*second, []string{"bad"}, []string{"beside"})
+		c.crash(time.Duration(11+2*i)*second, []string{"worse"})
+	}
+	c.RecordSound(c.key("beside"), 20*second)
+	c.Expect(c.found(20 * second)).To(ConsistOf(c.keys("bad", "worse")))
+}
+
+func TestOfTwoPartsWithSameCrashesTheLaterOneIsFoundAtTheFourth(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crash(time.Duration(10+i)*second, []string{"route", "bad"})
+	}
+	c.Expect(c.found(13 * second)).To(BeEmpty())
+	c.crash(14*second, []string{"route", "bad"})
+	c.Expect(c.found(15 * second)).To(Equal(c.keys("bad")))
+}
+
+func TestPartThatWasAnsweredSoundlyBeforeNeedsMoreCrashes(t *testing.T) {
+	c := newCourt(t)
+	c.RecordSound(c.key("shared"), second)
+	for i := range 4 {
+		c.crash(time.Duration(10+i)*second, []string{"shared"})
+	}
+	c.Expect(c.found(14 * second)).To(BeEmpty())
+	c.crash(15*second, []string{"shared"})
+	c.Expect(c.found(16 * second)).To(Equal(c.keys("shared")))
+}
+
+func TestReportsOfOneCrashAreMergedInAnyOrderAndNumber(t *testing.T) {
+	c := newCourt(t)
+	of := c.crash(10*second, []string{"a"})
+	for range 5 {
+		c.report(of, 10*second+80*time.Millisecond, true, []string{"a"}, []string{"b"})
+	}
+	c.crash(11*second, []string{"b"})
+	c.Expect(c.found(20 * second)).To(BeEmpty())
+	c.crash(12*second, []string{"b"})
+	c.Expect(c.found(20 * second)).To(Equal(c.keys("b")))
+}
+
+func TestCrashCountsOnceItIsSettled(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crash(time.Duration(10+i)*second, []string{"bad"})
+	}
+	d := c.Decide(12*second + 20*time.Millisecond)
+	c.Expect(d.Found).To(BeEmpty())
+	c.Expect(d.Unsettled).To(BeTrue())
+	c.Expect(c.found(13 * second)).To(HaveLen(1))
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	c := newCourt(t)
+	for i := range 1000 {
+		var suspects [][]string
+		for j := range 200 {
+			suspects = append(suspects, []string{fmt.Sprint(i, j)})
+		}
+		c.crash(time.Duration(i)*second/10, suspects...)
+	}
+	c.Expect(c.Suspects(c.key(fmt.Sprint(0, 0)))).To(BeFalse())
+	c.Expect(c.Suspects(c.key(fmt.Sprint(999, 0)))).To(BeTrue())
+	c.Expect(c.Suspects(c.key(fmt.Sprint(999, 199)))).To(BeFalse())
+}
+
+func TestForgottenPartIsFoundAgainOnlyByNewCrashes(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crash(time.Duration(10+i)*second, []string{"bad"})
+	}
+	c.Expect(c.found(13 * second)).To(HaveLen(1))
+	c.Forget(c.key("bad"))
+	c.Expect(c.found(14 * second)).To(BeEmpty())
+	for i := range 3 {
+		c.crash(time.Duration(20+i)*second, []string{"bad"})
+	}
+	c.Expect(c.found(30 * second)).To(HaveLen(1))
+}
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -49,6 +49,7 @@
 	Overloaded         Reason = "overloaded"
 	NoUpstream         Reason = "no_healthy_upstream"
 	UpstreamsPaused    Reason = "upstreams_paused"
+	Quarantined        Reason = "quarantined"
 	UpstreamsLimited   Reason = "upstreams_limited"
 	RetriesExhausted   Reason = "retries_exhausted"
 	DeadlineExceeded   Reason = "deadline_exceeded"
@@ -127,6 +128,7 @@
 	{QueueFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Too many requests are waiting."},
 	{Overloaded, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "The request could not start in time."},
 	{NoUpstream, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No healthy upstream serves this."},
+	{Quarantined, ClassUnavailable, http.StatusServiceUnavailable, RanNo, longRetryAfter, "Upstreams that ran such requests crashed."},
 	{UpstreamsPaused, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has asked for a pause."},
 	{UpstreamsLimited, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the requests that every healthy upstream takes."},
 	{RetriesExhausted, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every try failed before an upstream started."},
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -27,11 +27,14 @@
 	// Rejected means that the upstream refused the request itself, as any other
 	// upstream would.
 	Rejected
+	// Crashed means that the connection was lost before the upstream had shown that it
+	// survives the request.
+	Crashed
 	kindCount
 )
 
 var kindNames = [kindCount]string{
-	"not_connected", "not_started", "unavailable", "broken", "silent", "rejected",
+	"not_connected", "not_started", "unavailable", "broken", "silent", "rejected", "crashed",
 }
 
 // String returns the kind's metric label.
@@ -74,6 +77,8 @@
 	Resumable bool
 	// MaxAttempts replaces Options.MaxAttempts if it is positive.
 	MaxAttempts int
+	// Crashes is the number of attempts that failed as Crashed.
+	Crashes int
 	// Tried lists the upstreams of failed attempts.
 	Tried []upstream.ID
 }
@@ -118,6 +123,9 @@
 	// UpstreamBudgetExhausted means that the upstream group's budget, or its budget for
 	// cascade steps, is exhausted.
 	UpstreamBudgetExhausted
+	// MayCrashUpstreams means that two upstreams ended under the request, which may be the
+	// cause.
+	MayCrashUpstreams
 	// AlreadyHedged means that the request has been hedged; each request is
 	// hedged at most once.
 	AlreadyHedged
@@ -126,7 +134,8 @@
 
 var reasonNames = [reasonCount]string{
 	"allowed", "may_have_run", "answer_begun", "final", "sender_retries", "attempts_spent",
-	"no_time", "account_budget", "upstream_budget", "already_hedged",
+	"no_time", "account_budget", "upstream_budget", "may_crash_upstreams",
+	"already_hedged",
 }
 
 // String returns the reason's metric label.
@@ -168,6 +177,9 @@
 	Hooks Hooks
 }
 
+// maxCrashes is the number of upstreams that may end under one request.
+const maxCrashes = 2
+
 const (
 	defaultBackoffBase   = 25 * time.Millisecond
 	defaultBackoffMax    = 2 * time.Second
@@ -255,6 +267,8 @@
 		return AnswerStarted
 	case f.Kind == Rejected:
 		return NotRetryable
+	case s.Crashes >= maxCrashes:
+		return MayCrashUpstreams
 	case s.RetriedBySender:
 		return SenderRetries
 	case p.attemptsExhausted(s):
