Keep requests that crash engines away from them when they come again, at any VM

What callers saw: one request, repeated by us and by its client at other VMs, ended all three engines of a service within half a second, and again whenever they were back; other callers were refused for seconds. Cause: a request that comes again is not recognized. Class: as for prompt parts, a request of death that retries spread; here the identity is the whole request. Change: the key of a request is a keyed digest of method, host, path, caller and body. Such a request may end its engine before its answer begins: evidence against a request that may have waited is weak, no longer none. A part is found only if several requests speak against it, so that a request that is repeated doesn't take its parts along. After two crashes a request is held back for 3 s, after three it is kept out.

--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -55,6 +55,8 @@
 	// reports holds what this VM saw, and relayed what it passes on to all VMs.
 	reports, relayed *outbox
 	list             quarantine.List
+	// held maps the keys that are held back to the time until which they are.
+	held map[quarantine.Key]time.Duration
 	// unweighed reports whether there is evidence since the last decision.
 	unweighed bool
 	// announced holds when a sound answer to a key was last told to the other VMs.
@@ -69,7 +71,7 @@
 	g := &Guard{
 		opts: opts, clock: opts.Clock, metrics: newMetrics(opts.Registry),
 		blame: quarantine.NewBlame(opts.Blame), trials: make(map[quarantine.Incarnation]map[*Trial]struct{}),
-		reports: newOutbox(), relayed: newOutbox(), list: make(quarantine.List),
+		reports: newOutbox(), relayed: newOutbox(), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
 		announced: make(map[quarantine.Key]time.Time), row: newRowState(),
 		wake: make(chan struct{}, 1),
 	}
@@ -80,6 +82,8 @@
 // Exclusion tells why a request is not sent.
 type Exclusion struct {
 	Key quarantine.Key
+	// Held reports that the request is only held back until the evidence is clear.
+	Held bool
 	// RetryAfter is when the caller may come back.
 	RetryAfter time.Duration
 	// Evidence lists crashes that speak against the key.
@@ -112,17 +116,21 @@
 		if g.usePermit(key) {
 			return Exclusion{}, false
 		}
-		g.metrics.excluded.Inc()
+		g.metrics.excluded.WithLabelValues("quarantined").Inc()
 		g.row.requested[key] = now
 		return Exclusion{Key: key, RetryAfter: e.RetryAfter(now), Evidence: e.Evidence}, true
 	}
+	if until := g.held[key]; until > now {
+		g.metrics.excluded.WithLabelValues("held").Inc()
+		return Exclusion{Key: key, Held: true, RetryAfter: until - now}, true
+	}
 	return Exclusion{}, false
 }
 
-// Begin registers an attempt of a request with the keys of the shared parts of its prompt.
-// End must be called on the result.
-func (g *Guard) Begin(of quarantine.Incarnation, parts []quarantine.Key) *Trial {
-	t := &Trial{guard: g, of: of, parts: parts}
+// Begin registers an attempt of a request with the keys of the shared parts of its prompt,
+// in their order, and its own key. End must be called on the result.
+func (g *Guard) Begin(of quarantine.Incarnation, keys []quarantine.Key) *Trial {
+	t := &Trial{guard: g, of: of, keys: keys}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	there := g.trials[of]
@@ -165,7 +173,7 @@
 	if !t.begunAt.IsZero() {
 		at -= g.clock.Since(t.begunAt)
 	}
-	for _, key := range t.parts {
+	for _, key := range t.keys {
 		g.blame.RecordSound(key, at)
 		if e, active := g.list.Active(key); active && at > e.Since {
 			g.metrics.probes.WithLabelValues("sound").Inc()
@@ -201,7 +209,7 @@
 }
 
 // takeSuspects returns the suspects among an attempt that was lost and those that were
-// abandoned at its upstream, and removes the latter.
+// abandoned at its upstream, and removes them.
 func (g *Guard) takeSuspects(of quarantine.Incarnation, lost *Trial) []quarantine.Suspect {
 	now := g.clock.Now()
 	var suspects []quarantine.Suspect
@@ -223,7 +231,7 @@
 func (g *Guard) reportCrash(of quarantine.Incarnation, at time.Duration, suspects []quarantine.Suspect) {
 	c := quarantine.Crash{Incarnation: of, At: at}
 	for _, s := range suspects {
-		if s.Parts = g.uncleared(s.Parts, at); len(s.Parts) > 0 {
+		if s.Keys = g.uncleared(s.Keys, at); len(s.Keys) > 0 {
 			c.Suspects = append(c.Suspects, s)
 		}
 	}
@@ -259,6 +267,12 @@
 	}
 	d := g.blame.Decide(now)
 	g.unweighed = d.Unsettled
+	for key, until := range d.Held {
+		if g.held[key] < now && now < until {
+			g.opts.Log.Warn("request held back: upstreams ended under it", "key", key, "hold_ms", (until - now).Milliseconds())
+		}
+	}
+	g.held = d.Held
 	for _, v := range d.Found {
 		e := quarantine.NewEntry(v, now)
 		g.opts.Log.Warn("quarantine: requests crash the upstreams that run them", "key", v.Key, "evidence", e.Evidence)
@@ -266,6 +280,7 @@
 		g.install(e)
 		g.announceEntry(e)
 	}
+	g.updateIdle()
 }
 
 // install merges an entry into the list.
@@ -276,6 +291,7 @@
 		}
 		if changed.Lifted() {
 			g.blame.Forget(changed.Key)
+			delete(g.held, changed.Key)
 			g.opts.Log.Info("quarantine lifted", "key", changed.Key, "by", changed.LiftedBy)
 			continue
 		}
@@ -299,7 +315,7 @@
 
 // updateIdle records whether any request may have to be kept from an upstream.
 func (g *Guard) updateIdle() {
-	g.idle.Store(len(g.list) == 0)
+	g.idle.Store(len(g.list) == 0 && len(g.held) == 0)
 }
 
 // maxAnnouncers is the number of VMs, by rank, that tell all others of what they found.
@@ -342,7 +358,7 @@
 // answered soundly.
 func (g *Guard) answerSuspicion(c quarantine.Crash) {
 	for _, s := range c.Suspects {
-		for _, key := range s.Parts {
+		for _, key := range s.Keys {
 			if at, sound := g.blame.LastSound(key); sound && g.blame.WasSound(key, c.At) {
 				g.announceSound(key, at)
 			}
@@ -391,7 +407,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.decide(now)
-	g.forgetAnnounced()
+	g.forget(now)
 	for _, m := range g.reports.flush(g.clock.Now()) {
 		g.opts.Report(m)
 	}
@@ -399,11 +415,13 @@
 		g.opts.Broadcast(m)
 	}
 	g.metrics.dropped.Add(float64(g.reports.takeDropped() + g.relayed.takeDropped()))
-	return g.unweighed || !g.reports.isEmpty() || !g.relayed.isEmpty()
+	return g.unweighed || len(g.held) > 0 || !g.reports.isEmpty() || !g.relayed.isEmpty()
 }
 
-// forgetAnnounced removes the announcements that may be repeated.
-func (g *Guard) forgetAnnounced() {
-	now := g.clock.Now()
-	maps.DeleteFunc(g.announced, func(_ quarantine.Key, last time.Time) bool { return now.Sub(last) > soundInterval })
+// forget removes the holds that are over, and the announcements that may be repeated.
+func (g *Guard) forget(now time.Duration) {
+	at := g.clock.Now()
+	maps.DeleteFunc(g.announced, func(_ quarantine.Key, last time.Time) bool { return at.Sub(last) > soundInterval })
+	maps.DeleteFunc(g.held, func(_ quarantine.Key, until time.Duration) bool { return until <= now })
+	g.updateIdle()
 }
--- a/internal/quarantines/metrics.go
+++ b/internal/quarantines/metrics.go
@@ -6,7 +6,7 @@
 type metrics struct {
 	lost     prometheus.Counter
 	found    *prometheus.CounterVec
-	excluded prometheus.Counter
+	excluded *prometheus.CounterVec
 	// objections counts quarantines of other VMs that this one knew to be wrong.
 	objections prometheus.Counter
 	probes     *prometheus.CounterVec
@@ -19,8 +19,9 @@
 			Name: "poplarshore_quarantine_lost_attempts_total", Help: "Attempts that ended with their connection."}),
 		found: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "poplarshore_quarantine_found_total", Help: "Keys that this VM found to crash upstreams, by kind."}, []string{"kind"}),
-		excluded: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "poplarshore_quarantine_excluded_total", Help: "Attempts that were not made because of a quarantine."}),
+		excluded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_quarantine_excluded_total",
+			Help: "Attempts that were not made because of a quarantine, or because a request is held back."}, []string{"state"}),
 		objections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "poplarshore_quarantine_objections_total", Help: "Quarantines lifted at once because this VM knew of a sound answer."}),
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/quarantines/outbox.go
+++ b/internal/quarantines/outbox.go
@@ -122,8 +122,8 @@
 func splitSuspects(suspects []quarantine.Suspect) (first, rest []quarantine.Suspect) {
 	keys := 0
 	for i, s := range suspects {
-		s.Parts = s.Parts[max(len(s.Parts)-maxKeysPerMessage, 0):]
-		if keys += len(s.Parts); keys > maxKeysPerMessage {
+		s.Keys = s.Keys[max(len(s.Keys)-maxKeysPerMessage, 0):]
+		if keys += len(s.Keys); keys > maxKeysPerMessage {
 			return first, suspects[i:]
 		}
 		first = append(first, s)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -244,9 +244,7 @@
 	}
 	x.service = x.route.Pick(serviceDraw)
 	x.lastEvent = x.request.LastEvent
-	for _, p := range x.request.sharedParts() {
-		x.keys = append(x.keys, x.server.Digester.Part(p.ID))
-	}
+	x.keys = x.quarantineKeys()
 	x.retryState = retry.State{
 		Account: x.account, Group: x.service, Deadline: x.deadline,
 		Repeatable: x.route.Repeatable(), Resumable: x.route.Streaming && x.route.Resumable,
@@ -317,9 +315,20 @@
 	return r.Parts[:max(len(r.Parts)-1, 0)]
 }
 
-// lostPartKeys returns the keys of the shared parts of a prompt for the log, if an attempt
-// lost its connection; otherwise nil.
-func (x *exchange) lostPartKeys() []quarantine.Key {
+// quarantineKeys returns the keys of the shared parts of the prompt, and that of the request.
+func (x *exchange) quarantineKeys() []quarantine.Key {
+	digester := x.server.Digester
+	var keys []quarantine.Key
+	for _, p := range x.request.sharedParts() {
+		keys = append(keys, digester.Part(p.ID))
+	}
+	return append(keys, digester.Request(quarantine.Request{
+		Method: x.request.Method, Host: x.request.Host, Target: x.request.Target, Account: x.account, Body: x.body,
+	}))
+}
+
+// lostKeys returns the keys for the log, if an attempt lost its connection; otherwise nil.
+func (x *exchange) lostKeys() []quarantine.Key {
 	if !x.connectionLost {
 		return nil
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -69,7 +69,7 @@
 	}
 	s.Log.Log(context.Background(), level, "request", "request", x.request.ID, "outcome", outcome, "status", status, "route", name,
 		"account", x.account, "service", x.service, "config", version, "priority", x.priority,
-		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "parts", x.lostPartKeys(), "attempts", x.attemptLog,
+		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "keys", x.lostKeys(), "attempts", x.attemptLog,
 		"last_event", x.lastEvent, "ms", took.Milliseconds(),
 		"left_ms", x.timeLeft().Milliseconds(), "detail", x.refusalDetail)
 }
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -111,7 +111,7 @@
 		return nil
 	}
 	return refusal.New(refusal.Quarantined).WithRetryAfter(exclusion.RetryAfter).
-		With("Key %v; crashes: %v.", exclusion.Key, exclusion.Evidence)
+		With("Key %v, held back only: %t; crashes: %v.", exclusion.Key, exclusion.Held, exclusion.Evidence)
 }
 
 // model returns the model to ask; empty if the router does not select it.
@@ -239,6 +239,10 @@
 	}
 	x.dispatches++
 	a.trial = x.server.Quarantine.Begin(e.Incarnation(), x.keys)
+	if !x.route.Streaming {
+		// Whether the request runs or waits can't be seen before it is done.
+		a.trial.BeginAnswer()
+	}
 	a.running = x.server.Versions.Begin(a.versionAttempt())
 	if a.expectedWork >= minAnnouncedWork {
 		x.server.AnnounceWork(e.Upstream(), a.expectedWork)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -64,7 +64,7 @@
 	RepeatEstimator *retry.RepeatEstimator
 	Pool            *upconn.Pool
 	Quarantine      Quarantine
-	// Digester computes the keys of parts of prompts, for Quarantine and logs.
+	// Digester computes the keys of requests and parts of prompts, for Quarantine and logs.
 	Digester *quarantine.Digester
 	Clock    clockwork.Clock
 	Log      *slog.Logger
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -10,13 +10,19 @@
 
 // Options configure a Blame.
 type Options struct {
-	// Crashes is the number of crashes that a key must explain to be found to cause them,
-	// TiedCrashes the number if another key explains as many, and OnceSoundCrashes the number
-	// for a key that upstreams are known to have survived.
-	Crashes, TiedCrashes, OnceSoundCrashes int
-	// Separation is the time between two crashes that count as two. Upstreams that end
-	// together have a cause in common that is no request.
+	// Crashes is the number of crashes that a key must explain to be found to cause them.
+	// UnclearCrashes is the number for a part of a prompt if another one explains as many, or
+	// if the evidence of less than MinStrong of them is strong. OnceSoundCrashes is the number for a key that
+	// upstreams are known to have survived.
+	Crashes, UnclearCrashes, OnceSoundCrashes int
+	MinStrong                                 int
+	// Separation is the time between two crashes that count as two against a part of a
+	// prompt. Upstreams that end together have a cause in common that is no request.
 	Separation time.Duration
+	// HoldCrashes is the number of crashes from which a whole request is held back for
+	// HoldTime, so that it doesn't end more upstreams than come back in that time.
+	HoldCrashes int
+	HoldTime    time.Duration
 	// SettleTime is the time after a crash in which the reports of all VMs arrive. The crash
 	// counts from then on.
 	SettleTime time.Duration
@@ -33,9 +39,10 @@
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Crashes: 3, TiedCrashes: 4, OnceSoundCrashes: 5,
+		Crashes: 3, UnclearCrashes: 4, OnceSoundCrashes: 5, MinStrong: 2,
+		HoldCrashes: 2, HoldTime: 3 * time.Second,
 		Separation: 100 * time.Millisecond, SettleTime: 150 * time.Millisecond, SoundMemory: 2 * time.Second, Window: 10 * time.Minute,
-		MaxCrashes: 64, MaxSuspects: 64,
+		MaxCrashes: 64, MaxSuspects: 192,
 	}
 }
 
@@ -45,16 +52,19 @@
 //
 //   - A key that crashes upstreams does so on each of them. A sound answer therefore
 //     clears a key of all crashes until then.
-//   - Of the requests on an upstream that ended, those whose answer had just begun are
-//     suspected, and the others only if there is none of these.
+//   - All requests on an upstream that ended are suspected; the evidence is strong against
+//     those whose answer had just begun, and weak against those that may have waited.
 //   - The key that explains the most crashes is found to cause them, and its crashes are
-//     not held against others.
+//     not held against others. But crashes that a whole request explains still speak against
+//     the parts of its prompt, as other requests with one of them may follow.
+//   - A part of a prompt is found only if several requests speak against it.
 //
 // Time is a parameter. A Blame is not safe for concurrent use.
 type Blame struct {
 	opts    Options
 	crashes map[Incarnation]*crash
-	sound   soundTimes
+	// soundParts and soundRequests are apart, because requests are many.
+	soundParts, soundRequests soundTimes
 	// found holds the keys that were found to crash upstreams.
 	found map[Key]bool
 }
@@ -69,9 +79,21 @@
 // suspicion is how a key was involved in a crash.
 type suspicion struct {
 	begun bool
-	// depth is the position of the key in the prompt; a greater one is shared by fewer
-	// requests.
+	// depth is the position of the key among those of its request; a greater one is shared
+	// by fewer requests.
 	depth int
+	// request is the key of a request with this one, zero if unknown; several is set if
+	// there are others.
+	request Key
+	several bool
+}
+
+// merge returns what two reports say together.
+func (s suspicion) merge(o suspicion) suspicion {
+	return suspicion{
+		begun: s.begun || o.begun, depth: max(s.depth, o.depth), request: s.request,
+		several: s.several || o.several || s.request != o.request,
+	}
 }
 
 // NewBlame returns a Blame without evidence.
@@ -89,19 +111,38 @@
 	}
 	known.at = min(known.at, c.At)
 	for _, s := range c.Suspects {
-		for depth, key := range s.Parts {
-			b.suspect(known, key, suspicion{begun: s.Begun, depth: depth})
+		request := s.request()
+		for depth, key := range s.Keys {
+			b.suspect(known, key, suspicion{begun: s.Begun, depth: depth, request: request})
 		}
 	}
 	b.forgetOldest()
 }
 
 func (b *Blame) suspect(c *crash, key Key, s suspicion) {
+	if b.WasSound(key, c.at) {
+		return
+	}
 	known, exists := c.suspects[key]
-	if !exists && len(c.suspects) >= b.opts.MaxSuspects {
+	if !exists && len(c.suspects) >= b.opts.MaxSuspects && !(s.begun && c.dropWaiting()) {
 		return
 	}
-	c.suspects[key] = suspicion{begun: known.begun || s.begun, depth: max(known.depth, s.depth)}
+	if exists {
+		s = known.merge(s)
+	}
+	c.suspects[key] = s
+}
+
+// dropWaiting removes one suspect whose answer had not begun. It returns false if there is
+// none.
+func (c *crash) dropWaiting() bool {
+	for key, s := range c.suspects {
+		if !s.begun {
+			delete(c.suspects, key)
+			return true
+		}
+	}
+	return false
 }
 
 // forgetOldest keeps the number of crashes within Options.MaxCrashes.
@@ -115,18 +156,32 @@
 
 // RecordSound records that an upstream survived a request with the key whose answer began
 // at the given time.
-func (b *Blame) RecordSound(key Key, at time.Duration) { b.sound.record(key, at) }
+func (b *Blame) RecordSound(key Key, at time.Duration) {
+	b.soundOf(key).record(key, at)
+	for _, c := range b.crashes {
+		if at >= c.at-b.opts.SoundMemory {
+			delete(c.suspects, key)
+		}
+	}
+}
+
+func (b *Blame) soundOf(key Key) *soundTimes {
+	if key.Kind == WholeRequest {
+		return &b.soundRequests
+	}
+	return &b.soundParts
+}
 
 // WasSound reports whether a request with the key was answered within Options.SoundMemory
 // before a time, or later.
 func (b *Blame) WasSound(key Key, at time.Duration) bool {
-	soundAt, known := b.sound.last(key)
+	soundAt, known := b.LastSound(key)
 	return known && soundAt >= at-b.opts.SoundMemory
 }
 
 // LastSound returns when an upstream last survived a request with the key, and false if
 // that is not known.
-func (b *Blame) LastSound(key Key) (time.Duration, bool) { return b.sound.last(key) }
+func (b *Blame) LastSound(key Key) (time.Duration, bool) { return b.soundOf(key).last(key) }
 
 // Suspects reports whether any crash that is remembered involves the key.
 func (b *Blame) Suspects(key Key) bool {
@@ -153,172 +208,227 @@
 type Decision struct {
 	// Found lists keys that are newly found to crash upstreams.
 	Found []Verdict
+	// Held maps the whole requests that are held back to the time until which they are.
+	Held map[Key]time.Duration
 	// Unsettled reports that crashes are too recent to count yet.
 	Unsettled bool
 }
 
+// accusation is the evidence against a key.
+type accusation struct {
+	key Key
+	// crashes are the crashes that it may have caused, in the order of their times.
+	crashes []*crash
+	// count is their number, without those that are not separate, and strong the number of those with strong evidence.
+	count, strong int
+	// shared reports whether several requests speak against the key.
+	shared bool
+	// depth is the position of the key in the latest request that speaks against it.
+	depth int
+	// onceSound reports whether upstreams are known to have survived the key.
+	onceSound bool
+}
+
 // Decide weighs the evidence.
 func (b *Blame) Decide(now time.Duration) Decision {
-	b.forgetBefore(now - b.opts.Window)
-	accused, unsettled := b.accusations(now)
-	d := Decision{Unsettled: unsettled}
+	maps.DeleteFunc(b.crashes, func(_ Incarnation, c *crash) bool { return c.at < now-b.opts.Window })
+	d := Decision{Held: make(map[Key]time.Duration)}
 	for {
-		v, found := b.strongest(accused)
-		if !found {
-			break
+		accused, unsettled := b.accusations(now)
+		d.Unsettled = unsettled
+		guilty := b.strongest(accused)
+		if guilty == nil {
+			b.hold(accused, d.Held)
+			return d
+		}
+		for _, a := range accused {
+			if a == guilty || a.isIndistinguishable(guilty) {
+				b.found[a.key] = true
+				d.Found = append(d.Found, a.verdict())
+			}
 		}
-		b.found[v.Key] = true
-		d.Found = append(d.Found, v)
-		accused, _ = b.accusations(now)
 	}
-	return d
 }
 
-func (b *Blame) forgetBefore(at time.Duration) {
-	maps.DeleteFunc(b.crashes, func(_ Incarnation, c *crash) bool { return c.at < at })
+// isIndistinguishable reports whether the same evidence speaks against two whole requests.
+// To keep both out costs little, as no other request is concerned.
+func (a *accusation) isIndistinguishable(o *accusation) bool {
+	return a.key.Kind == WholeRequest && o.key.Kind == WholeRequest && a.onceSound == o.onceSound &&
+		a.strong == o.strong && a.explains(o) && o.explains(a)
 }
 
-// accusations returns for each key the crashes that speak against it, in the order of
-// their times, without those that a key in found explains. Crashes that are not settled
-// are left out; it reports whether there are any.
-func (b *Blame) accusations(now time.Duration) (accused map[Key][]*crash, unsettled bool) {
-	byTime := slices.SortedFunc(maps.Values(b.crashes), func(x, y *crash) int { return cmp.Compare(x.at, y.at) })
-	accused = make(map[Key][]*crash)
-	for _, c := range byTime {
-		if b.isExplained(c) {
+// accusations returns the evidence against each key that explains several crashes. Crashes
+// that are not settled are left out; it reports whether there are any.
+func (b *Blame) accusations(now time.Duration) (accused []*accusation, unsettled bool) {
+	byKey := make(map[Key]*accusation)
+	for _, c := range slices.SortedFunc(maps.Values(b.crashes), func(x, y *crash) int { return cmp.Compare(x.at, y.at) }) {
+		explained := b.explanation(c)
+		switch {
+		case explained == PromptPart:
 			continue
-		}
-		if now < c.at+b.opts.SettleTime {
+		case now < c.at+b.opts.SettleTime:
 			unsettled = true
 			continue
 		}
-		for _, key := range b.suspected(c) {
-			accused[key] = append(accused[key], c)
+		for key, s := range c.suspects {
+			if explained != key.Kind {
+				b.accuse(byKey, key, s, c)
+			}
 		}
 	}
+	for _, a := range byKey {
+		if a.count >= b.opts.HoldCrashes {
+			accused = append(accused, a)
+		}
+	}
+	slices.SortFunc(accused, func(x, y *accusation) int { return y.compare(x) })
 	return accused, unsettled
 }
 
-func (b *Blame) isExplained(c *crash) bool {
-	for key := range c.suspects {
-		if b.found[key] {
-			return true
+// accuse adds a crash to the evidence against a key.
+func (b *Blame) accuse(byKey map[Key]*accusation, key Key, s suspicion, c *crash) {
+	a := byKey[key]
+	if a == nil {
+		_, onceSound := b.LastSound(key)
+		a = &accusation{key: key, onceSound: onceSound}
+		byKey[key] = a
+	}
+	if a.isSeparate(c, b.opts.Separation) {
+		a.count++
+		if s.begun {
+			a.strong++
 		}
 	}
-	return false
+	a.shared = a.shared || s.several || s.request == Key{} || len(a.crashes) > 0 && a.crashes[0].suspects[key].request != s.request
+	a.depth = s.depth
+	a.crashes = append(a.crashes, c)
 }
 
-// suspected returns the keys suspected of a crash: those that were not cleared and had
-// begun, or, if none had, all that were not cleared.
-func (b *Blame) suspected(c *crash) []Key {
-	var begun, waiting []Key
-	for key, s := range c.suspects {
-		switch {
-		case b.WasSound(key, c.at):
-		case s.begun:
-			begun = append(begun, key)
-		default:
-			waiting = append(waiting, key)
+// isSeparate reports whether a crash counts beside those before. A whole request runs on
+// one upstream at a time.
+func (a *accusation) isSeparate(c *crash, separation time.Duration) bool {
+	return a.key.Kind == WholeRequest || len(a.crashes) == 0 || c.at >= a.crashes[len(a.crashes)-1].at+separation
+}
+
+// explanation returns the kind of the widest key found that explains a crash, empty if none
+// does.
+func (b *Blame) explanation(c *crash) Kind {
+	var kind Kind
+	for key := range c.suspects {
+		if !b.found[key] {
+			continue
 		}
-	}
-	if len(begun) > 0 {
-		return begun
-	}
-	return waiting
-}
-
-// count returns the number of crashes, in the order of their times, of which those within
-// Options.Separation count as one.
-func (b *Blame) count(crashes []*crash) int {
-	n := 0
-	var last time.Duration
-	for _, c := range crashes {
-		if n == 0 || c.at >= last+b.opts.Separation {
-			n++
-			last = c.at
+		if kind = key.Kind; kind == PromptPart {
+			break
 		}
 	}
-	return n
+	return kind
 }
 
-// strongest returns the verdict on the key that explains the most crashes, of those that
-// explain enough.
-func (b *Blame) strongest(accused map[Key][]*crash) (Verdict, bool) {
-	var keys []Key
-	for key, crashes := range accused {
-		if b.count(crashes) >= b.opts.Crashes {
-			keys = append(keys, key)
+// strongest returns the evidence against the key that explains the most crashes, of those
+// that explain enough; nil if there is none.
+func (b *Blame) strongest(accused []*accusation) *accusation {
+	for _, a := range accused {
+		if a.count >= b.needed(a, accused) {
+			return a
 		}
 	}
-	slices.SortFunc(keys, func(x, y Key) int {
-		return cmp.Or(cmp.Compare(b.count(accused[y]), b.count(accused[x])), b.compare(y, x, accused))
-	})
-	for _, key := range keys {
-		crashes := accused[key]
-		if b.count(crashes) < b.needed(key, accused) {
-			continue
-		}
-		v := Verdict{Key: key}
-		for _, c := range crashes {
-			v.Evidence = append(v.Evidence, Evidence{Upstream: c.of.Upstream, At: c.at})
+	return nil
+}
+
+// hold adds the whole requests that are to be held back.
+func (b *Blame) hold(accused []*accusation, held map[Key]time.Duration) {
+	for _, a := range accused {
+		if a.key.Kind == WholeRequest && !a.isOutweighed(accused) {
+			held[a.key] = a.crashes[len(a.crashes)-1].at + b.opts.HoldTime
 		}
-		return v, true
 	}
-	return Verdict{}, false
 }
 
 // never is more crashes than any key explains.
 const never = math.MaxInt
 
 // needed returns the number of crashes that a key must explain to be found to cause them.
-func (b *Blame) needed(key Key, accused map[Key][]*crash) int {
-	onceSound := b.wasEverSound(key)
+func (b *Blame) needed(a *accusation, accused []*accusation) int {
 	n := b.opts.Crashes
-	if onceSound {
+	if a.onceSound {
 		n = b.opts.OnceSoundCrashes
 	}
-	for other, crashes := range accused {
-		if other == key || !containsAll(crashes, accused[key]) {
+	switch {
+	case a.isOutweighed(accused):
+		return never
+	case a.key.Kind == PromptPart:
+		return max(n, b.neededOfPart(a, accused))
+	}
+	return n
+}
+
+// neededOfPart returns the number of crashes that a part of a prompt must explain beside
+// other parts.
+func (b *Blame) neededOfPart(a *accusation, accused []*accusation) int {
+	if !a.shared {
+		return never
+	}
+	n := b.opts.Crashes
+	if a.strong < b.opts.MinStrong {
+		n = b.opts.UnclearCrashes
+	}
+	for _, other := range accused {
+		if other.key.Kind != PromptPart || !other.explains(a) {
 			continue
 		}
-		if b.compare(other, key, accused) > 0 {
+		if other.compare(a) > 0 {
 			return never
 		}
-		if b.wasEverSound(other) == onceSound {
-			n = max(n, b.opts.TiedCrashes)
+		if other.onceSound == a.onceSound && other.strong == a.strong {
+			n = b.opts.UnclearCrashes
 		}
 	}
 	return n
 }
 
-// containsAll reports whether all contains each of some; both are in the same order.
-func containsAll(all, some []*crash) bool {
-	for _, c := range all {
-		if len(some) > 0 && c == some[0] {
-			some = some[1:]
+// explains reports whether a is another key that may have caused all crashes of o.
+func (a *accusation) explains(o *accusation) bool {
+	if a == o || len(a.crashes) < len(o.crashes) {
+		return false
+	}
+	left := o.crashes
+	for _, c := range a.crashes {
+		if len(left) > 0 && c == left[0] {
+			left = left[1:]
 		}
 	}
-	return len(some) == 0
+	return len(left) == 0
 }
 
-func (b *Blame) wasEverSound(key Key) bool {
-	_, known := b.sound.last(key)
-	return known
+// isOutweighed reports whether the evidence against another key, which explains the same
+// crashes, is stronger.
+func (a *accusation) isOutweighed(accused []*accusation) bool {
+	return slices.ContainsFunc(accused, func(o *accusation) bool {
+		return o.strong > a.strong && !o.onceSound && o.explains(a)
+	})
 }
 
-// compare orders keys that explain the same number of crashes: one that was never answered
-// soundly is the likelier cause, then one that fewer requests share.
-func (b *Blame) compare(x, y Key, accused map[Key][]*crash) int {
-	xSound, ySound := b.wasEverSound(x), b.wasEverSound(y)
-	if xSound != ySound {
-		if ySound {
-			return 1
+// compare orders keys by how likely they are the cause: the one that explains more crashes,
+// and these with stronger evidence, one that was never answered soundly, and one that fewer
+// requests share.
+func (a *accusation) compare(o *accusation) int {
+	soundness := 0
+	if a.onceSound != o.onceSound {
+		soundness = 1
+		if a.onceSound {
+			soundness = -1
 		}
-		return -1
 	}
-	last := func(key Key) int {
-		crashes := accused[key]
-		return crashes[len(crashes)-1].suspects[key].depth
+	return cmp.Or(cmp.Compare(a.count, o.count), cmp.Compare(a.strong, o.strong), soundness,
+		cmp.Compare(a.depth, o.depth), cmp.Compare(a.key.Digest, o.key.Digest))
+}
+
+// verdict returns the verdict that follows from the evidence.
+func (a *accusation) verdict() Verdict {
+	v := Verdict{Key: a.key}
+	for _, c := range a.crashes {
+		v.Evidence = append(v.Evidence, Evidence{Upstream: c.of.Upstream, At: c.at})
 	}
-	return cmp.Or(cmp.Compare(last(x), last(y)), cmp.Compare(x.Digest, y.Digest))
+	return v
 }
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -15,13 +15,21 @@
 
 // Suspect is a request that an upstream ran, or may have run, when it ended.
 type Suspect struct {
-	// Parts are the keys of the parts of its prompt that other requests may share, in
-	// their order.
-	Parts []Key `json:"parts,omitempty"`
+	// Keys are the keys of the parts of its prompt that other requests may share, in
+	// their order, and then that of the request.
+	Keys []Key `json:"keys,omitempty"`
 	// Begun reports that its answer had just begun, or could not be seen to begin.
 	Begun bool `json:"begun,omitzero"`
 }
 
+// request returns the key of the whole request; zero if it is not among the keys.
+func (s Suspect) request() Key {
+	if n := len(s.Keys); n > 0 && s.Keys[n-1].Kind == WholeRequest {
+		return s.Keys[n-1]
+	}
+	return Key{}
+}
+
 // Crash is what a VM saw of the end of an upstream.
 type Crash struct {
 	Incarnation
--- a/quarantine/key.go
+++ b/quarantine/key.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/poplarshore/poplarshore/account"
 )
 
 var namespace = errorx.NewNamespace("quarantine")
@@ -18,8 +20,13 @@
 // Kind is what a Key identifies.
 type Kind string
 
-// PromptPart is a part of a prompt that several requests share.
-const PromptPart Kind = "part"
+// The kinds.
+const (
+	// PromptPart is a part of a prompt that several requests share.
+	PromptPart Kind = "part"
+	// WholeRequest is a request that may come again unchanged.
+	WholeRequest Kind = "request"
+)
 
 // Key identifies what is kept out.
 type Key struct {
@@ -58,6 +65,20 @@
 	return Key{Kind: PromptPart, Digest: d.digest(PromptPart, id)}
 }
 
+// Request is what identifies a request that comes again.
+type Request struct {
+	Method string
+	// Host and Target are those of the request line, with the query string.
+	Host, Target string
+	Account      account.ID
+	Body         []byte
+}
+
+// Request returns the key of a request.
+func (d *Digester) Request(r Request) Key {
+	return Key{Kind: WholeRequest, Digest: d.digest(WholeRequest, r.Method, r.Host, r.Target, string(r.Account), string(r.Body))}
+}
+
 // digest returns the keyed digest of a kind and some texts. Each text is preceded by its
 // length, so that different texts don't concatenate to the same input.
 func (d *Digester) digest(kind Kind, texts ...string) uint64 {
--- a/quarantine/key_test.go
+++ b/quarantine/key_test.go
@@ -34,3 +34,22 @@
 	g.Expect(a.Part("x")).NotTo(Equal(a.Part("y")))
 	g.Expect(a.Part("x")).NotTo(Equal(quarantine.NewDigester("b").Part("x")))
 }
+
+func TestKeyOfRequestDependsOnEachField(t *testing.T) {
+	g := NewWithT(t)
+	d := quarantine.NewDigester("secret")
+	request := quarantine.Request{Method: "GET", Host: "h", Target: "/a", Account: "x", Body: []byte("b")}
+	key := d.Request(request)
+	g.Expect(d.Request(request)).To(Equal(key))
+	for _, change := range []func(*quarantine.Request){
+		func(r *quarantine.Request) { r.Method = "POST" },
+		func(r *quarantine.Request) { r.Host = "i" },
+		func(r *quarantine.Request) { r.Target, r.Account = "/", "ax" },
+		func(r *quarantine.Request) { r.Account = "y" },
+		func(r *quarantine.Request) { r.Body = nil },
+	} {
+		other := request
+		change(&other)
+		g.Expect(d.Request(other)).NotTo(Equal(key))
+	}
+}
