Don't take a stream that ends with its connection before any event for a whole one

What callers would see: an engine may answer with neither a length nor chunks; if it ends right after the header, the caller got an empty stream that looked complete. Cause: the end of such a connection counted as the end of the answer, whatever had come. Class: an answer that ends early looks complete. Conclusion: fixed; a stream that ends between two events by a close can't be told from a whole one, as the protocol marks no last event.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -191,6 +191,8 @@
 			return err
 		case pending.hasPartial():
 			return upconn.ErrConnectionLost.New("stream from %s ended within an event", a.engine.ID())
+		case resp.EndsWithConnection() && a.lastAfter == 0:
+			return upconn.ErrConnectionLost.New("connection to %s ended before the first event", a.engine.ID())
 		}
 		if !x.headerSent {
 			x.sendHeader(resp.Status, resp.Header)
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -258,6 +258,9 @@
 	return n, r.readError(err)
 }
 
+// EndsWithConnection reports whether only the end of the connection marks that of the body.
+func (r *Response) EndsWithConnection() bool { return !r.framed }
+
 // Close ends the exchange. The connection is returned to the pool if the request
 // was written, the response was read to its end and nothing followed it;
 // otherwise it is closed.
