List and lift quarantines from the command line

Cause: a quarantine ends by a sound probe or by an operator; the second had no way. Change: a gateway lists and lifts quarantines on its peers listener; 'poplarshore quarantine list [KEY]' and 'lift KEY' call it.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -115,7 +115,7 @@
 		SilenceUsage: true,
 	}
 	root.AddCommand(newValidate(), newDiff(), newTry(), newPromote(), newStatus(), newHistory(),
-		newWithdraw(), newRollout(), newTakeover(), newLedger(), newExplain(), newMan())
+		newWithdraw(), newRollout(), newTakeover(), newLedger(), newExplain(), newQuarantine(), newMan())
 	return root
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -249,6 +249,8 @@
 	peerMux, metricsMux := http.NewServeMux(), http.NewServeMux()
 	peerMux.Handle(peerfeed.Path, d.peerFeed)
 	peerMux.Handle(members.Path, d.collector)
+	peerMux.HandleFunc(quarantines.ListPath, d.quarantines.ServeList)
+	peerMux.HandleFunc(quarantines.LiftPath, d.quarantines.ServeLift)
 	metricsMux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
 	d.registry.MustRegister(collectors.NewGoCollector())
 	for _, l := range []struct {
