Let requests crash engines in the soak, by a part of their prompts or as a whole

Change: two kinds of faults, one culprit at a time, whose requests come at all VMs beside kills, cuts and bad versions; engines are back a second later. The checker counts arrivals after the bound and other requests that were kept out. '--only' restricts a run to some kinds of faults.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -60,6 +60,10 @@
 	c.checkConfigurationOrder()
 	c.checkExclusions()
 	c.checkLimits()
+	c.checkCulprits()
+	if n := c.testbed.addEngineErrors.Load(); n > 0 {
+		c.addViolation("%d upstreams could not be started after a crash", n)
+	}
 }
 
 // collectRuns groups the runs of all upstreams by request ID. A run that differs from the
@@ -74,7 +78,7 @@
 		for _, run := range e.Runs() {
 			c.runs[run.ID] = append(c.runs[run.ID], run)
 			x, ok := known[run.ID]
-			if !ok || run.Path != x.path || run.Body != "body of "+x.id || run.Account != "account-of-"+x.key {
+			if !ok || run.Path != x.path || run.Body != x.requestBody() || run.Account != "account-of-"+x.key {
 				c.addViolation("%s ran %q at %s for %s, which no caller sent", e.ID, run.ID, run.Path, run.Account)
 			}
 		}
@@ -198,7 +202,7 @@
 	}
 	for _, s := range c.report.plannedStops {
 		from := s.at.Add(-c.bounds.SettleTime)
-		undisturbed := c.testbed.disturbances.noneOverlap(from, x.doneAt) && s.vm.disturbances.noneOverlap(from, x.doneAt)
+		undisturbed := c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) && s.vm.disturbances.noneOverlap(from, x.doneAt)
 		if s.vm == x.vm && undisturbed && x.sentAt.Before(s.at.Add(s.acceptsFor)) && x.doneAt.After(s.at) {
 			c.addViolation("%s: response was truncated by the planned stop of %s after %s: %v", x.id, x.vm.ID, x.doneAt.Sub(x.sentAt), x.response.Err)
 		}
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -40,6 +40,8 @@
 	f.IntVar(&o.Engines, "engines", o.Engines, "number of model engines")
 	f.IntVar(&o.ConcurrentFaults, "hands", o.ConcurrentFaults, "maximum number of faults at the same time")
 	f.BoolVar(&o.Limits, "limits", o.Limits, "let engines name limits, as one of the faults")
+	f.BoolVar(&o.Crashes, "crashes", o.Crashes, "let requests crash engines, as one of the faults")
+	f.StringSliceVar(&o.Only, "only", nil, "inject only faults of these kinds; default all")
 	f.BoolVar(&o.Restores, "restores", o.Restores, "restore the store from older copies, as one of the faults")
 	return cmd
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,6 +47,8 @@
 	replaceMu sync.Mutex
 	// restoreMu allows only one restore of the store at a time.
 	restoreMu sync.Mutex
+	// crashMu allows only one culprit at a time.
+	crashMu sync.Mutex
 	// rolloutCount is the number of roll-outs started; guarded by replaceMu.
 	rolloutCount int
 }
@@ -312,7 +314,7 @@
 	switch {
 	case phase == "complete" && failurePercent > 0:
 		f.report.addViolation("roll-out of bad version %s was completed", version)
-	case phase == "reverted" && failurePercent == 0 && f.bed.disturbances.noneOverlap(startedAt, time.Now()):
+	case phase == "reverted" && failurePercent == 0 && f.bed.disturbances.noneOverlap(startedAt, time.Now()) && f.bed.crashes.noneOverlap(startedAt, time.Now()):
 		f.report.addViolation("roll-out of good version %s was reverted", version)
 	}
 	retired := newEngines
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,10 @@
 	Restores bool
 	// Limits includes engines that name limits among the faults.
 	Limits bool
+	// Crashes includes requests that crash engines among the faults.
+	Crashes bool
+	// Only restricts the faults to these kinds; empty allows all.
+	Only []string
 	// Bounds are the time bounds that are checked.
 	Bounds Bounds
 }
@@ -38,7 +42,7 @@
 // to be set.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true,
+		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true, Crashes: true,
 		Bounds: DefaultBounds(),
 	}
 }
@@ -144,6 +148,12 @@
 	if o.Limits {
 		faults.kinds = append(slices.Clip(faults.kinds), limitFault)
 	}
+	if o.Crashes {
+		faults.kinds = append(slices.Clip(faults.kinds), crashFaults...)
+	}
+	if len(o.Only) > 0 {
+		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
+	}
 	var wait sync.WaitGroup
 	for worker := range o.ConcurrentFaults {
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(worker)+1))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,7 +37,7 @@
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
 	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binaryPath, t.TempDir(), seed, concurrentFaults
-	o.Restores, o.Limits = restores, restores
+	o.Restores, o.Limits, o.Crashes = restores, restores, restores
 	o.Duration, o.VMs, o.Engines, o.Rate = 6*time.Second, 3, 3, 30
 	report, err := soak.Run(t.Context(), o)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -54,8 +54,15 @@
 
 	// disturbances are the intervals with a fault of the store or of an upstream.
 	disturbances intervals
+	// crashes are the intervals in which requests crash upstreams. addEngineErrors counts the
+	// successors that could not be started.
+	crashes         intervals
+	addEngineErrors atomic.Int32
 
 	mu sync.Mutex // guards the fields below
+	// culprits are what made requests crash upstreams, and active those whose requests come.
+	culprits, active []*culprit
+	closed           bool
 	// registeredEngines maps the IDs of the engines that have an entry in the store.
 	registeredEngines map[string]*engine
 	allEngines        []*engine // in the order of their start, removed ones included
@@ -128,7 +135,13 @@
 	e := &engine{Engine: &standin.Engine{
 		ID: fmt.Sprintf("%s-%s-%d", service, version, b.engineCount), Service: service, Version: version, Zone: string(zone),
 	}}
-	e.Behave = e.behave
+	e.Behave = func(r *http.Request) standin.Behaviour {
+		if b.crashFor(r) {
+			return crashBehaviour(e.Service == modelService)
+		}
+		return e.behave(r)
+	}
+	e.OnCrash = func(*standin.Engine) { b.restart(e) }
 	e.Start()
 	link, err := NewLink(e.Address())
 	if err != nil {
@@ -243,6 +256,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.closed = true
 	for _, e := range b.allEngines {
 		if e.link != nil {
 			e.link.Close()
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -35,7 +35,19 @@
 	// configVersion is the version of the configuration that a probe requests; 0 for
 	// other kinds.
 	configVersion int64
-	response      standin.Response
+	// culprit makes the request crash upstreams; nil for others. body replaces the default
+	// body, and promptParts the default parts of the prompt, if they are not empty.
+	culprit           *culprit
+	body, promptParts string
+	response          standin.Response
+}
+
+// requestBody returns the body of the request.
+func (x exchange) requestBody() string {
+	if x.body != "" {
+		return x.body
+	}
+	return "body of " + x.id
 }
 
 const (
@@ -113,6 +125,10 @@
 	number := g.sentCount
 	g.mu.Unlock()
 	x := exchange{id: fmt.Sprintf("soak-%d", number), key: permanentKey, vm: g.testbed.vms[rng.IntN(len(g.testbed.vms))]}
+	if active := g.testbed.activeCulprits(); len(active) > 0 && rng.IntN(10) < culpritsPerTen {
+		active[rng.IntN(len(active))].fill(&x)
+		return x
+	}
 	history := g.testbed.history()
 	if rng.IntN(10) < probesPerTen {
 		probed := history[max(len(history)-1-rng.IntN(2), 0)]
@@ -140,9 +156,13 @@
 	x.process, x.sentAt = x.vm.processName(), time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline)
 	defer cancel()
+	header := map[string]string{"Session": "session of " + x.id}
+	if x.promptParts != "" {
+		header["X-Prefix-Hash"] = x.promptParts
+	}
 	x.response = client.Do(ctx, standin.Request{
-		ID: x.id, Method: method, Path: x.path, Address: x.vm.Callers, Key: x.key, Body: "body of " + x.id,
-		Deadline: requestDeadline, HasPrompt: x.kind == streamRequest, Header: map[string]string{"Session": "session of " + x.id},
+		ID: x.id, Method: method, Path: x.path, Address: x.vm.Callers, Key: x.key, Body: x.requestBody(),
+		Deadline: requestDeadline, HasPrompt: x.kind == streamRequest, Header: header,
 	})
 	x.doneAt = time.Now()
 	g.mu.Lock()
