Don't hold a lost connection against requests if its upstream goes on answering

Cause: a connection that ends was taken for the end of its upstream. Where answers are lost one by one (resets, a faulty link), that blames requests for crashes that were none, and holds such a request back after two. Change: what comes from an upstream after its reported end, at any VM, takes the report back, for all VMs. Abandoned attempts at upstreams that get no more requests are forgotten. The simulation gets two scenarios with 30% of answers lost. Evidence: two new tests; without the change the first finds the key.

--- a/experiment/blame/scenario.go
+++ b/experiment/blame/scenario.go
@@ -33,6 +33,9 @@
 	// single ends for other reasons; zero for none.
 	MassEnds    []time.Duration
 	EndInterval time.Duration
+	// ResetShare is the fraction of answers that are lost with their connection while the
+	// upstream goes on, 0 to 1.
+	ResetShare float64
 	// Loss is the fraction of messages that are lost, 0 to 1.
 	Loss float64
 	// ReplaceInterval is the time between replacements of a VM, and CutInterval the time
@@ -57,6 +60,10 @@
 	few.named("no culprit, 3 plain engines, one ends every 4 s", func(s *Scenario) {
 		s.Plain, s.Engines, s.Rate, s.EndInterval = true, 3, 20, 4*time.Second
 	}),
+	few.named("no culprit, 3 plain engines, 30% of answers lost", func(s *Scenario) {
+		s.Plain, s.Engines, s.Rate, s.ResetShare = true, 3, 20, 0.3
+	}),
+	few.named("no culprit, 30% of answers lost", func(s *Scenario) { s.ResetShare = 0.3 }),
 	few.named("1 part", func(s *Scenario) { s.Parts = 1 }),
 	few.named("1 part, beside other ends", func(s *Scenario) {
 		s.Parts, s.MassEnds, s.EndInterval = 1, []time.Duration{15 * time.Second, 30 * time.Second}, 3*time.Second
--- a/experiment/blame/simulation.go
+++ b/experiment/blame/simulation.go
@@ -343,7 +343,7 @@
 	e := up[s.rand.IntN(len(up))]
 	a := &run{request: r, trial: s.guards[r.vm].Begin(e.of, r.keys), weak: !s.Plain && s.rand.Float64() < weakShare && r.sends == 1}
 	if s.Plain {
-		a.trial.BeginAnswer()
+		a.trial.AssumeRunning()
 	}
 	a.beginAt = s.now + time.Duration(s.rand.ExpFloat64()*float64(meanWait))
 	a.endAt = a.beginAt + time.Duration(s.rand.ExpFloat64()*float64(meanRun))
@@ -385,6 +385,8 @@
 			s.remove(e, r)
 			s.send(r.request)
 		}
+	case r.begun && r.culprit == nil && s.now >= r.endAt && s.rand.Float64() < s.ResetShare:
+		s.lose(e, r)
 	case r.begun && r.culprit == nil && s.now >= r.endAt:
 		r.trial.End(quarantines.Answered)
 		s.remove(e, r)
@@ -408,15 +410,26 @@
 	*e = *s.newEngine()
 	e.upAt = s.now + downTime
 	for _, r := range lost {
-		r.trial.End(quarantines.Lost)
-		r.lost++
-		if r.lost < maxLost {
-			s.after(tick, func() { s.send(r.request) })
-			continue
-		}
-		if r.retries == 0 {
-			repeat := &request{vm: s.pickVM(), keys: r.keys, culprit: r.culprit, retries: 1, plain: r.plain}
-			s.after(clientRetryDelay, func() { s.send(repeat) })
-		}
+		s.retry(r)
+	}
+}
+
+// lose ends a run with its connection, while its engine goes on.
+func (s *simulation) lose(e *engine, r *run) {
+	s.remove(e, r)
+	s.retry(r)
+}
+
+// retry sends the request of a run that was lost again, or lets its client do so.
+func (s *simulation) retry(r *run) {
+	r.trial.End(quarantines.Lost)
+	r.lost++
+	if r.lost < maxLost {
+		s.after(tick, func() { s.send(r.request) })
+		return
+	}
+	if r.retries == 0 {
+		repeat := &request{vm: s.pickVM(), keys: r.keys, culprit: r.culprit, retries: 1, plain: r.plain}
+		s.after(clientRetryDelay, func() { s.send(repeat) })
 	}
 }
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -224,6 +224,7 @@
 	d.runner.Every("roll-outs", d.clock, rolloutInterval, d.shifts.Tick)
 	d.runner.Start("quarantine evidence", d.quarantines.Run)
 	d.runner.Every("quarantine row", d.clock, quarantineRowInterval, d.quarantines.Sync)
+	d.runner.Every("quarantine sweep", d.clock, sweepInterval, d.quarantines.Sweep)
 	d.runner.Every("purse", d.clock, sweepInterval, d.updateRetryAllowances)
 	d.runner.Every("entries", d.clock, lapsedEntryInterval, func(context.Context) { d.directory.ExpireLapsed() })
 	d.runner.Every("connections", d.clock, sweepInterval, func(context.Context) { d.pool.Sweep(time.Now()) })
--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -153,6 +153,19 @@
 	}
 }
 
+// Sweep forgets abandoned attempts at upstreams that get no more requests. It is to be
+// called periodically.
+func (g *Guard) Sweep(context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for of, there := range g.trials {
+		g.forgetAbandoned(there)
+		if len(there) == 0 {
+			delete(g.trials, of)
+		}
+	}
+}
+
 func (g *Guard) remove(t *Trial) {
 	there := g.trials[t.of]
 	delete(there, t)
@@ -225,6 +238,16 @@
 	return suspects
 }
 
+// noteAlive records that something came from an upstream, and tells the other VMs if its
+// end had been reported.
+func (g *Guard) noteAlive(of quarantine.Incarnation) {
+	now, known := g.opts.SharedClock.Now()
+	if known && g.blame.RecordAlive(of, now) {
+		g.reports.addAlive(Alive{Incarnation: of, At: now})
+		g.markUnweighed()
+	}
+}
+
 // reportCrash records a crash and tells the other VMs, with the suspects that are not
 // cleared by a sound answer that this VM knows of. Others may have suspects even if this
 // VM has none.
@@ -346,6 +369,11 @@
 		g.blame.RecordSound(s.Key, s.At)
 		g.markUnweighed()
 	}
+	for _, a := range m.Alive {
+		if g.blame.RecordAlive(a.Incarnation, a.At) {
+			g.markUnweighed()
+		}
+	}
 	for _, e := range m.Entries {
 		g.install(e)
 	}
@@ -374,6 +402,9 @@
 	for _, s := range m.Sound {
 		g.relayed.addSound(s.Key, s.At)
 	}
+	for _, a := range m.Alive {
+		g.relayed.addAlive(a)
+	}
 }
 
 // tickInterval is the time between two steps of Run while there is evidence.
--- a/internal/quarantines/guard_test.go
+++ b/internal/quarantines/guard_test.go
@@ -392,3 +392,15 @@
 	f.Expect(excluded).To(BeTrue())
 	f.Expect(kept.Held).To(BeFalse())
 }
+
+func TestLostConnectionsToUpstreamsThatGoOnAreNoCrashes(t *testing.T) {
+	f := newFleet(t, 2)
+	for range 5 {
+		engine := f.newEngine()
+		f.begin(0, engine, "unlucky").End(quarantines.Lost)
+		f.pass(300 * time.Millisecond)
+		f.begin(1, engine, "other").End(quarantines.Answered)
+		f.pass(100 * time.Millisecond)
+	}
+	f.Expect(f.excludedAt("unlucky")).To(Equal(0))
+}
--- a/internal/quarantines/outbox.go
+++ b/internal/quarantines/outbox.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// maxKeysPerMessage and maxSoundPerMessage keep a message within a datagram.
+	// maxKeysPerMessage, maxSoundPerMessage and maxAlivePerMessage keep a message within a
+	// datagram.
 	maxKeysPerMessage  = 40
-	maxSoundPerMessage = 12
+	maxSoundPerMessage = 10
+	maxAlivePerMessage = 4
 	// maxQueued bounds the crashes and sound answers that wait to be sent.
 	maxQueued = 64
 	// maxPerFlush bounds the messages sent at once.
@@ -24,6 +26,7 @@
 type outbox struct {
 	crashes map[quarantine.Incarnation]quarantine.Crash
 	sound   map[quarantine.Key]time.Duration
+	alive   []Alive
 	// repeats holds the messages to be sent again, oldest first.
 	repeats []repeat
 	// dropped counts what did not fit.
@@ -65,7 +68,16 @@
 
 // isEmpty reports whether nothing is to be sent.
 func (o *outbox) isEmpty() bool {
-	return len(o.crashes) == 0 && len(o.sound) == 0 && len(o.repeats) == 0
+	return len(o.crashes) == 0 && len(o.sound) == 0 && len(o.alive) == 0 && len(o.repeats) == 0
+}
+
+// addAlive queues the report that an upstream is alive.
+func (o *outbox) addAlive(a Alive) {
+	if len(o.alive) >= maxQueued {
+		o.dropped++
+		return
+	}
+	o.alive = append(o.alive, a)
 }
 
 // takeDropped returns the number of reports that were dropped since the last call.
@@ -107,6 +119,8 @@
 		return Message{Crashes: []quarantine.Crash{c}}, true
 	}
 	var m Message
+	fitting := min(len(o.alive), maxAlivePerMessage)
+	m.Alive, o.alive = o.alive[:fitting:fitting], o.alive[fitting:]
 	for key, at := range o.sound {
 		if len(m.Sound) == maxSoundPerMessage {
 			break
@@ -114,7 +128,7 @@
 		m.Sound = append(m.Sound, Sound{Key: key, At: at})
 		delete(o.sound, key)
 	}
-	return m, len(m.Sound) > 0
+	return m, len(m.Sound)+len(m.Alive) > 0
 }
 
 // splitSuspects returns the suspects that fit into a message, and the rest. Of a suspect
--- a/internal/quarantines/outbox_test.go
+++ b/internal/quarantines/outbox_test.go
@@ -31,6 +31,9 @@
 	for i := range 60 {
 		o.addSound(digester.Part(fmt.Sprint(i)), 1<<50)
 	}
+	for range 20 {
+		o.addAlive(Alive{Incarnation: c.Incarnation, At: 1 << 50})
+	}
 	now := time.Now()
 	suspects, sound := 0, 0
 	for !o.isEmpty() {
--- a/internal/quarantines/trial.go
+++ b/internal/quarantines/trial.go
@@ -52,6 +52,17 @@
 	return quarantine.Suspect{Keys: t.keys, Begun: !t.begunAt.IsZero()}, true
 }
 
+// AssumeRunning records that the request may run from now on, as its upstream doesn't tell
+// before it has answered.
+func (t *Trial) AssumeRunning() {
+	if t == nil {
+		return
+	}
+	t.guard.mu.Lock()
+	defer t.guard.mu.Unlock()
+	t.begin()
+}
+
 // BeginAnswer records that the header of an answer came.
 func (t *Trial) BeginAnswer() {
 	if t == nil {
@@ -59,6 +70,12 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
+	t.begin()
+	t.guard.noteAlive(t.of)
+}
+
+// begin sets begunAt once. The caller holds the guard's mutex.
+func (t *Trial) begin() {
 	if t.begunAt.IsZero() {
 		t.begunAt = t.guard.clock.Now()
 	}
@@ -71,6 +88,7 @@
 	}
 	t.guard.mu.Lock()
 	defer t.guard.mu.Unlock()
+	t.guard.noteAlive(t.of)
 	if !t.sound && !t.begunAt.IsZero() && t.guard.clock.Since(t.begunAt) >= soundAfter {
 		t.guard.markSound(t)
 	}
@@ -86,6 +104,7 @@
 	defer g.mu.Unlock()
 	switch o {
 	case Answered:
+		g.noteAlive(t.of)
 		g.markSound(t)
 		g.remove(t)
 	case Lost:
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -240,8 +240,7 @@
 	x.dispatches++
 	a.trial = x.server.Quarantine.Begin(e.Incarnation(), x.keys)
 	if !x.route.Streaming {
-		// Whether the request runs or waits can't be seen before it is done.
-		a.trial.BeginAnswer()
+		a.trial.AssumeRunning()
 	}
 	a.running = x.server.Versions.Begin(a.versionAttempt())
 	if a.expectedWork >= minAnnouncedWork {
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -54,6 +54,7 @@
 //     clears a key of all crashes until then.
 //   - All requests on an upstream that ended are suspected; the evidence is strong against
 //     those whose answer had just begun, and weak against those that may have waited.
+//   - An upstream that answers after its reported end has not ended.
 //   - The key that explains the most crashes is found to cause them, and its crashes are
 //     not held against others. But crashes that a whole request explains still speak against
 //     the parts of its prompt, as other requests with one of them may follow.
@@ -65,6 +66,8 @@
 	crashes map[Incarnation]*crash
 	// soundParts and soundRequests are apart, because requests are many.
 	soundParts, soundRequests soundTimes
+	// alive holds when upstreams with a reported crash were seen alive after it.
+	alive map[Incarnation]time.Duration
 	// found holds the keys that were found to crash upstreams.
 	found map[Key]bool
 }
@@ -98,12 +101,15 @@
 
 // NewBlame returns a Blame without evidence.
 func NewBlame(opts Options) *Blame {
-	return &Blame{opts: opts, crashes: make(map[Incarnation]*crash), found: make(map[Key]bool)}
+	return &Blame{opts: opts, crashes: make(map[Incarnation]*crash), alive: make(map[Incarnation]time.Duration), found: make(map[Key]bool)}
 }
 
 // RecordCrash adds what a VM saw of a crash. Reports of the same crash are merged, in any
 // order and number.
 func (b *Blame) RecordCrash(c Crash) {
+	if aliveAt, seen := b.alive[c.Incarnation]; seen && c.At < aliveAt {
+		return
+	}
 	known := b.crashes[c.Incarnation]
 	if known == nil {
 		known = &crash{of: c.Incarnation, at: c.At, suspects: make(map[Key]suspicion)}
@@ -119,6 +125,19 @@
 	b.forgetOldest()
 }
 
+// RecordAlive records that something came from an upstream at a time. A lost connection
+// before was no crash then. It returns false if none was reported; what was on its way at
+// the time of the crash shows nothing.
+func (b *Blame) RecordAlive(of Incarnation, at time.Duration) bool {
+	c := b.crashes[of]
+	if c == nil || at < c.at+b.opts.SettleTime {
+		return false
+	}
+	delete(b.crashes, of)
+	b.alive[of] = max(b.alive[of], at)
+	return true
+}
+
 func (b *Blame) suspect(c *crash, key Key, s suspicion) {
 	if b.WasSound(key, c.at) {
 		return
@@ -232,6 +251,7 @@
 // Decide weighs the evidence.
 func (b *Blame) Decide(now time.Duration) Decision {
 	maps.DeleteFunc(b.crashes, func(_ Incarnation, c *crash) bool { return c.at < now-b.opts.Window })
+	maps.DeleteFunc(b.alive, func(_ Incarnation, at time.Duration) bool { return at < now-b.opts.Window })
 	d := Decision{Held: make(map[Key]time.Duration)}
 	for {
 		accused, unsettled := b.accusations(now)
--- a/quarantine/blame_test.go
+++ b/quarantine/blame_test.go
@@ -311,3 +311,15 @@
 	}
 	c.Expect(c.found(20 * second)).To(ConsistOf(c.requestKey("/deadly"), c.requestKey("/beside")))
 }
+
+func TestUpstreamThatAnswersAfterItsReportedEndHasNotEnded(t *testing.T) {
+	c := newCourt(t)
+	for i := range 5 {
+		at := time.Duration(10+i) * second
+		of := c.crash(at, []string{"lost"})
+		c.Expect(c.RecordAlive(of, at+20*time.Millisecond)).To(BeFalse())
+		c.Expect(c.RecordAlive(of, at+second/2)).To(BeTrue())
+		c.report(of, at, true, []string{"lost"})
+	}
+	c.Expect(c.found(20 * second)).To(BeEmpty())
+}
