--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -11,14 +11,17 @@
 // Options configure a Blame.
 type Options struct {
 	// Crashes is the number of crashes that a key must explain to be found to cause them.
-	// UnclearCrashes is the number for a part of a prompt if another one explains as many, or
-	// if the evidence of less than MinStrong of them is strong. OnceSoundCrashes is the number for a key that
+	// UnclearCrashes is the number for a part of a prompt if another one explains as many, and
+	// WeakCrashes if the evidence of less than MinStrong of them is strong. OnceSoundCrashes is the number for a key that
 	// upstreams are known to have survived.
-	Crashes, UnclearCrashes, OnceSoundCrashes int
-	MinStrong                                 int
+	Crashes, UnclearCrashes, WeakCrashes, OnceSoundCrashes int
+	MinStrong                                              int
 	// Separation is the time between two crashes that count as two against a part of a
 	// prompt. Upstreams that end together have a cause in common that is no request.
 	Separation time.Duration
+	// PartCrashesInAll is the number of crashes from which a part of a prompt is found even if
+	// other keys explain them.
+	PartCrashesInAll int
 	// HoldCrashes is the number of crashes from which a whole request is held back for
 	// HoldTime, so that it doesn't end more upstreams than come back in that time.
 	HoldCrashes int
@@ -39,9 +42,10 @@
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
-		Crashes: 3, UnclearCrashes: 4, OnceSoundCrashes: 5, MinStrong: 2,
+		Crashes: 3, UnclearCrashes: 4, WeakCrashes: 6, OnceSoundCrashes: 5, MinStrong: 2,
+		PartCrashesInAll: 7,
 		HoldCrashes: 2, HoldTime: 3 * time.Second,
-		Separation: 100 * time.Millisecond, SettleTime: 150 * time.Millisecond, SoundMemory: 2 * time.Second, Window: 10 * time.Minute,
+		Separation: 50 * time.Millisecond, SettleTime: 150 * time.Millisecond, SoundMemory: 2 * time.Second, Window: 10 * time.Minute,
 		MaxCrashes: 64, MaxSuspects: 192,
 	}
 }
@@ -240,6 +244,10 @@
 	crashes []*crash
 	// count is their number, without those that are not separate, and strong the number of those with strong evidence.
 	count, strong int
+	// inAll is the number of separate crashes in which the key was involved, whatever explains
+	// them, and countedAt the time of the last of these.
+	inAll     int
+	countedAt time.Duration
 	// shared reports whether several requests speak against the key.
 	shared bool
 	// depth is the position of the key in the latest request that speaks against it.
@@ -277,27 +285,24 @@
 		a.strong == o.strong && a.explains(o) && o.explains(a)
 }
 
-// accusations returns the evidence against each key that explains several crashes. Crashes
-// that are not settled are left out; it reports whether there are any.
+// accusations returns the evidence against each key that is involved in several crashes and
+// was not found yet. Crashes that are not settled are left out; it reports whether there are any.
 func (b *Blame) accusations(now time.Duration) (accused []*accusation, unsettled bool) {
 	byKey := make(map[Key]*accusation)
 	for _, c := range slices.SortedFunc(maps.Values(b.crashes), func(x, y *crash) int { return cmp.Compare(x.at, y.at) }) {
-		explained := b.explanation(c)
-		switch {
-		case explained == PromptPart:
-			continue
-		case now < c.at+b.opts.SettleTime:
+		if now < c.at+b.opts.SettleTime {
 			unsettled = true
 			continue
 		}
+		explained := b.explanation(c)
 		for key, s := range c.suspects {
-			if explained != key.Kind {
-				b.accuse(byKey, key, s, c)
+			if !b.found[key] {
+				b.accuse(byKey, key, s, c, explained == PromptPart || explained == key.Kind)
 			}
 		}
 	}
 	for _, a := range byKey {
-		if a.count >= b.opts.HoldCrashes {
+		if a.inAll >= b.opts.HoldCrashes {
 			accused = append(accused, a)
 		}
 	}
@@ -305,15 +310,24 @@
 	return accused, unsettled
 }
 
-// accuse adds a crash to the evidence against a key.
-func (b *Blame) accuse(byKey map[Key]*accusation, key Key, s suspicion, c *crash) {
+// accuse adds a crash to the evidence against a key. explained reports whether a key that
+// was found explains the crash.
+func (b *Blame) accuse(byKey map[Key]*accusation, key Key, s suspicion, c *crash, explained bool) {
 	a := byKey[key]
 	if a == nil {
 		_, onceSound := b.LastSound(key)
 		a = &accusation{key: key, onceSound: onceSound}
 		byKey[key] = a
 	}
-	if a.isSeparate(c, b.opts.Separation) {
+	separate := a.isSeparate(c, b.opts.Separation)
+	if separate {
+		a.inAll++
+		a.countedAt = c.at
+	}
+	if explained {
+		return
+	}
+	if separate {
 		a.count++
 		if s.begun {
 			a.strong++
@@ -327,7 +341,7 @@
 // isSeparate reports whether a crash counts beside those before. A whole request runs on
 // one upstream at a time.
 func (a *accusation) isSeparate(c *crash, separation time.Duration) bool {
-	return a.key.Kind == WholeRequest || len(a.crashes) == 0 || c.at >= a.crashes[len(a.crashes)-1].at+separation
+	return a.key.Kind == WholeRequest || a.inAll == 0 || c.at >= a.countedAt+separation
 }
 
 // explanation returns the kind of the widest key found that explains a crash, empty if none
@@ -349,17 +363,23 @@
 // that explain enough; nil if there is none.
 func (b *Blame) strongest(accused []*accusation) *accusation {
 	for _, a := range accused {
-		if a.count >= b.needed(a, accused) {
+		if a.count >= b.needed(a, accused) || b.isInvolvedTooOften(a) {
 			return a
 		}
 	}
 	return nil
 }
 
+// isInvolvedTooOften reports whether a part of a prompt that no upstream is known to have survived was
+// involved in so many crashes that it is found whatever explains them.
+func (b *Blame) isInvolvedTooOften(a *accusation) bool {
+	return a.key.Kind == PromptPart && !a.onceSound && a.shared && a.inAll >= b.opts.PartCrashesInAll
+}
+
 // hold adds the whole requests that are to be held back.
 func (b *Blame) hold(accused []*accusation, held map[Key]time.Duration) {
 	for _, a := range accused {
-		if a.key.Kind == WholeRequest && !a.isOutweighed(accused) {
+		if a.key.Kind == WholeRequest && a.count >= b.opts.HoldCrashes && !a.isOutweighed(accused) {
 			held[a.key] = a.crashes[len(a.crashes)-1].at + b.opts.HoldTime
 		}
 	}
@@ -391,7 +411,7 @@
 	}
 	n := b.opts.Crashes
 	if a.strong < b.opts.MinStrong {
-		n = b.opts.UnclearCrashes
+		n = b.opts.WeakCrashes
 	}
 	for _, other := range accused {
 		if other.key.Kind != PromptPart || !other.explains(a) {
@@ -401,7 +421,7 @@
 			return never
 		}
 		if other.onceSound == a.onceSound && other.strong == a.strong {
-			n = b.opts.UnclearCrashes
+			n = max(n, b.opts.UnclearCrashes)
 		}
 	}
 	return n
@@ -409,7 +429,7 @@
 
 // explains reports whether a is another key that may have caused all crashes of o.
 func (a *accusation) explains(o *accusation) bool {
-	if a == o || len(a.crashes) < len(o.crashes) {
+	if a == o || len(o.crashes) == 0 || len(a.crashes) < len(o.crashes) {
 		return false
 	}
 	left := o.crashes
