Keep a request out at the fifth crash whatever else explains the crashes

Change: a whole request that no upstream survived is found at its fifth crash in any case; no other request is concerned by that. Evidence: a test that fails without the change.

--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -19,9 +19,9 @@
 	// Separation is the time between two crashes that count as two against a part of a
 	// prompt. Upstreams that end together have a cause in common that is no request.
 	Separation time.Duration
-	// PartCrashesInAll is the number of crashes from which a part of a prompt is found even if
-	// other keys explain them.
-	PartCrashesInAll int
+	// PartCrashesInAll and RequestCrashesInAll are the numbers of crashes from which a key is
+	// found even if others explain them.
+	PartCrashesInAll, RequestCrashesInAll int
 	// HoldCrashes is the number of crashes from which a whole request is held back for
 	// HoldTime, so that it doesn't end more upstreams than come back in that time.
 	HoldCrashes int
@@ -43,7 +43,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Crashes: 3, UnclearCrashes: 4, WeakCrashes: 6, OnceSoundCrashes: 5, MinStrong: 2,
-		PartCrashesInAll: 7,
+		PartCrashesInAll: 7, RequestCrashesInAll: 5,
 		HoldCrashes: 2, HoldTime: 3 * time.Second,
 		Separation: 50 * time.Millisecond, SettleTime: 150 * time.Millisecond, SoundMemory: 2 * time.Second, Window: 10 * time.Minute,
 		MaxCrashes: 64, MaxSuspects: 192,
@@ -370,10 +370,13 @@
 	return nil
 }
 
-// isInvolvedTooOften reports whether a part of a prompt that no upstream is known to have survived was
+// isInvolvedTooOften reports whether a key that no upstream is known to have survived was
 // involved in so many crashes that it is found whatever explains them.
 func (b *Blame) isInvolvedTooOften(a *accusation) bool {
-	return a.key.Kind == PromptPart && !a.onceSound && a.shared && a.inAll >= b.opts.PartCrashesInAll
+	if a.key.Kind == WholeRequest {
+		return !a.onceSound && a.inAll >= b.opts.RequestCrashesInAll
+	}
+	return !a.onceSound && a.shared && a.inAll >= b.opts.PartCrashesInAll
 }
 
 // hold adds the whole requests that are to be held back.
--- a/quarantine/blame_test.go
+++ b/quarantine/blame_test.go
@@ -323,3 +323,18 @@
 	}
 	c.Expect(c.found(20 * second)).To(BeEmpty())
 }
+
+func TestRequestIsFoundAtTheFifthCrashWhateverExplainsThem(t *testing.T) {
+	c := newCourt(t)
+	for i := range 3 {
+		c.crash(time.Duration(10+i)*second, []string{"bad"})
+	}
+	c.Expect(c.found(13 * second)).To(Equal(c.keys("bad")))
+	for i := range 5 {
+		at := time.Duration(20+i) * second
+		c.crashUnder(at, []string{"/deadly"})
+		of := quarantine.Incarnation{Upstream: upstream.ID(fmt.Sprintf("e-%d", c.crashes))}
+		c.report(of, at, true, []string{"bad"})
+		c.Expect(c.found(at + second/2)).To(HaveLen(i / 4))
+	}
+}
