--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -313,62 +313,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// Stop stops the daemon and returns when it has stopped. The daemon is not ready
-// from now on, refuses new requests after the settings' Stop.TakeS, and aborts the
-// requests that still run shortly before Stop.GraceS has passed. The end of ctx
-// skips the remaining waits.
-func (d *Daemon) Stop(ctx context.Context) {
-	startedAt := d.clock.Now()
-	d.phase.Store(int32(draining))
-	grace := d.settings.Stop.GraceS.Duration()
-	d.log.Info("leaving", "grace_ms", grace.Milliseconds())
-	d.wait(ctx, d.settings.Stop.TakeS.Duration())
-	d.phase.Store(int32(rejecting))
-	timeLeft := grace - abortMargin - d.clock.Since(startedAt)
-	shutdownCtx, cancel := context.WithTimeout(ctx, timeLeft)
-	defer cancel()
-	err := d.callerServer.Shutdown(shutdownCtx)
-	d.phase.Store(int32(aborting))
-	if err != nil {
-		d.log.Warn("grace period is over; aborting the running requests", "error", err)
-	}
-	d.close()
-	if !d.relay.AwaitIdle(abortTimeout) {
-		d.log.Warn("aborted requests still run; their log lines are lost")
-	}
-	d.log.Info("stopped", "took_ms", d.clock.Since(startedAt).Milliseconds())
-	d.logRunner.Stop()
-}
-
-// wait waits until the timeout has passed or ctx ends.
-func (d *Daemon) wait(ctx context.Context, timeout time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-d.clock.After(timeout):
-	}
-}
-
-// close closes all listeners and connections and stops the background tasks,
-// except for the log.
-func (d *Daemon) close() {
-	d.closeListeners()
-	d.runner.Stop()
-	d.pool.Close()
-}
-
-// closeListeners closes the socket for hints and the listeners that are open.
-func (d *Daemon) closeListeners() {
-	d.hints.Close()
-	for _, server := range []*listen.Server{d.callerServer, d.healthServer, d.metricsServer, d.peerServer} {
-		if server == nil {
-			continue
-		}
-		if err := server.Close(); err != nil {
-			d.log.Warn("listener not closed", "address", server.Address(), "error", err)
-		}
-	}
-}
-
 // CallersAddress returns the host:port of the listener for callers. It must not be
 // called before Start.
 func (d *Daemon) CallersAddress() string { return d.callerServer.Address() }
@@ -378,9 +322,3 @@
 
 // Metrics returns the help text of each metric, by name.
 func (d *Daemon) Metrics() map[string]string { return d.registry.Descriptions("poplarshore_") }
-
-// Kill stops the daemon at once and aborts running requests, as if its VM failed.
-func (d *Daemon) Kill() {
-	d.close()
-	d.logRunner.Stop()
-}
--- /dev/null
+++ b/internal/relay/event_buffer.go
@@ -0,0 +1,54 @@
+package relay
+
+import "bytes"
+
+// eventBuffer splits a stream into complete server-sent events.
+type eventBuffer struct {
+	buf []byte
+	// consumed is the length of the events already returned by next, and searched that of
+	// the part in which no further event ends.
+	consumed, searched int
+}
+
+// next returns the next complete event, or nil if there is none yet. The event is
+// valid until compact is called.
+func (e *eventBuffer) next() []byte {
+	from := max(e.searched-len(eventSeparator)+1, e.consumed)
+	i := bytes.Index(e.buf[from:], eventSeparator)
+	if i < 0 {
+		e.searched = len(e.buf)
+		return nil
+	}
+	end := from + i + len(eventSeparator)
+	event := e.buf[e.consumed:end]
+	e.consumed, e.searched = end, end
+	return event
+}
+
+// compact discards the events already returned by next.
+func (e *eventBuffer) compact() {
+	e.buf = append(e.buf[:0], e.buf[e.consumed:]...)
+	e.searched = max(e.searched-e.consumed, 0)
+	e.consumed = 0
+}
+
+// partialBytes returns the length of the incomplete event in the buffer.
+func (e *eventBuffer) partialBytes() int { return len(e.buf) - e.consumed }
+
+// hasPartial reports whether the buffer holds an incomplete event.
+func (e *eventBuffer) hasPartial() bool {
+	return len(bytes.TrimSpace(e.buf[e.consumed:])) > 0
+}
+
+// idField is the start of the line with an event's id.
+var idField = []byte("id:")
+
+// eventID returns the id of an event; empty if it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(value))
+		}
+	}
+	return ""
+}
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/internal/engines"
-	"github.com/poplarshore/poplarshore/internal/quarantines"
-	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
 	"github.com/poplarshore/poplarshore/model"
@@ -104,16 +100,6 @@
 			e.ID(), outlook.Wait, outlook.Work, outlook.TimeLeft)
 }
 
-// refuseQuarantined returns a refusal if such requests crash upstreams.
-func (x *exchange) refuseQuarantined() *refusal.Refusal {
-	exclusion, excluded := x.server.Quarantine.Check(x.keys)
-	if !excluded {
-		return nil
-	}
-	return refusal.New(refusal.Quarantined).WithRetryAfter(exclusion.RetryAfter).
-		With("Key %v, held back only: %t; crashes: %v.", exclusion.Key, exclusion.Held, exclusion.Evidence)
-}
-
 // model returns the model to ask; empty if the router does not select it.
 func (x *exchange) model() model.Name {
 	if !x.routerPicksModel() {
@@ -254,106 +240,3 @@
 	x.finishAttempt(ctx, a, err, took)
 	return err
 }
-
-// finishAttempt records the end of an attempt: for the upstream's load and
-// circuit breaker, for the roll-out of its version, for retries, and in the log.
-func (x *exchange) finishAttempt(ctx context.Context, a *attempt, err error, took time.Duration) {
-	ended := err != nil && ctx.Err() != nil
-	failed := err != nil && !ended && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
-	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || a.paused
-	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive}
-	if err == nil {
-		result.Took = took
-	}
-	a.tracked.End(result)
-	if failed {
-		x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
-		if errorx.IsOfType(err, upconn.ErrSilent) {
-			x.server.Pool.CloseIdle(a.engine.Address())
-			a.reportSilence(took)
-		}
-	}
-	a.running.End(a.versionResult(err, inconclusive))
-	a.trial.End(trialOutcome(err, ended))
-	if err == nil && x.retriedFailure {
-		x.server.RepeatEstimator.Record(x.route.Name, true)
-	}
-	x.answerBegan = a.firstAfter > 0
-	x.logAttempt(a, err, took)
-}
-
-// trialOutcome returns what the end of an attempt says about its request: whether its
-// upstream survived it. ended reports whether the exchange was over before.
-func trialOutcome(err error, ended bool) quarantines.Outcome {
-	switch {
-	case err == nil, errorx.IsOfType(err, errFailed):
-		return quarantines.Answered
-	case errorx.IsOfType(err, errLowConfidence):
-		return quarantines.Abandoned
-	case errorx.IsOfType(err, upconn.ErrNotSent):
-		return quarantines.NotRun
-	case errorx.IsOfType(err, upconn.ErrConnectionLost) && !ended:
-		return quarantines.Lost
-	}
-	return quarantines.Abandoned
-}
-
-// reportSilence makes this VM and others avoid an upstream that sent nothing to any
-// request while this one waited.
-func (a *attempt) reportSilence(waited time.Duration) {
-	if a.engine.SinceLastReceived() < waited {
-		return
-	}
-	a.engine.MarkSilent()
-	a.exchange.server.AnnounceSilence(a.engine.Upstream())
-}
-
-// versionResult returns what the end of an attempt says about its version. A broken
-// connection is evidence about the upstream only, and so is an upstream that sends
-// nothing, unless it responded to other requests meanwhile.
-func (a *attempt) versionResult(err error, inconclusive bool) shifts.Result {
-	switch {
-	case err == nil, errorx.IsOfType(err, errLowConfidence):
-		return shifts.Succeeded
-	case inconclusive:
-		return shifts.Inconclusive
-	case errorx.IsOfType(err, errFailed):
-		return shifts.Failed
-	case errorx.IsOfType(err, upconn.ErrBroken):
-		return shifts.Broken
-	case !errorx.IsOfType(err, upconn.ErrSilent) || a.firstAfter > 0:
-		return shifts.Inconclusive
-	case a.engine.SinceLastReceived() >= a.exchange.server.Clock.Since(a.startedAt):
-		return shifts.Inconclusive
-	}
-	return shifts.Overdue
-}
-
-// logAttempt counts the attempt by outcome and appends it to the log of the
-// exchange.
-func (x *exchange) logAttempt(a *attempt, err error, took time.Duration) {
-	outcome := "answered"
-	var refused *refusal.Refusal
-	switch {
-	case err == nil:
-	case errors.As(err, &refused):
-		outcome = string(x.server.abortReason(refused.Reason))
-	default:
-		if e := errorx.Cast(err); e != nil {
-			name := e.Type().FullName()
-			outcome = name[strings.LastIndexByte(name, '.')+1:]
-		}
-	}
-	x.connectionLost = x.connectionLost || errorx.IsOfType(err, upconn.ErrConnectionLost)
-	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
-	record := attemptRecord{
-		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
-		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
-		First: a.firstAfter.Milliseconds(), Head: a.headAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
-		Gap: a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
-	}
-	if a.confidence >= 0 {
-		record.Confidence = &a.confidence
-	}
-	x.attemptLog = append(x.attemptLog, record)
-}
