Decide alike in whatever order the reports of crashes arrive

Cause: a property test found that VMs may decide differently on the same reports: the report that an upstream is alive was ignored if it overtook that of its end, and crashes at the same time were ordered by chance. Change: the first is kept for reports that come later; crashes are ordered by upstream after time. Conclusion: fixed.

--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -370,9 +370,7 @@
 		g.markUnweighed()
 	}
 	for _, a := range m.Alive {
-		if g.blame.RecordAlive(a.Incarnation, a.At) {
-			g.markUnweighed()
-		}
+		g.blame.ReportAlive(a.Incarnation, a.At)
 	}
 	for _, e := range m.Entries {
 		g.install(e)
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -111,7 +111,7 @@
 // RecordCrash adds what a VM saw of a crash. Reports of the same crash are merged, in any
 // order and number.
 func (b *Blame) RecordCrash(c Crash) {
-	if aliveAt, seen := b.alive[c.Incarnation]; seen && c.At < aliveAt {
+	if aliveAt, seen := b.alive[c.Incarnation]; seen && c.At+b.opts.SettleTime <= aliveAt {
 		return
 	}
 	known := b.crashes[c.Incarnation]
@@ -137,11 +137,19 @@
 	if c == nil || at < c.at+b.opts.SettleTime {
 		return false
 	}
-	delete(b.crashes, of)
-	b.alive[of] = max(b.alive[of], at)
+	b.ReportAlive(of, at)
 	return true
 }
 
+// ReportAlive applies what another VM recorded by RecordAlive. It may come before the report
+// of the lost connection.
+func (b *Blame) ReportAlive(of Incarnation, at time.Duration) {
+	b.alive[of] = max(b.alive[of], at)
+	if c := b.crashes[of]; c != nil && c.at+b.opts.SettleTime <= at {
+		delete(b.crashes, of)
+	}
+}
+
 func (b *Blame) suspect(c *crash, key Key, s suspicion) {
 	if b.WasSound(key, c.at) {
 		return
@@ -156,6 +164,11 @@
 	c.suspects[key] = s
 }
 
+// compare orders crashes by their times.
+func (c *crash) compare(o *crash) int {
+	return cmp.Or(cmp.Compare(c.at, o.at), cmp.Compare(c.of.Upstream, o.of.Upstream), cmp.Compare(c.of.Born, o.of.Born))
+}
+
 // dropWaiting removes one suspect whose answer had not begun. It returns false if there is
 // none.
 func (c *crash) dropWaiting() bool {
@@ -173,7 +186,7 @@
 	if len(b.crashes) <= b.opts.MaxCrashes {
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Values(b.crashes)), func(x, y *crash) int { return cmp.Compare(x.at, y.at) })
+	oldest := slices.MinFunc(slices.Collect(maps.Values(b.crashes)), (*crash).compare)
 	delete(b.crashes, oldest.of)
 }
 
@@ -289,7 +302,7 @@
 // was not found yet. Crashes that are not settled are left out; it reports whether there are any.
 func (b *Blame) accusations(now time.Duration) (accused []*accusation, unsettled bool) {
 	byKey := make(map[Key]*accusation)
-	for _, c := range slices.SortedFunc(maps.Values(b.crashes), func(x, y *crash) int { return cmp.Compare(x.at, y.at) }) {
+	for _, c := range slices.SortedFunc(maps.Values(b.crashes), (*crash).compare) {
 		if now < c.at+b.opts.SettleTime {
 			unsettled = true
 			continue
--- a/quarantine/blame_test.go
+++ b/quarantine/blame_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -338,3 +339,47 @@
 		c.Expect(c.found(at + second/2)).To(HaveLen(i / 4))
 	}
 }
+
+// Reports reach the VMs in different orders, some of them twice; all decide alike.
+func TestDecisionDependsOnNoOrderOfReports(t *testing.T) {
+	digester := quarantine.NewDigester("secret")
+	names := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []func(*quarantine.Blame)
+		for i := range rapid.IntRange(1, 8).Draw(t, "crashes") {
+			of := quarantine.Incarnation{Upstream: upstream.ID(fmt.Sprint(i))}
+			at := time.Duration(rapid.IntRange(100, 200).Draw(t, "at")) * 100 * time.Millisecond
+			for range rapid.IntRange(1, 3).Draw(t, "reports") {
+				s := quarantine.Suspect{Begun: rapid.Bool().Draw(t, "begun")}
+				for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 3, rapid.ID).Draw(t, "parts") {
+					s.Keys = append(s.Keys, digester.Part(name))
+				}
+				path := rapid.SampledFrom([]string{"/x", "/y", "/z"}).Draw(t, "path")
+				s.Keys = append(s.Keys, digester.Request(quarantine.Request{Target: path}))
+				reports = append(reports, func(b *quarantine.Blame) {
+					b.RecordCrash(quarantine.Crash{Incarnation: of, At: at, Suspects: []quarantine.Suspect{s}})
+				})
+			}
+			if rapid.IntRange(0, 4).Draw(t, "alive") == 0 {
+				reports = append(reports, func(b *quarantine.Blame) { b.ReportAlive(of, at+second) })
+			}
+		}
+		for range rapid.IntRange(0, 4).Draw(t, "sound") {
+			key := digester.Part(rapid.SampledFrom(names).Draw(t, "part"))
+			at := time.Duration(rapid.IntRange(50, 200).Draw(t, "sound at")) * 100 * time.Millisecond
+			reports = append(reports, func(b *quarantine.Blame) { b.RecordSound(key, at) })
+		}
+		decide := func(order []int) string {
+			b := quarantine.NewBlame(quarantine.DefaultOptions())
+			for _, i := range order {
+				reports[i](b)
+			}
+			return fmt.Sprint(b.Decide(30 * second))
+		}
+		forwards := indices(len(reports))
+		shuffled := rapid.Permutation(append(indices(len(reports)), rapid.IntRange(0, len(reports)-1).Draw(t, "twice"))).Draw(t, "order")
+		if one, other := decide(forwards), decide(shuffled); one != other {
+			t.Fatalf("%v and %v", one, other)
+		}
+	})
+}
