Keep requests out although the time is not known yet

Cause: a VM that starts may know the row of quarantines before the clock that all VMs share, and let everything through until then; found by reading the diff. Change: the check needs the clock for Retry-After only. Evidence: TestVMThatStartsKeepsOutBeforeItKnowsTheTime fails without the change. Conclusion: fixed.

--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -95,10 +95,8 @@
 	if g.idle.Load() {
 		return Exclusion{}, false
 	}
-	now, known := g.opts.SharedClock.Now()
-	if !known {
-		return Exclusion{}, false
-	}
+	// While the clock is unknown, only Exclusion.RetryAfter is wrong.
+	now, _ := g.opts.SharedClock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, key := range keys {
--- a/internal/quarantines/guard_test.go
+++ b/internal/quarantines/guard_test.go
@@ -55,10 +55,12 @@
 // fleet is the guards of some VMs, which share a clock, the table and messages.
 type fleet struct {
 	*WithT
-	clock  *clockwork.FakeClock
-	start  time.Time
-	table  *table
-	guards []*quarantines.Guard
+	clock *clockwork.FakeClock
+	start time.Time
+	// timeUnknown makes the shared clock unknown.
+	timeUnknown bool
+	table       *table
+	guards      []*quarantines.Guard
 	// cut holds the VMs, by index, whose messages are lost in both directions.
 	cut map[int]bool
 	// messages are those that are on their way.
@@ -87,7 +89,9 @@
 }
 
 // Now implements quarantines.Clock.
-func (f *fleet) Now() (time.Duration, bool) { return f.clock.Since(f.start) + time.Hour, true }
+func (f *fleet) Now() (time.Duration, bool) {
+	return f.clock.Since(f.start) + time.Hour, !f.timeUnknown
+}
 
 func newFleet(t *testing.T, vms int) *fleet {
 	clock := clockwork.NewFakeClock()
@@ -233,6 +237,16 @@
 	f.Expect(f.isExcluded(2, "bad")).To(BeTrue())
 }
 
+func TestVMThatStartsKeepsOutBeforeItKnowsTheTime(t *testing.T) {
+	f := newFleet(t, 2)
+	for range 3 {
+		f.crash(0, "bad")
+	}
+	f.timeUnknown = true
+	f.addVM()
+	f.Expect(f.isExcluded(2, "bad")).To(BeTrue())
+}
+
 func TestVMThatWasCutOffFromHintsLearnsFromTheTable(t *testing.T) {
 	f := newFleet(t, 3)
 	f.cut[2] = true
