Tell other VMs of sound answers again, once a crash and key

A VM told the others of a sound answer only if it held a crash against the key itself, and a sound answer clears just that first; so none was ever told, and wrong findings were only lifted afterwards, by objection. Evidence: two new tests fail without the change.

--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -59,8 +59,7 @@
 	held map[quarantine.Key]time.Duration
 	// unweighed reports whether there is evidence since the last decision.
 	unweighed bool
-	// announced holds when a sound answer to a key was last told to the other VMs.
-	announced map[quarantine.Key]time.Time
+	suspected map[quarantine.Key]suspicion
 	row       rowState
 	// wake receives a value when there is work for Run.
 	wake chan struct{}
@@ -72,8 +71,8 @@
 		opts: opts, clock: opts.Clock, metrics: newMetrics(opts.Registry),
 		blame: quarantine.NewBlame(opts.Blame), trials: make(map[quarantine.Incarnation]map[*Trial]struct{}),
 		reports: newOutbox(), relayed: newOutbox(), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
-		announced: make(map[quarantine.Key]time.Time), row: newRowState(),
-		wake: make(chan struct{}, 1),
+		suspected: make(map[quarantine.Key]suspicion),
+		row:       newRowState(), wake: make(chan struct{}, 1),
 	}
 	g.idle.Store(true)
 	return g
@@ -195,18 +194,55 @@
 	}
 }
 
-// soundInterval is the time between two announcements that a key was answered soundly.
-const soundInterval = 250 * time.Millisecond
+const (
+	// suspicionTime is how long after a crash sound answers to its suspects are told.
+	suspicionTime = 2 * time.Minute
+	// maxSuspected bounds the keys whose sound answers are told.
+	maxSuspected = 4096
+)
+
+// suspicion is what VMs may hold against a key. Times are on the shared clock.
+type suspicion struct {
+	// crashAt is the last crash that involved the key, and toldAt the latest begin of a sound
+	// answer to it that any VM told all others; zero for none.
+	crashAt, toldAt time.Duration
+}
 
+// suspect notes the keys that VMs may hold a crash against.
+func (g *Guard) suspect(c quarantine.Crash) {
+	for _, s := range c.Suspects {
+		for _, key := range s.Keys {
+			known, exists := g.suspected[key]
+			if !exists && len(g.suspected) >= maxSuspected {
+				continue
+			}
+			known.crashAt = max(known.crashAt, c.At)
+			g.suspected[key] = known
+		}
+	}
+}
+
+// announceSound tells the other VMs of a sound answer, if it clears the key of the last crash
+// and no VM has told of one that does.
 func (g *Guard) announceSound(key quarantine.Key, at time.Duration) {
-	if !g.blame.Suspects(key) || g.clock.Since(g.announced[key]) < soundInterval {
+	s, suspected := g.suspected[key]
+	clearsFrom := s.crashAt - g.opts.Blame.SoundMemory
+	if !suspected || at < clearsFrom || s.toldAt > 0 && s.toldAt >= clearsFrom {
 		return
 	}
-	g.announced[key] = g.clock.Now()
+	g.noteSoundTold(key, at)
 	g.reports.addSound(key, at)
 	g.markUnweighed()
 }
 
+// noteSoundTold records that the VMs were told of a sound answer.
+func (g *Guard) noteSoundTold(key quarantine.Key, at time.Duration) {
+	if s, suspected := g.suspected[key]; suspected {
+		s.toldAt = max(s.toldAt, at)
+		g.suspected[key] = s
+	}
+}
+
 // recordLoss records that the connection of an attempt ended. Attempts that this VM has
 // just abandoned at the upstream are suspected with it.
 func (g *Guard) recordLoss(t *Trial) {
@@ -257,6 +293,7 @@
 		}
 	}
 	g.blame.RecordCrash(c)
+	g.suspect(c)
 	g.reports.addCrash(c)
 	g.markUnweighed()
 }
@@ -320,6 +357,10 @@
 		g.opts.Log.Info("quarantine in force", "key", changed.Key, "probes", changed.Probes)
 		g.objectTo(changed)
 	}
+	g.blame.RetainFound(func(key quarantine.Key) bool {
+		_, listed := g.list[key]
+		return listed
+	})
 	g.updateIdle()
 }
 
@@ -357,6 +398,7 @@
 	defer g.mu.Unlock()
 	for _, c := range m.Crashes {
 		g.blame.RecordCrash(c)
+		g.suspect(c)
 		g.markUnweighed()
 		if own := g.takeSuspects(c.Incarnation, nil); len(own) > 0 {
 			g.reportCrash(c.Incarnation, c.At, own)
@@ -365,6 +407,7 @@
 	}
 	for _, s := range m.Sound {
 		g.blame.RecordSound(s.Key, s.At)
+		g.noteSoundTold(s.Key, s.At)
 		g.markUnweighed()
 	}
 	for _, a := range m.Alive {
@@ -445,10 +488,9 @@
 	return g.unweighed || len(g.held) > 0 || !g.reports.isEmpty() || !g.relayed.isEmpty()
 }
 
-// forget removes the holds that are over, and the announcements that may be repeated.
+// forget removes the holds and suspicions that are over.
 func (g *Guard) forget(now time.Duration) {
-	at := g.clock.Now()
-	maps.DeleteFunc(g.announced, func(_ quarantine.Key, last time.Time) bool { return at.Sub(last) > soundInterval })
+	maps.DeleteFunc(g.suspected, func(_ quarantine.Key, s suspicion) bool { return s.crashAt+suspicionTime <= now })
 	maps.DeleteFunc(g.held, func(_ quarantine.Key, until time.Duration) bool { return until <= now })
 	g.updateIdle()
 }
--- a/internal/quarantines/guard_test.go
+++ b/internal/quarantines/guard_test.go
@@ -217,6 +217,33 @@
 	f.Expect(f.isExcluded(0, "shared")).To(BeFalse())
 }
 
+func TestVMLearnsOfSoundAnswersOfOthersBeforeItDecides(t *testing.T) {
+	for name, soundAt := range map[string]int{"before the last crash": 1, "between the crashes": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			for i := range 3 {
+				if i == 1+soundAt {
+					f.begin(1, f.newEngine(), "shared").End(quarantines.Answered)
+					f.pass(300 * time.Millisecond)
+					f.cut[1], f.table.down = i == 2, i == 2
+				}
+				f.crash(0, "shared")
+			}
+			f.Expect(f.isExcluded(0, "shared")).To(BeFalse())
+		})
+	}
+}
+
+func TestVMTellsWhatItHadSeenAnsweredSoundly(t *testing.T) {
+	f := newFleet(t, 2)
+	f.begin(1, f.newEngine(), "shared").End(quarantines.Answered)
+	f.crash(0, "shared")
+	f.cut[1], f.table.down = true, true
+	f.crash(0, "shared")
+	f.crash(0, "shared")
+	f.Expect(f.isExcluded(0, "shared")).To(BeFalse())
+}
+
 func TestLongAnswerClearsItsPartsWhileItGoesOn(t *testing.T) {
 	f := newFleet(t, 1)
 	f.crash(0, "shared")
