--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -43,7 +42,7 @@
 // isCause reports whether a request that an upstream runs crashes it.
 func (c *culprit) isCause(r *http.Request) bool {
 	if c.part != "" {
-		return strings.Contains(r.Header.Get("X-Prefix-Hash"), c.part+":")
+		return standin.HasPromptPart(r, c.part)
 	}
 	return r.URL.Path == c.path
 }
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -156,13 +156,10 @@
 	x.process, x.sentAt = x.vm.processName(), time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline)
 	defer cancel()
-	header := map[string]string{"Session": "session of " + x.id}
-	if x.promptParts != "" {
-		header["X-Prefix-Hash"] = x.promptParts
-	}
 	x.response = client.Do(ctx, standin.Request{
 		ID: x.id, Method: method, Path: x.path, Address: x.vm.Callers, Key: x.key, Body: x.requestBody(),
-		Deadline: requestDeadline, HasPrompt: x.kind == streamRequest, Header: header,
+		Deadline: requestDeadline, HasPrompt: x.kind == streamRequest, PromptParts: x.promptParts,
+		Header: map[string]string{"Session": "session of " + x.id},
 	})
 	x.doneAt = time.Now()
 	g.mu.Lock()
