--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -48,11 +48,22 @@
 		Entry("not repeatable, server error", retry.MayHaveRun, retry.Unavailable, func(s *retry.State) { s.Repeatable = false }),
 		Entry("answer started", retry.AnswerStarted, retry.ConnectionLost, func(s *retry.State) { s.AnswerStarted = true }),
 		Entry("request rejected", retry.NotRetryable, retry.Rejected, func(*retry.State) {}),
+		Entry("two upstreams ended under it", retry.MayCrashUpstreams, retry.Crashed, func(s *retry.State) { s.Crashes = 2 }),
+		Entry("two upstreams ended under it, then another failure", retry.MayCrashUpstreams, retry.NotStarted, func(s *retry.State) { s.Crashes = 2 }),
+		Entry("not repeatable, upstream ended", retry.MayHaveRun, retry.Crashed, func(s *retry.State) { s.Repeatable, s.Crashes = false, 1 }),
 		Entry("retried by the sender", retry.SenderRetries, retry.NotStarted, func(s *retry.State) { s.RetriedBySender = true }),
 		Entry("maximum number of attempts reached", retry.AttemptsExhausted, retry.NotStarted, func(s *retry.State) { s.Attempts = 3 }),
 		Entry("expected to finish after the deadline", retry.DeadlineTooClose, retry.NotStarted, func(s *retry.State) { s.ExpectedDuration = 11 * time.Second }),
 	)
 
+	It("retries a request once after an upstream ended under it", func() {
+		s := request()
+		s.Crashes = 1
+		v := newPolicy(retry.DefaultOptions()).Decide(s, retry.Failure{Kind: retry.Crashed}, 0.5, startTime)
+		Expect(v.Action).To(Equal(retry.Retry))
+		Expect(retry.Crashed.String()).To(Equal("crashed"))
+	})
+
 	It("retries a non-repeatable request that was not started", func() {
 		s := request()
 		s.Repeatable = false
