Name candidates and attempts by the field's terms

Cause: reading the diff as a newcomer: 'accusation', 'guilty', 'court' and 'trial' are metaphors. Conclusion: no behaviour changed; the packages' tests pass.

--- a/experiment/blame/simulation.go
+++ b/experiment/blame/simulation.go
@@ -74,7 +74,7 @@
 // run is an attempt on an engine.
 type run struct {
 	*request
-	trial   *quarantines.Trial
+	attempt *quarantines.Attempt
 	beginAt time.Duration
 	endAt   time.Duration
 	begun   bool
@@ -341,9 +341,9 @@
 		c.late++
 	}
 	e := up[s.rand.IntN(len(up))]
-	a := &run{request: r, trial: s.guards[r.vm].Begin(e.of, r.keys), weak: !s.Plain && s.rand.Float64() < weakShare && r.sends == 1}
+	a := &run{request: r, attempt: s.guards[r.vm].Begin(e.of, r.keys), weak: !s.Plain && s.rand.Float64() < weakShare && r.sends == 1}
 	if s.Plain {
-		a.trial.AssumeRunning()
+		a.attempt.AssumeRunning()
 	}
 	a.beginAt = s.now + time.Duration(s.rand.ExpFloat64()*float64(meanWait))
 	a.endAt = a.beginAt + time.Duration(s.rand.ExpFloat64()*float64(meanRun))
@@ -374,24 +374,24 @@
 		r.begun = true
 		// A whole request crashes its upstream before the answer begins.
 		if r.culprit == nil || r.culprit.part != "" {
-			r.trial.BeginAnswer()
+			r.attempt.BeginAnswer()
 		}
 		if r.culprit != nil && e.crashAt == 0 {
 			e.crashAt = s.now + crashAfter
 			r.culprit.crashes = append(r.culprit.crashes, e.crashAt)
 		}
 		if r.weak && (r.culprit == nil || r.culprit.part != "") {
-			r.trial.End(quarantines.Abandoned)
+			r.attempt.End(quarantines.Abandoned)
 			s.remove(e, r)
 			s.send(r.request)
 		}
 	case r.begun && r.culprit == nil && s.now >= r.endAt && s.rand.Float64() < s.ResetShare:
 		s.lose(e, r)
 	case r.begun && r.culprit == nil && s.now >= r.endAt:
-		r.trial.End(quarantines.Answered)
+		r.attempt.End(quarantines.Answered)
 		s.remove(e, r)
 	case r.begun && r.culprit == nil:
-		r.trial.RecordEvent()
+		r.attempt.RecordEvent()
 	}
 }
 
@@ -422,7 +422,7 @@
 
 // retry sends the request of a run that was lost again, or lets its client do so.
 func (s *simulation) retry(r *run) {
-	r.trial.End(quarantines.Lost)
+	r.attempt.End(quarantines.Lost)
 	r.lost++
 	if r.lost < maxLost {
 		s.after(tick, func() { s.send(r.request) })
--- a/internal/quarantines/trial.go
+++ b/internal/quarantines/attempt.go
@@ -30,9 +30,9 @@
 	suspectedFor = 500 * time.Millisecond
 )
 
-// Trial is an attempt at an upstream. Its methods are called by one goroutine at a time;
+// Attempt is an attempt at an upstream. Its methods are called by one goroutine at a time;
 // all are no-ops on nil.
-type Trial struct {
+type Attempt struct {
 	guard *Guard
 	of    quarantine.Incarnation
 	keys  []quarantine.Key
@@ -45,73 +45,73 @@
 
 // suspect describes the attempt as a suspect of its upstream's end. It returns false if
 // the attempt is cleared, or too old.
-func (t *Trial) suspect(now time.Time) (quarantine.Suspect, bool) {
-	if t.sound || len(t.keys) == 0 || !t.endedAt.IsZero() && now.Sub(t.endedAt) > suspectedFor {
+func (a *Attempt) suspect(now time.Time) (quarantine.Suspect, bool) {
+	if a.sound || len(a.keys) == 0 || !a.endedAt.IsZero() && now.Sub(a.endedAt) > suspectedFor {
 		return quarantine.Suspect{}, false
 	}
-	return quarantine.Suspect{Keys: t.keys, Begun: !t.begunAt.IsZero()}, true
+	return quarantine.Suspect{Keys: a.keys, Begun: !a.begunAt.IsZero()}, true
 }
 
 // AssumeRunning records that the request may run from now on, as its upstream doesn't tell
 // before it has answered.
-func (t *Trial) AssumeRunning() {
-	if t == nil {
+func (a *Attempt) AssumeRunning() {
+	if a == nil {
 		return
 	}
-	t.guard.mu.Lock()
-	defer t.guard.mu.Unlock()
-	t.begin()
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.begin()
 }
 
 // BeginAnswer records that the header of an answer came.
-func (t *Trial) BeginAnswer() {
-	if t == nil {
+func (a *Attempt) BeginAnswer() {
+	if a == nil {
 		return
 	}
-	t.guard.mu.Lock()
-	defer t.guard.mu.Unlock()
-	t.begin()
-	t.guard.noteAlive(t.of)
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.begin()
+	a.guard.noteAlive(a.of)
 }
 
 // begin sets begunAt once. The caller holds the guard's mutex.
-func (t *Trial) begin() {
-	if t.begunAt.IsZero() {
-		t.begunAt = t.guard.clock.Now()
+func (a *Attempt) begin() {
+	if a.begunAt.IsZero() {
+		a.begunAt = a.guard.clock.Now()
 	}
 }
 
 // RecordEvent records that a part of the answer came.
-func (t *Trial) RecordEvent() {
-	if t == nil {
+func (a *Attempt) RecordEvent() {
+	if a == nil {
 		return
 	}
-	t.guard.mu.Lock()
-	defer t.guard.mu.Unlock()
-	t.guard.noteAlive(t.of)
-	if !t.sound && !t.begunAt.IsZero() && t.guard.clock.Since(t.begunAt) >= soundAfter {
-		t.guard.markSound(t)
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.guard.noteAlive(a.of)
+	if !a.sound && !a.begunAt.IsZero() && a.guard.clock.Since(a.begunAt) >= soundAfter {
+		a.guard.markSound(a)
 	}
 }
 
 // End records the end of the attempt. It is called once.
-func (t *Trial) End(o Outcome) {
-	if t == nil {
+func (a *Attempt) End(o Outcome) {
+	if a == nil {
 		return
 	}
-	g := t.guard
+	g := a.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch o {
 	case Answered:
-		g.noteAlive(t.of)
-		g.markSound(t)
-		g.remove(t)
+		g.noteAlive(a.of)
+		g.markSound(a)
+		g.remove(a)
 	case Lost:
-		g.recordLoss(t)
+		g.recordLoss(a)
 	case Abandoned:
-		t.endedAt = g.clock.Now()
+		a.endedAt = g.clock.Now()
 	case NotRun:
-		g.remove(t)
+		g.remove(a)
 	}
 }
--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -49,9 +49,9 @@
 	// idle is set while nothing is held back or kept out.
 	idle atomic.Bool
 
-	mu     sync.Mutex
-	blame  *quarantine.Blame
-	trials map[quarantine.Incarnation]map[*Trial]struct{}
+	mu       sync.Mutex
+	blame    *quarantine.Blame
+	attempts map[quarantine.Incarnation]map[*Attempt]struct{}
 	// reports holds what this VM saw, and relayed what it passes on to all VMs.
 	reports, relayed *outbox
 	list             quarantine.List
@@ -69,7 +69,7 @@
 func New(opts Options) *Guard {
 	g := &Guard{
 		opts: opts, clock: opts.Clock, metrics: newMetrics(opts.Registry),
-		blame: quarantine.NewBlame(opts.Blame), trials: make(map[quarantine.Incarnation]map[*Trial]struct{}),
+		blame: quarantine.NewBlame(opts.Blame), attempts: make(map[quarantine.Incarnation]map[*Attempt]struct{}),
 		reports: newOutbox(), relayed: newOutbox(), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
 		suspected: make(map[quarantine.Key]suspicion),
 		row:       newRowState(), wake: make(chan struct{}, 1),
@@ -126,26 +126,26 @@
 
 // Begin registers an attempt of a request with the keys of the shared parts of its prompt,
 // in their order, and its own key. End must be called on the result.
-func (g *Guard) Begin(of quarantine.Incarnation, keys []quarantine.Key) *Trial {
-	t := &Trial{guard: g, of: of, keys: keys}
+func (g *Guard) Begin(of quarantine.Incarnation, keys []quarantine.Key) *Attempt {
+	a := &Attempt{guard: g, of: of, keys: keys}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	there := g.trials[of]
+	there := g.attempts[of]
 	if there == nil {
-		there = make(map[*Trial]struct{})
-		g.trials[of] = there
+		there = make(map[*Attempt]struct{})
+		g.attempts[of] = there
 	}
 	g.forgetAbandoned(there)
-	there[t] = struct{}{}
-	return t
+	there[a] = struct{}{}
+	return a
 }
 
 // forgetAbandoned removes the attempts that were abandoned too long ago to be suspected.
-func (g *Guard) forgetAbandoned(trials map[*Trial]struct{}) {
+func (g *Guard) forgetAbandoned(attempts map[*Attempt]struct{}) {
 	now := g.clock.Now()
-	for t := range trials {
-		if !t.endedAt.IsZero() && now.Sub(t.endedAt) > suspectedFor {
-			delete(trials, t)
+	for a := range attempts {
+		if !a.endedAt.IsZero() && now.Sub(a.endedAt) > suspectedFor {
+			delete(attempts, a)
 		}
 	}
 }
@@ -155,35 +155,35 @@
 func (g *Guard) Sweep(context.Context) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for of, there := range g.trials {
+	for of, there := range g.attempts {
 		g.forgetAbandoned(there)
 		if len(there) == 0 {
-			delete(g.trials, of)
+			delete(g.attempts, of)
 		}
 	}
 }
 
-func (g *Guard) remove(t *Trial) {
-	there := g.trials[t.of]
-	delete(there, t)
+func (g *Guard) remove(a *Attempt) {
+	there := g.attempts[a.of]
+	delete(there, a)
 	if len(there) == 0 {
-		delete(g.trials, t.of)
+		delete(g.attempts, a.of)
 	}
 }
 
 // markSound records that an upstream survived a request from the beginning of its answer,
 // and tells the other VMs if they may suspect it.
-func (g *Guard) markSound(t *Trial) {
-	t.sound = true
+func (g *Guard) markSound(a *Attempt) {
+	a.sound = true
 	now, known := g.opts.SharedClock.Now()
 	if !known {
 		return
 	}
 	at := now
-	if !t.begunAt.IsZero() {
-		at -= g.clock.Since(t.begunAt)
+	if !a.begunAt.IsZero() {
+		at -= g.clock.Since(a.begunAt)
 	}
-	for _, key := range t.keys {
+	for _, key := range a.keys {
 		g.blame.RecordSound(key, at)
 		if e, active := g.list.Active(key); active && at > e.Since {
 			g.metrics.probes.WithLabelValues("sound").Inc()
@@ -245,29 +245,29 @@
 
 // recordLoss records that the connection of an attempt ended. Attempts that this VM has
 // just abandoned at the upstream are suspected with it.
-func (g *Guard) recordLoss(t *Trial) {
+func (g *Guard) recordLoss(a *Attempt) {
 	now, known := g.opts.SharedClock.Now()
-	defer g.remove(t)
+	defer g.remove(a)
 	if !known {
 		return
 	}
 	g.metrics.lost.Inc()
-	g.reportCrash(t.of, now, g.takeSuspects(t.of, t))
+	g.reportCrash(a.of, now, g.takeSuspects(a.of, a))
 }
 
 // takeSuspects returns the suspects among an attempt that was lost and those that were
 // abandoned at its upstream, and removes them.
-func (g *Guard) takeSuspects(of quarantine.Incarnation, lost *Trial) []quarantine.Suspect {
+func (g *Guard) takeSuspects(of quarantine.Incarnation, lost *Attempt) []quarantine.Suspect {
 	now := g.clock.Now()
 	var suspects []quarantine.Suspect
-	for t := range g.trials[of] {
-		if t != lost && t.endedAt.IsZero() {
+	for a := range g.attempts[of] {
+		if a != lost && a.endedAt.IsZero() {
 			continue
 		}
-		if s, suspected := t.suspect(now); suspected {
+		if s, suspected := a.suspect(now); suspected {
 			suspects = append(suspects, s)
 		}
-		g.remove(t)
+		g.remove(a)
 	}
 	return suspects
 }
--- a/internal/quarantines/guard_test.go
+++ b/internal/quarantines/guard_test.go
@@ -153,7 +153,7 @@
 }
 
 // begin begins an answer at a VM.
-func (f *fleet) begin(vm int, of quarantine.Incarnation, parts ...string) *quarantines.Trial {
+func (f *fleet) begin(vm int, of quarantine.Incarnation, parts ...string) *quarantines.Attempt {
 	t := f.guards[vm].Begin(of, f.keys(parts...))
 	t.BeginAnswer()
 	return t
@@ -412,9 +412,9 @@
 	f := newFleet(t, 3)
 	deadly := f.request("/deadly")
 	crash := func(vm int) {
-		trial := f.guards[vm].Begin(f.newEngine(), deadly)
-		trial.BeginAnswer()
-		trial.End(quarantines.Lost)
+		attempt := f.guards[vm].Begin(f.newEngine(), deadly)
+		attempt.BeginAnswer()
+		attempt.End(quarantines.Lost)
 		f.pass(300 * time.Millisecond)
 	}
 	crash(0)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -32,8 +32,8 @@
 	// expectedWork is how long the upstream was expected to process the prompt.
 	expectedWork time.Duration
 	startedAt    time.Time
-	// trial is the attempt as the quarantine sees it.
-	trial *quarantines.Trial
+	// guarded is the attempt as the quarantine sees it.
+	guarded *quarantines.Attempt
 	// running is the attempt as the roll-out of its version sees it.
 	running *shifts.Running
 	// firstAfter is the time from startedAt to the first event, or to the
@@ -108,7 +108,7 @@
 		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
 	}
 	if head.Sealed && !head.NotRun {
-		a.trial.BeginAnswer()
+		a.guarded.BeginAnswer()
 	}
 	a.confidence = head.Confidence
 	if head.HasLoad {
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -129,7 +129,7 @@
 	Check(keys []quarantine.Key) (quarantines.Exclusion, bool)
 	// Begin registers an attempt of a request with the keys. End must be called on the
 	// result.
-	Begin(of quarantine.Incarnation, keys []quarantine.Key) *quarantines.Trial
+	Begin(of quarantine.Incarnation, keys []quarantine.Key) *quarantines.Attempt
 }
 
 // Versions decides which versions a session may use and records how attempts on
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -34,7 +34,7 @@
 		}
 	}
 	a.running.End(a.versionResult(err, inconclusive))
-	a.trial.End(trialOutcome(err, ended))
+	a.guarded.End(quarantineOutcome(err, ended))
 	if err == nil && x.retriedFailure {
 		x.server.RepeatEstimator.Record(x.route.Name, true)
 	}
@@ -42,9 +42,9 @@
 	x.logAttempt(a, err, took)
 }
 
-// trialOutcome returns what the end of an attempt says about its request: whether its
+// quarantineOutcome returns what the end of an attempt says about its request: whether its
 // upstream survived it. ended reports whether the exchange was over before.
-func trialOutcome(err error, ended bool) quarantines.Outcome {
+func quarantineOutcome(err error, ended bool) quarantines.Outcome {
 	switch {
 	case err == nil, errorx.IsOfType(err, errFailed):
 		return quarantines.Answered
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -224,9 +224,9 @@
 		return errOverLimit.New("upstream %s takes no more requests from this VM now", e.ID())
 	}
 	x.dispatches++
-	a.trial = x.server.Quarantine.Begin(e.Incarnation(), x.keys)
+	a.guarded = x.server.Quarantine.Begin(e.Incarnation(), x.keys)
 	if !x.route.Streaming {
-		a.trial.AssumeRunning()
+		a.guarded.AssumeRunning()
 	}
 	a.running = x.server.Versions.Begin(a.versionAttempt())
 	if a.expectedWork >= minAnnouncedWork {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -102,7 +102,7 @@
 	}
 	a.lastAfter = at
 	a.running.RecordEvent()
-	a.trial.RecordEvent()
+	a.guarded.RecordEvent()
 }
 
 // eventSeparator marks the end of an event.
--- a/quarantine/blame_test.go
+++ b/quarantine/blame_test.go
@@ -12,21 +12,21 @@
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
-// court is a Blame with short names for what it is told.
-type court struct {
+// blameTest is a Blame with short names for what it is told.
+type blameTest struct {
 	*quarantine.Blame
 	*WithT
 	digester *quarantine.Digester
 	crashes  int
 }
 
-func newCourt(t *testing.T) *court {
-	return &court{Blame: quarantine.NewBlame(quarantine.DefaultOptions()), WithT: NewWithT(t), digester: quarantine.NewDigester("secret")}
+func newBlameTest(t *testing.T) *blameTest {
+	return &blameTest{Blame: quarantine.NewBlame(quarantine.DefaultOptions()), WithT: NewWithT(t), digester: quarantine.NewDigester("secret")}
 }
 
-func (c *court) key(part string) quarantine.Key { return c.digester.Part(part) }
+func (c *blameTest) key(part string) quarantine.Key { return c.digester.Part(part) }
 
-func (c *court) keys(parts ...string) []quarantine.Key {
+func (c *blameTest) keys(parts ...string) []quarantine.Key {
 	var keys []quarantine.Key
 	for _, p := range parts {
 		keys = append(keys, c.key(p))
@@ -36,14 +36,14 @@
 
 // crash reports the end of a new upstream under requests whose answer had begun, given by
 // their parts.
-func (c *court) crash(at time.Duration, suspects ...[]string) quarantine.Incarnation {
+func (c *blameTest) crash(at time.Duration, suspects ...[]string) quarantine.Incarnation {
 	c.crashes++
 	of := quarantine.Incarnation{Upstream: upstream.ID(fmt.Sprintf("e-%d", c.crashes))}
 	c.report(of, at, true, suspects...)
 	return of
 }
 
-func (c *court) report(of quarantine.Incarnation, at time.Duration, begun bool, suspects ...[]string) {
+func (c *blameTest) report(of quarantine.Incarnation, at time.Duration, begun bool, suspects ...[]string) {
 	r := quarantine.Crash{Incarnation: of, At: at}
 	for _, parts := range suspects {
 		r.Suspects = append(r.Suspects, quarantine.Suspect{Keys: c.keys(parts...), Begun: begun})
@@ -52,7 +52,7 @@
 }
 
 // found returns the keys that are found by a time.
-func (c *court) found(at time.Duration) []quarantine.Key {
+func (c *blameTest) found(at time.Duration) []quarantine.Key {
 	var keys []quarantine.Key
 	for _, v := range c.Decide(at).Found {
 		keys = append(keys, v.Key)
@@ -63,7 +63,7 @@
 const second = time.Second
 
 func TestPartPresentInThreeCrashesIsFound(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	c.crash(10*second, []string{"route", "x", "bad"}, []string{"route", "y"})
 	c.crash(11*second, []string{"route", "z", "bad"})
 	c.Expect(c.found(12 * second)).To(BeEmpty())
@@ -76,7 +76,7 @@
 }
 
 func TestSoundAnswerAfterCrashClearsPart(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 9 {
 		at := time.Duration(10+i) * second
 		c.crash(at, []string{"shared"})
@@ -88,7 +88,7 @@
 }
 
 func TestUpstreamsThatEndTogetherCountOnce(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 12 {
 		c.crash(10*second+time.Duration(i)*4*time.Millisecond, []string{"session"})
 	}
@@ -96,7 +96,7 @@
 }
 
 func TestWaitingRequestIsNotSuspectedBesideOneWhoseAnswerHadBegun(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		at := time.Duration(10+i) * second
 		of := c.crash(at, []string{"bad"})
@@ -106,7 +106,7 @@
 }
 
 func TestPartOnWhichNoAnswerHadBegunIsFoundAtTheSixthCrash(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	crash := func(i int) {
 		of := c.crash(time.Duration(10+i)*second, []string{fmt.Sprint("begun ", i)})
 		c.report(of, time.Duration(10+i)*second, false, []string{"bad"})
@@ -120,7 +120,7 @@
 }
 
 func TestCrashExplainedByFoundPartIsNotHeldAgainstOthers(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crash(time.Duration(10+i)*second, []string{"bad"})
 	}
@@ -132,7 +132,7 @@
 }
 
 func TestTwoPartsThatCrashUpstreamsAreBothFound(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crash(time.Duration(10+2*i)*second, []string{"bad"}, []string{"beside"})
 		c.crash(time.Duration(11+2*i)*second, []string{"worse"})
@@ -142,7 +142,7 @@
 }
 
 func TestOfTwoPartsWithSameCrashesTheLaterOneIsFoundAtTheFourth(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crash(time.Duration(10+i)*second, []string{"route", "bad"})
 	}
@@ -152,7 +152,7 @@
 }
 
 func TestPartThatWasAnsweredSoundlyBeforeNeedsMoreCrashes(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	c.RecordSound(c.key("shared"), second)
 	for i := range 4 {
 		c.crash(time.Duration(10+i)*second, []string{"shared"})
@@ -163,7 +163,7 @@
 }
 
 func TestReportsOfOneCrashAreMergedInAnyOrderAndNumber(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	of := c.crash(10*second, []string{"a"})
 	for range 5 {
 		c.report(of, 10*second+80*time.Millisecond, true, []string{"a"}, []string{"b"})
@@ -175,7 +175,7 @@
 }
 
 func TestCrashCountsOnceItIsSettled(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crash(time.Duration(10+i)*second, []string{"bad"})
 	}
@@ -186,7 +186,7 @@
 }
 
 func TestEvidenceIsBounded(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 1000 {
 		var suspects [][]string
 		for j := range 200 {
@@ -200,7 +200,7 @@
 }
 
 func TestForgottenPartIsFoundAgainOnlyByNewCrashes(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crash(time.Duration(10+i)*second, []string{"bad"})
 	}
@@ -214,13 +214,13 @@
 }
 
 // requestKey returns the key of a request with a path.
-func (c *court) requestKey(path string) quarantine.Key {
+func (c *blameTest) requestKey(path string) quarantine.Key {
 	return c.digester.Request(quarantine.Request{Method: "GET", Target: path})
 }
 
 // crashUnder reports the end of a new upstream under requests, given by their paths, with
 // the parts of one prompt.
-func (c *court) crashUnder(at time.Duration, paths []string, parts ...string) {
+func (c *blameTest) crashUnder(at time.Duration, paths []string, parts ...string) {
 	c.crashes++
 	r := quarantine.Crash{Incarnation: quarantine.Incarnation{Upstream: upstream.ID(fmt.Sprintf("e-%d", c.crashes))}, At: at}
 	for _, path := range paths {
@@ -231,7 +231,7 @@
 }
 
 func TestRequestPresentInThreeCrashesIsFoundAndItsPartsAreNot(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 5 {
 		c.crashUnder(time.Duration(10+i)*second, []string{"/deadly"}, "route", "subject")
 	}
@@ -239,7 +239,7 @@
 }
 
 func TestPartIsFoundAlthoughARequestExplainsItsFirstCrashes(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crashUnder(time.Duration(10+i)*second, []string{"/first"}, "bad")
 	}
@@ -249,7 +249,7 @@
 }
 
 func TestRequestBesideOneThatCrashesUpstreamsIsNotFound(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	c.crashUnder(10*second, []string{"/deadly", "/a", "/b"})
 	c.crashUnder(11*second, []string{"/deadly", "/a", "/c"})
 	c.crashUnder(12*second, []string{"/d", "/deadly"})
@@ -259,7 +259,7 @@
 }
 
 func TestRequestUnderWhichTwoUpstreamsEndedIsHeldBack(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	c.crashUnder(10*second, []string{"/deadly"}, "route")
 	c.Expect(c.Decide(11 * second).Held).To(BeEmpty())
 	c.crashUnder(11*second, []string{"/deadly"}, "route")
@@ -269,7 +269,7 @@
 }
 
 func TestManyRequestsDontMakePartsForgotten(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	c.RecordSound(c.key("route"), 10*second)
 	for i := range 20_000 {
 		c.RecordSound(c.requestKey(fmt.Sprint(i)), 10*second)
@@ -278,7 +278,7 @@
 }
 
 func TestWaitingRequestsDontCrowdOutTheOneWhoseAnswerHadBegun(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		at := time.Duration(10+i) * second
 		c.crashes++
@@ -293,7 +293,7 @@
 
 // A request may crash its upstream before its answer begins, beside others that had begun.
 func TestRequestWhoseAnswerHadNotBegunIsFoundAtTheThirdCrash(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crashUnder(time.Duration(10+i)*second, []string{fmt.Sprint("/begun/", i)})
 		waiting := quarantine.Suspect{Keys: []quarantine.Key{c.requestKey("/deadly")}}
@@ -306,7 +306,7 @@
 }
 
 func TestRequestsThatCantBeToldApartAreBothFound(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crashUnder(time.Duration(10+i)*second, []string{"/deadly", "/beside"})
 	}
@@ -314,7 +314,7 @@
 }
 
 func TestUpstreamThatAnswersAfterItsReportedEndHasNotEnded(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 5 {
 		at := time.Duration(10+i) * second
 		of := c.crash(at, []string{"lost"})
@@ -326,7 +326,7 @@
 }
 
 func TestRequestIsFoundAtTheFifthCrashWhateverExplainsThem(t *testing.T) {
-	c := newCourt(t)
+	c := newBlameTest(t)
 	for i := range 3 {
 		c.crash(time.Duration(10+i)*second, []string{"bad"})
 	}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -18,8 +18,8 @@
 	Unsettled bool
 }
 
-// accusation is the evidence against a key.
-type accusation struct {
+// candidate is the evidence against a key.
+type candidate struct {
 	key Key
 	// crashes are the crashes that it may have caused, in the order of their times.
 	crashes []*crash
@@ -44,15 +44,15 @@
 	maps.DeleteFunc(b.alive, func(_ Incarnation, at time.Duration) bool { return at < now-b.opts.Window })
 	d := Decision{Held: make(map[Key]time.Duration)}
 	for {
-		accused, unsettled := b.accusations(now)
+		all, unsettled := b.candidates(now)
 		d.Unsettled = unsettled
-		guilty := b.strongest(accused)
-		if guilty == nil {
-			b.hold(accused, d.Held)
+		cause := b.strongest(all)
+		if cause == nil {
+			b.hold(all, d.Held)
 			return d
 		}
-		for _, a := range accused {
-			if a == guilty || a.isIndistinguishable(guilty) {
+		for _, a := range all {
+			if a == cause || a.isIndistinguishable(cause) {
 				b.found[a.key] = true
 				d.Found = append(d.Found, a.verdict())
 			}
@@ -62,16 +62,16 @@
 
 // isIndistinguishable reports whether the same evidence speaks against two whole requests.
 // To keep both out costs little, as no other request is concerned.
-func (a *accusation) isIndistinguishable(o *accusation) bool {
+func (a *candidate) isIndistinguishable(o *candidate) bool {
 	return a.key.Kind == WholeRequest && o.key.Kind == WholeRequest && a.onceSound == o.onceSound &&
 		a.strong == o.strong && a.explains(o) && o.explains(a)
 }
 
-// accusations returns the evidence against each key that is involved in several crashes and
+// candidates returns the evidence against each key that is involved in several crashes and
 // was not found yet. Crashes that are not settled are left out; it reports whether there
 // are any.
-func (b *Blame) accusations(now time.Duration) (accused []*accusation, unsettled bool) {
-	byKey := make(map[Key]*accusation)
+func (b *Blame) candidates(now time.Duration) (all []*candidate, unsettled bool) {
+	byKey := make(map[Key]*candidate)
 	for _, c := range slices.SortedFunc(maps.Values(b.crashes), (*crash).compare) {
 		if now < c.at+b.opts.SettleTime {
 			unsettled = true
@@ -80,26 +80,26 @@
 		explained := b.explanation(c)
 		for key, s := range c.suspects {
 			if !b.found[key] {
-				b.accuse(byKey, key, s, c, explained == PromptPart || explained == key.Kind)
+				b.addCrash(byKey, key, s, c, explained == PromptPart || explained == key.Kind)
 			}
 		}
 	}
 	for _, a := range byKey {
 		if a.inAll >= b.opts.HoldCrashes {
-			accused = append(accused, a)
+			all = append(all, a)
 		}
 	}
-	slices.SortFunc(accused, func(x, y *accusation) int { return y.compare(x) })
-	return accused, unsettled
+	slices.SortFunc(all, func(x, y *candidate) int { return y.compare(x) })
+	return all, unsettled
 }
 
-// accuse adds a crash to the evidence against a key. explained reports whether a key that
+// addCrash adds a crash to the evidence against a key. explained reports whether a key that
 // was found explains the crash.
-func (b *Blame) accuse(byKey map[Key]*accusation, key Key, s suspicion, c *crash, explained bool) {
+func (b *Blame) addCrash(byKey map[Key]*candidate, key Key, s suspicion, c *crash, explained bool) {
 	a := byKey[key]
 	if a == nil {
 		_, onceSound := b.LastSound(key)
-		a = &accusation{key: key, onceSound: onceSound}
+		a = &candidate{key: key, onceSound: onceSound}
 		byKey[key] = a
 	}
 	separate := a.isSeparate(c, b.opts.Separation)
@@ -123,7 +123,7 @@
 
 // isSeparate reports whether a crash counts beside those before. A whole request runs on
 // one upstream at a time.
-func (a *accusation) isSeparate(c *crash, separation time.Duration) bool {
+func (a *candidate) isSeparate(c *crash, separation time.Duration) bool {
 	return a.key.Kind == WholeRequest || a.inAll == 0 || c.at >= a.countedAt+separation
 }
 
@@ -144,9 +144,9 @@
 
 // strongest returns the evidence against the key that explains the most crashes, of those
 // that explain enough; nil if there is none.
-func (b *Blame) strongest(accused []*accusation) *accusation {
-	for _, a := range accused {
-		if a.count >= b.needed(a, accused) || b.isInvolvedTooOften(a) {
+func (b *Blame) strongest(all []*candidate) *candidate {
+	for _, a := range all {
+		if a.count >= b.needed(a, all) || b.isInvolvedTooOften(a) {
 			return a
 		}
 	}
@@ -155,7 +155,7 @@
 
 // isInvolvedTooOften reports whether a key that no upstream is known to have survived was
 // involved in so many crashes that it is found whatever explains them.
-func (b *Blame) isInvolvedTooOften(a *accusation) bool {
+func (b *Blame) isInvolvedTooOften(a *candidate) bool {
 	if a.key.Kind == WholeRequest {
 		return !a.onceSound && a.inAll >= b.opts.RequestCrashesInAll
 	}
@@ -163,9 +163,9 @@
 }
 
 // hold adds the whole requests that are to be held back.
-func (b *Blame) hold(accused []*accusation, held map[Key]time.Duration) {
-	for _, a := range accused {
-		if a.key.Kind == WholeRequest && a.count >= b.opts.HoldCrashes && !a.isOutweighed(accused) {
+func (b *Blame) hold(all []*candidate, held map[Key]time.Duration) {
+	for _, a := range all {
+		if a.key.Kind == WholeRequest && a.count >= b.opts.HoldCrashes && !a.isOutweighed(all) {
 			held[a.key] = a.crashes[len(a.crashes)-1].at + b.opts.HoldTime
 		}
 	}
@@ -175,23 +175,23 @@
 const never = math.MaxInt
 
 // needed returns the number of crashes that a key must explain to be found to cause them.
-func (b *Blame) needed(a *accusation, accused []*accusation) int {
+func (b *Blame) needed(a *candidate, all []*candidate) int {
 	n := b.opts.Crashes
 	if a.onceSound {
 		n = b.opts.OnceSoundCrashes
 	}
 	switch {
-	case a.isOutweighed(accused):
+	case a.isOutweighed(all):
 		return never
 	case a.key.Kind == PromptPart:
-		return max(n, b.neededOfPart(a, accused))
+		return max(n, b.neededOfPart(a, all))
 	}
 	return n
 }
 
 // neededOfPart returns the number of crashes that a part of a prompt must explain beside
 // other parts.
-func (b *Blame) neededOfPart(a *accusation, accused []*accusation) int {
+func (b *Blame) neededOfPart(a *candidate, all []*candidate) int {
 	if !a.shared {
 		return never
 	}
@@ -199,7 +199,7 @@
 	if a.strong < b.opts.MinStrong {
 		n = b.opts.WeakCrashes
 	}
-	for _, other := range accused {
+	for _, other := range all {
 		if other.key.Kind != PromptPart || !other.explains(a) {
 			continue
 		}
@@ -214,7 +214,7 @@
 }
 
 // explains reports whether a is another key that may have caused all crashes of o.
-func (a *accusation) explains(o *accusation) bool {
+func (a *candidate) explains(o *candidate) bool {
 	if a == o || len(o.crashes) == 0 || len(a.crashes) < len(o.crashes) {
 		return false
 	}
@@ -229,8 +229,8 @@
 
 // isOutweighed reports whether the evidence against another key, which explains the same
 // crashes, is stronger.
-func (a *accusation) isOutweighed(accused []*accusation) bool {
-	return slices.ContainsFunc(accused, func(o *accusation) bool {
+func (a *candidate) isOutweighed(all []*candidate) bool {
+	return slices.ContainsFunc(all, func(o *candidate) bool {
 		return o.strong > a.strong && !o.onceSound && o.explains(a)
 	})
 }
@@ -238,7 +238,7 @@
 // compare orders keys by how likely they are the cause: the one that explains more crashes,
 // and these with stronger evidence, one that was never answered soundly, and one that fewer
 // requests share.
-func (a *accusation) compare(o *accusation) int {
+func (a *candidate) compare(o *candidate) int {
 	soundness := 0
 	if a.onceSound != o.onceSound {
 		soundness = 1
@@ -251,7 +251,7 @@
 }
 
 // verdict returns the verdict that follows from the evidence.
-func (a *accusation) verdict() Verdict {
+func (a *candidate) verdict() Verdict {
 	v := Verdict{Key: a.key}
 	for _, c := range a.crashes {
 		v.Evidence = append(v.Evidence, Evidence{Upstream: c.of.Upstream, At: c.at})
