Tell refused connections from those that nothing answers

An attempt that opened no connection was logged as not_sent, whatever the cause. Whether a VM has lost the way to upstreams, and how, can't be read from that; the outcomes connect_refused and connect_timeout tell, per attempt and per service.

--- a/internal/upconn/errors.go
+++ b/internal/upconn/errors.go
@@ -8,6 +8,11 @@
 	// ErrNotSent reports that no byte of the request was sent, so that it can be
 	// repeated.
 	ErrNotSent = namespace.NewType("not_sent")
+	// ErrRefused is an ErrNotSent: the upstream or the network refused or reset a new
+	// connection.
+	ErrRefused = ErrNotSent.NewSubtype("connect_refused")
+	// ErrConnectTimeout is an ErrNotSent: nothing answered a new connection in time.
+	ErrConnectTimeout = ErrNotSent.NewSubtype("connect_timeout")
 	// ErrBroken reports that the connection ended, or that no valid response to
 	// the request came, after at least a part of the request was sent. The
 	// upstream may have run the request.
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -124,17 +125,30 @@
 	return c
 }
 
-// dial opens a connection. Errors: ErrNotSent.
+// dial opens a connection. Errors: ErrRefused, ErrConnectTimeout, ErrNotSent if ctx ended.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.dials.Add(1)
 	c, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, ErrNotSent.Wrap(err, "connect to %s", address)
+		return nil, connectError(ctx, err, address)
 	}
 	budget := &budgetReader{source: c, left: unlimited}
 	return &conn{Conn: c, address: address, budget: budget, reader: bufio.NewReaderSize(budget, readBufferBytes)}, nil
 }
 
+// connectError wraps the error of a failed connect by what it says about the way to the
+// upstream: nothing if ctx ended.
+func connectError(ctx context.Context, err error, address string) error {
+	var netErr net.Error
+	switch {
+	case ctx.Err() != nil:
+		return ErrNotSent.Wrap(err, "connect to %s", address)
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return ErrConnectTimeout.Wrap(err, "connect to %s", address)
+	}
+	return ErrRefused.Wrap(err, "connect to %s", address)
+}
+
 // putIdle returns a connection to the pool. The upstream's idle timeout is zero
 // if unknown. The connection is closed if the pool holds MaxIdleConns already.
 func (p *Pool) putIdle(c *conn, idleTimeout time.Duration) {
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -216,6 +216,21 @@
 	g.Expect(l.Close()).To(Succeed())
 	_, err = upconn.NewPool(upconn.DefaultOptions()).Do(context.Background(), newCall(address, "1"))
 	g.Expect(errorx.IsOfType(err, upconn.ErrNotSent)).To(BeTrue())
+	g.Expect(errorx.IsOfType(err, upconn.ErrRefused)).To(BeTrue())
+}
+
+func TestFailedConnectTellsTimeoutFromEndOfContext(t *testing.T) {
+	g := NewWithT(t)
+	address := startUpstream(t, func(int, *http.Request, net.Conn) {})
+	options := upconn.DefaultOptions()
+	options.DialTimeout = time.Nanosecond
+	_, err := upconn.NewPool(options).Do(context.Background(), newCall(address, "1"))
+	g.Expect(errorx.IsOfType(err, upconn.ErrConnectTimeout)).To(BeTrue(), "%v", err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = upconn.NewPool(options).Do(ctx, newCall(address, "1"))
+	g.Expect(errorx.IsOfType(err, upconn.ErrNotSent)).To(BeTrue(), "%v", err)
+	g.Expect(errorx.IsOfType(err, upconn.ErrConnectTimeout)).To(BeFalse(), "%v", err)
 }
 
 func TestContextCancellationClosesConnection(t *testing.T) {
