--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -99,9 +99,24 @@
 	reregistrationGrace = 2 * time.Second
 )
 
+// Option changes a daemon before it starts.
+type Option func(*options)
+
+// options are what settings don't determine.
+type options struct{ upstreamDial upconn.Dial }
+
+// WithUpstreamDial opens the connections to upstreams by dial.
+func WithUpstreamDial(dial upconn.Dial) Option {
+	return func(o *options) { o.upstreamDial = dial }
+}
+
 // New returns a daemon that has not been started. Its log is written to out from
 // Start on.
-func New(s *settings.Gateway, out io.Writer, clock clockwork.Clock) *Daemon {
+func New(s *settings.Gateway, out io.Writer, clock clockwork.Clock, opts ...Option) *Daemon {
+	var o options
+	for _, apply := range opts {
+		apply(&o)
+	}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB*bytesPerMB) * memoryLimitFraction))
 	}
@@ -118,7 +133,9 @@
 	feedOptions.StoreClock = d.store
 	feedOptions.Seeds, feedOptions.Self = s.Seeds, s.Peers.Address
 	d.peerFeed = peerfeed.New(feedOptions, d.store, d.vms, clock, d.log, d.registry)
-	d.pool = upconn.NewPool(upconn.DefaultOptions())
+	poolOptions := upconn.DefaultOptions()
+	poolOptions.Dial = o.upstreamDial
+	d.pool = upconn.NewPool(poolOptions)
 	d.directory = engines.New(engines.Options{
 		Region: s.VM.Region, Domain: s.VM.Domain,
 		RegionOf:            d.regionOf,
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -27,8 +27,13 @@
 	// connection is closed. It is also the time limit for writing a request.
 	// Default 3 s.
 	TCPUserTimeout time.Duration
+	// Dial opens connections; nil opens TCP connections of the host.
+	Dial Dial
 }
 
+// Dial opens a connection before ctx ends.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // DefaultOptions returns the default options.
 func DefaultOptions() Options {
 	return Options{
@@ -49,9 +54,8 @@
 // Pool holds the unused connections to all upstreams. It is safe for concurrent
 // use.
 type Pool struct {
-	opts   Options
-	dialer net.Dialer
-	dials  atomic.Int64
+	opts  Options
+	dials atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -71,25 +75,28 @@
 
 // NewPool returns a pool without connections.
 func NewPool(opts Options) *Pool {
-	return &Pool{
-		opts: opts,
-		dialer: net.Dialer{
-			Timeout: opts.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-			},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				var err error
-				ctlErr := raw.Control(func(fd uintptr) {
-					err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(opts.TCPUserTimeout.Milliseconds()))
-				})
-				if ctlErr != nil {
-					return ctlErr
-				}
-				return err
-			},
+	if opts.Dial == nil {
+		opts.Dial = newDialer(opts.TCPUserTimeout).DialContext
+	}
+	return &Pool{opts: opts, idle: make(map[string][]*conn)}
+}
+
+// newDialer returns a dialer whose connections end if the peer doesn't answer.
+func newDialer(userTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			ctlErr := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			})
+			if ctlErr != nil {
+				return ctlErr
+			}
+			return err
 		},
-		idle: make(map[string][]*conn),
 	}
 }
 
@@ -128,7 +135,9 @@
 // dial opens a connection. Errors: ErrRefused, ErrConnectTimeout, ErrNotSent if ctx ended.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.dials.Add(1)
-	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialCtx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
+	defer cancel()
+	c, err := p.opts.Dial(dialCtx, "tcp", address)
 	if err != nil {
 		return nil, connectError(ctx, err, address)
 	}
