--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -281,6 +281,20 @@
 	return d.byService[service]
 }
 
+// ForgetFailures forgets what speaks against the upstreams of a service: their recent
+// failures and silence. It is called when this VM's way to them had been lost.
+func (d *Directory) ForgetFailures(service string) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, e := range d.byService[service] {
+		e.forgetFailures()
+	}
+	d.breakers.Retain(func(key retry.BreakerKey) bool {
+		e := d.byID[key.Upstream]
+		return e != nil && e.entry().Service != service
+	})
+}
+
 // AddRemoteWork adds prefill work that another VM sent to an upstream; unknown
 // upstreams are ignored.
 func (d *Directory) AddRemoteWork(id upstream.ID, work time.Duration) {
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -212,6 +212,13 @@
 	}
 }
 
+// forgetFailures forgets the upstream's recent failures and silence.
+func (e *Engine) forgetFailures() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failureRate, e.silentUntil = 0, time.Time{}
+}
+
 // MarkReceived records that a part of the response arrived.
 func (a *Attempt) MarkReceived() {
 	a.engine.mu.Lock()
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/peerfeed"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
+	"github.com/poplarshore/poplarshore/internal/reach"
 	"github.com/poplarshore/poplarshore/internal/relay"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
@@ -70,10 +71,14 @@
 	shifts       *shifts.Manager
 	quarantines  *quarantines.Guard
 	pool         *upconn.Pool
-	vms          *members.List
-	collector    *members.Collector
-	peerFeed     *peerfeed.Feed
-	hints        *hints.Exchange
+	// peerPool holds the connections to VMs that relay requests, and reach follows whether
+	// this VM reaches upstreams itself.
+	peerPool  *upconn.Pool
+	reach     *reach.Tracker
+	vms       *members.List
+	collector *members.Collector
+	peerFeed  *peerfeed.Feed
+	hints     *hints.Exchange
 	// hintCounts counts hints by outcome.
 	hintCounts   *prometheus.CounterVec
 	retryBudgets *retry.WindowBudgets
@@ -86,6 +91,7 @@
 	healthServer  *listen.Server
 	metricsServer *listen.Server
 	peerServer    *listen.Server
+	relayServer   *listen.Server
 }
 
 const (
@@ -149,6 +155,8 @@
 		},
 		Registry: d.registry,
 	}, clock, d.log)
+	d.peerPool = upconn.NewPool(d.peerPoolOptions())
+	d.reach = d.newReach()
 	d.shifts = shifts.New(shifts.Options{
 		VM: s.VM.ID, Table: vmTable, VMCount: func() int { return len(d.vms.Others()) + 1 },
 		Plan:        shift.PlanWithin(shift.Exposure{Share: s.Exposure, Slack: s.ExposureSlack}),
@@ -244,7 +252,11 @@
 	d.runner.Every("quarantine sweep", d.clock, sweepInterval, d.quarantines.Sweep)
 	d.runner.Every("purse", d.clock, sweepInterval, d.updateRetryAllowances)
 	d.runner.Every("entries", d.clock, lapsedEntryInterval, func(context.Context) { d.directory.ExpireLapsed() })
-	d.runner.Every("connections", d.clock, sweepInterval, func(context.Context) { d.pool.Sweep(time.Now()) })
+	d.runner.Every("connections", d.clock, sweepInterval, func(context.Context) {
+		d.pool.Sweep(time.Now())
+		d.peerPool.Sweep(time.Now())
+	})
+	d.runner.Every("reach", d.clock, reach.ProbeInterval, d.reach.Step)
 	return nil
 }
 
@@ -280,6 +292,7 @@
 		{&d.healthServer, d.settings.Health, http.HandlerFunc(d.serveHealth)},
 		{&d.metricsServer, d.settings.Metrics, metricsMux},
 		{&d.peerServer, d.settings.Peers, peerMux},
+		{&d.relayServer, d.settings.Relay, d.relay.PeerHandler()},
 	} {
 		server, err := listen.Open(l.config, l.handler, bounds, d.log)
 		if err != nil {
@@ -299,8 +312,14 @@
 		d.log.Error("VM is not announced to the other VMs: invalid address of its peers listener", "error", err)
 		return
 	}
+	relayAddress, err := netip.ParseAddrPort(d.relayServer.Address())
+	if err != nil {
+		d.log.Error("VM relays no requests of other VMs: invalid address of its relay listener", "error", err)
+	}
 	members.NewAnnouncer(members.AnnouncerOptions{
-		List: d.vms, Member: members.Member{Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed},
+		List: d.vms, Member: members.Member{
+			Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed, Relay: relayAddress,
+		},
 		Seeds: d.settings.Seeds, Self: d.settings.Peers.Address, Collector: d.collector,
 		Writer: d.store, Clock: d.clock, Log: d.log,
 	}).Run(ctx)
@@ -334,6 +353,10 @@
 // called before Start.
 func (d *Daemon) CallersAddress() string { return d.callerServer.Address() }
 
+// RelayAddress returns the host:port of the listener for requests of other VMs. It must not
+// be called before Start.
+func (d *Daemon) RelayAddress() string { return d.relayServer.Address() }
+
 // MetricsAddress returns the address at which metrics are read.
 func (d *Daemon) MetricsAddress() string { return d.metricsServer.Address() }
 
--- /dev/null
+++ b/internal/gatewayd/reach.go
@@ -0,0 +1,58 @@
+package gatewayd
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/poplarshore/poplarshore/internal/peerrelay"
+	"github.com/poplarshore/poplarshore/internal/reach"
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/reachability"
+)
+
+// peerDialTimeout is how long opening a connection to another VM may take.
+const peerDialTimeout = 250 * time.Millisecond
+
+// newReach returns the tracker of whether this VM reaches upstreams.
+func (d *Daemon) newReach() *reach.Tracker {
+	return reach.New(reach.Options{
+		Reachability: reachability.DefaultOptions(), Usable: d.usableUpstreams, Probe: d.pool.Connect,
+		OnRegained: d.directory.ForgetFailures, Clock: d.clock, Log: d.log, Registry: d.registry,
+	})
+}
+
+// usableUpstreams returns the upstreams of a service that are not leaving.
+func (d *Daemon) usableUpstreams(service string) []reach.Target {
+	var usable []reach.Target
+	for _, e := range d.directory.ForService(service) {
+		if !e.Leaving() {
+			usable = append(usable, reach.Target{ID: e.ID(), Address: e.Address()})
+		}
+	}
+	return usable
+}
+
+// newPeers returns the chooser of VMs that relay requests for this one.
+func (d *Daemon) newPeers() *peerrelay.Chooser {
+	return peerrelay.NewChooser(peerrelay.Options{
+		Domain: d.settings.VM.Domain, Region: d.settings.VM.Region, RegionOf: d.regionOf,
+		Members: d.vms.Others, Clock: d.clock,
+	})
+}
+
+// peerPoolOptions returns the options of the connections to VMs that relay requests. They
+// come from the address by which the other VMs know this one.
+func (d *Daemon) peerPoolOptions() upconn.Options {
+	options := upconn.DefaultOptions()
+	options.DialTimeout = peerDialTimeout
+	own, err := netip.ParseAddrPort(d.settings.Relay.Address)
+	if err != nil {
+		d.log.Warn("address of the relay listener is no IP address; other VMs may not know this one by it", "error", err)
+		return options
+	}
+	options.LocalAddress = own.Addr()
+	return options
+}
+
+// isPeer reports whether an address is that of another VM.
+func (d *Daemon) isPeer(address netip.Addr) bool { return peerrelay.IsMember(d.vms.Others(), address) }
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -47,6 +47,7 @@
 	return relay.New(relay.Deps{
 		Protocol: wire.Protocol{}, Tables: d.operatorSink, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
+		VM: d.settings.VM.ID, Reach: d.reach, Peers: d.newPeers(), PeerPool: d.peerPool, IsPeer: d.isPeer,
 		Quarantine: d.quarantines, Digester: quarantine.NewDigester(d.settings.DigestSecret),
 		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
 		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/listen"
@@ -21,7 +22,7 @@
 	timeLeft := grace - abortMargin - d.clock.Since(startedAt)
 	shutdownCtx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
-	err := d.callerServer.Shutdown(shutdownCtx)
+	err := errors.Join(d.callerServer.Shutdown(shutdownCtx), d.relayServer.Shutdown(shutdownCtx))
 	d.phase.Store(int32(aborting))
 	if err != nil {
 		d.log.Warn("grace period is over; aborting the running requests", "error", err)
@@ -48,12 +49,13 @@
 	d.closeListeners()
 	d.runner.Stop()
 	d.pool.Close()
+	d.peerPool.Close()
 }
 
 // closeListeners closes the socket for hints and the listeners that are open.
 func (d *Daemon) closeListeners() {
 	d.hints.Close()
-	for _, server := range []*listen.Server{d.callerServer, d.healthServer, d.metricsServer, d.peerServer} {
+	for _, server := range []*listen.Server{d.callerServer, d.healthServer, d.metricsServer, d.peerServer, d.relayServer} {
 		if server == nil {
 			continue
 		}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -28,6 +28,9 @@
 	// Feed is the HTTP address at which the VM serves its copies of the store's
 	// tables.
 	Feed netip.AddrPort `json:"feed"`
+	// Relay is the HTTP address at which the VM relays requests of other VMs' callers;
+	// invalid if it doesn't.
+	Relay netip.AddrPort `json:"relay,omitzero"`
 }
 
 // List is the list of the other VMs. One goroutine updates it by Reset and Change;
--- /dev/null
+++ b/internal/peerrelay/chooser_test.go
@@ -0,0 +1,120 @@
+package peerrelay_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/peerrelay"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+const service = "models"
+
+// fleet returns n other VMs, in the domains d0, d1 and d2 in turn.
+func fleet(n int) map[vm.ID]members.Member {
+	others := make(map[vm.ID]members.Member)
+	for i := range n {
+		id := vm.ID(fmt.Sprintf("vm-%d", i))
+		others[id] = members.Member{
+			ID: id, Domain: domain.ID(fmt.Sprintf("d%d", i%3)), Relay: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:1", i/200, i%200)),
+		}
+	}
+	return others
+}
+
+// newChooser returns a chooser of a VM in d0, which shares its region with d1.
+func newChooser(others map[vm.ID]members.Member) (*peerrelay.Chooser, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	return peerrelay.NewChooser(peerrelay.Options{
+		Domain: "d0", Region: "r0", Members: func() map[vm.ID]members.Member { return others }, Clock: clock,
+		RegionOf: func(d domain.ID) domain.Region {
+			if d == "d2" {
+				return "r2"
+			}
+			return "r0"
+		},
+	}), clock
+}
+
+func TestNearestVMIsAskedFirst(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newChooser(fleet(3))
+	var order, tried []vm.ID
+	for range 3 {
+		p, ok := c.Choose(service, tried)
+		g.Expect(ok).To(BeTrue())
+		p.End(peerrelay.Inconclusive)
+		tried = append(tried, p.ID)
+		order = append(order, p.ID)
+	}
+	g.Expect(order).To(Equal([]vm.ID{"vm-0", "vm-1", "vm-2"}))
+	_, ok := c.Choose(service, tried)
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestRequestsAreSpreadOverVMs(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newChooser(fleet(6))
+	asked := make(map[vm.ID]int)
+	for range 90 {
+		p, ok := c.Choose(service, nil)
+		g.Expect(ok).To(BeTrue())
+		asked[p.ID]++
+	}
+	g.Expect(asked).To(HaveLen(6))
+}
+
+func TestVMThatRefusedAServiceIsLeftAloneForIt(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newChooser(fleet(1))
+	p, _ := c.Choose(service, nil)
+	p.End(peerrelay.RefusedService)
+	_, ok := c.Choose(service, nil)
+	g.Expect(ok).To(BeFalse())
+	_, ok = c.Choose("other", nil)
+	g.Expect(ok).To(BeTrue())
+	clock.Advance(time.Second)
+	_, ok = c.Choose(service, nil)
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestVMThatCannotBeReachedIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newChooser(fleet(1))
+	p, _ := c.Choose(service, nil)
+	p.End(peerrelay.Unavailable)
+	_, ok := c.Choose("other", nil)
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestProvenVMIsPreferred(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newChooser(fleet(300))
+	p, _ := c.Choose(service, nil)
+	p.End(peerrelay.Relayed)
+	for range 5 {
+		again, _ := c.Choose(service, nil)
+		again.End(peerrelay.Relayed)
+		g.Expect(again.ID).To(Equal(p.ID))
+	}
+}
+
+func TestVMThatRelaysNothingIsNotAsked(t *testing.T) {
+	g := NewWithT(t)
+	others := fleet(1)
+	m := others["vm-0"]
+	m.Relay = netip.AddrPort{}
+	others["vm-0"] = m
+	c, _ := newChooser(others)
+	_, ok := c.Choose(service, nil)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(peerrelay.IsMember(others, netip.MustParseAddr("10.0.0.0"))).To(BeFalse())
+	g.Expect(peerrelay.IsMember(fleet(1), netip.MustParseAddr("10.0.0.0"))).To(BeTrue())
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -95,6 +95,7 @@
 	}
 	defer resp.Close()
 	a.headAfter = s.Clock.Since(a.startedAt)
+	a.recordContact(headContact(resp))
 	a.running.SetNetworkLatency(a.networkLatency(resp.NewConnection))
 	head := s.Protocol.ReadHead(resp.Status, resp.Header)
 	if head.Leaving {
@@ -236,32 +237,42 @@
 // later attempt succeeds; any other response is forwarded at once.
 func (a *attempt) buffer(resp *upconn.Response, failure bool) error {
 	x := a.exchange
+	b, err := x.readWhole(resp, string(a.engine.ID()))
+	if err != nil {
+		return err
+	}
+	defer x.server.buffered.release(len(b.body))
+	a.recordReceived()
+	if failure {
+		x.upstreamFailure = b
+		return errFailed.New("upstream failure: status %d from %s", resp.Status, a.engine.ID())
+	}
+	return b.writeTo(x)
+}
+
+// readWhole reads the complete response from the named sender. After a success its size must
+// be released from the server's buffer budget.
+func (x *exchange) readWhole(resp *upconn.Response, sender string) (*bufferedResponse, error) {
 	b := &bufferedResponse{status: resp.Status, header: resp.Header}
 	buf := make([]byte, maxDrainBytes)
-	defer func() { x.server.buffered.release(len(b.body)) }()
 	for {
 		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
-		if !x.server.buffered.take(n) {
-			return upconn.ErrBroken.New("responses being read together exceed %d bytes, among them one from %s",
-				x.server.opts.MaxTotalBufferedBytes, a.engine.ID())
-		}
+		taken := x.server.buffered.take(n)
 		b.body = append(b.body, buf[:n]...)
-		if errors.Is(err, io.EOF) {
-			break
+		switch {
+		case !taken:
+			err = upconn.ErrBroken.New("responses being read together exceed %d bytes, among them one from %s",
+				x.server.opts.MaxTotalBufferedBytes, sender)
+		case errors.Is(err, io.EOF):
+			return b, nil
+		case err == nil && len(b.body) > x.server.opts.MaxBufferedBytes:
+			err = upconn.ErrBroken.New("response larger than %d bytes from %s", x.server.opts.MaxBufferedBytes, sender)
 		}
 		if err != nil {
-			return err
-		}
-		if len(b.body) > x.server.opts.MaxBufferedBytes {
-			return upconn.ErrBroken.New("response larger than %d bytes from %s", x.server.opts.MaxBufferedBytes, a.engine.ID())
+			x.server.buffered.release(len(b.body))
+			return nil, err
 		}
 	}
-	a.recordReceived()
-	if failure {
-		x.upstreamFailure = b
-		return errFailed.New("upstream failure: status %d from %s", resp.Status, a.engine.ID())
-	}
-	return b.writeTo(x)
 }
 
 // writeTo sends the response to the caller of x. Errors: a CallerGone refusal.
--- /dev/null
+++ b/internal/relay/contact.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/reachability"
+)
+
+// recordContact records what the end of an attempt says about the way to its upstream.
+func (x *exchange) recordContact(ctx context.Context, a *attempt, err error, took time.Duration) {
+	switch {
+	case errorx.IsOfType(err, upconn.ErrRefused):
+		x.notConnected++
+		a.recordContact(reachability.NotConnected)
+	case errorx.IsOfType(err, upconn.ErrConnectTimeout):
+		x.notConnected++
+		x.connectTimedOut = true
+		a.recordContact(reachability.NotConnected)
+	case failsContact(err) && ctx.Err() == nil:
+		if !errorx.IsOfType(err, upconn.ErrSilent) || a.engine.SinceLastReceived() >= took {
+			a.recordContact(reachability.Lost)
+		}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && a.headAfter == 0 && a.engine.SinceLastReceived() >= took:
+		a.recordContact(reachability.Lost)
+	}
+}
+
+// headContact returns what the header of a response says about the way to its upstream.
+func headContact(resp *upconn.Response) reachability.Contact {
+	if resp.NewConnection {
+		return reachability.Connected
+	}
+	return reachability.Received
+}
+
+func (a *attempt) recordContact(c reachability.Contact) {
+	a.exchange.server.Reach.Record(a.exchange.service, a.engine.ID(), c)
+}
+
+// failsContact reports whether an attempt failed on the way to the upstream, and not by what
+// that answered.
+func failsContact(err error) bool {
+	switch {
+	case errorx.IsOfType(err, errNotRun), errorx.IsOfType(err, errOverLimit), errorx.IsOfType(err, errLowConfidence):
+		return false
+	}
+	return errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, upconn.ErrConnectionLost) || errorx.IsOfType(err, upconn.ErrSilent)
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -77,15 +77,28 @@
 	answerBegan bool
 	// connectionLost reports whether an attempt ended with its connection.
 	connectionLost bool
+
+	// hop is what another VM says of the request that it asks this one to relay; nil for a
+	// request of a caller. relayedAdmitted reports whether it counts as in flight.
+	hop             *peerRequest
+	relayedAdmitted bool
+	// notConnected counts the attempts that found no connection, and connectTimedOut reports
+	// whether one of them waited for it in vain.
+	notConnected    int
+	connectTimedOut bool
+	// peersAsked reports whether other VMs were asked to relay the request.
+	peersAsked bool
 }
 
 // attemptRecord describes one attempt in the request log. A text log shows the
 // fields under their Go names.
 type attemptRecord struct {
-	Upstream string `json:"upstream"`
-	Version  string `json:"version"`
-	Model    string `json:"model,omitempty"`
-	Outcome  string `json:"outcome"`
+	Upstream string `json:"upstream,omitempty"`
+	// VM is the VM that was asked to relay the request, in place of an upstream.
+	VM      string `json:"vm,omitempty"`
+	Version string `json:"version,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Outcome string `json:"outcome"`
 	// Expected is how long the upstream was expected to be busy with earlier
 	// requests, in ms.
 	Expected int64 `json:"expected"`
@@ -115,6 +128,11 @@
 func (x *exchange) admit(r *http.Request) error {
 	s := x.server
 	x.deadline = x.startedAt.Add(s.opts.DefaultDeadline)
+	if x.hop != nil {
+		if refused := x.admitRelayed(); refused != nil {
+			return refused
+		}
+	}
 	if refused := x.awaitStartup(r.Context()); refused != nil {
 		return refused
 	}
@@ -133,6 +151,11 @@
 		return err
 	}
 	x.initRouting()
+	if x.hop != nil {
+		if refused := x.checkRelayed(); refused != nil {
+			return refused
+		}
+	}
 	return nil
 }
 
@@ -250,6 +273,9 @@
 		Repeatable: x.route.Repeatable(), Resumable: x.route.Streaming && x.route.Resumable,
 		MaxAttempts: max(x.route.MaxAttempts, 1),
 	}
+	if x.hop != nil {
+		x.retryState.MaxAttempts = min(x.retryState.MaxAttempts, x.hop.attemptsLeft)
+	}
 }
 
 // chooseFirstModel selects the model of the first attempt, if the router selects
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -6,13 +6,16 @@
 
 	"github.com/poplarshore/poplarshore/account"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/peerrelay"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/quarantine"
+	"github.com/poplarshore/poplarshore/reachability"
 	"github.com/poplarshore/poplarshore/route"
 	"github.com/poplarshore/poplarshore/routing"
 	"github.com/poplarshore/poplarshore/upstream"
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 // Part is one segment of a prompt. Requests with the same leading parts can
@@ -100,6 +103,9 @@
 	ReadRequest(r *http.Request) *Request
 	// UpstreamHeader returns the request header to send for an attempt.
 	UpstreamHeader(s UpstreamAttempt) http.Header
+	// PeerHeader returns the header of a caller's request for another VM, which reads it with
+	// ReadRequest.
+	PeerHeader(r *Request, lastEvent string, timeLeft time.Duration) http.Header
 	// ReadHead parses the status and header of an upstream's response.
 	ReadHead(status int, h http.Header) Head
 	// AnswersRequest reports whether the response with header h answers request r.
@@ -132,6 +138,21 @@
 	Begin(of quarantine.Incarnation, keys []quarantine.Key) *quarantines.Attempt
 }
 
+// Reach follows whether this VM reaches upstreams.
+type Reach interface {
+	// Record records a contact with an upstream of a service.
+	Record(service string, u upstream.ID, c reachability.Contact)
+	// Status returns how this VM reaches the upstreams of a service.
+	Status(service string) reachability.Status
+}
+
+// Peers selects other VMs that relay requests for this one.
+type Peers interface {
+	// Choose returns a VM that may relay a request for a service, other than those tried, and
+	// false if there is none. End must be called on the result.
+	Choose(service string, tried []vm.ID) (*peerrelay.Peer, bool)
+}
+
 // Versions decides which versions a session may use and records how attempts on
 // them end, for roll-outs.
 type Versions interface {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 // Metrics holds the relay's counters, histograms and gauge.
@@ -17,6 +19,9 @@
 	latency      *prometheus.HistogramVec
 	firstEvent   *prometheus.HistogramVec
 	inFlight     prometheus.Gauge
+	// peerAttempts counts what this VM asked others to relay, and relayed what it was asked.
+	peerAttempts *prometheus.CounterVec
+	relayed      *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if one of
@@ -45,7 +50,13 @@
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "poplarshore_relay_in_flight", Help: "Requests in flight."}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight)
+	m.peerAttempts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_relay_peer_attempts_total", Help: "Requests that other VMs were asked to relay, by outcome."},
+		[]string{"outcome"})
+	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_relay_peer_requests_total", Help: "Requests that this VM was asked to relay, by outcome."},
+		[]string{"outcome"})
+	r.MustRegister(m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed)
 	return m
 }
 
@@ -61,6 +72,11 @@
 		version = x.table.Version()
 	}
 	took := s.Clock.Since(x.startedAt)
+	relayFor := vm.ID("")
+	if x.hop != nil {
+		relayFor = x.hop.from
+		s.Metrics.relayed.WithLabelValues(outcome).Inc()
+	}
 	s.Metrics.requests.WithLabelValues(name, outcome, strconv.Itoa(status)).Inc()
 	s.Metrics.latency.WithLabelValues(name).Observe(took.Seconds())
 	level := slog.LevelInfo
@@ -71,5 +87,5 @@
 		"account", x.account, "service", x.service, "config", version, "priority", x.priority,
 		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "keys", x.lostKeys(), "attempts", x.attemptLog,
 		"last_event", x.lastEvent, "ms", took.Milliseconds(),
-		"left_ms", x.timeLeft().Milliseconds(), "detail", x.refusalDetail)
+		"left_ms", x.timeLeft().Milliseconds(), "relay_for", relayFor, "detail", x.refusalDetail)
 }
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -21,7 +21,9 @@
 	ended := err != nil && ctx.Err() != nil
 	failed := err != nil && !ended && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
 	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || a.paused
-	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive}
+	// A VM that has lost its way to the upstreams blames none of them.
+	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).CutOff
+	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
 	if err == nil {
 		result.Took = took
 	}
@@ -30,11 +32,13 @@
 		x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
 		if errorx.IsOfType(err, upconn.ErrSilent) {
 			x.server.Pool.CloseIdle(a.engine.Address())
-			a.reportSilence(took)
+			if !cutOff {
+				a.reportSilence(took)
+			}
 		}
 	}
-	a.running.End(a.versionResult(err, inconclusive))
-	a.guarded.End(quarantineOutcome(err, ended))
+	a.running.End(a.versionResult(err, inconclusive || cutOff))
+	a.guarded.End(quarantineOutcome(err, ended || cutOff))
 	if err == nil && x.retriedFailure {
 		x.server.RepeatEstimator.Record(x.route.Name, true)
 	}
@@ -89,21 +93,27 @@
 	return shifts.Overdue
 }
 
-// logAttempt counts the attempt by outcome and appends it to the log of the
-// exchange.
-func (x *exchange) logAttempt(a *attempt, err error, took time.Duration) {
-	outcome := "answered"
+// outcomeOf returns the name of an attempt's result in metrics and logs.
+func (x *exchange) outcomeOf(err error) string {
 	var refused *refusal.Refusal
+	var elsewhere *peerRefusedError
 	switch {
-	case err == nil:
 	case errors.As(err, &refused):
-		outcome = string(x.server.abortReason(refused.Reason))
-	default:
-		if e := errorx.Cast(err); e != nil {
-			name := e.Type().FullName()
-			outcome = name[strings.LastIndexByte(name, '.')+1:]
-		}
+		return string(x.server.abortReason(refused.Reason))
+	case errors.As(err, &elsewhere):
+		return "refused_" + string(elsewhere.reason)
+	}
+	if e := errorx.Cast(err); e != nil {
+		name := e.Type().FullName()
+		return name[strings.LastIndexByte(name, '.')+1:]
 	}
+	return "answered"
+}
+
+// logAttempt counts the attempt by outcome and appends it to the log of the
+// exchange.
+func (x *exchange) logAttempt(a *attempt, err error, took time.Duration) {
+	outcome := x.outcomeOf(err)
 	x.connectionLost = x.connectionLost || errorx.IsOfType(err, upconn.ErrConnectionLost)
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
 	record := attemptRecord{
--- /dev/null
+++ b/internal/relay/peer.go
@@ -0,0 +1,258 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/poplarshore/poplarshore/internal/peerrelay"
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+// peerRefusedError reports that another VM did not relay the request, which has not run there,
+// and that a further one may.
+type peerRefusedError struct {
+	// reason is that of the VM, empty if it gave none that is known.
+	reason refusal.Reason
+	status int
+}
+
+// Error implements error.
+func (e *peerRefusedError) Error() string {
+	return fmt.Sprintf("another VM did not relay the request: status %d, %q", e.status, e.reason)
+}
+
+// hasNotRunAtPeer reports whether an attempt through another VM failed before the request ran.
+func hasNotRunAtPeer(err error) bool {
+	var refused *peerRefusedError
+	return errorx.IsOfType(err, upconn.ErrNotSent) || errors.As(err, &refused)
+}
+
+const (
+	// maxPeersAsked is the number of VMs that are asked to relay a request.
+	maxPeersAsked = 3
+	// A request is relayed once maxNotConnected attempts found no connection, or one of them
+	// waited for it in vain, even if the way to the service does not count as lost.
+	maxNotConnected = 2
+	// maxNotRunIfLost replaces maxNotRun while the way to the service is lost, and for
+	// requests of other VMs.
+	maxNotRunIfLost = 1
+)
+
+// shouldAskPeers reports whether other VMs are to be asked to relay the request.
+func (x *exchange) shouldAskPeers() bool {
+	if x.hop != nil || x.peersAsked || x.attemptsLeft() < 1 {
+		return false
+	}
+	return x.notConnected >= maxNotConnected || x.connectTimedOut || x.server.Reach.Status(x.service).CutOff
+}
+
+// attemptsLeft returns how many further attempts the request may have.
+func (x *exchange) attemptsLeft() int { return x.retryState.MaxAttempts - x.retryState.Attempts }
+
+// askPeers asks other VMs to relay the request until one does. It returns false if none did:
+// the request has not run there and is not going to. Otherwise the error is the result of
+// the exchange; nil means that a response has been sent.
+func (x *exchange) askPeers(ctx context.Context) (bool, error) {
+	x.peersAsked = true
+	var tried []vm.ID
+	for range maxPeersAsked {
+		peer, ok := x.server.Peers.Choose(x.service, tried)
+		if !ok {
+			x.server.Metrics.peerAttempts.WithLabelValues("no_peer").Inc()
+			return false, nil
+		}
+		tried = append(tried, peer.ID)
+		err := x.askPeer(ctx, peer)
+		if err == nil {
+			return true, nil
+		}
+		if ended, endErr := x.ended(ctx); ended {
+			return true, endErr
+		}
+		if !hasNotRunAtPeer(err) {
+			return true, x.peerFailure(err)
+		}
+	}
+	return false, nil
+}
+
+// peerFailure returns the result of the exchange after a VM that was asked failed.
+func (x *exchange) peerFailure(err error) error {
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) {
+		if refused.Reason == refusal.CallerGone {
+			return err
+		}
+		return x.fail(refused)
+	}
+	return x.fail(refusal.Wrap(refusal.UpstreamFailed, err))
+}
+
+// askPeer asks a VM to relay the request, and forwards its response. Errors: ErrNotSent if
+// the request has not run there, a refusal, and those of upconn.
+func (x *exchange) askPeer(ctx context.Context, peer *peerrelay.Peer) error {
+	s := x.server
+	startedAt := s.Clock.Now()
+	made, left := x.retryState.Attempts, x.attemptsLeft()
+	err := x.exchangeWithPeer(ctx, peer)
+	if made == 0 && !hasNotRunAtPeer(err) {
+		s.Retry.Withdraw(&x.retryState, s.Clock.Now())
+	}
+	if err != nil && !hasNotRunAtPeer(err) {
+		// How many attempts the VM made is not known.
+		x.retryState.Attempts += left
+	}
+	peer.End(peerResult(ctx, err))
+	x.logPeerAttempt(peer, err, startedAt)
+	return err
+}
+
+// exchangeWithPeer sends the request to a VM and forwards its response.
+func (x *exchange) exchangeWithPeer(ctx context.Context, peer *peerrelay.Peer) error {
+	s := x.server
+	header := s.Protocol.PeerHeader(x.request, x.lastEvent, x.timeLeft())
+	peerRequest{from: s.VM, attemptsLeft: x.attemptsLeft(), config: x.table.Version()}.addTo(header)
+	resp, err := s.PeerPool.Do(ctx, upconn.Call{
+		Address: peer.Address,
+		Request: upconn.Request{
+			Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: header, Body: x.body,
+		},
+		Matches:       func(h http.Header) bool { return s.Protocol.AnswersRequest(x.request, h) },
+		HeaderTimeout: max(x.timeLeft(), minWait),
+	})
+	if err != nil {
+		return err
+	}
+	defer resp.Close()
+	if refused := x.refusalOf(resp); refused != nil {
+		return refused
+	}
+	if isEventStream(resp.Header) {
+		return x.forwardPeerStream(resp)
+	}
+	if x.headerSent {
+		return upconn.ErrBroken.New("expected an event stream to resume from VM %s", peer.ID)
+	}
+	body, err := x.readWhole(resp, "VM "+string(peer.ID))
+	if err != nil {
+		return err
+	}
+	defer s.buffered.release(len(body.body))
+	return body.writeTo(x)
+}
+
+// refusalOf returns the refusal that a response of another VM states, or nil. It is a
+// peerRefusedError if a further VM may serve the request.
+func (x *exchange) refusalOf(resp *upconn.Response) error {
+	reason := refusal.Reason(resp.Header.Get(headerRefusal))
+	switch {
+	case reason == "" && resp.Status != http.StatusForbidden:
+		return nil
+	case !refusal.Known(reason):
+		return &peerRefusedError{status: resp.Status}
+	}
+	refused := refusal.New(reason).With("The VM that was asked to relay the request refused it.")
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		refused = refused.WithRetryAfter(time.Duration(seconds * float64(time.Second)))
+	}
+	if resp.Status == http.StatusServiceUnavailable && !isFinalFor(reason) {
+		return &peerRefusedError{reason: reason, status: resp.Status}
+	}
+	return refused
+}
+
+// isFinalFor reports whether every VM would refuse a request for the reason.
+func isFinalFor(reason refusal.Reason) bool {
+	switch reason {
+	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited:
+		return true
+	}
+	return false
+}
+
+// peerResult returns what the end of an attempt says about the VM that was asked.
+func peerResult(ctx context.Context, err error) peerrelay.Result {
+	var refused *refusal.Refusal
+	var elsewhere *peerRefusedError
+	switch {
+	case err == nil:
+		return peerrelay.Relayed
+	case errors.As(err, &elsewhere):
+		return resultOfRefusal(elsewhere.reason)
+	case errors.As(err, &refused):
+		return peerrelay.Inconclusive
+	case ctx.Err() != nil:
+		return peerrelay.Inconclusive
+	}
+	return peerrelay.Unavailable
+}
+
+// resultOfRefusal returns what a refusal says about the VM that refused.
+func resultOfRefusal(reason refusal.Reason) peerrelay.Result {
+	switch {
+	case reason == refusal.OutOfReach, reason == refusal.RetriesExhausted, reason == refusal.NoUpstream:
+		return peerrelay.RefusedService
+	case reason == refusal.PeerBusy, reason == refusal.PeerBehind, reason == refusal.Draining, reason == refusal.ConfigurationStale, reason == "":
+		return peerrelay.Unavailable
+	}
+	return peerrelay.Inconclusive
+}
+
+// forwardPeerStream passes a stream of another VM on as it comes. That VM sends whole events.
+func (x *exchange) forwardPeerStream(resp *upconn.Response) error {
+	buf := make([]byte, streamBufferBytes)
+	for {
+		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
+		if n > 0 {
+			if sendErr := x.sendStreamBytes(resp, buf[:n]); sendErr != nil {
+				return sendErr
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, io.EOF) || resp.EndsWithConnection() {
+			return upconn.ErrConnectionLost.Wrap(err, "stream of another VM ended early")
+		}
+		if !x.headerSent {
+			x.sendHeader(resp.Status, resp.Header)
+		}
+		return nil
+	}
+}
+
+// sendStreamBytes sends bytes of a stream to the caller, after the header if that was not sent
+// yet. Errors: a CallerGone refusal.
+func (x *exchange) sendStreamBytes(resp *upconn.Response, b []byte) error {
+	if !x.headerSent {
+		x.sendHeader(resp.Status, resp.Header)
+		x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
+	}
+	if _, err := x.w.Write(b); err != nil {
+		return refusal.Wrap(refusal.CallerGone, err)
+	}
+	if err := x.control.Flush(); err != nil {
+		return refusal.Wrap(refusal.CallerGone, err)
+	}
+	return nil
+}
+
+// logPeerAttempt counts an attempt through another VM and appends it to the log of the
+// exchange.
+func (x *exchange) logPeerAttempt(peer *peerrelay.Peer, err error, startedAt time.Time) {
+	outcome := x.outcomeOf(err)
+	x.server.Metrics.peerAttempts.WithLabelValues(outcome).Inc()
+	x.attemptLog = append(x.attemptLog, attemptRecord{
+		VM: string(peer.ID), Outcome: outcome, At: startedAt.Sub(x.startedAt).Milliseconds(),
+		MS: x.server.Clock.Since(startedAt).Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/relay/peer_protocol.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/poplarshore/poplarshore/vm"
+)
+
+// Header fields between VMs. A request that a VM is asked to relay carries the first three.
+const (
+	headerRelayFor      = "Poplarshore-Relay-For"
+	headerAttemptsLeft  = "Poplarshore-Attempts-Left"
+	headerConfigVersion = "Poplarshore-Config-Version"
+	// headerRefusal is the reason of a refusal by the VM itself, in its response.
+	headerRefusal = "Poplarshore-Refusal"
+)
+
+// peerRequest is what a VM says of a request that it asks another one to relay.
+type peerRequest struct {
+	// from is the VM that asks.
+	from vm.ID
+	// attemptsLeft is the number of attempts that may be made, at least 1.
+	attemptsLeft int
+	// config is the version of the configuration by which the VM that asks handles the
+	// request.
+	config int64
+}
+
+// addTo adds the request's fields to the header.
+func (p peerRequest) addTo(h http.Header) {
+	h.Set(headerRelayFor, string(p.from))
+	h.Set(headerAttemptsLeft, strconv.Itoa(p.attemptsLeft))
+	h.Set(headerConfigVersion, strconv.FormatInt(p.config, 10))
+}
+
+// takePeerRequest reads the request's fields and removes them from the header. It returns
+// false if one is missing or invalid.
+func takePeerRequest(h http.Header) (peerRequest, bool) {
+	p := peerRequest{from: vm.ID(h.Get(headerRelayFor))}
+	var attemptsErr, configErr error
+	p.attemptsLeft, attemptsErr = strconv.Atoi(h.Get(headerAttemptsLeft))
+	p.config, configErr = strconv.ParseInt(h.Get(headerConfigVersion), 10, 64)
+	for _, name := range []string{headerRelayFor, headerAttemptsLeft, headerConfigVersion} {
+		h.Del(name)
+	}
+	return p, p.from != "" && attemptsErr == nil && configErr == nil && p.attemptsLeft >= 1
+}
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -42,7 +42,19 @@
 		if refused := x.refuseQuarantined(); refused != nil {
 			return x.fail(refused)
 		}
+		if x.shouldAskPeers() {
+			if settled, err := x.askPeers(ctx); settled {
+				return err
+			}
+			if s.Reach.Status(x.service).NoneReached() {
+				return x.fail(refusal.New(refusal.OutOfReach))
+			}
+		}
 		choice := s.Placement.Choose(x.requirements())
+		if choice.Engine == nil && x.notConnected > 0 && !x.peersAsked {
+			x.notConnected = maxNotConnected
+			continue
+		}
 		if choice.Engine == nil {
 			return x.fail(noUpstream(choice))
 		}
@@ -124,10 +136,15 @@
 		return true, nil
 	}
 	failure := retry.Failure{Kind: x.failureKind(err), HasAlternative: true}
-	if failure.Kind == retry.Crashed {
+	cutOff := s.Reach.Status(x.service).CutOff
+	if failure.Kind == retry.Crashed && !cutOff {
 		x.retryState.Crashes++
 	}
-	if x.dispatches-x.retryState.Attempts > maxNotRun {
+	notRunLimit := maxNotRun
+	if cutOff || x.hop != nil {
+		notRunLimit = maxNotRunIfLost
+	}
+	if x.dispatches-x.retryState.Attempts > notRunLimit && !x.shouldAskPeers() {
 		return false, x.fail(refusal.Wrap(refusal.RetriesExhausted, err))
 	}
 	if errorx.IsOfType(err, errFailed) && !x.mayRetryFailure() {
@@ -234,6 +251,7 @@
 	}
 	err := a.send(ctx)
 	took := x.server.Clock.Since(startedAt)
+	x.recordContact(ctx, a, err, took)
 	if !errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, errLowConfidence) {
 		x.retryState.Attempts++
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,8 +6,10 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,6 +21,7 @@
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/upstream"
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 // Options set the limits of an exchange.
@@ -65,6 +68,14 @@
 	RepeatEstimator *retry.RepeatEstimator
 	Pool            *upconn.Pool
 	Quarantine      Quarantine
+	// VM is this VM. Reach follows whether it reaches upstreams; while it doesn't, requests go
+	// to Peers by PeerPool.
+	VM       vm.ID
+	Reach    Reach
+	Peers    Peers
+	PeerPool *upconn.Pool
+	// IsPeer reports whether an address is that of another VM.
+	IsPeer func(netip.Addr) bool
 	// Digester computes the keys of requests and parts of prompts, for Quarantine and logs.
 	Digester *quarantine.Digester
 	Clock    clockwork.Clock
@@ -91,8 +102,9 @@
 	opts     Options
 	prefill  *prefillEstimator
 	buffered bufferBudget
-	// exchanges counts the requests in flight.
-	exchanges sync.WaitGroup
+	// exchanges counts the requests in flight, and relayedInFlight those of other VMs.
+	exchanges       sync.WaitGroup
+	relayedInFlight atomic.Int64
 }
 
 // New returns a server.
@@ -101,15 +113,19 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, nil) }
+
+// serve serves a request of a caller, or of another VM if hop is not nil.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, hop *peerRequest) {
 	s.exchanges.Add(1)
 	defer s.exchanges.Done()
 	s.Metrics.inFlight.Inc()
 	defer s.Metrics.inFlight.Dec()
 	x := &exchange{
 		server: s, w: w, startedAt: s.Clock.Now(), control: http.NewResponseController(w),
-		request: s.Protocol.ReadRequest(r), randState: rand.Uint64(),
+		request: s.Protocol.ReadRequest(r), randState: rand.Uint64(), hop: hop,
 	}
+	defer x.releaseRelayed()
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -163,6 +179,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	h := x.w.Header()
+	if x.hop != nil {
+		h.Set(headerRefusal, string(refused.Reason))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/reachability"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 )
@@ -87,6 +88,7 @@
 // recordReceived records that a part of the response arrived.
 func (a *attempt) recordReceived() {
 	a.tracked.MarkReceived()
+	a.recordContact(reachability.Received)
 	if a.firstAfter == 0 {
 		a.firstAfter = a.exchange.server.Clock.Since(a.startedAt)
 		a.exchange.server.prefill.observe(a.model, a.exchange.request.PromptTokens, a.firstAfter)
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,7 +28,10 @@
 	// connection is closed. It is also the time limit for writing a request.
 	// Default 3 s.
 	TCPUserTimeout time.Duration
-	// Dial opens connections; nil opens TCP connections of the host.
+	// LocalAddress is the address of this host that connections come from; the host chooses
+	// one if it is invalid.
+	LocalAddress netip.Addr
+	// Dial opens connections in place of the host; nil for none.
 	Dial Dial
 }
 
@@ -76,21 +80,21 @@
 // NewPool returns a pool without connections.
 func NewPool(opts Options) *Pool {
 	if opts.Dial == nil {
-		opts.Dial = newDialer(opts.TCPUserTimeout).DialContext
+		opts.Dial = newDialer(opts).DialContext
 	}
 	return &Pool{opts: opts, idle: make(map[string][]*conn)}
 }
 
 // newDialer returns a dialer whose connections end if the peer doesn't answer.
-func newDialer(userTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+func newDialer(opts Options) *net.Dialer {
+	dialer := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
 			ctlErr := raw.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(opts.TCPUserTimeout.Milliseconds()))
 			})
 			if ctlErr != nil {
 				return ctlErr
@@ -98,6 +102,10 @@
 			return err
 		},
 	}
+	if opts.LocalAddress.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(opts.LocalAddress, 0))
+	}
+	return dialer
 }
 
 // Dials returns the number of attempts to open a connection since the pool was
@@ -118,6 +126,17 @@
 	}
 }
 
+// Connect opens a connection to an upstream and keeps it for a later request. Errors:
+// ErrRefused, ErrConnectTimeout, ErrNotSent if ctx ended.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.putIdle(c, 0)
+	return nil
+}
+
 // popIdle removes and returns the most recently used idle connection to the
 // address, or nil if there is none.
 func (p *Pool) popIdle(address string) *conn {
--- /dev/null
+++ b/reachability/view.go
@@ -0,0 +1,152 @@
+package reachability
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+// Contact is what happened between a VM and an upstream.
+type Contact uint8
+
+// The contacts.
+const (
+	// Received means that something came from the upstream.
+	Received Contact = iota
+	// Connected means that a new connection to it was opened.
+	Connected
+	// NotConnected means that a new connection was refused or not answered.
+	NotConnected
+	// Lost means that a connection ended or was silent instead of an answer.
+	Lost
+)
+
+// Options configure a View.
+type Options struct {
+	// MinUnreached is the number of upstreams that can't be reached from which the way to the
+	// service may be lost; fewer suffice if the service has fewer, or if the way to another
+	// service is lost.
+	MinUnreached int
+	// Quiet is the time without anything from any upstream after which the way counts as lost,
+	// and UnreachedShare the share of unreached upstreams, 0 to 1, from which it does whatever
+	// comes from the others.
+	Quiet          time.Duration
+	UnreachedShare float64
+	// Memory is how long an upstream counts as unreached after its last failure.
+	Memory time.Duration
+	// ClearingProbes is the number of upstreams that have to be reached again, one after the
+	// other, for the way to be back.
+	ClearingProbes int
+}
+
+// DefaultOptions returns the default options.
+func DefaultOptions() Options {
+	return Options{
+		MinUnreached: 3, Quiet: 100 * time.Millisecond, UnreachedShare: 0.75,
+		Memory: 10 * time.Second, ClearingProbes: 3,
+	}
+}
+
+// View is what one VM knows of its way to the upstreams of one service. It is not safe for
+// concurrent use.
+type View struct {
+	opts Options
+	// unreached holds when the last contact with an upstream failed.
+	unreached map[upstream.ID]time.Time
+	// contactAt is when anything last came from any upstream.
+	contactAt time.Time
+	// regained is the number of unreached upstreams that were connected to again since the
+	// last failure.
+	regained int
+}
+
+// NewView returns a View without contacts.
+func NewView(opts Options) *View {
+	return &View{opts: opts, unreached: make(map[upstream.ID]time.Time)}
+}
+
+// Record records a contact.
+func (v *View) Record(u upstream.ID, c Contact, now time.Time) {
+	switch c {
+	case Received:
+		v.contactAt = now
+		delete(v.unreached, u)
+	case Connected:
+		v.contactAt = now
+		v.regain(u)
+	case NotConnected, Lost:
+		v.unreached[u] = now
+		v.regained = 0
+	}
+}
+
+// regain records that an upstream was connected to. If enough of them were, all others are
+// given another chance.
+func (v *View) regain(u upstream.ID) {
+	if _, wasUnreached := v.unreached[u]; !wasUnreached {
+		return
+	}
+	delete(v.unreached, u)
+	v.regained++
+	if v.regained >= v.opts.ClearingProbes {
+		clear(v.unreached)
+	}
+}
+
+// Retain forgets the upstreams that keep returns false for.
+func (v *View) Retain(keep func(upstream.ID) bool) {
+	maps.DeleteFunc(v.unreached, func(u upstream.ID, _ time.Time) bool { return !keep(u) })
+}
+
+// AllReached reports that no upstream is known as unreached.
+func (v *View) AllReached() bool { return len(v.unreached) == 0 }
+
+// Status is how a VM reaches the upstreams of a service.
+type Status struct {
+	// CutOff reports that the way to the service is lost.
+	CutOff bool
+	// Unreached and Usable are the numbers of upstreams that can't be reached, and of all.
+	Unreached, Usable int
+}
+
+// NoneReached reports that the way to the service is lost and every upstream was tried.
+func (s Status) NoneReached() bool { return s.CutOff && s.Unreached == s.Usable }
+
+// Status decides whether the way to the service is lost. Usable are the upstreams that
+// requests may be sent to; othersCutOff reports whether the way to another service is lost.
+func (v *View) Status(usable []upstream.ID, othersCutOff bool, now time.Time) Status {
+	s := Status{Usable: len(usable)}
+	for _, u := range usable {
+		if at, unreached := v.unreached[u]; unreached && now.Sub(at) < v.opts.Memory {
+			s.Unreached++
+		}
+	}
+	needed := min(v.opts.MinUnreached, s.Usable)
+	if othersCutOff {
+		needed = 1
+	}
+	if s.Unreached == 0 || s.Unreached < needed {
+		return s
+	}
+	share := float64(s.Unreached) / float64(s.Usable)
+	s.CutOff = share >= v.opts.UnreachedShare || now.Sub(v.contactAt) >= v.opts.Quiet
+	return s
+}
+
+// Probe returns the upstream to connect to next, by a number drawn from 0 to 1: one that
+// can't be reached if there are any, and false without usable upstreams.
+func (v *View) Probe(usable []upstream.ID, draw float64) (upstream.ID, bool) {
+	candidates := slices.DeleteFunc(slices.Clone(usable), func(u upstream.ID) bool {
+		_, unreached := v.unreached[u]
+		return !unreached
+	})
+	if len(candidates) == 0 {
+		candidates = usable
+	}
+	if len(candidates) == 0 {
+		return "", false
+	}
+	return candidates[min(int(draw*float64(len(candidates))), len(candidates)-1)], true
+}
--- /dev/null
+++ b/reachability/view_test.go
@@ -0,0 +1,133 @@
+package reachability_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/poplarshore/poplarshore/reachability"
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+// upstreams returns the IDs of n upstreams.
+func upstreams(n int) []upstream.ID {
+	ids := make([]upstream.ID, n)
+	for i := range ids {
+		ids[i] = upstream.ID(fmt.Sprintf("u%d", i))
+	}
+	return ids
+}
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// newView returns a view in which all upstreams were reached at the start.
+func newView(usable []upstream.ID) *reachability.View {
+	v := reachability.NewView(reachability.DefaultOptions())
+	for _, u := range usable {
+		v.Record(u, reachability.Received, start)
+	}
+	return v
+}
+
+func TestWayIsLostIfSeveralUpstreamsFailAndNothingComesFromOthers(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	for i, u := range usable[:3] {
+		g.Expect(v.Status(usable, false, at(200)).CutOff).To(BeFalse(), "%d upstreams failed", i)
+		v.Record(u, reachability.NotConnected, at(10*i))
+	}
+	g.Expect(v.Status(usable, false, at(50)).CutOff).To(BeFalse(), "too early")
+	g.Expect(v.Status(usable, false, at(200)).CutOff).To(BeTrue())
+	v.Record(usable[7], reachability.Received, at(190))
+	g.Expect(v.Status(usable, false, at(200)).CutOff).To(BeFalse())
+}
+
+func TestWayIsLostIfNearlyAllUpstreamsFailWhateverComesFromOthers(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	for _, u := range usable[:9] {
+		v.Record(u, reachability.NotConnected, at(10))
+		v.Record(usable[11], reachability.Received, at(10))
+	}
+	g.Expect(v.Status(usable, false, at(11)).CutOff).To(BeTrue())
+}
+
+func TestOneFailureSufficesIfTheWayToAnotherServiceIsLost(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	v.Record(usable[0], reachability.Lost, at(10))
+	g.Expect(v.Status(usable, false, at(500)).CutOff).To(BeFalse())
+	g.Expect(v.Status(usable, true, at(500)).CutOff).To(BeTrue())
+}
+
+func TestWayIsBackAfterProbesOfSeveralUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.NotConnected, at(10))
+	}
+	for i := range 3 {
+		g.Expect(v.Status(usable, false, at(500+i)).CutOff).To(BeTrue(), "%d probes", i)
+		u, ok := v.Probe(usable, 0)
+		g.Expect(ok).To(BeTrue())
+		v.Record(u, reachability.Connected, at(500+i))
+	}
+	g.Expect(v.Status(usable, false, at(900)).CutOff).To(BeFalse())
+	g.Expect(v.AllReached()).To(BeTrue())
+}
+
+func TestFailedProbeBeginsTheCountAgain(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.NotConnected, at(10))
+	}
+	v.Record(usable[0], reachability.Connected, at(20))
+	v.Record(usable[1], reachability.Connected, at(21))
+	v.Record(usable[2], reachability.NotConnected, at(22))
+	v.Record(usable[3], reachability.Connected, at(23))
+	g.Expect(v.AllReached()).To(BeFalse())
+}
+
+func TestUpstreamThatIsGoneIsNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(3)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.NotConnected, at(10))
+	}
+	g.Expect(v.Status(usable, false, at(500)).NoneReached()).To(BeTrue())
+	next := append(usable[1:], "new")
+	v.Retain(func(u upstream.ID) bool { return u != usable[0] })
+	g.Expect(v.Status(next, false, at(500)).NoneReached()).To(BeFalse())
+}
+
+// Whatever the contacts are, the way isn't lost right after all upstreams were heard from.
+func TestWayIsNeverLostRightAfterContactWithAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		usable := upstreams(rapid.IntRange(1, 20).Draw(t, "upstreams"))
+		v := newView(usable)
+		now := 0
+		for range rapid.IntRange(0, 60).Draw(t, "contacts") {
+			now += rapid.IntRange(0, 400).Draw(t, "pause")
+			u := usable[rapid.IntRange(0, len(usable)-1).Draw(t, "upstream")]
+			v.Record(u, reachability.Contact(rapid.IntRange(0, 3).Draw(t, "contact")), at(now))
+		}
+		for _, u := range usable {
+			v.Record(u, reachability.Received, at(now))
+		}
+		if v.Status(usable, true, at(now)).CutOff {
+			t.Fatal("the way counts as lost")
+		}
+	})
+}
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -51,6 +51,9 @@
 	UpstreamsPaused    Reason = "upstreams_paused"
 	Quarantined        Reason = "quarantined"
 	UpstreamsLimited   Reason = "upstreams_limited"
+	OutOfReach         Reason = "upstreams_out_of_reach"
+	PeerBusy           Reason = "peer_busy"
+	PeerBehind         Reason = "peer_behind"
 	RetriesExhausted   Reason = "retries_exhausted"
 	DeadlineExceeded   Reason = "deadline_exceeded"
 	UpstreamFailed     Reason = "upstream_failed"
@@ -131,6 +134,9 @@
 	{Quarantined, ClassUnavailable, http.StatusServiceUnavailable, RanNo, longRetryAfter, "Upstreams that ran such requests crashed."},
 	{UpstreamsPaused, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has asked for a pause."},
 	{UpstreamsLimited, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the requests that every healthy upstream takes."},
+	{OutOfReach, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No VM that was asked reaches an upstream that serves this."},
+	{PeerBusy, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM relays as many requests of other VMs as it may."},
+	{PeerBehind, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has an older configuration than the VM that asked it to relay the request."},
 	{RetriesExhausted, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every try failed before an upstream started."},
 	{DeadlineExceeded, ClassUnavailable, http.StatusGatewayTimeout, RanUnknown, 0, "The answer did not come before the deadline."},
 	{UpstreamFailed, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The upstream failed after it was sent the request."},
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -21,6 +21,12 @@
 	return &Refusal{Spec: specByReason[reason]}
 }
 
+// Known reports whether there is such a reason.
+func Known(reason Reason) bool {
+	_, known := specByReason[reason]
+	return known
+}
+
 // Wrap returns a Refusal for the reason that wraps the cause.
 func Wrap(reason Reason, cause error) *Refusal {
 	return &Refusal{Spec: specByReason[reason], Cause: cause}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// WithdrawFirst implements Budget.
+func (b *Budgets) WithdrawFirst(now time.Time, scopes ...Scope) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range scopes {
+		bucket := b.bucket(s, now)
+		bucket.tokens = max(bucket.tokens-b.opts.Ratio, 0)
+	}
+}
+
 // Consume implements Budget.
 func (b *Budgets) Consume(now time.Time, scopes ...Scope) (Scope, bool) {
 	b.mu.Lock()
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -215,6 +215,12 @@
 	p.budget.RecordFirst(now, s.stepScopes()...)
 }
 
+// Withdraw takes back Begin for a request of which this VM made no attempt, because another
+// VM makes them all.
+func (p *Policy) Withdraw(s *State, now time.Time) {
+	p.budget.WithdrawFirst(now, s.stepScopes()...)
+}
+
 // retryScopes returns the scopes whose budgets a retry or hedge consumes.
 func (s *State) retryScopes() []Scope {
 	return []Scope{{Kind: AccountScope, Name: string(s.Account)}, {Kind: UpstreamScope, Name: s.Group}}
--- a/retry/window_budget.go
+++ b/retry/window_budget.go
@@ -10,6 +10,8 @@
 type Budget interface {
 	// RecordFirst records a first attempt in every scope.
 	RecordFirst(now time.Time, scopes ...Scope)
+	// WithdrawFirst takes back what RecordFirst recorded lately.
+	WithdrawFirst(now time.Time, scopes ...Scope)
 	// Consume consumes one additional attempt from every scope and returns true.
 	// If a scope is exhausted it consumes nothing and returns the first such
 	// scope and false.
@@ -86,6 +88,27 @@
 	}
 }
 
+// WithdrawFirst implements Budget.
+func (w *WindowBudgets) WithdrawFirst(now time.Time, scopes ...Scope) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range scopes {
+		w.window(s, now).withdrawFirst()
+	}
+}
+
+// withdrawFirst takes one first attempt back, from the newest slot that has any.
+func (w *attemptWindow) withdrawFirst() {
+	for i := range int64(attemptWindowSlots) {
+		slot := &w.slots[(w.newestSlot-i+attemptWindowSlots)%attemptWindowSlots]
+		if slot.first > 0 {
+			slot.first--
+			w.first--
+			return
+		}
+	}
+}
+
 // Consume implements Budget.
 func (w *WindowBudgets) Consume(now time.Time, scopes ...Scope) (Scope, bool) {
 	w.mu.Lock()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -17,6 +17,7 @@
 	Health  Listener                    `json:"health" doc:"Where the balancer asks whether this VM is ready."`
 	Metrics Listener                    `json:"metrics" doc:"Where metrics are read, under /metrics."`
 	Peers   Listener                    `json:"peers" doc:"Where other VMs ask what this one read from the store."`
+	Relay   Listener                    `json:"relay" doc:"Where other VMs send their callers' requests while they can't reach upstreams. Only VMs are served there. Default 127.0.0.1:0, a free port."`
 	Seeds   []string                    `json:"seeds" doc:"Addresses of some VMs' peers listeners, to ask after the start; may be stale. Default none."`
 	Hints   string                      `json:"hints" doc:"Where the other VMs' hints on heavy work arrive, over UDP; port 0 takes a free one."`
 	Store   Store                       `json:"store" doc:"The platform's store."`
@@ -79,6 +80,7 @@
 		Health:   Listener{Address: "127.0.0.1:8081"},
 		Metrics:  Listener{Address: "127.0.0.1:8082"},
 		Peers:    Listener{Address: "127.0.0.1:8084"},
+		Relay:    Listener{Address: "127.0.0.1:0"},
 		Seeds:    []string{},
 		Hints:    "127.0.0.1:8083",
 		Store:    Store{CallMS: 1000},
@@ -99,6 +101,7 @@
 	g.Health.check(text, "health")
 	g.Metrics.check(text, "metrics")
 	g.Peers.check(text, "peers")
+	g.Relay.check(text, "relay")
 	for _, seed := range g.Seeds {
 		if _, _, err := net.SplitHostPort(seed); err != nil {
 			text.AddFault("seeds", "must be host:port: %v", err)
