Blame no request for upstreams that a VM lost all at once

No upstream had ended.

Cause: a VM that loses its way loses its connections to all upstreams within milliseconds, and reports each as the end of an upstream. For parts of prompts such ends count once; for whole requests each counted, as a request runs on one upstream at a time - but one that is sent twice by callers, or dropped by a cascade just before, is suspected at several.

Evidence: the evidence of the verdict in the log: three upstreams within 4.3 ms (14973.536, 14974.134, 14977.864 s of the shared clock).

Why this works: where three or more upstreams end within 50 ms, the cause is no request, so these count once for requests, too; two at once still count as two.

TestRequestLostAtSeveralUpstreamsAtOnceIsNeitherFoundNorHeldBack failed before (found).

--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -18,6 +18,9 @@
 	// Separation is the time between two crashes that count as two against a part of a
 	// prompt. Upstreams that end together have a cause in common that is no request.
 	Separation time.Duration
+	// ManyTogether is the number of upstreams that end within Separation from which this holds
+	// for whole requests, too.
+	ManyTogether int
 	// PartCrashesInAll and RequestCrashesInAll are the numbers of crashes from which a key is
 	// found even if others explain them.
 	PartCrashesInAll, RequestCrashesInAll int
@@ -44,7 +47,7 @@
 		Crashes: 3, OnceSoundCrashes: 5, UnclearCrashes: 4, WeakCrashes: 6, MinStrong: 2,
 		PartCrashesInAll: 7, RequestCrashesInAll: 5,
 		HoldCrashes: 2, HoldTime: 3 * time.Second,
-		Separation: 50 * time.Millisecond, SettleTime: 150 * time.Millisecond,
+		Separation: 50 * time.Millisecond, ManyTogether: 3, SettleTime: 150 * time.Millisecond,
 		SoundMemory: 2 * time.Second, Window: 10 * time.Minute,
 		MaxCrashes: 64, MaxSuspects: 192,
 	}
--- a/quarantine/blame_test.go
+++ b/quarantine/blame_test.go
@@ -95,6 +95,18 @@
 	c.Expect(c.found(20 * second)).To(BeEmpty())
 }
 
+// A VM that loses its way to upstreams loses all of its connections at once, and with them
+// requests that came twice.
+func TestRequestLostAtSeveralUpstreamsAtOnceIsNeitherFoundNorHeldBack(t *testing.T) {
+	c := newBlameTest(t)
+	for i := range 3 {
+		c.crashUnder(10*second+time.Duration(2*i)*time.Millisecond, []string{"/lookup"}, "route")
+	}
+	d := c.Decide(11 * second)
+	c.Expect(d.Found).To(BeEmpty())
+	c.Expect(d.Held).To(BeEmpty())
+}
+
 func TestWaitingRequestIsNotSuspectedBesideOneWhoseAnswerHadBegun(t *testing.T) {
 	c := newBlameTest(t)
 	for i := range 3 {
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -72,15 +72,17 @@
 // are any.
 func (b *Blame) candidates(now time.Duration) (all []*candidate, unsettled bool) {
 	byKey := make(map[Key]*candidate)
-	for _, c := range slices.SortedFunc(maps.Values(b.crashes), (*crash).compare) {
+	crashes := slices.SortedFunc(maps.Values(b.crashes), (*crash).compare)
+	for i, c := range crashes {
 		if now < c.at+b.opts.SettleTime {
 			unsettled = true
 			continue
 		}
 		explained := b.explanation(c)
+		amongMany := b.isAmongMany(crashes, i)
 		for key, s := range c.suspects {
 			if !b.found[key] {
-				b.addCrash(byKey, key, s, c, explained == PromptPart || explained == key.Kind)
+				b.addCrash(byKey, key, s, c, explained == PromptPart || explained == key.Kind, amongMany)
 			}
 		}
 	}
@@ -93,16 +95,29 @@
 	return all, unsettled
 }
 
+// isAmongMany reports whether so many upstreams ended together with the i-th one that no
+// request is the cause, such as when a VM loses its way to them. The crashes are in the order
+// of their times.
+func (b *Blame) isAmongMany(crashes []*crash, i int) bool {
+	together := 0
+	for _, c := range crashes {
+		if (c.at - crashes[i].at).Abs() < b.opts.Separation {
+			together++
+		}
+	}
+	return together >= b.opts.ManyTogether
+}
+
 // addCrash adds a crash to the evidence against a key. explained reports whether a key that
-// was found explains the crash.
-func (b *Blame) addCrash(byKey map[Key]*candidate, key Key, s suspicion, c *crash, explained bool) {
+// was found explains the crash, and amongMany whether many upstreams ended together.
+func (b *Blame) addCrash(byKey map[Key]*candidate, key Key, s suspicion, c *crash, explained, amongMany bool) {
 	a := byKey[key]
 	if a == nil {
 		_, onceSound := b.LastSound(key)
 		a = &candidate{key: key, onceSound: onceSound}
 		byKey[key] = a
 	}
-	separate := a.isSeparate(c, b.opts.Separation)
+	separate := a.isSeparate(c, b.opts.Separation, amongMany)
 	if separate {
 		a.inAll++
 		a.countedAt = c.at
@@ -121,10 +136,10 @@
 	a.crashes = append(a.crashes, c)
 }
 
-// isSeparate reports whether a crash counts beside those before. A whole request runs on
-// one upstream at a time.
-func (a *candidate) isSeparate(c *crash, separation time.Duration) bool {
-	return a.key.Kind == WholeRequest || a.inAll == 0 || c.at >= a.countedAt+separation
+// isSeparate reports whether a crash counts beside those before. Those of a whole request do,
+// as it runs on one upstream at a time, unless many upstreams ended together.
+func (a *candidate) isSeparate(c *crash, separation time.Duration, amongMany bool) bool {
+	return a.key.Kind == WholeRequest && !amongMany || a.inAll == 0 || c.at >= a.countedAt+separation
 }
 
 // explanation returns the kind of the widest key found that explains a crash, empty if none
