Keep to a part of the places of upstreams that end if they must reject requests

Callers would see engine after engine end, with all that runs there, in a burst.

Cause: nothing read Server-Brittle. A VM sends where it knows of the fewest requests, and a rejected request goes on to the next engine, up to six times, so that a burst fills and overflows all of them. Class: a promise to upstreams that no decision knows, as with limits that they name.

Services that say nothing are as before.

--- /dev/null
+++ b/internal/engines/brittle_test.go
@@ -0,0 +1,80 @@
+package engines_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/engines"
+)
+
+// fill sends requests through a VM until it finds no upstream, and returns their number.
+func fill(d *engines.Directory) int {
+	for n := 0; ; n++ {
+		choice := d.Choose(engines.Requirements{Service: "s"})
+		if choice.Engine == nil || n > 1000 {
+			return n
+		}
+		choice.Engine.Begin(0)
+	}
+}
+
+// All VMs fill brittle upstreams as far as they may, without knowing of each other.
+func TestVMsTogetherDontFillBrittleUpstreams(t *testing.T) {
+	for _, vms := range []int{1, 6, 60, 300} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			g := NewWithT(t)
+			clock := clockwork.NewFakeClock()
+			inAll, upstreams := 0, []engines.Entry{newEntry("a", "d1"), newEntry("b", "d1"), newEntry("c", "d2")}
+			for rank := range vms {
+				d := newDirectoryOf(clock, rank, vms)
+				d.Replace(upstreams)
+				find(d, "a").SetBrittle(true, clock.Now())
+				inAll += fill(d)
+			}
+			g.Expect(inAll).To(And(BeNumerically(">", 0), BeNumerically("<=", 30)))
+		})
+	}
+}
+
+func TestBrittlenessEndsWithALaterAnswer(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("a", "d1"), newEntry("b", "d1")})
+	sentAt := clock.Now()
+	clock.Advance(time.Second)
+	find(d, "a").SetBrittle(true, clock.Now())
+	g.Expect(d.IsBrittle("s")).To(BeTrue())
+	find(d, "b").SetBrittle(false, sentAt)
+	g.Expect(d.IsBrittle("s")).To(BeTrue(), "an answer to an earlier request")
+	clock.Advance(time.Second)
+	find(d, "b").SetBrittle(false, clock.Now())
+	g.Expect(d.IsBrittle("s")).To(BeFalse())
+}
+
+func TestBrittleUpstreamThatRejectedIsLeftAlone(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("a", "d1")})
+	find(d, "a").MarkRejected()
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("a"), "it is not brittle")
+	d.SetBrittle("a", true)
+	find(d, "a").MarkRejected()
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEmpty())
+	clock.Advance(time.Second)
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("a"))
+	d.MarkRejected("a")
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEmpty(), "another VM's request was rejected")
+}
+
+func TestBrittlenessIsForgottenIfNothingTellsOfIt(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("a", "d1")})
+	d.SetBrittle("a", true)
+	clock.Advance(time.Minute)
+	g.Expect(d.IsBrittle("s")).To(BeFalse())
+}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -61,6 +62,11 @@
 	// OnLimit is called when an answer names another limit than before, in requests per
 	// second, zero for none; nil is not called.
 	OnLimit func(u upstream.Upstream, perSecond float64)
+	// OnBrittle is called when an answer tells that the upstreams of a service end if they
+	// have to reject requests, or don't any more; OnRejected when one of them rejected one. Nil
+	// is not called.
+	OnBrittle  func(u upstream.Upstream, brittle bool)
+	OnRejected func(u upstream.Upstream)
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
 	// OnRemove is called with the address of an upstream that was removed; nil is
@@ -79,10 +85,17 @@
 	// selfReports counts what upstreams report of themselves in their answers.
 	selfReports *prometheus.CounterVec
 
+	// brittle holds the services whose upstreams are brittle. brittleMu may be locked with mu or
+	// the mutex of an engine held.
+	brittleMu sync.RWMutex
+	brittle   map[string]brittleService
+
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
 	byService map[string][]*Engine
-	listed    bool
+	// sizes holds the number of upstreams of each service. It is read without mu.
+	sizes  atomic.Pointer[map[string]int]
+	listed bool
 	// storeDown reports whether the store is unavailable; storeUpAt is when it last
 	// became available again.
 	storeDown bool
@@ -107,16 +120,19 @@
 		Help: "What upstreams report of themselves in their answers: leaving, paused for a while, or limited.",
 	}, []string{"report"})
 	opts.Registry.MustRegister(selfReports)
-	return &Directory{
+	d := &Directory{
 		opts: opts, clock: clock, log: log, selfReports: selfReports,
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
 		policies:  newPolicies(opts.Placement),
+		brittle:   make(map[string]brittleService),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
 		removed:   make(map[upstream.ID]removal),
 		withheld:  make(map[upstream.ID]withheldEntry),
 	}
+	d.sizes.Store(&map[string]int{})
+	return d
 }
 
 // Listed reports whether the list of upstreams has been read at least once.
@@ -271,6 +287,11 @@
 		byService[name] = append(byService[name], e)
 	}
 	d.byService = byService
+	sizes := make(map[string]int, len(byService))
+	for name, engines := range byService {
+		sizes[name] = len(engines)
+	}
+	d.sizes.Store(&sizes)
 	d.breakers.Retain(func(key retry.BreakerKey) bool { return d.byID[key.Upstream] != nil })
 }
 
@@ -281,6 +302,13 @@
 	return d.byService[service]
 }
 
+// find returns the upstream with an ID, or nil.
+func (d *Directory) find(id upstream.ID) *Engine {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.byID[id]
+}
+
 // ForgetFailures forgets what speaks against the upstreams of a service: their recent
 // failures and silence. It is called when this VM's way to them had been lost.
 func (d *Directory) ForgetFailures(service string) {
@@ -298,10 +326,7 @@
 // AddRemoteWork adds prefill work that another VM sent to an upstream; unknown
 // upstreams are ignored.
 func (d *Directory) AddRemoteWork(id upstream.ID, work time.Duration) {
-	d.mu.RLock()
-	e := d.byID[id]
-	d.mu.RUnlock()
-	if e != nil {
+	if e := d.find(id); e != nil {
 		e.AddRemoteWork(work)
 	}
 }
@@ -309,10 +334,7 @@
 // SetRequestLimit records the limit that an upstream named to another VM; zero for none.
 // Unknown upstreams are ignored.
 func (d *Directory) SetRequestLimit(id upstream.ID, perSecond float64) {
-	d.mu.RLock()
-	e := d.byID[id]
-	d.mu.RUnlock()
-	if e != nil {
+	if e := d.find(id); e != nil {
 		e.setRequestLimit(perSecond)
 	}
 }
@@ -320,10 +342,7 @@
 // MarkSilent records that another VM's request to an upstream timed out while nothing came
 // from it. Unknown upstreams are ignored, and so is one that has answered this VM lately.
 func (d *Directory) MarkSilent(id upstream.ID) {
-	d.mu.RLock()
-	e := d.byID[id]
-	d.mu.RUnlock()
-	if e != nil && e.SinceLastReceived() >= recentAnswer {
+	if e := d.find(id); e != nil && e.SinceLastReceived() >= recentAnswer {
 		e.MarkSilent()
 	}
 }
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -35,6 +35,8 @@
 	// remoteRequests is the number of requests from other senders, by the latest
 	// report.
 	remoteRequests int
+	// fullUntil is until when a brittle upstream gets nothing new, as it rejected a request.
+	fullUntil time.Time
 	// pendingWork is the time for which this VM's requests without a response
 	// yet are expected to keep the upstream busy.
 	pendingWork time.Duration
@@ -173,7 +175,7 @@
 	now := e.directory.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.takeGrant(now) {
+	if !e.hasPlace(now) || !e.takeGrant(now) {
 		return nil
 	}
 	a := &Attempt{engine: e, work: work, startedAt: now}
@@ -301,7 +303,7 @@
 	defer e.mu.Unlock()
 	*c = route.Candidate{
 		Upstream: &e.identity, Capacity: entry.Capacity, InFlight: e.inFlight,
-		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), OverLimit: !e.hasGrant(now), RequestDuration: e.serviceTime,
+		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), OverLimit: !e.hasGrant(now), NoPlace: !e.hasPlace(now), RequestDuration: e.serviceTime,
 		BreakerOpen: !d.breakers.Ready(entry.ID, model.Ref{}, now),
 		FirstToken:  time.Duration(e.failureRate * float64(d.opts.Placement.FailurePenalty)),
 		LinkLatency: d.linkLatency(entry.Domain),
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -76,7 +76,7 @@
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
-	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}}
+	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
 	options := func(filters ...route.Filter) route.Options {
 		return route.Options{Sample: route.MaxSample, Filters: append(filters, always...), Scorers: scorers}
 	}
@@ -160,6 +160,7 @@
 	if !ok {
 		choice.BreakersIgnored = true
 		decision, ok = d.policies.ignoringBreakers.Select(&request, candidates)
+		choice.Refused = decision.Refused
 	}
 	if !ok {
 		choice.PauseLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.pauseLeft(now) })
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -29,7 +29,8 @@
 var ErrListen = namespace.NewType("listen")
 
 // Hint announces an expensive request that was sent to an upstream, that the upstream is
-// silent, that it names another limit than before, or that requests crash upstreams.
+// silent, that it names another limit than before, that it is brittle or full, or that
+// requests crash upstreams.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
@@ -41,6 +42,10 @@
 	// Limit announces instead the number of requests per second that the upstream takes
 	// from all VMs together, 0 for no limit; nil announces nothing.
 	Limit *float64 `json:"limit,omitempty"`
+	// Brittle announces instead whether the upstreams of its service end if they have to reject
+	// requests, and Full that it rejected one for want of room.
+	Brittle *bool `json:"brittle,omitempty"`
+	Full    bool  `json:"full,omitzero"`
 	// Quarantine carries evidence on requests that crash upstreams; nil announces nothing.
 	Quarantine *quarantines.Message `json:"quarantine,omitempty"`
 	// Region is the upstream's region. It is not sent.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -107,6 +107,7 @@
 	}
 	if resp.Status != http.StatusMisdirectedRequest {
 		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
+		a.engine.SetBrittle(head.Brittle, a.startedAt)
 	}
 	if head.Sealed && !head.NotRun {
 		a.guarded.BeginAnswer()
@@ -115,6 +116,9 @@
 	if head.HasLoad {
 		a.engine.UpdateLoad(head.Load)
 	}
+	if head.NotRun && resp.Status == http.StatusServiceUnavailable {
+		a.engine.MarkRejected()
+	}
 	return a.handleResponse(resp, head)
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -86,6 +86,8 @@
 	// whether one of them waited for it in vain.
 	notConnected    int
 	connectTimedOut bool
+	// placeWait is how long the request has waited for a place at an upstream.
+	placeWait time.Duration
 	// peersAsked reports whether other VMs were asked to relay the request.
 	peersAsked bool
 }
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -42,9 +42,9 @@
 	// A request is relayed once maxNotConnected attempts found no connection, or one of them
 	// waited for it in vain, even if the way to the service does not count as lost.
 	maxNotConnected = 2
-	// maxNotRunIfLost replaces maxNotRun while the way to the service is lost, and for
-	// requests of other VMs.
-	maxNotRunIfLost = 1
+	// maxNotRunIfScarce replaces maxNotRun while the way to the service is lost, if its
+	// upstreams must not be filled, and for requests of other VMs.
+	maxNotRunIfScarce = 1
 )
 
 // shouldAskPeers reports whether other VMs are to be asked to relay the request.
@@ -173,7 +173,7 @@
 // isFinalFor reports whether every VM would refuse a request for the reason.
 func isFinalFor(reason refusal.Reason) bool {
 	switch reason {
-	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited:
+	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited, refusal.UpstreamsFull:
 		return true
 	}
 	return false
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -12,6 +12,7 @@
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
+	"github.com/poplarshore/poplarshore/route"
 )
 
 // Errors of attempts. The names of the types are outcomes in metrics and logs.
@@ -55,6 +56,9 @@
 			x.notConnected = maxNotConnected
 			continue
 		}
+		if choice.Engine == nil && x.awaitPlace(ctx, choice) {
+			continue
+		}
 		if choice.Engine == nil {
 			return x.fail(noUpstream(choice))
 		}
@@ -88,6 +92,8 @@
 // pause of one has ended.
 func noUpstream(choice engines.Choice) *refusal.Refusal {
 	switch {
+	case choice.Refused[route.NoPlace] > 0:
+		return refusal.New(refusal.UpstreamsFull).WithRetryAfter(fullRetryAfter)
 	case choice.LimitLeft > 0:
 		return refusal.New(refusal.UpstreamsLimited).WithRetryAfter(choice.LimitLeft)
 	case choice.PauseLeft > 0:
@@ -141,8 +147,8 @@
 		x.retryState.Crashes++
 	}
 	notRunLimit := maxNotRun
-	if cutOff || x.hop != nil {
-		notRunLimit = maxNotRunIfLost
+	if cutOff || x.hop != nil || failure.Kind == retry.NotStarted && s.Placement.IsBrittle(x.service) {
+		notRunLimit = maxNotRunIfScarce
 	}
 	if x.dispatches-x.retryState.Attempts > notRunLimit && !x.shouldAskPeers() {
 		return false, x.fail(refusal.Wrap(refusal.RetriesExhausted, err))
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -51,6 +51,7 @@
 	UpstreamsPaused    Reason = "upstreams_paused"
 	Quarantined        Reason = "quarantined"
 	UpstreamsLimited   Reason = "upstreams_limited"
+	UpstreamsFull      Reason = "upstreams_full"
 	OutOfReach         Reason = "upstreams_out_of_reach"
 	PeerBusy           Reason = "peer_busy"
 	PeerBehind         Reason = "peer_behind"
@@ -134,6 +135,7 @@
 	{Quarantined, ClassUnavailable, http.StatusServiceUnavailable, RanNo, longRetryAfter, "Upstreams that ran such requests crashed."},
 	{UpstreamsPaused, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has asked for a pause."},
 	{UpstreamsLimited, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the requests that every healthy upstream takes."},
+	{UpstreamsFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the places of upstreams that must not be filled."},
 	{OutOfReach, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No VM that was asked reaches an upstream that serves this."},
 	{PeerBusy, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM relays as many requests of other VMs as it may."},
 	{PeerBehind, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has an older configuration than the VM that asked it to relay the request."},
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -59,6 +59,9 @@
 	// OverLimit reports that the upstream limits the requests of all VMs, and that this VM has
 	// used its part of them.
 	OverLimit bool
+	// NoPlace reports that the upstream must not be filled, and that this VM has used its part
+	// of the places.
+	NoPlace bool
 	// BreakerOpen reports that a circuit breaker refuses requests to the upstream.
 	BreakerOpen bool
 	// CachedBlocks is the number of leading prompt blocks that are probably in
--- a/route/filter.go
+++ b/route/filter.go
@@ -19,12 +19,14 @@
 	BreakerOpen
 	// Full: the upstream's requests have reached the bound of FullFilter.
 	Full
+	// NoPlace: this VM has used its part of the places of an upstream that must not be filled.
+	NoPlace
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
-	"not_allowed", "tried", "leaving", "paused", "over_limit", "breaker_open", "full",
+	"not_allowed", "tried", "leaving", "paused", "over_limit", "breaker_open", "full", "no_place",
 }
 
 // String returns the label of the reason in metrics.
@@ -95,6 +97,16 @@
 // Pass implements Filter.
 func (LimitFilter) Pass(_ *Request, c *Candidate) bool { return !c.OverLimit }
 
+// PlaceFilter passes upstreams that may be filled, or of whose places this VM has not used
+// its part.
+type PlaceFilter struct{}
+
+// Reason implements Filter.
+func (PlaceFilter) Reason() Reason { return NoPlace }
+
+// Pass implements Filter.
+func (PlaceFilter) Pass(_ *Request, c *Candidate) bool { return !c.NoPlace }
+
 // BreakerFilter passes upstreams to which no circuit breaker refuses requests.
 type BreakerFilter struct{}
 
