Let the number of keep-alive probes agree with TCP_USER_TIMEOUT, and say what ends each dead connection

From the users' pages: where TCP_USER_TIMEOUT is set, it also decides when keep-alive probes give up, whatever their count. It is set at one place, upconn, where the count (2, a second apart, after one second) gave the same 3 s; the comment said that the count decides. No library in use sets the option. No behaviour changes.

Found on the way and open: a write to a caller that is gone has no bound of ours.

--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -24,9 +24,9 @@
 	// MaxIdleConns is the largest number of unused connections to one upstream.
 	// Default 64.
 	MaxIdleConns int
-	// TCPUserTimeout is how long sent data may remain unacknowledged before the
-	// connection is closed. It is also the time limit for writing a request.
-	// Default 3 s.
+	// TCPUserTimeout is how long sent data, or keep-alive probes, may remain unacknowledged
+	// before the connection is closed. It is also the time limit for writing a request.
+	// Default 3 s, so that an upstream that is silent for a second keeps its connections.
 	TCPUserTimeout time.Duration
 	// LocalAddress is the address of this host that connections come from; the host chooses
 	// one if it is invalid.
@@ -48,13 +48,19 @@
 
 const (
 	readBufferBytes = 4 << 10
-	// TCP keep-alive probes detect a dead peer on a connection without
-	// unacknowledged data: the first is sent after keepAliveInterval without
-	// traffic, and the connection is closed after keepAliveProbes without reply.
+	// keepAliveInterval is the time without traffic after which TCP keep-alive probes begin,
+	// and between two of them. They detect a dead peer on a connection without unacknowledged
+	// data.
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
 )
 
+// keepAliveProbes returns the number of unanswered keep-alive probes after which a connection
+// ends. Where TCP_USER_TIMEOUT is set, as it is here, that alone decides on Linux when the
+// probes give up; the number only agrees with it.
+func (o Options) keepAliveProbes() int {
+	return max(int(o.TCPUserTimeout/keepAliveInterval)-1, 1)
+}
+
 // Pool holds the unused connections to all upstreams. It is safe for concurrent
 // use.
 type Pool struct {
@@ -89,7 +95,7 @@
 func newDialer(opts Options) *net.Dialer {
 	dialer := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: opts.keepAliveProbes(),
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
