Use an upstream again as soon as something comes from it after a silence

Callers were served by the other engines, which then had more to do: an engine that sent nothing to a request for the time that it may take was avoided for 3 s by all VMs, whatever came from it meanwhile.

Cause: the mark of a silent upstream ended by time only. What comes from it shows that it goes on; the mark ends with that. TestUpstreamThatAnswersAgainIsNotAvoided failed before. Engines that go on to be silent for some requests only are as before: they are not marked while others are answered.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -221,11 +221,13 @@
 	e.failureRate, e.silentUntil = 0, time.Time{}
 }
 
-// MarkReceived records that a part of the response arrived.
+// MarkReceived records that a part of the response arrived. The upstream is not silent any
+// more.
 func (a *Attempt) MarkReceived() {
 	a.engine.mu.Lock()
 	defer a.engine.mu.Unlock()
 	a.engine.lastReceivedAt = a.engine.directory.clock.Now()
+	a.engine.silentUntil = time.Time{}
 	a.engine.clearPending(a)
 }
 
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -330,3 +330,16 @@
 		g.Expect(chooseID(d, req)).To(Equal(large))
 	}
 }
+
+// A sound upstream may be silent for a second and go on.
+func TestUpstreamThatAnswersAgainIsNotAvoided(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("near", "d1"), newEntry("far", "d2")})
+	running := find(d, "near").Begin(0)
+	find(d, "near").MarkSilent()
+	clock.Advance(time.Second)
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("far"))
+	running.MarkReceived()
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("near"))
+}
