--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -337,6 +337,7 @@
 	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("near", "d1"), newEntry("far", "d2")})
 	running := find(d, "near").Begin(0)
+	find(d, "far").Begin(0)
 	find(d, "near").MarkSilent()
 	clock.Advance(time.Second)
 	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("far"))
