Cut VMs off from upstreams and let engines fall over in the soak

VMs, one to all but one, lose the way to all engines: reset, silent, or closed to new connections, one time in three in turns; the checker compares first tries there with those at other VMs. Model engines fall over if they reject requests, under a burst of three; the checker counts falls.

--- a/internal/gatewayd/command.go
+++ b/internal/gatewayd/command.go
@@ -14,22 +14,22 @@
 )
 
 // NewCommand returns the command that runs the gateway with the settings file
-// given by its flags.
-func NewCommand() *cobra.Command {
+// given by its flags, and with the options.
+func NewCommand(opts ...Option) *cobra.Command {
 	s := settings.DefaultGateway()
 	return command.NewDaemonCommand(command.Program{
 		Name: "gateway", Short: "Run the gateway of the users' platform on this entry VM",
 		Example:     "  poplarshored gateway --settings /etc/poplarshore/gateway.json",
 		DefaultPath: "/etc/poplarshore/gateway.json",
 		Settings:    s,
-		Run:         func(cmd *cobra.Command) error { return run(cmd, s) },
+		Run:         func(cmd *cobra.Command) error { return run(cmd, s, opts) },
 	})
 }
 
 // run serves until the first SIGTERM or SIGINT and then stops gracefully. A second
 // signal aborts the requests that are still running.
-func run(cmd *cobra.Command, s *settings.Gateway) error {
-	d := New(s, cmd.OutOrStdout(), clockwork.NewRealClock())
+func run(cmd *cobra.Command, s *settings.Gateway, opts []Option) error {
+	d := New(s, cmd.OutOrStdout(), clockwork.NewRealClock(), opts...)
 	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
 	defer stopSignals()
 	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -61,6 +61,8 @@
 	c.checkExclusions()
 	c.checkLimits()
 	c.checkCulprits()
+	c.checkCuts()
+	c.checkBrittleTimes()
 	if n := c.testbed.addEngineErrors.Load(); n > 0 {
 		c.addViolation("%d upstreams could not be started after a crash", n)
 	}
@@ -202,7 +204,8 @@
 	}
 	for _, s := range c.report.plannedStops {
 		from := s.at.Add(-c.bounds.SettleTime)
-		undisturbed := c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) && s.vm.disturbances.noneOverlap(from, x.doneAt)
+		undisturbed := c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) && s.vm.disturbances.noneOverlap(from, x.doneAt) &&
+			s.vm.cuts.noneOverlap(from, x.doneAt)
 		if s.vm == x.vm && undisturbed && x.sentAt.Before(s.at.Add(s.acceptsFor)) && x.doneAt.After(s.at) {
 			c.addViolation("%s: response was truncated by the planned stop of %s after %s: %v", x.id, x.vm.ID, x.doneAt.Sub(x.sentAt), x.response.Err)
 		}
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"os"
 
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
@@ -19,7 +20,7 @@
 // soak.ErrStart if a run could not start.
 func New() *cobra.Command {
 	o := soak.DefaultOptions()
-	runs := 1
+	runs, cuts := 1, true
 	cmd := &cobra.Command{
 		Use:   "poplarshore-soak",
 		Short: "Run gateways under injected faults and check what callers and upstreams see",
@@ -27,8 +28,18 @@
 			"  target/poplarshore-soak --binary target/poplarshored --seed 1 --runs 50 --duration 20s",
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
-		RunE:         func(cmd *cobra.Command, _ []string) error { return run(cmd, o, runs) },
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if cuts {
+				self, err := os.Executable()
+				if err != nil {
+					return soak.ErrStart.Wrap(err, "find own program")
+				}
+				o.CuttableBinary = self
+			}
+			return run(cmd, o, runs)
+		},
 	}
+	cmd.AddCommand(newGatewayCommand())
 	f := cmd.Flags()
 	f.StringVar(&o.Binary, "binary", "target/poplarshored", "path of poplarshored")
 	f.StringVar(&o.Dir, "dir", "", "directory for settings and logs; empty creates a new one for each run")
@@ -41,6 +52,8 @@
 	f.IntVar(&o.ConcurrentFaults, "hands", o.ConcurrentFaults, "maximum number of faults at the same time")
 	f.BoolVar(&o.Limits, "limits", o.Limits, "let engines name limits, as one of the faults")
 	f.BoolVar(&o.Crashes, "crashes", o.Crashes, "let requests crash engines, as one of the faults")
+	f.BoolVar(&o.Brittle, "brittle", o.Brittle, "let engines fall over if they have to reject requests, as one of the faults")
+	f.BoolVar(&cuts, "cuts", true, "cut gateways off from engines, as one of the faults; they then run within this program instead of --binary")
 	f.StringSliceVar(&o.Only, "only", nil, "inject only faults of these kinds; default all")
 	f.BoolVar(&o.Restores, "restores", o.Restores, "restore the store from older copies, as one of the faults")
 	return cmd
--- /dev/null
+++ b/soak/command/gateway.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/poplarshore/poplarshore/internal/gatewayd"
+	"github.com/poplarshore/poplarshore/platform/standin"
+	"github.com/poplarshore/poplarshore/soak"
+)
+
+// newGatewayCommand returns the command that runs a gateway whose way to upstreams can be
+// cut. The soak runs it.
+func newGatewayCommand() *cobra.Command {
+	way := &standin.Way{}
+	cmd := gatewayd.NewCommand(gatewayd.WithUpstreamDial(way.DialContext))
+	cmd.Hidden = true
+	control, mode := "", 0
+	cmd.Flags().StringVar(&control, "control", "", "host:port that takes changes of the way to upstreams")
+	cmd.Flags().IntVar(&mode, "way", 0, "mode of the way at first")
+	runGateway := cmd.RunE
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		way.SetMode(standin.WayMode(mode))
+		server := &http.Server{Addr: control, Handler: controlOf(way)}
+		go func() { _ = server.ListenAndServe() }()
+		defer func() { _ = server.Close() }()
+		return runGateway(cmd, args)
+	}
+	return cmd
+}
+
+// controlOf returns the handler that sets the mode of a way to the number in the body.
+func controlOf(way *standin.Way) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+soak.WayPath, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		mode, err := strconv.Atoi(string(body))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		way.SetMode(standin.WayMode(mode))
+	})
+	return mux
+}
--- a/soak/process.go
+++ b/soak/process.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +35,10 @@
 	binary       string
 	settingsFile string
 	logFile      *os.File
+	// control is the host:port at which the process takes changes of wayMode, its way to
+	// upstreams; empty if it can't be cut off.
+	control string
+	wayMode atomic.Int32
 
 	// stopMu is held during a planned stop. A second SIGTERM would end the grace period
 	// of the first one.
@@ -46,11 +52,12 @@
 	incarnation int
 	// disturbances are the intervals in which the VM was killed, was paused or had a
 	// faulty link to the store. stopPeriods are those of planned stops, until the restart.
-	disturbances, stopPeriods intervals
+	// cuts are those in which it was cut off from upstreams.
+	disturbances, stopPeriods, cuts intervals
 }
 
 // addresses are the host:port pairs on which a VM listens.
-type addresses struct{ callers, health, metrics, peers string }
+type addresses struct{ callers, health, metrics, peers, control string }
 
 // newVM writes the settings of a VM to dir and opens its log there. It does not start the
 // process. Errors: ErrStart.
@@ -101,7 +108,7 @@
 func freeAddresses(vms int) ([]addresses, error) {
 	free := make([]addresses, vms)
 	for i := range free {
-		for _, address := range []*string{&free[i].callers, &free[i].health, &free[i].metrics, &free[i].peers} {
+		for _, address := range []*string{&free[i].callers, &free[i].health, &free[i].metrics, &free[i].peers, &free[i].control} {
 			listener, err := net.Listen("tcp", loopbackHost()+":0")
 			if err != nil {
 				return nil, ErrStart.Wrap(err, "find a free port")
@@ -120,7 +127,11 @@
 	if v.process != nil {
 		return nil
 	}
-	cmd := exec.Command(v.binary, "gateway", "--settings", v.settingsFile)
+	args := []string{"gateway", "--settings", v.settingsFile}
+	if v.control != "" {
+		args = append(args, "--control", v.control, "--way", strconv.Itoa(int(v.wayMode.Load())))
+	}
+	cmd := exec.Command(v.binary, args...)
 	cmd.Stdout, cmd.Stderr = v.logFile, v.logFile
 	if err := cmd.Start(); err != nil {
 		return ErrStart.Wrap(err, "start process of %s", v.ID)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,11 @@
 	Limits bool
 	// Crashes includes requests that crash engines among the faults.
 	Crashes bool
+	// CuttableBinary is the path of poplarshore-soak. Its gateways can be cut off from upstreams,
+	// which is then among the faults; empty leaves it out.
+	CuttableBinary string
+	// Brittle includes engines that fall over if they have to reject requests among the faults.
+	Brittle bool
 	// Only restricts the faults to these kinds; empty allows all.
 	Only []string
 	// Bounds are the time bounds that are checked.
@@ -42,7 +47,7 @@
 // to be set.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true, Crashes: true,
+		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true, Crashes: true, Brittle: true,
 		Bounds: DefaultBounds(),
 	}
 }
@@ -66,6 +71,8 @@
 	plannedStops []plannedStop
 	exclusions   []exclusion
 	limits       []namedLimit
+	cuts         []cut
+	brittleTimes []brittleTime
 }
 
 func (r *Report) addViolation(format string, args ...any) {
@@ -151,6 +158,12 @@
 	if o.Crashes {
 		faults.kinds = append(slices.Clip(faults.kinds), crashFaults...)
 	}
+	if o.CuttableBinary != "" {
+		faults.kinds = append(slices.Clip(faults.kinds), cutFault)
+	}
+	if o.Brittle {
+		faults.kinds = append(slices.Clip(faults.kinds), brittleFault)
+	}
 	if len(o.Only) > 0 {
 		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,11 +22,11 @@
 	{9303, 3, "two faults stopped the same VM 0.6 s apart, and the second SIGTERM ended its grace period"},
 }
 
-// binary builds poplarshored in a temporary directory and returns its path.
-func binary(t *testing.T) string {
+// binary builds a program in a temporary directory and returns its path.
+func binary(t *testing.T, program string) string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "poplarshored")
-	out, err := exec.Command("go", "build", "-o", path, "github.com/poplarshore/poplarshore/cmd/poplarshored").CombinedOutput()
+	path := filepath.Join(t.TempDir(), program)
+	out, err := exec.Command("go", "build", "-o", path, "github.com/poplarshore/poplarshore/cmd/"+program).CombinedOutput()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
 	return path
 }
@@ -37,7 +37,7 @@
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
 	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binaryPath, t.TempDir(), seed, concurrentFaults
-	o.Restores, o.Limits, o.Crashes = restores, restores, restores
+	o.Restores, o.Limits, o.Crashes, o.Brittle = restores, restores, restores, false
 	o.Duration, o.VMs, o.Engines, o.Rate = 6*time.Second, 3, 3, 30
 	report, err := soak.Run(t.Context(), o)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -47,11 +47,25 @@
 }
 
 func TestShortSoakHasNoViolations(t *testing.T) {
-	run(t, binary(t), 1, 1, true)
+	run(t, binary(t, "poplarshored"), 1, 1, true)
+}
+
+// VMs are cut off from engines, and engines fall over if they reject requests, beside
+// configurations.
+func TestShortSoakOfCutsAndBrittleEnginesHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.CuttableBinary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), t.TempDir(), 1, 2
+	o.Duration, o.VMs, o.Engines, o.Rate, o.Only = 12*time.Second, 3, 3, 30, []string{"cut_off", "brittle", "configure"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("cut_off"))
+	g.Expect(report.Faults).To(HaveKey("brittle"))
 }
 
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
-	path := binary(t)
+	path := binary(t, "poplarshored")
 	for _, r := range regressions {
 		t.Log(r.seed, r.cause)
 		run(t, path, r.seed, r.concurrentFaults, false)
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -58,6 +58,12 @@
 	// successors that could not be started.
 	crashes         intervals
 	addEngineErrors atomic.Int32
+	// engineCapacity is the capacity of model engines; 0 means the default one. burst is the
+	// number of requests that come in place of one.
+	engineCapacity int
+	burst          atomic.Int32
+	// brittleness is that of model engines; nil while they are sound.
+	brittleness atomic.Pointer[standin.Brittleness]
 
 	mu sync.Mutex // guards the fields below
 	// culprits are what made requests crash upstreams, and active those whose requests come.
@@ -67,7 +73,9 @@
 	registeredEngines map[string]*engine
 	allEngines        []*engine // in the order of their start, removed ones included
 	engineCount       int       // engines ever created; makes their IDs unique
-	configVersion     int64
+	// fellAt holds when brittle engines fell over.
+	fellAt        []time.Time
+	configVersion int64
 	// configurations are the configurations that the store accepted, oldest first.
 	configurations []configuration
 	keys           map[string]bool
@@ -85,7 +93,8 @@
 // incomplete testbed, which has to be closed.
 func newTestbed(o Options, dir string) (*testbed, error) {
 	b := &testbed{
-		store: standin.NewStore(), registeredEngines: make(map[string]*engine), keys: map[string]bool{permanentKey: true},
+		engineCapacity: engineCapacity(o),
+		store:          standin.NewStore(), registeredEngines: make(map[string]*engine), keys: map[string]bool{permanentKey: true},
 	}
 	b.store.FaultFor = func(string) standin.Fault { return standin.Fault(b.storeFault.Load()) }
 	b.storeHTTP = httptest.NewServer(b.store)
@@ -114,11 +123,18 @@
 		seeds = append(seeds, a.peers)
 	}
 	for i := range o.VMs {
-		v, err := newVM(vm.ID(fmt.Sprintf("vm-%d", i+1)), domains[i%len(domains)], o.Binary, dir,
+		binary := o.Binary
+		if o.CuttableBinary != "" {
+			binary = o.CuttableBinary
+		}
+		v, err := newVM(vm.ID(fmt.Sprintf("vm-%d", i+1)), domains[i%len(domains)], binary, dir,
 			strings.TrimPrefix(b.storeHTTP.URL, "http://"), seeds, addrs[i])
 		if err != nil {
 			return err
 		}
+		if o.CuttableBinary != "" {
+			v.control = addrs[i].control
+		}
 		b.vms = append(b.vms, v)
 		if err := v.start(); err != nil {
 			return err
@@ -135,13 +151,22 @@
 	e := &engine{Engine: &standin.Engine{
 		ID: fmt.Sprintf("%s-%s-%d", service, version, b.engineCount), Service: service, Version: version, Zone: string(zone),
 	}}
+	if service == modelService {
+		e.Capacity = b.engineCapacity
+	}
 	e.Behave = func(r *http.Request) standin.Behaviour {
+		if e.Service == modelService {
+			e.SetBrittleness(b.brittleness.Load())
+		}
 		if b.crashFor(r) {
 			return crashBehaviour(e.Service == modelService)
 		}
 		return e.behave(r)
 	}
-	e.OnCrash = func(*standin.Engine) { b.restart(e) }
+	e.OnCrash = func(*standin.Engine) {
+		b.recordFall(e)
+		b.restart(e)
+	}
 	e.Start()
 	link, err := NewLink(e.Address())
 	if err != nil {
@@ -154,6 +179,16 @@
 	return nil
 }
 
+// recordFall records that an engine ended, if it did by its rejections.
+func (b *testbed) recordFall(e *engine) {
+	if !e.Fell() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fellAt = append(b.fellAt, time.Now())
+}
+
 // behave fails failurePercent of the requests. Of the others, half of those to the small
 // model get a low-confidence response, so that the large model runs as well.
 func (e *engine) behave(r *http.Request) standin.Behaviour {
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -107,12 +107,14 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			x := g.nextRequest(rng)
-			client := g.reusingClient
-			if rng.IntN(2) == 0 {
-				client = g.singleUseClient
+			for range max(g.testbed.burst.Load(), 1) {
+				x := g.nextRequest(rng)
+				client := g.reusingClient
+				if rng.IntN(2) == 0 {
+					client = g.singleUseClient
+				}
+				wait.Go(func() { g.send(client, x) })
 			}
-			wait.Go(func() { g.send(client, x) })
 		}
 	}
 }
