Pass an upstream's 403 on as its answer when another VM relays it

Found by reading: a response with status 403 through another VM was taken for that VM's refusal at its door, so that the request went to a further VM and ran again, also if it may run only once, and the caller got 503 although it had run. The refusal at the door has a field of its own now, like all others.

--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -155,7 +155,7 @@
 func (x *exchange) refusalOf(resp *upconn.Response) error {
 	reason := refusal.Reason(resp.Header.Get(headerRefusal))
 	switch {
-	case reason == "" && resp.Status != http.StatusForbidden:
+	case reason == "":
 		return nil
 	case !refusal.Known(reason):
 		return &peerRefusedError{status: resp.Status}
--- a/internal/relay/peer_protocol.go
+++ b/internal/relay/peer_protocol.go
@@ -14,6 +14,9 @@
 	headerConfigVersion = "Poplarshore-Config-Version"
 	// headerRefusal is the reason of a refusal by the VM itself, in its response.
 	headerRefusal = "Poplarshore-Refusal"
+	// refusedAtDoor is in place of a reason if the sender is no known VM, or its fields are
+	// invalid. What the VM answers without headerRefusal is the upstream's.
+	refusedAtDoor = "at_door"
 )
 
 // peerRequest is what a VM says of a request that it asks another one to relay.
--- a/internal/relay/peer_server.go
+++ b/internal/relay/peer_server.go
@@ -20,19 +20,25 @@
 	if err != nil || !s.IsPeer(sender.Addr().Unmap()) {
 		s.Metrics.relayed.WithLabelValues("unknown_sender").Inc()
 		s.Log.Warn("request to relay refused: its sender is no known VM", "sender", r.RemoteAddr)
-		w.WriteHeader(http.StatusForbidden)
+		refuseAtDoor(w, http.StatusForbidden)
 		return
 	}
 	hop, ok := takePeerRequest(r.Header)
 	if !ok {
 		s.Metrics.relayed.WithLabelValues("invalid").Inc()
 		s.Log.Warn("request to relay refused: invalid header", "sender", r.RemoteAddr)
-		w.WriteHeader(http.StatusBadRequest)
+		refuseAtDoor(w, http.StatusBadRequest)
 		return
 	}
 	s.serve(w, r, &hop)
 }
 
+// refuseAtDoor refuses a request that was not read any further.
+func refuseAtDoor(w http.ResponseWriter, status int) {
+	w.Header().Set(headerRefusal, refusedAtDoor)
+	w.WriteHeader(status)
+}
+
 // admitRelayed returns why a request of another VM is refused at once, or nil. If it returns
 // nil, releaseRelayed must be called.
 func (x *exchange) admitRelayed() *refusal.Refusal {
