Ask VMs of other failure domains soon if one of a domain refuses to relay

Found by reading: where a whole failure domain with many VMs is cut off, each of them would ask three of its neighbours, which are cut off as well, and forget that after a second, so that no request reached a VM of another domain. The VMs of a domain of which one refused are dearer now for 3 s, unless they are proven. TestVMsOfOtherDomainsAreAskedSoonIfAWholeDomainIsCutOff failed before.

--- a/internal/peerrelay/chooser.go
+++ b/internal/peerrelay/chooser.go
@@ -36,6 +36,15 @@
 	// provenAt is when a VM last relayed a request for a service, and leftUntil until when it
 	// is left alone; for all services under an empty name.
 	provenAt, leftUntil map[standingKey]time.Time
+	// domainRefusedAt is when a VM of a failure domain last refused a request for a service:
+	// its other VMs may have lost the way, too.
+	domainRefusedAt map[domainKey]time.Time
+}
+
+// domainKey identifies what is known of the VMs of a failure domain regarding a service.
+type domainKey struct {
+	domain  domain.ID
+	service string
 }
 
 // standingKey identifies what is known of a VM regarding a service.
@@ -49,14 +58,17 @@
 	return &Chooser{
 		opts: opts, inFlight: make(map[vm.ID]int),
 		provenAt: make(map[standingKey]time.Time), leftUntil: make(map[standingKey]time.Time),
+		domainRefusedAt: make(map[domainKey]time.Time),
 	}
 }
 
 const (
 	// leaveFor is how long a VM that could not relay a request is left alone.
 	leaveFor = time.Second
-	// provenFor is how long a VM is preferred after it relayed a request.
-	provenFor = 3 * time.Second
+	// provenFor is how long a VM is preferred after it relayed a request, and doubtedFor how
+	// long the VMs of a failure domain are not after one of them refused.
+	provenFor  = 3 * time.Second
+	doubtedFor = 3 * time.Second
 
 	// Costs of a VM, as times: of the way to it, of each request that it relays for this VM
 	// already, and of not knowing whether it can.
@@ -65,6 +77,7 @@
 	otherRegionCost   = 60 * time.Millisecond
 	costPerRequest    = 4 * time.Millisecond
 	costIfNotProven   = 20 * time.Millisecond
+	costIfDoubted     = 200 * time.Millisecond
 	maxCandidates     = 32
 	standingsPerSweep = 4096
 )
@@ -75,6 +88,7 @@
 	// Address is the host:port of its listener for relayed requests.
 	Address string
 
+	domain  domain.ID
 	service string
 	chooser *Chooser
 }
@@ -96,7 +110,7 @@
 		return nil, false
 	}
 	c.inFlight[best.ID]++
-	return &Peer{ID: best.ID, Address: best.Relay.String(), service: service, chooser: c}, true
+	return &Peer{ID: best.ID, Address: best.Relay.String(), domain: best.Domain, service: service, chooser: c}, true
 }
 
 // candidates returns VMs that may be asked, at most maxCandidates, in random order. The
@@ -132,6 +146,9 @@
 	provenAt, known := c.provenAt[standingKey{m.ID, service}]
 	if !known || now.Sub(provenAt) > provenFor {
 		cost += costIfNotProven
+		if refusedAt, refused := c.domainRefusedAt[domainKey{m.Domain, service}]; refused && now.Sub(refusedAt) < doubtedFor {
+			cost += costIfDoubted
+		}
 	}
 	return cost + time.Duration(c.inFlight[m.ID])*costPerRequest
 }
@@ -165,6 +182,7 @@
 		c.provenAt[standingKey{p.ID, p.service}] = now
 	case RefusedService:
 		c.leftUntil[standingKey{p.ID, p.service}] = now.Add(leaveFor)
+		c.domainRefusedAt[domainKey{p.domain, p.service}] = now
 	case Unavailable:
 		c.leftUntil[standingKey{vm: p.ID}] = now.Add(leaveFor)
 	}
--- a/internal/peerrelay/chooser_test.go
+++ b/internal/peerrelay/chooser_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +120,21 @@
 	g.Expect(peerrelay.IsMember(others, netip.MustParseAddr("10.0.0.0"))).To(BeFalse())
 	g.Expect(peerrelay.IsMember(fleet(1), netip.MustParseAddr("10.0.0.0"))).To(BeTrue())
 }
+
+// All VMs of this VM's failure domain are cut off, and there are many of them.
+func TestVMsOfOtherDomainsAreAskedSoonIfAWholeDomainIsCutOff(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newChooser(fleet(300))
+	var tried []vm.ID
+	for range 2 {
+		p, ok := c.Choose(service, tried)
+		g.Expect(ok).To(BeTrue())
+		if id, err := strconv.Atoi(strings.TrimPrefix(string(p.ID), "vm-")); err == nil && id%3 != 0 {
+			p.End(peerrelay.Relayed)
+			return
+		}
+		p.End(peerrelay.RefusedService)
+		tried = append(tried, p.ID)
+	}
+	t.Fatal("only VMs of the own domain were asked")
+}
