Notice sooner that the way to upstreams is lost again

Cuts may come in turns. Each time a VM had to fail at three upstreams before it relayed at once; for 15 s after the way was lost one failure suffices now, if nothing comes from any other upstream. TestOneFailureSufficesSoonAfterTheWayWasLost failed before.

--- a/reachability/view.go
+++ b/reachability/view.go
@@ -36,6 +36,9 @@
 	UnreachedShare float64
 	// Memory is how long an upstream counts as unreached after its last failure.
 	Memory time.Duration
+	// RecentLoss is the time after the way was lost in which one unreached upstream suffices, as
+	// it is often lost again.
+	RecentLoss time.Duration
 	// ClearingProbes is the number of upstreams that have to be reached again, one after the
 	// other, for the way to be back.
 	ClearingProbes int
@@ -45,7 +48,7 @@
 func DefaultOptions() Options {
 	return Options{
 		MinUnreached: 3, Quiet: 100 * time.Millisecond, UnreachedShare: 0.75,
-		Memory: 10 * time.Second, ClearingProbes: 3,
+		Memory: 10 * time.Second, RecentLoss: 15 * time.Second, ClearingProbes: 3,
 	}
 }
 
@@ -57,6 +60,8 @@
 	unreached map[upstream.ID]time.Time
 	// contactAt is when anything last came from any upstream.
 	contactAt time.Time
+	// lostAt is when the way was last seen lost.
+	lostAt time.Time
 	// regained is the number of unreached upstreams that were connected to again since the
 	// last failure.
 	regained int
@@ -124,7 +129,7 @@
 		}
 	}
 	needed := min(v.opts.MinUnreached, s.Usable)
-	if othersCutOff {
+	if othersCutOff || !v.lostAt.IsZero() && now.Sub(v.lostAt) < v.opts.RecentLoss {
 		needed = 1
 	}
 	if s.Unreached == 0 || s.Unreached < needed {
@@ -132,6 +137,9 @@
 	}
 	share := float64(s.Unreached) / float64(s.Usable)
 	s.CutOff = share >= v.opts.UnreachedShare || now.Sub(v.contactAt) >= v.opts.Quiet
+	if s.CutOff {
+		v.lostAt = now
+	}
 	return s
 }
 
--- a/reachability/view_test.go
+++ b/reachability/view_test.go
@@ -68,6 +68,24 @@
 	g.Expect(v.Status(usable, true, at(500)).CutOff).To(BeTrue())
 }
 
+func TestOneFailureSufficesSoonAfterTheWayWasLost(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	for _, u := range usable[:3] {
+		v.Record(u, reachability.NotConnected, at(10))
+	}
+	g.Expect(v.Status(usable, false, at(500)).CutOff).To(BeTrue())
+	for _, u := range usable {
+		v.Record(u, reachability.Received, at(1000))
+	}
+	v.Record(usable[5], reachability.Lost, at(3000))
+	g.Expect(v.Status(usable, false, at(3200)).CutOff).To(BeTrue())
+	v.Record(usable[5], reachability.Received, at(3300))
+	v.Record(usable[5], reachability.Lost, at(20_000))
+	g.Expect(v.Status(usable, false, at(20_200)).CutOff).To(BeFalse())
+}
+
 func TestWayIsBackAfterProbesOfSeveralUpstreams(t *testing.T) {
 	g := NewWithT(t)
 	usable := upstreams(12)
