--- a/internal/engines/brittle.go
+++ b/internal/engines/brittle.go
@@ -117,12 +117,8 @@
 		return false
 	}
 	rank, vms := e.directory.opts.Rank()
-	sharedNow, known := e.directory.opts.SharedClock.Now()
-	if !known {
-		sharedNow = time.Duration(now.UnixNano())
-	}
 	return limit.Places{
 		Capacity: entry.Capacity, Upstreams: (*e.directory.sizes.Load())[entry.Service], VMs: vms, Rank: rank, Offset: int(e.hash % uint64(vms)),
 		Reported: now.Sub(e.reportedAt) < placesReportTTL, Others: e.remoteRequests,
-	}.Allow(e.inFlight, sharedNow)
+	}.Allow(e.inFlight, e.directory.sharedTime(now))
 }
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -302,6 +302,15 @@
 	return d.byService[service]
 }
 
+// sharedTime returns the time on the clock that all VMs share; the local time while that is
+// not known.
+func (d *Directory) sharedTime(now time.Time) time.Duration {
+	if shared, known := d.opts.SharedClock.Now(); known {
+		return shared
+	}
+	return time.Duration(now.UnixNano())
+}
+
 // find returns the upstream with an ID, or nil.
 func (d *Directory) find(id upstream.ID) *Engine {
 	d.mu.RLock()
@@ -323,34 +332,6 @@
 	})
 }
 
-// AddRemoteWork adds prefill work that another VM sent to an upstream; unknown
-// upstreams are ignored.
-func (d *Directory) AddRemoteWork(id upstream.ID, work time.Duration) {
-	if e := d.find(id); e != nil {
-		e.AddRemoteWork(work)
-	}
-}
-
-// SetRequestLimit records the limit that an upstream named to another VM; zero for none.
-// Unknown upstreams are ignored.
-func (d *Directory) SetRequestLimit(id upstream.ID, perSecond float64) {
-	if e := d.find(id); e != nil {
-		e.setRequestLimit(perSecond)
-	}
-}
-
-// MarkSilent records that another VM's request to an upstream timed out while nothing came
-// from it. Unknown upstreams are ignored, and so is one that has answered this VM lately.
-func (d *Directory) MarkSilent(id upstream.ID) {
-	if e := d.find(id); e != nil && e.SinceLastReceived() >= recentAnswer {
-		e.MarkSilent()
-	}
-}
-
-// recentAnswer is the time since an upstream's last answer within which another VM's report
-// that it is silent is ignored: the path from that VM may be cut.
-const recentAnswer = 500 * time.Millisecond
-
 // Counts returns the number of upstreams by service and state, which is "ready"
 // or "leaving".
 func (d *Directory) Counts() map[[2]string]int {
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -1,14 +1,12 @@
 package engines
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/quarantine"
-	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/route"
 	"github.com/poplarshore/poplarshore/upstream"
 )
@@ -105,87 +103,6 @@
 // Leaving reports whether the upstream is draining and gets no new requests.
 func (e *Engine) Leaving() bool { return e.leaving.Load() }
 
-// MarkLeaving marks the upstream as leaving, as it reported itself.
-func (e *Engine) MarkLeaving() {
-	if !e.leaving.CompareAndSwap(false, true) {
-		return
-	}
-	d := e.directory
-	d.selfReports.WithLabelValues("leaving").Inc()
-	d.log.Info("upstream reports that it is leaving", "upstream", e.ID(), "service", e.entry().Service)
-}
-
-// maxPause bounds the time for which an upstream may pause this VM.
-const maxPause = time.Minute
-
-// Pause sends no new requests to the upstream for the given time, because it asked for
-// that. A shorter pause does not end a longer one.
-func (e *Engine) Pause(d time.Duration) {
-	d = min(d, maxPause)
-	until := e.directory.clock.Now().Add(d)
-	e.mu.Lock()
-	extended := until.After(e.pausedUntil)
-	if extended {
-		e.pausedUntil = until
-	}
-	e.mu.Unlock()
-	if extended {
-		e.directory.selfReports.WithLabelValues("paused").Inc()
-		e.directory.log.Info("upstream asks for a pause", "upstream", e.ID(), "pause_ms", d.Milliseconds())
-	}
-}
-
-// Result describes how an attempt ended.
-type Result struct {
-	// Failed reports whether the attempt failed through the upstream's fault.
-	Failed bool
-	// Inconclusive reports whether the attempt says nothing about the upstream,
-	// such as one cancelled by the caller.
-	Inconclusive bool
-	// Took is the time that the attempt occupied the upstream; zero if unknown.
-	Took time.Duration
-}
-
-const (
-	// ewmaWeight is the weight of the newest observation in the exponentially
-	// weighted moving averages.
-	ewmaWeight = 0.15
-	// reportTTL is how long a load report is used.
-	reportTTL = 3 * time.Second
-	// maxHintedWork bounds the work that one announcement by another VM adds.
-	maxHintedWork = 10 * time.Second
-)
-
-// Attempt is one request in flight on an upstream.
-type Attempt struct {
-	engine   *Engine
-	permit   retry.Permit
-	admitted bool
-	// work is the request's share of the upstream's pending work; zero once a
-	// part of the response arrived.
-	work      time.Duration
-	startedAt time.Time
-}
-
-// Begin registers an attempt in flight. Work is how long the upstream is expected
-// to process the request before it responds. End must be called on the result. It
-// returns nil if this VM's part of the upstream's limit has been used since the upstream
-// was chosen.
-func (e *Engine) Begin(work time.Duration) *Attempt {
-	now := e.directory.clock.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.hasPlace(now) || !e.takeGrant(now) {
-		return nil
-	}
-	a := &Attempt{engine: e, work: work, startedAt: now}
-	a.permit, a.admitted = e.directory.breakers.Acquire(e.ID(), model.Ref{}, now)
-	e.inFlight++
-	e.pendingWork += work
-	e.pending = append(e.pending, a)
-	return a
-}
-
 // AddRemoteWork adds prefill work that another VM sent to the upstream.
 func (e *Engine) AddRemoteWork(work time.Duration) {
 	now := e.directory.clock.Now()
@@ -197,40 +114,6 @@
 	e.remoteWorkUntil = e.remoteWorkUntil.Add(min(work, maxHintedWork))
 }
 
-// SilencePenalty is for how long an upstream is avoided after a request to it timed out
-// while nothing came from it.
-const SilencePenalty = 3 * time.Second
-
-// MarkSilent records that a request to the upstream timed out while nothing came from it.
-// The upstream may have stopped responding. Without this it would look idle, above all under a load that
-// fills the others. It adds to the cost of the upstream and not to its expected wait: it
-// is used if there is no other, as this VM may itself have been frozen or cut off.
-func (e *Engine) MarkSilent() {
-	until := e.directory.clock.Now().Add(SilencePenalty)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if until.After(e.silentUntil) {
-		e.silentUntil = until
-	}
-}
-
-// forgetFailures forgets the upstream's recent failures and silence.
-func (e *Engine) forgetFailures() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.failureRate, e.silentUntil = 0, time.Time{}
-}
-
-// MarkReceived records that a part of the response arrived. The upstream is not silent any
-// more.
-func (a *Attempt) MarkReceived() {
-	a.engine.mu.Lock()
-	defer a.engine.mu.Unlock()
-	a.engine.lastReceivedAt = a.engine.directory.clock.Now()
-	a.engine.silentUntil = time.Time{}
-	a.engine.clearPending(a)
-}
-
 // SinceLastReceived returns the time since the upstream last sent anything to
 // this VM.
 func (e *Engine) SinceLastReceived() time.Duration {
@@ -239,63 +122,6 @@
 	return e.directory.clock.Since(e.lastReceivedAt)
 }
 
-// clearPending removes an attempt from the pending work. The caller holds mu.
-func (e *Engine) clearPending(a *Attempt) {
-	e.pendingWork -= a.work
-	a.work = 0
-	if i := slices.Index(e.pending, a); i >= 0 {
-		e.pending = slices.Delete(e.pending, i, i+1)
-	}
-}
-
-// End records how the attempt ended. It must be called exactly once.
-func (a *Attempt) End(r Result) {
-	e := a.engine
-	if a.admitted {
-		e.recordBreaker(&a.permit, r)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.inFlight--
-	e.clearPending(a)
-	if r.Inconclusive {
-		return
-	}
-	failure := 0.0
-	if r.Failed {
-		failure = 1
-	}
-	e.failureRate += ewmaWeight * (failure - e.failureRate)
-	if r.Took > 0 && !r.Failed {
-		e.serviceTime += time.Duration(ewmaWeight * float64(r.Took-e.serviceTime))
-	}
-}
-
-// recordBreaker reports the result of an attempt to the circuit breaker.
-func (e *Engine) recordBreaker(permit *retry.Permit, r Result) {
-	if r.Inconclusive {
-		permit.Abandon()
-		return
-	}
-	permit.Done(!r.Failed, e.directory.clock.Now())
-}
-
-// UpdateLoad stores the upstream's own load report.
-func (e *Engine) UpdateLoad(l route.Load) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.report, e.reportedAt = l, e.directory.clock.Now()
-	e.remoteRequests = max(l.Running+l.Waiting-e.inFlight, 0)
-}
-
-// pauseLeft returns how long the upstream's pause still lasts; zero or less if it is not
-// paused.
-func (e *Engine) pauseLeft(now time.Time) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.pausedUntil.Sub(now)
-}
-
 // fillCandidate fills in the upstream as a candidate for selection. FirstToken is
 // the expected wait plus the penalty for recent failures.
 func (e *Engine) fillCandidate(c *route.Candidate, now time.Time) {
--- a/internal/engines/limit.go
+++ b/internal/engines/limit.go
@@ -60,15 +60,10 @@
 }
 
 // grants returns how the upstream's limit is divided among the VMs, and the time on the
-// shared clock; the local time while that is not known. The caller holds mu, as for the
-// following methods.
+// shared clock. The caller holds mu, as for the following methods.
 func (e *Engine) grants(now time.Time) (limit.Grants, time.Duration) {
 	rank, vms := e.directory.opts.Rank()
-	sharedNow, known := e.directory.opts.SharedClock.Now()
-	if !known {
-		sharedNow = time.Duration(now.UnixNano())
-	}
-	return limit.Grants{PerSecond: e.requestLimit, VMs: vms, Rank: rank}, sharedNow
+	return limit.Grants{PerSecond: e.requestLimit, VMs: vms, Rank: rank}, e.directory.sharedTime(now)
 }
 
 // hasGrant reports whether the upstream's limit allows this VM a request.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarshore/poplarshore/account"
-	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -124,137 +121,6 @@
 	MS int64 `json:"ms"`
 }
 
-// admit prepares an exchange for its first attempt: it finds the route and the
-// client account, sets the deadline, and reads the body. Every error it returns
-// is a refusal.
-func (x *exchange) admit(r *http.Request) error {
-	s := x.server
-	x.deadline = x.startedAt.Add(s.opts.DefaultDeadline)
-	if x.hop != nil {
-		if refused := x.admitRelayed(); refused != nil {
-			return refused
-		}
-	}
-	if refused := x.awaitStartup(r.Context()); refused != nil {
-		return refused
-	}
-	if x.table = s.Tables.Table(); x.table == nil {
-		return refusal.New(refusal.ConfigurationStale)
-	}
-	if x.route = x.table.Match(x.request.Host, x.request.Path); x.route == nil {
-		return refusal.New(refusal.PathUnknown)
-	}
-	x.priority = x.route.Priority
-	if err := x.authenticate(); err != nil {
-		return err
-	}
-	x.setDeadline()
-	if err := x.readBody(r); err != nil {
-		return err
-	}
-	x.initRouting()
-	if x.hop != nil {
-		if refused := x.checkRelayed(); refused != nil {
-			return refused
-		}
-	}
-	return nil
-}
-
-const (
-	// startupWait is how long a request waits for the first configuration after
-	// the process started, but at most the caller's deadline divided by
-	// startupWaitDivisor.
-	startupWait        = 600 * time.Millisecond
-	startupWaitDivisor = 8
-	// startupPoll is the interval at which the configuration is checked.
-	startupPoll = 5 * time.Millisecond
-)
-
-// awaitStartup returns the reason why new requests are refused, or nil. A process
-// reads its configuration shortly after it starts, so a request that arrives
-// before that waits for a short time instead of being refused at once.
-func (x *exchange) awaitStartup(ctx context.Context) *refusal.Refusal {
-	s := x.server
-	limit := startupWait
-	if x.request.Deadline > 0 {
-		limit = min(limit, x.request.Deadline/startupWaitDivisor)
-	}
-	for {
-		refused := s.AdmissionRefusal()
-		if refused == nil || refused.Reason != refusal.ConfigurationStale || s.Clock.Since(x.startedAt) >= limit {
-			return refused
-		}
-		select {
-		case <-ctx.Done():
-			return refusal.Wrap(refusal.CallerGone, ctx.Err())
-		case <-s.Clock.After(startupPoll):
-		}
-	}
-}
-
-// authenticate finds the client account of the caller's key. Public routes, and
-// configurations without keys, need none.
-func (x *exchange) authenticate() error {
-	if !x.table.KeysRequired() || x.route.Public {
-		return nil
-	}
-	a := x.table.Account(x.request.Key)
-	if a == nil {
-		return refusal.New(refusal.Unauthorized)
-	}
-	x.account = a.ID
-	if a.HasPriority {
-		x.priority = a.Priority
-	}
-	return nil
-}
-
-// setDeadline sets the deadline from the route's timeout and the caller's own
-// deadline, whichever is sooner.
-func (x *exchange) setDeadline() {
-	limit := x.server.opts.DefaultDeadline
-	if x.route.Timeout > 0 {
-		limit = x.route.Timeout
-	}
-	if x.request.Deadline > 0 {
-		limit = min(limit, x.request.Deadline)
-	}
-	x.deadline = x.startedAt.Add(limit)
-}
-
-// readBody reads the whole request body into memory, as further attempts may
-// have to send it again.
-func (x *exchange) readBody(r *http.Request) error {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil
-	}
-	limit := x.table.Limits().MaxBodyBytes
-	if limit <= 0 {
-		limit = int64(x.server.opts.MaxBufferedBytes)
-	}
-	if r.ContentLength > limit {
-		return refusal.New(refusal.BodyTooLarge)
-	}
-	timeout := min(x.server.opts.BodyTimeout, time.Until(x.deadline))
-	if err := x.control.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		x.server.Log.Debug("failed to set read deadline for request body", "request", x.request.ID, "error", err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	if clearErr := x.control.SetReadDeadline(time.Time{}); clearErr != nil {
-		x.server.Log.Debug("failed to clear read deadline of request body", "request", x.request.ID, "error", clearErr)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		x.body = body
-		return nil
-	case errors.As(err, &tooLarge):
-		return refusal.Wrap(refusal.BodyTooLarge, err)
-	}
-	return refusal.Wrap(refusal.BodyTimeout, err)
-}
-
 // fractionBits is the number of random bits in the fraction of a float64.
 const fractionBits = 53
 
@@ -280,41 +146,6 @@
 	}
 }
 
-// chooseFirstModel selects the model of the first attempt, if the router selects
-// models for this request.
-func (x *exchange) chooseFirstModel() {
-	if !x.routerPicksModel() {
-		return
-	}
-	s := x.server
-	x.modelIndex = s.opts.Cascade.First(cascade.FirstInput{
-		Models: len(x.route.Models), RunsLeft: x.retryState.MaxAttempts,
-		SecondRunAllowed: s.Retry.CanStep(&x.retryState, s.Clock.Now()),
-		DirectStart:      x.strongestFirstEvent(0),
-		SteppedStart:     x.strongestFirstEvent(s.prefill.estimate(x.route.Models[0], x.request.PromptTokens) + firstEventBase),
-	})
-}
-
-// strongestFirstEvent returns when the first event of the strongest model is
-// expected if the model is asked after the given delay. The time counts from the
-// start of the exchange and is a fraction of the latency target; it is 0 without
-// a target.
-func (x *exchange) strongestFirstEvent(delay time.Duration) float64 {
-	s := x.server
-	if x.route.TargetLatency <= 0 {
-		return 0
-	}
-	strongest := x.route.Models[len(x.route.Models)-1]
-	firstEvent := s.Clock.Since(x.startedAt) + delay + s.prefill.estimate(strongest, x.request.PromptTokens) + firstEventBase
-	return float64(firstEvent) / float64(x.route.TargetLatency)
-}
-
-// routerPicksModel reports whether the router selects the model: the request
-// names none and the route lists some.
-func (x *exchange) routerPicksModel() bool {
-	return x.request.Model == "" && len(x.route.Models) > 0
-}
-
 // requirements returns the criteria for the upstream of the next attempt.
 func (x *exchange) requirements() engines.Requirements {
 	req := engines.Requirements{
