Announce no relay listener that other VMs can't reach

Found by reading: a VM whose settings name no relay listener opens one on loopback, and announced that address to all VMs, which would have asked themselves. It announces none now, with a log line, unless its feed is on loopback, too.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -280,13 +280,9 @@
 		d.log.Error("VM is not announced to the other VMs: invalid address of its peers listener", "error", err)
 		return
 	}
-	relayAddress, err := netip.ParseAddrPort(d.relayServer.Address())
-	if err != nil {
-		d.log.Error("VM relays no requests of other VMs: invalid address of its relay listener", "error", err)
-	}
 	members.NewAnnouncer(members.AnnouncerOptions{
 		List: d.vms, Member: members.Member{
-			Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed, Relay: relayAddress,
+			Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed, Relay: d.announcedRelay(feed.Addr()),
 		},
 		Seeds: d.settings.Seeds, Self: d.settings.Peers.Address, Collector: d.collector,
 		Writer: d.store, Clock: d.clock, Log: d.log,
--- a/internal/gatewayd/reach.go
+++ b/internal/gatewayd/reach.go
@@ -54,5 +54,16 @@
 	return options
 }
 
+// announcedRelay returns the address at which other VMs may ask this one to relay requests,
+// invalid if they can't reach it: it is a loopback address, and that of the VM's feed isn't.
+func (d *Daemon) announcedRelay(feed netip.Addr) netip.AddrPort {
+	address, err := netip.ParseAddrPort(d.relayServer.Address())
+	if err != nil || address.Addr().IsLoopback() && !feed.IsLoopback() {
+		d.log.Warn("this VM relays no requests of other VMs: they can't reach the relay listener", "address", d.relayServer.Address(), "error", err)
+		return netip.AddrPort{}
+	}
+	return address
+}
+
 // isPeer reports whether an address is that of another VM.
 func (d *Daemon) isPeer(address netip.Addr) bool { return peerrelay.IsMember(d.vms.Others(), address) }
