Resume a relayed stream with its model, and leave a dark engine to this VM while others answer

Two things found by reading. A stream that is resumed through another VM began again with the smallest model there: the model that the caller has a part of goes along now (TestPeerReadsWhatTheCallerSent). And one connect that nothing answered let a request go to another VM although other engines go on answering this one: that VM may try the same dark engine. Now it does only if nothing comes from any engine, or after two such connects.

--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -108,7 +108,7 @@
 	UpstreamHeader(s UpstreamAttempt) http.Header
 	// PeerHeader returns the header of a caller's request for another VM, which reads it with
 	// ReadRequest.
-	PeerHeader(r *Request, lastEvent string, timeLeft time.Duration) http.Header
+	PeerHeader(s UpstreamAttempt) http.Header
 	// ReadHead parses the status and header of an upstream's response.
 	ReadHead(status int, h http.Header) Head
 	// AnswersRequest reports whether the response with header h answers request r.
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -40,7 +40,8 @@
 	// maxPeersAsked is the number of VMs that are asked to relay a request.
 	maxPeersAsked = 3
 	// A request is relayed once maxNotConnected attempts found no connection, or one of them
-	// waited for it in vain, even if the way to the service does not count as lost.
+	// waited for it in vain and nothing comes from other upstreams, even if the way to the
+	// service does not count as lost.
 	maxNotConnected = 2
 	// maxNotRunIfScarce replaces maxNotRun while the way to the service is lost, if its
 	// upstreams must not be filled, and for requests of other VMs.
@@ -52,7 +53,8 @@
 	if x.hop != nil || x.peersAsked || x.attemptsLeft() < 1 {
 		return false
 	}
-	return x.notConnected >= maxNotConnected || x.connectTimedOut || x.server.Reach.Status(x.service).CutOff
+	status := x.server.Reach.Status(x.service)
+	return status.CutOff || x.notConnected >= maxNotConnected || x.connectTimedOut && status.Quiet
 }
 
 // attemptsLeft returns how many further attempts the request may have.
@@ -119,7 +121,7 @@
 // exchangeWithPeer sends the request to a VM and forwards its response.
 func (x *exchange) exchangeWithPeer(ctx context.Context, peer *peerrelay.Peer) error {
 	s := x.server
-	header := s.Protocol.PeerHeader(x.request, x.lastEvent, x.timeLeft())
+	header := s.Protocol.PeerHeader(x.attemptThroughPeer())
 	peerRequest{from: s.VM, attemptsLeft: x.attemptsLeft(), config: x.table.Version()}.addTo(header)
 	resp, err := s.PeerPool.Do(ctx, upconn.Call{
 		Address: peer.Address,
@@ -150,6 +152,16 @@
 	return body.writeTo(x)
 }
 
+// attemptThroughPeer describes the attempt for the header sent to another VM. A stream that
+// the caller has a part of goes on with the same model.
+func (x *exchange) attemptThroughPeer() UpstreamAttempt {
+	a := UpstreamAttempt{Request: x.request, LastEvent: x.lastEvent, TimeLeft: x.timeLeft()}
+	if x.headerSent {
+		a.Model = x.model()
+	}
+	return a
+}
+
 // refusalOf returns the refusal that a response of another VM states, or nil. It is a
 // peerRefusedError if a further VM may serve the request.
 func (x *exchange) refusalOf(resp *upconn.Response) error {
--- a/reachability/view.go
+++ b/reachability/view.go
@@ -112,6 +112,8 @@
 type Status struct {
 	// CutOff reports that the way to the service is lost.
 	CutOff bool
+	// Quiet reports that nothing came from any upstream for Options.Quiet.
+	Quiet bool
 	// Unreached and Usable are the numbers of upstreams that can't be reached, and of all.
 	Unreached, Usable int
 }
@@ -122,7 +124,7 @@
 // Status decides whether the way to the service is lost. Usable are the upstreams that
 // requests may be sent to; othersCutOff reports whether the way to another service is lost.
 func (v *View) Status(usable []upstream.ID, othersCutOff bool, now time.Time) Status {
-	s := Status{Usable: len(usable)}
+	s := Status{Usable: len(usable), Quiet: now.Sub(v.contactAt) >= v.opts.Quiet}
 	for _, u := range usable {
 		if at, unreached := v.unreached[u]; unreached && now.Sub(at) < v.opts.Memory {
 			s.Unreached++
@@ -136,7 +138,7 @@
 		return s
 	}
 	share := float64(s.Unreached) / float64(s.Usable)
-	s.CutOff = share >= v.opts.UnreachedShare || now.Sub(v.contactAt) >= v.opts.Quiet
+	s.CutOff = s.Quiet || share >= v.opts.UnreachedShare
 	if s.CutOff {
 		v.lostAt = now
 	}
