--- a/experiment/brittle/scenario.go
+++ b/experiment/brittle/scenario.go
@@ -48,5 +48,6 @@
 	{Name: "6 VMs, hot prefix", VMs: 6, Upstreams: 12, Capacity: 64, Tolerated: 1, Load: 0.4, Burst: 1.5, Hot: 0.4, Service: time.Second},
 	{Name: "6 VMs, upstream returns, hints lost", VMs: 6, Upstreams: 12, Capacity: 64, Tolerated: 1, Load: 0.6, Burst: 1.5, Service: time.Second, HintLoss: 0.5, Returns: true},
 	{Name: "60 VMs, burst of 2", VMs: 60, Upstreams: 40, Capacity: 64, Tolerated: 1, Load: 0.5, Burst: 2, Service: time.Second},
+	{Name: "82 VMs, 24 plain upstreams, burst of 3", VMs: 82, Upstreams: 24, Capacity: 6, Tolerated: 1, Load: 0.25, Burst: 3, Service: 30 * time.Millisecond},
 	{Name: "300 VMs, burst of 2", VMs: 300, Upstreams: 240, Capacity: 64, Tolerated: 1, Load: 0.5, Burst: 2, Service: time.Second},
 }
--- a/experiment/brittle/simulation.go
+++ b/experiment/brittle/simulation.go
@@ -63,6 +63,8 @@
 	targets []target
 	views   [][]view
 	weights []float64
+	// offsets are those of the upstreams in the division of places.
+	offsets []int
 	events  eventQueue
 	waiting []*request
 
@@ -77,6 +79,9 @@
 		sum += 0.2 + sim.rng.Float64()
 		sim.weights = append(sim.weights, sum)
 	}
+	for range s.Upstreams {
+		sim.offsets = append(sim.offsets, sim.rng.IntN(s.VMs))
+	}
 	for _, views := range sim.views {
 		for i := range views {
 			views[i].reportedAt = -time.Hour
@@ -189,7 +194,7 @@
 		return s.now >= v.pausedUntil && s.knownLoad(vm, at) < s.Capacity
 	}
 	return s.now >= v.pausedUntil && limit.Places{
-		Capacity: s.Capacity, Upstreams: s.Upstreams, VMs: s.VMs, Rank: vm, Offset: at,
+		Capacity: s.Capacity, Upstreams: s.Upstreams, VMs: s.VMs, Rank: vm, Offset: s.offsets[at],
 		Reported: s.now-v.reportedAt <= reportTTL, Others: v.others,
 	}.Allow(v.inFlight, s.now)
 }
--- a/limit/places_test.go
+++ b/limit/places_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -55,10 +56,11 @@
 			g := NewWithT(t)
 			for rank := range fleet.vms {
 				allowed := 0
-				for i := range 40 {
-					for offset := range fleet.upstreams {
+				for i := range 200 {
+					for u := range fleet.upstreams {
+						offset := int(xxhash.Sum64String(fmt.Sprint("upstream-", u)) % uint64(fleet.vms))
 						p := limit.Places{Capacity: fleet.capacity, Upstreams: fleet.upstreams, VMs: fleet.vms, Rank: rank, Offset: offset}
-						if p.Allow(0, time.Duration(i)*500*time.Millisecond) {
+						if p.Allow(0, time.Duration(i)*700*time.Millisecond) {
 							allowed++
 						}
 					}
