--- a/reachability/view.go
+++ b/reachability/view.go
@@ -145,18 +145,29 @@
 	return s
 }
 
-// Probe returns the upstream to connect to next, by a number drawn from 0 to 1: one that
-// can't be reached if there are any, and false without usable upstreams.
+// Probe returns the upstream to connect to next, by a number drawn from 0 to 1, and false
+// without usable upstreams. Half of the probes go to those that are not known as unreached: if
+// one of them is reached, only some upstreams are not.
 func (v *View) Probe(usable []upstream.ID, draw float64) (upstream.ID, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(usable), func(u upstream.ID) bool {
-		_, unreached := v.unreached[u]
-		return !unreached
-	})
-	if len(candidates) == 0 {
-		candidates = usable
+	var reached, unreached []upstream.ID
+	for _, u := range usable {
+		if _, failed := v.unreached[u]; failed {
+			unreached = append(unreached, u)
+			continue
+		}
+		reached = append(reached, u)
 	}
-	if len(candidates) == 0 {
+	candidates := slices.Concat(unreached, reached)
+	switch {
+	case len(candidates) == 0:
 		return "", false
+	case len(unreached) == 0 || len(reached) == 0:
+		return candidates[indexOf(draw, len(candidates))], true
+	case draw < 0.5:
+		return reached[indexOf(2*draw, len(reached))], true
 	}
-	return candidates[min(int(draw*float64(len(candidates))), len(candidates)-1)], true
+	return unreached[indexOf(2*draw-1, len(unreached))], true
 }
+
+// indexOf returns the index in n elements for a number drawn from 0 to 1.
+func indexOf(draw float64, n int) int { return min(int(draw*float64(n)), n-1) }
