Keep the promise of a refusal that another VM gave for a relayed request

Found by reading: where another VM refused for a reason that holds at any VM (paused, limited, full, quarantined, overloaded), the attempts given to it counted as made, so that the caller got 502, which promises nothing, in place of 503 with when to come back. TestRefusalOfRelayedRequestStaysTrue failed before (502).

--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -30,12 +30,23 @@
 	return fmt.Sprintf("another VM did not relay the request: status %d, %q", e.status, e.reason)
 }
 
-// hasNotRunAtPeer reports whether an attempt through another VM failed before the request ran.
-func hasNotRunAtPeer(err error) bool {
+// isForOthers reports whether an attempt through another VM failed in a way that leaves the
+// request to a further VM: it has not run.
+func isForOthers(err error) bool {
 	var refused *peerRefusedError
 	return errorx.IsOfType(err, upconn.ErrNotSent) || errors.As(err, &refused)
 }
 
+// mayHaveRunAtPeer reports whether the request may have run after an attempt through another
+// VM. A refusal with status 503 promises that it has not.
+func mayHaveRunAtPeer(err error) bool {
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable {
+		return false
+	}
+	return !isForOthers(err)
+}
+
 const (
 	// maxPeersAsked is the number of VMs that are asked to relay a request.
 	maxPeersAsked = 3
@@ -80,7 +91,7 @@
 		if ended, endErr := x.ended(ctx); ended {
 			return true, endErr
 		}
-		if !hasNotRunAtPeer(err) {
+		if !isForOthers(err) {
 			return true, x.peerFailure(err)
 		}
 	}
@@ -106,10 +117,10 @@
 	startedAt := s.Clock.Now()
 	made, left := x.retryState.Attempts, x.attemptsLeft()
 	err := x.exchangeWithPeer(ctx, peer)
-	if made == 0 && !hasNotRunAtPeer(err) {
+	if made == 0 && mayHaveRunAtPeer(err) {
 		s.Retry.Withdraw(&x.retryState, s.Clock.Now())
 	}
-	if err != nil && !hasNotRunAtPeer(err) {
+	if err != nil && mayHaveRunAtPeer(err) {
 		// How many attempts the VM made is not known.
 		x.retryState.Attempts += left
 	}
