End a relayed request that finds no upstream

Found by reading: a VM that relays a request whose only upstream refuses its connection asked itself again and again whether to ask other VMs, which a relayed request may not, until the deadline, with a busy processor; the caller got 504 after its whole time. The condition is one method now. TestRelayedRequestWithoutUpstreamIsRefusedSoon failed before (504).

--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -59,9 +59,15 @@
 	maxNotRunIfScarce = 1
 )
 
+// mayAskPeers reports whether other VMs may be asked to relay the request: once, and not
+// for one that this VM relays itself.
+func (x *exchange) mayAskPeers() bool {
+	return x.hop == nil && !x.peersAsked && x.attemptsLeft() >= 1
+}
+
 // shouldAskPeers reports whether other VMs are to be asked to relay the request.
 func (x *exchange) shouldAskPeers() bool {
-	if x.hop != nil || x.peersAsked || x.attemptsLeft() < 1 {
+	if !x.mayAskPeers() {
 		return false
 	}
 	status := x.server.Reach.Status(x.service)
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -52,7 +52,7 @@
 			}
 		}
 		choice := s.Placement.Choose(x.requirements())
-		if choice.Engine == nil && x.notConnected > 0 && !x.peersAsked {
+		if choice.Engine == nil && x.notConnected > 0 && x.mayAskPeers() {
 			x.notConnected = maxNotConnected
 			continue
 		}
