--- a/experiment/brittle/doc.go
+++ b/experiment/fragile/doc.go
@@ -1,4 +1,4 @@
-// Package brittle measures how often upstreams that end if they have to reject requests do
+// Package fragile measures how often upstreams that end if they have to reject requests do
 // so, against the service that VMs give up to prevent it.
 //
 // Requests arrive at random at unevenly loaded VMs, run on upstreams with a number of
@@ -6,4 +6,4 @@
 // second ends with all that it runs, and is back empty after some seconds. The VMs know
 // their own requests, what upstreams reported with their last answer, and what hints tell;
 // all of it late. The simulation advances in ticks.
-package brittle
+package fragile
--- a/experiment/brittle/brittle_test.go
+++ b/experiment/fragile/fragile_test.go
@@ -1,4 +1,4 @@
-package brittle
+package fragile
 
 import (
 	"testing"
@@ -16,8 +16,8 @@
 		t.Run(s.Name, func(t *testing.T) {
 			g := NewWithT(t)
 			none, divided := measure(s, Unbounded, 1), measure(s, Divided, 1)
-			g.Expect(none.MaxFalls).To(BeNumerically(">", none.Allowed))
-			g.Expect(divided.MaxFalls).To(BeNumerically("<=", divided.Allowed))
+			g.Expect(none.MaxEnds).To(BeNumerically(">", none.Allowed))
+			g.Expect(divided.MaxEnds).To(BeNumerically("<=", divided.Allowed))
 			g.Expect(divided.Served).To(BeNumerically(">", none.Served))
 		})
 	}
--- a/experiment/brittle/scenario.go
+++ b/experiment/fragile/scenario.go
@@ -1,4 +1,4 @@
-package brittle
+package fragile
 
 import "time"
 
--- a/experiment/brittle/simulation.go
+++ b/experiment/fragile/simulation.go
@@ -1,4 +1,4 @@
-package brittle
+package fragile
 
 import (
 	"math"
@@ -68,7 +68,7 @@
 	events  eventQueue
 	waiting []*request
 
-	sent, served, falls int
+	sent, served, ends int
 }
 
 func newSimulation(s Scenario, rule Rule, seed uint64) *simulation {
@@ -255,7 +255,7 @@
 	s.events.add(s.now+s.delay(), func() { s.rejected(r) })
 	if len(t.rejectedAt) > s.Tolerated {
 		s.end(r.at)
-		s.falls++
+		s.ends++
 	}
 }
 
--- a/experiment/reach/reach_test.go
+++ b/experiment/reach/reach_test.go
@@ -10,7 +10,7 @@
 // hardly ever takes that for a lost way.
 func TestLostWayIsNoticedInTimeAndSeldomWrongly(t *testing.T) {
 	for _, s := range Scenarios {
-		if s.PerSecond < 5 || s.trouble == refusesNew || s.trouble == falls {
+		if s.PerSecond < 5 || s.trouble == refusesNew || s.trouble == pauses {
 			continue
 		}
 		t.Run(s.Name, func(t *testing.T) {
--- a/experiment/reach/scenario.go
+++ b/experiment/reach/scenario.go
@@ -11,7 +11,7 @@
 	silence
 	refusesNew
 	crashes
-	falls
+	pauses
 )
 
 // isCut reports whether the VM is cut off.
@@ -47,6 +47,6 @@
 	{Name: "half of 12 upstreams end", Upstreams: 12, PerSecond: 10, Takes: time.Second, HeaderWait: streamWait, trouble: crashes, share: 0.5, lasts: 4 * time.Second},
 	{Name: "1 of 3 plain upstreams ends", Upstreams: 3, PerSecond: 5, Takes: 20 * time.Millisecond, HeaderWait: callWait, trouble: crashes, share: 0.34, lasts: 4 * time.Second},
 	{Name: "half of 12 upstreams end, 1 request a second", Upstreams: 12, PerSecond: 1, Takes: time.Second, HeaderWait: streamWait, trouble: crashes, share: 0.5, lasts: 4 * time.Second},
-	{Name: "12 upstreams are silent for a second", Upstreams: 12, PerSecond: 10, Takes: time.Second, HeaderWait: streamWait, trouble: falls, share: 1, lasts: time.Second},
-	{Name: "3 plain upstreams are silent for a second", Upstreams: 3, PerSecond: 5, Takes: 20 * time.Millisecond, HeaderWait: callWait, trouble: falls, share: 1, lasts: time.Second},
+	{Name: "12 upstreams are silent for a second", Upstreams: 12, PerSecond: 10, Takes: time.Second, HeaderWait: streamWait, trouble: pauses, share: 1, lasts: time.Second},
+	{Name: "3 plain upstreams are silent for a second", Upstreams: 3, PerSecond: 5, Takes: 20 * time.Millisecond, HeaderWait: callWait, trouble: pauses, share: 1, lasts: time.Second},
 }
--- a/experiment/reach/simulation.go
+++ b/experiment/reach/simulation.go
@@ -139,7 +139,7 @@
 	switch {
 	case s.isConcerned(u, s.now) && s.trouble == silence:
 		s.add(s.now+connectTimeout, u, reachability.NotConnected)
-	case s.isConcerned(u, s.now) && s.trouble != falls:
+	case s.isConcerned(u, s.now) && s.trouble != pauses:
 		s.add(s.now+roundTrip, u, reachability.NotConnected)
 	default:
 		s.add(s.now+roundTrip, u, reachability.Connected)
@@ -163,7 +163,7 @@
 		case silence:
 			s.add(at+s.HeaderWait, u, reachability.Lost)
 			return
-		case falls:
+		case pauses:
 			if s.HeaderWait < s.lasts {
 				s.add(at+s.HeaderWait, u, reachability.Lost)
 			}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -62,10 +62,10 @@
 	// OnLimit is called when an answer names another limit than before, in requests per
 	// second, zero for none; nil is not called.
 	OnLimit func(u upstream.Upstream, perSecond float64)
-	// OnBrittle is called when an answer tells that the upstreams of a service end if they
+	// OnFragile is called when an answer tells that the upstreams of a service end if they
 	// have to reject requests, or don't any more; OnRejected when one of them rejected one. Nil
 	// is not called.
-	OnBrittle  func(u upstream.Upstream, brittle bool)
+	OnFragile  func(u upstream.Upstream, fragile bool)
 	OnRejected func(u upstream.Upstream)
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
@@ -85,10 +85,10 @@
 	// selfReports counts what upstreams report of themselves in their answers.
 	selfReports *prometheus.CounterVec
 
-	// brittle holds the services whose upstreams are brittle. brittleMu may be locked with mu or
+	// fragile holds the services whose upstreams are fragile. fragileMu may be locked with mu or
 	// the mutex of an engine held.
-	brittleMu sync.RWMutex
-	brittle   map[string]brittleService
+	fragileMu sync.RWMutex
+	fragile   map[string]fragileService
 
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
@@ -124,7 +124,7 @@
 		opts: opts, clock: clock, log: log, selfReports: selfReports,
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
 		policies:  newPolicies(opts.Placement),
-		brittle:   make(map[string]brittleService),
+		fragile:   make(map[string]fragileService),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -33,7 +33,7 @@
 	// remoteRequests is the number of requests from other senders, by the latest
 	// report.
 	remoteRequests int
-	// fullUntil is until when a brittle upstream gets nothing new, as it rejected a request.
+	// fullUntil is until when a fragile upstream gets nothing new, as it rejected a request.
 	fullUntil time.Time
 	// pendingWork is the time for which this VM's requests without a response
 	// yet are expected to keep the upstream busy.
--- a/internal/engines/brittle.go
+++ b/internal/engines/fragile.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// brittleMemory is how long a service counts as brittle after an upstream last said so.
-	brittleMemory = 30 * time.Second
+	// fragileMemory is how long a service counts as fragile after an upstream last said so.
+	fragileMemory = 30 * time.Second
 	// placesReportTTL is how long a load report is used to divide the places of an upstream.
 	placesReportTTL = 500 * time.Millisecond
 	// rejectionPause is how long an upstream that rejected a request of this VM for want of
@@ -18,67 +18,67 @@
 	remoteRejectionPause = 300 * time.Millisecond
 )
 
-// brittleService is what the upstreams of a service say of how they bear rejections.
-type brittleService struct {
-	// namedAt is when one of them last said that it is brittle.
+// fragileService is what the upstreams of a service say of how they bear rejections.
+type fragileService struct {
+	// namedAt is when one of them last said that it is fragile.
 	namedAt time.Time
 }
 
-// SetBrittle records whether the upstream, by its answer to a request sent at the given
+// SetFragile records whether the upstream, by its answer to a request sent at the given
 // time, ends if it has to reject requests for want of room. It holds for all upstreams of the
 // service. An answer that says nothing of it ends that only if its request was sent after one
 // last did.
-func (e *Engine) SetBrittle(brittle bool, sentAt time.Time) {
-	if !brittle && !e.directory.IsBrittle(e.entry().Service) {
+func (e *Engine) SetFragile(fragile bool, sentAt time.Time) {
+	if !fragile && !e.directory.IsFragile(e.entry().Service) {
 		return
 	}
-	if e.directory.setBrittle(e.entry().Service, brittle, sentAt) && e.directory.opts.OnBrittle != nil {
-		e.directory.opts.OnBrittle(e.Upstream(), brittle)
+	if e.directory.setFragile(e.entry().Service, fragile, sentAt) && e.directory.opts.OnFragile != nil {
+		e.directory.opts.OnFragile(e.Upstream(), fragile)
 	}
 }
 
-// setBrittle sets whether the upstreams of a service are brittle, and reports whether that
+// setFragile sets whether the upstreams of a service are fragile, and reports whether that
 // changed.
-func (d *Directory) setBrittle(service string, brittle bool, sentAt time.Time) bool {
+func (d *Directory) setFragile(service string, fragile bool, sentAt time.Time) bool {
 	now := d.clock.Now()
-	d.brittleMu.Lock()
-	defer d.brittleMu.Unlock()
-	known, was := d.brittle[service]
+	d.fragileMu.Lock()
+	defer d.fragileMu.Unlock()
+	known, was := d.fragile[service]
 	switch {
-	case brittle:
-		d.brittle[service] = brittleService{namedAt: now}
+	case fragile:
+		d.fragile[service] = fragileService{namedAt: now}
 	case !was || sentAt.Before(known.namedAt):
 		return false
 	default:
-		delete(d.brittle, service)
+		delete(d.fragile, service)
 	}
-	if was == brittle {
+	if was == fragile {
 		return false
 	}
-	d.selfReports.WithLabelValues(map[bool]string{true: "brittle", false: "not_brittle"}[brittle]).Inc()
-	d.log.Info("upstreams of a service bear few rejections, or as many as usual again", "service", service, "brittle", brittle)
+	d.selfReports.WithLabelValues(map[bool]string{true: "fragile", false: "not_fragile"}[fragile]).Inc()
+	d.log.Info("upstreams of a service bear few rejections, or as many as usual again", "service", service, "fragile", fragile)
 	return true
 }
 
-// SetBrittle records what an upstream said to another VM. Unknown upstreams are ignored.
-func (d *Directory) SetBrittle(id upstream.ID, brittle bool) {
+// SetFragile records what an upstream said to another VM. Unknown upstreams are ignored.
+func (d *Directory) SetFragile(id upstream.ID, fragile bool) {
 	if e := d.find(id); e != nil {
-		d.setBrittle(e.entry().Service, brittle, d.clock.Now())
+		d.setFragile(e.entry().Service, fragile, d.clock.Now())
 	}
 }
 
-// IsBrittle reports whether the upstreams of a service end if they have to reject requests.
-func (d *Directory) IsBrittle(service string) bool {
-	d.brittleMu.RLock()
-	defer d.brittleMu.RUnlock()
-	known, named := d.brittle[service]
-	return named && d.clock.Since(known.namedAt) < brittleMemory
+// IsFragile reports whether the upstreams of a service end if they have to reject requests.
+func (d *Directory) IsFragile(service string) bool {
+	d.fragileMu.RLock()
+	defer d.fragileMu.RUnlock()
+	known, named := d.fragile[service]
+	return named && d.clock.Since(known.namedAt) < fragileMemory
 }
 
 // MarkRejected records that the upstream rejected a request of this VM for want of room, and
-// tells the other VMs if it is brittle.
+// tells the other VMs if it is fragile.
 func (e *Engine) MarkRejected() {
-	if !e.directory.IsBrittle(e.entry().Service) {
+	if !e.directory.IsFragile(e.entry().Service) {
 		return
 	}
 	e.directory.selfReports.WithLabelValues("full").Inc()
@@ -107,10 +107,10 @@
 }
 
 // hasPlace reports whether this VM may send the upstream one more request, if its service is
-// brittle. The caller holds mu.
+// fragile. The caller holds mu.
 func (e *Engine) hasPlace(now time.Time) bool {
 	entry := e.entry()
-	if entry.Capacity <= 0 || !e.directory.IsBrittle(entry.Service) {
+	if entry.Capacity <= 0 || !e.directory.IsFragile(entry.Service) {
 		return true
 	}
 	if now.Before(e.fullUntil) {
--- a/internal/engines/brittle_test.go
+++ b/internal/engines/fragile_test.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// All VMs fill brittle upstreams as far as they may, without knowing of each other.
-func TestVMsTogetherDontFillBrittleUpstreams(t *testing.T) {
+// All VMs fill fragile upstreams as far as they may, without knowing of each other.
+func TestVMsTogetherDontFillFragileUpstreams(t *testing.T) {
 	for _, vms := range []int{1, 6, 60, 300} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
 			g := NewWithT(t)
@@ -32,7 +32,7 @@
 			for rank := range vms {
 				d := newDirectoryOf(clock, rank, vms)
 				d.Replace(upstreams)
-				find(d, "a").SetBrittle(true, clock.Now())
+				find(d, "a").SetFragile(true, clock.Now())
 				inAll += fill(d)
 			}
 			g.Expect(inAll).To(And(BeNumerically(">", 0), BeNumerically("<=", 30)))
@@ -40,28 +40,28 @@
 	}
 }
 
-func TestBrittlenessEndsWithALaterAnswer(t *testing.T) {
+func TestFragilityEndsWithALaterAnswer(t *testing.T) {
 	g := NewWithT(t)
 	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("a", "d1"), newEntry("b", "d1")})
 	sentAt := clock.Now()
 	clock.Advance(time.Second)
-	find(d, "a").SetBrittle(true, clock.Now())
-	g.Expect(d.IsBrittle("s")).To(BeTrue())
-	find(d, "b").SetBrittle(false, sentAt)
-	g.Expect(d.IsBrittle("s")).To(BeTrue(), "an answer to an earlier request")
+	find(d, "a").SetFragile(true, clock.Now())
+	g.Expect(d.IsFragile("s")).To(BeTrue())
+	find(d, "b").SetFragile(false, sentAt)
+	g.Expect(d.IsFragile("s")).To(BeTrue(), "an answer to an earlier request")
 	clock.Advance(time.Second)
-	find(d, "b").SetBrittle(false, clock.Now())
-	g.Expect(d.IsBrittle("s")).To(BeFalse())
+	find(d, "b").SetFragile(false, clock.Now())
+	g.Expect(d.IsFragile("s")).To(BeFalse())
 }
 
-func TestBrittleUpstreamThatRejectedIsLeftAlone(t *testing.T) {
+func TestFragileUpstreamThatRejectedIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
 	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("a", "d1")})
 	find(d, "a").MarkRejected()
-	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("a"), "it is not brittle")
-	d.SetBrittle("a", true)
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("a"), "it is not fragile")
+	d.SetFragile("a", true)
 	find(d, "a").MarkRejected()
 	g.Expect(chooseID(d, engines.Requirements{})).To(BeEmpty())
 	clock.Advance(time.Second)
@@ -70,11 +70,11 @@
 	g.Expect(chooseID(d, engines.Requirements{})).To(BeEmpty(), "another VM's request was rejected")
 }
 
-func TestBrittlenessIsForgottenIfNothingTellsOfIt(t *testing.T) {
+func TestFragilityIsForgottenIfNothingTellsOfIt(t *testing.T) {
 	g := NewWithT(t)
 	d, clock := newDirectory()
 	d.Replace([]engines.Entry{newEntry("a", "d1")})
-	d.SetBrittle("a", true)
+	d.SetFragile("a", true)
 	clock.Advance(time.Minute)
-	g.Expect(d.IsBrittle("s")).To(BeFalse())
+	g.Expect(d.IsFragile("s")).To(BeFalse())
 }
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -150,8 +150,8 @@
 		OnLimit: func(u upstream.Upstream, perSecond float64) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Limit: &perSecond, Region: d.regionOf(u.Domain)})
 		},
-		OnBrittle: func(u upstream.Upstream, brittle bool) {
-			d.hints.Announce(hints.Hint{Upstream: u.ID, Brittle: &brittle, Region: d.regionOf(u.Domain)})
+		OnFragile: func(u upstream.Upstream, fragile bool) {
+			d.hints.Announce(hints.Hint{Upstream: u.ID, Fragile: &fragile, Region: d.regionOf(u.Domain)})
 		},
 		OnRejected: func(u upstream.Upstream) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Full: true, Region: d.regionOf(u.Domain)})
@@ -290,7 +290,7 @@
 }
 
 // applyHint applies what another VM announced: work that it sent to an upstream, an
-// upstream that is silent, limited, brittle or full, or evidence on requests that crash
+// upstream that is silent, limited, fragile or full, or evidence on requests that crash
 // upstreams.
 func (d *Daemon) applyHint(h hints.Hint) {
 	switch {
@@ -300,8 +300,8 @@
 		d.directory.MarkSilent(h.Upstream)
 	case h.Limit != nil:
 		d.directory.SetRequestLimit(h.Upstream, max(*h.Limit, 0))
-	case h.Brittle != nil:
-		d.directory.SetBrittle(h.Upstream, *h.Brittle)
+	case h.Fragile != nil:
+		d.directory.SetFragile(h.Upstream, *h.Fragile)
 	case h.Full:
 		d.directory.MarkRejected(h.Upstream)
 	default:
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -29,7 +29,7 @@
 var ErrListen = namespace.NewType("listen")
 
 // Hint announces an expensive request that was sent to an upstream, that the upstream is
-// silent, that it names another limit than before, that it is brittle or full, or that
+// silent, that it names another limit than before, that it is fragile or full, or that
 // requests crash upstreams.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
@@ -42,9 +42,9 @@
 	// Limit announces instead the number of requests per second that the upstream takes
 	// from all VMs together, 0 for no limit; nil announces nothing.
 	Limit *float64 `json:"limit,omitempty"`
-	// Brittle announces instead whether the upstreams of its service end if they have to reject
+	// Fragile announces instead whether the upstreams of its service end if they have to reject
 	// requests, and Full that it rejected one for want of room.
-	Brittle *bool `json:"brittle,omitempty"`
+	Fragile *bool `json:"fragile,omitempty"`
 	Full    bool  `json:"full,omitzero"`
 	// Quarantine carries evidence on requests that crash upstreams; nil announces nothing.
 	Quarantine *quarantines.Message `json:"quarantine,omitempty"`
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -107,7 +107,7 @@
 	}
 	if resp.Status != http.StatusMisdirectedRequest {
 		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
-		a.engine.SetBrittle(head.Brittle, a.startedAt)
+		a.engine.SetFragile(head.Fragile, a.startedAt)
 	}
 	if head.Sealed && !head.NotRun {
 		a.guarded.BeginAnswer()
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -87,9 +87,9 @@
 	// RequestLimit is the number of requests per second that the upstream takes from all
 	// VMs together, for as long as it says so; zero if it sets no limit.
 	RequestLimit float64
-	// Brittle reports whether the upstream states that it ends if it has to reject more than a
+	// Fragile reports whether the upstream states that it ends if it has to reject more than a
 	// few requests for want of room.
-	Brittle bool
+	Fragile bool
 	// Load is the upstream's load report; valid only if HasLoad is set.
 	Load    route.Load
 	HasLoad bool
@@ -129,8 +129,8 @@
 type Placement interface {
 	// Choose returns the selected upstream; its Engine is nil if there is none.
 	Choose(req engines.Requirements) engines.Choice
-	// IsBrittle reports whether the upstreams of a service end if they have to reject requests.
-	IsBrittle(service string) bool
+	// IsFragile reports whether the upstreams of a service end if they have to reject requests.
+	IsFragile(service string) bool
 }
 
 // Quarantine keeps requests that crash upstreams away from them.
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -147,7 +147,7 @@
 		x.retryState.Crashes++
 	}
 	notRunLimit := maxNotRun
-	if cutOff || x.hop != nil || failure.Kind == retry.NotStarted && s.Placement.IsBrittle(x.service) {
+	if cutOff || x.hop != nil || failure.Kind == retry.NotStarted && s.Placement.IsFragile(x.service) {
 		notRunLimit = maxNotRunIfScarce
 	}
 	if x.dispatches-x.retryState.Attempts > notRunLimit && !x.shouldAskPeers() {
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -62,7 +62,7 @@
 	c.checkLimits()
 	c.checkCulprits()
 	c.checkCuts()
-	c.checkBrittleTimes()
+	c.checkFragileTimes()
 	if n := c.testbed.addEngineErrors.Load(); n > 0 {
 		c.addViolation("%d upstreams could not be started after a crash", n)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,9 +47,9 @@
 	replaceMu sync.Mutex
 	// restoreMu allows only one restore of the store at a time.
 	restoreMu sync.Mutex
-	// crashMu allows only one culprit at a time, cutMu only one cut, and brittleMu only one time
-	// of brittle engines.
-	crashMu, cutMu, brittleMu sync.Mutex
+	// crashMu allows only one culprit at a time, cutMu only one cut, and fragileMu only one time
+	// of fragile engines.
+	crashMu, cutMu, fragileMu sync.Mutex
 	// rolloutCount is the number of roll-outs started; guarded by replaceMu.
 	rolloutCount int
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -35,8 +35,8 @@
 	// CuttableBinary is the path of poplarshore-soak. Its gateways can be cut off from upstreams,
 	// which is then among the faults; empty leaves it out.
 	CuttableBinary string
-	// Brittle includes engines that fall over if they have to reject requests among the faults.
-	Brittle bool
+	// Fragile includes engines that end if they have to reject requests among the faults.
+	Fragile bool
 	// Only restricts the faults to these kinds; empty allows all.
 	Only []string
 	// Bounds are the time bounds that are checked.
@@ -47,7 +47,7 @@
 // to be set.
 func DefaultOptions() Options {
 	return Options{
-		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true, Crashes: true, Brittle: true,
+		Seed: 1, Duration: 30 * time.Second, Rate: 60, VMs: 6, Engines: 6, ConcurrentFaults: 2, Restores: true, Limits: true, Crashes: true, Fragile: true,
 		Bounds: DefaultBounds(),
 	}
 }
@@ -72,7 +72,7 @@
 	exclusions   []exclusion
 	limits       []namedLimit
 	cuts         []cut
-	brittleTimes []brittleTime
+	fragileTimes []fragileTime
 }
 
 func (r *Report) addViolation(format string, args ...any) {
@@ -161,8 +161,8 @@
 	if o.CuttableBinary != "" {
 		faults.kinds = append(slices.Clip(faults.kinds), cutFault)
 	}
-	if o.Brittle {
-		faults.kinds = append(slices.Clip(faults.kinds), brittleFault)
+	if o.Fragile {
+		faults.kinds = append(slices.Clip(faults.kinds), fragileFault)
 	}
 	if len(o.Only) > 0 {
 		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,7 +37,7 @@
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
 	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binaryPath, t.TempDir(), seed, concurrentFaults
-	o.Restores, o.Limits, o.Crashes, o.Brittle = restores, restores, restores, false
+	o.Restores, o.Limits, o.Crashes, o.Fragile = restores, restores, restores, false
 	o.Duration, o.VMs, o.Engines, o.Rate = 6*time.Second, 3, 3, 30
 	report, err := soak.Run(t.Context(), o)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -50,18 +50,18 @@
 	run(t, binary(t, "poplarshored"), 1, 1, true)
 }
 
-// VMs are cut off from engines, and engines fall over if they reject requests, beside
+// VMs are cut off from engines, and engines end if they reject requests, beside
 // configurations.
-func TestShortSoakOfCutsAndBrittleEnginesHasNoViolations(t *testing.T) {
+func TestShortSoakOfCutsAndFragileEnginesHasNoViolations(t *testing.T) {
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
 	o.CuttableBinary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), t.TempDir(), 1, 2
-	o.Duration, o.VMs, o.Engines, o.Rate, o.Only = 12*time.Second, 3, 3, 30, []string{"cut_off", "brittle", "configure"}
+	o.Duration, o.VMs, o.Engines, o.Rate, o.Only = 12*time.Second, 3, 3, 30, []string{"cut_off", "fragile", "configure"}
 	report, err := soak.Run(t.Context(), o)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
 	g.Expect(report.Faults).To(HaveKey("cut_off"))
-	g.Expect(report.Faults).To(HaveKey("brittle"))
+	g.Expect(report.Faults).To(HaveKey("fragile"))
 }
 
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -62,8 +62,8 @@
 	// number of requests that come in place of one.
 	engineCapacity int
 	burst          atomic.Int32
-	// brittleness is that of model engines; nil while they are sound.
-	brittleness atomic.Pointer[standin.Brittleness]
+	// fragility is that of model engines; nil while they are sound.
+	fragility atomic.Pointer[standin.Fragility]
 
 	mu sync.Mutex // guards the fields below
 	// culprits are what made requests crash upstreams, and active those whose requests come.
@@ -73,8 +73,8 @@
 	registeredEngines map[string]*engine
 	allEngines        []*engine // in the order of their start, removed ones included
 	engineCount       int       // engines ever created; makes their IDs unique
-	// fellAt holds when brittle engines fell over.
-	fellAt        []time.Time
+	// endedAt holds when fragile engines ended.
+	endedAt       []time.Time
 	configVersion int64
 	// configurations are the configurations that the store accepted, oldest first.
 	configurations []configuration
@@ -156,7 +156,7 @@
 	}
 	e.Behave = func(r *http.Request) standin.Behaviour {
 		if e.Service == modelService {
-			e.SetBrittleness(b.brittleness.Load())
+			e.SetFragility(b.fragility.Load())
 		}
 		if b.crashFor(r) {
 			return crashBehaviour(e.Service == modelService)
@@ -164,7 +164,7 @@
 		return e.behave(r)
 	}
 	e.OnCrash = func(*standin.Engine) {
-		b.recordFall(e)
+		b.recordEnd(e)
 		b.restart(e)
 	}
 	e.Start()
@@ -179,14 +179,14 @@
 	return nil
 }
 
-// recordFall records that an engine ended, if it did by its rejections.
-func (b *testbed) recordFall(e *engine) {
-	if !e.Fell() {
+// recordEnd records that an engine ended, if it did by its rejections.
+func (b *testbed) recordEnd(e *engine) {
+	if !e.EndedByRejections() {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fellAt = append(b.fellAt, time.Now())
+	b.endedAt = append(b.endedAt, time.Now())
 }
 
 // behave fails failurePercent of the requests. Of the others, half of those to the small
