Don't promise that a relayed request has not run if it ran where it was relayed

Cause: a VM that relays answers 502 with its reason if the request ran there before it found no further upstream. The other VM took the status from the reason, which is 503 as a rule, and promised the caller that the request had not run. The status of the response counts now.

Evidence: the request lines of both VMs in the soak's logs (502 with relay_for, then 503).

--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -190,6 +190,8 @@
 		return &peerRefusedError{status: resp.Status}
 	}
 	refused := refusal.New(reason).With("The VM that was asked to relay the request refused it.")
+	// The VM knows whether the request ran, and answers with another status than usual then.
+	refused.Status = resp.Status
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		refused = refused.WithRetryAfter(time.Duration(seconds * float64(time.Second)))
 	}
