--- a/internal/engines/fragile_test.go
+++ b/internal/engines/fragile_test.go
@@ -27,7 +27,8 @@
 	for _, vms := range []int{1, 6, 60, 300} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
 			g := NewWithT(t)
-			clock := clockwork.NewFakeClock()
+			// In the middle of a turn.
+			clock := clockwork.NewFakeClockAt(time.Unix(1000, int64(500*time.Millisecond)))
 			inAll, upstreams := 0, []engines.Entry{newEntry("a", "d1"), newEntry("b", "d1"), newEntry("c", "d2")}
 			for rank := range vms {
 				d := newDirectoryOf(clock, rank, vms)
