--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -33,6 +33,8 @@
 	// Incarnation is the start time of the upstream in Unix milliseconds, zero if
 	// unknown. It distinguishes the incarnations of an upstream with the same ID.
 	Incarnation int64
+	// ColdFor is how long the upstream stays cold, counted from when the entry was written.
+	ColdFor time.Duration
 }
 
 // Clock is the steady (monotonic) clock that all VMs share.
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -47,6 +47,9 @@
 	// in order; the last one is specific to this request.
 	PromptTokens int
 	Parts        []Part
+	// OutputTokens is the caller's estimate of the length of the answer in tokens, often far
+	// off, and MaxOutputTokens its maximum; zero if unknown.
+	OutputTokens, MaxOutputTokens int
 	// LastEvent is the id of the last event that the caller received; empty for
 	// none.
 	LastEvent string
@@ -96,6 +99,10 @@
 	// Confidence is the model's confidence in its response, 0 to 100; negative
 	// if it reports none.
 	Confidence int
+	// ColdFor is how long the upstream stays cold, by its answer to a health check; valid only
+	// if HasColdFor is set.
+	ColdFor    time.Duration
+	HasColdFor bool
 	// IdleTimeout is the upstream's idle timeout for connections; zero if unknown.
 	IdleTimeout time.Duration
 }
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -21,6 +21,9 @@
 	KVUsed float64
 	// Draining reports that the upstream accepts no new work.
 	Draining bool
+	// Slowdown is how much longer than usual work takes on the upstream's machine at the moment
+	// of the report: 1 as usual, 0 if unknown.
+	Slowdown float64
 }
 
 // Candidate is the state of one upstream, as known to this VM, at the time of a
--- a/routing/config.go
+++ b/routing/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/account"
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
 )
 
@@ -42,6 +43,8 @@
 	MaxAttempts int
 	// Public is set if callers need no key.
 	Public bool
+	// AllowedRegions are the regions in which requests may be served and kept.
+	AllowedRegions domain.RegionSet
 }
 
 // Repeatable reports whether a request may be sent again although an earlier
@@ -65,6 +68,14 @@
 	MaxConnections int
 	// Costs is the price of 1,000 generated tokens for each model.
 	Costs map[model.Name]float64
+	// ColdStart is how long an upstream is cold after its start, and ColdPerSecond the number
+	// of requests per second that a cold one takes from all VMs together; zero if the service's
+	// upstreams need no such limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
+	// MemoryTokens is the memory of one upstream for prompts and answers, in tokens; zero if
+	// unknown.
+	MemoryTokens int
 }
 
 // Account is a client account and its keys.
@@ -76,6 +87,9 @@
 	Priority int
 	// HasPriority is set if the account has a priority of its own.
 	HasPriority bool
+	// AllowedRegions are the regions in which the account's requests may be served and kept,
+	// beside those of the route.
+	AllowedRegions domain.RegionSet
 }
 
 // Limits are the bounds on what a caller may send.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -29,8 +29,10 @@
 	// ExposureSlack is a number of requests beyond Exposure.
 	ExposureSlack float64 `json:"exposure_slack" doc:"Requests beyond that part which such a version may get. Default 0."`
 	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
-	MemoryMB int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
-	Stop     GatewayStop `json:"stop" doc:"Planned stops."`
+	MemoryMB    int64       `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
+	Stop        GatewayStop `json:"stop" doc:"Planned stops."`
+	Cold        ColdLimit   `json:"cold" doc:"What all VMs together may send upstreams that have just started, beyond the rate that the configuration gives."`
+	LoadControl LoadControl `json:"load_control" doc:"Decisions under load that are off by default."`
 	// DigestSecret is the key of the digests by which requests appear in logs and in messages
 	// between VMs.
 	DigestSecret string `json:"digest_secret" doc:"Key of the digests that stand for requests in logs and between VMs; the same on all VMs. Default poplarshore."`
@@ -73,6 +75,20 @@
 	GraceS Seconds `json:"grace_s" doc:"Time after the signal at which the process is killed, in seconds. Default 8."`
 }
 
+// ColdLimit bounds the requests that all VMs together send to a cold upstream in any second:
+// Overrun times the service's rate for cold upstreams, plus Slack.
+type ColdLimit struct {
+	Overrun float64 `json:"overrun" doc:"Multiple of the rate for cold upstreams, at least 1. Default 1.5."`
+	Slack   float64 `json:"slack" doc:"Requests beyond that. Default 0."`
+}
+
+// LoadControl switches decisions under load on.
+type LoadControl struct {
+	Admission bool `json:"admission" doc:"Bound the requests in flight for a service while its upstreams are overloaded, and queue the others by rank. Default false."`
+	AnswerEnd bool `json:"answer_end" doc:"Choose upstreams and models also by when the answer is expected to end. Default false."`
+	SlowStart bool `json:"slow_start" doc:"Find the pace of upstreams that have started or recovered from how they answer. Default false."`
+}
+
 // DefaultGateway returns the default settings of the gateway.
 func DefaultGateway() *Gateway {
 	return &Gateway{
@@ -88,6 +104,7 @@
 		Retries:  Retries{SpanS: 10, Ratio: 0.9, Slack: 50},
 		Exposure: shift.DefaultExposure.Share, DigestSecret: "poplarshore",
 		Stop: GatewayStop{TakeS: 2.7, GraceS: 8},
+		Cold: ColdLimit{Overrun: 1.5},
 		Log:  Log{Format: "json", Level: "info"},
 	}
 }
@@ -133,5 +150,11 @@
 	if g.Stop.GraceS <= g.Stop.TakeS {
 		text.AddFault("stop.grace_s", "must be over stop.take_s")
 	}
+	if g.Cold.Overrun < 1 {
+		text.AddFault("cold.overrun", "must be at least 1")
+	}
+	if g.Cold.Slack < 0 {
+		text.AddFault("cold.slack", "must not be negative")
+	}
 	g.Log.check(text)
 }
