Fix faults that reading had found in clients, servers and settings

A server error without a code counted as a refusal although the change may stand; a response over the limit was used up to it; any read error of a document was answered 413; faults of platform settings came in random order; an error type was unused. Change: each fixed in place.

--- a/internal/operator/document.go
+++ b/internal/operator/document.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -82,7 +83,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, Problem{Code: "too_large", Message: "The document is too large."})
+		writeReadError(w, err)
 		return
 	}
 	doc, faults := document.Check(body)
@@ -106,6 +107,16 @@
 	peer.WriteJSON(w, Acceptance{Revision: accepted.Revision, Repeated: accepted.Repeated})
 }
 
+// writeReadError writes the response to a request whose body could not be read.
+func writeReadError(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, http.StatusRequestEntityTooLarge, Problem{Code: "too_large", Message: "The document is too large."})
+		return
+	}
+	writeError(w, http.StatusBadRequest, Problem{Code: "truncated_body", Message: "The document could not be read to its end."})
+}
+
 // writeProposeError writes the response to an error of Publisher.Propose.
 func writeProposeError(w http.ResponseWriter, err error) {
 	switch {
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -182,24 +182,35 @@
 		return nil, nil, ErrUnreachable.Wrap(err, "send request")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	response, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	response, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, nil, ErrUnreachable.Wrap(err, "read response")
 	}
+	if len(response) > maxResponseBytes {
+		return nil, nil, ErrUnknown.New("response of %s is longer than %d bytes", url, maxResponseBytes)
+	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		return response, resp.Header, nil
 	}
 	return nil, nil, problemError(resp.StatusCode, response)
 }
 
+// codeStatus stands for an error response without a code of its own.
+const codeStatus = "status"
+
 // problemError converts an error response to an error of the type that corresponds to its
-// code, with the faults of the document and the conflicting revision in the message.
+// code, with the faults of the document and the conflicting revision in the message. A server
+// error without a code may come from something between the client and the VM, so the change
+// may have been accepted: ErrUnknown.
 func problemError(status int, response []byte) error {
 	var p operator.Problem
 	if json.Unmarshal(response, &p) != nil || p.Code == "" {
-		p = operator.Problem{Code: "status", Message: "The VM answered status " + strconv.Itoa(status) + "."}
+		p = operator.Problem{Code: codeStatus, Message: "The VM answered status " + strconv.Itoa(status) + "."}
 	}
 	kind := ErrRefused
+	if p.Code == codeStatus && status >= http.StatusInternalServerError {
+		kind = ErrUnknown
+	}
 	switch p.Code {
 	case "conflict":
 		kind = ErrConflict
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -121,10 +121,13 @@
 		return nil, ErrUnreachable.Wrap(err, "send request to VM %q", id)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err, "read response of VM %q", id)
 	}
+	if int64(len(reply)) > maxBytes {
+		return nil, ErrMalformed.New("response of VM %q is longer than %d bytes", id, maxBytes)
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, ErrRefused.New("VM %q responded with status %s", id, resp.Status)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -8,10 +9,12 @@
 	"testing"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/coord/revision"
+	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/examples"
 	"github.com/poplarshore/poplarshore/internal/peer"
 	"github.com/poplarshore/poplarshore/limit"
@@ -47,6 +50,18 @@
 		Expect(len(peer.Pack(examples.Hsinchu))).To(BeNumerically("<", len(examples.Hsinchu)/2))
 	})
 
+	It("rejects a response that is longer than a document may be, in place of its beginning", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(bytes.Repeat([]byte(" "), document.MaxBytes+1))
+		}))
+		DeferCleanup(server.Close)
+		book := peer.NewBook("b")
+		book.Set(map[vm.ID]string{"a": strings.TrimPrefix(server.URL, "http://")})
+		client := &peer.Client{Scheme: "http", Book: book, Transport: http.DefaultTransport}
+		_, err := client.Peer("a").Fetch(context.Background(), "x")
+		Expect(errorx.IsOfType(err, peer.ErrMalformed)).To(BeTrue(), "%v", err)
+	})
+
 	It("refuses a client with the wrong token, and rejects a truncated document", func() {
 		_, client := startServer()
 		client.Token = []byte("other")
--- a/settings/common.go
+++ b/settings/common.go
@@ -86,9 +86,11 @@
 }
 
 func (p Platform) check(text *strictjson.Text) {
-	for path, value := range map[string]string{"table": p.Table, "objects": p.Objects, "vm_list": p.VMList} {
-		checkRequired(text, "platform."+path, value)
-		checkURL(text, "platform."+path, value)
+	for _, setting := range []struct{ path, value string }{
+		{"platform.table", p.Table}, {"platform.objects", p.Objects}, {"platform.vm_list", p.VMList},
+	} {
+		checkRequired(text, setting.path, setting.value)
+		checkURL(text, setting.path, setting.value)
 	}
 	checkURL(text, "platform.rater", p.Rater)
 }
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -16,13 +16,8 @@
 
 var namespace = errorx.NewNamespace("caller")
 
-var (
-	// ErrSend is the error type of requests that could not be sent or got no response header.
-	ErrSend = namespace.NewType("send")
-	// ErrTruncated is an error type for truncated answers. No function of this package returns it:
-	// Answer.Complete reports a truncated answer.
-	ErrTruncated = namespace.NewType("cut")
-)
+// ErrSend is the error type of requests that could not be sent or got no response header.
+var ErrSend = namespace.NewType("send")
 
 // Caller sends requests to one entry address.
 type Caller struct {
