Bound the evidence on requests that crash upstreams

Cause: reports without a crash (sound answers, upstreams that are alive) had no upstream, so the same three VMs passed all of them on; each of three VMs sent each message to all VMs twice; every lost connection of an upstream that went on answering was reported as a crash and then taken back by several VMs.

Change: one VM of each region passes a message on there, chosen by the upstream and changing every 10 s and for the repeat; a region of more than 32 VMs is divided into groups. It passes on once what many VMs tell. VMs of older builds, whose row lacks passes_evidence, get messages without Spread. Losses at an upstream that was wrongly reported to have ended are kept back for 1 to 4 s. Sound answers are not told for crashes that turned out to be none. A byte budget holds each VM to 32 KiB in any second, the most useful evidence first; the rest is counted as evidence_dropped.

--- a/experiment/blame/simulation.go
+++ b/experiment/blame/simulation.go
@@ -5,13 +5,18 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/hints"
+	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -46,8 +51,9 @@
 	// as late. A part is known at the fifth crash, a whole request at the third.
 	contact                   = 4 * time.Second
 	partKnownAt, requestKnown = 5, 3
-	// relays is the number of VMs that pass evidence on in a fleet of over smallFleet VMs.
-	relays, smallFleet = 3, 32
+	// smallFleet is the number of VMs up to which each sends its evidence to all others, and
+	// regions the number of regions of the VMs.
+	smallFleet, regions = 32, 3
 )
 
 // culprit is what crashes upstreams.
@@ -105,6 +111,7 @@
 	digester *quarantine.Digester
 	table    *table
 	guards   []*quarantines.Guard
+	members  map[vm.ID]members.Member
 	// cutUntil is until when each VM is cut off, and startedAt when it started.
 	cutUntil, startedAt []time.Duration
 	// behind holds which VMs don't know the newest row of the table.
@@ -123,7 +130,7 @@
 func newSimulation(scenario Scenario, rule Rule, seed uint64) *simulation {
 	s := &simulation{
 		Scenario: scenario, rule: rule, rand: rand.New(rand.NewPCG(seed, 17)), clock: clockwork.NewFakeClock(),
-		digester: quarantine.NewDigester("experiment"), table: &table{}, cutUntil: make([]time.Duration, scenario.VMs),
+		digester: quarantine.NewDigester("experiment"), table: &table{}, members: newMembers(scenario.VMs), cutUntil: make([]time.Duration, scenario.VMs),
 		startedAt: make([]time.Duration, scenario.VMs), behind: make([]bool, scenario.VMs),
 	}
 	for i := range s.VMs {
@@ -153,23 +160,12 @@
 }
 
 func (s *simulation) newGuard(index int) *quarantines.Guard {
-	broadcast := func(m quarantines.Message) {
-		for i := range s.guards {
-			s.sendMessage(index, i, m)
-		}
-	}
 	g := quarantines.New(quarantines.Options{
-		VM: vm.ID(fmt.Sprint("vm-", index)), Table: "t", Blame: quarantine.DefaultOptions(), SharedClock: s, Writer: s.table,
-		Broadcast: broadcast,
+		VM: vmID(index), Table: "t", Blame: quarantine.DefaultOptions(), SharedClock: s, Writer: s.table,
+		Broadcast: func(m quarantines.Message) { s.announce(index, m) },
 		Report: func(m quarantines.Message) {
-			if s.VMs <= smallFleet {
-				broadcast(m)
-				return
-			}
 			m.ForAll = true
-			for i := range relays {
-				s.sendMessage(index, (len(m.Upstream())*31+i*97)%s.VMs, m)
-			}
+			s.announce(index, m)
 		},
 		Rank: func() (int, int) { return index, s.VMs }, Clock: s.clock,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Registry: prometheus.NewRegistry(),
@@ -180,6 +176,32 @@
 	return g
 }
 
+// announce sends a message to the VMs that get it from this one.
+func (s *simulation) announce(from int, m quarantines.Message) {
+	others := maps.Clone(s.members)
+	delete(others, vmID(from))
+	router := hints.EvidenceRouter{Region: domain.Region(s.members[vmID(from)].Domain), RegionOf: regionOf}
+	for _, d := range router.Route(others, m) {
+		s.sendMessage(from, int(d.To.Hints.Port()), d.Message)
+	}
+}
+
+// newMembers returns the list of the VMs, over several regions. The port of a VM is its index.
+func newMembers(vms int) map[vm.ID]members.Member {
+	all := make(map[vm.ID]members.Member)
+	for i := range vms {
+		all[vmID(i)] = members.Member{
+			ID: vmID(i), Domain: domain.ID(fmt.Sprint("d-", i%regions)), PassesEvidence: true,
+			Hints: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i)),
+		}
+	}
+	return all
+}
+
+func vmID(index int) vm.ID { return vm.ID(fmt.Sprint("vm-", index)) }
+
+func regionOf(d domain.ID) domain.Region { return domain.Region(d) }
+
 // sendMessage sends a message between two VMs, unless it is lost.
 func (s *simulation) sendMessage(from, to int, m quarantines.Message) {
 	isCut := s.cutUntil[from] > s.now || s.cutUntil[to] > s.now
@@ -187,7 +209,12 @@
 		return
 	}
 	delay := time.Duration(s.rand.Int64N(int64(messageDelay)))
-	s.after(delay, func() { s.guards[to].Receive(m) })
+	s.after(delay, func() {
+		if m.Spread.Groups > 0 {
+			s.announce(to, m)
+		}
+		s.guards[to].Receive(m)
+	})
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
--- a/internal/gatewayd/listeners.go
+++ b/internal/gatewayd/listeners.go
@@ -17,7 +17,7 @@
 // openListeners opens the socket for hints and the HTTP listeners.
 func (d *Daemon) openListeners() error {
 	var err error
-	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.regionOf, d.applyHint, d.log, d.hintCounts); err != nil {
+	if d.hints, err = hints.Open(d.settings.Hints, d.vms, d.regionOf(d.settings.VM.Domain), d.regionOf, d.applyHint, d.log, d.hintCounts); err != nil {
 		return err
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
@@ -66,14 +67,18 @@
 	vms      *members.List
 	regionOf func(domain.ID) domain.Region
 	queue    *ring.Ring[Hint]
+	// evidence holds hints with evidence, apart from the others, which it must not displace.
+	evidence *ring.Ring[Hint]
+	router   EvidenceRouter
+	budget   *evidenceQueue
 	onHint   func(Hint)
 	log      *slog.Logger
 	outcomes *prometheus.CounterVec
 }
 
 // NewCounter registers and returns the counter of hints by outcome: sent,
-// send_failed, ring_full (dropped because the send queue was full), received and
-// unreadable.
+// send_failed, ring_full (dropped because the send queue was full), evidence_dropped
+// (dropped because of the byte budget for evidence), received and unreadable.
 func NewCounter(registry prometheus.Registerer) *prometheus.CounterVec {
 	counts := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_hints_total", Help: "Hints on heavy work by what became of them.",
@@ -82,9 +87,12 @@
 	return counts
 }
 
-// Open listens on a UDP address. Receive calls onHint for each hint received.
-// Errors: ErrListen.
-func Open(address string, vms *members.List, regionOf func(domain.ID) domain.Region, onHint func(Hint), log *slog.Logger, outcomes *prometheus.CounterVec) (*Exchange, error) {
+// Open listens on a UDP address, on a VM of the given region. Receive calls onHint for each
+// hint received. Errors: ErrListen.
+func Open(
+	address string, vms *members.List, region domain.Region, regionOf func(domain.ID) domain.Region, onHint func(Hint),
+	log *slog.Logger, outcomes *prometheus.CounterVec,
+) (*Exchange, error) {
 	udpAddr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "cannot resolve UDP address %q", address)
@@ -94,7 +102,9 @@
 		return nil, ErrListen.Wrap(err, "cannot listen on UDP address %q", address)
 	}
 	return &Exchange{
-		conn: conn, vms: vms, regionOf: regionOf, queue: ring.New[Hint](maxQueuedHints), onHint: onHint, log: log, outcomes: outcomes}, nil
+		conn: conn, vms: vms, regionOf: regionOf, queue: ring.New[Hint](maxQueuedHints), onHint: onHint, log: log, outcomes: outcomes,
+		evidence: ring.New[Hint](maxQueuedHints), router: EvidenceRouter{Region: region, RegionOf: regionOf}, budget: newEvidenceQueue(),
+	}, nil
 }
 
 // Address returns the address that the exchange listens on.
@@ -105,42 +115,86 @@
 // Announce queues a hint for sending to the VMs that it concerns. It does not block; the hint is
 // dropped if the queue is full.
 func (x *Exchange) Announce(h Hint) {
-	if !x.queue.Offer(h) {
+	queue := x.queue
+	if h.Quarantine != nil {
+		queue = x.evidence
+	}
+	if !queue.Offer(h) {
 		x.outcomes.WithLabelValues("ring_full").Inc()
 	}
 }
 
 // Send sends queued hints until ctx is done.
 func (x *Exchange) Send(ctx context.Context) {
+	budget := time.NewTimer(0)
+	defer budget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case h := <-x.queue.Items():
 			x.send(h)
+			continue
+		case h := <-x.evidence.Items():
+			x.queueEvidence(h)
+		case <-budget.C:
+		}
+		if wait := x.sendEvidence(); wait > 0 {
+			budget.Reset(wait)
 		}
 	}
 }
 
 // send sends a hint to the VMs that it concerns and counts the outcomes.
 func (x *Exchange) send(h Hint) {
-	others := x.vms.Others()
-	if h.Quarantine != nil && len(others) <= maxBroadcastVMs {
-		direct := *h.Quarantine
-		direct.ForAll = false
-		h.Quarantine = &direct
-	}
 	payload, err := json.Marshal(h)
 	if err != nil {
 		x.log.Error("cannot encode hint; it is not sent", "error", err)
 		return
 	}
-	for _, m := range selectRecipients(others, x.regionOf, h) {
-		outcome := "sent"
-		if _, err := x.conn.WriteToUDPAddrPort(payload, m.Hints); err != nil {
-			outcome = "send_failed"
+	for _, m := range selectRecipients(x.vms.Others(), x.regionOf, h) {
+		x.write(payload, m.Hints)
+	}
+}
+
+// write sends a datagram and counts its outcome.
+func (x *Exchange) write(payload []byte, to netip.AddrPort) {
+	outcome := "sent"
+	if _, err := x.conn.WriteToUDPAddrPort(payload, to); err != nil {
+		outcome = "send_failed"
+	}
+	x.outcomes.WithLabelValues(outcome).Inc()
+}
+
+// queueEvidence queues a hint with evidence for the VMs that get it.
+func (x *Exchange) queueEvidence(h Hint) {
+	now := time.Now()
+	for _, d := range x.router.Route(x.vms.Others(), *h.Quarantine) {
+		payload, err := json.Marshal(Hint{Quarantine: &d.Message})
+		if err != nil {
+			x.log.Error("cannot encode hint; it is not sent", "error", err)
+			return
 		}
-		x.outcomes.WithLabelValues(outcome).Inc()
+		x.budget.add(d.Message.Priority(), payload, d.To.Hints, now)
+	}
+}
+
+// sendEvidence sends the evidence that the byte budget allows. It returns the time after
+// which to call it again, zero if nothing waits.
+func (x *Exchange) sendEvidence() time.Duration {
+	for {
+		now := time.Now()
+		d, wait, ok := x.budget.next(now)
+		if dropped, first := x.budget.takeDropped(now); dropped > 0 {
+			x.outcomes.WithLabelValues("evidence_dropped").Add(float64(dropped))
+			if first {
+				x.log.Warn("evidence on crashes exceeds its byte budget; a part of it is dropped", "bytes_per_second", evidenceBytesPerSecond)
+			}
+		}
+		if !ok {
+			return wait
+		}
+		x.write(d.payload, d.to)
 	}
 }
 
@@ -161,6 +215,9 @@
 			continue
 		}
 		x.outcomes.WithLabelValues("received").Inc()
+		if h.Quarantine != nil && h.Quarantine.Spread.Groups > 0 {
+			x.Announce(h)
+		}
 		x.onHint(h)
 	}
 }
--- a/internal/hints/hints_test.go
+++ b/internal/hints/hints_test.go
@@ -27,7 +27,7 @@
 func openNode(t *testing.T, id vm.ID, onHint func(hints.Hint)) node {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	vms := members.NewList(id, "own", log)
-	x, err := hints.Open("127.0.0.1:0", vms, func(domain.ID) domain.Region { return "r" }, onHint, log, hints.NewCounter(prometheus.NewRegistry()))
+	x, err := hints.Open("127.0.0.1:0", vms, "r", func(domain.ID) domain.Region { return "r" }, onHint, log, hints.NewCounter(prometheus.NewRegistry()))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
--- a/internal/hints/recipients.go
+++ b/internal/hints/recipients.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,9 +25,6 @@
 // use the upstream most, at most maxRecipients. These are the same for all hints about
 // the upstream, so that they know all of its expensive work.
 func selectRecipients(vms map[vm.ID]members.Member, regionOf func(domain.ID) domain.Region, h Hint) []members.Member {
-	if h.Quarantine != nil {
-		return evidenceRecipients(vms, h)
-	}
 	recipients := make([]members.Member, 0, len(vms))
 	for _, m := range vms {
 		if len(vms) <= maxBroadcastVMs || regionOf(m.Domain) == h.Region {
@@ -47,17 +43,3 @@
 	slices.SortFunc(vms, func(a, b members.Member) int { return cmp.Compare(rank(b), rank(a)) })
 	return vms[:min(n, len(vms))]
 }
-
-// evidenceRelays is the number of VMs that pass the evidence about an upstream on to all
-// others in a large fleet, so that not every VM on whose requests it ended has to.
-const evidenceRelays = 3
-
-// evidenceRecipients returns the VMs that get evidence on requests that crash upstreams:
-// all of them, or the relays if the hint is to be passed on in a large fleet.
-func evidenceRecipients(vms map[vm.ID]members.Member, h Hint) []members.Member {
-	all := slices.Collect(maps.Values(vms))
-	if !h.Quarantine.ForAll || len(all) <= maxBroadcastVMs {
-		return all
-	}
-	return highestRanked(all, h.Upstream, evidenceRelays)
-}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -31,6 +31,9 @@
 	// Relay is the HTTP address at which the VM relays requests of other VMs' callers;
 	// invalid if it doesn't.
 	Relay netip.AddrPort `json:"relay,omitzero"`
+	// PassesEvidence reports that the VM passes evidence on to a part of the VMs
+	// (quarantines.Spread). Older builds don't.
+	PassesEvidence bool `json:"passes_evidence,omitzero"`
 }
 
 // List is the list of the other VMs. One goroutine updates it by Reset and Change;
--- a/internal/quarantines/evidence.go
+++ b/internal/quarantines/evidence.go
@@ -1,6 +1,7 @@
 package quarantines
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -43,8 +44,13 @@
 	// crashAt is the last crash that involved the key, and toldAt the latest begin of a sound
 	// answer to it that any VM told all others; zero for none.
 	crashAt, toldAt time.Duration
+	// crashes are the last crashes that involved the key, newest last.
+	crashes []quarantine.Incarnation
 }
 
+// maxCrashesOfSuspicion bounds suspicion.crashes.
+const maxCrashesOfSuspicion = 8
+
 // suspect notes the keys that VMs may hold a crash against.
 func (g *Guard) suspect(c quarantine.Crash) {
 	for _, s := range c.Suspects {
@@ -54,21 +60,30 @@
 				continue
 			}
 			known.crashAt = max(known.crashAt, c.At)
+			if !slices.Contains(known.crashes, c.Incarnation) {
+				known.crashes = append(known.crashes[max(0, len(known.crashes)-maxCrashesOfSuspicion+1):], c.Incarnation)
+			}
 			g.suspected[key] = known
 		}
 	}
 }
 
 // announceSound tells the other VMs of a sound answer, if it clears the key of the last crash
-// and no VM has told of one that does.
+// and no VM has told of one that does. Nothing is told if the upstreams have not ended after
+// all.
 func (g *Guard) announceSound(key quarantine.Key, at time.Duration) {
 	s, suspected := g.suspected[key]
 	clearsFrom := s.crashAt - g.opts.Blame.SoundMemory
 	if !suspected || at < clearsFrom || s.toldAt > 0 && s.toldAt >= clearsFrom {
 		return
 	}
+	s.crashes = slices.DeleteFunc(s.crashes, func(of quarantine.Incarnation) bool { return !g.blame.Knows(of) })
+	g.suspected[key] = s
+	if len(s.crashes) == 0 {
+		return
+	}
 	g.noteSoundTold(key, at)
-	g.reports.addSound(key, at)
+	g.reports.addSound(key, at, s.crashes[len(s.crashes)-1].Upstream)
 	g.markUnweighed()
 }
 
@@ -89,7 +104,11 @@
 		return
 	}
 	g.metrics.lost.Inc()
-	g.reportCrash(a.of, now, g.takeSuspects(a.of, a))
+	suspects := g.takeSuspects(a.of, a)
+	if g.doubt(a.of, now, suspects) {
+		return
+	}
+	g.reportCrash(a.of, now, suspects)
 }
 
 // takeSuspects returns the suspects among an attempt that was lost and those that were
@@ -113,7 +132,12 @@
 // end had been reported.
 func (g *Guard) noteAlive(of quarantine.Incarnation) {
 	now, known := g.opts.SharedClock.Now()
-	if known && g.blame.RecordAlive(of, now) {
+	if !known {
+		return
+	}
+	g.dismiss(of, now)
+	if g.blame.RecordAlive(of, now) {
+		g.noteFalseEnd(of, now)
 		g.reports.addAlive(Alive{Incarnation: of, At: now})
 		g.markUnweighed()
 	}
@@ -121,7 +145,7 @@
 
 // reportCrash records a crash and tells the other VMs, with the suspects that are not
 // cleared by a sound answer that this VM knows of. Others may have suspects even if this
-// VM has none.
+// VM has none, but they need not be told twice.
 func (g *Guard) reportCrash(of quarantine.Incarnation, at time.Duration, suspects []quarantine.Suspect) {
 	c := quarantine.Crash{Incarnation: of, At: at}
 	for _, s := range suspects {
@@ -129,7 +153,10 @@
 			c.Suspects = append(c.Suspects, s)
 		}
 	}
-	g.blame.RecordCrash(c)
+	told := g.blame.Knows(of)
+	if !g.blame.RecordCrash(c) || told && len(c.Suspects) == 0 {
+		return
+	}
 	g.suspect(c)
 	g.reports.addCrash(c)
 	g.markUnweighed()
--- a/internal/quarantines/exchange.go
+++ b/internal/quarantines/exchange.go
@@ -13,7 +13,7 @@
 
 func (g *Guard) announceEntry(e quarantine.Entry) {
 	if rank, _ := g.opts.Rank(); rank < maxAnnouncers {
-		g.opts.Broadcast(Message{Entries: []quarantine.Entry{e}})
+		g.opts.Report(Message{Entries: []quarantine.Entry{e}})
 	}
 }
 
@@ -25,9 +25,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range m.Crashes {
-		g.blame.RecordCrash(c)
+		if !g.blame.RecordCrash(c) {
+			continue
+		}
 		g.suspect(c)
 		g.markUnweighed()
+		g.hasten(c)
 		if own := g.takeSuspects(c.Incarnation, nil); len(own) > 0 {
 			g.reportCrash(c.Incarnation, c.At, own)
 		}
@@ -39,13 +42,22 @@
 		g.markUnweighed()
 	}
 	for _, a := range m.Alive {
-		g.blame.ReportAlive(a.Incarnation, a.At)
+		g.dismiss(a.Incarnation, a.At)
+		if g.blame.ReportAlive(a.Incarnation, a.At) {
+			g.noteFalseEnd(a.Incarnation, a.At)
+		}
 	}
 	for _, e := range m.Entries {
 		g.install(e)
 	}
-	if m.ForAll {
-		g.passOn(m)
+	switch {
+	case m.ForAll:
+		g.passOn(m, g.relayedToAll)
+	case m.Spread.Region:
+		g.passOn(m, g.relayed)
+		if len(m.Entries) > 0 {
+			g.opts.Broadcast(Message{Entries: m.Entries})
+		}
 	}
 }
 
@@ -61,19 +73,6 @@
 	}
 }
 
-// passOn queues the evidence of a message for all VMs.
-func (g *Guard) passOn(m Message) {
-	for _, c := range m.Crashes {
-		g.relayed.addCrash(c)
-	}
-	for _, s := range m.Sound {
-		g.relayed.addSound(s.Key, s.At)
-	}
-	for _, a := range m.Alive {
-		g.relayed.addAlive(a)
-	}
-}
-
 // tickInterval is the time between two steps of Run while there is evidence.
 const tickInterval = 20 * time.Millisecond
 
@@ -106,19 +105,27 @@
 	defer g.mu.Unlock()
 	g.decide(now)
 	g.forget(now)
-	for _, m := range g.reports.flush(g.clock.Now()) {
-		g.opts.Report(m)
-	}
-	for _, m := range g.relayed.flush(g.clock.Now()) {
-		g.opts.Broadcast(m)
+	g.reportDoubtful(now)
+	g.reports.dropRepeats(func(c quarantine.Crash) bool { return !g.blame.Knows(c.Incarnation) })
+	more := g.unweighed || len(g.held) > 0 || len(g.doubtful) > 0
+	for o, send := range map[*outbox]func(Message){g.reports: g.opts.Report, g.relayed: g.opts.Broadcast, g.relayedToAll: g.opts.Report} {
+		for _, m := range o.flush(g.clock.Now()) {
+			m.Turn += 2 * int64(now/turnTime)
+			send(m)
+		}
+		g.metrics.dropped.Add(float64(o.takeDropped()))
+		more = more || !o.isEmpty()
 	}
-	g.metrics.dropped.Add(float64(g.reports.takeDropped() + g.relayed.takeDropped()))
-	return g.unweighed || len(g.held) > 0 || !g.reports.isEmpty() || !g.relayed.isEmpty()
+	return more
 }
 
+// turnTime is the time for which the same VMs pass on the messages on an upstream.
+const turnTime = 10 * time.Second
+
 // forget removes the holds and suspicions that are over.
 func (g *Guard) forget(now time.Duration) {
 	maps.DeleteFunc(g.suspected, func(_ quarantine.Key, s suspicion) bool { return s.crashAt+suspicionTime <= now })
 	maps.DeleteFunc(g.held, func(_ quarantine.Key, until time.Duration) bool { return until <= now })
+	g.forgetPassed(now)
 	g.updateIdle()
 }
--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -29,7 +29,8 @@
 	Blame       quarantine.Options
 	SharedClock Clock
 	Writer      watch.Writer
-	// Report sends a message to the VMs that gather evidence, and Broadcast to all others.
+	// Report sends a message to all other VMs, in a large fleet by way of one VM of each region,
+	// and Broadcast to the VMs of this VM's region. In a small fleet both send to all others.
 	// They must not block.
 	Report, Broadcast func(Message)
 	// Rank returns the position of this VM among all VMs, from 0, and their number.
@@ -51,9 +52,15 @@
 	mu       sync.Mutex
 	blame    *quarantine.Blame
 	attempts map[quarantine.Incarnation]map[*Attempt]struct{}
-	// reports holds what this VM saw, and relayed what it passes on to all VMs.
-	reports, relayed *outbox
-	list             quarantine.List
+	// reports holds what this VM saw, relayed what it passes on to the VMs of its region, and
+	// relayedToAll what it passes on to all VMs for VMs of older builds.
+	reports, relayed, relayedToAll *outbox
+	passed                         passed
+	// doubtful holds lost attempts at upstreams whose end was reported wrongly before, and
+	// falseEnds those upstreams.
+	doubtful  map[quarantine.Incarnation]doubtfulCrash
+	falseEnds map[quarantine.Incarnation]falseEnd
+	list      quarantine.List
 	// held maps the keys that are held back to the time until which they are.
 	held map[quarantine.Key]time.Duration
 	// unweighed reports whether there is evidence since the last decision.
@@ -69,10 +76,12 @@
 	g := &Guard{
 		opts: opts, clock: opts.Clock, metrics: newMetrics(opts.Registry),
 		blame: quarantine.NewBlame(opts.Blame), attempts: make(map[quarantine.Incarnation]map[*Attempt]struct{}),
-		reports: newOutbox(), relayed: newOutbox(), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
+		reports: newOutbox(), relayed: newOutbox(), relayedToAll: newOutbox(), passed: newPassed(),
+		doubtful: make(map[quarantine.Incarnation]doubtfulCrash), falseEnds: make(map[quarantine.Incarnation]falseEnd), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
 		suspected: make(map[quarantine.Key]suspicion),
 		row:       newRowState(), wake: make(chan struct{}, 1),
 	}
+	g.reports.repeatable = true
 	g.idle.Store(true)
 	return g
 }
--- a/internal/quarantines/message.go
+++ b/internal/quarantines/message.go
@@ -13,8 +13,16 @@
 	Sound   []Sound            `json:"sound,omitempty"`
 	Alive   []Alive            `json:"alive,omitempty"`
 	Entries []quarantine.Entry `json:"entries,omitempty"`
-	// ForAll asks the receiver to pass the message on to all VMs.
+	// ForAll asks the receiver to pass the message on to all VMs. It is sent to VMs of builds
+	// that don't know Spread, and received from them.
 	ForAll bool `json:"for_all,omitzero"`
+	// Spread asks the receiver to pass the message on to a part of the VMs.
+	Spread Spread `json:"spread,omitzero"`
+	// Topic is the upstream by which the VMs that pass the message on are chosen. It is not
+	// sent.
+	Topic upstream.ID `json:"-"`
+	// Turn changes the VMs that pass on messages with the same topic. It is not sent.
+	Turn int64 `json:"-"`
 }
 
 // Sound tells that a request with the key was answered while its upstream was alive.
@@ -33,8 +41,15 @@
 
 // Upstream returns the upstream that a message is about; empty if it is about none.
 func (m Message) Upstream() upstream.ID {
-	if len(m.Crashes) == 0 {
-		return ""
+	switch {
+	case m.Topic != "":
+		return m.Topic
+	case len(m.Crashes) > 0:
+		return m.Crashes[0].Upstream
+	case len(m.Alive) > 0:
+		return m.Alive[0].Upstream
+	case len(m.Entries) > 0 && len(m.Entries[0].Evidence) > 0:
+		return m.Entries[0].Evidence[0].Upstream
 	}
-	return m.Crashes[0].Upstream
+	return ""
 }
--- a/internal/quarantines/outbox.go
+++ b/internal/quarantines/outbox.go
@@ -1,9 +1,11 @@
 package quarantines
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/quarantine"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 const (
@@ -19,14 +21,19 @@
 	// repeatAfter is the time after which a report is sent a second time, as messages may
 	// be lost.
 	repeatAfter = 250 * time.Millisecond
+	// repeatTurn is Message.Turn of a message that is sent a second time, which other VMs are
+	// to pass on than the first.
+	repeatTurn = 1
 )
 
 // outbox gathers what the other VMs are to be told. Reports of one crash are sent
 // together.
 type outbox struct {
 	crashes map[quarantine.Incarnation]quarantine.Crash
-	sound   map[quarantine.Key]time.Duration
+	sound   map[quarantine.Key]soundReport
 	alive   []Alive
+	// repeatable is set if messages are sent a second time.
+	repeatable bool
 	// repeats holds the messages to be sent again, oldest first.
 	repeats []repeat
 	// dropped counts what did not fit.
@@ -39,8 +46,15 @@
 	message Message
 }
 
+// soundReport is a sound answer to be told.
+type soundReport struct {
+	at time.Duration
+	// topic is the upstream whose crash the answer clears the key of.
+	topic upstream.ID
+}
+
 func newOutbox() *outbox {
-	return &outbox{crashes: make(map[quarantine.Incarnation]quarantine.Crash), sound: make(map[quarantine.Key]time.Duration)}
+	return &outbox{crashes: make(map[quarantine.Incarnation]quarantine.Crash), sound: make(map[quarantine.Key]soundReport)}
 }
 
 // addCrash queues a report. Those of the same crash are merged.
@@ -57,13 +71,13 @@
 	o.crashes[c.Incarnation] = c
 }
 
-// addSound queues the report of a sound answer.
-func (o *outbox) addSound(key quarantine.Key, at time.Duration) {
+// addSound queues the report of a sound answer, which clears the key of a crash of topic.
+func (o *outbox) addSound(key quarantine.Key, at time.Duration, topic upstream.ID) {
 	if _, exists := o.sound[key]; !exists && len(o.sound) >= maxQueued {
 		o.dropped++
 		return
 	}
-	o.sound[key] = at
+	o.sound[key] = soundReport{at: at, topic: topic}
 }
 
 // isEmpty reports whether nothing is to be sent.
@@ -87,6 +101,14 @@
 	return n
 }
 
+// dropRepeats removes the crashes that isOver returns true for from the messages to be sent
+// again.
+func (o *outbox) dropRepeats(isOver func(quarantine.Crash) bool) {
+	o.repeats = slices.DeleteFunc(o.repeats, func(r repeat) bool {
+		return len(r.message.Crashes) > 0 && !slices.ContainsFunc(r.message.Crashes, func(c quarantine.Crash) bool { return !isOver(c) })
+	})
+}
+
 // flush returns the messages to send now, at most maxPerFlush, and keeps the rest.
 func (o *outbox) flush(now time.Time) []Message {
 	var messages []Message
@@ -100,7 +122,8 @@
 			break
 		}
 		messages = append(messages, m)
-		if len(o.repeats) < maxQueued {
+		if o.repeatable && len(o.repeats) < maxQueued {
+			m.Turn = repeatTurn
 			o.repeats = append(o.repeats, repeat{at: now.Add(repeatAfter), message: m})
 		}
 	}
@@ -118,19 +141,35 @@
 		}
 		return Message{Crashes: []quarantine.Crash{c}}, true
 	}
-	var m Message
-	fitting := min(len(o.alive), maxAlivePerMessage)
-	m.Alive, o.alive = o.alive[:fitting:fitting], o.alive[fitting:]
-	for key, at := range o.sound {
-		if len(m.Sound) == maxSoundPerMessage {
-			break
+	m := Message{Topic: o.firstTopic()}
+	o.alive = slices.DeleteFunc(o.alive, func(a Alive) bool {
+		taken := a.Upstream == m.Topic && len(m.Alive) < maxAlivePerMessage
+		if taken {
+			m.Alive = append(m.Alive, a)
+		}
+		return taken
+	})
+	for key, s := range o.sound {
+		if s.topic == m.Topic && len(m.Sound) < maxSoundPerMessage {
+			m.Sound = append(m.Sound, Sound{Key: key, At: s.at})
+			delete(o.sound, key)
 		}
-		m.Sound = append(m.Sound, Sound{Key: key, At: at})
-		delete(o.sound, key)
 	}
 	return m, len(m.Sound)+len(m.Alive) > 0
 }
 
+// firstTopic returns the upstream that the next message without crashes is about. Messages
+// on different upstreams are passed on by different VMs, so they are not merged.
+func (o *outbox) firstTopic() upstream.ID {
+	if len(o.alive) > 0 {
+		return o.alive[0].Upstream
+	}
+	for _, s := range o.sound {
+		return s.topic
+	}
+	return ""
+}
+
 // splitSuspects returns the suspects that fit into a message, and the rest. Of a suspect
 // with more keys than that only the last ones are told, which the fewest requests share.
 func splitSuspects(suspects []quarantine.Suspect) (first, rest []quarantine.Suspect) {
--- a/internal/quarantines/outbox_test.go
+++ b/internal/quarantines/outbox_test.go
@@ -19,6 +19,7 @@
 	g := NewWithT(t)
 	digester := quarantine.NewDigester("secret")
 	o := newOutbox()
+	o.repeatable = true
 	c := quarantine.Crash{Incarnation: quarantine.Incarnation{Upstream: "i-0123456789abcdef", Born: 1775838447165}, At: 1 << 50}
 	for i := range 70 {
 		s := quarantine.Suspect{Begun: true}
@@ -29,7 +30,7 @@
 	}
 	o.addCrash(c)
 	for i := range 60 {
-		o.addSound(digester.Part(fmt.Sprint(i)), 1<<50)
+		o.addSound(digester.Part(fmt.Sprint(i)), 1<<50, c.Upstream)
 	}
 	for range 20 {
 		o.addAlive(Alive{Incarnation: c.Incarnation, At: 1 << 50})
--- a/quarantine/blame.go
+++ b/quarantine/blame.go
@@ -112,10 +112,10 @@
 }
 
 // RecordCrash adds what a VM saw of a crash. Reports of the same crash are merged, in any
-// order and number.
-func (b *Blame) RecordCrash(c Crash) {
+// order and number. It returns false if the upstream is known to have gone on.
+func (b *Blame) RecordCrash(c Crash) bool {
 	if aliveAt, seen := b.alive[c.Incarnation]; seen && c.At+b.opts.SettleTime <= aliveAt {
-		return
+		return false
 	}
 	known := b.crashes[c.Incarnation]
 	if known == nil {
@@ -130,8 +130,12 @@
 		}
 	}
 	b.forgetOldest()
+	return true
 }
 
+// Knows reports whether a crash of the upstream is remembered.
+func (b *Blame) Knows(of Incarnation) bool { return b.crashes[of] != nil }
+
 // RecordAlive records that something came from an upstream at a time. A lost connection
 // before was no crash then. It returns false if none was reported; what was on its way at
 // the time of the crash shows nothing.
@@ -145,12 +149,15 @@
 }
 
 // ReportAlive applies what another VM recorded by RecordAlive. It may come before the report
-// of the lost connection.
-func (b *Blame) ReportAlive(of Incarnation, at time.Duration) {
+// of the lost connection. It returns whether it cleared a crash.
+func (b *Blame) ReportAlive(of Incarnation, at time.Duration) bool {
 	b.alive[of] = max(b.alive[of], at)
-	if c := b.crashes[of]; c != nil && c.at+b.opts.SettleTime <= at {
-		delete(b.crashes, of)
+	c := b.crashes[of]
+	if c == nil || c.at+b.opts.SettleTime > at {
+		return false
 	}
+	delete(b.crashes, of)
+	return true
 }
 
 func (b *Blame) suspect(c *crash, key Key, s suspicion) {
