Keep requests in the home regions of their route and account

Cause: AllowedRegions of routes and client accounts were decoded and used by nothing, so that requests were sent to any region.

Change: route.RegionFilter, Request.Regions, Candidate.Region and engines.Requirements.Regions. The relay looks the regions up in the configuration in force before every attempt; other VMs are asked to relay only in these regions, and must have the configuration by which they were looked up. Refusal no_upstream_in_regions. The directory can hold evacuated failure domains (route.EvacuatedFilter, Directory.SetEvacuated); nothing sets them yet.

--- a/domain/region_set.go
+++ b/domain/region_set.go
@@ -21,8 +21,11 @@
 func (s RegionSet) Restricted() bool { return s.restricted }
 
 // Contains reports whether a region is allowed. An unrestricted set allows every region,
-// also one without a name.
-func (s RegionSet) Contains(r Region) bool { return !s.restricted || slices.Contains(s.names, r) }
+// also one without a name, which stands for an unknown region; a restricted set never allows
+// that one.
+func (s RegionSet) Contains(r Region) bool {
+	return !s.restricted || r != "" && slices.Contains(s.names, r)
+}
 
 // Intersect returns the set of the regions that both sets allow. It may allow none.
 func (s RegionSet) Intersect(other RegionSet) RegionSet {
--- a/domain/region_set_test.go
+++ b/domain/region_set_test.go
@@ -28,3 +28,10 @@
 	g.Expect(north.Intersect(domain.NewRegionSet("centre")).String()).To(Equal("centre"))
 	g.Expect(any.String()).To(Equal("any"))
 }
+
+// TestRestrictedRegionSetExcludesUnknownRegion guards against a failure domain of unknown region
+// that counts as allowed because a set names an empty region.
+func TestRestrictedRegionSetExcludesUnknownRegion(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(domain.NewRegionSet("north", "").Contains("")).To(BeFalse())
+}
--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -43,12 +43,12 @@
 // Begin registers an attempt in flight. Work is how long the upstream is expected
 // to process the request before it responds. End must be called on the result. It
 // returns nil if this VM's part of the upstream's limit has been used since the upstream
-// was chosen.
+// was chosen, or if its failure domain has been evacuated since.
 func (e *Engine) Begin(work time.Duration) *Attempt {
 	now := e.directory.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.hasPlace(now) || !e.takeGrant(now) {
+	if e.Evacuated() || !e.hasPlace(now) || !e.takeGrant(now) {
 		return nil
 	}
 	a := &Attempt{engine: e, work: work, startedAt: now}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -69,6 +69,9 @@
 	// is not called.
 	OnFragile  func(u upstream.Upstream, fragile bool)
 	OnRejected func(u upstream.Upstream)
+	// OnEvacuationEnded is called for each upstream whose failure domain is not evacuated any
+	// more; nil is not called.
+	OnEvacuationEnded func(u upstream.Upstream)
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
 	// OnRemove is called with the address of an upstream that was removed; nil is
@@ -92,6 +95,9 @@
 	fragileMu sync.RWMutex
 	fragile   map[string]fragileService
 
+	// evacuated holds the evacuated failure domains. The map is replaced, not changed.
+	evacuated atomic.Pointer[map[domain.ID]bool]
+
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
 	byService map[string][]*Engine
@@ -134,6 +140,7 @@
 		withheld:  make(map[upstream.ID]withheldEntry),
 	}
 	d.sizes.Store(&map[string]int{})
+	d.evacuated.Store(&map[domain.ID]bool{})
 	return d
 }
 
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -127,10 +127,11 @@
 func (e *Engine) fillCandidate(c *route.Candidate, now time.Time) {
 	d := e.directory
 	entry := e.entry()
+	region := d.opts.RegionOf(entry.Domain)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	*c = route.Candidate{
-		Upstream: &e.identity, Capacity: entry.Capacity, InFlight: e.inFlight,
+		Upstream: &e.identity, Region: region, Evacuated: e.Evacuated(), Capacity: entry.Capacity, InFlight: e.inFlight,
 		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), OverLimit: !e.hasGrant(now), NoPlace: !e.hasPlace(now), RequestDuration: e.serviceTime,
 		BreakerOpen: !d.breakers.Ready(entry.ID, model.Ref{}, now),
 		FirstToken:  time.Duration(e.failureRate * float64(d.opts.Placement.FailurePenalty)),
@@ -140,7 +141,7 @@
 	if now.Sub(e.reportedAt) < reportTTL {
 		c.RemoteInFlight = e.remoteRequests
 	}
-	if d.opts.RegionOf(entry.Domain) != d.opts.Region {
+	if region != d.opts.Region {
 		c.PricePerMB = d.opts.Placement.CrossRegionPrice
 	}
 }
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -76,7 +76,7 @@
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
-	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
+	always := []route.Filter{route.RegionFilter{}, route.EvacuatedFilter{}, route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
 	options := func(filters ...route.Filter) route.Options {
 		return route.Options{Sample: route.MaxSample, Filters: append(filters, always...), Scorers: scorers}
 	}
@@ -89,6 +89,8 @@
 // Requirements describes the request that an upstream is selected for.
 type Requirements struct {
 	Service string
+	// Regions are the regions in which the request may be served.
+	Regions domain.RegionSet
 	// Allowed reports whether upstreams of a version may be used; nil allows all.
 	Allowed func(model.VersionID) bool
 	// PrefixHash is the hash of the shared prompt prefix; requests with the same
@@ -141,9 +143,10 @@
 		candidates = append(candidates, route.Candidate{})
 		e.fillCandidate(&candidates[len(candidates)-1], now)
 	}
+	usable := d.usable(allowed, req.Regions)
 	var small map[*Engine]bool
 	if req.RouterPicksModel {
-		small = d.smallModelPool(allowed)
+		small = d.smallModelPool(usable)
 		for i, e := range allowed {
 			if len(small) > 0 && small[e] != req.SmallModel {
 				candidates[i].FirstToken += d.opts.Placement.PoolMismatchPenalty
@@ -152,7 +155,7 @@
 	}
 	request := route.Request{
 		Service: req.Service, PromptTokens: req.SharedTokens, Bytes: req.Bytes, Tried: req.Tried, Draw: req.Draw,
-		Home: d.homeUpstream(req, allowed, small),
+		Regions: req.Regions, Home: d.homeUpstream(req, usable, small),
 	}
 	choice := Choice{Candidates: len(allowed)}
 	decision, ok := d.policies.withBreakers.Select(&request, candidates)
@@ -163,8 +166,8 @@
 		choice.Refused = decision.Refused
 	}
 	if !ok {
-		choice.PauseLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.pauseLeft(now) })
-		choice.LimitLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.limitLeft(now) })
+		choice.PauseLeft = shortestWait(usable, req.Tried, func(e *Engine) time.Duration { return e.pauseLeft(now) })
+		choice.LimitLeft = shortestWait(usable, req.Tried, func(e *Engine) time.Duration { return e.limitLeft(now) })
 		return choice
 	}
 	for _, e := range allowed {
@@ -205,15 +208,15 @@
 // rendezvous hashing; empty for none. It considers the upstreams of this VM's
 // region only, unless prefilling the prefix costs more than sending the request
 // to another region.
-func (d *Directory) homeUpstream(req Requirements, allowed []*Engine, small map[*Engine]bool) upstream.ID {
+func (d *Directory) homeUpstream(req Requirements, usable []*Engine, small map[*Engine]bool) upstream.ID {
 	if req.PrefixHash == 0 {
 		return ""
 	}
 	p := d.opts.Placement
 	anyRegion := time.Duration(req.SharedTokens)*p.PrefillPerToken > p.crossRegionCost(req)
-	candidates := make([]*Engine, 0, len(allowed))
-	hashes := make([]uint64, 0, len(allowed))
-	for _, e := range allowed {
+	candidates := make([]*Engine, 0, len(usable))
+	hashes := make([]uint64, 0, len(usable))
+	for _, e := range usable {
 		if (anyRegion || d.opts.RegionOf(e.entry().Domain) == d.opts.Region) && !e.Leaving() &&
 			(len(small) == 0 || small[e] == req.SmallModel) {
 			candidates = append(candidates, e)
--- a/internal/engines/pool.go
+++ b/internal/engines/pool.go
@@ -12,9 +12,9 @@
 // wait for slow ones. The pool is a fixed share of each region's upstreams and
 // is the same on all VMs. It is empty where there are too few upstreams for that
 // share.
-func (d *Directory) smallModelPool(allowed []*Engine) map[*Engine]bool {
+func (d *Directory) smallModelPool(usable []*Engine) map[*Engine]bool {
 	byRegion := make(map[domain.Region][]*Engine)
-	for _, e := range allowed {
+	for _, e := range usable {
 		if !e.Leaving() {
 			r := d.opts.RegionOf(e.entry().Domain)
 			byRegion[r] = append(byRegion[r], e)
--- a/internal/peerrelay/chooser.go
+++ b/internal/peerrelay/chooser.go
@@ -93,15 +93,15 @@
 	chooser *Chooser
 }
 
-// Choose returns the VM with the lowest cost that may relay a request for a service, and
-// false if there is none. Those that were tried are left out. End must be called on the
-// result.
-func (c *Chooser) Choose(service string, tried []vm.ID) (*Peer, bool) {
+// Choose returns the VM with the lowest cost, in one of the regions, that may relay a request
+// for a service, and false if there is none. Those that were tried are left out. End must be
+// called on the result.
+func (c *Chooser) Choose(service string, regions domain.RegionSet, tried []vm.ID) (*Peer, bool) {
 	now := c.opts.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	best, lowest, found := members.Member{}, time.Duration(0), false
-	for _, m := range c.candidates(service, tried, now) {
+	for _, m := range c.candidates(service, regions, tried, now) {
 		if cost := c.cost(m, service, now); !found || cost < lowest {
 			best, lowest, found = m, cost, true
 		}
@@ -115,10 +115,10 @@
 
 // candidates returns VMs that may be asked, at most maxCandidates, in random order. The
 // caller holds mu, as for cost.
-func (c *Chooser) candidates(service string, tried []vm.ID, now time.Time) []members.Member {
+func (c *Chooser) candidates(service string, regions domain.RegionSet, tried []vm.ID, now time.Time) []members.Member {
 	var all []members.Member
 	for id, m := range c.opts.Members() {
-		if m.Relay.IsValid() && !slices.Contains(tried, id) &&
+		if m.Relay.IsValid() && !slices.Contains(tried, id) && regions.Contains(c.opts.RegionOf(m.Domain)) &&
 			!now.Before(c.leftUntil[standingKey{id, service}]) && !now.Before(c.leftUntil[standingKey{vm: id}]) {
 			all = append(all, m)
 		}
--- a/internal/peerrelay/chooser_test.go
+++ b/internal/peerrelay/chooser_test.go
@@ -50,14 +50,14 @@
 	c, _ := newChooser(fleet(3))
 	var order, tried []vm.ID
 	for range 3 {
-		p, ok := c.Choose(service, tried)
+		p, ok := c.Choose(service, domain.RegionSet{}, tried)
 		g.Expect(ok).To(BeTrue())
 		p.End(peerrelay.Inconclusive)
 		tried = append(tried, p.ID)
 		order = append(order, p.ID)
 	}
 	g.Expect(order).To(Equal([]vm.ID{"vm-0", "vm-1", "vm-2"}))
-	_, ok := c.Choose(service, tried)
+	_, ok := c.Choose(service, domain.RegionSet{}, tried)
 	g.Expect(ok).To(BeFalse())
 }
 
@@ -66,7 +66,7 @@
 	c, _ := newChooser(fleet(6))
 	asked := make(map[vm.ID]int)
 	for range 90 {
-		p, ok := c.Choose(service, nil)
+		p, ok := c.Choose(service, domain.RegionSet{}, nil)
 		g.Expect(ok).To(BeTrue())
 		asked[p.ID]++
 	}
@@ -76,33 +76,33 @@
 func TestVMThatRefusedAServiceIsLeftAloneForIt(t *testing.T) {
 	g := NewWithT(t)
 	c, clock := newChooser(fleet(1))
-	p, _ := c.Choose(service, nil)
+	p, _ := c.Choose(service, domain.RegionSet{}, nil)
 	p.End(peerrelay.RefusedService)
-	_, ok := c.Choose(service, nil)
+	_, ok := c.Choose(service, domain.RegionSet{}, nil)
 	g.Expect(ok).To(BeFalse())
-	_, ok = c.Choose("other", nil)
+	_, ok = c.Choose("other", domain.RegionSet{}, nil)
 	g.Expect(ok).To(BeTrue())
 	clock.Advance(time.Second)
-	_, ok = c.Choose(service, nil)
+	_, ok = c.Choose(service, domain.RegionSet{}, nil)
 	g.Expect(ok).To(BeTrue())
 }
 
 func TestVMThatCannotBeReachedIsLeftAlone(t *testing.T) {
 	g := NewWithT(t)
 	c, _ := newChooser(fleet(1))
-	p, _ := c.Choose(service, nil)
+	p, _ := c.Choose(service, domain.RegionSet{}, nil)
 	p.End(peerrelay.Unavailable)
-	_, ok := c.Choose("other", nil)
+	_, ok := c.Choose("other", domain.RegionSet{}, nil)
 	g.Expect(ok).To(BeFalse())
 }
 
 func TestProvenVMIsPreferred(t *testing.T) {
 	g := NewWithT(t)
 	c, _ := newChooser(fleet(300))
-	p, _ := c.Choose(service, nil)
+	p, _ := c.Choose(service, domain.RegionSet{}, nil)
 	p.End(peerrelay.Relayed)
 	for range 5 {
-		again, _ := c.Choose(service, nil)
+		again, _ := c.Choose(service, domain.RegionSet{}, nil)
 		again.End(peerrelay.Relayed)
 		g.Expect(again.ID).To(Equal(p.ID))
 	}
@@ -115,7 +115,7 @@
 	m.Relay = netip.AddrPort{}
 	others["vm-0"] = m
 	c, _ := newChooser(others)
-	_, ok := c.Choose(service, nil)
+	_, ok := c.Choose(service, domain.RegionSet{}, nil)
 	g.Expect(ok).To(BeFalse())
 	g.Expect(peerrelay.IsMember(others, netip.MustParseAddr("10.0.0.0"))).To(BeFalse())
 	g.Expect(peerrelay.IsMember(fleet(1), netip.MustParseAddr("10.0.0.0"))).To(BeTrue())
@@ -127,7 +127,7 @@
 	c, _ := newChooser(fleet(300))
 	var tried []vm.ID
 	for range 2 {
-		p, ok := c.Choose(service, tried)
+		p, ok := c.Choose(service, domain.RegionSet{}, tried)
 		g.Expect(ok).To(BeTrue())
 		if id, err := strconv.Atoi(strings.TrimPrefix(string(p.ID), "vm-")); err == nil && id%3 != 0 {
 			p.End(peerrelay.Relayed)
@@ -138,3 +138,26 @@
 	}
 	t.Fatal("only VMs of the own domain were asked")
 }
+
+// TestVMOutsideTheRegionsIsNotAsked guards against a body that leaves its home regions by a relay;
+// a VM whose region is unknown is in none of them.
+func TestVMOutsideTheRegionsIsNotAsked(t *testing.T) {
+	g := NewWithT(t)
+	c, _ := newChooser(fleet(30))
+	var tried []vm.ID
+	for {
+		p, ok := c.Choose(service, domain.NewRegionSet("r2"), tried)
+		if !ok {
+			break
+		}
+		g.Expect(p.ID).To(WithTransform(func(id vm.ID) int {
+			n, err := strconv.Atoi(strings.TrimPrefix(string(id), "vm-"))
+			g.Expect(err).NotTo(HaveOccurred())
+			return n % 3
+		}, Equal(2)))
+		tried = append(tried, p.ID)
+	}
+	g.Expect(tried).To(HaveLen(10))
+	_, ok := c.Choose(service, domain.NewRegionSet("r9"), nil)
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -28,6 +28,8 @@
 	account  account.ID
 	priority int
 	service  string
+	// homeRegions are those of the route and the account; see regions.
+	homeRegions homeRegions
 	// sessionPosition selects the versions that the session may use. It is a
 	// hash of the session, or random without one, from 0 to 1.
 	sessionPosition float64
@@ -149,7 +151,7 @@
 // requirements returns the criteria for the upstream of the next attempt.
 func (x *exchange) requirements() engines.Requirements {
 	req := engines.Requirements{
-		Service: x.service, Allowed: x.server.Versions.Allowed(x.service, x.sessionPosition),
+		Service: x.service, Regions: x.regions(), Allowed: x.server.Versions.Allowed(x.service, x.sessionPosition),
 		Tried: x.retryState.Tried, Draw: x.randState, Bytes: int64(len(x.body)) + expectedResponseBytes,
 	}
 	if x.routerPicksModel() {
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/account"
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/peerrelay"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
@@ -160,9 +161,9 @@
 
 // Peers selects other VMs that relay requests for this one.
 type Peers interface {
-	// Choose returns a VM that may relay a request for a service, other than those tried, and
-	// false if there is none. End must be called on the result.
-	Choose(service string, tried []vm.ID) (*peerrelay.Peer, bool)
+	// Choose returns a VM in one of the regions that may relay a request for a service, other
+	// than those tried, and false if there is none. End must be called on the result.
+	Choose(service string, regions domain.RegionSet, tried []vm.ID) (*peerrelay.Peer, bool)
 }
 
 // Versions decides which versions a session may use and records how attempts on
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -84,7 +84,7 @@
 	x.peersAsked = true
 	var tried []vm.ID
 	for range maxPeersAsked {
-		peer, ok := x.server.Peers.Choose(x.service, tried)
+		peer, ok := x.server.Peers.Choose(x.service, x.regions(), tried)
 		if !ok {
 			x.server.Metrics.peerAttempts.WithLabelValues("no_peer").Inc()
 			return false, nil
@@ -139,7 +139,7 @@
 func (x *exchange) exchangeWithPeer(ctx context.Context, peer *peerrelay.Peer) error {
 	s := x.server
 	header := s.Protocol.PeerHeader(x.attemptThroughPeer())
-	peerRequest{from: s.VM, attemptsLeft: x.attemptsLeft(), config: x.table.Version()}.addTo(header)
+	peerRequest{from: s.VM, attemptsLeft: x.attemptsLeft(), config: x.requiredConfig()}.addTo(header)
 	resp, err := s.PeerPool.Do(ctx, upconn.Call{
 		Address: peer.Address,
 		Request: upconn.Request{
@@ -204,7 +204,8 @@
 // isFinalFor reports whether every VM would refuse a request for the reason.
 func isFinalFor(reason refusal.Reason) bool {
 	switch reason {
-	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited, refusal.UpstreamsFull:
+	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited, refusal.UpstreamsFull,
+		refusal.UpstreamsEvacuated:
 		return true
 	}
 	return false
@@ -230,7 +231,8 @@
 // resultOfRefusal returns what a refusal says about the VM that refused.
 func resultOfRefusal(reason refusal.Reason) peerrelay.Result {
 	switch {
-	case reason == refusal.OutOfReach, reason == refusal.RetriesExhausted, reason == refusal.NoUpstream:
+	case reason == refusal.OutOfReach, reason == refusal.RetriesExhausted, reason == refusal.NoUpstream,
+		reason == refusal.NoUpstreamInRegions:
 		return peerrelay.RefusedService
 	case reason == refusal.PeerBusy, reason == refusal.PeerBehind, reason == refusal.Draining, reason == refusal.ConfigurationStale, reason == "":
 		return peerrelay.Unavailable
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -6,6 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
@@ -60,7 +61,7 @@
 			continue
 		}
 		if choice.Engine == nil {
-			return x.fail(noUpstream(choice))
+			return x.fail(noUpstream(choice, x.regions()))
 		}
 		if refused := x.refuseHopeless(choice.Engine); refused != nil {
 			return x.fail(refused)
@@ -90,7 +91,7 @@
 // noUpstream returns the refusal for a choice without an upstream. The caller may come
 // back when an upstream takes another request, maybe from another VM, or when the first
 // pause of one has ended.
-func noUpstream(choice engines.Choice) *refusal.Refusal {
+func noUpstream(choice engines.Choice, regions domain.RegionSet) *refusal.Refusal {
 	switch {
 	case choice.Refused[route.NoPlace] > 0:
 		return refusal.New(refusal.UpstreamsFull).WithRetryAfter(fullRetryAfter)
@@ -99,6 +100,9 @@
 	case choice.PauseLeft > 0:
 		return refusal.New(refusal.UpstreamsPaused).WithRetryAfter(choice.PauseLeft)
 	}
+	if refused := refuseByRegion(choice, regions); refused != nil {
+		return refused
+	}
 	return refusal.New(refusal.NoUpstream)
 }
 
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/money"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -31,6 +32,8 @@
 type Candidate struct {
 	Upstream *upstream.Upstream
 	Ref      model.Ref
+	// Region is the region of the upstream's failure domain; empty if unknown.
+	Region domain.Region
 	// LinkLatency is the one-way latency to the upstream's region.
 	LinkLatency time.Duration
 	// PricePerMB is the price of one million bytes on that link, in micros.
@@ -57,6 +60,8 @@
 	Loaded bool
 	// Leaving reports that the upstream gets no new work.
 	Leaving bool
+	// Evacuated reports that operators evacuated the upstream's failure domain.
+	Evacuated bool
 	// Paused reports that the upstream asked this VM to send it nothing for a while.
 	Paused bool
 	// OverLimit reports that the upstream limits the requests of all VMs, and that this VM has
--- a/route/filter.go
+++ b/route/filter.go
@@ -21,12 +21,17 @@
 	Full
 	// NoPlace: this VM has used its part of the places of an upstream that must not be filled.
 	NoPlace
+	// OutsideRegions: the upstream is in none of the regions in which the request may be served.
+	OutsideRegions
+	// Evacuated: the upstream's failure domain is evacuated.
+	Evacuated
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
 	"not_allowed", "tried", "leaving", "paused", "over_limit", "breaker_open", "full", "no_place",
+	"outside_regions", "evacuated",
 }
 
 // String returns the label of the reason in metrics.
@@ -116,6 +121,25 @@
 // Pass implements Filter.
 func (BreakerFilter) Pass(_ *Request, c *Candidate) bool { return !c.BreakerOpen }
 
+// RegionFilter passes upstreams in the regions in which the request may be served. An upstream
+// whose region is unknown is in none of them.
+type RegionFilter struct{}
+
+// Reason implements Filter.
+func (RegionFilter) Reason() Reason { return OutsideRegions }
+
+// Pass implements Filter.
+func (RegionFilter) Pass(r *Request, c *Candidate) bool { return r.Regions.Contains(c.Region) }
+
+// EvacuatedFilter passes upstreams whose failure domain is not evacuated.
+type EvacuatedFilter struct{}
+
+// Reason implements Filter.
+func (EvacuatedFilter) Reason() Reason { return Evacuated }
+
+// Pass implements Filter.
+func (EvacuatedFilter) Pass(_ *Request, c *Candidate) bool { return !c.Evacuated }
+
 // FullFilter passes upstreams with fewer than QueueFactor × capacity requests.
 // Requests without a raised priority may use only a share of that. Upstreams of
 // unknown capacity pass.
--- a/route/request.go
+++ b/route/request.go
@@ -28,6 +28,8 @@
 	Service string
 	// Region is the region of this VM.
 	Region domain.Region
+	// Regions are the regions in which the request may be served.
+	Regions domain.RegionSet
 	// Priority is the contract's priority; higher values are served first, and
 	// values above zero are raised priorities.
 	Priority int
--- a/routing/table.go
+++ b/routing/table.go
@@ -6,6 +6,8 @@
 	"net"
 	"slices"
 	"strings"
+
+	"github.com/poplarshore/poplarshore/account"
 )
 
 // Table is a configuration compiled for lookups. It is safe for concurrent use.
@@ -79,6 +81,36 @@
 	return t.byKey[sha256.Sum256([]byte(key))]
 }
 
+// Counterpart returns the route of this table that stands for a route of another one: that with
+// the same name, host and prefix, or else the first one with the same name; nil if there is
+// none.
+func (t *Table) Counterpart(of *Route) *Route {
+	var sameName *Route
+	for i := range t.config.Routes {
+		r := &t.config.Routes[i]
+		if r.Name != of.Name {
+			continue
+		}
+		if r.Host == of.Host && r.Prefix == of.Prefix {
+			return r
+		}
+		if sameName == nil {
+			sameName = r
+		}
+	}
+	return sameName
+}
+
+// AccountByID returns the client account with an ID, or nil.
+func (t *Table) AccountByID(id account.ID) *Account {
+	for i := range t.config.Accounts {
+		if t.config.Accounts[i].ID == id {
+			return &t.config.Accounts[i]
+		}
+	}
+	return nil
+}
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
