Send nothing to the upstreams of evacuated failure domains

Cause: the rows op/evacuate/DOMAIN of the operators' table had no effect.

Change: platform/wire decodes them; operatorSink keeps the set (a listing replaces it, a deleted row ends an evacuation, an outage of the store changes nothing) and passes it to the directory. Refusal upstreams_evacuated, a log line at the begin and the end, the gauge poplarshore_gateway_upstreams_evacuated; explain shows the evacuations in force and the detail of a refusal. Probes of the way to upstreams leave evacuated ones out.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -49,3 +49,21 @@
 	_, err := builder.Timelines("none")
 	g.Expect(err).To(MatchError(ContainSubstring(`request "none" not found among 2 logged requests`)))
 }
+
+// TestTimelineShowsEvacuationsInForce guards against a refusal for an evacuation that began long
+// before the request and so is missing in its timeline.
+func TestTimelineShowsEvacuationsInForce(t *testing.T) {
+	g := NewWithT(t)
+	const log = `{"time":"2026-01-01T09:00:00Z","msg":"evacuation of failure domain began","vm":"vm-1","domain":"d1"}
+{"time":"2026-01-01T09:00:00Z","msg":"evacuation of failure domain began","vm":"vm-1","domain":"d2"}
+{"time":"2026-01-01T09:30:00Z","msg":"evacuation of failure domain ended","vm":"vm-1","domain":"d1"}
+{"time":"2026-01-01T10:00:00Z","msg":"request","vm":"vm-1","request":"abc","outcome":"upstreams_evacuated","status":503,"config":7,"detail":"Of 2 upstreams 2 are evacuated.","ms":1}
+`
+	var builder explain.TimelineBuilder
+	g.Expect(explain.Read(strings.NewReader(log), builder.Add)).To(Succeed())
+	timelines, err := builder.Timelines("abc")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(timelines[0].Summary).To(And(HavePrefix("upstreams_evacuated, status 503"), HaveSuffix("; Of 2 upstreams 2 are evacuated.")))
+	g.Expect(timelines[0].Entries).To(HaveLen(1))
+	g.Expect(timelines[0].Entries[0].Text).To(ContainSubstring(`"domain":"d2"`))
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -27,7 +27,7 @@
 	Level   string    `json:"level"`
 	Message string    `json:"msg"`
 	VM      vm.ID     `json:"vm"`
-	// Request and the fields up to LeftMS are those of a request line, which a VM
+	// Request and the fields up to Detail are those of a request line, which a VM
 	// logs at the end of a request. TookMS is the duration of the request, LeftMS
 	// the time that was left until its deadline. Lines about configurations have
 	// Config, too.
@@ -41,10 +41,13 @@
 	Attempts []Attempt `json:"attempts"`
 	TookMS   int64     `json:"ms"`
 	LeftMS   int64     `json:"left_ms"`
-	// Upstream, Reader and Table identify the subject of other lines.
+	// Detail is what a refusal says beside its reason; empty for none.
+	Detail string `json:"detail"`
+	// Upstream, Reader, Table and Domain identify the subject of other lines.
 	Upstream string `json:"upstream"`
 	Reader   string `json:"reader"`
 	Table    string `json:"table"`
+	Domain   string `json:"domain"`
 	// Text is the JSON object as it was written.
 	Text string `json:"-"`
 }
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -87,6 +88,9 @@
 	if other, ok := t.configurationLine(l); ok {
 		timeline.addEntry(other.Time.Sub(startedAt), string(other.VM), "%s", other.Text)
 	}
+	for _, other := range t.evacuationLines(l) {
+		timeline.addEntry(other.Time.Sub(startedAt), string(other.VM), "%s", other.Text)
+	}
 	slices.SortStableFunc(timeline.Entries, func(a, b Entry) int { return int(a.At - b.At) })
 	return timeline
 }
@@ -118,6 +122,31 @@
 	return Line{}, false
 }
 
+// Messages of the lines that report the begin and the end of an evacuation.
+const (
+	evacuationPrefix = "evacuation of failure domain "
+	evacuationBegan  = evacuationPrefix + "began"
+)
+
+// evacuationLines returns the lines that report the evacuations in force at the request's VM, if
+// they were logged more than contextBefore before the start of the request.
+func (t *TimelineBuilder) evacuationLines(request Line) []Line {
+	from := request.Time.Add(-millis(request.TookMS) - contextBefore)
+	latest := make(map[string]Line)
+	for _, line := range t.otherLines {
+		if line.VM == request.VM && strings.HasPrefix(line.Message, evacuationPrefix) && !line.Time.After(from) {
+			latest[line.Domain] = line
+		}
+	}
+	var lines []Line
+	for _, domain := range slices.Sorted(maps.Keys(latest)) {
+		if line := latest[domain]; line.Message == evacuationBegan {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // summary describes the outcome of the request that line l reports.
 func summary(l Line) string {
 	text := fmt.Sprintf("%s, status %d, after %d ms with %d ms left", l.Outcome, l.Status, l.TookMS, l.LeftMS)
@@ -125,9 +154,14 @@
 		text += fmt.Sprintf("; route %s, service %s, account %s", l.Route, l.Service, l.Account)
 	}
 	if l.Config == 0 {
-		return text + "; no configuration known"
+		text += "; no configuration known"
+	} else {
+		text += fmt.Sprintf("; configuration %d", l.Config)
+	}
+	if l.Detail != "" {
+		text += "; " + l.Detail
 	}
-	return text + fmt.Sprintf("; configuration %d", l.Config)
+	return text
 }
 
 // startText describes the start of the attempt.
--- a/internal/gatewayd/collector.go
+++ b/internal/gatewayd/collector.go
@@ -11,6 +11,8 @@
 		"Version of the configuration in force; 0 before the first.", nil, nil)
 	readyDesc = prometheus.NewDesc("poplarshore_gateway_ready",
 		"1 while the balancer is told to send callers here.", nil, nil)
+	evacuatedDesc = prometheus.NewDesc("poplarshore_gateway_upstreams_evacuated",
+		"Upstreams in evacuated failure domains by service.", []string{"service"}, nil)
 	dialsDesc = prometheus.NewDesc("poplarshore_gateway_upstream_dials_total",
 		"Connections opened to upstreams.", nil, nil)
 )
@@ -23,6 +25,7 @@
 // Describe implements prometheus.Collector.
 func (c *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	ch <- upstreamsDesc
+	ch <- evacuatedDesc
 	ch <- configDesc
 	ch <- readyDesc
 	ch <- dialsDesc
@@ -34,6 +37,9 @@
 	for key, n := range d.directory.Counts() {
 		ch <- prometheus.MustNewConstMetric(upstreamsDesc, prometheus.GaugeValue, float64(n), key[0], key[1])
 	}
+	for service, n := range d.directory.EvacuatedCounts() {
+		ch <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(n), service)
+	}
 	version := 0.0
 	if table := d.operatorSink.Table(); table != nil {
 		version = float64(table.Version())
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -169,7 +169,7 @@
 	d.quarantines = d.newQuarantines()
 	d.hintCounts = hints.NewCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
-	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts}
+	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
 	d.relay = d.newRelay()
 	return d
 }
--- a/internal/gatewayd/reach.go
+++ b/internal/gatewayd/reach.go
@@ -21,11 +21,11 @@
 	})
 }
 
-// usableUpstreams returns the upstreams of a service that are not leaving.
+// usableUpstreams returns the upstreams of a service that are neither leaving nor evacuated.
 func (d *Daemon) usableUpstreams(service string) []reach.Target {
 	var usable []reach.Target
 	for _, e := range d.directory.ForService(service) {
-		if !e.Leaving() {
+		if !e.Leaving() && !e.Evacuated() {
 			usable = append(usable, reach.Target{ID: e.ID(), Address: e.Address()})
 		}
 	}
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -2,9 +2,11 @@
 
 import (
 	"log/slog"
+	"maps"
 	"sync/atomic"
 	"time"
 
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
@@ -15,26 +17,31 @@
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
-// operatorSink applies the operators' table: the configuration and the orders of
-// roll-outs. It implements watch.Sink and relay.Tables.
+// operatorSink applies the operators' table: the configuration, the orders of
+// roll-outs and the evacuated failure domains. It implements watch.Sink and relay.Tables.
 type operatorSink struct {
 	log    *slog.Logger
 	table  atomic.Pointer[routing.Table]
 	shifts *shifts.Manager
 	listed atomic.Bool
+	// evacuated holds the evacuated failure domains. Only the watch of the table uses it.
+	evacuated map[domain.ID]bool
+	directory *engines.Directory
 }
 
 // Table implements relay.Tables.
 func (o *operatorSink) Table() *routing.Table { return o.table.Load() }
 
-// Reset implements watch.Sink.
+// Reset implements watch.Sink. An evacuation whose row is not listed has ended.
 func (o *operatorSink) Reset(b watch.Batch) {
+	o.evacuated = nil
 	o.Change(b)
 	o.listed.Store(true)
 }
 
-// Change implements watch.Sink. Deleted rows have no effect.
+// Change implements watch.Sink. A deleted row ends an evacuation; others have no effect.
 func (o *operatorSink) Change(b watch.Batch) {
+	o.applyEvacuations(b)
 	for _, row := range b.Rows {
 		if row.Deleted {
 			continue
@@ -53,6 +60,25 @@
 	}
 }
 
+// applyEvacuations passes the evacuated failure domains to the directory. A row that was added
+// evacuates a failure domain whatever its value.
+func (o *operatorSink) applyEvacuations(b watch.Batch) {
+	evacuated := make(map[domain.ID]bool, len(o.evacuated))
+	maps.Copy(evacuated, o.evacuated)
+	for _, row := range b.Rows {
+		id, ok := wire.EvacuatedDomain(row.Key)
+		switch {
+		case !ok:
+		case row.Deleted:
+			delete(evacuated, id)
+		default:
+			evacuated[id] = true
+		}
+	}
+	o.evacuated = evacuated
+	o.directory.SetEvacuated(evacuated)
+}
+
 // installConfig replaces the routing table if the configuration has a higher
 // version than the current one.
 func (o *operatorSink) installConfig(row watch.Row) error {
@@ -79,7 +105,8 @@
 	return nil
 }
 
-// StoreUnavailable implements watch.Sink. The last known configuration stays in force.
+// StoreUnavailable implements watch.Sink. The last known configuration stays in force, and so do
+// the last known evacuations.
 func (o *operatorSink) StoreUnavailable(error) {}
 
 // StoreAvailable implements watch.Sink.
