--- a/internal/peerrelay/chooser_test.go
+++ b/internal/peerrelay/chooser_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/members"
@@ -161,3 +163,34 @@
 	_, ok := c.Choose(service, domain.NewRegionSet("r9"), nil)
 	g.Expect(ok).To(BeFalse())
 }
+
+// TestRelayingVMIsAlwaysInTheRegions checks over drawn fleets, regions and results of earlier
+// requests that no VM outside the regions is asked, and that one inside is as long as none was
+// left alone.
+func TestRelayingVMIsAlwaysInTheRegions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		others := fleet(rapid.IntRange(0, 100).Draw(t, "vms"))
+		c, clock := newChooser(others)
+		lastFailed := false
+		for range rapid.IntRange(1, 12).Draw(t, "requests") {
+			names := rapid.SliceOfDistinct(rapid.SampledFrom([]domain.Region{"r0", "r2", "r9"}), rapid.ID).Draw(t, "regions")
+			regions := domain.NewRegionSet(names...)
+			p, ok := c.Choose(service, regions, nil)
+			if !ok {
+				inside := slices.Contains(names, "r0") || len(names) == 0
+				g.Expect(inside && len(others) > 0 && !lastFailed).To(BeFalse())
+				continue
+			}
+			region := domain.Region("r0")
+			if others[p.ID].Domain == "d2" {
+				region = "r2"
+			}
+			g.Expect(regions.Contains(region)).To(BeTrue(), "%s for %v", p.ID, regions)
+			result := rapid.SampledFrom([]peerrelay.Result{peerrelay.Relayed, peerrelay.RefusedService, peerrelay.Unavailable}).Draw(t, "result")
+			lastFailed = lastFailed || result != peerrelay.Relayed
+			p.End(result)
+			clock.Advance(50 * time.Millisecond)
+		}
+	})
+}
