--- a/limit/grants_test.go
+++ b/limit/grants_test.go
@@ -18,9 +18,13 @@
 
 // send sends a request if the VM may, and reports whether it did.
 func (v *grantee) send(now time.Duration) bool {
+	span := v.Span
+	if span == 0 {
+		span = limit.GrantSpan
+	}
 	recent := 0
 	for _, at := range v.sent {
-		if at > now-limit.GrantSpan {
+		if at > now-span {
 			recent++
 		}
 	}
@@ -94,3 +98,81 @@
 	grants := limit.Grants{PerSecond: 4, VMs: 300, Rank: 7}
 	g.Expect(grants.Next(10*time.Second + 100*time.Millisecond)).To(BeNumerically("~", 150*time.Millisecond, time.Millisecond))
 }
+
+// mostWithin returns the largest number of times in any half-open span. The times are in order.
+func mostWithin(times []time.Duration, span time.Duration) int {
+	most, oldest := 0, 0
+	for i, at := range times {
+		for at-times[oldest] >= span {
+			oldest++
+		}
+		most = max(most, i-oldest+1)
+	}
+	return most
+}
+
+// drawTraffic lets VMs that start at drawn times send at drawn rates, and returns the times of
+// all requests.
+func drawTraffic(rt *rapid.T, vms []grantee) []time.Duration {
+	const length, tick = 8 * time.Second, 10 * time.Millisecond
+	begin := time.Duration(rapid.Int64Range(int64(time.Minute), int64(24*time.Hour)).Draw(rt, "begin"))
+	rng := rapid.Uint64().Draw(rt, "seed")
+	next := func() float64 {
+		rng = rng*6364136223846793005 + 1442695040888963407
+		return float64(rng>>40) / (1 << 24)
+	}
+	traffic, starts := make([]float64, len(vms)), make([]time.Duration, len(vms))
+	for i := range vms {
+		traffic[i] = next() * next()
+		starts[i] = begin + time.Duration(next()*float64(length/2))
+	}
+	var sent []time.Duration
+	for now := begin; now < begin+length; now += tick {
+		for i := range vms {
+			for now >= starts[i] && next() < traffic[i] && vms[i].send(now) {
+				sent = append(sent, now)
+			}
+		}
+	}
+	return sent
+}
+
+// TestGrantsWithShortSpanKeepRateInAnySecond guards against a flood of a cold upstream: VMs
+// with saved grants, uneven traffic and uneven starts send in the same second.
+func TestGrantsWithShortSpanKeepRateInAnySecond(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		span := time.Duration(rapid.Int64Range(int64(50*time.Millisecond), int64(500*time.Millisecond)).Draw(rt, "span"))
+		rate := rapid.Float64Range(0.5, 40).Draw(rt, "rate")
+		vms := make([]grantee, rapid.IntRange(1, 300).Draw(rt, "vms"))
+		for i := range vms {
+			vms[i].Grants = limit.Grants{PerSecond: rate, VMs: len(vms), Rank: i, Span: span}
+		}
+		most := mostWithin(drawTraffic(rt, vms), time.Second)
+		if bound := rate*(1+span.Seconds()) + 1; float64(most) > bound {
+			rt.Fatalf("%d requests in a second, allowed %.1f", most, bound)
+		}
+	})
+}
+
+// TestGrantsOfFewDifferingListsStayNearRate guards against VMs whose list of VMs lags: each VM
+// that ranks itself by a list of its own adds at most its own grants to the bound.
+func TestGrantsOfFewDifferingListsStayNearRate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const span = 500 * time.Millisecond
+		rate := rapid.Float64Range(0.5, 40).Draw(rt, "rate")
+		vms := make([]grantee, rapid.IntRange(10, 300).Draw(rt, "vms"))
+		for i := range vms {
+			vms[i].Grants = limit.Grants{PerSecond: rate, VMs: len(vms), Rank: i, Span: span}
+		}
+		bound := rate*(1+span.Seconds()) + 1
+		for range rapid.IntRange(0, 3).Draw(rt, "differing") {
+			v := &vms[rapid.IntRange(0, len(vms)-1).Draw(rt, "vm")]
+			v.VMs = len(vms) + rapid.IntRange(-5, 5).Draw(rt, "members")
+			v.Rank = rapid.IntRange(0, v.VMs-1).Draw(rt, "rank")
+			bound += rate*(1+span.Seconds())/float64(v.VMs) + 1
+		}
+		if most := mostWithin(drawTraffic(rt, vms), time.Second); float64(most) > bound {
+			rt.Fatalf("%d requests in a second, allowed %.1f", most, bound)
+		}
+	})
+}
