Limit what all VMs together send to cold upstreams

Upstreams that have just started end if they get much more than a few requests per second, and VMs sent them as much as warm ones. For services with a rate for cold upstreams, each engine now holds a coldstart.State. A VM that does not know the list of VMs or the shared clock sends nothing. Entries, answers, lost contacts, unused connections that ended early and hints of other VMs tell when an upstream is cold. If only cold upstreams are left, the request waits for a grant for a quarter of its target latency and is then refused (upstreams_cold).

--- a/coldstart/state.go
+++ b/coldstart/state.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// ReportByHint records that another VM announced that the upstream is cold for d.
+func (s *State) ReportByHint(d time.Duration, now time.Time) {
+	if until := now.Add(d); until.After(s.answerUntil) {
+		s.answerUntil = until
+	}
+}
+
 // Suspect records that the upstream may be cold. The suspicion begins anew if there is one. A
 // weaker cause does not replace the cause of a suspicion that a continued answer can't end.
 func (s *State) Suspect(cause Cause, now time.Time) {
--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -48,9 +48,10 @@
 	now := e.directory.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.hasPlace(now) || !e.takeGrant(now) {
+	if !e.hasPlace(now) || !e.hasColdGrant(now) || !e.takeGrant(now) {
 		return nil
 	}
+	e.recordSend(now)
 	a := &Attempt{engine: e, work: work, startedAt: now}
 	a.permit, a.admitted = e.directory.breakers.Acquire(e.ID(), model.Ref{}, now)
 	e.inFlight++
@@ -65,6 +66,7 @@
 	a.engine.mu.Lock()
 	defer a.engine.mu.Unlock()
 	a.engine.lastReceivedAt = a.engine.directory.clock.Now()
+	a.engine.cold.Reach(a.startedAt, a.engine.lastReceivedAt)
 	a.engine.silentUntil = time.Time{}
 	a.engine.clearPending(a)
 }
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -61,6 +61,14 @@
 	// upstreams name.
 	SharedClock Clock
 	Rank        func() (rank, vms int)
+	// VMsKnown reports whether the list of VMs behind Rank is known; nil if it always is. Without
+	// it nothing is sent to cold upstreams.
+	VMsKnown func() bool
+	// ColdBound bounds what all VMs together send a cold upstream.
+	ColdBound ColdBound
+	// OnCold is called when an upstream is found to be cold for a time, or to have ended if the
+	// time is zero; seldom for the same upstream. Nil is not called.
+	OnCold func(u upstream.Upstream, coldFor time.Duration)
 	// OnLimit is called when an answer names another limit than before, in requests per
 	// second, zero for none; nil is not called.
 	OnLimit func(u upstream.Upstream, perSecond float64)
@@ -86,6 +94,7 @@
 	policies policies
 	// selfReports counts what upstreams report of themselves in their answers.
 	selfReports *prometheus.CounterVec
+	cold        *coldUpstreams
 
 	// fragile holds the services whose upstreams are fragile. fragileMu may be locked with mu or
 	// the mutex of an engine held.
@@ -123,7 +132,7 @@
 	}, []string{"report"})
 	opts.Registry.MustRegister(selfReports)
 	d := &Directory{
-		opts: opts, clock: clock, log: log, selfReports: selfReports,
+		opts: opts, clock: clock, log: log, selfReports: selfReports, cold: newColdUpstreams(opts.Registry),
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
 		policies:  newPolicies(opts.Placement),
 		fragile:   make(map[string]fragileService),
@@ -149,12 +158,12 @@
 func (d *Directory) Replace(entries []Entry) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listed = true
 	present := make(map[upstream.ID]bool, len(entries))
 	for _, e := range entries {
 		present[e.ID] = true
 		d.put(e)
 	}
+	d.listed = true
 	d.removeAbsent(present)
 	d.rebuildIndex()
 }
@@ -206,11 +215,12 @@
 }
 
 // ExpireLapsed removes the lapsed entries once Options.ReregistrationGrace has passed since the
-// store became available again, and adds the withheld entries whose time has passed. It
-// is to be called periodically.
+// store became available again, and adds the withheld entries whose time has passed. It also
+// notes since when the list of VMs is known. It is to be called periodically.
 func (d *Directory) ExpireLapsed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.followVMs()
 	d.releaseWithheld()
 	if len(d.lapsed) == 0 || d.inOutageGrace() {
 		return
@@ -239,6 +249,7 @@
 	}
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		d.byID[e.ID] = newEngine(e, d)
+		d.byID[e.ID].learnCold(e, true, !d.listed)
 		d.log.Info("upstream registered", "upstream", e.ID, "service", e.Service, "version", e.Version,
 			"domain", e.Domain, "leaving", e.Leaving, "born", e.Incarnation)
 		return
@@ -247,6 +258,9 @@
 		d.log.Info("upstream entry changed", "upstream", e.ID, "service", e.Service,
 			"version", e.Version, "leaving", e.Leaving)
 	}
+	if *old.entry() != e {
+		old.learnCold(e, false, false)
+	}
 	old.set(e)
 }
 
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poplarshore/poplarshore/coldstart"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/route"
@@ -56,6 +57,12 @@
 	requestLimit float64
 	limitNamedAt time.Time
 	limitedSends []time.Time
+	// cold is what is known of whether the upstream is cold, and sends holds when this VM sent
+	// its latest requests. coldSince is when a cold phase was logged, zero if none is going on.
+	// coldAnnouncedAt is when other VMs were last told of one.
+	cold                       coldstart.State
+	sends                      []time.Time
+	coldSince, coldAnnouncedAt time.Time
 	// silentUntil is until when the upstream is avoided because it was silent.
 	silentUntil time.Time
 	// failureRate is the smoothed share of requests that the upstream failed, 0
@@ -131,7 +138,7 @@
 	defer e.mu.Unlock()
 	*c = route.Candidate{
 		Upstream: &e.identity, Capacity: entry.Capacity, InFlight: e.inFlight,
-		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), OverLimit: !e.hasGrant(now), NoPlace: !e.hasPlace(now), RequestDuration: e.serviceTime,
+		Loaded: true, Leaving: e.Leaving(), Paused: now.Before(e.pausedUntil), OverLimit: !e.hasGrant(now), NoPlace: !e.hasPlace(now), Cold: !e.hasColdGrant(now), RequestDuration: e.serviceTime,
 		BreakerOpen: !d.breakers.Ready(entry.ID, model.Ref{}, now),
 		FirstToken:  time.Duration(e.failureRate * float64(d.opts.Placement.FailurePenalty)),
 		LinkLatency: d.linkLatency(entry.Domain),
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -76,7 +76,7 @@
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
-	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
+	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}, route.ColdFilter{}}
 	options := func(filters ...route.Filter) route.Options {
 		return route.Options{Sample: route.MaxSample, Filters: append(filters, always...), Scorers: scorers}
 	}
@@ -121,6 +121,9 @@
 	// LimitLeft is the time until the limit of one of them allows some VM a request; zero if
 	// none of them has one.
 	LimitLeft time.Duration
+	// ColdLeft is the time until some VM may send one of them a request although it is cold; zero
+	// if none of them is cold.
+	ColdLeft time.Duration
 	// BreakersIgnored reports whether no candidate passed with the circuit
 	// breakers in effect, so that they were ignored.
 	BreakersIgnored bool
@@ -164,6 +167,7 @@
 	}
 	if !ok {
 		choice.PauseLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.pauseLeft(now) })
+		choice.ColdLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.coldLeft(now) })
 		choice.LimitLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.limitLeft(now) })
 		return choice
 	}
--- a/internal/engines/remote.go
+++ b/internal/engines/remote.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarshore/poplarshore/coldstart"
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
@@ -27,6 +28,7 @@
 func (d *Directory) MarkSilent(id upstream.ID) {
 	if e := d.find(id); e != nil && e.SinceLastReceived() >= recentAnswer {
 		e.MarkSilent()
+		e.suspect(coldstart.Hint)
 	}
 }
 
--- a/internal/engines/self_report.go
+++ b/internal/engines/self_report.go
@@ -58,6 +58,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.failureRate, e.silentUntil = 0, time.Time{}
+	e.cold.ForgetContact()
 }
 
 // UpdateLoad stores the upstream's own load report.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -147,6 +147,12 @@
 		OnRemove:            d.pool.CloseIdle,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
+		VMsKnown:            d.vms.Listed,
+		ColdBound:           engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
+		OnCold: func(u upstream.Upstream, coldFor time.Duration) {
+			left := coldFor.Milliseconds()
+			d.hints.Announce(hints.Hint{Upstream: u.ID, Cold: &left, Region: d.regionOf(u.Domain)})
+		},
 		OnLimit: func(u upstream.Upstream, perSecond float64) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Limit: &perSecond, Region: d.regionOf(u.Domain)})
 		},
@@ -169,7 +175,7 @@
 	d.quarantines = d.newQuarantines()
 	d.hintCounts = hints.NewCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
-	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts}
+	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
 	d.relay = d.newRelay()
 	return d
 }
@@ -215,8 +221,9 @@
 	vmBatchDelay          = 100 * time.Millisecond
 
 	// Intervals of background tasks: steps of roll-outs, writes of quarantines, expiry of lapsed upstream
-	// entries, and cleanup of retry budgets and unused connections.
+	// entries, search for connections that upstreams ended, and cleanup of retry budgets and unused connections.
 	rolloutInterval       = 100 * time.Millisecond
+	endedConnInterval     = 100 * time.Millisecond
 	quarantineRowInterval = 100 * time.Millisecond
 	lapsedEntryInterval   = 200 * time.Millisecond
 	sweepInterval         = 2 * time.Second
@@ -259,6 +266,7 @@
 		d.pool.Sweep(time.Now())
 		d.peerPool.Sweep(time.Now())
 	})
+	d.runner.Every("ended connections", d.clock, endedConnInterval, d.findEndedConnections)
 	d.runner.Every("reach", d.clock, reach.ProbeInterval, d.reach.Step)
 	return nil
 }
@@ -290,7 +298,7 @@
 }
 
 // applyHint applies what another VM announced: work that it sent to an upstream, an
-// upstream that is silent, limited, fragile or full, or evidence on requests that crash
+// upstream that is silent, limited, fragile, full or cold, or evidence on requests that crash
 // upstreams.
 func (d *Daemon) applyHint(h hints.Hint) {
 	switch {
@@ -302,6 +310,8 @@
 		d.directory.SetRequestLimit(h.Upstream, max(*h.Limit, 0))
 	case h.Fragile != nil:
 		d.directory.SetFragile(h.Upstream, *h.Fragile)
+	case h.Cold != nil:
+		d.directory.MarkCold(h.Upstream, time.Duration(*h.Cold)*time.Millisecond)
 	case h.Full:
 		d.directory.MarkRejected(h.Upstream)
 	default:
--- a/internal/gatewayd/reach.go
+++ b/internal/gatewayd/reach.go
@@ -1,6 +1,7 @@
 package gatewayd
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
@@ -32,6 +33,17 @@
 	return usable
 }
 
+// findEndedConnections records the upstreams that have closed an unused connection early: they
+// may have ended, and requests over a new connection would reach their successors cold.
+func (d *Daemon) findEndedConnections(context.Context) {
+	if !d.directory.LimitsColdUpstreams() {
+		return
+	}
+	for _, address := range d.pool.CloseEnded() {
+		d.directory.MarkUnreached(address)
+	}
+}
+
 // newPeers returns the chooser of VMs that relay requests for this one.
 func (d *Daemon) newPeers() *peerrelay.Chooser {
 	return peerrelay.NewChooser(peerrelay.Options{
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -18,10 +18,11 @@
 // operatorSink applies the operators' table: the configuration and the orders of
 // roll-outs. It implements watch.Sink and relay.Tables.
 type operatorSink struct {
-	log    *slog.Logger
-	table  atomic.Pointer[routing.Table]
-	shifts *shifts.Manager
-	listed atomic.Bool
+	log       *slog.Logger
+	table     atomic.Pointer[routing.Table]
+	shifts    *shifts.Manager
+	directory *engines.Directory
+	listed    atomic.Bool
 }
 
 // Table implements relay.Tables.
@@ -63,6 +64,9 @@
 	if current := o.table.Load(); current != nil && config.Version <= current.Version() {
 		return nil
 	}
+	for _, s := range config.Services {
+		o.directory.SetColdStart(s.Name, engines.ColdStart{For: s.ColdStart, PerSecond: s.ColdPerSecond})
+	}
 	o.table.Store(routing.Compile(config))
 	o.log.Info("configuration in force", "config", config.Version, "revision", row.Revision,
 		"routes", len(config.Routes), "accounts", len(config.Accounts))
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -29,7 +29,7 @@
 var ErrListen = namespace.NewType("listen")
 
 // Hint announces an expensive request that was sent to an upstream, that the upstream is
-// silent, that it names another limit than before, that it is fragile or full, or that
+// silent, that it names another limit than before, that it is fragile, full or cold, or that
 // requests crash upstreams.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
@@ -46,6 +46,9 @@
 	// requests, and Full that it rejected one for want of room.
 	Fragile *bool `json:"fragile,omitempty"`
 	Full    bool  `json:"full,omitzero"`
+	// Cold announces instead for how many milliseconds the upstream is still cold, 0 that it has
+	// ended and will be cold when it is back; nil announces nothing.
+	Cold *int64 `json:"cold_ms,omitempty"`
 	// Quarantine carries evidence on requests that crash upstreams; nil announces nothing.
 	Quarantine *quarantines.Message `json:"quarantine,omitempty"`
 	// Region is the upstream's region. It is not sent.
--- a/internal/hints/hints_test.go
+++ b/internal/hints/hints_test.go
@@ -65,6 +65,22 @@
 	g.Eventually(received).Should(Receive(Equal(h)))
 }
 
+// TestHintOfColdUpstreamKeepsZero guards against a hint that an upstream has ended which reads
+// as no hint, as zero is its value.
+func TestHintOfColdUpstreamKeepsZero(t *testing.T) {
+	g := NewWithT(t)
+	for _, ms := range []int64{0, 1500} {
+		payload, err := json.Marshal(hints.Hint{Upstream: "e1", Cold: &ms})
+		g.Expect(err).NotTo(HaveOccurred())
+		var h hints.Hint
+		g.Expect(json.Unmarshal(payload, &h)).To(Succeed())
+		g.Expect(h.Cold).To(HaveValue(Equal(ms)))
+	}
+	var older hints.Hint
+	g.Expect(json.Unmarshal([]byte(`{"upstream":"e1","work_ms":5}`), &older)).To(Succeed())
+	g.Expect(older.Cold).To(BeNil())
+}
+
 func TestDeletedMemberIsRemovedFromOthers(t *testing.T) {
 	g := NewWithT(t)
 	a, b := openNode(t, "a", nil), openNode(t, "b", nil)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -68,9 +68,19 @@
 	return rank, len(others) + 1
 }
 
+// Listed reports whether the last known rows include this VM's row. Otherwise the list may be
+// empty or lack others, too, and other VMs may not know this one.
+func (l *List) Listed() bool {
+	row := l.ownRow.Load()
+	return row != nil && len(*row) > 0
+}
+
 // Reset replaces the list by the rows of a listing of the table.
 func (l *List) Reset(b watch.Batch) {
-	l.ownRow.Store(nil)
+	ownKey := Prefix + string(l.self)
+	if !slices.ContainsFunc(b.Rows, func(r watch.Row) bool { return r.Key == ownKey && !r.Deleted }) {
+		l.ownRow.Store(nil)
+	}
 	l.apply(make(map[vm.ID]Member), b.Rows)
 	l.signalOwnRow()
 }
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -40,6 +40,25 @@
 	address string
 }
 
+// TestListIsUnknownWithoutOwnRow guards against a VM that takes the whole of a shared rate
+// because its list is empty.
+func TestListIsUnknownWithoutOwnRow(t *testing.T) {
+	g := NewWithT(t)
+	list := members.NewList("a", "t", discardLog)
+	row := watch.Row{Key: members.Prefix + "a", Value: []byte("{}")}
+	g.Expect(list.Listed()).To(BeFalse())
+	list.Reset(watch.Batch{Rows: []watch.Row{{Key: members.Prefix + "b", Value: []byte("{}")}}})
+	g.Expect(list.Listed()).To(BeFalse())
+	list.Change(watch.Batch{Rows: []watch.Row{row}})
+	g.Expect(list.Listed()).To(BeTrue())
+	list.Reset(watch.Batch{Rows: []watch.Row{row}})
+	g.Expect(list.Listed()).To(BeTrue())
+	list.Change(watch.Batch{Rows: []watch.Row{{Key: row.Key, Deleted: true}}})
+	g.Expect(list.Listed()).To(BeFalse())
+	list.Reset(watch.Batch{})
+	g.Expect(list.Listed()).To(BeFalse())
+}
+
 // startVM starts a VM whose seed has the given address; empty makes it a seed itself.
 func startVM(t *testing.T, id, seed string) *testVM {
 	v := &testVM{
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -106,6 +106,7 @@
 		a.engine.Pause(head.Pause)
 	}
 	if resp.Status != http.StatusMisdirectedRequest {
+		a.recordStart(head)
 		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
 		a.engine.SetFragile(head.Fragile, a.startedAt)
 	}
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -13,6 +13,7 @@
 
 // recordContact records what the end of an attempt says about the way to its upstream.
 func (x *exchange) recordContact(ctx context.Context, a *attempt, err error, took time.Duration) {
+	defer x.recordEnd(ctx, a, err, took)
 	switch {
 	case errorx.IsOfType(err, upconn.ErrRefused):
 		x.notConnected++
@@ -30,6 +31,28 @@
 	}
 }
 
+// recordEnd records that the upstream may have ended, by the end of an attempt. A VM that has
+// lost its way to the upstreams says nothing of them.
+func (x *exchange) recordEnd(ctx context.Context, a *attempt, err error, took time.Duration) {
+	if ctx.Err() != nil || !failsContact(err) || x.server.Reach.Status(x.service).CutOff {
+		return
+	}
+	switch {
+	case errorx.IsOfType(err, upconn.ErrRefused), errorx.IsOfType(err, upconn.ErrConnectionLost):
+		a.engine.MarkUnreached(true)
+	case !errorx.IsOfType(err, upconn.ErrSilent) || a.engine.SinceLastReceived() >= took:
+		a.engine.MarkUnreached(false)
+	}
+}
+
+// recordStart records what the header of a response says about the upstream's start.
+func (a *attempt) recordStart(head Head) {
+	a.engine.MarkReached(a.startedAt)
+	if head.HasColdFor {
+		a.engine.MarkColdFor(head.ColdFor, a.startedAt)
+	}
+}
+
 // headContact returns what the header of a response says about the way to its upstream.
 func headContact(resp *upconn.Response) reachability.Contact {
 	if resp.NewConnection {
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -204,7 +204,7 @@
 // isFinalFor reports whether every VM would refuse a request for the reason.
 func isFinalFor(reason refusal.Reason) bool {
 	switch reason {
-	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited, refusal.UpstreamsFull:
+	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited, refusal.UpstreamsFull, refusal.UpstreamsCold:
 		return true
 	}
 	return false
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -19,9 +19,10 @@
 )
 
 // awaitPlace waits for a moment if the request found no upstream because this VM has used
-// its part of the places, and reports whether to choose again.
+// its part of the places or has no grant for a cold upstream, and reports whether to choose
+// again.
 func (x *exchange) awaitPlace(ctx context.Context, choice engines.Choice) bool {
-	if choice.Refused[route.NoPlace] == 0 {
+	if choice.Refused[route.NoPlace] == 0 && choice.Refused[route.Cold] == 0 {
 		return false
 	}
 	limit := max(x.route.TargetLatency/placeWaitDivisor, minPlaceWait)
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -98,6 +98,8 @@
 		return refusal.New(refusal.UpstreamsLimited).WithRetryAfter(choice.LimitLeft)
 	case choice.PauseLeft > 0:
 		return refusal.New(refusal.UpstreamsPaused).WithRetryAfter(choice.PauseLeft)
+	case choice.ColdLeft > 0:
+		return refusal.New(refusal.UpstreamsCold).WithRetryAfter(choice.ColdLeft)
 	}
 	return refusal.New(refusal.NoUpstream)
 }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -81,6 +81,9 @@
 	// expiresAt is when the unused connection must no longer be reused; zero before its
 	// first use.
 	expiresAt time.Time
+	// earlyUntil is until when the end of the unused connection is no idle timeout of the
+	// upstream; zero if the upstream reported none.
+	earlyUntil time.Time
 }
 
 // NewPool returns a pool without connections.
@@ -186,6 +189,10 @@
 // putIdle returns a connection to the pool. The upstream's idle timeout is zero
 // if unknown. The connection is closed if the pool holds MaxIdleConns already.
 func (p *Pool) putIdle(c *conn, idleTimeout time.Duration) {
+	c.earlyUntil = time.Time{}
+	if idleTimeout > 0 {
+		c.earlyUntil = time.Now().Add(time.Duration(float64(idleTimeout) * earlyFraction))
+	}
 	if idleTimeout <= 0 || idleTimeout > p.opts.IdleTimeout {
 		idleTimeout = p.opts.IdleTimeout
 	}
@@ -211,6 +218,41 @@
 	}
 }
 
+// earlyFraction is the fraction of an upstream's idle timeout before which it ends no unused
+// connection unless it ends itself.
+const earlyFraction = 0.8
+
+// CloseEnded closes unused connections that upstreams have ended, where the most recently used
+// one is among them, and returns the addresses of the upstreams that ended one well before
+// their idle timeout. Such an upstream has probably ended.
+func (p *Pool) CloseEnded() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var early []string
+	for address, idle := range p.idle {
+		if len(idle) == 0 || idle[len(idle)-1].isIdle() {
+			continue
+		}
+		newest := idle[len(idle)-1]
+		if now.Before(newest.earlyUntil) {
+			early = append(early, address)
+		}
+		open := idle[:0]
+		for _, c := range idle {
+			if c.isIdle() {
+				open = append(open, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if p.idle[address] = open; len(open) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	return early
+}
+
 // Sweep closes the unused connections that have expired at the given time.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -52,6 +52,7 @@
 	Quarantined        Reason = "quarantined"
 	UpstreamsLimited   Reason = "upstreams_limited"
 	UpstreamsFull      Reason = "upstreams_full"
+	UpstreamsCold      Reason = "upstreams_cold"
 	OutOfReach         Reason = "upstreams_out_of_reach"
 	PeerBusy           Reason = "peer_busy"
 	PeerBehind         Reason = "peer_behind"
@@ -136,6 +137,7 @@
 	{UpstreamsPaused, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has asked for a pause."},
 	{UpstreamsLimited, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the requests that every healthy upstream takes."},
 	{UpstreamsFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the places of upstreams that must not be filled."},
+	{UpstreamsCold, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has just started and takes no more requests now."},
 	{OutOfReach, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No VM that was asked reaches an upstream that serves this."},
 	{PeerBusy, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM relays as many requests of other VMs as it may."},
 	{PeerBehind, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has an older configuration than the VM that asked it to relay the request."},
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -65,6 +65,8 @@
 	// NoPlace reports that the upstream must not be filled, and that this VM has used its part
 	// of the places.
 	NoPlace bool
+	// Cold reports that the upstream is cold and that this VM may send it no request now.
+	Cold bool
 	// BreakerOpen reports that a circuit breaker refuses requests to the upstream.
 	BreakerOpen bool
 	// CachedBlocks is the number of leading prompt blocks that are probably in
--- a/route/filter.go
+++ b/route/filter.go
@@ -21,12 +21,14 @@
 	Full
 	// NoPlace: this VM has used its part of the places of an upstream that must not be filled.
 	NoPlace
+	// Cold: the upstream is cold and this VM has no grant for a request to it now.
+	Cold
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
-	"not_allowed", "tried", "leaving", "paused", "over_limit", "breaker_open", "full", "no_place",
+	"not_allowed", "tried", "leaving", "paused", "over_limit", "breaker_open", "full", "no_place", "cold",
 }
 
 // String returns the label of the reason in metrics.
@@ -107,6 +109,15 @@
 // Pass implements Filter.
 func (PlaceFilter) Pass(_ *Request, c *Candidate) bool { return !c.NoPlace }
 
+// ColdFilter passes upstreams that are not cold, or for which this VM has a grant.
+type ColdFilter struct{}
+
+// Reason implements Filter.
+func (ColdFilter) Reason() Reason { return Cold }
+
+// Pass implements Filter.
+func (ColdFilter) Pass(_ *Request, c *Candidate) bool { return !c.Cold }
+
 // BreakerFilter passes upstreams to which no circuit breaker refuses requests.
 type BreakerFilter struct{}
 
