Merge the limit of cold upstreams

On the way the end of an evacuation marks the upstreams as cold itself, before they get requests again; the hook for it is gone, its test checks the effect.

--- a/internal/engines/evacuation.go
+++ b/internal/engines/evacuation.go
@@ -7,8 +7,9 @@
 )
 
 // SetEvacuated sets the evacuated failure domains. Their upstreams get no new requests; what
-// runs there goes on. The upstreams of a failure domain that is not evacuated any more are
-// reported to Options.OnEvacuationEnded.
+// runs there goes on. The upstreams of a failure domain that is not evacuated any more may be
+// cold: they may have been restarted meanwhile or have lost what they had cached. It must not be
+// called by two goroutines at once.
 func (d *Directory) SetEvacuated(evacuated map[domain.ID]bool) {
 	current := make(map[domain.ID]bool, len(evacuated))
 	for id, set := range evacuated {
@@ -16,8 +17,15 @@
 			current[id] = true
 		}
 	}
+	previous := *d.evacuated.Load()
+	for id := range previous {
+		if !current[id] {
+			// Before they get requests again, so that none is sent beyond the rate of cold ones.
+			d.MarkDomainCold(id)
+		}
+	}
 	d.mu.Lock()
-	previous := *d.evacuated.Swap(&current)
+	d.evacuated.Store(&current)
 	concerned := make(map[domain.ID][]*Engine)
 	for _, e := range d.byID {
 		failureDomain := e.entry().Domain
@@ -32,12 +40,8 @@
 		}
 	}
 	for id := range previous {
-		if current[id] {
-			continue
-		}
-		d.log.Info("evacuation of failure domain ended", "domain", id, "region", d.opts.RegionOf(id), "upstreams", len(concerned[id]))
-		for _, e := range concerned[id] {
-			e.endEvacuation()
+		if !current[id] {
+			d.log.Info("evacuation of failure domain ended", "domain", id, "region", d.opts.RegionOf(id), "upstreams", len(concerned[id]))
 		}
 	}
 }
@@ -48,14 +52,6 @@
 // Evacuated reports whether the failure domain of the upstream is evacuated.
 func (e *Engine) Evacuated() bool { return (*e.directory.evacuated.Load())[e.entry().Domain] }
 
-// endEvacuation is called when the upstream's failure domain is not evacuated any more. The
-// upstream may have been restarted meanwhile or have lost what it had cached.
-func (e *Engine) endEvacuation() {
-	if e.directory.opts.OnEvacuationEnded != nil {
-		e.directory.opts.OnEvacuationEnded(e.Upstream())
-	}
-}
-
 // EvacuatedCounts returns the number of upstreams in evacuated failure domains by service.
 // Services without any have a count of 0.
 func (d *Directory) EvacuatedCounts() map[string]int {
--- a/internal/engines/regions_test.go
+++ b/internal/engines/regions_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
-	"github.com/poplarshore/poplarshore/upstream"
+	"github.com/poplarshore/poplarshore/route"
 )
 
 // regionOf returns the regions of the failure domains d1 to d6, two in each of r1 to r3. That of
@@ -27,16 +27,13 @@
 	return domain.Region(fmt.Sprintf("r%d", (id[1]-'1')/2+1))
 }
 
-// newRegionalDirectory returns an empty directory of a VM in d1, and where the upstreams go whose
-// evacuation ended.
-func newRegionalDirectory(clock *clockwork.FakeClock) (*engines.Directory, *[]upstream.ID) {
-	ended := new([]upstream.ID)
+// newRegionalDirectory returns an empty directory of a VM in d1.
+func newRegionalDirectory(clock *clockwork.FakeClock) *engines.Directory {
 	return engines.New(engines.Options{
 		SharedClock: sharedClock{clock}, Rank: func() (int, int) { return 0, 1 },
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
 		RegionOf: regionOf, Registry: prometheus.NewRegistry(),
-		OnEvacuationEnded: func(u upstream.Upstream) { *ended = append(*ended, u.ID) },
-	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil))), ended
+	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
 var (
@@ -92,7 +89,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
 		clock := clockwork.NewFakeClock()
-		d, _ := newRegionalDirectory(clock)
+		d := newRegionalDirectory(clock)
 		fleet := drawFleet.Draw(t, "fleet")
 		d.Replace(fleet)
 		for range rapid.IntRange(1, 6).Draw(t, "steps") {
@@ -123,7 +120,7 @@
 func TestDecisionsStayTheSameWithoutRegionsAndEvacuations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		d, _ := newRegionalDirectory(clockwork.NewFakeClock())
+		d := newRegionalDirectory(clockwork.NewFakeClock())
 		fleet := slices.DeleteFunc(drawFleet.Draw(t, "fleet"), func(e engines.Entry) bool { return e.Domain == "d0" })
 		d.Replace(fleet)
 		for range rapid.IntRange(1, 8).Draw(t, "requests") {
@@ -141,18 +138,20 @@
 	})
 }
 
-// TestEndOfEvacuationIsReportedForEachOfItsUpstreams guards against upstreams that get their full
-// load at once after an evacuation, and against reports for others.
-func TestEndOfEvacuationIsReportedForEachOfItsUpstreams(t *testing.T) {
+// TestUpstreamsAreColdAfterTheirEvacuation guards against upstreams that get their full load at once
+// after an evacuation, and against others that are limited with them.
+func TestUpstreamsAreColdAfterTheirEvacuation(t *testing.T) {
 	g := NewWithT(t)
-	d, ended := newRegionalDirectory(clockwork.NewFakeClock())
-	d.SetEvacuated(map[domain.ID]bool{"d1": true, "d2": true})
+	d := newRegionalDirectory(clockwork.NewFakeClock())
+	d.SetColdStart("s", engines.ColdStart{For: coldLength, PerSecond: 0.001})
 	d.Replace([]engines.Entry{newEntry("a", "d1"), newEntry("b", "d1"), newEntry("c", "d2"), newEntry("d", "d3")})
+	cold := func() int { return d.Choose(engines.Requirements{Service: "s"}).Refused[route.Cold] }
+	d.SetEvacuated(map[domain.ID]bool{"d1": true, "d2": true})
 	g.Expect(d.EvacuatedCounts()).To(Equal(map[string]int{"s": 3}))
 	d.SetEvacuated(map[domain.ID]bool{"d2": true})
-	g.Expect(*ended).To(ConsistOf(upstream.ID("a"), upstream.ID("b")))
+	g.Expect(cold()).To(Equal(2))
 	d.SetEvacuated(map[domain.ID]bool{"d2": true, "d1": false})
-	g.Expect(*ended).To(HaveLen(2))
+	g.Expect(cold()).To(Equal(2))
 	d.SetEvacuated(nil)
-	g.Expect(*ended).To(HaveLen(3))
+	g.Expect(cold()).To(Equal(3))
 }
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -89,6 +89,9 @@
 	if current := o.table.Load(); current != nil && config.Version <= current.Version() {
 		return nil
 	}
+	for _, s := range config.Services {
+		o.directory.SetColdStart(s.Name, engines.ColdStart{For: s.ColdStart, PerSecond: s.ColdPerSecond})
+	}
 	o.table.Store(routing.Compile(config))
 	o.log.Info("configuration in force", "config", config.Version, "revision", row.Revision,
 		"routes", len(config.Routes), "accounts", len(config.Accounts))
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -205,7 +205,7 @@
 func isFinalFor(reason refusal.Reason) bool {
 	switch reason {
 	case refusal.Quarantined, refusal.Overloaded, refusal.UpstreamsPaused, refusal.UpstreamsLimited, refusal.UpstreamsFull,
-		refusal.UpstreamsEvacuated:
+		refusal.UpstreamsEvacuated, refusal.UpstreamsCold:
 		return true
 	}
 	return false
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -99,6 +99,8 @@
 		return refusal.New(refusal.UpstreamsLimited).WithRetryAfter(choice.LimitLeft)
 	case choice.PauseLeft > 0:
 		return refusal.New(refusal.UpstreamsPaused).WithRetryAfter(choice.PauseLeft)
+	case choice.ColdLeft > 0:
+		return refusal.New(refusal.UpstreamsCold).WithRetryAfter(choice.ColdLeft)
 	}
 	if refused := refuseByRegion(choice, regions); refused != nil {
 		return refused
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -54,6 +54,7 @@
 	UpstreamsFull       Reason = "upstreams_full"
 	NoUpstreamInRegions Reason = "no_upstream_in_regions"
 	UpstreamsEvacuated  Reason = "upstreams_evacuated"
+	UpstreamsCold       Reason = "upstreams_cold"
 	OutOfReach          Reason = "upstreams_out_of_reach"
 	PeerBusy            Reason = "peer_busy"
 	PeerBehind          Reason = "peer_behind"
@@ -140,6 +141,7 @@
 	{UpstreamsFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has used its part of the places of upstreams that must not be filled."},
 	{NoUpstreamInRegions, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No healthy upstream serves this in the regions in which the request may be served."},
 	{UpstreamsEvacuated, ClassUnavailable, http.StatusServiceUnavailable, RanNo, longRetryAfter, "The failure domains of all healthy upstreams that serve this are evacuated."},
+	{UpstreamsCold, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every healthy upstream has just started and takes no more requests now."},
 	{OutOfReach, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No VM that was asked reaches an upstream that serves this."},
 	{PeerBusy, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM relays as many requests of other VMs as it may."},
 	{PeerBehind, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has an older configuration than the VM that asked it to relay the request."},
