Add package pace: gaps of upstreams, lengths of answers, slow streams

Decisions consider the start of an answer and none its end, so that 369 of 678 unsuccessful requests ended at their deadline while an answer ran. It also decides whether a running stream is hopeless, and divides upstreams by speed.

--- /dev/null
+++ b/pace/division.go
@@ -0,0 +1,111 @@
+package pace
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+const (
+	// kindMinWeight is the weight, in gaps, from which the speed of an upstream counts as
+	// known.
+	kindMinWeight = 8
+	// enterKnown and stayKnown are the shares of upstreams whose speed must be known in order
+	// to divide them by speed, and to go on so.
+	enterKnown, stayKnown = 0.75, 0.5
+	// enterRatio and stayRatio are the ratios between the typical speeds of both parts in
+	// order to divide the upstreams by speed, and to go on so.
+	enterRatio, stayRatio = 1.4, 1.15
+	// maxShareFactor is the largest part of slow upstreams as a multiple of the wanted share.
+	maxShareFactor = 2
+	// incumbentBonus is by how much slower than a member another upstream must be to take its
+	// place, so that the parts don't change with each sample.
+	incumbentBonus = 1.25
+)
+
+// Speed is what is known of the speed of an upstream.
+type Speed struct {
+	Upstream upstream.ID
+	// Factor is how much longer than usual it takes, and Weight the number of gaps by which
+	// that is known.
+	Factor, Weight float64
+}
+
+// Division divides upstreams by speed: the slow ones for small models and the others for large
+// ones. The zero value divides none. It is not safe for concurrent use.
+type Division struct {
+	// Slow holds the slow upstreams; empty while the upstreams don't differ clearly, or too
+	// little is known of them.
+	Slow map[upstream.ID]bool
+}
+
+// Update divides the upstreams anew, with about the given share of slow ones: from half of it
+// to twice as many. It sorts speeds.
+func (d *Division) Update(speeds []Speed, share float64) {
+	active := len(d.Slow) > 0
+	known := 0
+	for i := range speeds {
+		if speeds[i].Weight >= kindMinWeight {
+			known++
+		} else {
+			speeds[i].Factor = 1
+		}
+	}
+	n := int(float64(len(speeds)) * share)
+	needKnown, needRatio := enterKnown, enterRatio
+	if active {
+		needKnown, needRatio = stayKnown, stayRatio
+	}
+	if n == 0 || float64(known) < needKnown*float64(len(speeds)) {
+		d.Slow = nil
+		return
+	}
+	slices.SortFunc(speeds, func(a, b Speed) int {
+		return cmp.Or(-cmp.Compare(d.rank(a), d.rank(b)), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	n = d.widestStep(speeds, max(n/2, 1), min(maxShareFactor*n, len(speeds)-1))
+	if n == 0 || typical(speeds[:n]) < needRatio*typical(speeds[n:]) {
+		d.Slow = nil
+		return
+	}
+	slow := make(map[upstream.ID]bool, n)
+	for _, s := range speeds[:n] {
+		slow[s.Upstream] = true
+	}
+	d.Slow = slow
+}
+
+// widestStep returns the number of upstreams, from least to most, before the widest step of the
+// sorted speeds: VMs that measure a little differently then find the same parts. It is 0 if most is
+// below least.
+func (d *Division) widestStep(speeds []Speed, least, most int) int {
+	best, widest := 0, 0.0
+	for n := least; n <= most; n++ {
+		if step := d.rank(speeds[n-1]) / d.rank(speeds[n]); step > widest {
+			best, widest = n, step
+		}
+	}
+	return best
+}
+
+// rank returns the factor by which an upstream is ordered.
+func (d *Division) rank(s Speed) float64 {
+	if d.Slow[s.Upstream] {
+		return s.Factor * incumbentBonus
+	}
+	return s.Factor
+}
+
+// typical returns the median factor; 1 for none.
+func typical(speeds []Speed) float64 {
+	if len(speeds) == 0 {
+		return 1
+	}
+	factors := make([]float64, len(speeds))
+	for i, s := range speeds {
+		factors[i] = s.Factor
+	}
+	slices.Sort(factors)
+	return factors[len(factors)/2]
+}
--- /dev/null
+++ b/pace/doc.go
@@ -0,0 +1,11 @@
+// Package pace estimates when an answer ends: how fast the upstreams of a service generate
+// events, and how many events an answer has.
+//
+// Usual estimates the time between two events of a model on an idle upstream of usual speed,
+// Factor how much longer one upstream takes, and Lengths the number of events of answers by
+// route. Stream says whether an answer in progress is too slow, and whether it pays to go on
+// elsewhere.
+//
+// The package reads no clock and does no input or output. Estimates fade: Factor returns to 1
+// within some ten seconds without samples.
+package pace
