Regard the expected end of answers in the choice of upstreams

With load_control.answer_end, EndScorer adds the time by which an answer takes longer than on the fastest upstream, and growing costs as its end nears the deadline or its gap the longest pause. The expected gap includes the load that the request adds, so fast upstreams are not filled first. MemoryScorer keeps requests from upstreams whose memory they would fill, small models prefer slow upstreams where these differ clearly, and prefixes have homes in the own region if it holds 8 upstreams. Without the setting decisions are unchanged (test).

--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -38,6 +38,10 @@
 	// part of the response arrived.
 	work      time.Duration
 	startedAt time.Time
+	// tokens is the memory that the request takes, in tokens, and stream the answer; nil
+	// before it begins.
+	tokens int
+	stream *stream
 }
 
 // Begin registers an attempt in flight. Work is how long the upstream is expected
@@ -88,6 +92,7 @@
 	defer e.mu.Unlock()
 	e.inFlight--
 	e.clearPending(a)
+	e.endStream(a)
 	if r.Inconclusive {
 		return
 	}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -56,6 +56,8 @@
 	ReregistrationGrace time.Duration
 	// Placement configures how upstreams are selected.
 	Placement Placement
+	// AnswerEnd makes the selection regard when answers end; see Requirements.Answer.
+	AnswerEnd bool
 	// SharedClock is the clock that all VMs share. Rank returns the position of this VM
 	// among all VMs, from 0, and their number. By both the VMs divide the limits that
 	// upstreams name.
@@ -92,6 +94,11 @@
 	fragileMu sync.RWMutex
 	fragile   map[string]fragileService
 
+	// paces holds what is known of the pace of each service. paceMu is never held while another
+	// mutex is locked.
+	paceMu sync.RWMutex
+	paces  map[string]*servicePace
+
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
 	byService map[string][]*Engine
@@ -125,8 +132,9 @@
 	d := &Directory{
 		opts: opts, clock: clock, log: log, selfReports: selfReports,
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
-		policies:  newPolicies(opts.Placement),
+		policies:  newPolicies(opts.Placement, opts.AnswerEnd),
 		fragile:   make(map[string]fragileService),
+		paces:     make(map[string]*servicePace),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/route"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -61,11 +62,14 @@
 	// failureRate is the smoothed share of requests that the upstream failed, 0
 	// to 1.
 	failureRate float64
+	// pace is what is known of how fast the upstream generates.
+	pace enginePace
 }
 
 func newEngine(e Entry, d *Directory) *Engine {
 	engine := &Engine{directory: d, hash: route.HashID(e.ID)}
 	engine.identity = upstream.Upstream{ID: e.ID, Domain: e.Domain, Service: e.Service, Capacity: e.Capacity}
+	engine.pace.kind = pace.Factor{HalfLife: kindHalfLife, MaxWeight: kindMaxWeight}
 	engine.set(e)
 	return engine
 }
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -33,7 +33,13 @@
 
 // newDirectoryOf returns an empty directory of the VM of the given rank.
 func newDirectoryOf(clock *clockwork.FakeClock, rank, vms int) *engines.Directory {
+	return newPacedDirectory(clock, rank, vms, false)
+}
+
+// newPacedDirectory returns one that regards when answers end, if answerEnd is set.
+func newPacedDirectory(clock *clockwork.FakeClock, rank, vms int, answerEnd bool) *engines.Directory {
 	return engines.New(engines.Options{
+		AnswerEnd:   answerEnd,
 		SharedClock: sharedClock{clock}, Rank: func() (int, int) { return rank, vms },
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
 		RegionOf: func(id domain.ID) domain.Region { return domain.Region("r" + string(id[1:])) },
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -68,14 +68,18 @@
 	withBreakers, ignoringBreakers *route.Policy
 }
 
-// newPolicies returns the selection policies for the given configuration.
-func newPolicies(p Placement) policies {
+// newPolicies returns the selection policies for the given configuration. answerEnd adds the
+// costs by when answers end.
+func newPolicies(p Placement, answerEnd bool) policies {
 	scorers := []route.Scorer{
 		route.QueueScorer{DefaultDuration: p.DefaultServiceTime, BatchSlope: p.BatchSlope},
 		route.PrefillScorer{PerToken: p.PrefillPerToken, Bound: 1, Slack: p.CacheCreditSlack, HomeCredit: 1},
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
+	if answerEnd {
+		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer())
+	}
 	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
 	options := func(filters ...route.Filter) route.Options {
 		return route.Options{Sample: route.MaxSample, Filters: append(filters, always...), Scorers: scorers}
@@ -105,11 +109,16 @@
 	// RouterPicksModel reports whether the router selects the model, and
 	// SmallModel whether the selected one is smaller than the route's largest.
 	RouterPicksModel, SmallModel bool
+	// Answer is the answer that is expected; zero leaves its end out of account.
+	Answer AnswerShape
 }
 
 // Choice is the result of Choose.
 type Choice struct {
 	Engine *Engine
+	// AnswerEnd is the time to the expected end of the answer on it, and EventGap the expected
+	// time between events; zero if unknown.
+	AnswerEnd, EventGap time.Duration
 	// Candidates is the number of upstreams of the service with an allowed
 	// version.
 	Candidates int
@@ -143,7 +152,7 @@
 	}
 	var small map[*Engine]bool
 	if req.RouterPicksModel {
-		small = d.smallModelPool(allowed)
+		small = d.modelPool(req.Service, allowed, now)
 		for i, e := range allowed {
 			if len(small) > 0 && small[e] != req.SmallModel {
 				candidates[i].FirstToken += d.opts.Placement.PoolMismatchPenalty
@@ -154,6 +163,7 @@
 		Service: req.Service, PromptTokens: req.SharedTokens, Bytes: req.Bytes, Tried: req.Tried, Draw: req.Draw,
 		Home: d.homeUpstream(req, allowed, small),
 	}
+	d.expectAnswers(&request, candidates, allowed, &req.Answer, now)
 	choice := Choice{Candidates: len(allowed)}
 	decision, ok := d.policies.withBreakers.Select(&request, candidates)
 	choice.Refused = decision.Refused
@@ -167,9 +177,9 @@
 		choice.LimitLeft = shortestWait(allowed, req.Tried, func(e *Engine) time.Duration { return e.limitLeft(now) })
 		return choice
 	}
-	for _, e := range allowed {
+	for i, e := range allowed {
 		if &e.identity == decision.Upstream {
-			choice.Engine = e
+			choice.Engine, choice.AnswerEnd, choice.EventGap = e, candidates[i].AnswerEnd, candidates[i].EventGap
 		}
 	}
 	return choice
@@ -204,13 +214,13 @@
 // homeUpstream returns the upstream that requests with the same prefix prefer, by
 // rendezvous hashing; empty for none. It considers the upstreams of this VM's
 // region only, unless prefilling the prefix costs more than sending the request
-// to another region.
+// to another region and the own one has few upstreams (see hasOwnHomes).
 func (d *Directory) homeUpstream(req Requirements, allowed []*Engine, small map[*Engine]bool) upstream.ID {
 	if req.PrefixHash == 0 {
 		return ""
 	}
 	p := d.opts.Placement
-	anyRegion := time.Duration(req.SharedTokens)*p.PrefillPerToken > p.crossRegionCost(req)
+	anyRegion := time.Duration(req.SharedTokens)*p.PrefillPerToken > p.crossRegionCost(req) && !d.hasOwnHomes(allowed)
 	candidates := make([]*Engine, 0, len(allowed))
 	hashes := make([]uint64, 0, len(allowed))
 	for _, e := range allowed {
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -67,6 +67,13 @@
 	NoPlace bool
 	// BreakerOpen reports that a circuit breaker refuses requests to the upstream.
 	BreakerOpen bool
+	// EventGap is the expected time between two events of the answer on the upstream,
+	// AnswerTime the expected time from its first event to its last, and AnswerEnd the time
+	// from now to its expected end; zero means unknown.
+	EventGap, AnswerTime, AnswerEnd time.Duration
+	// MemoryUse is the part of the upstream's memory that is used with the request, by what
+	// this VM knows, 1 if it is full; zero means unknown.
+	MemoryUse float64
 	// CachedBlocks is the number of leading prompt blocks that are probably in
 	// the upstream's prefix cache.
 	CachedBlocks int
--- a/route/request.go
+++ b/route/request.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"time"
+
 	"github.com/poplarshore/poplarshore/contract"
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/model"
@@ -51,6 +53,10 @@
 	Preferred upstream.ID
 	// Tried are the upstreams that have failed this request.
 	Tried []upstream.ID
+	// TimeLeft is the time to the deadline, MaxPause the longest pause between events of an
+	// answer in time, and FastestAnswer the least AnswerTime of all candidates; zero if
+	// unknown.
+	TimeLeft, MaxPause, FastestAnswer time.Duration
 	// Draw is a random number from which all random choices of the decision are
 	// derived, so that a decision is reproducible.
 	Draw uint64
