Drop weak answers only for models that end in time

Weak answers of small models were dropped after 0.1 to 0.5 s for answers of the strongest model that ran until the deadline. cascade.Answer and FirstInput now have the expected ends of the strongest and the next model on the upstreams that would be chosen, as fractions of the time left. Beyond 0.8 the next model is taken, or the weak answer delivered. The request log has the end expected at the start of each attempt.

--- a/cascade/confidence.go
+++ b/cascade/confidence.go
@@ -12,6 +12,7 @@
 // The longer a stronger answer is expected to take, the lower the confidence
 // that is accepted. A late answer is less useful than an acceptable one in time,
 // and under overload each answer of the strongest model delays other requests.
+// A stronger answer that is not expected to end before the deadline is not tried.
 type ConfidencePolicy struct {
 	// MinConfidence is the minimum confidence of a delivered answer while engines are
 	// idle, 0 to 100. MinConfidenceLate is the minimum when a stronger answer would be
@@ -29,6 +30,19 @@
 	LatestStart float64
 	// StepTime is the minimum time to the deadline for trying another model.
 	StepTime time.Duration
+	// LatestEnd is the latest expected end of a stronger answer for which a weak one is
+	// dropped, as a fraction of the time left, 0 to 1. The rest is the margin for wrong
+	// estimates: an answer that is cut at the deadline is worth nothing.
+	LatestEnd float64
+}
+
+// Ends are the expected ends of stronger answers, as fractions of the time left; zero if
+// unknown. An unknown end counts as in time.
+type Ends struct {
+	// Strongest is that of the strongest model, and Next that of the model which is tried in
+	// its place if it would be late: the next one after the model that answered, or the one
+	// before the strongest if none has.
+	Strongest, Next float64
 }
 
 // FirstInput describes a request before any model is tried.
@@ -43,6 +57,8 @@
 	// is tried first, SteppedStart if the smallest model is tried before it. Both are
 	// fractions of the target latency.
 	DirectStart, SteppedStart float64
+	// Ends are the expected ends of the answers of stronger models.
+	Ends Ends
 }
 
 // Answer describes a model's answer before any of it is delivered.
@@ -63,6 +79,8 @@
 	// ExpectedStart is the expected start of a stronger answer, as a fraction of the
 	// target latency.
 	ExpectedStart float64
+	// Ends are the expected ends of stronger answers.
+	Ends Ends
 }
 
 // First returns the index of the model to try first; models are ordered smallest
@@ -70,14 +88,23 @@
 // second model can be tried: because no second run or no retry budget is left, or
 // because the strongest model's answer is in time only if that model is tried
 // first. Otherwise it is the smallest, also if the strongest model's answer is
-// late in any case.
+// late in any case. In place of a strongest model whose answer would not end in time it is
+// the model before it, or the smallest if that one's would not either.
 func (c ConfidencePolicy) First(s FirstInput) int {
 	if s.RunsLeft <= 1 || !s.SecondRunAllowed || s.DirectStart <= c.LatestStart && s.SteppedStart > c.LatestStart {
-		return s.Models - 1
+		switch {
+		case !c.endsLate(s.Ends.Strongest):
+			return s.Models - 1
+		case !c.endsLate(s.Ends.Next):
+			return max(s.Models-2, 0)
+		}
 	}
 	return 0
 }
 
+// endsLate reports whether an answer with the expected end is not in time.
+func (c ConfidencePolicy) endsLate(end float64) bool { return c.LatestEnd > 0 && end > c.LatestEnd }
+
 // Next returns the index of the model to try instead of delivering the answer,
 // and true if the answer is to be dropped. Otherwise it returns the index of the
 // model that answered, and false.
@@ -89,10 +116,14 @@
 	if a.Confidence >= c.acceptanceThreshold(a) {
 		return a.Model, false
 	}
-	if a.Confidence >= c.NextModelConfidence && a.RunsLeft > 1 {
-		return a.Model + 1, true
+	next := strongest
+	if a.Confidence >= c.NextModelConfidence && a.RunsLeft > 1 || c.endsLate(a.Ends.Strongest) {
+		next = a.Model + 1
+	}
+	if next == strongest && c.endsLate(a.Ends.Strongest) || next < strongest && c.endsLate(a.Ends.Next) {
+		return a.Model, false
 	}
-	return strongest, true
+	return next, true
 }
 
 // acceptanceThreshold returns the minimum confidence at which the answer is
--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -11,7 +11,7 @@
 
 var policy = cascade.ConfidencePolicy{
 	MinConfidence: 60, MinConfidenceLate: 20, NextModelConfidence: 50,
-	IdleWait: 0.1, BusyWait: 0.5, LatestStart: 0.9, StepTime: time.Second}
+	IdleWait: 0.1, BusyWait: 0.5, LatestStart: 0.9, StepTime: time.Second, LatestEnd: 0.8}
 
 // smallestAnswer returns an answer of the smallest of three models with idle
 // engines and enough runs and time for two further steps.
@@ -105,3 +105,49 @@
 	_, drop = policy.Next(a)
 	g.Expect(drop).To(BeTrue())
 }
+
+// TestConfidenceTriesOnlyModelsThatEndInTime guards against weak answers that are dropped for one
+// that is cut at the deadline: more than half of the failures of the measured day.
+func TestConfidenceTriesOnlyModelsThatEndInTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		confidence int
+		ends       cascade.Ends
+		next       int
+		drop       bool
+	}{
+		{43, cascade.Ends{Strongest: 0.7, Next: 0.4}, 2, true},
+		{43, cascade.Ends{Strongest: 1.4, Next: 0.7}, 1, true},
+		{43, cascade.Ends{Strongest: 1.4, Next: 0.9}, 0, false},
+		{55, cascade.Ends{Strongest: 1.4, Next: 0.7}, 1, true},
+		{55, cascade.Ends{Strongest: 1.4, Next: 0.9}, 0, false},
+		{43, cascade.Ends{}, 2, true},
+		{43, cascade.Ends{Strongest: 1.4}, 1, true},
+	} {
+		a := smallestAnswer(c.confidence)
+		a.Ends = c.ends
+		next, drop := policy.Next(a)
+		g.Expect(drop).To(Equal(c.drop), "%+v", c)
+		g.Expect(next).To(Equal(c.next), "%+v", c)
+	}
+	last := smallestAnswer(10)
+	last.Model, last.Ends = 1, cascade.Ends{Strongest: 1.4, Next: 1.4}
+	_, drop := policy.Next(last)
+	g.Expect(drop).To(BeFalse())
+	two := smallestAnswer(10)
+	two.Models, two.Ends = 2, cascade.Ends{Strongest: 1.4, Next: 1.4}
+	_, drop = policy.Next(two)
+	g.Expect(drop).To(BeFalse())
+}
+
+// TestConfidenceFirstModelEndsInTime covers requests that begin with the strongest model because
+// no second one can be tried.
+func TestConfidenceFirstModelEndsInTime(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		ends  cascade.Ends
+		first int
+	}{{cascade.Ends{Strongest: 0.8}, 2}, {cascade.Ends{Strongest: 0.9, Next: 0.6}, 1}, {cascade.Ends{Strongest: 2, Next: 0.9}, 0}, {cascade.Ends{}, 2}} {
+		g.Expect(policy.First(cascade.FirstInput{Models: 3, RunsLeft: 1, SecondRunAllowed: true, Ends: c.ends})).To(Equal(c.first), "%+v", c)
+	}
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -144,6 +144,7 @@
 		RegionOf:            d.regionOf,
 		ReregistrationGrace: reregistrationGrace,
 		Placement:           engines.DefaultPlacement(),
+		AnswerEnd:           s.LoadControl.AnswerEnd,
 		OnRemove:            d.pool.CloseIdle,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -44,6 +44,8 @@
 		},
 	})
 	d.setRetryAllowances(assumedVMCount)
+	options := relay.DefaultOptions()
+	options.AnswerEnd = d.settings.LoadControl.AnswerEnd
 	return relay.New(relay.Deps{
 		Protocol: wire.Protocol{}, Tables: d.operatorSink, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
@@ -58,7 +60,7 @@
 		},
 		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
-	}, relay.DefaultOptions())
+	}, options)
 }
 
 // setRetryAllowances sets this VM's allowances of additional attempts. The slack is
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,6 +44,11 @@
 	headAfter time.Duration
 	// maxGap is the longest time between two events.
 	maxGap time.Duration
+	// expectedEnd is the time from startedAt to the expected end of the answer; zero if unknown.
+	expectedEnd time.Duration
+	// events is the number of events, and pacedEvents that of those recorded for the pace of
+	// the upstream.
+	events, pacedEvents int
 	// confidence is the model's confidence in its response, 0 to 100; negative if
 	// it reported none.
 	confidence int
@@ -170,7 +175,7 @@
 	if !x.routerPicksModel() || x.headerSent {
 		return false
 	}
-	next, escalate := x.server.opts.Cascade.Next(cascade.Answer{
+	next, escalate := x.nextModelInTime(cascade.Answer{
 		Model: x.modelIndex, Models: len(x.route.Models), Confidence: head.Confidence,
 		RunsLeft: x.retryState.MaxAttempts - x.retryState.Attempts - 1, TimeLeft: x.timeLeft(),
 		Wait: x.relativeWait(), ExpectedStart: x.strongestFirstEvent(0),
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,7 +66,12 @@
 	status int
 	// lastEvent is the id of the last event that the caller has: from before it
 	// resumed a stream, or sent by this exchange.
-	lastEvent  string
+	lastEvent string
+	// events is the number of events sent by this exchange.
+	events int
+	// answerEnd is the time to the expected end of the answer at the upstream that was chosen
+	// last; zero if unknown.
+	answerEnd  time.Duration
 	attemptLog []attemptRecord
 	// keys identify the request where some crash upstreams.
 	keys []quarantine.Key
@@ -112,6 +117,9 @@
 	Pause int64 `json:"pause,omitempty"`
 	// Gap is the usual time between two events, in ms; 0 if it is unknown.
 	Gap int64 `json:"gap,omitempty"`
+	// End is the time from the start of the attempt to the end of the answer that was expected
+	// when it began, in ms; 0 if unknown.
+	End int64 `json:"end,omitempty"`
 	// Slow reports whether the attempt was counted as slow for its version while it ran.
 	Slow bool `json:"slow,omitempty"`
 	// Confidence is the model's confidence in its response, 0 to 100; nil if it
@@ -152,6 +160,7 @@
 		Service: x.service, Allowed: x.server.Versions.Allowed(x.service, x.sessionPosition),
 		Tried: x.retryState.Tried, Draw: x.randState, Bytes: int64(len(x.body)) + expectedResponseBytes,
 	}
+	req.Answer = x.answerShape()
 	if x.routerPicksModel() {
 		req.RouterPicksModel, req.SmallModel = true, x.modelIndex < len(x.route.Models)-1
 	}
--- a/internal/relay/models.go
+++ b/internal/relay/models.go
@@ -13,7 +13,7 @@
 		return
 	}
 	s := x.server
-	x.modelIndex = s.opts.Cascade.First(cascade.FirstInput{
+	x.modelIndex = x.firstModelInTime(cascade.FirstInput{
 		Models: len(x.route.Models), RunsLeft: x.retryState.MaxAttempts,
 		SecondRunAllowed: s.Retry.CanStep(&x.retryState, s.Clock.Now()),
 		DirectStart:      x.strongestFirstEvent(0),
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -26,6 +26,7 @@
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
 	if err == nil {
 		result.Took = took
+		x.observeLength()
 	}
 	a.tracked.End(result)
 	if failed {
@@ -121,6 +122,7 @@
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
 		First: a.firstAfter.Milliseconds(), Head: a.headAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
 		Gap: a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
+		End: a.expectedEnd.Milliseconds(),
 	}
 	if a.confidence >= 0 {
 		record.Confidence = &a.confidence
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -65,6 +65,7 @@
 		if refused := x.refuseHopeless(choice.Engine); refused != nil {
 			return x.fail(refused)
 		}
+		x.answerEnd = choice.AnswerEnd
 		err := x.tryUpstream(ctx, choice.Engine)
 		if err == nil {
 			return nil
@@ -242,11 +243,12 @@
 func (x *exchange) tryUpstream(ctx context.Context, e *engines.Engine) error {
 	startedAt := x.server.Clock.Now()
 	a := &attempt{exchange: x, engine: e, startedAt: startedAt, expectedWait: e.ExpectedWait(), confidence: -1}
-	a.model, a.expectedWork = x.model(), x.expectedWork()
+	a.model, a.expectedWork, a.expectedEnd = x.model(), x.expectedWork(), x.answerEnd
 	if a.tracked = e.Begin(a.expectedWork); a.tracked == nil {
 		return errOverLimit.New("upstream %s takes no more requests from this VM now", e.ID())
 	}
 	x.dispatches++
+	a.tracked.SetTokens(x.memoryTokens())
 	a.guarded = x.server.Quarantine.Begin(e.Incarnation(), x.keys)
 	if !x.route.Streaming {
 		a.guarded.AssumeRunning()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,7 @@
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
+	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
@@ -29,6 +30,8 @@
 	// Cascade decides which model is asked first and whether to escalate to a
 	// stronger one.
 	Cascade cascade.ConfidencePolicy
+	// AnswerEnd makes decisions regard when answers are expected to end. Default false.
+	AnswerEnd bool
 	// MaxBufferedBytes is the largest response without events, in bytes, and the
 	// largest request body if the configuration sets no limit. Default 8 MiB.
 	MaxBufferedBytes int
@@ -50,7 +53,7 @@
 	return Options{
 		Cascade: cascade.ConfidencePolicy{
 			MinConfidence: 58, MinConfidenceLate: 25, NextModelConfidence: 48,
-			IdleWait: 0.02, BusyWait: 0.2, LatestStart: 0.85, StepTime: 300 * time.Millisecond},
+			IdleWait: 0.02, BusyWait: 0.2, LatestStart: 0.85, StepTime: 300 * time.Millisecond, LatestEnd: 0.8},
 		MaxBufferedBytes: 8 << 20, MaxTotalBufferedBytes: 32 << 20, DefaultDeadline: 30 * time.Second,
 		WriteTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second,
 	}
@@ -101,6 +104,7 @@
 	Deps
 	opts     Options
 	prefill  *prefillEstimator
+	lengths  pace.Lengths
 	buffered bufferBudget
 	// exchanges counts the requests in flight, and relayedInFlight those of other VMs.
 	exchanges       sync.WaitGroup
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -103,6 +103,8 @@
 		a.maxGap = max(a.maxGap, at-a.lastAfter)
 	}
 	a.lastAfter = at
+	a.events++
+	a.exchange.events++
 	a.running.RecordEvent()
 	a.guarded.RecordEvent()
 }
@@ -128,6 +130,7 @@
 			return sendErr
 		}
 		if forwarded {
+			a.recordPace()
 			awaited = a.awaitEvent()
 		} else if awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited) {
 			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
