Move streams that can't end in time to a faster upstream

Streams of the strongest model ran at 0.4 to 1.5 s for each event until their deadline while other upstreams finished such answers in 0.7 to 2.4 s. With load_control.answer_end, a stream on a resumable route that is not expected to end in time, by its own pace including an open silence, goes on after its last event at an upstream where it is expected to end within 0.8 of the time left. This happens once for each request and is charged to the retry budget (failure too_slow). It counts neither against the upstream nor against its version. Time for which the caller held up the stream doesn't count.

--- a/internal/relay/answer_end.go
+++ b/internal/relay/answer_end.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/engines"
@@ -139,7 +138,9 @@
 // recordPace records the events that have been forwarded since the last call, for the pace of
 // the upstream.
 func (a *attempt) recordPace() {
-	forwarding := a.exchange.server.Clock.Since(a.startedAt) - a.lastAfter
-	a.tracked.RecordEvents(a.exchange.paceModel(), a.events-a.pacedEvents, max(forwarding, time.Duration(0)))
+	now := a.exchange.server.Clock.Now()
+	forwarding := max(now.Sub(a.startedAt)-a.lastAfter, 0)
+	a.tracked.RecordEvents(a.exchange.paceModel(), a.events-a.pacedEvents, forwarding)
 	a.pacedEvents = a.events
+	a.move.recordForwarded(now, forwarding)
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,6 +49,7 @@
 	// events is the number of events, and pacedEvents that of those recorded for the pace of
 	// the upstream.
 	events, pacedEvents int
+	move                moveState
 	// confidence is the model's confidence in its response, 0 to 100; negative if
 	// it reported none.
 	confidence int
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,7 +71,9 @@
 	events int
 	// answerEnd is the time to the expected end of the answer at the upstream that was chosen
 	// last; zero if unknown.
-	answerEnd  time.Duration
+	answerEnd time.Duration
+	// moved reports whether a stream that was too slow was ended to go on elsewhere.
+	moved      bool
 	attemptLog []attemptRecord
 	// keys identify the request where some crash upstreams.
 	keys []quarantine.Key
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,7 +21,9 @@
 	inFlight     prometheus.Gauge
 	// peerAttempts counts what this VM asked others to relay, and relayed what it was asked.
 	peerAttempts *prometheus.CounterVec
-	relayed      *prometheus.CounterVec
+	// moves counts streams that were too slow to end in time.
+	moves   *prometheus.CounterVec
+	relayed *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if one of
@@ -56,7 +58,10 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_relay_peer_requests_total", Help: "Requests that this VM was asked to relay, by outcome."},
 		[]string{"outcome"})
-	r.MustRegister(m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed)
+	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_relay_moves_total", Help: "Streams too slow to end in time, by whether they went on elsewhere and how they ended."},
+		[]string{"outcome"})
+	r.MustRegister(m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed, m.moves)
 	return m
 }
 
@@ -77,6 +82,7 @@
 		relayFor = x.hop.from
 		s.Metrics.relayed.WithLabelValues(outcome).Inc()
 	}
+	x.recordMoved(outcome)
 	s.Metrics.requests.WithLabelValues(name, outcome, strconv.Itoa(status)).Inc()
 	s.Metrics.latency.WithLabelValues(name).Observe(took.Seconds())
 	level := slog.LevelInfo
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -19,8 +19,9 @@
 // circuit breaker, for the roll-out of its version, for retries, and in the log.
 func (x *exchange) finishAttempt(ctx context.Context, a *attempt, err error, took time.Duration) {
 	ended := err != nil && ctx.Err() != nil
-	failed := err != nil && !ended && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
-	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || a.paused
+	moved := errorx.IsOfType(err, errMoved)
+	failed := err != nil && !ended && !moved && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
+	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || a.paused || moved
 	// A VM that has lost its way to the upstreams blames none of them.
 	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).CutOff
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
@@ -29,7 +30,7 @@
 		x.observeLength()
 	}
 	a.tracked.End(result)
-	if failed {
+	if failed || moved {
 		x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
 		if errorx.IsOfType(err, upconn.ErrSilent) {
 			x.server.Pool.CloseIdle(a.engine.Address())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -123,7 +123,10 @@
 	buf := make([]byte, streamBufferBytes)
 	awaited := a.awaitEvent()
 	for {
-		n, err := a.readMonitored(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
+		if a.shouldMove() {
+			return errMoved.New("stream from %s is too slow to end in time", a.engine.ID())
+		}
+		n, err := a.readPaced(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
 		pending.buf = append(pending.buf, buf[:n]...)
 		forwarded, sendErr := a.forwardEvents(resp, &pending)
 		if sendErr != nil {
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -30,11 +30,14 @@
 	// Crashed means that the connection was lost before the upstream had shown that it
 	// survives the request.
 	Crashed
+	// TooSlow means that the answer, which has begun, is not expected to end before the
+	// deadline.
+	TooSlow
 	kindCount
 )
 
 var kindNames = [kindCount]string{
-	"not_connected", "not_started", "unavailable", "broken", "silent", "rejected", "crashed",
+	"not_connected", "not_started", "unavailable", "broken", "silent", "rejected", "crashed", "too_slow",
 }
 
 // String returns the kind's metric label.
