--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -36,13 +36,24 @@
 	return newPacedDirectory(clock, rank, vms, false)
 }
 
+// regionOf returns the region of a failure domain, without allocation for those of the benchmark.
+func regionOf(id domain.ID) domain.Region {
+	switch id {
+	case "d1":
+		return "r1"
+	case "d2":
+		return "r2"
+	}
+	return domain.Region("r" + string(id[1:]))
+}
+
 // newPacedDirectory returns one that regards when answers end, if answerEnd is set.
 func newPacedDirectory(clock *clockwork.FakeClock, rank, vms int, answerEnd bool) *engines.Directory {
 	return engines.New(engines.Options{
 		AnswerEnd:   answerEnd,
 		SharedClock: sharedClock{clock}, Rank: func() (int, int) { return rank, vms },
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
-		RegionOf: func(id domain.ID) domain.Region { return domain.Region("r" + string(id[1:])) },
+		RegionOf: regionOf,
 		Registry: prometheus.NewRegistry(),
 	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
--- a/internal/engines/pool_pace.go
+++ b/internal/engines/pool_pace.go
@@ -17,9 +17,12 @@
 	mu        sync.Mutex
 	dividedAt time.Time
 	byRegion  map[domain.Region]*pace.Division
-	// slow holds the slow upstreams of the regions that are divided. Its maps are replaced and
-	// never changed.
-	slow map[domain.Region]map[*Engine]bool
+	// size is the number of the service's upstreams then, slow holds the slow ones of the regions
+	// that are divided, and small is the pool if all upstreams are allowed. The maps are replaced
+	// and never changed.
+	size  int
+	slow  map[domain.Region]map[*Engine]bool
+	small map[*Engine]bool
 }
 
 // modelPool returns the upstreams that are preferred for small models: the slow ones where the
@@ -28,10 +31,24 @@
 	if !d.opts.AnswerEnd {
 		return d.smallModelPool(allowed)
 	}
-	slow := d.slowUpstreams(service, now)
-	if len(slow) == 0 {
-		return d.smallModelPool(allowed)
+	p := &d.paceOf(service).pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := d.ForService(service)
+	if now.Sub(p.dividedAt) >= poolInterval || p.size != len(all) {
+		p.dividedAt, p.size = now, len(all)
+		d.divideAll(p, all, now)
+		p.small = d.merge(p.slow, all)
+	}
+	if len(allowed) == len(all) {
+		return p.small
 	}
+	return d.merge(p.slow, allowed)
+}
+
+// merge returns the preferred upstreams of the regions that are divided by speed and those of
+// smallModelPool in the others.
+func (d *Directory) merge(slow map[domain.Region]map[*Engine]bool, allowed []*Engine) map[*Engine]bool {
 	undivided := make([]*Engine, 0, len(allowed))
 	for _, e := range allowed {
 		if slow[d.opts.RegionOf(e.entry().Domain)] == nil {
@@ -47,20 +64,13 @@
 	return small
 }
 
-// slowUpstreams returns the slow upstreams of the regions whose upstreams differ clearly.
-func (d *Directory) slowUpstreams(service string, now time.Time) map[domain.Region]map[*Engine]bool {
-	p := &d.paceOf(service).pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now.Sub(p.dividedAt) < poolInterval {
-		return p.slow
-	}
-	p.dividedAt = now
+// divideAll divides the upstreams of all regions anew. The caller holds the mutex of p.
+func (d *Directory) divideAll(p *pacePool, all []*Engine, now time.Time) {
 	if p.byRegion == nil {
 		p.byRegion = make(map[domain.Region]*pace.Division)
 	}
 	engines := make(map[domain.Region][]*Engine)
-	for _, e := range d.ForService(service) {
+	for _, e := range all {
 		if !e.Leaving() {
 			r := d.opts.RegionOf(e.entry().Domain)
 			engines[r] = append(engines[r], e)
@@ -72,7 +82,6 @@
 			p.slow[region] = slow
 		}
 	}
-	return p.slow
 }
 
 // divide divides the upstreams of a region anew and returns the slow ones. The caller holds mu.
