Weigh hints of length by how far off they used to be

Hints are right in the median and often far off: one of 2,000 tokens on a route whose answers have 288 made a stream look hopeless. The expected length is now between the hint and the route's median by their mean square errors.

Result: with hints off by a factor of e (one standard deviation), the expected length of such an answer is within 4 of 32 events in the test; exact hints are followed within 10%.

--- a/pace/length.go
+++ b/pace/length.go
@@ -15,8 +15,12 @@
 	// lengthMinSamples is the number of answers of a route from which their lengths count as
 	// known.
 	lengthMinSamples = 5
-	// maxHintMargin bounds by how much answers are expected to exceed the callers' hints.
-	maxHintMargin = 3
+	// maxHintMargin bounds by how much most answers are expected to exceed their median, and
+	// unknownMargin is assumed while that is not known.
+	maxHintMargin = 3.0
+	unknownMargin = 1.5
+	// errorWeight is the weight of the newest answer in the mean errors.
+	errorWeight = 0.05
 	// maxRoutes bounds the number of routes kept.
 	maxRoutes = 1024
 	// exceededShare is the share of the events so far that an answer which exceeds its
@@ -73,9 +77,38 @@
 // routeLengths is what is known of the answers of a route.
 type routeLengths struct {
 	// median and likely are the numbers of events, perEvent the median number of hinted
-	// tokens for each event, and excess the ratio of the events to the hinted ones that most
-	// answers stay below.
+	// tokens for each event, and excess the ratio of the events to the expected ones that most
+	// answers with a hint stay below.
 	median, likely, perEvent, excess quantile
+	// hintError and ownError are the mean squares of the logarithms by which hints, and the
+	// route's median, were off.
+	hintError, ownError float64
+}
+
+// known reports whether the lengths of the route's answers are known, and hinted whether hints
+// can be converted to events as well.
+func (r *routeLengths) known() bool  { return r.median.samples >= lengthMinSamples }
+func (r *routeLengths) hinted() bool { return r.known() && r.perEvent.samples >= lengthMinSamples }
+
+// expect returns the expected number of events of an answer with a hint: between the hint and
+// the route's median, by how far each of them used to be off.
+func (r *routeLengths) expect(tokens int) float64 {
+	weight := 0.5
+	if sum := r.hintError + r.ownError; sum > 0 {
+		weight = r.ownError / sum
+	}
+	hint := math.Log(float64(tokens)) - r.perEvent.log
+	return math.Exp(weight*hint + (1-weight)*r.median.log)
+}
+
+// observeErrors records by how much the hint and the route's median were off.
+func (r *routeLengths) observeErrors(tokens, events int) {
+	actual := math.Log(float64(events))
+	hint := math.Log(float64(tokens)) - r.perEvent.log - actual
+	own := r.median.log - actual
+	r.hintError += errorWeight * (hint*hint - r.hintError)
+	r.ownError += errorWeight * (own*own - r.ownError)
+	r.excess.observe(float64(events) / r.expect(tokens))
 }
 
 // Lengths learns the lengths of answers by route. It is safe for concurrent use.
@@ -105,30 +138,36 @@
 		}
 		l.byRoute[route] = r
 	}
-	r.median.observe(float64(events))
-	r.likely.observe(float64(events))
 	if hint.Tokens > 0 {
+		if r.hinted() {
+			r.observeErrors(hint.Tokens, events)
+		}
 		r.perEvent.observe(float64(hint.Tokens) / float64(events))
-		r.excess.observe(float64(events) * r.perEvent.value() / float64(hint.Tokens))
 	}
+	r.median.observe(float64(events))
+	r.likely.observe(float64(events))
 }
 
-// Expect returns the expected length of an answer: by the hint if there is one, and by the
-// route's earlier answers otherwise.
+// Expect returns the expected length of an answer: by the hint, if there is one, and the route's
+// earlier answers.
 func (l *Lengths) Expect(route string, hint Hint) Length {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.byRoute[route]
-	if r == nil || r.median.samples < lengthMinSamples {
+	if r == nil || !r.known() {
 		return Length{}
 	}
 	expected := Length{Median: r.median.value(), Likely: max(r.likely.value(), r.median.value())}
-	if r.perEvent.samples < lengthMinSamples {
+	if !r.hinted() {
 		return expected
 	}
 	if hint.Tokens > 0 {
-		events := max(float64(hint.Tokens)/r.perEvent.value(), 1)
-		expected = Length{Median: events, Likely: events * min(max(r.excess.value(), 1), maxHintMargin)}
+		events := max(r.expect(hint.Tokens), 1)
+		margin := unknownMargin
+		if r.excess.samples >= lengthMinSamples {
+			margin = min(max(r.excess.value(), 1), maxHintMargin)
+		}
+		expected = Length{Median: events, Likely: events * margin}
 	}
 	if hint.Max > 0 {
 		most := max(float64(hint.Max)/r.perEvent.value(), 1)
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -100,6 +101,23 @@
 	g.Expect(l.Expect("other", pace.Hint{Tokens: 270})).To(Equal(pace.Length{}))
 }
 
+// TestHintsThatAreFarOffCountLittle guards against streams that are called hopeless because their
+// caller said far too much.
+func TestHintsThatAreFarOffCountLittle(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 5))
+	var wild, exact pace.Lengths
+	for range 300 {
+		wild.Observe("r", pace.Hint{Tokens: int(288 * math.Exp(rng.NormFloat64()))}, 30+rng.IntN(5))
+		events := 5 + rng.IntN(80)
+		exact.Observe("r", pace.Hint{Tokens: 9 * events}, events)
+	}
+	g.Expect(wild.Expect("r", pace.Hint{Tokens: 2000}).Median).To(BeNumerically("~", 32, 4))
+	g.Expect(wild.Expect("r", pace.Hint{Tokens: 2000}).Likely).To(BeNumerically("<", 45))
+	g.Expect(exact.Expect("r", pace.Hint{Tokens: 720}).Median).To(BeNumerically("~", 80, 8))
+	g.Expect(exact.Expect("r", pace.Hint{Tokens: 720}).Likely).To(BeNumerically("<", 100))
+}
+
 func TestExceededLengthHasALittleLeft(t *testing.T) {
 	g := NewWithT(t)
 	length := pace.Length{Median: 30, Likely: 40}
