--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -64,6 +64,15 @@
 		Expect(retry.Crashed.String()).To(Equal("crashed"))
 	})
 
+	It("lets a resumable stream that is too slow go on elsewhere, but no other", func() {
+		s := request()
+		s.AnswerStarted, s.Resumable = true, true
+		Expect(newPolicy(retry.DefaultOptions()).Decide(s, retry.Failure{Kind: retry.TooSlow}, 0.5, startTime).Action).To(Equal(retry.Retry))
+		s.Resumable = false
+		Expect(newPolicy(retry.DefaultOptions()).Decide(s, retry.Failure{Kind: retry.TooSlow}, 0.5, startTime).Reason).To(Equal(retry.AnswerStarted))
+		Expect(retry.TooSlow.String()).To(Equal("too_slow"))
+	})
+
 	It("retries a non-repeatable request that was not started", func() {
 		s := request()
 		s.Repeatable = false
