--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -38,6 +38,10 @@
 	// part of the response arrived.
 	work      time.Duration
 	startedAt time.Time
+	// tokens is the memory that the request takes, in tokens, and stream the answer; nil
+	// before it begins.
+	tokens int
+	stream *stream
 }
 
 // Begin registers an attempt in flight. Work is how long the upstream is expected
@@ -52,6 +56,7 @@
 		return nil
 	}
 	e.recordSend(now)
+	work = e.scaleWork(work, now)
 	a := &Attempt{engine: e, work: work, startedAt: now}
 	a.permit, a.admitted = e.directory.breakers.Acquire(e.ID(), model.Ref{}, now)
 	e.inFlight++
@@ -68,6 +73,7 @@
 	a.engine.lastReceivedAt = a.engine.directory.clock.Now()
 	a.engine.cold.Reach(a.startedAt, a.engine.lastReceivedAt)
 	a.engine.silentUntil = time.Time{}
+	a.engine.observeStart(a, a.engine.lastReceivedAt)
 	a.engine.clearPending(a)
 }
 
@@ -90,6 +96,7 @@
 	defer e.mu.Unlock()
 	e.inFlight--
 	e.clearPending(a)
+	e.endStream(a)
 	if r.Inconclusive {
 		return
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -103,6 +103,8 @@
 		a.maxGap = max(a.maxGap, at-a.lastAfter)
 	}
 	a.lastAfter = at
+	a.events++
+	a.exchange.events++
 	a.running.RecordEvent()
 	a.guarded.RecordEvent()
 }
@@ -121,13 +123,17 @@
 	buf := make([]byte, streamBufferBytes)
 	awaited := a.awaitEvent()
 	for {
-		n, err := a.readMonitored(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
+		if a.shouldMove() {
+			return errMoved.New("stream from %s is too slow to end in time", a.engine.ID())
+		}
+		n, err := a.readPaced(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
 		pending.buf = append(pending.buf, buf[:n]...)
 		forwarded, sendErr := a.forwardEvents(resp, &pending)
 		if sendErr != nil {
 			return sendErr
 		}
 		if forwarded {
+			a.recordPace()
 			awaited = a.awaitEvent()
 		} else if awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited) {
 			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
