--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -30,7 +30,7 @@
 
 // Hint announces an expensive request that was sent to an upstream, that the upstream is
 // silent, that it names another limit than before, that it is fragile or full, or that
-// requests crash upstreams.
+// requests crash upstreams. A hint with Reports concerns many upstreams instead.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
@@ -48,6 +48,10 @@
 	Full    bool  `json:"full,omitzero"`
 	// Quarantine carries evidence on requests that crash upstreams; nil announces nothing.
 	Quarantine *quarantines.Message `json:"quarantine,omitempty"`
+	// Reports carries what upstreams reported, encoded by package loadshare, and no Upstream;
+	// nil announces nothing. To holds the addresses that get it. To is not sent.
+	Reports []byte           `json:"reports,omitempty"`
+	To      []netip.AddrPort `json:"-"`
 	// Region is the upstream's region. It is not sent.
 	Region domain.Region `json:"-"`
 }
@@ -135,13 +139,24 @@
 		x.log.Error("cannot encode hint; it is not sent", "error", err)
 		return
 	}
-	for _, m := range selectRecipients(others, x.regionOf, h) {
-		outcome := "sent"
-		if _, err := x.conn.WriteToUDPAddrPort(payload, m.Hints); err != nil {
-			outcome = "send_failed"
+	if h.Reports != nil {
+		for _, to := range h.To {
+			x.write(payload, to)
 		}
-		x.outcomes.WithLabelValues(outcome).Inc()
+		return
+	}
+	for _, m := range selectRecipients(others, x.regionOf, h) {
+		x.write(payload, m.Hints)
+	}
+}
+
+// write sends a datagram and counts the outcome.
+func (x *Exchange) write(payload []byte, to netip.AddrPort) {
+	outcome := "sent"
+	if _, err := x.conn.WriteToUDPAddrPort(payload, to); err != nil {
+		outcome = "send_failed"
 	}
+	x.outcomes.WithLabelValues(outcome).Inc()
 }
 
 // Receive receives hints until ctx is done, and then closes the exchange. It also
