Learn the load and the speed of upstreams from other VMs

A third of the upstreams takes 1.7 times, two thirds 0.7 times the usual time, but a VM sees each of them only every 4 to 12 s, while its estimates fade within 10 s. VMs of a region now tell each other the newest load reports and the lasting speeds; newer reports count like own ones, and the pace of an upstream without recent gaps returns to its lasting speed instead of 1. Only with load_control.answer_end or admission.

Speeds are relative to what a VM holds for usual, so messages also carry usual gaps. The weight of other VMs' evidence is the largest told, less 0.3 for each hop, so that echoes fade (25 VMs, 2 minutes: weight below 0.5); sums would keep them up for ever.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -58,6 +58,9 @@
 	Placement Placement
 	// AnswerEnd makes the selection regard when answers end; see Requirements.Answer.
 	AnswerEnd bool
+	// ShareReports makes this VM tell others of its region what upstreams reported, and use
+	// what they tell; see SharedReports and MergeReports.
+	ShareReports bool
 	// SharedClock is the clock that all VMs share. Rank returns the position of this VM
 	// among all VMs, from 0, and their number. By both the VMs divide the limits that
 	// upstreams name.
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poplarshore/poplarshore/internal/loadshare"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -21,6 +22,8 @@
 	identity upstream.Upstream
 	// hash is the hash of the ID, for rendezvous hashing.
 	hash uint64
+	// key identifies the incarnation in messages between VMs.
+	key uint64
 	// leaving is set once the entry or the upstream itself reports that the upstream is
 	// leaving, and is never cleared: an upstream that returns is a new incarnation.
 	leaving atomic.Bool
@@ -67,7 +70,7 @@
 }
 
 func newEngine(e Entry, d *Directory) *Engine {
-	engine := &Engine{directory: d, hash: route.HashID(e.ID)}
+	engine := &Engine{directory: d, hash: route.HashID(e.ID), key: loadshare.UpstreamKey(e.ID, e.Incarnation)}
 	engine.identity = upstream.Upstream{ID: e.ID, Domain: e.Domain, Service: e.Service, Capacity: e.Capacity}
 	engine.pace.kind = pace.Factor{HalfLife: kindHalfLife, MaxWeight: kindMaxWeight}
 	engine.set(e)
--- a/internal/engines/fragile.go
+++ b/internal/engines/fragile.go
@@ -119,6 +119,6 @@
 	rank, vms := e.directory.opts.Rank()
 	return limit.Places{
 		Capacity: entry.Capacity, Upstreams: (*e.directory.sizes.Load())[entry.Service], VMs: vms, Rank: rank, Offset: int(e.hash % uint64(vms)),
-		Reported: now.Sub(e.reportedAt) < placesReportTTL, Others: e.remoteRequests,
+		Reported: now.Sub(e.pace.ownReportAt) < placesReportTTL, Others: e.remoteRequests,
 	}.Allow(e.inFlight, e.directory.sharedTime(now))
 }
--- a/internal/engines/pace.go
+++ b/internal/engines/pace.go
@@ -54,6 +54,10 @@
 	// now is the factor over the usual time between events at the present, kind that over a
 	// longer time.
 	now, kind pace.Factor
+	// shared is what other VMs found of kind.
+	shared pace.Shared
+	// ownReportAt is when the upstream last reported its load to this VM itself.
+	ownReportAt time.Time
 	// streams are this VM's streams that have begun.
 	streams []*stream
 	// tokens is the memory that this VM's requests take.
@@ -150,10 +154,11 @@
 // methods.
 func (e *Engine) observeGap(usual *pace.Usual, gap time.Duration, n int, now time.Time) {
 	load := e.loadFactor(now, 0) * e.slowdown(now)
-	kind := e.pace.kind.Value(now)
-	usual.Observe(time.Duration(float64(gap) / load / kind))
+	lasting := e.lastingSpeed(now)
+	usual.Observe(time.Duration(float64(gap) / load / lasting))
 	if base, known := usual.Gap(); known {
 		ratio := float64(gap) / load / float64(base)
+		e.pace.now.Prior = lasting
 		e.pace.now.Observe(ratio, n, now)
 		e.pace.kind.Observe(ratio, n, now)
 	}
@@ -176,15 +181,16 @@
 // slowdown returns how much longer work takes on the upstream's machine now, by its report; 1
 // if that is not known.
 func (e *Engine) slowdown(now time.Time) float64 {
-	if e.report.Slowdown <= 0 || now.Sub(e.reportedAt) >= slowdownTTL {
+	if e.report.Slowdown <= 0 || now.Sub(e.pace.ownReportAt) >= slowdownTTL {
 		return 1
 	}
 	return e.report.Slowdown
 }
 
 // paceFactor returns how much longer than usual the upstream takes for an event now, beside its
-// load. It counts the silence of streams that run.
+// load: its lasting speed, corrected by recent gaps and the silence of streams that run.
 func (e *Engine) paceFactor(now time.Time) float64 {
+	e.pace.now.Prior = e.lastingSpeed(now)
 	if len(e.pace.streams) == 0 {
 		return e.pace.now.Value(now)
 	}
--- a/internal/engines/pool_pace.go
+++ b/internal/engines/pool_pace.go
@@ -102,5 +102,5 @@
 func (e *Engine) kind(now time.Time) (factor, weight float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.pace.kind.Mean(now)
+	return e.pace.shared.Together(&e.pace.kind, now)
 }
--- a/internal/engines/self_report.go
+++ b/internal/engines/self_report.go
@@ -65,6 +65,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.report, e.reportedAt = l, e.directory.clock.Now()
+	e.pace.ownReportAt = e.reportedAt
 	e.remoteRequests = max(l.Running+l.Waiting-e.inFlight, 0)
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -77,7 +77,9 @@
 	peerFeed  *peerfeed.Feed
 	hints     *hints.Exchange
 	// hintCounts counts hints by outcome.
-	hintCounts   *prometheus.CounterVec
+	hintCounts *prometheus.CounterVec
+	// shareCounts counts shared reports by outcome.
+	shareCounts  *prometheus.CounterVec
 	retryBudgets *retry.WindowBudgets
 	relay        *relay.Server
 	phase        atomic.Int32
@@ -145,6 +147,7 @@
 		ReregistrationGrace: reregistrationGrace,
 		Placement:           engines.DefaultPlacement(),
 		AnswerEnd:           s.LoadControl.AnswerEnd,
+		ShareReports:        sharesReports(s),
 		OnRemove:            d.pool.CloseIdle,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
@@ -169,6 +172,7 @@
 	})
 	d.quarantines = d.newQuarantines()
 	d.hintCounts = hints.NewCounter(d.registry)
+	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts}
 	d.relay = d.newRelay()
@@ -250,6 +254,9 @@
 	d.runner.Start("collect VMs", d.collector.Run)
 	d.runner.Start("hints out", d.hints.Send)
 	d.runner.Start("hints in", d.hints.Receive)
+	if sharesReports(d.settings) {
+		d.runner.Start("share reports", d.shareReports)
+	}
 	d.runner.Every("roll-outs", d.clock, rolloutInterval, d.shifts.Tick)
 	d.runner.Start("quarantine evidence", d.quarantines.Run)
 	d.runner.Every("quarantine row", d.clock, quarantineRowInterval, d.quarantines.Sync)
@@ -291,10 +298,12 @@
 }
 
 // applyHint applies what another VM announced: work that it sent to an upstream, an
-// upstream that is silent, limited, fragile or full, or evidence on requests that crash
-// upstreams.
+// upstream that is silent, limited, fragile or full, what upstreams reported, or evidence on
+// requests that crash upstreams.
 func (d *Daemon) applyHint(h hints.Hint) {
 	switch {
+	case h.Reports != nil:
+		d.receiveReports(h.Reports)
 	case h.Quarantine != nil:
 		d.quarantines.Receive(*h.Quarantine)
 	case h.Silent:
--- a/pace/doc.go
+++ b/pace/doc.go
@@ -4,7 +4,7 @@
 // Usual estimates the time between two events of a model on an idle upstream of usual speed,
 // Factor how much longer one upstream takes, and Lengths the number of events of answers by
 // route. Stream says whether an answer in progress is too slow, and whether it pays to go on
-// elsewhere.
+// elsewhere. Shared holds what other VMs found of the lasting speed of an upstream.
 //
 // The package reads no clock and does no input or output. Estimates fade: Factor returns to 1
 // within some ten seconds without samples.
--- a/pace/factor.go
+++ b/pace/factor.go
@@ -31,6 +31,8 @@
 	HalfLife time.Duration
 	// MaxWeight bounds the weight of all samples, in gaps. Default 8.
 	MaxWeight float64
+	// Prior is the estimate without samples, to which it returns. Default 1.
+	Prior float64
 
 	mean, weight float64
 	at           time.Time
@@ -76,7 +78,11 @@
 }
 
 func (f *Factor) value() float64 {
-	return (f.mean*f.weight + factorPrior) / (f.weight + factorPrior)
+	prior := f.Prior
+	if prior <= 0 {
+		prior = 1
+	}
+	return (f.mean*f.weight + factorPrior*prior) / (f.weight + factorPrior)
 }
 
 // Value returns the estimate.
