Spread requests of VMs that know the same reports

A small random cost for each candidate of the own region, 150 ms at most, keeps VMs from sending all to the upstream that the last reports show as least loaded. The home of a prefix gets none and other regions the whole of it. Only with load_control.answer_end.

--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -78,7 +78,7 @@
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
 	if answerEnd {
-		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer())
+		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer(), route.DefaultSpreadScorer())
 	}
 	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
 	options := func(filters ...route.Filter) route.Options {
