Expect others' requests by old reports, and homes on fast upstreams

VMs that know the same old report all send by it. The expected number of others' requests now returns to its mean as a report ages (time constant 3 s), so that old reports count less and unknown upstreams don't look idle. Slow upstreams aren't homes of prefixes in services whose upstreams are known to differ, also if the router doesn't pick the model. The spread of requests also applies with load_control.admission, which shares reports.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -135,7 +135,7 @@
 	d := &Directory{
 		opts: opts, clock: clock, log: log, selfReports: selfReports,
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
-		policies:  newPolicies(opts.Placement, opts.AnswerEnd),
+		policies:  newPolicies(opts.Placement, opts.AnswerEnd, opts.AnswerEnd || opts.ShareReports),
 		fragile:   make(map[string]fragileService),
 		paces:     make(map[string]*servicePace),
 		byID:      make(map[upstream.ID]*Engine),
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -144,9 +144,7 @@
 		LinkLatency: d.linkLatency(entry.Domain),
 	}
 	c.FirstToken += e.expectedWait(now) + max(e.silentUntil.Sub(now), 0)
-	if now.Sub(e.reportedAt) < reportTTL {
-		c.RemoteInFlight = e.remoteRequests
-	}
+	c.RemoteInFlight = e.othersRequests(now, reportTTL)
 	if d.opts.RegionOf(entry.Domain) != d.opts.Region {
 		c.PricePerMB = d.opts.Placement.CrossRegionPrice
 	}
@@ -169,10 +167,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	requests := e.inFlight
-	if e.directory.clock.Since(e.reportedAt) < reportTTL {
-		requests += e.remoteRequests
-	}
+	requests := e.inFlight + e.othersRequests(e.directory.clock.Now(), reportTTL)
 	return float64(requests) / float64(capacity)
 }
 
--- a/internal/engines/pace.go
+++ b/internal/engines/pace.go
@@ -56,6 +56,10 @@
 	now, kind pace.Factor
 	// shared is what other VMs found of kind.
 	shared pace.Shared
+	// meanLoad is the smoothed number of requests of other senders, and meanLoadAt the time of
+	// the newest report in it; zero before the first report.
+	meanLoad   float64
+	meanLoadAt time.Time
 	// ownReportAt is when the upstream last reported its load to this VM itself.
 	ownReportAt time.Time
 	// streams are this VM's streams that have begun.
@@ -171,10 +175,7 @@
 	if capacity <= 0 {
 		return 1
 	}
-	requests := e.inFlight + added
-	if now.Sub(e.reportedAt) < loadMemory {
-		requests += e.remoteRequests
-	}
+	requests := e.inFlight + added + e.othersRequests(now, loadMemory)
 	return 1 + e.directory.opts.Placement.BatchSlope*min(float64(requests)/float64(capacity), 1)
 }
 
@@ -208,10 +209,7 @@
 // queueWait returns how long a further request waits for one of the upstream's places.
 func (e *Engine) queueWait(now time.Time) time.Duration {
 	capacity := e.entry().Capacity
-	requests := e.inFlight
-	if now.Sub(e.reportedAt) < reportTTL {
-		requests += e.remoteRequests
-	}
+	requests := e.inFlight + e.othersRequests(now, reportTTL)
 	if capacity <= 0 || requests < capacity {
 		return 0
 	}
@@ -259,10 +257,7 @@
 		c.AnswerEnd = e.expectedWait(now) + e.queueWait(now) + 2*c.LinkLatency + time.Duration(work+delay) + c.AnswerTime
 	}
 	if shape.MemoryTokens > 0 {
-		used := float64(e.pace.tokens + shape.Tokens)
-		if now.Sub(e.reportedAt) < reportTTL {
-			used += float64(e.remoteRequests) * meanTokens
-		}
+		used := float64(e.pace.tokens+shape.Tokens) + float64(e.othersRequests(now, reportTTL))*meanTokens
 		c.MemoryUse = used / float64(shape.MemoryTokens)
 	}
 }
--- a/internal/engines/pace_test.go
+++ b/internal/engines/pace_test.go
@@ -26,6 +26,10 @@
 	seconds     float64
 	// lengthHint is the number of events that the VMs expect.
 	lengthHint float64
+	// prefixes is the number of long prompt prefixes that requests share; zero for none. homes
+	// counts the streams by prefix and server.
+	prefixes int
+	homes    map[uint64]map[upstream.ID]int
 }
 
 // server is one simulated upstream.
@@ -55,7 +59,7 @@
 // newFleet returns a third of slow upstreams, 1.7 times the usual time, and two thirds of fast
 // ones, 0.7 times.
 func newFleet(vms, servers int, answerEnd bool) *fleet {
-	f := &fleet{clock: clockwork.NewFakeClock(), servers: make(map[upstream.ID]*server), rng: rand.New(rand.NewPCG(7, 7)), lengthHint: 40}
+	f := &fleet{clock: clockwork.NewFakeClock(), servers: make(map[upstream.ID]*server), rng: rand.New(rand.NewPCG(7, 7)), lengthHint: 40, homes: make(map[uint64]map[upstream.ID]int)}
 	entries := make([]engines.Entry, servers)
 	for i := range entries {
 		entries[i] = newEntry(fmt.Sprintf("u%02d", i), "d1")
@@ -75,10 +79,18 @@
 }
 
 func (f *fleet) send(d *engines.Directory) {
-	choice := d.Choose(engines.Requirements{
+	req := engines.Requirements{
 		Service: "s", Draw: f.rng.Uint64(),
 		Answer: engines.AnswerShape{Model: "large", Events: f.lengthHint, TimeLeft: fleetDeadline, MaxPause: 800 * time.Millisecond},
-	})
+	}
+	if f.prefixes > 0 {
+		req.PrefixHash, req.SharedTokens = 1+f.rng.Uint64N(uint64(f.prefixes)), 5382
+	}
+	choice := d.Choose(req)
+	if f.homes[req.PrefixHash] == nil {
+		f.homes[req.PrefixHash] = make(map[upstream.ID]int)
+	}
+	f.homes[req.PrefixHash][choice.Engine.ID()]++
 	s := f.servers[choice.Engine.ID()]
 	j := &job{engine: choice.Engine, attempt: choice.Engine.Begin(0), began: f.clock.Now(), length: 16 + f.rng.IntN(33)}
 	s.running = append(s.running, j)
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -69,8 +69,8 @@
 }
 
 // newPolicies returns the selection policies for the given configuration. answerEnd adds the
-// costs by when answers end.
-func newPolicies(p Placement, answerEnd bool) policies {
+// costs by when answers end, and spread those that spread the requests of VMs that know the same.
+func newPolicies(p Placement, answerEnd, spread bool) policies {
 	scorers := []route.Scorer{
 		route.QueueScorer{DefaultDuration: p.DefaultServiceTime, BatchSlope: p.BatchSlope},
 		route.PrefillScorer{PerToken: p.PrefillPerToken, Bound: 1, Slack: p.CacheCreditSlack, HomeCredit: 1},
@@ -78,7 +78,10 @@
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
 	if answerEnd {
-		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer(), route.DefaultSpreadScorer())
+		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer())
+	}
+	if spread {
+		scorers = append(scorers, route.DefaultSpreadScorer())
 	}
 	always := []route.Filter{route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{}, route.LimitFilter{}, route.PlaceFilter{}}
 	options := func(filters ...route.Filter) route.Options {
@@ -161,7 +164,7 @@
 	}
 	request := route.Request{
 		Service: req.Service, PromptTokens: req.SharedTokens, Bytes: req.Bytes, Tried: req.Tried, Draw: req.Draw,
-		Home: d.homeUpstream(req, allowed, small),
+		Home: d.homeUpstream(req, allowed, d.homePool(&req, small, now)),
 	}
 	d.expectAnswers(&request, candidates, allowed, &req.Answer, now)
 	choice := Choice{Candidates: len(allowed)}
--- a/internal/engines/pool_pace.go
+++ b/internal/engines/pool_pace.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -47,6 +48,20 @@
 	return small
 }
 
+// homePool returns the upstreams that are not considered as homes of a large model's prompts, or
+// the only ones for a small model's. small is the pool of modelPool; empty if the router doesn't
+// select the model. In that case the slow upstreams aren't homes: long answers would leave them.
+func (d *Directory) homePool(req *Requirements, small map[*Engine]bool, now time.Time) map[*Engine]bool {
+	if req.RouterPicksModel || !d.opts.AnswerEnd || req.PrefixHash == 0 || req.Answer.Events <= 0 {
+		return small
+	}
+	all := make(map[*Engine]bool)
+	for _, engines := range d.slowUpstreams(req.Service, now) {
+		maps.Copy(all, engines)
+	}
+	return all
+}
+
 // slowUpstreams returns the slow upstreams of the regions whose upstreams differ clearly.
 func (d *Directory) slowUpstreams(service string, now time.Time) map[domain.Region]map[*Engine]bool {
 	p := &d.paceOf(service).pool
--- a/internal/engines/self_report.go
+++ b/internal/engines/self_report.go
@@ -66,7 +66,7 @@
 	defer e.mu.Unlock()
 	e.report, e.reportedAt = l, e.directory.clock.Now()
 	e.pace.ownReportAt = e.reportedAt
-	e.remoteRequests = max(l.Running+l.Waiting-e.inFlight, 0)
+	e.setRemoteRequests(l)
 }
 
 // pauseLeft returns how long the upstream's pause still lasts; zero or less if it is not
--- a/internal/engines/shared.go
+++ b/internal/engines/shared.go
@@ -142,7 +142,7 @@
 		e.reportedAt = at
 		// Requests that this VM has sent since the report are not in it, and those that have
 		// ended since then are. The difference is small, as reports are at most some seconds old.
-		e.remoteRequests = max(entry.Running+entry.Waiting-e.inFlight, 0)
+		e.setRemoteRequests(e.report)
 		used = true
 	}
 	return used
@@ -153,3 +153,43 @@
 func (e *Engine) lastingSpeed(now time.Time) float64 {
 	return e.pace.shared.Lasting(&e.pace.kind, now)
 }
+
+const (
+	// meanLoadSpan is the time over which the load of an upstream is smoothed, and loadSpan the
+	// time constant with which its expected load returns to the smoothed one. With 0.5 s and 1 s
+	// instead of 3 s more answers ended late in the simulation of 25 VMs; without it, too.
+	meanLoadSpan = 4 * time.Second
+	loadSpan     = 3 * time.Second
+)
+
+// setRemoteRequests records the number of requests of other senders by a load report. The caller
+// holds mu, as for othersRequests.
+func (e *Engine) setRemoteRequests(l route.Load) {
+	e.remoteRequests = max(l.Running+l.Waiting-e.inFlight, 0)
+	p := &e.pace
+	keep := 0.0
+	if !p.meanLoadAt.IsZero() {
+		keep = math.Exp(-max(e.reportedAt.Sub(p.meanLoadAt), 0).Seconds() / meanLoadSpan.Seconds())
+	}
+	p.meanLoad = keep*p.meanLoad + (1-keep)*float64(e.remoteRequests)
+	p.meanLoadAt = e.reportedAt
+}
+
+// othersRequests returns the number of requests that other senders are expected to have on the
+// upstream; 0 if the latest report is older than ttl. Where VMs share reports, the number returns
+// from that of the report to the mean as the report ages: others know the same report and have
+// sent, or not sent, their requests by it.
+func (e *Engine) othersRequests(now time.Time, ttl time.Duration) int {
+	age := now.Sub(e.reportedAt)
+	if !e.directory.opts.ShareReports {
+		if age >= ttl {
+			return 0
+		}
+		return e.remoteRequests
+	}
+	if age >= loadMemory {
+		return 0
+	}
+	keep := math.Exp(-age.Seconds() / loadSpan.Seconds())
+	return int(math.Round(e.pace.meanLoad + keep*(float64(e.remoteRequests)-e.pace.meanLoad)))
+}
