--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -58,6 +58,9 @@
 	Placement Placement
 	// AnswerEnd makes the selection regard when answers end; see Requirements.Answer.
 	AnswerEnd bool
+	// ShareReports makes this VM tell others of its region what upstreams reported, and use
+	// what they tell; see SharedReports and MergeReports.
+	ShareReports bool
 	// SharedClock is the clock that all VMs share. Rank returns the position of this VM
 	// among all VMs, from 0, and their number. By both the VMs divide the limits that
 	// upstreams name.
@@ -143,7 +146,7 @@
 	d := &Directory{
 		opts: opts, clock: clock, log: log, selfReports: selfReports, cold: newColdUpstreams(opts.Registry),
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
-		policies:  newPolicies(opts.Placement, opts.AnswerEnd),
+		policies:  newPolicies(opts.Placement, opts.AnswerEnd, opts.AnswerEnd || opts.ShareReports),
 		fragile:   make(map[string]fragileService),
 		paces:     make(map[string]*servicePace),
 		byID:      make(map[upstream.ID]*Engine),
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/coldstart"
+	"github.com/poplarshore/poplarshore/internal/loadshare"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -22,6 +23,8 @@
 	identity upstream.Upstream
 	// hash is the hash of the ID, for rendezvous hashing.
 	hash uint64
+	// key identifies the incarnation in messages between VMs.
+	key uint64
 	// leaving is set once the entry or the upstream itself reports that the upstream is
 	// leaving, and is never cleared: an upstream that returns is a new incarnation.
 	leaving atomic.Bool
@@ -74,7 +77,7 @@
 }
 
 func newEngine(e Entry, d *Directory) *Engine {
-	engine := &Engine{directory: d, hash: route.HashID(e.ID)}
+	engine := &Engine{directory: d, hash: route.HashID(e.ID), key: loadshare.UpstreamKey(e.ID, e.Incarnation)}
 	engine.identity = upstream.Upstream{ID: e.ID, Domain: e.Domain, Service: e.Service, Capacity: e.Capacity}
 	engine.pace.kind = pace.Factor{HalfLife: kindHalfLife, MaxWeight: kindMaxWeight}
 	engine.set(e)
@@ -150,9 +153,7 @@
 		LinkLatency: d.linkLatency(entry.Domain),
 	}
 	c.FirstToken += e.expectedWait(now) + max(e.silentUntil.Sub(now), 0)
-	if now.Sub(e.reportedAt) < reportTTL {
-		c.RemoteInFlight = e.remoteRequests
-	}
+	c.RemoteInFlight = e.othersRequests(now, reportTTL)
 	if region != d.opts.Region {
 		c.PricePerMB = d.opts.Placement.CrossRegionPrice
 	}
@@ -175,10 +176,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	requests := e.inFlight
-	if e.directory.clock.Since(e.reportedAt) < reportTTL {
-		requests += e.remoteRequests
-	}
+	requests := e.inFlight + e.othersRequests(e.directory.clock.Now(), reportTTL)
 	return float64(requests) / float64(capacity)
 }
 
--- a/internal/engines/pace.go
+++ b/internal/engines/pace.go
@@ -56,6 +56,14 @@
 	now, kind pace.Factor
 	// delay is by how much later answers begin than this VM's own requests explain.
 	delay pace.Delay
+	// shared is what other VMs found of kind.
+	shared pace.Shared
+	// meanLoad is the smoothed number of requests of other senders, and meanLoadAt the time of
+	// the newest report in it; zero before the first report.
+	meanLoad   float64
+	meanLoadAt time.Time
+	// ownReportAt is when the upstream last reported its load to this VM itself.
+	ownReportAt time.Time
 	// streams are this VM's streams that have begun.
 	streams []*stream
 	// tokens is the memory that this VM's requests take.
@@ -168,10 +176,11 @@
 // methods.
 func (e *Engine) observeGap(usual *pace.Usual, gap time.Duration, n int, now time.Time) {
 	load := e.loadFactor(now, 0) * e.slowdown(now)
-	kind := e.pace.kind.Value(now)
-	usual.Observe(time.Duration(float64(gap) / load / kind))
+	lasting := e.lastingSpeed(now)
+	usual.Observe(time.Duration(float64(gap) / load / lasting))
 	if base, known := usual.Gap(); known {
 		ratio := float64(gap) / load / float64(base)
+		e.pace.now.Prior = lasting
 		e.pace.now.Observe(ratio, n, now)
 		e.pace.kind.Observe(ratio, n, now)
 	}
@@ -184,25 +193,23 @@
 	if capacity <= 0 {
 		return 1
 	}
-	requests := e.inFlight + added
-	if now.Sub(e.reportedAt) < loadMemory {
-		requests += e.remoteRequests
-	}
+	requests := e.inFlight + added + e.othersRequests(now, loadMemory)
 	return 1 + e.directory.opts.Placement.BatchSlope*min(float64(requests)/float64(capacity), 1)
 }
 
 // slowdown returns how much longer work takes on the upstream's machine now, by its report; 1
 // if that is not known.
 func (e *Engine) slowdown(now time.Time) float64 {
-	if e.report.Slowdown <= 0 || now.Sub(e.reportedAt) >= slowdownTTL {
+	if e.report.Slowdown <= 0 || now.Sub(e.pace.ownReportAt) >= slowdownTTL {
 		return 1
 	}
 	return e.report.Slowdown
 }
 
 // paceFactor returns how much longer than usual the upstream takes for an event now, beside its
-// load. It counts the silence of streams that run.
+// load: its lasting speed, corrected by recent gaps and the silence of streams that run.
 func (e *Engine) paceFactor(now time.Time) float64 {
+	e.pace.now.Prior = e.lastingSpeed(now)
 	if len(e.pace.streams) == 0 {
 		return e.pace.now.Value(now)
 	}
@@ -220,10 +227,7 @@
 // queueWait returns how long a further request waits for one of the upstream's places.
 func (e *Engine) queueWait(now time.Time) time.Duration {
 	capacity := e.entry().Capacity
-	requests := e.inFlight
-	if now.Sub(e.reportedAt) < reportTTL {
-		requests += e.remoteRequests
-	}
+	requests := e.inFlight + e.othersRequests(now, reportTTL)
 	if capacity <= 0 || requests < capacity {
 		return 0
 	}
@@ -277,10 +281,7 @@
 		c.AnswerEnd = max(wait, e.queueWait(now)) + 2*c.LinkLatency + time.Duration(work+delay) + c.AnswerTime
 	}
 	if shape.MemoryTokens > 0 {
-		used := float64(e.pace.tokens + shape.Tokens)
-		if now.Sub(e.reportedAt) < reportTTL {
-			used += float64(e.remoteRequests) * meanTokens
-		}
+		used := float64(e.pace.tokens+shape.Tokens) + float64(e.othersRequests(now, reportTTL))*meanTokens
 		c.MemoryUse = used / float64(shape.MemoryTokens)
 	}
 }
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -73,8 +73,8 @@
 }
 
 // newPolicies returns the selection policies for the given configuration. answerEnd adds the
-// costs by when answers end.
-func newPolicies(p Placement, answerEnd bool) policies {
+// costs by when answers end, and spread those that spread the requests of VMs that know the same.
+func newPolicies(p Placement, answerEnd, spread bool) policies {
 	scorers := []route.Scorer{
 		route.QueueScorer{DefaultDuration: p.DefaultServiceTime, BatchSlope: p.BatchSlope},
 		route.PrefillScorer{PerToken: p.PrefillPerToken, Bound: 1, Slack: p.CacheCreditSlack, HomeCredit: 1},
@@ -84,6 +84,9 @@
 	if answerEnd {
 		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer())
 	}
+	if spread {
+		scorers = append(scorers, route.DefaultSpreadScorer())
+	}
 	always := []route.Filter{
 		route.RegionFilter{}, route.EvacuatedFilter{}, route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{},
 		route.LimitFilter{}, route.PlaceFilter{}, route.ColdFilter{},
@@ -174,7 +177,7 @@
 	}
 	request := route.Request{
 		Service: req.Service, PromptTokens: req.SharedTokens, Bytes: req.Bytes, Tried: req.Tried, Draw: req.Draw,
-		Regions: req.Regions, Home: d.homeUpstream(req, usable, small),
+		Regions: req.Regions, Home: d.homeUpstream(req, usable, d.homePool(&req, small, now)),
 	}
 	d.expectAnswers(&request, candidates, allowed, &req.Answer, now)
 	choice := Choice{Candidates: len(allowed)}
--- a/internal/engines/pool_pace.go
+++ b/internal/engines/pool_pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -51,11 +52,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := d.ForService(service)
-	if now.Sub(p.dividedAt) >= poolInterval || p.size != len(all) {
-		p.dividedAt, p.size = now, len(all)
-		d.divideAll(p, all, now)
-		p.small = d.merge(p.slow, all)
-	}
+	d.refresh(p, all, now)
 	if len(allowed) == len(all) {
 		return p.small
 	}
@@ -80,6 +77,34 @@
 	return small
 }
 
+// homePool returns the upstreams that are not considered as homes of a large model's prompts, or
+// the only ones for a small model's. small is the pool of modelPool; empty if the router doesn't
+// select the model. In that case the slow upstreams aren't homes: long answers would leave them.
+func (d *Directory) homePool(req *Requirements, small map[*Engine]bool, now time.Time) map[*Engine]bool {
+	if req.RouterPicksModel || !d.opts.AnswerEnd || req.PrefixHash == 0 || req.Answer.Events <= 0 {
+		return small
+	}
+	p := &d.paceOf(req.Service).pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d.refresh(p, d.ForService(req.Service), now)
+	all := make(map[*Engine]bool)
+	for _, engines := range p.slow {
+		maps.Copy(all, engines)
+	}
+	return all
+}
+
+// refresh divides the upstreams anew if it is time to. The caller holds the mutex of p.
+func (d *Directory) refresh(p *pacePool, all []*Engine, now time.Time) {
+	if now.Sub(p.dividedAt) < poolInterval && p.size == len(all) {
+		return
+	}
+	p.dividedAt, p.size = now, len(all)
+	d.divideAll(p, all, now)
+	p.small = d.merge(p.slow, all)
+}
+
 // divideAll divides the upstreams of all regions anew. The caller holds the mutex of p.
 func (d *Directory) divideAll(p *pacePool, all []*Engine, now time.Time) {
 	if p.byRegion == nil {
@@ -136,5 +161,5 @@
 func (e *Engine) kind(now time.Time) (factor, weight float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.pace.kind.Mean(now)
+	return e.pace.shared.Together(&e.pace.kind, now)
 }
--- a/internal/engines/regions_test.go
+++ b/internal/engines/regions_test.go
@@ -18,9 +18,9 @@
 	"github.com/poplarshore/poplarshore/route"
 )
 
-// regionOf returns the regions of the failure domains d1 to d6, two in each of r1 to r3. That of
+// regionOfPair returns the regions of the failure domains d1 to d6, two in each of r1 to r3. That of
 // d0 is unknown.
-func regionOf(id domain.ID) domain.Region {
+func regionOfPair(id domain.ID) domain.Region {
 	if id == "d0" {
 		return ""
 	}
@@ -32,7 +32,7 @@
 	return engines.New(engines.Options{
 		SharedClock: sharedClock{clock}, Rank: func() (int, int) { return 0, 1 },
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
-		RegionOf: regionOf, Registry: prometheus.NewRegistry(),
+		RegionOf: regionOfPair, Registry: prometheus.NewRegistry(),
 	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
@@ -99,7 +99,7 @@
 			clock.Advance(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			req := drawRequirements(t, fleet)
 			mayServe := func(e engines.Entry) bool {
-				return !e.Leaving && !slices.Contains(req.Tried, e.ID) && !evacuated[e.Domain] && req.Regions.Contains(regionOf(e.Domain))
+				return !e.Leaving && !slices.Contains(req.Tried, e.ID) && !evacuated[e.Domain] && req.Regions.Contains(regionOfPair(e.Domain))
 			}
 			choice := d.Choose(req)
 			if choice.Engine == nil {
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -31,7 +31,7 @@
 
 // Hint announces an expensive request that was sent to an upstream, that the upstream is
 // silent, that it names another limit than before, that it is fragile, full or cold, or that
-// requests crash upstreams.
+// requests crash upstreams. A hint with Reports concerns many upstreams instead.
 type Hint struct {
 	Upstream upstream.ID `json:"upstream"`
 	// WorkMS is the expected time, in milliseconds, that the upstream is busy with
@@ -52,6 +52,10 @@
 	Cold *int64 `json:"cold_ms,omitempty"`
 	// Quarantine carries evidence on requests that crash upstreams; nil announces nothing.
 	Quarantine *quarantines.Message `json:"quarantine,omitempty"`
+	// Reports carries what upstreams reported, encoded by package loadshare, and no Upstream;
+	// nil announces nothing. To holds the addresses that get it. To is not sent.
+	Reports []byte           `json:"reports,omitempty"`
+	To      []netip.AddrPort `json:"-"`
 	// Region is the upstream's region. It is not sent.
 	Region domain.Region `json:"-"`
 }
@@ -155,6 +159,12 @@
 		x.log.Error("cannot encode hint; it is not sent", "error", err)
 		return
 	}
+	if h.Reports != nil {
+		for _, to := range h.To {
+			x.write(payload, to)
+		}
+		return
+	}
 	for _, m := range selectRecipients(x.vms.Others(), x.regionOf, h) {
 		x.write(payload, m.Hints)
 	}
