--- a/internal/hints/recipients_test.go
+++ b/internal/hints/recipients_test.go
@@ -54,3 +54,26 @@
 		}
 	}
 }
+
+// TestLossOfRegionLeavesHintsOfTheRestWorking removes the VMs of a lost region from the list of a
+// large fleet, as the list does with a lag, and adds them again. It guards against hints about the
+// upstreams of other regions that reach other VMs, or fewer ones, meanwhile.
+func TestLossOfRegionLeavesHintsOfTheRestWorking(t *testing.T) {
+	g := NewWithT(t)
+	const fleet = 300
+	all, left := newVMs(fleet), newVMs(fleet)
+	for id, m := range left {
+		if m.Domain == "d0" {
+			delete(left, id)
+		}
+	}
+	for i := range 50 {
+		h := Hint{Upstream: upstream.ID(fmt.Sprintf("e-%d", i)), Region: "r1"}
+		before := selectRecipients(all, regionOf, h)
+		g.Expect(before).To(HaveLen(maxRecipients))
+		g.Expect(selectRecipients(left, regionOf, h)).To(ConsistOf(before))
+		gone := Hint{Upstream: h.Upstream, Region: "r0"}
+		g.Expect(selectRecipients(left, regionOf, gone)).To(BeEmpty())
+		g.Expect(selectRecipients(all, regionOf, gone)).To(HaveLen(maxRecipients))
+	}
+}
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -113,7 +113,7 @@
 	c.now, c.ok = now, true
 }
 
-// fleet is a number of VMs in one failure domain that share a store.
+// fleet is a number of VMs that share a store.
 type fleet struct {
 	*WithT
 	storeClocks map[vm.ID]*fakeClock
@@ -124,6 +124,8 @@
 	feeds   map[vm.ID]*peerfeed.Feed
 	servers map[vm.ID]*httptest.Server
 	clock   *clockwork.FakeClock
+	// lost holds the VMs that neither answer nor poll.
+	lost map[vm.ID]bool
 }
 
 // newFleet starts n VMs past their startup period, which know each other and have
@@ -133,10 +135,20 @@
 // startFleet starts n VMs with the first of them as the seed. With a startup
 // period the VMs don't know each other and have not read anything yet.
 func startFleet(t *testing.T, n int, startupPeriod time.Duration) *fleet {
+	return startFleetIn(t, n, startupPeriod, func(int) domain.ID { return "d" })
+}
+
+// regionOf returns the region of a failure domain: r for d, r1 for d1.
+func regionOf(id domain.ID) domain.Region { return "r" + domain.Region(id[1:]) }
+
+// startFleetIn starts VMs as startFleet does, each in the failure domain that domainOf returns
+// for its number.
+func startFleetIn(t *testing.T, n int, startupPeriod time.Duration, domainOf func(i int) domain.ID) *fleet {
 	f := &fleet{
 		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
 		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int)},
 		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock), polls: make(map[vm.ID]int),
+		lost: make(map[vm.ID]bool),
 	}
 	f.store.put("a")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -146,8 +158,8 @@
 	for i := range n {
 		id := vm.ID(fmt.Sprintf("vm-%d", i))
 		opts := peerfeed.DefaultOptions()
-		opts.VM, opts.Region, opts.MinVMs, opts.FollowerPollWait = id, "r", 3, 0
-		opts.RegionOf = func(domain.ID) domain.Region { return "r" }
+		opts.VM, opts.Region, opts.MinVMs, opts.FollowerPollWait = id, regionOf(domainOf(i)), 3, 0
+		opts.RegionOf = regionOf
 		opts.StartupPeriod, opts.FreshWait = startupPeriod, 0
 		f.storeClocks[id] = &fakeClock{}
 		opts.StoreClock = f.storeClocks[id]
@@ -155,7 +167,11 @@
 		f.servers[id] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.pollsMu.Lock()
 			f.polls[id]++
+			lost := f.lost[id]
 			f.pollsMu.Unlock()
+			if lost {
+				panic(http.ErrAbortHandler)
+			}
 			mux.ServeHTTP(w, r)
 		}))
 		t.Cleanup(f.servers[id].Close)
@@ -168,7 +184,7 @@
 		f.feeds[id] = peerfeed.New(opts, storeView{f.store, id}, lists[id], f.clock, log, prometheus.NewRegistry())
 		mux.Handle(peerfeed.Path, f.feeds[id])
 		feedAddress := netip.MustParseAddrPort(address)
-		value, err := json.Marshal(members.Member{Domain: "d", Feed: feedAddress})
+		value, err := json.Marshal(members.Member{Domain: domainOf(i), Feed: feedAddress})
 		f.Expect(err).NotTo(HaveOccurred())
 		rows = append(rows, watch.Row{Key: members.Prefix + string(id), Value: value})
 	}
@@ -217,6 +233,9 @@
 	batches := make(map[vm.ID]watch.Batch)
 	for range 2 {
 		for _, id := range f.readerFirst() {
+			if f.lost[id] {
+				continue
+			}
 			b, err := f.feeds[id].Changes(t.Context(), "t", watch.Cursor{Revision: after}, time.Second)
 			if err == nil {
 				batches[id] = b
--- a/internal/peerrelay/chooser_test.go
+++ b/internal/peerrelay/chooser_test.go
@@ -194,3 +194,38 @@
 		}
 	})
 }
+
+// TestLossOfRegionLeavesRelayWorking guards against a relay that goes on asking the VMs of a lost
+// region, which is the nearest one, and against one that never asks them again.
+func TestLossOfRegionLeavesRelayWorking(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newChooser(fleet(60))
+	inLostRegion := func(p *peerrelay.Peer) bool {
+		id, err := strconv.Atoi(strings.TrimPrefix(string(p.ID), "vm-"))
+		g.Expect(err).NotTo(HaveOccurred())
+		return id%3 != 2
+	}
+	asked := 0
+	for {
+		p, ok := c.Choose(service, domain.RegionSet{}, nil)
+		g.Expect(ok).To(BeTrue())
+		if !inLostRegion(p) {
+			p.End(peerrelay.Relayed)
+			break
+		}
+		p.End(peerrelay.Unavailable)
+		asked++
+	}
+	g.Expect(asked).To(BeNumerically("<=", 40))
+	for range 40 {
+		p, ok := c.Choose(service, domain.NewRegionSet("r2"), nil)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(inLostRegion(p)).To(BeFalse())
+		p.End(peerrelay.Relayed)
+	}
+	clock.Advance(10 * time.Second)
+	p, ok := c.Choose(service, domain.RegionSet{}, nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(inLostRegion(p)).To(BeTrue(), "the nearest VMs are asked again")
+	p.End(peerrelay.Relayed)
+}
