Soak: evacuations and changing home regions

Cause: the soak had neither, so that a request to an evacuated upstream or outside its home regions went unseen under faults.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -20,6 +20,9 @@
 	// maximum time until a draining upstream receives no new requests, and Rollback the same
 	// for a version that was found bad.
 	Config, Drain, Rollback time.Duration
+	// Evacuate is the maximum time until the upstreams of an evacuated failure domain receive no
+	// new requests.
+	Evacuate time.Duration
 	// LimitDelay is the time from which on a limit that an upstream names is kept, over any
 	// LimitSpan.
 	LimitDelay, LimitSpan time.Duration
@@ -30,7 +33,7 @@
 // DefaultBounds returns the bounds that apply on the users' platform.
 func DefaultBounds() Bounds {
 	return Bounds{
-		SettleTime: 4 * time.Second, Config: 3 * time.Second, Drain: 3 * time.Second, Rollback: 5 * time.Second,
+		SettleTime: 4 * time.Second, Config: 3 * time.Second, Drain: 3 * time.Second, Rollback: 5 * time.Second, Evacuate: 5 * time.Second,
 		LimitDelay: 4 * time.Second, LimitSpan: 4 * time.Second, HostAllowance: time.Second,
 	}
 }
@@ -59,6 +62,7 @@
 	}
 	c.checkConfigurationOrder()
 	c.checkExclusions()
+	c.checkRegions()
 	c.checkLimits()
 	c.checkCulprits()
 	c.checkCuts()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -48,8 +48,8 @@
 	// restoreMu allows only one restore of the store at a time.
 	restoreMu sync.Mutex
 	// crashMu allows only one culprit at a time, cutMu only one cut, and fragileMu only one time
-	// of fragile engines.
-	crashMu, cutMu, fragileMu sync.Mutex
+	// of fragile engines, and evacuationMu one evacuation.
+	crashMu, cutMu, fragileMu, evacuationMu sync.Mutex
 	// rolloutCount is the number of roll-outs started; guarded by replaceMu.
 	rolloutCount int
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,8 @@
 	CuttableBinary string
 	// Fragile includes engines that end if they have to reject requests among the faults.
 	Fragile bool
+	// Regions includes evacuations and other home regions of a route among the faults.
+	Regions bool
 	// Only restricts the faults to these kinds; empty allows all.
 	Only []string
 	// Bounds are the time bounds that are checked.
@@ -73,6 +75,7 @@
 	limits       []namedLimit
 	cuts         []cut
 	fragileTimes []fragileTime
+	evacuations  []evacuation
 }
 
 func (r *Report) addViolation(format string, args ...any) {
@@ -164,6 +167,9 @@
 	if o.Fragile {
 		faults.kinds = append(slices.Clip(faults.kinds), fragileFault)
 	}
+	if o.Regions {
+		faults.kinds = append(slices.Clip(faults.kinds), regionFaults...)
+	}
 	if len(o.Only) > 0 {
 		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,20 @@
 	g.Expect(report.Faults).To(HaveKey("fragile"))
 }
 
+// TestShortSoakOfRegionsHasNoViolations guards against requests to evacuated upstreams and outside
+// home regions while configurations change.
+func TestShortSoakOfRegionsHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 1, 2
+	o.Duration, o.VMs, o.Engines, o.Rate, o.Regions, o.Only = 14*time.Second, 3, 6, 40, true, []string{"evacuation", "home_regions", "configure"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("evacuation"))
+	g.Expect(report.Faults).To(HaveKey("home_regions"))
+}
+
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
 	path := binary(t, "poplarshored")
 	for _, r := range regressions {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -79,6 +79,8 @@
 	// configurations are the configurations that the store accepted, oldest first.
 	configurations []configuration
 	keys           map[string]bool
+	// homes are the regions in which lookups may be served; none stands for all.
+	homes []string
 }
 
 // configuration is a configuration that the store accepted. Its probe route is in no
@@ -87,6 +89,7 @@
 	version    int64
 	acceptedAt time.Time
 	keys       map[string]bool // API keys that it accepts
+	homes      []string        // regions in which lookups may be served; none stands for all
 }
 
 // newTestbed starts the store, the upstreams and the VMs. After an error it returns the
@@ -258,21 +261,22 @@
 	for k := range keys {
 		accounts["account-of-"+k] = []string{k}
 	}
-	b.store.Put("op", "config", standin.Config(b.configVersion, routes(b.configVersion), accounts))
-	b.configurations = append(b.configurations, configuration{version: b.configVersion, acceptedAt: time.Now(), keys: keys})
+	b.store.Put("op", "config", standin.Config(b.configVersion, routes(b.configVersion, b.homes), accounts))
+	b.configurations = append(b.configurations, configuration{version: b.configVersion, acceptedAt: time.Now(), keys: keys, homes: b.homes})
 }
 
 // probePath returns the path prefix of the probe route, which only the given version of
 // the configuration has.
 func probePath(version int64) string { return fmt.Sprintf("/v%d/", version) }
 
-// routes returns the routes of a configuration. The last one is its probe route.
-func routes(version int64) []standin.Route {
+// routes returns the routes of a configuration, in which lookups may be served in the regions of
+// homes only. The last one is its probe route.
+func routes(version int64, homes []string) []standin.Route {
 	return []standin.Route{
 		{Name: "stream", Host: siteHost, Prefix: "/s/", Kind: standin.KindStreaming, Service: modelService, TimeoutMS: 12000, TargetLatencyMS: 2000,
 			Sizes: []string{"small", "large"}, MaxAttempts: maxAttempts, Resumable: true},
 		{Name: "order", Host: siteHost, Prefix: "/o/", Kind: standin.KindNonIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts},
-		{Name: "look", Host: siteHost, Prefix: "/l/", Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts},
+		{Name: "look", Host: siteHost, Prefix: "/l/", Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts, Regions: homes},
 		{Name: "probe", Host: siteHost, Prefix: probePath(version), Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts},
 	}
 }
