Shorten the name of a refusal reason and drop an unused method

Cause: the name NoUpstreamInRegions realigned the whole list of reasons, which others change too; Directory.Evacuated was used by nothing.

Change: refusal.NoUpstreamInRegion; the value sent stays no_upstream_in_regions.

--- a/internal/engines/evacuation.go
+++ b/internal/engines/evacuation.go
@@ -1,10 +1,6 @@
 package engines
 
-import (
-	"maps"
-
-	"github.com/poplarshore/poplarshore/domain"
-)
+import "github.com/poplarshore/poplarshore/domain"
 
 // SetEvacuated sets the evacuated failure domains. Their upstreams get no new requests; what
 // runs there goes on. The upstreams of a failure domain that is not evacuated any more are
@@ -42,9 +38,6 @@
 	}
 }
 
-// Evacuated returns the evacuated failure domains.
-func (d *Directory) Evacuated() map[domain.ID]bool { return maps.Clone(*d.evacuated.Load()) }
-
 // Evacuated reports whether the failure domain of the upstream is evacuated.
 func (e *Engine) Evacuated() bool { return (*e.directory.evacuated.Load())[e.entry().Domain] }
 
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -232,7 +232,7 @@
 func resultOfRefusal(reason refusal.Reason) peerrelay.Result {
 	switch {
 	case reason == refusal.OutOfReach, reason == refusal.RetriesExhausted, reason == refusal.NoUpstream,
-		reason == refusal.NoUpstreamInRegions:
+		reason == refusal.NoUpstreamInRegion:
 		return peerrelay.RefusedService
 	case reason == refusal.PeerBusy, reason == refusal.PeerBehind, reason == refusal.Draining, reason == refusal.ConfigurationStale, reason == "":
 		return peerrelay.Unavailable
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -61,7 +61,7 @@
 // regions of the request ruled out any upstream, or nil.
 func refuseByRegion(choice engines.Choice, regions domain.RegionSet) *refusal.Refusal {
 	outside, evacuated := choice.Refused[route.OutsideRegions], choice.Refused[route.Evacuated]
-	reason := refusal.NoUpstreamInRegions
+	reason := refusal.NoUpstreamInRegion
 	switch {
 	case evacuated > 0:
 		reason = refusal.UpstreamsEvacuated
