--- a/internal/gatewayd/share_test.go
+++ b/internal/gatewayd/share_test.go
@@ -35,7 +35,7 @@
 	s.LoadControl = load
 	d := New(s, io.Discard, clock)
 	var err error
-	d.hints, err = hints.Open("127.0.0.1:0", d.vms, d.regionOf, d.applyHint, d.log, d.hintCounts)
+	d.hints, err = hints.Open("127.0.0.1:0", d.vms, s.VM.Region, d.regionOf, d.applyHint, d.log, d.hintCounts)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
