Start upstreams slowly by how they answer

An upstream that has just started or recovered looks idle and gets all requests at once. With load_control.slow_start, requests beyond its slowstart.Window cost up to a service time more and more. It is a cost and no filter, so that no upstream stays idle while others are overloaded. The window compares the times to the first part of answers with those of the service's other upstreams. Off by default.

--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -38,6 +38,10 @@
 	// part of the response arrived.
 	work      time.Duration
 	startedAt time.Time
+	// expected is the expected processing time before the response, and received reports
+	// whether a part of it arrived.
+	expected time.Duration
+	received bool
 }
 
 // Begin registers an attempt in flight. Work is how long the upstream is expected
@@ -52,7 +56,7 @@
 		return nil
 	}
 	e.recordSend(now)
-	a := &Attempt{engine: e, work: work, startedAt: now}
+	a := &Attempt{engine: e, work: work, startedAt: now, expected: work}
 	a.permit, a.admitted = e.directory.breakers.Acquire(e.ID(), model.Ref{}, now)
 	e.inFlight++
 	e.pendingWork += work
@@ -63,12 +67,21 @@
 // MarkReceived records that a part of the response arrived. The upstream is not silent any
 // more.
 func (a *Attempt) MarkReceived() {
+	if first := a.markReceived(); first && a.engine.directory.slow != nil {
+		a.observeStart()
+	}
+}
+
+// markReceived records that a part of the response arrived, and reports whether it is the first.
+func (a *Attempt) markReceived() (first bool) {
 	a.engine.mu.Lock()
 	defer a.engine.mu.Unlock()
+	first, a.received = !a.received, true
 	a.engine.lastReceivedAt = a.engine.directory.clock.Now()
 	a.engine.cold.Reach(a.startedAt, a.engine.lastReceivedAt)
 	a.engine.silentUntil = time.Time{}
 	a.engine.clearPending(a)
+	return first
 }
 
 // clearPending removes an attempt from the pending work. The caller holds mu.
--- a/internal/engines/cold.go
+++ b/internal/engines/cold.go
@@ -310,8 +310,10 @@
 }
 
 // MarkUnreached records that a connection to the upstream was lost or refused, or that it was
-// silent. The upstream may have ended. ended tells other VMs that it did.
+// silent. The upstream may have ended, and begins slowly when it is back. ended tells other VMs
+// that it did.
 func (e *Engine) MarkUnreached(ended bool) {
+	e.beginSlowStart("contact")
 	if _, limited := e.directory.coldService(e.entry().Service); !limited {
 		return
 	}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -66,6 +66,9 @@
 	VMsKnown func() bool
 	// ColdBound bounds what all VMs together send a cold upstream.
 	ColdBound ColdBound
+	// SlowStart enables that upstreams which have started or recovered get fewer requests than
+	// their peers until they answer like them.
+	SlowStart bool
 	// OnCold is called when an upstream is found to be cold for a time, or to have ended if the
 	// time is zero; seldom for the same upstream. Nil is not called.
 	OnCold func(u upstream.Upstream, coldFor time.Duration)
@@ -95,6 +98,8 @@
 	// selfReports counts what upstreams report of themselves in their answers.
 	selfReports *prometheus.CounterVec
 	cold        *coldUpstreams
+	// slow is nil if slow starts are off.
+	slow *slowStarts
 
 	// fragile holds the services whose upstreams are fragile. fragileMu may be locked with mu or
 	// the mutex of an engine held.
@@ -143,6 +148,8 @@
 		withheld:  make(map[upstream.ID]withheldEntry),
 	}
 	d.sizes.Store(&map[string]int{})
+	d.slow = newSlowStarts(d)
+	opts.Registry.MustRegister(slowStartGauge(d))
 	return d
 }
 
@@ -250,6 +257,9 @@
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		d.byID[e.ID] = newEngine(e, d)
 		d.byID[e.ID].learnCold(e, true, !d.listed)
+		if d.listed {
+			d.byID[e.ID].beginSlowStart("new_entry")
+		}
 		d.log.Info("upstream registered", "upstream", e.ID, "service", e.Service, "version", e.Version,
 			"domain", e.Domain, "leaving", e.Leaving, "born", e.Incarnation)
 		return
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -9,6 +9,7 @@
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/route"
+	"github.com/poplarshore/poplarshore/slowstart"
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
@@ -63,6 +64,8 @@
 	cold                       coldstart.State
 	sends                      []time.Time
 	coldSince, coldAnnouncedAt time.Time
+	// window is the slow start of the upstream.
+	window slowstart.Window
 	// silentUntil is until when the upstream is avoided because it was silent.
 	silentUntil time.Time
 	// failureRate is the smoothed share of requests that the upstream failed, 0
--- a/internal/engines/fragile.go
+++ b/internal/engines/fragile.go
@@ -78,6 +78,7 @@
 // MarkRejected records that the upstream rejected a request of this VM for want of room, and
 // tells the other VMs if it is fragile.
 func (e *Engine) MarkRejected() {
+	e.rejectSlowStart()
 	if !e.directory.IsFragile(e.entry().Service) {
 		return
 	}
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -144,6 +144,11 @@
 		candidates = append(candidates, route.Candidate{})
 		e.fillCandidate(&candidates[len(candidates)-1], now)
 	}
+	if d.limitsSlowStarts(engines) {
+		for i, e := range allowed {
+			candidates[i].FirstToken += e.slowStartCost()
+		}
+	}
 	var small map[*Engine]bool
 	if req.RouterPicksModel {
 		small = d.smallModelPool(allowed)
--- a/internal/engines/self_report.go
+++ b/internal/engines/self_report.go
@@ -59,6 +59,7 @@
 	defer e.mu.Unlock()
 	e.failureRate, e.silentUntil = 0, time.Time{}
 	e.cold.ForgetContact()
+	e.window.End()
 }
 
 // UpdateLoad stores the upstream's own load report.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -148,6 +148,7 @@
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
 		VMsKnown:            d.vms.Listed,
+		SlowStart:           s.LoadControl.SlowStart,
 		ColdBound:           engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
 		OnCold: func(u upstream.Upstream, coldFor time.Duration) {
 			left := coldFor.Milliseconds()
