--- a/cmd/poplarshore-experiment/main.go
+++ b/cmd/poplarshore-experiment/main.go
@@ -47,7 +47,7 @@
 	return []*cobra.Command{
 		newCascadeCommand(opts),
 		newRolloutCommand(opts),
-		newDeadlineCommand(opts), newBlameCommand(opts), newFragileCommand(opts), newColdCommand(opts), newReachCommand(opts),
+		newDeadlineCommand(opts), newBlameCommand(opts), newFragileCommand(opts), newColdCommand(opts), newSlowStartCommand(opts), newReachCommand(opts),
 		newLatencyCommand(opts),
 		newOverloadCommand(opts),
 		newLimitsCommand(opts),
