--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -147,13 +147,9 @@
 		OnRemove:            d.pool.CloseIdle,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
-		VMsKnown:            d.vms.Listed,
-		SlowStart:           s.LoadControl.SlowStart,
+		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
 		ColdBound:           engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
-		OnCold: func(u upstream.Upstream, coldFor time.Duration) {
-			left := coldFor.Milliseconds()
-			d.hints.Announce(hints.Hint{Upstream: u.ID, Cold: &left, Region: d.regionOf(u.Domain)})
-		},
+		OnCold:              d.announceCold,
 		OnLimit: func(u upstream.Upstream, perSecond float64) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Limit: &perSecond, Region: d.regionOf(u.Domain)})
 		},
--- a/internal/gatewayd/reach.go
+++ b/internal/gatewayd/reach.go
@@ -5,10 +5,12 @@
 	"net/netip"
 	"time"
 
+	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/peerrelay"
 	"github.com/poplarshore/poplarshore/internal/reach"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/reachability"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 // peerDialTimeout is how long opening a connection to another VM may take.
@@ -44,6 +46,12 @@
 	}
 }
 
+// announceCold tells other VMs for how long an upstream is cold, zero if it has ended.
+func (d *Daemon) announceCold(u upstream.Upstream, coldFor time.Duration) {
+	left := coldFor.Milliseconds()
+	d.hints.Announce(hints.Hint{Upstream: u.ID, Cold: &left, Region: d.regionOf(u.Domain)})
+}
+
 // newPeers returns the chooser of VMs that relay requests for this one.
 func (d *Daemon) newPeers() *peerrelay.Chooser {
 	return peerrelay.NewChooser(peerrelay.Options{
