--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -148,8 +148,8 @@
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
 		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
-		ColdBound:           engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
-		OnCold:              d.announceCold,
+		ColdBound: engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
+		OnCold:    d.announceCold,
 		OnLimit: func(u upstream.Upstream, perSecond float64) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Limit: &perSecond, Region: d.regionOf(u.Domain)})
 		},
