Test that evidence beyond the burst is sent later

Cause: only the queue of the byte budget was tested, and not that an exchange sends what waits there.

Change: a test sends more evidence than the burst, and a hint beside it, between two exchanges.

--- a/internal/hints/hints_test.go
+++ b/internal/hints/hints_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -13,7 +14,9 @@
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/quarantines"
 	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -72,3 +75,35 @@
 	a.vms.Change(watch.Batch{Rows: []watch.Row{{Key: members.Prefix + "b", Deleted: true}}})
 	g.Expect(a.vms.Others()).To(BeEmpty())
 }
+
+// TestEvidenceBeyondTheBurstIsSentLater guards against evidence that waits for the next message
+// once the burst of the byte budget is used up, and against hints that wait behind it.
+func TestEvidenceBeyondTheBurstIsSentLater(t *testing.T) {
+	g := NewWithT(t)
+	const messages = 16
+	received := make(chan hints.Hint, 2*messages)
+	a, b := openNode(t, "a", nil), openNode(t, "b", func(h hints.Hint) { received <- h })
+	a.vms.Reset(watch.Batch{Rows: []watch.Row{memberRow(t, "b", b)}})
+	digester := quarantine.NewDigester("secret")
+	crash := quarantine.Crash{Incarnation: quarantine.Incarnation{Upstream: "e"}}
+	for i := range 25 {
+		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Keys: []quarantine.Key{digester.Part(strconv.Itoa(i))}, Begun: true})
+	}
+	for range messages {
+		a.Announce(hints.Hint{Quarantine: &quarantines.Message{Crashes: []quarantine.Crash{crash}, ForAll: true}})
+	}
+	a.Announce(hints.Hint{Upstream: "e", WorkMS: 1500})
+	evidence := 0
+	for range messages + 1 {
+		var h hints.Hint
+		g.Eventually(received, "5s").Should(Receive(&h))
+		if h.Quarantine == nil {
+			g.Expect(evidence).To(BeNumerically("<", messages))
+			continue
+		}
+		g.Expect(h.Quarantine.ForAll).To(BeFalse())
+		g.Expect(h.Quarantine.Crashes).To(Equal([]quarantine.Crash{crash}))
+		evidence++
+	}
+	g.Expect(evidence).To(Equal(messages))
+}
