End callers and upstreams that read too slowly

Cause: relay.Options.WriteTimeout was not enforced, so that an exchange lasted for as long as a caller that reads nothing kept its connection; a stream's upstream was not read while a write to the caller blocked; the attempt of a request whose body the upstream did not read waited until its header timeout.

Bodies to upstreams are written in parts with a deadline each, and the attempt fails if a part is not taken and no response has begun.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,7 +15,6 @@
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/model"
-	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 )
 
@@ -281,11 +281,11 @@
 
 // writeTo sends the response to the caller of x. Errors: a CallerGone refusal.
 func (b *bufferedResponse) writeTo(x *exchange) error {
-	x.sendHeader(b.status, b.header)
-	if _, err := x.w.Write(b.body); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
+	if len(b.body) > 0 && b.header.Get("Content-Length") == "" {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	}
-	return nil
+	x.sendHeader(b.status, b.header)
+	return x.sendWhole(b.body)
 }
 
 // sendHeader sends the status and header of a response to the caller.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarshore/poplarshore/account"
+	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -75,6 +76,11 @@
 	// connectionLost reports whether an attempt ended with its connection.
 	connectionLost bool
 
+	// output sends the answer to the caller; nil until a part of it has been sent. cancel ends
+	// the attempts.
+	output *egress.Writer
+	cancel context.CancelFunc
+
 	// hop is what another VM says of the request that it asks this one to relay; nil for a
 	// request of a caller. relayedAdmitted reports whether it counts as in flight.
 	hop             *peerRequest
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,8 @@
 	// peerAttempts counts what this VM asked others to relay, and relayed what it was asked.
 	peerAttempts *prometheus.CounterVec
 	relayed      *prometheus.CounterVec
+	// slowCallers counts the callers that were ended because they read too slowly.
+	slowCallers *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if one of
@@ -56,7 +58,10 @@
 	m.relayed = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_relay_peer_requests_total", Help: "Requests that this VM was asked to relay, by outcome."},
 		[]string{"outcome"})
-	r.MustRegister(m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed)
+	m.slowCallers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_relay_slow_callers_total", Help: "Callers that were ended because they read too slowly, by reason."},
+		[]string{"reason"})
+	r.MustRegister(m.slowCallers, m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed)
 	return m
 }
 
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -268,13 +268,7 @@
 		x.sendHeader(resp.Status, resp.Header)
 		x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
 	}
-	if _, err := x.w.Write(b); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
-	}
-	if err := x.control.Flush(); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
-	}
-	return nil
+	return x.sendPart(b)
 }
 
 // logPeerAttempt counts an attempt through another VM and appends it to the log of the
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/poplarshore/poplarshore/cascade"
+	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -38,8 +39,8 @@
 	// DefaultDeadline is the time limit of a request if neither the caller nor
 	// the route sets one. Default 30 s.
 	DefaultDeadline time.Duration
-	// WriteTimeout is how long a caller may take to receive what it was sent.
-	// Default 10 s. It is not enforced at present.
+	// WriteTimeout is how long a caller may take nothing of what it was sent before it is ended.
+	// Default 10 s.
 	WriteTimeout time.Duration
 	// BodyTimeout is how long a request body may take to arrive. Default 10 s.
 	BodyTimeout time.Duration
@@ -102,6 +103,7 @@
 	opts     Options
 	prefill  *prefillEstimator
 	buffered bufferBudget
+	egress   *egress.Tracker
 	// exchanges counts the requests in flight, and relayedInFlight those of other VMs.
 	exchanges       sync.WaitGroup
 	relayedInFlight atomic.Int64
@@ -109,7 +111,9 @@
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	return &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
+	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
+	s.egress = s.newEgress()
+	return s
 }
 
 // ServeHTTP implements http.Handler.
@@ -126,13 +130,16 @@
 		request: s.Protocol.ReadRequest(r), randState: rand.Uint64(), hop: hop,
 	}
 	defer x.releaseRelayed()
+	defer x.endOutput()
+	x.clearWriteDeadline()
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	err := x.admit(r)
 	if err == nil {
 		ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, refusal.New(refusal.DeadlineExceeded))
-		err = x.run(ctx)
+		x.cancel = cancel
+		err = x.closeOutput(x.run(ctx))
 		cancel()
 	}
 	s.finish(x, r, err)
@@ -165,7 +172,7 @@
 	switch {
 	case s.Aborting():
 		refused = refusal.Wrap(refusal.Draining, err)
-	case r.Context().Err() != nil:
+	case r.Context().Err() != nil && refused.Reason != refusal.CallerGone:
 		refused = refusal.Wrap(refusal.CallerGone, err)
 	}
 	x.refusalDetail = refused.Detail
@@ -186,6 +193,7 @@
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
 	}
+	x.limitWrite()
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write([]byte(string(refused.Reason) + "\n")); err != nil {
 		s.Log.Debug("failed to write refusal to caller", "request", x.request.ID, "error", err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/reachability"
-	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 )
 
@@ -196,8 +195,7 @@
 	return more > 0
 }
 
-// forwardEvents forwards the complete events in the buffer and flushes them to
-// the caller. It reports whether there were any.
+// forwardEvents forwards the complete events in the buffer to the caller. It reports whether there were any.
 func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) (bool, error) {
 	x := a.exchange
 	written := false
@@ -212,8 +210,8 @@
 			x.sendHeader(resp.Status, resp.Header)
 			x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
 		}
-		if _, err := x.w.Write(event); err != nil {
-			return written, refusal.Wrap(refusal.CallerGone, err)
+		if err := x.sendPart(event); err != nil {
+			return written, err
 		}
 		written = true
 		if id != "" {
@@ -221,13 +219,7 @@
 		}
 	}
 	pending.compact()
-	if !written {
-		return false, nil
-	}
-	if err := x.control.Flush(); err != nil {
-		return true, refusal.Wrap(refusal.CallerGone, err)
-	}
-	return true, nil
+	return written, nil
 }
 
 // isLaterEvent reports whether the event with the given id may follow the last
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -55,6 +57,8 @@
 	stopCancel  func() bool
 	// writeResult receives the result of writing a large request; nil for others.
 	writeResult chan error
+	// responded reports whether the header of the response has been read.
+	responded atomic.Bool
 	// complete reports whether the body has been read to its end.
 	complete bool
 	// framed reports whether the end of the body is given by Content-Length or a
@@ -87,7 +91,7 @@
 
 // exchange writes the request and reads the header of the response.
 func (r *Response) exchange(call Call) error {
-	if err := r.conn.SetWriteDeadline(time.Now().Add(r.pool.opts.TCPUserTimeout)); err != nil {
+	if err := r.limitWrite(); err != nil {
 		return ErrNotSent.Wrap(err, "set write deadline")
 	}
 	if err := r.write(call.Request); err != nil {
@@ -100,6 +104,7 @@
 	if err != nil {
 		return err
 	}
+	r.responded.Store(true)
 	r.Status, r.Header, r.body = resp.StatusCode, resp.Header, resp.Body
 	r.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	r.reusable = !resp.Close && r.framed
@@ -114,10 +119,7 @@
 	data := encode(req)
 	if len(data) >= concurrentWriteBytes {
 		r.writeResult = make(chan error, 1)
-		go func() {
-			_, err := r.conn.Write(data)
-			r.writeResult <- err
-		}()
+		go func() { r.writeResult <- r.writeParts(data) }()
 		return nil
 	}
 	n, err := r.conn.Write(data)
@@ -130,6 +132,31 @@
 	return ErrConnectionLost.Wrap(err, "request partly written to %s", r.conn.address)
 }
 
+// limitWrite sets the time within which the upstream must take the next part of the request.
+func (r *Response) limitWrite() error {
+	return r.conn.SetWriteDeadline(time.Now().Add(r.pool.opts.TCPUserTimeout))
+}
+
+// writeParts writes a large request in parts, so that it may take longer than the write
+// timeout on a slow link as long as the upstream takes some of it. If the upstream takes
+// nothing for that long and has not responded either, the connection is closed, as it would
+// otherwise wait for the response to a request that was never complete.
+func (r *Response) writeParts(data []byte) error {
+	for part := range slices.Chunk(data, concurrentWriteBytes) {
+		err := r.limitWrite()
+		if err == nil {
+			_, err = r.conn.Write(part)
+		}
+		if err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && !r.responded.Load() {
+				_ = r.conn.Close()
+			}
+			return err
+		}
+	}
+	return nil
+}
+
 // encode returns the request in the HTTP/1.1 wire format.
 func encode(req Request) []byte {
 	var b bytes.Buffer
