--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,8 @@
 	// moves counts streams that were too slow to end in time.
 	moves   *prometheus.CounterVec
 	relayed *prometheus.CounterVec
+	// slowCallers counts the callers that were ended because they read too slowly.
+	slowCallers *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if one of
@@ -61,7 +63,10 @@
 	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_relay_moves_total", Help: "Streams too slow to end in time, by whether they went on elsewhere and how they ended."},
 		[]string{"outcome"})
-	r.MustRegister(m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed, m.moves)
+	m.slowCallers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_relay_slow_callers_total", Help: "Callers that were ended because they read too slowly, by reason."},
+		[]string{"reason"})
+	r.MustRegister(m.slowCallers, m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed, m.moves)
 	return m
 }
 
