Send nothing once the caller left or the deadline passed

A connection that was opened, or taken from the pool, after the context had ended was still written to, so that upstreams ran work that nobody awaited. upconn.Pool.Do checks the context right before it writes and keeps the connection; the retry loop checks it before it chooses an upstream.

--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -40,6 +40,9 @@
 	s.Retry.Begin(&x.retryState, s.Clock.Now())
 	x.chooseFirstModel()
 	for {
+		if ended, err := x.ended(ctx); ended {
+			return err
+		}
 		if refused := x.refuseQuarantined(); refused != nil {
 			return x.fail(refused)
 		}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -68,13 +68,17 @@
 const concurrentWriteBytes = 16 << 10
 
 // Do sends the request and reads the header of the response. The connection is
-// closed when ctx ends, also while the body is read. Errors: ErrNotSent,
-// ErrBroken, ErrSilent.
+// closed when ctx ends, also while the body is read. Nothing is sent if ctx ended while
+// the connection was opened. Errors: ErrNotSent, ErrBroken, ErrSilent.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, error) {
 	c, err := p.get(ctx, call.Address)
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		p.putIdle(c, 0)
+		return nil, ErrNotSent.Wrap(ctx.Err(), "send request to %s", call.Address)
+	}
 	resp := &Response{pool: p, conn: c, NewConnection: c.expiresAt.IsZero()}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := resp.exchange(call); err != nil {
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -320,3 +320,38 @@
 	_, err = readBody(resp)
 	g.Expect(errorx.IsOfType(err, upconn.ErrConnectionLost)).To(BeTrue(), "%v", err)
 }
+
+// Guards against requests that are sent although their caller left, or their deadline passed,
+// while the connection was opened or taken from the pool.
+func TestNothingIsSentOnceContextEnded(t *testing.T) {
+	g := NewWithT(t)
+	var received atomic.Int32
+	address := startUpstream(t, func(_ int, r *http.Request, c net.Conn) {
+		received.Add(1)
+		write(c, okResponse(r.Header.Get("Id"), ""))
+	})
+	var cancel context.CancelFunc
+	opts := upconn.DefaultOptions()
+	opts.Dial = func(_ context.Context, network, address string) (net.Conn, error) {
+		c, err := net.Dial(network, address)
+		cancel()
+		return c, err
+	}
+	pool := upconn.NewPool(opts)
+	for range 200 {
+		var ctx context.Context
+		ctx, cancel = context.WithCancel(t.Context())
+		_, err := pool.Do(ctx, newCall(address, "a"))
+		g.Expect(errorx.IsOfType(err, upconn.ErrNotSent)).To(BeTrue())
+		_, err = pool.Do(ctx, newCall(address, "a"))
+		g.Expect(errorx.IsOfType(err, upconn.ErrNotSent)).To(BeTrue())
+		pool.CloseIdle(address)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	cancel = func() {}
+	resp, err := pool.Do(ctx, newCall(address, "last"))
+	g.Expect(err).NotTo(HaveOccurred())
+	resp.Close()
+	g.Expect(received.Load()).To(Equal(int32(1)))
+}
