Admit requests through a limit for each service under overload

A VM learnt that an upstream was full only by being rejected, and tried up to five of them. With load_control.admission (default false) a VM now limits its requests in flight for a service while rejections, reported queues or late answers show overload, and queues the others by rank, between accounts by tokens, and by the time by which they must start. After a rejection one further upstream is tried, then the request waits for a place once more.

--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/poplarshore/poplarshore/internal/admission"
 	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/relay"
 	"github.com/poplarshore/poplarshore/platform/wire"
@@ -44,7 +45,7 @@
 		},
 	})
 	d.setRetryAllowances(assumedVMCount)
-	return relay.New(relay.Deps{
+	deps := relay.Deps{
 		Protocol: wire.Protocol{}, Tables: d.operatorSink, Placement: d.directory, Versions: d.shifts,
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
 		VM: d.settings.VM.ID, Reach: d.reach, Peers: d.newPeers(), PeerPool: d.peerPool, IsPeer: d.isPeer,
@@ -58,7 +59,22 @@
 		},
 		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
-	}, relay.DefaultOptions())
+	}
+	services := admission.New(admission.Options{Clock: d.clock, Log: d.log, Registry: d.registry, Room: d.room})
+	if d.settings.LoadControl.Admission {
+		deps.Admission = services
+	}
+	return relay.New(deps, relay.DefaultOptions())
+}
+
+// room returns the number of requests that the upstreams of a service run at once, and the
+// number of VMs.
+func (d *Daemon) room(service string) (slots, vms int) {
+	vms = assumedVMCount
+	if others := len(d.vms.Others()); others > 0 {
+		vms = others + 1
+	}
+	return d.directory.Slots(service), vms
 }
 
 // setRetryAllowances sets this VM's allowances of additional attempts. The slack is
--- /dev/null
+++ b/internal/relay/admission.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/poplarshore/poplarshore/internal/admission"
+	"github.com/poplarshore/poplarshore/refusal"
+)
+
+// Admission bounds the requests in flight for a service while its upstreams are overloaded.
+type Admission interface {
+	// Acquire waits until the request may be sent. The error is a *refusal.Refusal.
+	Acquire(ctx context.Context, service string, w admission.Work) (admission.Permit, error)
+	// RetryAfter returns when a request that was refused may come back.
+	RetryAfter(service string, w admission.Work) time.Duration
+}
+
+const (
+	// While a service has a limit, a request is tried at one further upstream after a rejection,
+	// and then waits for a place again, once.
+	rejectionsPerPlace = 2
+	maxPlaces          = 2
+)
+
+// place is the permit of an exchange to use the upstreams of its service.
+type place struct {
+	permit admission.Permit
+	// acquired counts how often the exchange got a permit, and rejections the upstreams that
+	// turned it away since it got the last one.
+	acquired, rejections int
+}
+
+// acquirePlace waits for a place unless the exchange has one, and returns why it gets none.
+func (x *exchange) acquirePlace(ctx context.Context) *refusal.Refusal {
+	if x.server.Admission == nil || x.place.permit.Held() {
+		return nil
+	}
+	permit, err := x.server.Admission.Acquire(ctx, x.service, x.admissionWork())
+	if err != nil {
+		return refusal.FromError(err)
+	}
+	x.place.permit, x.place.rejections = permit, 0
+	x.place.acquired++
+	return nil
+}
+
+// releasePlace gives the place back, if the exchange has one.
+func (x *exchange) releasePlace(served bool) {
+	if x.place.permit.Held() {
+		x.place.permit.Release(served)
+		x.place.permit = admission.Permit{}
+	}
+}
+
+// admissionWork describes the request for its admission.
+func (x *exchange) admissionWork() admission.Work {
+	work := x.expectedWork() + firstEventBase
+	w := admission.Work{
+		Account: x.account, Rank: x.priority, LatestStart: x.deadline.Add(-work),
+		Tokens: max(x.request.PromptTokens, 1), Bytes: len(x.body) + expectedRequestBytes,
+	}
+	w.Start = w.LatestStart
+	if x.route.TargetLatency > 0 {
+		w.Start = x.startedAt.Add(min(x.route.TargetLatency-work, x.deadline.Sub(x.startedAt)-work))
+	}
+	return w
+}
+
+// expectedRequestBytes is the assumed memory of a waiting request beside its body, in bytes.
+const expectedRequestBytes = 16 << 10
+
+// refuseRejected handles an attempt that an upstream turned away while the service has a limit. It
+// gives the place back after a second upstream did so, and returns a refusal once the request
+// has had its last place.
+func (x *exchange) refuseRejected(err error) *refusal.Refusal {
+	if !x.place.permit.Held() || !errorx.IsOfType(err, errNotRun) || x.headerSent || !x.place.permit.Limited() {
+		return nil
+	}
+	if x.place.rejections < rejectionsPerPlace {
+		return nil
+	}
+	x.releasePlace(false)
+	if x.place.acquired < maxPlaces {
+		return nil
+	}
+	return refusal.Wrap(refusal.Overloaded, err).WithRetryAfter(x.server.Admission.RetryAfter(x.service, x.admissionWork()))
+}
+
+// reportHead tells the gate of the service what the header of a response says of the
+// upstream's load.
+func (a *attempt) reportHead(status int, head Head) {
+	permit := a.exchange.place.permit
+	if !permit.Held() || head.Leaving {
+		return
+	}
+	a.loadReported = head.HasLoad
+	switch {
+	case isRejection(status, head):
+		a.exchange.place.rejections++
+		permit.ReportRejected(head.Load, head.HasLoad)
+	case head.HasLoad && !head.NotRun:
+		permit.ReportLoad(head.Load)
+	}
+}
+
+// reportFirst tells the gate of the service how long the answer took to begin.
+func (a *attempt) reportFirst() {
+	x := a.exchange
+	if x.place.permit.Held() {
+		x.place.permit.ReportFirst(a.firstAfter, a.expectedWait+a.expectedWork+firstEventBase, x.route.TargetLatency, a.loadReported)
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,6 +50,8 @@
 	// paused reports whether the upstream turned the request away and asked for a pause.
 	// Such an attempt is evidence neither about the upstream nor about its version.
 	paused bool
+	// loadReported reports whether the response's header has a load report.
+	loadReported bool
 }
 
 // versionAttempt describes the attempt for the roll-out of its version.
@@ -116,12 +118,18 @@
 	if head.HasLoad {
 		a.engine.UpdateLoad(head.Load)
 	}
-	if head.NotRun && resp.Status == http.StatusServiceUnavailable {
+	if isRejection(resp.Status, head) {
 		a.engine.MarkRejected()
 	}
+	a.reportHead(resp.Status, head)
 	return a.handleResponse(resp, head)
 }
 
+// isRejection reports whether a response turns the request away for the time being.
+func isRejection(status int, head Head) bool {
+	return head.NotRun && status == http.StatusServiceUnavailable
+}
+
 // upstreamRequest returns the request to send to the upstream.
 func (a *attempt) upstreamRequest() upconn.Request {
 	x := a.exchange
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -85,6 +85,8 @@
 	connectTimedOut bool
 	// placeWait is how long the request has waited for a place at an upstream.
 	placeWait time.Duration
+	// place is the place of the request among those in flight for its service.
+	place place
 	// peersAsked reports whether other VMs were asked to relay the request.
 	peersAsked bool
 }
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -39,6 +39,8 @@
 	s := x.server
 	s.Retry.Begin(&x.retryState, s.Clock.Now())
 	x.chooseFirstModel()
+	served := false
+	defer func() { x.releasePlace(served) }()
 	for {
 		if ended, err := x.ended(ctx); ended {
 			return err
@@ -47,12 +49,15 @@
 			return x.fail(refused)
 		}
 		if x.shouldAskPeers() {
-			if settled, err := x.askPeers(ctx); settled {
+			if settled, err := x.askPeersOrRefuse(ctx); settled {
 				return err
 			}
-			if s.Reach.Status(x.service).NoneReached() {
-				return x.fail(refusal.New(refusal.OutOfReach))
+		}
+		if refused := x.acquirePlace(ctx); refused != nil {
+			if ended, err := x.ended(ctx); ended {
+				return err
 			}
+			return x.fail(refused)
 		}
 		choice := s.Placement.Choose(x.requirements())
 		if choice.Engine == nil && x.notConnected > 0 && x.mayAskPeers() {
@@ -70,6 +75,7 @@
 		}
 		err := x.tryUpstream(ctx, choice.Engine)
 		if err == nil {
+			served = true
 			return nil
 		}
 		if errorx.IsOfType(err, errOverLimit) {
@@ -90,6 +96,19 @@
 	}
 }
 
+// askPeersOrRefuse asks other VMs to relay the request, and refuses it if none does and this VM
+// reaches no upstream. If it returns true, the error is the result of the exchange.
+func (x *exchange) askPeersOrRefuse(ctx context.Context) (bool, error) {
+	x.releasePlace(false)
+	if settled, err := x.askPeers(ctx); settled {
+		return true, err
+	}
+	if x.server.Reach.Status(x.service).NoneReached() {
+		return true, x.fail(refusal.New(refusal.OutOfReach))
+	}
+	return false, nil
+}
+
 // noUpstream returns the refusal for a choice without an upstream. The caller may come
 // back when an upstream takes another request, maybe from another VM, or when the first
 // pause of one has ended.
@@ -149,6 +168,9 @@
 	if failure.Kind == retry.Crashed && !cutOff {
 		x.retryState.Crashes++
 	}
+	if refused := x.refuseRejected(err); refused != nil {
+		return false, x.fail(refused)
+	}
 	notRunLimit := maxNotRun
 	if cutOff || x.hop != nil || failure.Kind == retry.NotStarted && s.Placement.IsFragile(x.service) {
 		notRunLimit = maxNotRunIfScarce
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Deps holds the dependencies of a Server. All of them are required.
+// Deps holds the dependencies of a Server. All of them but Admission are required.
 type Deps struct {
 	Protocol  Protocol
 	Tables    Tables
@@ -78,9 +78,11 @@
 	IsPeer func(netip.Addr) bool
 	// Digester computes the keys of requests and parts of prompts, for Quarantine and logs.
 	Digester *quarantine.Digester
-	Clock    clockwork.Clock
-	Log      *slog.Logger
-	Metrics  *Metrics
+	// Admission orders requests while upstreams are overloaded; nil sends all of them at once.
+	Admission Admission
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Metrics   *Metrics
 	// AnnounceWork informs other VMs that a request with a long prefill was sent to an
 	// upstream.
 	AnnounceWork func(u upstream.Upstream, work time.Duration)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -93,6 +93,7 @@
 		a.firstAfter = a.exchange.server.Clock.Since(a.startedAt)
 		a.exchange.server.prefill.observe(a.model, a.exchange.request.PromptTokens, a.firstAfter)
 		a.running.RecordFirst()
+		a.reportFirst()
 	}
 }
 
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -15,8 +15,14 @@
 	Priority int
 	// Deadline is the time by which the request has to be complete.
 	Deadline time.Time
-	// Cost is the size of the request, in tokens.
-	Cost float64
+	// Cost is the size of the request, in tokens, and Bytes the memory that it takes while it
+	// waits.
+	Cost  float64
+	Bytes int
+	// Headroom is the part of a WindowGate's limit by which the request may exceed it; the same
+	// for all work of a priority. A few urgent requests then need not wait for the end of a less
+	// urgent one where there are few places.
+	Headroom float64
 }
 
 // Waiter is queued work.
@@ -86,6 +92,33 @@
 	return n
 }
 
+// countBefore returns the number of waiters that would start before new work, as CountAhead does,
+// but of the same account only those with an earlier deadline.
+func (q *Queue) countBefore(w Work) int {
+	n := 0
+	for _, lvl := range q.levels {
+		if lvl.priority > w.Priority {
+			n += lvl.countWaiters(q.max)
+		}
+		if lvl.priority == w.Priority {
+			earlier := lvl.earlierWaiters(w)
+			n += lvl.countWaiters(earlier+1) + earlier - min(lvl.accountWaiters(w.Account), earlier+1)
+		}
+	}
+	return n
+}
+
+// earlierWaiters returns the number of waiters of the same account with an earlier deadline.
+func (l *level) earlierWaiters(w Work) int {
+	for _, f := range l.flows {
+		if f.account == w.Account {
+			i, _ := slices.BinarySearchFunc(f.waiters, w.Deadline, func(x *Waiter, d time.Time) int { return x.Deadline.Compare(d) })
+			return i
+		}
+	}
+	return 0
+}
+
 // countWaiters returns the number of waiters, counting at most maxPerAccount of each
 // account.
 func (l *level) countWaiters(maxPerAccount int) int {
@@ -143,6 +176,25 @@
 	return 0
 }
 
+// headroom returns the headroom of the work that is served next; zero without any.
+func (q *Queue) headroom() float64 {
+	if q.length == 0 {
+		return 0
+	}
+	return q.levels[0].flows[0].waiters[0].Headroom
+}
+
+// isOverShare reports whether the account has more than an even part of the waiters of its
+// priority.
+func (q *Queue) isOverShare(priority int, id account.ID) bool {
+	for _, l := range q.levels {
+		if l.priority == priority {
+			return l.accountWaiters(id)*len(l.flows) > l.countWaiters(q.max)
+		}
+	}
+	return false
+}
+
 // level returns the level of the priority, which it creates if needed.
 func (q *Queue) level(priority int) *level {
 	i, ok := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int {
