--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -55,14 +56,39 @@
 	startedAt time.Time
 	refused   *prometheus.CounterVec
 
-	mu    sync.RWMutex
-	gates map[string]*limit.WindowGate
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+// service is what is known of one service.
+type service struct {
+	gate *limit.WindowGate
+	// delays are the smoothed times by which answers begin later than the work of the prompt
+	// takes, by rank, in nanoseconds. Ranks beyond the last one count as that.
+	delays [maxRanks]atomic.Int64
+}
+
+const (
+	maxRanks = 4
+	// delayWeight is the weight of the newest answer in the smoothed delay, and delayMargin the
+	// multiple of the delay that a request in the queue leaves for the upstream: without it, the
+	// requests that waited longest were sent just too late.
+	delayWeight = 0.125
+	delayMargin = 1.5
+)
+
+func (s *service) delay(rank int) *atomic.Int64 { return &s.delays[min(max(rank, 0), maxRanks-1)] }
+
+// startMargin returns how long before a request has to be sent it should leave the queue: for the
+// delay at the upstream, but at most half of the time left.
+func (s *service) startMargin(rank int, left time.Duration) time.Duration {
+	return min(time.Duration(delayMargin*float64(s.delay(rank).Load())), left/2)
 }
 
 // New returns Services without a limit. It registers its metrics with the registry and panics
 // if that fails.
 func New(opts Options) *Services {
-	s := &Services{opts: opts, startedAt: opts.Clock.Now(), gates: make(map[string]*limit.WindowGate)}
+	s := &Services{opts: opts, startedAt: opts.Clock.Now(), services: make(map[string]*service)}
 	s.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_admission_refused_total", Help: "Requests that were refused before they were sent, by service and reason."},
 		[]string{"service", "reason"})
@@ -83,10 +109,12 @@
 	Tokens, Bytes int
 }
 
-// limitWork returns the work as the gate orders it.
-func (w Work) limitWork(now time.Time) limit.Work {
+// limitWork returns the work as the gate of the service orders it.
+func (s *service) limitWork(w Work, now time.Time) limit.Work {
 	lw := limit.Work{Account: w.Account, Priority: -2 * w.Rank, Deadline: w.Start, Cost: float64(w.Tokens), Bytes: w.Bytes}
-	if w.Start.Before(now) {
+	if left := w.Start.Sub(now); left > 0 {
+		lw.Deadline = w.Start.Add(-s.startMargin(w.Rank, left))
+	} else {
 		lw.Priority--
 		lw.Deadline = w.LatestStart
 	}
@@ -98,43 +126,58 @@
 
 // Permit is the right of one request to use upstreams of a service. Release must be called
 // exactly once unless the permit is the zero value.
-type Permit struct{ limit.WindowPermit }
+type Permit struct {
+	limit.WindowPermit
+	service *service
+	rank    int
+}
 
 // Acquire waits until the request may be sent, at most until its start time. It returns a
 // *refusal.Refusal if the request is refused or ctx ends first.
-func (s *Services) Acquire(ctx context.Context, service string, w Work) (Permit, error) {
-	p, err := s.gate(service).Acquire(ctx, w.limitWork(s.opts.Clock.Now()))
+func (s *Services) Acquire(ctx context.Context, name string, w Work) (Permit, error) {
+	known := s.service(name)
+	p, err := known.gate.Acquire(ctx, known.limitWork(w, s.opts.Clock.Now()))
 	if err != nil {
-		s.refused.WithLabelValues(service, string(refusal.FromError(err).Reason)).Inc()
+		s.refused.WithLabelValues(name, string(refusal.FromError(err).Reason)).Inc()
 		return Permit{}, err
 	}
-	return Permit{p}, nil
+	return Permit{WindowPermit: p, service: known, rank: w.Rank}, nil
 }
 
 // RetryAfter returns when a request that was refused may come back.
-func (s *Services) RetryAfter(service string, w Work) time.Duration {
-	return s.gate(service).RetryAfter(w.limitWork(s.opts.Clock.Now()))
+func (s *Services) RetryAfter(name string, w Work) time.Duration {
+	known := s.service(name)
+	return known.gate.RetryAfter(known.limitWork(w, s.opts.Clock.Now()))
 }
 
-// gate returns the gate of a service and creates it if there is none.
-func (s *Services) gate(service string) *limit.WindowGate {
+// service returns what is known of a service, and creates it if there is nothing.
+func (s *Services) service(name string) *service {
 	s.mu.RLock()
-	g := s.gates[service]
+	known := s.services[name]
 	s.mu.RUnlock()
-	if g != nil {
-		return g
+	if known != nil {
+		return known
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if g = s.gates[service]; g != nil {
-		return g
+	if known = s.services[name]; known != nil {
+		return known
 	}
-	g = limit.NewWindowGate(limit.DefaultWindowAdmissionOptions(), s.opts.Clock, s.logChange(service))
-	if slots, vms := s.opts.Room(service); slots > 0 && s.opts.Clock.Since(s.startedAt) < startupSpan {
-		g.BeginLimited(max(float64(slots)/float64(max(vms, 1)), minStartupLimit))
+	opts := limit.DefaultWindowAdmissionOptions()
+	opts.Window.Share = func() float64 { return s.share(name) }
+	known = &service{gate: limit.NewWindowGate(opts, s.opts.Clock, s.logChange(name))}
+	if share := s.share(name); share > 0 && s.opts.Clock.Since(s.startedAt) < startupSpan {
+		known.gate.BeginLimited(max(share, minStartupLimit))
 	}
-	s.gates[service] = g
-	return g
+	s.services[name] = known
+	return known
+}
+
+// share returns this VM's even part of the requests that the upstreams of a service run at once;
+// zero if unknown.
+func (s *Services) share(name string) float64 {
+	slots, vms := s.opts.Room(name)
+	return float64(slots) / float64(max(vms, 1))
 }
 
 // logChange returns a function that logs when the limit of a service begins and ends.
@@ -173,11 +216,14 @@
 	p.Observe(limit.Rejected)
 }
 
-// ReportFirst reports the time from the start of an attempt to the beginning of its answer,
-// beside the expected one and the latency target of the route, zero for none. hasLoad tells
-// whether the upstream reported its load.
-func (p Permit) ReportFirst(took, expected, target time.Duration, hasLoad bool) {
-	late := target > 0 && took > target && took > lateFactor*expected
+// ReportFirst reports the time from the start of an attempt to the beginning of its answer. The
+// prompt was expected to take work, after a wait for earlier requests. target is the latency
+// target of the route, zero for none. hasLoad tells whether the upstream reported its load.
+func (p Permit) ReportFirst(took, wait, work, target time.Duration, hasLoad bool) {
+	delay := p.service.delay(p.rank)
+	old := delay.Load()
+	delay.Store(old + int64(delayWeight*float64(int64(max(took-work, 0))-old)))
+	late := target > 0 && took > target && took > lateFactor*(wait+work)
 	switch {
 	case late:
 		p.Observe(limit.Congested)
--- a/internal/admission/collector.go
+++ b/internal/admission/collector.go
@@ -16,8 +16,8 @@
 	s := c.services
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for service, g := range s.gates {
-		stats := g.Stats()
+	for service, known := range s.services {
+		stats := known.gate.Stats()
 		send := func(number string, value float64) {
 			ch <- prometheus.MustNewConstMetric(gateDesc, prometheus.GaugeValue, value, service, number)
 		}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -110,6 +110,6 @@
 func (a *attempt) reportFirst() {
 	x := a.exchange
 	if x.place.permit.Held() {
-		x.place.permit.ReportFirst(a.firstAfter, a.expectedWait+a.expectedWork+firstEventBase, x.route.TargetLatency, a.loadReported)
+		x.place.permit.ReportFirst(a.firstAfter, a.expectedWait, a.expectedWork+firstEventBase, x.route.TargetLatency, a.loadReported)
 	}
 }
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -23,6 +23,9 @@
 	// for all work of a priority. A few urgent requests then need not wait for the end of a less
 	// urgent one where there are few places.
 	Headroom float64
+	// underShare is set by WindowAdmission for accounts that used no more than an even part
+	// lately. If they have no waiters, they are served before accounts that have.
+	underShare bool
 }
 
 // Waiter is queued work.
@@ -61,6 +64,8 @@
 	deficit float64
 	// needsQuantum reports that the flow has not received its quantum of this round.
 	needsQuantum bool
+	// goesFirst reports whether the flow is served before flows of accounts that used more.
+	goesFirst bool
 	// waiters are sorted by deadline.
 	waiters []*Waiter
 }
@@ -101,6 +106,10 @@
 			n += lvl.countWaiters(q.max)
 		}
 		if lvl.priority == w.Priority {
+			if w.underShare && lvl.accountWaiters(w.Account) == 0 {
+				n += lvl.firstFlows()
+				continue
+			}
 			earlier := lvl.earlierWaiters(w)
 			n += lvl.countWaiters(earlier+1) + earlier - min(lvl.accountWaiters(w.Account), earlier+1)
 		}
@@ -108,6 +117,17 @@
 	return n
 }
 
+// firstFlows returns the number of flows that go first.
+func (l *level) firstFlows() int {
+	n := 0
+	for _, f := range l.flows {
+		if f.goesFirst {
+			n++
+		}
+	}
+	return n
+}
+
 // earlierWaiters returns the number of waiters of the same account with an earlier deadline.
 func (l *level) earlierWaiters(w Work) int {
 	for _, f := range l.flows {
@@ -140,6 +160,9 @@
 	}
 	added = &Waiter{Work: w}
 	added.flow = q.level(w.Priority).flow(w.Account)
+	if w.underShare && len(added.flow.waiters) == 0 {
+		added.flow.goFirst(w.Cost)
+	}
 	added.flow.insert(added)
 	q.length++
 	return added, evicted, true
@@ -219,6 +242,18 @@
 	return f
 }
 
+// goFirst lets a new flow be served after those that go first already, and before the others.
+func (f *flow) goFirst(cost float64) {
+	l := f.level
+	l.flows = l.flows[:len(l.flows)-1]
+	i := slices.IndexFunc(l.flows, func(x *flow) bool { return !x.goesFirst })
+	if i < 0 {
+		i = len(l.flows)
+	}
+	l.flows = slices.Insert(l.flows, i, f)
+	f.goesFirst, f.needsQuantum, f.deficit = true, false, cost
+}
+
 func (f *flow) insert(w *Waiter) {
 	i, _ := slices.BinarySearchFunc(f.waiters, w, func(a, b *Waiter) int {
 		if a.Deadline.After(b.Deadline) {
@@ -265,6 +300,7 @@
 			continue
 		}
 		f.deficit -= w.Cost
+		f.goesFirst = false
 		return w, late
 	}
 	return nil, late
--- a/limit/window.go
+++ b/limit/window.go
@@ -26,9 +26,13 @@
 	// RejectedDecrease is the part of the limit that a rejection takes, 0 to 1, and
 	// CongestedDecrease the part that congestion takes if every attempt meets it.
 	RejectedDecrease, CongestedDecrease float64
-	// Increase and RelativeIncrease are what a step adds to the limit if no attempt meets
-	// congestion: a number of requests and a part of the limit.
-	Increase, RelativeIncrease float64
+	// Increase is what a step adds to the limit if no attempt meets congestion, as a part of
+	// Share, and MinIncrease the least in requests. Where it was a part of the limit itself,
+	// VMs with a low limit kept it.
+	Increase, MinIncrease float64
+	// Share returns an even part of the requests that the upstreams run at once, for each VM;
+	// zero if unknown. It is called when a limit begins, and nil means unknown.
+	Share func() float64
 	// Step is the mean time between two changes of the limit. It is drawn between half of it
 	// and half as much again, so that VMs that see the same reports don't act together.
 	Step time.Duration
@@ -40,7 +44,7 @@
 // DefaultWindowOptions returns the default options.
 func DefaultWindowOptions() WindowOptions {
 	return WindowOptions{
-		Min: 1, Max: 4096, RejectedDecrease: 0.25, CongestedDecrease: 0.2, Increase: 0.5, RelativeIncrease: 0.01,
+		Min: 1, Max: 4096, RejectedDecrease: 0.25, CongestedDecrease: 0.2, Increase: 0.03, MinIncrease: 0.1,
 		Step: 300 * time.Millisecond, IdleAfter: 3 * time.Second,
 	}
 }
@@ -58,10 +62,13 @@
 	// with every growthDoubling further ones, growthLevels times, up to maxGrowth of the limit
 	// for each step.
 	growthAfter    = time.Second
-	growthRun      = 12
-	growthDoubling = 3
+	growthRun      = 6
+	growthDoubling = 2
 	growthLevels   = 8
 	maxGrowth      = 0.3
+	// maxElapsedSteps is the largest number of steps that growth makes up for at a VM that gets
+	// few answers.
+	maxElapsedSteps = 4
 	// maxHeadroom is the largest headroom of a request.
 	maxHeadroom = 0.5
 	// ditherInterval is the time for which a fraction of a place is rounded up or down.
@@ -83,17 +90,19 @@
 
 	active bool
 	limit  float64
+	// increase is what a step adds without congestion, in requests.
+	increase float64
 	// congestion is the smoothed share of attempts that met congestion or a rejection.
 	congestion float64
 	// acceptedRun is the number of attempts since the latest sign of overload.
 	acceptedRun int
 	peak        float64
 	peakAt      time.Time
-	// nextStep is when the limit may change again, calmSince when the latest sign of
+	// steppedAt is when the limit last changed, nextStep when it may change again, calmSince when the latest sign of
 	// overload came, and boundAt when a request last found no place.
-	nextStep, calmSince, boundAt time.Time
-	dither                       float64
-	ditherUntil                  time.Time
+	steppedAt, nextStep, calmSince, boundAt time.Time
+	dither                                  float64
+	ditherUntil                             time.Time
 }
 
 // NewWindow returns a Window without a limit. draw returns random numbers in [0, 1).
@@ -116,6 +125,20 @@
 func (w *Window) Begin(limit float64, now time.Time) {
 	w.active, w.boundAt, w.calmSince, w.acceptedRun = true, now, now.Add(-growthAfter), growthRun+growthDoubling*growthLevels
 	w.limit = w.bounded(limit)
+	w.setIncrease()
+}
+
+// setIncrease sets the increase of a step by the VM's even part of the room, or by the limit that
+// begins if that is unknown.
+func (w *Window) setIncrease() {
+	share := 0.0
+	if w.opts.Share != nil {
+		share = w.opts.Share()
+	}
+	if share <= 0 {
+		share = w.limit
+	}
+	w.increase = max(w.opts.Increase*share, w.opts.MinIncrease)
 }
 
 func (w *Window) bounded(limit float64) float64 { return min(max(limit, w.opts.Min), w.opts.Max) }
@@ -177,10 +200,12 @@
 func (w *Window) begin(now time.Time) {
 	w.active, w.boundAt = true, now
 	w.limit = w.bounded(w.peak * (1 - w.opts.RejectedDecrease))
+	w.setIncrease()
 	w.setNextStep(now)
 }
 
 func (w *Window) setNextStep(now time.Time) {
+	w.steppedAt = now
 	w.nextStep = now.Add(time.Duration((0.5 + w.draw()) * float64(w.opts.Step)))
 }
 
@@ -196,7 +221,7 @@
 		change -= w.decrease(s)
 	}
 	if float64(inFlight) >= minUtilization*w.limit && s != Rejected {
-		change += w.increase(now)
+		change += w.growth(now)
 	}
 	w.limit = w.bounded(w.limit + change)
 	w.setNextStep(now)
@@ -209,11 +234,12 @@
 	return w.limit * w.opts.CongestedDecrease * w.congestion
 }
 
-func (w *Window) increase(now time.Time) float64 {
-	step := w.opts.Increase + w.opts.RelativeIncrease*w.limit
+func (w *Window) growth(now time.Time) float64 {
+	step := w.increase
 	if now.Sub(w.calmSince) >= growthAfter && w.acceptedRun > growthRun {
 		doublings := min((w.acceptedRun-growthRun)/growthDoubling, growthLevels)
 		step = max(step, min(math.Ldexp(step, doublings), maxGrowth*w.limit))
 	}
-	return (1 - w.congestion) * step
+	elapsed := float64(now.Sub(w.steppedAt)) / float64(w.opts.Step)
+	return (1 - w.congestion) * step * min(max(elapsed, 1), maxElapsedSteps)
 }
--- a/limit/window_admission.go
+++ b/limit/window_admission.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// waitMargin is by how much the expected wait may exceed the time left before work is refused at
+// once. Estimates of few places vary much: with a margin of 1, places went to work that was late
+// already.
+const waitMargin = 2
+
 // overShareFactor is by how much later than others an account is told to come back that has
 // more than its even part of the queue.
 const overShareFactor = 2
@@ -41,6 +46,7 @@
 	opts        WindowAdmissionOptions
 	window      *Window
 	queue       *Queue
+	usage       *accountUsage
 	queuedBytes int
 	inFlight    int
 	serviceTime time.Duration
@@ -51,6 +57,7 @@
 func NewWindowAdmission(opts WindowAdmissionOptions, draw func() float64) *WindowAdmission {
 	return &WindowAdmission{
 		opts: opts, window: NewWindow(opts.Window, draw), queue: NewQueue(opts.MaxQueued, opts.Quantum),
+		usage:       newAccountUsage(),
 		serviceTime: opts.InitialServiceTime,
 	}
 }
@@ -64,15 +71,16 @@
 // delay.
 func (a *WindowAdmission) Offer(w Work, now time.Time) (waiter *Waiter, evicted []*Waiter, err error) {
 	if a.queue.Len() == 0 && a.window.Allow(a.inFlight, w.Headroom, now) {
-		a.inFlight++
+		a.begin(w, now)
 		return nil, nil, nil
 	}
+	w.underShare = a.usage.isUnderShare(w.Account)
 	wait := a.EstimateWait(w)
 	latest := now.Add(a.opts.MaxWait)
 	if w.Deadline.After(latest) {
 		w.Deadline = latest
 	}
-	if now.Add(wait).After(w.Deadline) {
+	if now.Add(wait / waitMargin).After(w.Deadline) {
 		return nil, nil, refusal.New(refusal.Overloaded).WithRetryAfter(a.RetryAfter(w))
 	}
 	if w.Bytes > a.opts.MaxQueuedBytes {
@@ -98,6 +106,12 @@
 	return waiter, evicted, nil
 }
 
+// begin counts work as in flight.
+func (a *WindowAdmission) begin(w Work, now time.Time) {
+	a.inFlight++
+	a.usage.add(w.Account, w.Cost, now)
+}
+
 // Observe records what an attempt of started work tells of its upstream.
 func (a *WindowAdmission) Observe(s Signal, now time.Time) { a.window.Observe(s, a.inFlight, now) }
 
@@ -121,7 +135,7 @@
 		late = append(late, expired...)
 		if next != nil {
 			a.queuedBytes -= next.Bytes
-			a.inFlight++
+			a.begin(next.Work, now)
 			started = append(started, next)
 		}
 	}
