Serve what can be in time first under overload, and replay more loads

Accounts over their part leave a fifth of the limit to others, growth is faster, and the model counts only requests of its window.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -40,6 +40,10 @@
 // few places, a request of the first rank need not wait for the end of a less urgent one.
 var headroom = []float64{0.5, 0.2}
 
+// latePriority is by how much requests that can't be in time come after the others, whatever
+// their rank: their value is a fraction of that of any request in time.
+const latePriority = 1000
+
 // Options configures Services.
 type Options struct {
 	Clock    clockwork.Clock
@@ -103,7 +107,7 @@
 	Rank int
 	// Start is the time by which the request has to be sent for its answer to begin within the
 	// latency target, and LatestStart that for the deadline. Once Start has passed, requests that
-	// can be in time go first.
+	// can be in time go first, of any rank.
 	Start, LatestStart time.Time
 	// Tokens is the size of the request, and Bytes the memory that it takes while it waits.
 	Tokens, Bytes int
@@ -111,11 +115,11 @@
 
 // limitWork returns the work as the gate of the service orders it.
 func (s *service) limitWork(w Work, now time.Time) limit.Work {
-	lw := limit.Work{Account: w.Account, Priority: -2 * w.Rank, Deadline: w.Start, Cost: float64(w.Tokens), Bytes: w.Bytes}
+	lw := limit.Work{Account: w.Account, Priority: -w.Rank, Deadline: w.Start, Cost: float64(w.Tokens), Bytes: w.Bytes}
 	if left := w.Start.Sub(now); left > 0 {
 		lw.Deadline = w.Start.Add(-s.startMargin(w.Rank, left))
 	} else {
-		lw.Priority--
+		lw.Priority -= latePriority
 		lw.Deadline = w.LatestStart
 	}
 	if w.Rank >= 0 && w.Rank < len(headroom) {
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -21,6 +21,9 @@
 // fair between client accounts and refuses work that is not expected to complete by
 // its deadline.
 //
+// WindowGate does the same for a service whose upstreams report their load: its limit (Window)
+// exists only while there are signs of overload.
+//
 //	limiter := limit.New(limit.DefaultOptions(self, incarnation))
 //	limiter.SetMembers(ids)
 //	ticket, err := limiter.Admit(account, limits, limit.Estimate{Tokens: n}, now)
--- a/limit/surge_model_test.go
+++ b/limit/surge_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -47,6 +48,7 @@
 	vm        *modelVM
 	admitted  time.Duration
 	comebacks int
+	number    int
 	engine    int
 }
 
@@ -56,8 +58,6 @@
 	running, waiting []*modelRequest
 }
 
-var dbg = map[string]int{}
-
 type modelVM struct {
 	admission *limit.WindowAdmission
 	waiting   map[*limit.Waiter]*modelRequest
@@ -92,12 +92,18 @@
 	load, hog          float64
 	comingBack         map[time.Duration][]*modelRequest
 	arrivals, rejected int
-	tallies            map[tallyKey]*modelTally
+	requests           int
+	// since is when the count of what is offered and served began.
+	since   time.Duration
+	tallies map[tallyKey]*modelTally
 }
 
 var modelHeadroom = []float64{0.5, 0.2, 0}
 
 const (
+	// modelLatePriority is by how much requests that are late already come after the others.
+	modelLatePriority = 100
+
 	modelSlots   = 24
 	modelQueue   = 50
 	modelEngines = 60
@@ -130,6 +136,17 @@
 	return m.tallies[key]
 }
 
+// busy returns the part of the slots of the engines that are up that run a request.
+func (m *surgeModel) busy() float64 {
+	running, slots := 0, 0
+	for _, e := range m.engines {
+		if !e.down {
+			running, slots = running+len(e.running), slots+modelSlots
+		}
+	}
+	return float64(running) / float64(slots)
+}
+
 // sum adds up the tallies for which match is true.
 func (m *surgeModel) sum(match func(tallyKey) bool) (t modelTally) {
 	for key, part := range m.tallies {
@@ -141,10 +158,11 @@
 	return t
 }
 
-// run plays the model for a time and returns the value of what was offered meanwhile.
+// run plays the model for a time and returns what was offered and served meanwhile. Requests from
+// before don't count.
 func (m *surgeModel) run(span time.Duration) modelTally {
 	clear(m.tallies)
-	m.arrivals, m.rejected = 0, 0
+	m.arrivals, m.rejected, m.since = 0, 0, m.now
 	for end := m.now + span; m.now < end; m.now += surgeTick {
 		m.step()
 	}
@@ -163,7 +181,8 @@
 				rate *= m.hog
 			}
 			for n := m.poisson(rate * surgeTick.Seconds()); n > 0; n-- {
-				r := &modelRequest{kind: k, account: account.ID(fmt.Sprint("a", a)), large: m.rand.Float64() < 0.1, arrivedAt: m.now}
+				r := &modelRequest{kind: k, account: account.ID(fmt.Sprint("a", a)), large: m.rand.Float64() < 0.1, arrivedAt: m.now, number: m.requests}
+				m.requests++
 				t := m.tally(r)
 				t.offered++
 				t.offeredValue += k.value
@@ -177,10 +196,10 @@
 		m.arrive(r)
 	}
 	for _, v := range m.vms {
-		for w, r := range v.waiting {
+		for _, w := range v.inOrder() {
+			r := v.waiting[w]
 			if m.time().After(w.Deadline) && v.admission.Cancel(w) {
 				delete(v.waiting, w)
-				dbg[fmt.Sprint("r", r.kind.rank, " back", r.comebacks, " expired")]++
 				m.comeBack(r, v.admission.RetryAfter(w.Work))
 			}
 		}
@@ -188,6 +207,11 @@
 	}
 }
 
+// inOrder returns the waiters of a VM in order of arrival, so that a seed decides all.
+func (v *modelVM) inOrder() []*limit.Waiter {
+	return slices.SortedFunc(maps.Keys(v.waiting), func(a, b *limit.Waiter) int { return v.waiting[a].number - v.waiting[b].number })
+}
+
 func (m *surgeModel) poisson(mean float64) (n int) {
 	for p := m.rand.Float64(); p > math.Exp(-mean); p *= m.rand.Float64() {
 		n++
@@ -220,9 +244,9 @@
 		tokens *= 4
 	}
 	latest := r.arrivedAt + r.kind.target - r.kind.prefill - min(time.Duration(1.5*float64(r.vm.delay[r.kind.rank])), r.kind.target/2)
-	priority := -2 * r.kind.rank
+	priority := -r.kind.rank
 	if latest < m.now {
-		priority--
+		priority -= modelLatePriority
 		latest = r.arrivedAt + r.kind.deadline - r.kind.prefill
 	}
 	w := limit.Work{Account: r.account, Priority: priority, Deadline: start.Add(latest), Cost: tokens, Bytes: 800, Headroom: modelHeadroom[r.kind.rank]}
@@ -231,9 +255,6 @@
 		m.comeBack(r.vm.waiting[e], r.vm.admission.RetryAfter(e.Work))
 		delete(r.vm.waiting, e)
 	}
-	if err != nil {
-		dbg[fmt.Sprint("r", r.kind.rank, " back", r.comebacks, " at once ", refusal.FromError(err).Reason)]++
-	}
 	switch {
 	case err != nil:
 		m.comeBack(r, refusal.FromError(err).RetryAfter)
@@ -339,16 +360,7 @@
 func (m *surgeModel) serve(e *modelEngine, r *modelRequest) {
 	r.endsAt = m.now + r.kind.service
 	e.running = append(e.running, r)
-	t := m.tally(r)
-	t.served++
-	if m.now+r.kind.prefill <= r.arrivedAt+r.kind.target {
-		t.inTime++
-		dbg[fmt.Sprint("r", r.kind.rank, " back", r.comebacks, " served in time")]++
-		t.value += r.kind.value
-	} else {
-		dbg[fmt.Sprint("r", r.kind.rank, " back", r.comebacks, " served late")]++
-		t.value += r.kind.late
-	}
+	m.count(r)
 	m.report(r)
 	if !m.admit {
 		return
@@ -362,6 +374,21 @@
 	r.vm.admission.Observe(signal, m.time())
 }
 
+// count counts a request that is served.
+func (m *surgeModel) count(r *modelRequest) {
+	if r.arrivedAt < m.since {
+		return
+	}
+	t := m.tally(r)
+	t.served++
+	if m.now+r.kind.prefill <= r.arrivedAt+r.kind.target {
+		t.inTime++
+		t.value += r.kind.value
+	} else {
+		t.value += r.kind.late
+	}
+}
+
 // setDown takes a third of the engines away, with all that they run, or brings them back.
 func (m *surgeModel) setDown(down bool) {
 	for _, e := range m.engines[:modelEngines/3] {
--- a/limit/surge_test.go
+++ b/limit/surge_test.go
@@ -52,21 +52,93 @@
 	}
 }
 
+// valuesAroundSurge returns the value in calm, and from 5 to 10 s after a surge.
+func valuesAroundSurge(vms int) (calm, after float64) {
+	m := newSurgeModel(vms, true, 1)
+	calm = m.run(10 * time.Second).valueOf()
+	m.surge()
+	m.run(15 * time.Second)
+	m.setDown(false)
+	m.hog = 1
+	m.run(5 * time.Second)
+	return calm, m.run(5 * time.Second).valueOf()
+}
+
+func expectRecovery(t *testing.T, vms int) {
+	calm, after := valuesAroundSurge(vms)
+	t.Logf("%d VMs: value in calm %.3f, 5 s after %.3f", vms, calm, after)
+	NewWithT(t).Expect(after).To(BeNumerically(">", 0.9*calm))
+}
+
 // Guards against a limit that stays low, or queues that stay full, after a burst.
 func TestServiceRecoversAfterSurge(t *testing.T) {
+	for _, vms := range []int{1, 6, 75} {
+		expectRecovery(t, vms)
+	}
+}
+
+// Guards against the same where a VM has some three places only.
+func TestServiceRecoversOf300VMsAfterSurge(t *testing.T) { expectRecovery(t, 300) }
+
+// Guards against VMs that see the same reports and leave engines idle together, or flood them.
+func TestVMsDoNotOscillateUnderOverload(t *testing.T) {
 	for _, vms := range vmCounts {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
 			g := NewWithT(t)
 			m := newSurgeModel(vms, true, 1)
-			calm := m.run(10 * time.Second).valueOf()
 			m.surge()
-			m.run(15 * time.Second)
-			m.setDown(false)
-			m.hog = 1
+			m.run(10 * time.Second)
+			least := 1.0
+			for range 60 {
+				m.run(250 * time.Millisecond)
+				least = min(least, m.busy())
+			}
+			t.Logf("least part of busy slots %.3f", least)
+			g.Expect(least).To(BeNumerically(">", 0.75))
+		})
+	}
+}
+
+// goodputAt returns the value of the requests served within 15 s at a multiple of the room.
+func goodputAt(vms int, load float64) float64 {
+	m := newSurgeModel(vms, true, 1)
+	// 743 requests in flight are offered at load 1, and there is room for 1,440.
+	m.load = load * 1440 / 743
+	m.run(10 * time.Second)
+	return m.run(15 * time.Second).value
+}
+
+func expectGoodputKept(t *testing.T, vms int) {
+	at12, at30 := goodputAt(vms, 1.2), goodputAt(vms, 3)
+	t.Logf("%d VMs: goodput at 1.2 times the room %.0f, at 3 times %.0f", vms, at12, at30)
+	NewWithT(t).Expect(at30).To(BeNumerically(">", 0.95*at12))
+}
+
+// Guards against goodput that falls the more is offered beyond the room.
+func TestGoodputDoesNotFallWithLoad(t *testing.T) {
+	for _, vms := range []int{1, 6, 75} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) { expectGoodputKept(t, vms) })
+	}
+}
+
+// Guards against the same where a VM has some three places only.
+func TestGoodputOf300VMsDoesNotFallWithLoad(t *testing.T) { expectGoodputKept(t, 300) }
+
+// Guards against an account that takes what others need.
+func TestWellBehavedAccountKeepsItsValue(t *testing.T) {
+	for _, vms := range vmCounts {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			g := NewWithT(t)
+			m := newSurgeModel(vms, true, 1)
+			m.run(10 * time.Second)
+			m.hog = 8
 			m.run(5 * time.Second)
-			after := m.run(5 * time.Second).valueOf()
-			t.Logf("value in calm %.3f, 5 s after %.3f", calm, after)
-			g.Expect(after).To(BeNumerically(">", 0.9*calm))
+			m.run(15 * time.Second)
+			well := m.sum(func(k tallyKey) bool { return k.account != "a0" })
+			hog := m.sum(func(k tallyKey) bool { return k.account == "a0" })
+			t.Logf("value of others %.3f, of the account %.3f", well.valueOf(), hog.valueOf())
+			g.Expect(well.valueOf()).To(BeNumerically(">", 0.95))
+			g.Expect(hog.valueOf()).To(BeNumerically("<", well.valueOf()))
 		})
 	}
 }
--- a/limit/window.go
+++ b/limit/window.go
@@ -44,7 +44,7 @@
 // DefaultWindowOptions returns the default options.
 func DefaultWindowOptions() WindowOptions {
 	return WindowOptions{
-		Min: 1, Max: 4096, RejectedDecrease: 0.25, CongestedDecrease: 0.2, Increase: 0.03, MinIncrease: 0.1,
+		Min: 1, Max: 4096, RejectedDecrease: 0.25, CongestedDecrease: 0.2, Increase: 0.06, MinIncrease: 0.1,
 		Step: 300 * time.Millisecond, IdleAfter: 3 * time.Second,
 	}
 }
@@ -144,7 +144,7 @@
 func (w *Window) bounded(limit float64) float64 { return min(max(limit, w.opts.Min), w.opts.Max) }
 
 // Allow reports whether one more request may start while inFlight are in flight. It may exceed
-// the limit by the part headroom of it.
+// the limit by the part headroom of it, or leave a part of it if that is negative.
 func (w *Window) Allow(inFlight int, headroom float64, now time.Time) bool {
 	w.recordPeak(float64(inFlight+1), now)
 	if !w.active {
@@ -166,7 +166,7 @@
 	if !now.Before(w.ditherUntil) {
 		w.dither, w.ditherUntil = w.draw(), now.Add(ditherInterval)
 	}
-	return int(math.Floor(w.limit*(1+headroom) + w.dither))
+	return int(math.Floor(max(w.limit*(1+headroom), 1) + w.dither))
 }
 
 // recordPeak records a number in flight.
--- a/limit/window_admission.go
+++ b/limit/window_admission.go
@@ -29,6 +29,10 @@
 	}
 }
 
+// overShareReserve is the part of the limit that accounts leave to others that used more than an
+// even part lately.
+const overShareReserve = 0.2
+
 // waitMargin is by how much the expected wait may exceed the time left before work is refused at
 // once. Estimates of few places vary much: with a margin of 1, places went to work that was late
 // already.
@@ -70,11 +74,15 @@
 // of this work and have to be refused. The error is a *refusal.Refusal with an estimated retry
 // delay.
 func (a *WindowAdmission) Offer(w Work, now time.Time) (waiter *Waiter, evicted []*Waiter, err error) {
+	if !a.usage.isUnderShare(w.Account) {
+		w.Headroom -= overShareReserve
+	} else {
+		w.underShare = true
+	}
 	if a.queue.Len() == 0 && a.window.Allow(a.inFlight, w.Headroom, now) {
 		a.begin(w, now)
 		return nil, nil, nil
 	}
-	w.underShare = a.usage.isUnderShare(w.Account)
 	wait := a.EstimateWait(w)
 	latest := now.Add(a.opts.MaxWait)
 	if w.Deadline.After(latest) {
