--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -176,7 +176,7 @@
 		small = d.modelPool(req.Service, usable, now)
 		for i, e := range allowed {
 			if len(small) > 0 && small[e] != req.SmallModel {
-				candidates[i].FirstToken += d.mismatchPenalty(req.SmallModel)
+				candidates[i].FirstToken += d.opts.Placement.PoolMismatchPenalty
 			}
 		}
 	}
--- a/internal/engines/pool_pace.go
+++ b/internal/engines/pool_pace.go
@@ -15,20 +15,6 @@
 // large models.
 const poolInterval = time.Second
 
-// smallMismatchDivisor divides the cost of a small model on an upstream for large ones, with
-// Options.AnswerEnd: slow upstreams that are filled with small models serve worse than mixed ones
-// (in trials at overload 1,011 to 1,103 of 10,300 answers missed their deadline, with the full cost 1,108 to 1,153).
-const smallMismatchDivisor = 3
-
-// mismatchPenalty returns the cost of running a small or a large model on an upstream for the other
-// kind.
-func (d *Directory) mismatchPenalty(small bool) time.Duration {
-	if small && d.opts.AnswerEnd && d.opts.Placement.PoolBySpeed {
-		return d.opts.Placement.PoolMismatchPenalty / smallMismatchDivisor
-	}
-	return d.opts.Placement.PoolMismatchPenalty
-}
-
 // pacePool is the division of a service's upstreams by their speed, by region.
 type pacePool struct {
 	mu        sync.Mutex
--- a/internal/relay/answer_end_test.go
+++ b/internal/relay/answer_end_test.go
@@ -60,6 +60,11 @@
 func (allVersions) Allowed(string, float64) func(model.VersionID) bool { return nil }
 func (allVersions) Begin(shifts.Attempt) *shifts.Running               { return nil }
 
+// emptyTables is a configuration without routes.
+type emptyTables struct{}
+
+func (emptyTables) Table() *routing.Table { return routing.Compile(routing.Config{}) }
+
 // newStream returns a request on a resumable route with 15 s to its deadline, whose answers have
 // some 30 events, and the placement that serves it.
 func newStream(t *testing.T, budget retry.Allowance) (*exchange, *fixedPlacement, *clockwork.FakeClock) {
@@ -84,7 +89,7 @@
 		Span: 10 * time.Second, Allowances: map[retry.ScopeKind]retry.Allowance{retry.UpstreamScope: budget},
 	})
 	s := New(Deps{
-		Placement: placement, Versions: allVersions{}, Clock: clock, Metrics: NewMetrics(placement.registry),
+		Tables: emptyTables{}, Placement: placement, Versions: allVersions{}, Clock: clock, Metrics: NewMetrics(placement.registry),
 		Retry: retry.NewPolicy(retry.DefaultOptions(), budgets),
 	}, opts)
 	for range 10 {
