Merge the parts of heavy load: end of answers, shared reports, slow start, slow readers, admission

All of them but the bound on slow readers are switched on by load_control in the settings, which nothing sets yet.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -56,6 +56,11 @@
 	ReregistrationGrace time.Duration
 	// Placement configures how upstreams are selected.
 	Placement Placement
+	// AnswerEnd makes the selection regard when answers end; see Requirements.Answer.
+	AnswerEnd bool
+	// ShareReports makes this VM tell others of its region what upstreams reported, and use
+	// what they tell; see SharedReports and MergeReports.
+	ShareReports bool
 	// SharedClock is the clock that all VMs share. Rank returns the position of this VM
 	// among all VMs, from 0, and their number. By both the VMs divide the limits that
 	// upstreams name.
@@ -66,6 +71,9 @@
 	VMsKnown func() bool
 	// ColdBound bounds what all VMs together send a cold upstream.
 	ColdBound ColdBound
+	// SlowStart enables that upstreams which have started or recovered get fewer requests than
+	// their peers until they answer like them.
+	SlowStart bool
 	// OnCold is called when an upstream is found to be cold for a time, or to have ended if the
 	// time is zero; seldom for the same upstream. Nil is not called.
 	OnCold func(u upstream.Upstream, coldFor time.Duration)
@@ -95,6 +103,8 @@
 	// selfReports counts what upstreams report of themselves in their answers.
 	selfReports *prometheus.CounterVec
 	cold        *coldUpstreams
+	// slow is nil if slow starts are off.
+	slow *slowStarts
 
 	// fragile holds the services whose upstreams are fragile. fragileMu may be locked with mu or
 	// the mutex of an engine held.
@@ -103,6 +113,10 @@
 
 	// evacuated holds the evacuated failure domains. The map is replaced, not changed.
 	evacuated atomic.Pointer[map[domain.ID]bool]
+	// paces holds what is known of the pace of each service. paceMu is never held while another
+	// mutex is locked.
+	paceMu sync.RWMutex
+	paces  map[string]*servicePace
 
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
@@ -137,8 +151,9 @@
 	d := &Directory{
 		opts: opts, clock: clock, log: log, selfReports: selfReports, cold: newColdUpstreams(opts.Registry),
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
-		policies:  newPolicies(opts.Placement),
+		policies:  newPolicies(opts.Placement, opts.AnswerEnd, opts.AnswerEnd || opts.ShareReports),
 		fragile:   make(map[string]fragileService),
+		paces:     make(map[string]*servicePace),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
@@ -147,6 +162,8 @@
 	}
 	d.sizes.Store(&map[string]int{})
 	d.evacuated.Store(&map[domain.ID]bool{})
+	d.slow = newSlowStarts(d)
+	opts.Registry.MustRegister(slowStartGauge(d))
 	return d
 }
 
@@ -254,6 +271,9 @@
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		d.byID[e.ID] = newEngine(e, d)
 		d.byID[e.ID].learnCold(e, true, !d.listed)
+		if d.listed {
+			d.byID[e.ID].beginSlowStart("new_entry")
+		}
 		d.log.Info("upstream registered", "upstream", e.ID, "service", e.Service, "version", e.Version,
 			"domain", e.Domain, "leaving", e.Leaving, "born", e.Incarnation)
 		return
--- a/internal/engines/fragile.go
+++ b/internal/engines/fragile.go
@@ -78,6 +78,7 @@
 // MarkRejected records that the upstream rejected a request of this VM for want of room, and
 // tells the other VMs if it is fragile.
 func (e *Engine) MarkRejected() {
+	e.rejectSlowStart()
 	if !e.directory.IsFragile(e.entry().Service) {
 		return
 	}
@@ -119,6 +120,6 @@
 	rank, vms := e.directory.opts.Rank()
 	return limit.Places{
 		Capacity: entry.Capacity, Upstreams: (*e.directory.sizes.Load())[entry.Service], VMs: vms, Rank: rank, Offset: int(e.hash % uint64(vms)),
-		Reported: now.Sub(e.reportedAt) < placesReportTTL, Others: e.remoteRequests,
+		Reported: now.Sub(e.pace.ownReportAt) < placesReportTTL, Others: e.remoteRequests,
 	}.Allow(e.inFlight, e.directory.sharedTime(now))
 }
--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -41,6 +41,9 @@
 	// these. Defaults 0.25 and 300 ms.
 	SmallModelShare     float64
 	PoolMismatchPenalty time.Duration
+	// PoolBySpeed prefers slow upstreams for small models where upstreams differ clearly, if
+	// Options.AnswerEnd is set. Default true.
+	PoolBySpeed bool
 	// CacheCreditSlack is by how much an upstream's utilization may exceed the
 	// mean before its cached prefixes no longer lower its cost. Default 0.15.
 	CacheCreditSlack float64
@@ -55,6 +58,7 @@
 		CrossRegionPrice: 10_000, MicrosPerSecond: 1000,
 		PrefillPerToken: 66 * time.Microsecond, DefaultServiceTime: 2 * time.Second, BatchSlope: 1,
 		FailurePenalty: 500 * time.Millisecond, CacheCreditSlack: 0.15, SmallModelShare: 0.25, PoolMismatchPenalty: 300 * time.Millisecond,
+		PoolBySpeed: true,
 		Breaker: retry.BreakerOptions{
 			Window: 5 * time.Second, MinRequests: 3, ErrorRate: 0.6,
 			OpenFor: time.Second, MaxOpenFor: 4 * time.Second, Probes: 1, ProbeLease: 3 * time.Second,
@@ -68,14 +72,21 @@
 	withBreakers, ignoringBreakers *route.Policy
 }
 
-// newPolicies returns the selection policies for the given configuration.
-func newPolicies(p Placement) policies {
+// newPolicies returns the selection policies for the given configuration. answerEnd adds the
+// costs by when answers end, and spread those that spread the requests of VMs that know the same.
+func newPolicies(p Placement, answerEnd, spread bool) policies {
 	scorers := []route.Scorer{
 		route.QueueScorer{DefaultDuration: p.DefaultServiceTime, BatchSlope: p.BatchSlope},
 		route.PrefillScorer{PerToken: p.PrefillPerToken, Bound: 1, Slack: p.CacheCreditSlack, HomeCredit: 1},
 		route.LinkScorer{},
 		route.PriceScorer{MicrosPerSecond: p.MicrosPerSecond},
 	}
+	if answerEnd {
+		scorers = append(scorers, route.DefaultEndScorer(), route.DefaultMemoryScorer())
+	}
+	if spread {
+		scorers = append(scorers, route.DefaultSpreadScorer())
+	}
 	always := []route.Filter{
 		route.RegionFilter{}, route.EvacuatedFilter{}, route.TriedFilter{}, route.LeavingFilter{}, route.PausedFilter{},
 		route.LimitFilter{}, route.PlaceFilter{}, route.ColdFilter{},
@@ -110,11 +121,16 @@
 	// RouterPicksModel reports whether the router selects the model, and
 	// SmallModel whether the selected one is smaller than the route's largest.
 	RouterPicksModel, SmallModel bool
+	// Answer is the answer that is expected; zero leaves its end out of account.
+	Answer AnswerShape
 }
 
 // Choice is the result of Choose.
 type Choice struct {
 	Engine *Engine
+	// AnswerEnd is the time to the expected end of the answer on it, and EventGap the expected
+	// time between events; zero if unknown.
+	AnswerEnd, EventGap time.Duration
 	// Candidates is the number of upstreams of the service with an allowed
 	// version.
 	Candidates int
@@ -149,10 +165,15 @@
 		candidates = append(candidates, route.Candidate{})
 		e.fillCandidate(&candidates[len(candidates)-1], now)
 	}
+	if d.limitsSlowStarts(engines) {
+		for i, e := range allowed {
+			candidates[i].FirstToken += e.slowStartCost()
+		}
+	}
 	usable := d.usable(allowed, req.Regions)
 	var small map[*Engine]bool
 	if req.RouterPicksModel {
-		small = d.smallModelPool(usable)
+		small = d.modelPool(req.Service, usable, now)
 		for i, e := range allowed {
 			if len(small) > 0 && small[e] != req.SmallModel {
 				candidates[i].FirstToken += d.opts.Placement.PoolMismatchPenalty
@@ -161,8 +182,9 @@
 	}
 	request := route.Request{
 		Service: req.Service, PromptTokens: req.SharedTokens, Bytes: req.Bytes, Tried: req.Tried, Draw: req.Draw,
-		Regions: req.Regions, Home: d.homeUpstream(req, usable, small),
+		Regions: req.Regions, Home: d.homeUpstream(req, usable, d.homePool(&req, small, now)),
 	}
+	d.expectAnswers(&request, candidates, allowed, &req.Answer, now)
 	choice := Choice{Candidates: len(allowed)}
 	decision, ok := d.policies.withBreakers.Select(&request, candidates)
 	choice.Refused = decision.Refused
@@ -177,9 +199,9 @@
 		choice.LimitLeft = shortestWait(usable, req.Tried, func(e *Engine) time.Duration { return e.limitLeft(now) })
 		return choice
 	}
-	for _, e := range allowed {
+	for i, e := range allowed {
 		if &e.identity == decision.Upstream {
-			choice.Engine = e
+			choice.Engine, choice.AnswerEnd, choice.EventGap = e, candidates[i].AnswerEnd, candidates[i].EventGap
 		}
 	}
 	return choice
@@ -214,13 +236,13 @@
 // homeUpstream returns the upstream that requests with the same prefix prefer, by
 // rendezvous hashing; empty for none. It considers the upstreams of this VM's
 // region only, unless prefilling the prefix costs more than sending the request
-// to another region.
+// to another region and the own one has few upstreams (see hasOwnHomes).
 func (d *Directory) homeUpstream(req Requirements, usable []*Engine, small map[*Engine]bool) upstream.ID {
 	if req.PrefixHash == 0 {
 		return ""
 	}
 	p := d.opts.Placement
-	anyRegion := time.Duration(req.SharedTokens)*p.PrefillPerToken > p.crossRegionCost(req)
+	anyRegion := time.Duration(req.SharedTokens)*p.PrefillPerToken > p.crossRegionCost(req) && !d.hasOwnHomes(usable)
 	candidates := make([]*Engine, 0, len(usable))
 	hashes := make([]uint64, 0, len(usable))
 	for _, e := range usable {
--- a/internal/engines/self_report.go
+++ b/internal/engines/self_report.go
@@ -59,6 +59,7 @@
 	defer e.mu.Unlock()
 	e.failureRate, e.silentUntil = 0, time.Time{}
 	e.cold.ForgetContact()
+	e.window.End()
 }
 
 // UpdateLoad stores the upstream's own load report.
@@ -66,7 +67,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.report, e.reportedAt = l, e.directory.clock.Now()
-	e.remoteRequests = max(l.Running+l.Waiting-e.inFlight, 0)
+	e.pace.ownReportAt = e.reportedAt
+	e.setRemoteRequests(l)
 }
 
 // pauseLeft returns how long the upstream's pause still lasts; zero or less if it is not
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -77,7 +77,9 @@
 	peerFeed  *peerfeed.Feed
 	hints     *hints.Exchange
 	// hintCounts counts hints by outcome.
-	hintCounts   *prometheus.CounterVec
+	hintCounts *prometheus.CounterVec
+	// shareCounts counts shared reports by outcome.
+	shareCounts  *prometheus.CounterVec
 	retryBudgets *retry.WindowBudgets
 	relay        *relay.Server
 	phase        atomic.Int32
@@ -144,15 +146,14 @@
 		RegionOf:            d.regionOf,
 		ReregistrationGrace: reregistrationGrace,
 		Placement:           engines.DefaultPlacement(),
+		AnswerEnd:           s.LoadControl.AnswerEnd,
+		ShareReports:        sharesReports(s),
 		OnRemove:            d.pool.CloseIdle,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
-		VMsKnown:            d.vms.Listed,
-		ColdBound:           engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
-		OnCold: func(u upstream.Upstream, coldFor time.Duration) {
-			left := coldFor.Milliseconds()
-			d.hints.Announce(hints.Hint{Upstream: u.ID, Cold: &left, Region: d.regionOf(u.Domain)})
-		},
+		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
+		ColdBound: engines.ColdBound{Overrun: s.Cold.Overrun, Slack: s.Cold.Slack},
+		OnCold:    d.announceCold,
 		OnLimit: func(u upstream.Upstream, perSecond float64) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Limit: &perSecond, Region: d.regionOf(u.Domain)})
 		},
@@ -174,6 +175,7 @@
 	})
 	d.quarantines = d.newQuarantines()
 	d.hintCounts = hints.NewCounter(d.registry)
+	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
 	d.relay = d.newRelay()
@@ -256,6 +258,9 @@
 	d.runner.Start("collect VMs", d.collector.Run)
 	d.runner.Start("hints out", d.hints.Send)
 	d.runner.Start("hints in", d.hints.Receive)
+	if sharesReports(d.settings) {
+		d.runner.Start("share reports", d.shareReports)
+	}
 	d.runner.Every("roll-outs", d.clock, rolloutInterval, d.shifts.Tick)
 	d.runner.Start("quarantine evidence", d.quarantines.Run)
 	d.runner.Every("quarantine row", d.clock, quarantineRowInterval, d.quarantines.Sync)
@@ -299,10 +304,12 @@
 }
 
 // applyHint applies what another VM announced: work that it sent to an upstream, an
-// upstream that is silent, limited, fragile, full or cold, or evidence on requests that crash
-// upstreams.
+// upstream that is silent, limited, fragile, full or cold, what upstreams reported, or evidence
+// on requests that crash upstreams.
 func (d *Daemon) applyHint(h hints.Hint) {
 	switch {
+	case h.Reports != nil:
+		d.receiveReports(h.Reports)
 	case h.Quarantine != nil:
 		d.quarantines.Receive(*h.Quarantine)
 	case h.Silent:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,7 +15,6 @@
 	"github.com/poplarshore/poplarshore/internal/shifts"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/model"
-	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 )
 
@@ -44,12 +44,20 @@
 	headAfter time.Duration
 	// maxGap is the longest time between two events.
 	maxGap time.Duration
+	// expectedEnd is the time from startedAt to the expected end of the answer; zero if unknown.
+	expectedEnd time.Duration
+	// events is the number of events, and pacedEvents that of those recorded for the pace of
+	// the upstream.
+	events, pacedEvents int
+	move                moveState
 	// confidence is the model's confidence in its response, 0 to 100; negative if
 	// it reported none.
 	confidence int
 	// paused reports whether the upstream turned the request away and asked for a pause.
 	// Such an attempt is evidence neither about the upstream nor about its version.
 	paused bool
+	// loadReported reports whether the response's header has a load report.
+	loadReported bool
 }
 
 // versionAttempt describes the attempt for the roll-out of its version.
@@ -117,12 +125,18 @@
 	if head.HasLoad {
 		a.engine.UpdateLoad(head.Load)
 	}
-	if head.NotRun && resp.Status == http.StatusServiceUnavailable {
+	if isRejection(resp.Status, head) {
 		a.engine.MarkRejected()
 	}
+	a.reportHead(resp.Status, head)
 	return a.handleResponse(resp, head)
 }
 
+// isRejection reports whether a response turns the request away for the time being.
+func isRejection(status int, head Head) bool {
+	return head.NotRun && status == http.StatusServiceUnavailable
+}
+
 // upstreamRequest returns the request to send to the upstream.
 func (a *attempt) upstreamRequest() upconn.Request {
 	x := a.exchange
@@ -171,7 +185,7 @@
 	if !x.routerPicksModel() || x.headerSent {
 		return false
 	}
-	next, escalate := x.server.opts.Cascade.Next(cascade.Answer{
+	next, escalate := x.nextModelInTime(cascade.Answer{
 		Model: x.modelIndex, Models: len(x.route.Models), Confidence: head.Confidence,
 		RunsLeft: x.retryState.MaxAttempts - x.retryState.Attempts - 1, TimeLeft: x.timeLeft(),
 		Wait: x.relativeWait(), ExpectedStart: x.strongestFirstEvent(0),
@@ -282,11 +296,11 @@
 
 // writeTo sends the response to the caller of x. Errors: a CallerGone refusal.
 func (b *bufferedResponse) writeTo(x *exchange) error {
-	x.sendHeader(b.status, b.header)
-	if _, err := x.w.Write(b.body); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
+	if len(b.body) > 0 && b.header.Get("Content-Length") == "" {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	}
-	return nil
+	x.sendHeader(b.status, b.header)
+	return x.sendWhole(b.body)
 }
 
 // sendHeader sends the status and header of a response to the caller.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarshore/poplarshore/account"
+	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -68,7 +69,14 @@
 	status int
 	// lastEvent is the id of the last event that the caller has: from before it
 	// resumed a stream, or sent by this exchange.
-	lastEvent  string
+	lastEvent string
+	// events is the number of events sent by this exchange.
+	events int
+	// answerEnd is the time to the expected end of the answer at the upstream that was chosen
+	// last; zero if unknown.
+	answerEnd time.Duration
+	// moved reports whether a stream that was too slow was ended to go on elsewhere.
+	moved      bool
 	attemptLog []attemptRecord
 	// keys identify the request where some crash upstreams.
 	keys []quarantine.Key
@@ -77,6 +85,11 @@
 	// connectionLost reports whether an attempt ended with its connection.
 	connectionLost bool
 
+	// output sends the answer to the caller; nil until a part of it has been sent. cancel ends
+	// the attempts.
+	output *egress.Writer
+	cancel context.CancelFunc
+
 	// hop is what another VM says of the request that it asks this one to relay; nil for a
 	// request of a caller. relayedAdmitted reports whether it counts as in flight.
 	hop             *peerRequest
@@ -87,6 +100,8 @@
 	connectTimedOut bool
 	// placeWait is how long the request has waited for a place at an upstream.
 	placeWait time.Duration
+	// place is the place of the request among those in flight for its service.
+	place place
 	// peersAsked reports whether other VMs were asked to relay the request.
 	peersAsked bool
 }
@@ -114,6 +129,9 @@
 	Pause int64 `json:"pause,omitempty"`
 	// Gap is the usual time between two events, in ms; 0 if it is unknown.
 	Gap int64 `json:"gap,omitempty"`
+	// End is the time from the start of the attempt to the end of the answer that was expected
+	// when it began, in ms; 0 if unknown.
+	End int64 `json:"end,omitempty"`
 	// Slow reports whether the attempt was counted as slow for its version while it ran.
 	Slow bool `json:"slow,omitempty"`
 	// Confidence is the model's confidence in its response, 0 to 100; nil if it
@@ -154,6 +172,7 @@
 		Service: x.service, Regions: x.regions(), Allowed: x.server.Versions.Allowed(x.service, x.sessionPosition),
 		Tried: x.retryState.Tried, Draw: x.randState, Bytes: int64(len(x.body)) + expectedResponseBytes,
 	}
+	req.Answer = x.answerShape()
 	if x.routerPicksModel() {
 		req.RouterPicksModel, req.SmallModel = true, x.modelIndex < len(x.route.Models)-1
 	}
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -232,7 +232,7 @@
 func resultOfRefusal(reason refusal.Reason) peerrelay.Result {
 	switch {
 	case reason == refusal.OutOfReach, reason == refusal.RetriesExhausted, reason == refusal.NoUpstream,
-		reason == refusal.NoUpstreamInRegions:
+		reason == refusal.NoUpstreamInRegion:
 		return peerrelay.RefusedService
 	case reason == refusal.PeerBusy, reason == refusal.PeerBehind, reason == refusal.Draining, reason == refusal.ConfigurationStale, reason == "":
 		return peerrelay.Unavailable
@@ -270,13 +270,7 @@
 		x.sendHeader(resp.Status, resp.Header)
 		x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
 	}
-	if _, err := x.w.Write(b); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
-	}
-	if err := x.control.Flush(); err != nil {
-		return refusal.Wrap(refusal.CallerGone, err)
-	}
-	return nil
+	return x.sendPart(b)
 }
 
 // logPeerAttempt counts an attempt through another VM and appends it to the log of the
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -15,8 +15,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/poplarshore/poplarshore/cascade"
+	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/limit"
+	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
@@ -29,6 +31,8 @@
 	// Cascade decides which model is asked first and whether to escalate to a
 	// stronger one.
 	Cascade cascade.ConfidencePolicy
+	// AnswerEnd makes decisions regard when answers are expected to end. Default false.
+	AnswerEnd bool
 	// MaxBufferedBytes is the largest response without events, in bytes, and the
 	// largest request body if the configuration sets no limit. Default 8 MiB.
 	MaxBufferedBytes int
@@ -38,8 +42,8 @@
 	// DefaultDeadline is the time limit of a request if neither the caller nor
 	// the route sets one. Default 30 s.
 	DefaultDeadline time.Duration
-	// WriteTimeout is how long a caller may take to receive what it was sent.
-	// Default 10 s. It is not enforced at present.
+	// WriteTimeout is how long a caller may take nothing of what it was sent before it is ended.
+	// Default 10 s.
 	WriteTimeout time.Duration
 	// BodyTimeout is how long a request body may take to arrive. Default 10 s.
 	BodyTimeout time.Duration
@@ -50,13 +54,13 @@
 	return Options{
 		Cascade: cascade.ConfidencePolicy{
 			MinConfidence: 58, MinConfidenceLate: 25, NextModelConfidence: 48,
-			IdleWait: 0.02, BusyWait: 0.2, LatestStart: 0.85, StepTime: 300 * time.Millisecond},
+			IdleWait: 0.02, BusyWait: 0.2, LatestStart: 0.85, StepTime: 300 * time.Millisecond, LatestEnd: 0.8},
 		MaxBufferedBytes: 8 << 20, MaxTotalBufferedBytes: 32 << 20, DefaultDeadline: 30 * time.Second,
 		WriteTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second,
 	}
 }
 
-// Deps holds the dependencies of a Server. All of them are required.
+// Deps holds the dependencies of a Server. All of them but Admission are required.
 type Deps struct {
 	Protocol  Protocol
 	Tables    Tables
@@ -78,9 +82,11 @@
 	IsPeer func(netip.Addr) bool
 	// Digester computes the keys of requests and parts of prompts, for Quarantine and logs.
 	Digester *quarantine.Digester
-	Clock    clockwork.Clock
-	Log      *slog.Logger
-	Metrics  *Metrics
+	// Admission orders requests while upstreams are overloaded; nil sends all of them at once.
+	Admission Admission
+	Clock     clockwork.Clock
+	Log       *slog.Logger
+	Metrics   *Metrics
 	// AnnounceWork informs other VMs that a request with a long prefill was sent to an
 	// upstream.
 	AnnounceWork func(u upstream.Upstream, work time.Duration)
@@ -101,7 +107,9 @@
 	Deps
 	opts     Options
 	prefill  *prefillEstimator
+	lengths  pace.Lengths
 	buffered bufferBudget
+	egress   *egress.Tracker
 	// exchanges counts the requests in flight, and relayedInFlight those of other VMs.
 	exchanges       sync.WaitGroup
 	relayedInFlight atomic.Int64
@@ -109,7 +117,9 @@
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	return &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
+	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
+	s.egress = s.newEgress()
+	return s
 }
 
 // ServeHTTP implements http.Handler.
@@ -126,13 +136,16 @@
 		request: s.Protocol.ReadRequest(r), randState: rand.Uint64(), hop: hop,
 	}
 	defer x.releaseRelayed()
+	defer x.endOutput()
+	x.clearWriteDeadline()
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	err := x.admit(r)
 	if err == nil {
 		ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, refusal.New(refusal.DeadlineExceeded))
-		err = x.run(ctx)
+		x.cancel = cancel
+		err = x.closeOutput(x.run(ctx))
 		cancel()
 	}
 	s.finish(x, r, err)
@@ -165,7 +178,7 @@
 	switch {
 	case s.Aborting():
 		refused = refusal.Wrap(refusal.Draining, err)
-	case r.Context().Err() != nil:
+	case r.Context().Err() != nil && refused.Reason != refusal.CallerGone:
 		refused = refusal.Wrap(refusal.CallerGone, err)
 	}
 	x.refusalDetail = refused.Detail
@@ -186,6 +199,7 @@
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
 	}
+	x.limitWrite()
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write([]byte(string(refused.Reason) + "\n")); err != nil {
 		s.Log.Debug("failed to write refusal to caller", "request", x.request.ID, "error", err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/reachability"
-	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
 )
 
@@ -93,6 +92,7 @@
 		a.firstAfter = a.exchange.server.Clock.Since(a.startedAt)
 		a.exchange.server.prefill.observe(a.model, a.exchange.request.PromptTokens, a.firstAfter)
 		a.running.RecordFirst()
+		a.reportFirst()
 	}
 }
 
@@ -103,6 +103,8 @@
 		a.maxGap = max(a.maxGap, at-a.lastAfter)
 	}
 	a.lastAfter = at
+	a.events++
+	a.exchange.events++
 	a.running.RecordEvent()
 	a.guarded.RecordEvent()
 }
@@ -121,13 +123,17 @@
 	buf := make([]byte, streamBufferBytes)
 	awaited := a.awaitEvent()
 	for {
-		n, err := a.readMonitored(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
+		if a.shouldMove() {
+			return errMoved.New("stream from %s is too slow to end in time", a.engine.ID())
+		}
+		n, err := a.readPaced(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
 		pending.buf = append(pending.buf, buf[:n]...)
 		forwarded, sendErr := a.forwardEvents(resp, &pending)
 		if sendErr != nil {
 			return sendErr
 		}
 		if forwarded {
+			a.recordPace()
 			awaited = a.awaitEvent()
 		} else if awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited) {
 			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
@@ -196,8 +202,7 @@
 	return more > 0
 }
 
-// forwardEvents forwards the complete events in the buffer and flushes them to
-// the caller. It reports whether there were any.
+// forwardEvents forwards the complete events in the buffer to the caller. It reports whether there were any.
 func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) (bool, error) {
 	x := a.exchange
 	written := false
@@ -212,8 +217,8 @@
 			x.sendHeader(resp.Status, resp.Header)
 			x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
 		}
-		if _, err := x.w.Write(event); err != nil {
-			return written, refusal.Wrap(refusal.CallerGone, err)
+		if err := x.sendPart(event); err != nil {
+			return written, err
 		}
 		written = true
 		if id != "" {
@@ -221,13 +226,7 @@
 		}
 	}
 	pending.compact()
-	if !written {
-		return false, nil
-	}
-	if err := x.control.Flush(); err != nil {
-		return true, refusal.Wrap(refusal.CallerGone, err)
-	}
-	return true, nil
+	return written, nil
 }
 
 // isLaterEvent reports whether the event with the given id may follow the last
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -15,8 +15,17 @@
 	Priority int
 	// Deadline is the time by which the request has to be complete.
 	Deadline time.Time
-	// Cost is the size of the request, in tokens.
-	Cost float64
+	// Cost is the size of the request, in tokens, and Bytes the memory that it takes while it
+	// waits.
+	Cost  float64
+	Bytes int
+	// Headroom is the part of a WindowGate's limit by which the request may exceed it; the same
+	// for all work of a priority. A few urgent requests then need not wait for the end of a less
+	// urgent one where there are few places.
+	Headroom float64
+	// underShare is set by WindowAdmission for accounts that used no more than an even part
+	// lately. If they have no waiters, they are served before accounts that have.
+	underShare bool
 }
 
 // Waiter is queued work.
@@ -55,6 +64,8 @@
 	deficit float64
 	// needsQuantum reports that the flow has not received its quantum of this round.
 	needsQuantum bool
+	// goesFirst reports whether the flow is served before flows of accounts that used more.
+	goesFirst bool
 	// waiters are sorted by deadline.
 	waiters []*Waiter
 }
@@ -86,6 +97,48 @@
 	return n
 }
 
+// countBefore returns the number of waiters that would start before new work, as CountAhead does,
+// but of the same account only those with an earlier deadline.
+func (q *Queue) countBefore(w Work) int {
+	n := 0
+	for _, lvl := range q.levels {
+		if lvl.priority > w.Priority {
+			n += lvl.countWaiters(q.max)
+		}
+		if lvl.priority == w.Priority {
+			if w.underShare && lvl.accountWaiters(w.Account) == 0 {
+				n += lvl.firstFlows()
+				continue
+			}
+			earlier := lvl.earlierWaiters(w)
+			n += lvl.countWaiters(earlier+1) + earlier - min(lvl.accountWaiters(w.Account), earlier+1)
+		}
+	}
+	return n
+}
+
+// firstFlows returns the number of flows that go first.
+func (l *level) firstFlows() int {
+	n := 0
+	for _, f := range l.flows {
+		if f.goesFirst {
+			n++
+		}
+	}
+	return n
+}
+
+// earlierWaiters returns the number of waiters of the same account with an earlier deadline.
+func (l *level) earlierWaiters(w Work) int {
+	for _, f := range l.flows {
+		if f.account == w.Account {
+			i, _ := slices.BinarySearchFunc(f.waiters, w.Deadline, func(x *Waiter, d time.Time) int { return x.Deadline.Compare(d) })
+			return i
+		}
+	}
+	return 0
+}
+
 // countWaiters returns the number of waiters, counting at most maxPerAccount of each
 // account.
 func (l *level) countWaiters(maxPerAccount int) int {
@@ -107,6 +160,9 @@
 	}
 	added = &Waiter{Work: w}
 	added.flow = q.level(w.Priority).flow(w.Account)
+	if w.underShare && len(added.flow.waiters) == 0 {
+		added.flow.goFirst(w.Cost)
+	}
 	added.flow.insert(added)
 	q.length++
 	return added, evicted, true
@@ -143,6 +199,25 @@
 	return 0
 }
 
+// headroom returns the headroom of the work that is served next; zero without any.
+func (q *Queue) headroom() float64 {
+	if q.length == 0 {
+		return 0
+	}
+	return q.levels[0].flows[0].waiters[0].Headroom
+}
+
+// isOverShare reports whether the account has more than an even part of the waiters of its
+// priority.
+func (q *Queue) isOverShare(priority int, id account.ID) bool {
+	for _, l := range q.levels {
+		if l.priority == priority {
+			return l.accountWaiters(id)*len(l.flows) > l.countWaiters(q.max)
+		}
+	}
+	return false
+}
+
 // level returns the level of the priority, which it creates if needed.
 func (q *Queue) level(priority int) *level {
 	i, ok := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int {
@@ -167,6 +242,18 @@
 	return f
 }
 
+// goFirst lets a new flow be served after those that go first already, and before the others.
+func (f *flow) goFirst(cost float64) {
+	l := f.level
+	l.flows = l.flows[:len(l.flows)-1]
+	i := slices.IndexFunc(l.flows, func(x *flow) bool { return !x.goesFirst })
+	if i < 0 {
+		i = len(l.flows)
+	}
+	l.flows = slices.Insert(l.flows, i, f)
+	f.goesFirst, f.needsQuantum, f.deficit = true, false, cost
+}
+
 func (f *flow) insert(w *Waiter) {
 	i, _ := slices.BinarySearchFunc(f.waiters, w, func(a, b *Waiter) int {
 		if a.Deadline.After(b.Deadline) {
@@ -213,6 +300,7 @@
 			continue
 		}
 		f.deficit -= w.Cost
+		f.goesFirst = false
 		return w, late
 	}
 	return nil, late
