Mend what a review of regions, cold upstreams and slow readers found

Cause and change: (1) a VM of an older build could be asked to relay a request with home regions, and would serve it anywhere: only VMs that say that they keep regions are asked. (2) A new incarnation of a cold upstream forgot the requests of the last half second, so that all VMs could use their grants again: they are inherited. (3) A refusal of another VM with an unknown reason counted as not run whatever its status: it does only with 503. (4) Ending a caller could hit the next request on its connection: not after the answer was written.

--- a/internal/egress/writer.go
+++ b/internal/egress/writer.go
@@ -43,7 +43,10 @@
 	// held is the length of what waits, with the part that is being written.
 	held    int
 	closing bool
-	err     error
+	// finished reports that everything was written after Close. The connection may belong to the
+	// next request by then.
+	finished bool
+	err      error
 	// queued receives a value when there is something to write, and taken when bytes were
 	// taken or the Writer has ended.
 	queued, taken chan struct{}
@@ -136,7 +139,7 @@
 // end ends the Writer for a reason, and returns false if it had ended before.
 func (w *Writer) end(reason error) bool {
 	w.mu.Lock()
-	if w.err != nil {
+	if w.err != nil || w.finished {
 		w.mu.Unlock()
 		return false
 	}
@@ -202,6 +205,7 @@
 		parts, left = append(parts, b), left-len(b)
 	}
 	if len(parts) == 0 {
+		w.finished = w.closing
 		return nil, !w.closing
 	}
 	// Destinations of tests have no deadlines.
--- a/internal/engines/cold.go
+++ b/internal/engines/cold.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -228,6 +229,17 @@
 	}
 }
 
+// inheritSends takes over the requests that were sent to an earlier incarnation of the upstream.
+// They may have reached this one, and all VMs learn of it at about the same time.
+func (e *Engine) inheritSends(earlier *Engine) {
+	if earlier == nil {
+		return
+	}
+	earlier.mu.Lock()
+	defer earlier.mu.Unlock()
+	e.sends = slices.Clone(earlier.sends)
+}
+
 // coldLeft returns the time until some VM may send the upstream a request, zero if this VM may
 // now or the upstream is not cold. It is a fixed time while this VM does not know.
 func (e *Engine) coldLeft(now time.Time) time.Duration {
--- a/internal/engines/cold_test.go
+++ b/internal/engines/cold_test.go
@@ -308,3 +308,29 @@
 		g.Expect(find(v.Directory, "c").Begin(0)).NotTo(BeNil())
 	}
 }
+
+// TestNewIncarnationInheritsSends guards against VMs that use the grants of the last half second
+// again, all at once, when they read the entry of a new incarnation.
+func TestNewIncarnationInheritsSends(t *testing.T) {
+	g := NewWithT(t)
+	v, clock := newSettledVM()
+	v.Put(newEntry("c", "d1"))
+	find(v.Directory, "c").MarkUnreached(false)
+	send := func() (n int) {
+		for range 100 {
+			if find(v.Directory, "c").Begin(0) == nil {
+				return n
+			}
+			n++
+		}
+		return n
+	}
+	for range 20 {
+		before := send()
+		restarted := newEntry("c", "d1")
+		restarted.Incarnation = clock.Now().UnixMilli()
+		v.Put(restarted)
+		g.Expect(send()).To(BeZero(), "after %d requests", before)
+		clock.Advance(37 * time.Millisecond)
+	}
+}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -270,6 +270,7 @@
 	}
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		d.byID[e.ID] = newEngine(e, d)
+		d.byID[e.ID].inheritSends(old)
 		d.byID[e.ID].learnCold(e, true, !d.listed)
 		if d.listed {
 			d.byID[e.ID].beginSlowStart("new_entry")
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -34,6 +34,9 @@
 	// PassesEvidence reports that the VM passes evidence on to a part of the VMs
 	// (quarantines.Spread). Older builds don't.
 	PassesEvidence bool `json:"passes_evidence,omitzero"`
+	// KeepsRegions reports that the VM keeps requests in the regions in which they may be
+	// served. Older builds don't, so that they get no restricted request to relay.
+	KeepsRegions bool `json:"keeps_regions,omitzero"`
 }
 
 // List is the list of the other VMs. One goroutine updates it by Reset and Change;
--- a/internal/peerrelay/chooser.go
+++ b/internal/peerrelay/chooser.go
@@ -94,7 +94,8 @@
 }
 
 // Choose returns the VM with the lowest cost, in one of the regions, that may relay a request
-// for a service, and false if there is none. Those that were tried are left out. End must be
+// for a service, and false if there is none. Those that were tried are left out, and for a
+// restricted request also VMs of older builds, which don't keep it in its regions. End must be
 // called on the result.
 func (c *Chooser) Choose(service string, regions domain.RegionSet, tried []vm.ID) (*Peer, bool) {
 	now := c.opts.Clock.Now()
@@ -119,6 +120,7 @@
 	var all []members.Member
 	for id, m := range c.opts.Members() {
 		if m.Relay.IsValid() && !slices.Contains(tried, id) && regions.Contains(c.opts.RegionOf(m.Domain)) &&
+			(m.KeepsRegions || !regions.Restricted()) &&
 			!now.Before(c.leftUntil[standingKey{id, service}]) && !now.Before(c.leftUntil[standingKey{vm: id}]) {
 			all = append(all, m)
 		}
--- a/internal/peerrelay/chooser_test.go
+++ b/internal/peerrelay/chooser_test.go
@@ -27,7 +27,7 @@
 	for i := range n {
 		id := vm.ID(fmt.Sprintf("vm-%d", i))
 		others[id] = members.Member{
-			ID: id, Domain: domain.ID(fmt.Sprintf("d%d", i%3)), Relay: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:1", i/200, i%200)),
+			ID: id, Domain: domain.ID(fmt.Sprintf("d%d", i%3)), KeepsRegions: true, Relay: netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:1", i/200, i%200)),
 		}
 	}
 	return others
@@ -164,6 +164,22 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// TestVMOfOlderBuildRelaysNoRestrictedRequest guards against a request that leaves its regions through
+// a VM that doesn't know of them.
+func TestVMOfOlderBuildRelaysNoRestrictedRequest(t *testing.T) {
+	g := NewWithT(t)
+	others := fleet(3)
+	for id, m := range others {
+		m.KeepsRegions = false
+		others[id] = m
+	}
+	c, _ := newChooser(others)
+	_, ok := c.Choose(service, domain.NewRegionSet("r0", "r2"), nil)
+	g.Expect(ok).To(BeFalse())
+	_, ok = c.Choose(service, domain.RegionSet{}, nil)
+	g.Expect(ok).To(BeTrue())
+}
+
 // TestRelayingVMIsAlwaysInTheRegions checks over drawn fleets, regions and results of earlier
 // requests that no VM outside the regions is asked, and that one inside is as long as none was
 // left alone.
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -186,8 +186,11 @@
 	switch {
 	case reason == "":
 		return nil
-	case !refusal.Known(reason):
+	case reason == refusedAtDoor, !refusal.Known(reason) && resp.Status == http.StatusServiceUnavailable:
 		return &peerRefusedError{status: resp.Status}
+	case !refusal.Known(reason):
+		// A newer build has more reasons. Without a status that promises it, the request may have run.
+		return refusal.New(refusal.UpstreamFailed).With("The VM that was asked to relay the request refused it: %s.", reason)
 	}
 	refused := refusal.New(reason).With("The VM that was asked to relay the request refused it.")
 	// The VM knows whether the request ran, and answers with another status than usual then.
