--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -43,7 +43,7 @@
 	tokens int
 	stream *stream
 	// expected is the expected processing time before the response, and received reports
-	// whether a part of it arrived.
+	// whether a part of the response arrived.
 	expected time.Duration
 	received bool
 }
@@ -73,7 +73,7 @@
 // more.
 func (a *Attempt) MarkReceived() {
 	if first := a.markReceived(); first && a.engine.directory.slow != nil {
-		a.observeStart()
+		a.observeSlowStart()
 	}
 }
 
@@ -85,7 +85,7 @@
 	a.engine.lastReceivedAt = a.engine.directory.clock.Now()
 	a.engine.cold.Reach(a.startedAt, a.engine.lastReceivedAt)
 	a.engine.silentUntil = time.Time{}
-	a.engine.observeStart(a, a.engine.lastReceivedAt)
+	a.engine.observeDelay(a, a.engine.lastReceivedAt)
 	a.engine.clearPending(a)
 	return first
 }
--- a/internal/engines/cold.go
+++ b/internal/engines/cold.go
@@ -45,8 +45,8 @@
 	Overrun, Slack float64
 }
 
-// minGrantsInWindow is the least number of grants in a second and the span of a grant. With
-// half a grant no second holds two requests.
+// minGrantsInWindow is the least mean number of grants in the time of one second plus
+// coldGrantSpan, whose grants may be used within one second. With 0.5 no second holds two requests.
 const minGrantsInWindow = 0.5
 
 // rate returns the highest rate of grants, in requests per second, that keeps any one second
@@ -151,7 +151,7 @@
 	return p.rank, p.vms, p.known
 }
 
-// followVMs notes since when the list of VMs has been known. It is called periodically.
+// followVMs updates since when the list of VMs has been known. It is called periodically.
 func (d *Directory) followVMs() {
 	if d.opts.VMsKnown != nil && !d.opts.VMsKnown() {
 		d.cold.knownAt.Store(nil)
@@ -182,8 +182,8 @@
 	}, shared, clockKnown && vmsKnown
 }
 
-// isCold reports whether the upstream is cold and its service limits requests to cold ones.
-// The caller holds mu, as for the following methods.
+// isCold reports whether the upstream is cold and its service limits requests to cold ones. It
+// logs the end of a cold phase. The caller holds mu, as for the methods up to recordSend.
 func (e *Engine) isCold(now time.Time) (coldService, bool) {
 	c, limited := e.directory.coldService(e.entry().Service)
 	if !limited {
@@ -244,7 +244,8 @@
 	return grants.Next(shared)
 }
 
-// beginCold notes that the upstream is cold from now on.
+// beginCold counts and logs the begin of a cold phase if the upstream is cold and none was going
+// on. The caller holds mu.
 func (e *Engine) beginCold(cause string, now time.Time) {
 	if _, cold := e.isCold(now); !cold || e.coldSince != (time.Time{}) {
 		return
@@ -266,8 +267,8 @@
 	e.beginCold(cause.String(), now)
 }
 
-// learnCold records what the first or a changed entry says of the upstream's start. A first
-// listing of the directory is no start of its upstreams.
+// learnCold records what the first entry (isNew) or a changed one says of the upstream's start.
+// An upstream in the first listing of the directory (firstListing) need not have just started.
 func (e *Engine) learnCold(entry Entry, isNew, firstListing bool) {
 	now := e.directory.clock.Now()
 	e.mu.Lock()
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -75,7 +75,8 @@
 	// their peers until they answer like them.
 	SlowStart bool
 	// OnCold is called when an upstream is found to be cold for a time, or to have ended if the
-	// time is zero; seldom for the same upstream. Nil is not called.
+	// time is zero, at most once in coldHintInterval for the same upstream. It must not block or
+	// call the Directory. Nil is not called.
 	OnCold func(u upstream.Upstream, coldFor time.Duration)
 	// OnLimit is called when an answer names another limit than before, in requests per
 	// second, zero for none; nil is not called.
@@ -237,7 +238,7 @@
 
 // ExpireLapsed removes the lapsed entries once Options.ReregistrationGrace has passed since the
 // store became available again, and adds the withheld entries whose time has passed. It also
-// notes since when the list of VMs is known. It is to be called periodically.
+// updates since when the list of VMs has been known. It is to be called periodically.
 func (d *Directory) ExpireLapsed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -82,7 +82,7 @@
 func newEngine(e Entry, d *Directory) *Engine {
 	engine := &Engine{directory: d, hash: route.HashID(e.ID), key: loadshare.UpstreamKey(e.ID, e.Incarnation)}
 	engine.identity = upstream.Upstream{ID: e.ID, Domain: e.Domain, Service: e.Service, Capacity: e.Capacity}
-	engine.pace.kind = pace.Factor{HalfLife: kindHalfLife, MaxWeight: kindMaxWeight}
+	engine.pace.lasting = pace.Factor{HalfLife: lastingHalfLife, MaxWeight: lastingMaxWeight}
 	engine.set(e)
 	return engine
 }
--- a/internal/engines/pace.go
+++ b/internal/engines/pace.go
@@ -35,13 +35,13 @@
 	// speed of an upstream. Gaps are compared under the same load, so this may be longer than
 	// reportTTL.
 	loadMemory = 10 * time.Second
-	// maxWorkFactor bounds by how much longer than usual an upstream is expected to process a
-	// prompt: gaps between events vary more than that.
+	// maxWorkFactor is the largest ratio of the expected time to process a prompt to the usual
+	// one: gaps between events vary more than that.
 	maxWorkFactor = 3
-	// kindHalfLife and kindMaxWeight are those of the estimate by which upstreams are divided
-	// between small and large models. It outlasts short loads.
-	kindHalfLife  = 20 * time.Second
-	kindMaxWeight = 100
+	// lastingHalfLife, and lastingMaxWeight in gaps, are those of the estimate by which upstreams
+	// are divided between small and large models. It outlasts short loads.
+	lastingHalfLife  = 20 * time.Second
+	lastingMaxWeight = 100
 	// maxOpenGaps is the number of running streams of an upstream whose open gap is looked at.
 	maxOpenGaps = 8
 	// slowCallerWait is the time for which a caller may block a stream before the next gap no
@@ -51,12 +51,12 @@
 
 // enginePace is what is known of the pace of one upstream. It is guarded by the engine's mu.
 type enginePace struct {
-	// now is the factor over the usual time between events at the present, kind that over a
-	// longer time.
-	now, kind pace.Factor
+	// recent is the ratio of the time between events to the usual one over the last gaps, and
+	// lasting that over a longer time, by this VM's own streams.
+	recent, lasting pace.Factor
 	// delay is by how much later answers begin than this VM's own requests explain.
 	delay pace.Delay
-	// shared is what other VMs found of kind.
+	// shared is what other VMs found of lasting.
 	shared pace.Shared
 	// meanLoad is the smoothed number of requests of other senders, and meanLoadAt the time of
 	// the newest report in it; zero before the first report.
@@ -156,8 +156,9 @@
 	a.stream.lastAt, a.stream.held = arrived, forwarding >= slowCallerWait
 }
 
-// observeStart records when an answer begins. The caller holds mu.
-func (e *Engine) observeStart(a *Attempt, now time.Time) {
+// observeDelay records by how much later than its work explains an answer begins. The caller
+// holds mu.
+func (e *Engine) observeDelay(a *Attempt, now time.Time) {
 	if e.directory.opts.AnswerEnd && a.work > 0 {
 		e.pace.delay.Observe(now.Sub(a.startedAt)-a.work, now)
 	}
@@ -180,9 +181,9 @@
 	usual.Observe(time.Duration(float64(gap) / load / lasting))
 	if base, known := usual.Gap(); known {
 		ratio := float64(gap) / load / float64(base)
-		e.pace.now.Prior = lasting
-		e.pace.now.Observe(ratio, n, now)
-		e.pace.kind.Observe(ratio, n, now)
+		e.pace.recent.Prior = lasting
+		e.pace.recent.Observe(ratio, n, now)
+		e.pace.lasting.Observe(ratio, n, now)
 	}
 }
 
@@ -209,9 +210,9 @@
 // paceFactor returns how much longer than usual the upstream takes for an event now, beside its
 // load: its lasting speed, corrected by recent gaps and the silence of streams that run.
 func (e *Engine) paceFactor(now time.Time) float64 {
-	e.pace.now.Prior = e.lastingSpeed(now)
+	e.pace.recent.Prior = e.lastingSpeed(now)
 	if len(e.pace.streams) == 0 {
-		return e.pace.now.Value(now)
+		return e.pace.recent.Value(now)
 	}
 	var buffer [maxOpenGaps]float64
 	open := buffer[:0]
@@ -221,7 +222,7 @@
 			open = append(open, float64(now.Sub(s.lastAt))/float64(base)/load)
 		}
 	}
-	return e.pace.now.ValueWith(now, open)
+	return e.pace.recent.ValueWith(now, open)
 }
 
 // queueWait returns how long a further request waits for one of the upstream's places.
@@ -277,6 +278,7 @@
 		c.AnswerTime = time.Duration(shape.Events * float64(c.EventGap))
 		work := float64(shape.Work) * min(factor, maxWorkFactor)
 		c.FirstToken += time.Duration(work) - shape.Work
+		// A reported slowdown is expected to last for slowdownTTL only.
 		delay := max(e.slowdown(now)-1, 0) * float64(slowdownTTL)
 		c.AnswerEnd = max(wait, e.queueWait(now)) + 2*c.LinkLatency + time.Duration(work+delay) + c.AnswerTime
 	}
@@ -286,7 +288,7 @@
 	}
 }
 
-// endStream forgets an attempt that has ended.
+// endStream removes the memory and the stream of an attempt that has ended. The caller holds mu.
 func (e *Engine) endStream(a *Attempt) {
 	e.pace.tokens -= a.tokens
 	a.tokens = 0
@@ -300,12 +302,12 @@
 const minRegionHomes = 8
 
 // hasOwnHomes reports whether this VM's region holds enough upstreams for its shared prompts.
-func (d *Directory) hasOwnHomes(allowed []*Engine) bool {
+func (d *Directory) hasOwnHomes(usable []*Engine) bool {
 	if !d.opts.AnswerEnd {
 		return false
 	}
 	n := 0
-	for _, e := range allowed {
+	for _, e := range usable {
 		if !e.Leaving() && d.opts.RegionOf(e.entry().Domain) == d.opts.Region {
 			n++
 		}
--- a/internal/engines/pool_pace.go
+++ b/internal/engines/pool_pace.go
@@ -20,9 +20,9 @@
 	mu        sync.Mutex
 	dividedAt time.Time
 	byRegion  map[domain.Region]*pace.Division
-	// size is the number of the service's upstreams then, slow holds the slow ones of the regions
-	// that are divided, and small is the pool if all upstreams are allowed. The maps are replaced
-	// and never changed.
+	// size is the number of the service's upstreams at dividedAt, slow holds the slow ones of the
+	// regions that are divided, and small is the pool if all upstreams are usable. The maps are
+	// replaced and never changed.
 	size  int
 	slow  map[domain.Region]map[*Engine]bool
 	small map[*Engine]bool
@@ -30,26 +30,26 @@
 
 // modelPool returns the upstreams that are preferred for small models: the slow ones where the
 // upstreams of a region differ clearly, and those of smallModelPool otherwise.
-func (d *Directory) modelPool(service string, allowed []*Engine, now time.Time) map[*Engine]bool {
+func (d *Directory) modelPool(service string, usable []*Engine, now time.Time) map[*Engine]bool {
 	if !d.opts.AnswerEnd || !d.opts.Placement.PoolBySpeed {
-		return d.smallModelPool(allowed)
+		return d.smallModelPool(usable)
 	}
 	p := &d.paceOf(service).pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := d.ForService(service)
-	d.refresh(p, all, now)
-	if len(allowed) == len(all) {
+	d.refreshPool(p, all, now)
+	if len(usable) == len(all) {
 		return p.small
 	}
-	return d.merge(p.slow, allowed)
+	return d.mergePools(p.slow, usable)
 }
 
-// merge returns the preferred upstreams of the regions that are divided by speed and those of
+// mergePools returns the preferred upstreams of the regions that are divided by speed and those of
 // smallModelPool in the others.
-func (d *Directory) merge(slow map[domain.Region]map[*Engine]bool, allowed []*Engine) map[*Engine]bool {
-	undivided := make([]*Engine, 0, len(allowed))
-	for _, e := range allowed {
+func (d *Directory) mergePools(slow map[domain.Region]map[*Engine]bool, usable []*Engine) map[*Engine]bool {
+	undivided := make([]*Engine, 0, len(usable))
+	for _, e := range usable {
 		if slow[d.opts.RegionOf(e.entry().Domain)] == nil {
 			undivided = append(undivided, e)
 		}
@@ -63,9 +63,10 @@
 	return small
 }
 
-// homePool returns the upstreams that are not considered as homes of a large model's prompts, or
-// the only ones for a small model's. small is the pool of modelPool; empty if the router doesn't
-// select the model. In that case the slow upstreams aren't homes: long answers would leave them.
+// homePool returns the pool by which the homes of prompts are chosen: those of a small model's
+// prompts are in it, those of a large model's are not. It is small, the result of modelPool, if the
+// router selects the model. Otherwise it holds the slow upstreams, which then aren't homes: the
+// costs by the end of an answer would keep long answers away from them.
 func (d *Directory) homePool(req *Requirements, small map[*Engine]bool, now time.Time) map[*Engine]bool {
 	if req.RouterPicksModel || !d.opts.AnswerEnd || req.PrefixHash == 0 || req.Answer.Events <= 0 {
 		return small
@@ -73,7 +74,7 @@
 	p := &d.paceOf(req.Service).pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d.refresh(p, d.ForService(req.Service), now)
+	d.refreshPool(p, d.ForService(req.Service), now)
 	all := make(map[*Engine]bool)
 	for _, engines := range p.slow {
 		maps.Copy(all, engines)
@@ -81,14 +82,14 @@
 	return all
 }
 
-// refresh divides the upstreams anew if it is time to. The caller holds the mutex of p.
-func (d *Directory) refresh(p *pacePool, all []*Engine, now time.Time) {
+// refreshPool divides the upstreams anew if it is time to. The caller holds the mutex of p.
+func (d *Directory) refreshPool(p *pacePool, all []*Engine, now time.Time) {
 	if now.Sub(p.dividedAt) < poolInterval && p.size == len(all) {
 		return
 	}
 	p.dividedAt, p.size = now, len(all)
 	d.divideAll(p, all, now)
-	p.small = d.merge(p.slow, all)
+	p.small = d.mergePools(p.slow, all)
 }
 
 // divideAll divides the upstreams of all regions anew. The caller holds the mutex of p.
@@ -122,7 +123,7 @@
 	speeds := make([]pace.Speed, len(members))
 	for i, e := range members {
 		speeds[i].Upstream = e.ID()
-		speeds[i].Factor, speeds[i].Weight = e.kind(now)
+		speeds[i].Factor, speeds[i].Weight = e.lastingEvidence(now)
 	}
 	division.Update(speeds, share)
 	slow := make(map[*Engine]bool, len(division.Slow))
@@ -142,10 +143,10 @@
 	return slow
 }
 
-// kind returns how much longer than usual the upstream takes over a longer time, and the number
+// lastingEvidence returns how much longer than usual the upstream takes over a longer time, and the number
 // of gaps by which that is known.
-func (e *Engine) kind(now time.Time) (factor, weight float64) {
+func (e *Engine) lastingEvidence(now time.Time) (factor, weight float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.pace.shared.Together(&e.pace.kind, now)
+	return e.pace.shared.Together(&e.pace.lasting, now)
 }
--- a/internal/engines/shared.go
+++ b/internal/engines/shared.go
@@ -8,8 +8,8 @@
 	"github.com/poplarshore/poplarshore/route"
 )
 
-// maxScale bounds the ratio between two VMs' usual gaps of a service. Speeds of a VM whose usual
-// gaps differ by more are not used.
+// maxScale bounds the ratio between two VMs' usual gaps of a service, in both directions. Speeds
+// of a VM whose usual gaps differ by more are not used.
 const maxScale = 8
 
 // SharedReports returns what this VM tells the others of its region: the newest load report on
@@ -45,7 +45,7 @@
 		entry.HasReport, entry.Age = true, age
 		entry.Running, entry.Waiting = e.report.Running, e.report.Waiting
 	}
-	entry.Speed, entry.Weight = e.pace.shared.ToPass(&e.pace.kind, now)
+	entry.Speed, entry.Weight = e.pace.shared.ToPass(&e.pace.lasting, now)
 	return entry
 }
 
@@ -131,7 +131,7 @@
 	defer e.mu.Unlock()
 	used := false
 	if entry.Weight > 0 && scale > 0 {
-		_, known := e.pace.shared.ToPass(&e.pace.kind, now)
+		_, known := e.pace.shared.ToPass(&e.pace.lasting, now)
 		used = entry.Weight > known
 		e.pace.shared.Merge(entry.Speed*scale, entry.Weight, now)
 	}
@@ -151,13 +151,13 @@
 // lastingSpeed returns how much longer than usual the upstream takes over a longer time: a
 // property of its machine. The caller holds mu.
 func (e *Engine) lastingSpeed(now time.Time) float64 {
-	return e.pace.shared.Lasting(&e.pace.kind, now)
+	return e.pace.shared.Lasting(&e.pace.lasting, now)
 }
 
 const (
 	// meanLoadSpan is the time over which the load of an upstream is smoothed, and loadSpan the
-	// time constant with which its expected load returns to the smoothed one. With 0.5 s and 1 s
-	// instead of 3 s more answers ended late in the simulation of 25 VMs; without it, too.
+	// time constant with which its expected load returns to the smoothed one. With 0.5 s or 1 s,
+	// and without the return, more answers ended late in the simulation of 25 VMs.
 	meanLoadSpan = 4 * time.Second
 	loadSpan     = 3 * time.Second
 )
@@ -176,9 +176,9 @@
 }
 
 // othersRequests returns the number of requests that other senders are expected to have on the
-// upstream; 0 if the latest report is older than ttl. Where VMs share reports, the number returns
-// from that of the report to the mean as the report ages: others know the same report and have
-// sent, or not sent, their requests by it.
+// upstream; 0 if the latest report is older than ttl. Where VMs share reports, ttl has no effect:
+// the number returns from that of the report to the mean as the report ages, because other VMs know
+// the same report and choose by it, and is 0 if the report is older than loadMemory.
 func (e *Engine) othersRequests(now time.Time, ttl time.Duration) int {
 	age := now.Sub(e.reportedAt)
 	if !e.directory.opts.ShareReports {
--- a/internal/engines/slow_start.go
+++ b/internal/engines/slow_start.go
@@ -20,7 +20,7 @@
 	peers map[string]*slowstart.Peers
 }
 
-// newSlowStarts registers the gauge of slow starts; it returns nil if slow starts are off.
+// newSlowStarts returns nil if slow starts are off.
 func newSlowStarts(d *Directory) *slowStarts {
 	if !d.opts.SlowStart {
 		return nil
@@ -90,9 +90,9 @@
 	return time.Duration(e.window.Excess(e.inFlight) * float64(e.directory.opts.Placement.DefaultServiceTime))
 }
 
-// observeStart records when the first part of an answer came, for the upstream's slow start or
+// observeSlowStart records when the first part of an answer came, for the upstream's slow start or
 // as one of the peers.
-func (a *Attempt) observeStart() {
+func (a *Attempt) observeSlowStart() {
 	e := a.engine
 	d := e.directory
 	now := d.clock.Now()
--- a/pace/division.go
+++ b/pace/division.go
@@ -10,19 +10,19 @@
 )
 
 const (
-	// kindMinWeight is the weight, in gaps, from which the speed of an upstream counts as
+	// minKnownWeight is the weight, in gaps, from which the speed of an upstream counts as
 	// known.
-	kindMinWeight = 8
-	// enterKnown and stayKnown are the shares of upstreams whose speed must be known in order
-	// to divide them by speed, and to go on so.
+	minKnownWeight = 8
+	// enterKnown and stayKnown are the shares of upstreams, 0 to 1, whose speed must be known to
+	// begin, and to go on, dividing them by speed.
 	enterKnown, stayKnown = 0.75, 0.5
-	// enterRatio and stayRatio are the ratios between the typical speeds of both parts in
-	// order to divide the upstreams by speed, and to go on so.
+	// enterRatio and stayRatio are the least ratios between the median factors of both parts to
+	// begin, and to go on, dividing the upstreams by speed.
 	enterRatio, stayRatio = 1.4, 1.15
 	// maxShareFactor is the largest part of slow upstreams as a multiple of the wanted share.
 	maxShareFactor = 2
-	// incumbentBonus is by how much slower than a member another upstream must be to take its
-	// place, so that the parts don't change with each sample.
+	// incumbentBonus is the ratio by which another upstream must be slower than a member to take
+	// its place, so that the parts don't change with each sample.
 	incumbentBonus = 1.25
 )
 
@@ -51,7 +51,7 @@
 	active := len(d.Slow) > 0
 	known := 0
 	for i := range speeds {
-		if speeds[i].Weight >= kindMinWeight {
+		if speeds[i].Weight >= minKnownWeight {
 			known++
 		} else {
 			speeds[i].Factor = 1
@@ -70,7 +70,7 @@
 		return cmp.Or(-cmp.Compare(d.rank(a), d.rank(b)), cmp.Compare(a.Upstream, b.Upstream))
 	})
 	n = d.widestStep(speeds, max(n/2, 1), min(maxShareFactor*n, len(speeds)-1))
-	if n == 0 || typical(speeds[:n]) < needRatio*typical(speeds[n:]) {
+	if n == 0 || medianFactor(speeds[:n]) < needRatio*medianFactor(speeds[n:]) {
 		d.Slow = nil
 		return
 	}
@@ -86,8 +86,8 @@
 // extra returns how many of the upstreams after the first n are needed for the share of the speed
 // of all.
 func extra(speeds []Speed, n int, share float64) int {
-	slowSpeed := float64(n) / typical(speeds[:n])
-	fastSpeed := 1 / typical(speeds[n:])
+	slowSpeed := float64(n) / medianFactor(speeds[:n])
+	fastSpeed := 1 / medianFactor(speeds[n:])
 	missing := share*(slowSpeed+fastSpeed*float64(len(speeds)-n)) - slowSpeed
 	return max(int(math.Round(missing/fastSpeed)), 0)
 }
@@ -113,8 +113,8 @@
 	return s.Factor
 }
 
-// typical returns the median factor; 1 for none.
-func typical(speeds []Speed) float64 {
+// medianFactor returns the median factor; 1 for none.
+func medianFactor(speeds []Speed) float64 {
 	if len(speeds) == 0 {
 		return 1
 	}
--- a/pace/factor.go
+++ b/pace/factor.go
@@ -9,7 +9,7 @@
 	// FactorHalfLife is the time in which the weight of samples of a Factor halves. Three half
 	// lives let a factor of 4 return to under 1.5.
 	FactorHalfLife = 4 * time.Second
-	// factorPrior is the weight of the factor 1, in gaps.
+	// factorPrior is the weight of Factor.Prior, in gaps.
 	factorPrior = 3
 	// factorMaxWeight bounds the weight of all samples together, so that an upstream which
 	// has just become slow is recognized within about as many gaps.
@@ -106,5 +106,5 @@
 	return g.value()
 }
 
-// Mean returns the mean of the samples without the tendency to 1, and their weight in gaps.
+// Mean returns the mean of the samples alone, without the prior, and their weight in gaps.
 func (f *Factor) Mean(now time.Time) (mean, weight float64) { return f.mean, f.weightAt(now) }
--- a/pace/length.go
+++ b/pace/length.go
@@ -15,8 +15,8 @@
 	// lengthMinSamples is the number of answers of a route from which their lengths count as
 	// known.
 	lengthMinSamples = 5
-	// maxHintMargin bounds by how much most answers are expected to exceed their median, and
-	// unknownMargin is assumed while that is not known.
+	// maxHintMargin bounds the ratio of Length.Likely to Length.Median of an answer with a hint,
+	// and unknownMargin is assumed while that ratio is not known.
 	maxHintMargin = 3.0
 	unknownMargin = 1.5
 	// errorWeight is the weight of the newest answer in the mean errors.
@@ -28,7 +28,7 @@
 	exceededShare = 0.15
 )
 
-// quantile tracks a quantile of positive samples in the logarithm.
+// quantile tracks a quantile of positive samples on a logarithmic scale.
 type quantile struct {
 	share   float64
 	log     float64
--- a/pace/shared.go
+++ b/pace/shared.go
@@ -36,7 +36,7 @@
 
 // Merge adds what another VM knows: a speed and its weight in gaps. The weight becomes at most
 // what remains of the other VM's, so that VMs that return the same evidence to each other don't
-// add to it.
+// increase its weight.
 func (s *Shared) Merge(speed, weight float64, now time.Time) {
 	if !(speed >= minFactor && speed <= maxFactor) || !(weight > 0) {
 		return
