Separate the admission permit from places at upstreams in names

In internal/relay place meant both the permit among the requests in flight for a service and a place at a fragile upstream. Comments of limit, admission, slowstart and coldstart state units and what a ratio refers to.

--- a/coldstart/state.go
+++ b/coldstart/state.go
@@ -3,8 +3,8 @@
 //
 // An upstream reports for how long it is cold, in its entry and in its answers. It may also be
 // suspected of it, after signs that it ended or that it could not be seen. A suspicion lasts
-// until the upstream has been reached for the length of a cold start since. It answers a load
-// of many VMs that send to an upstream which has just come back, before any report of it.
+// until the upstream has been reached for the length of a cold start since. Suspicions are for
+// loads of many VMs that send to an upstream which has just come back, before any report of it.
 //
 // The package has no clock. Times may carry monotonic readings; those of one State must come
 // from the same clock.
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -21,11 +21,11 @@
 )
 
 const (
-	// congestedPart is the part of the running requests from which as many waiting ones mean
-	// congestion: a new request then waits for a quarter of the time that one runs.
+	// congestedPart is the ratio of waiting to running requests at an upstream above which it is
+	// congested: a new request then waits for a quarter of the time that one runs.
 	congestedPart = 0.25
-	// lateFactor is by how much later than expected an answer begins that means congestion, if
-	// it begins after the route's latency target too.
+	// lateFactor is the ratio of the time to the begin of an answer to the expected one above which
+	// its upstream is congested, if the answer begins after the route's latency target too.
 	lateFactor = 2
 	// startupSpan is the time after the start of the process in which a service begins with a
 	// limit, as nothing is known of its load and every caller may return at once.
@@ -36,12 +36,13 @@
 	logInterval = 5 * time.Second
 )
 
-// headroom is the part of the limit by which requests of a rank may exceed it. Where a VM has
-// few places, a request of the first rank need not wait for the end of a less urgent one.
+// headroom is the part of the limit by which requests of ranks 0 and 1 may exceed it. Where a VM
+// has few places, a request of the first rank need not wait for the end of a less urgent one.
 var headroom = []float64{0.5, 0.2}
 
-// latePriority is by how much requests that can't be in time come after the others, whatever
-// their rank: their value is a fraction of that of any request in time.
+// latePriority is subtracted from the priority of requests that can't be in time, so that they
+// come after the others, whatever their rank: their value is a fraction of that of any request in
+// time.
 const latePriority = 1000
 
 // Options configures Services.
@@ -73,6 +74,7 @@
 }
 
 const (
+	// maxRanks is the number of ranks whose delays are kept apart.
 	maxRanks = 4
 	// delayWeight is the weight of the newest answer in the smoothed delay, and delayMargin the
 	// multiple of the delay that a request in the queue leaves for the upstream: without it, the
@@ -81,6 +83,7 @@
 	delayMargin = 1.5
 )
 
+// delay returns the smoothed delay of a rank.
 func (s *service) delay(rank int) *atomic.Int64 { return &s.delays[min(max(rank, 0), maxRanks-1)] }
 
 // startMargin returns how long before a request has to be sent it should leave the queue: for the
@@ -113,7 +116,7 @@
 	Tokens, Bytes int
 }
 
-// limitWork returns the work as the gate of the service orders it.
+// limitWork converts the work to that of the service's gate.
 func (s *service) limitWork(w Work, now time.Time) limit.Work {
 	lw := limit.Work{Account: w.Account, Priority: -w.Rank, Deadline: w.Start, Cost: float64(w.Tokens), Bytes: w.Bytes}
 	if left := w.Start.Sub(now); left > 0 {
@@ -129,7 +132,7 @@
 }
 
 // Permit is the right of one request to use upstreams of a service. Release must be called
-// exactly once unless the permit is the zero value.
+// exactly once unless the permit is the zero value, on which only Held may be called.
 type Permit struct {
 	limit.WindowPermit
 	service *service
@@ -222,7 +225,8 @@
 
 // ReportFirst reports the time from the start of an attempt to the beginning of its answer. The
 // prompt was expected to take work, after a wait for earlier requests. target is the latency
-// target of the route, zero for none. hasLoad tells whether the upstream reported its load.
+// target of the route, zero for none. hasLoad tells whether the upstream reported its load. One of
+// two reports at the same time may be lost from the smoothed delay.
 func (p Permit) ReportFirst(took, wait, work, target time.Duration, hasLoad bool) {
 	delay := p.service.delay(p.rank)
 	old := delay.Load()
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -20,38 +20,41 @@
 
 const (
 	// While a service has a limit, a request is tried at one further upstream after a rejection,
-	// and then waits for a place again, once.
-	rejectionsPerPlace = 2
-	maxPlaces          = 2
+	// and then waits for a permit again, once.
+	rejectionsPerPermit = 2
+	maxPermits          = 2
 )
 
-// place is the permit of an exchange to use the upstreams of its service.
-type place struct {
+// admissionState is the permit of an exchange to use the upstreams of its service, and how its
+// attempts with it went.
+type admissionState struct {
 	permit admission.Permit
 	// acquired counts how often the exchange got a permit, and rejections the upstreams that
 	// turned it away since it got the last one.
 	acquired, rejections int
 }
 
-// acquirePlace waits for a place unless the exchange has one, and returns why it gets none.
-func (x *exchange) acquirePlace(ctx context.Context) *refusal.Refusal {
-	if x.server.Admission == nil || x.place.permit.Held() {
+// acquirePermit waits for a permit unless the exchange has one, and returns the refusal if it gets
+// none.
+func (x *exchange) acquirePermit(ctx context.Context) *refusal.Refusal {
+	if x.server.Admission == nil || x.admission.permit.Held() {
 		return nil
 	}
 	permit, err := x.server.Admission.Acquire(ctx, x.service, x.admissionWork())
 	if err != nil {
 		return refusal.FromError(err)
 	}
-	x.place.permit, x.place.rejections = permit, 0
-	x.place.acquired++
+	x.admission.permit, x.admission.rejections = permit, 0
+	x.admission.acquired++
 	return nil
 }
 
-// releasePlace gives the place back, if the exchange has one.
-func (x *exchange) releasePlace(served bool) {
-	if x.place.permit.Held() {
-		x.place.permit.Release(served)
-		x.place.permit = admission.Permit{}
+// releasePermit gives the permit back, if the exchange has one. served reports whether an upstream
+// served the request.
+func (x *exchange) releasePermit(served bool) {
+	if x.admission.permit.Held() {
+		x.admission.permit.Release(served)
+		x.admission.permit = admission.Permit{}
 	}
 }
 
@@ -73,17 +76,17 @@
 const expectedRequestBytes = 16 << 10
 
 // refuseRejected handles an attempt that an upstream turned away while the service has a limit. It
-// gives the place back after a second upstream did so, and returns a refusal once the request
-// has had its last place.
+// gives the permit back after a second upstream did so, and returns a refusal once the request
+// has had its last permit.
 func (x *exchange) refuseRejected(err error) *refusal.Refusal {
-	if !x.place.permit.Held() || !errorx.IsOfType(err, errNotRun) || x.headerSent || !x.place.permit.Limited() {
+	if !x.admission.permit.Held() || !errorx.IsOfType(err, errNotRun) || x.headerSent || !x.admission.permit.Limited() {
 		return nil
 	}
-	if x.place.rejections < rejectionsPerPlace {
+	if x.admission.rejections < rejectionsPerPermit {
 		return nil
 	}
-	x.releasePlace(false)
-	if x.place.acquired < maxPlaces {
+	x.releasePermit(false)
+	if x.admission.acquired < maxPermits {
 		return nil
 	}
 	return refusal.Wrap(refusal.Overloaded, err).WithRetryAfter(x.server.Admission.RetryAfter(x.service, x.admissionWork()))
@@ -92,14 +95,14 @@
 // reportHead tells the gate of the service what the header of a response says of the
 // upstream's load.
 func (a *attempt) reportHead(status int, head Head) {
-	permit := a.exchange.place.permit
+	permit := a.exchange.admission.permit
 	if !permit.Held() || head.Leaving {
 		return
 	}
 	a.loadReported = head.HasLoad
 	switch {
 	case isRejection(status, head):
-		a.exchange.place.rejections++
+		a.exchange.admission.rejections++
 		permit.ReportRejected(head.Load, head.HasLoad)
 	case head.HasLoad && !head.NotRun:
 		permit.ReportLoad(head.Load)
@@ -109,7 +112,7 @@
 // reportFirst tells the gate of the service how long the answer took to begin.
 func (a *attempt) reportFirst() {
 	x := a.exchange
-	if x.place.permit.Held() {
-		x.place.permit.ReportFirst(a.firstAfter, a.expectedWait, a.expectedWork+firstEventBase, x.route.TargetLatency, a.loadReported)
+	if x.admission.permit.Held() {
+		x.admission.permit.ReportFirst(a.firstAfter, a.expectedWait, a.expectedWork+firstEventBase, x.route.TargetLatency, a.loadReported)
 	}
 }
--- a/internal/relay/answer_end.go
+++ b/internal/relay/answer_end.go
@@ -66,9 +66,9 @@
 	return shape
 }
 
-// expectedEnd returns when the answer of a model is expected to end on the upstream that would
+// expectedEndFraction returns when the answer of a model is expected to end on the upstream that would
 // be chosen for it, as a fraction of the time left; zero if it is unknown.
-func (x *exchange) expectedEnd(modelIndex int) float64 {
+func (x *exchange) expectedEndFraction(modelIndex int) float64 {
 	choice := x.chooseFor(modelIndex)
 	left := x.timeLeft()
 	if choice.Engine == nil || left <= 0 {
@@ -77,7 +77,7 @@
 	return float64(choice.AnswerEnd) / float64(left)
 }
 
-// chooseFor returns the upstream that would be chosen for a model.
+// chooseFor returns the choice of an upstream for a model, without an attempt.
 func (x *exchange) chooseFor(modelIndex int) engines.Choice {
 	current := x.modelIndex
 	x.modelIndex = modelIndex
@@ -85,17 +85,17 @@
 	return x.server.Placement.Choose(x.requirements())
 }
 
-// answerEnds returns the expected ends of the answers of the strongest model and of the next
-// one. They are zero if the ends of answers are left out of account.
+// answerEnds returns the expected ends of the answers of the strongest model and of the model with
+// index next, as fractions of the time left. They are zero if the ends of answers are left out of account.
 func (x *exchange) answerEnds(next int) cascade.Ends {
 	strongest := len(x.route.Models) - 1
 	if !x.server.opts.AnswerEnd || strongest < 1 || x.lengthLeft().Likely == 0 {
 		return cascade.Ends{}
 	}
-	ends := cascade.Ends{Strongest: x.expectedEnd(strongest)}
+	ends := cascade.Ends{Strongest: x.expectedEndFraction(strongest)}
 	ends.Next = ends.Strongest
 	if next < strongest {
-		ends.Next = x.expectedEnd(next)
+		ends.Next = x.expectedEndFraction(next)
 	}
 	return ends
 }
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -13,6 +13,7 @@
 
 // recordContact records what the end of an attempt says about the way to its upstream.
 func (x *exchange) recordContact(ctx context.Context, a *attempt, err error, took time.Duration) {
+	// After the contact has been recorded, as it may show that this VM is cut off.
 	defer x.recordEnd(ctx, a, err, took)
 	switch {
 	case errorx.IsOfType(err, upconn.ErrRefused):
@@ -31,7 +32,7 @@
 	}
 }
 
-// recordEnd records that the upstream may have ended, by the end of an attempt. A VM that has
+// recordEnd records that the upstream may have ended if the end of an attempt suggests it. A VM that has
 // lost its way to the upstreams says nothing of them.
 func (x *exchange) recordEnd(ctx context.Context, a *attempt, err error, took time.Duration) {
 	if ctx.Err() != nil || !failsContact(err) || x.server.Reach.Status(x.service).CutOff {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -98,10 +98,11 @@
 	// whether one of them waited for it in vain.
 	notConnected    int
 	connectTimedOut bool
-	// placeWait is how long the request has waited for a place at an upstream.
+	// placeWait is how long the request has waited for a place at a fragile upstream, or a grant
+	// for a cold one.
 	placeWait time.Duration
-	// place is the place of the request among those in flight for its service.
-	place place
+	// admission is the permit of the request among those in flight for its service.
+	admission admissionState
 	// peersAsked reports whether other VMs were asked to relay the request.
 	peersAsked bool
 }
--- a/internal/relay/output.go
+++ b/internal/relay/output.go
@@ -19,7 +19,7 @@
 	})
 }
 
-// slownessOf returns the name of the reason why a slow caller was ended.
+// slownessOf returns the label, in metrics and refusals, of why a slow caller was ended.
 func slownessOf(err error) string {
 	for name, t := range map[string]*errorx.Type{
 		"write_timeout": egress.ErrWriteTimeout, "upstream_held_up": egress.ErrHeldUp,
@@ -41,8 +41,9 @@
 // Flush implements egress.Destination.
 func (d destination) Flush() error { return d.ResponseController.Flush() }
 
-// begin returns the Writer of the answer. The header must have been sent.
-func (x *exchange) begin() *egress.Writer {
+// beginOutput returns the Writer of the answer, and creates it the first time. The header must have
+// been sent.
+func (x *exchange) beginOutput() *egress.Writer {
 	if x.output == nil {
 		x.output = x.server.egress.Begin(x.account, destination{x.w, x.control}, x.cancel)
 	}
@@ -50,14 +51,14 @@
 }
 
 // sendPart sends a part of an answer that still goes on. Errors: a CallerGone refusal.
-func (x *exchange) sendPart(b []byte) error { return callerGone(x.begin().Send(b)) }
+func (x *exchange) sendPart(b []byte) error { return callerGone(x.beginOutput().Send(b)) }
 
 // sendWhole sends the body of a complete answer. Errors: a CallerGone refusal.
 func (x *exchange) sendWhole(b []byte) error {
 	if len(b) == 0 {
 		return nil
 	}
-	w := x.begin()
+	w := x.beginOutput()
 	if err := w.SendWhole(b); err != nil {
 		return callerGone(err)
 	}
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -25,16 +25,17 @@
 func (x *exchange) regions() domain.RegionSet {
 	h := &x.homeRegions
 	if h.table == nil {
-		h.look(x.table, x)
+		h.update(x.table, x)
 	}
 	if table := x.server.Tables.Table(); table != nil && table != h.table {
-		h.look(table, x)
+		h.update(table, x)
 	}
 	return h.ofRoute.Intersect(h.ofAccount)
 }
 
-// look looks up the regions in a configuration.
-func (h *homeRegions) look(table *routing.Table, x *exchange) {
+// update looks up the regions in a configuration. A route or account that it lacks keeps its
+// last known ones.
+func (h *homeRegions) update(table *routing.Table, x *exchange) {
 	h.table = table
 	if r := table.Counterpart(x.route); r != nil {
 		h.ofRoute = r.AllowedRegions
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -41,7 +41,7 @@
 	s.Retry.Begin(&x.retryState, s.Clock.Now())
 	x.chooseFirstModel()
 	served := false
-	defer func() { x.releasePlace(served) }()
+	defer func() { x.releasePermit(served) }()
 	for {
 		if ended, err := x.ended(ctx); ended {
 			return err
@@ -49,16 +49,8 @@
 		if refused := x.refuseQuarantined(); refused != nil {
 			return x.fail(refused)
 		}
-		if x.shouldAskPeers() {
-			if settled, err := x.askPeersOrRefuse(ctx); settled {
-				return err
-			}
-		}
-		if refused := x.acquirePlace(ctx); refused != nil {
-			if ended, err := x.ended(ctx); ended {
-				return err
-			}
-			return x.fail(refused)
+		if settled, err := x.prepareAttempt(ctx); settled {
+			return err
 		}
 		choice := s.Placement.Choose(x.requirements())
 		if choice.Engine == nil && x.notConnected > 0 && x.mayAskPeers() {
@@ -98,10 +90,28 @@
 	}
 }
 
+// prepareAttempt asks other VMs to relay the request if this VM should not send it, and otherwise
+// waits for a permit. If it returns true, the error is the result of the exchange.
+func (x *exchange) prepareAttempt(ctx context.Context) (bool, error) {
+	if x.shouldAskPeers() {
+		if settled, err := x.askPeersOrRefuse(ctx); settled {
+			return true, err
+		}
+	}
+	refused := x.acquirePermit(ctx)
+	if refused == nil {
+		return false, nil
+	}
+	if ended, err := x.ended(ctx); ended {
+		return true, err
+	}
+	return true, x.fail(refused)
+}
+
 // askPeersOrRefuse asks other VMs to relay the request, and refuses it if none does and this VM
 // reaches no upstream. If it returns true, the error is the result of the exchange.
 func (x *exchange) askPeersOrRefuse(ctx context.Context) (bool, error) {
-	x.releasePlace(false)
+	x.releasePermit(false)
 	if settled, err := x.askPeers(ctx); settled {
 		return true, err
 	}
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -19,12 +19,13 @@
 	// waits.
 	Cost  float64
 	Bytes int
-	// Headroom is the part of a WindowGate's limit by which the request may exceed it; the same
-	// for all work of a priority. A few urgent requests then need not wait for the end of a less
-	// urgent one where there are few places.
+	// Headroom is the part of a WindowGate's limit by which the request may exceed it. The caller
+	// sets the same for all work of a priority. A few urgent requests then need not wait for the
+	// end of a less urgent one where there are few places.
 	Headroom float64
 	// underShare is set by WindowAdmission for accounts that used no more than an even part
-	// lately. If they have no waiters, they are served before accounts that have.
+	// lately. If such an account has no waiters, its work is served before that of accounts that
+	// have.
 	underShare bool
 }
 
--- a/limit/usage.go
+++ b/limit/usage.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// usageMemory is the time constant with which what accounts used is forgotten.
+	// usageMemory is the time constant of the exponential decay of what accounts used.
 	usageMemory = 5 * time.Second
-	// usageEpoch is the time after which weights are scaled down again, and minUsage the part of
-	// all use below which an account is forgotten then.
+	// usageEpoch is the time after which the growing weights of newer use are scaled down to 1
+	// again, and minUsage the part of all use below which an account is then removed.
 	usageEpoch = 20 * usageMemory
 	minUsage   = 1e-4
 )
@@ -19,6 +19,8 @@
 // accountUsage follows how much each account used lately, in tokens. It is not safe for
 // concurrent use.
 type accountUsage struct {
+	// since is when the weight of new use was 1, and total the sum of byAccount, in weighted
+	// tokens.
 	since     time.Time
 	total     float64
 	byAccount map[account.ID]float64
--- a/limit/window.go
+++ b/limit/window.go
@@ -27,8 +27,8 @@
 	// CongestedDecrease the part that congestion takes if every attempt meets it.
 	RejectedDecrease, CongestedDecrease float64
 	// Increase is what a step adds to the limit if no attempt meets congestion, as a part of
-	// Share, and MinIncrease the least in requests. Where it was a part of the limit itself,
-	// VMs with a low limit kept it.
+	// Share, and MinIncrease the least in requests. With an increase in proportion to the limit
+	// itself, VMs with a low limit would keep it.
 	Increase, MinIncrease float64
 	// Share returns an even part of the requests that the upstreams run at once, for each VM;
 	// zero if unknown. It is called when a limit begins, and nil means unknown.
@@ -36,8 +36,7 @@
 	// Step is the mean time between two changes of the limit. It is drawn between half of it
 	// and half as much again, so that VMs that see the same reports don't act together.
 	Step time.Duration
-	// IdleAfter is the time without a request that had to wait after which there is no limit
-	// any more.
+	// IdleAfter is the time without a request that had to wait after which the limit ends.
 	IdleAfter time.Duration
 }
 
@@ -69,7 +68,7 @@
 	// maxElapsedSteps is the largest number of steps that growth makes up for at a VM that gets
 	// few answers.
 	maxElapsedSteps = 4
-	// maxHeadroom is the largest headroom of a request.
+	// maxHeadroom is the largest headroom of a request, as a part of the limit.
 	maxHeadroom = 0.5
 	// ditherInterval is the time for which a fraction of a place is rounded up or down.
 	ditherInterval = 250 * time.Millisecond
@@ -78,8 +77,8 @@
 // Window is a limit on the requests in flight that exists only while there are signs of
 // overload: it begins with a part of what is in flight, and changes in steps that weigh an
 // increase by the share of attempts that met no congestion against a decrease by the share of
-// those that did. It grows faster the longer there is no sign of overload. It may be a fraction: then the last place is open for
-// that part of the time. It is not safe for concurrent use.
+// those that did. It grows faster the longer there is no sign of overload. It may be a fraction:
+// then the last place is open for that part of the time. It is not safe for concurrent use.
 //
 // It answers a surge that fills the queues of all upstreams, seen by 1 to 300 VMs of which
 // each has few requests in flight.
@@ -96,13 +95,16 @@
 	congestion float64
 	// acceptedRun is the number of attempts since the latest sign of overload.
 	acceptedRun int
-	peak        float64
-	peakAt      time.Time
-	// steppedAt is when the limit last changed, nextStep when it may change again, calmSince when the latest sign of
-	// overload came, and boundAt when a request last found no place.
-	steppedAt, nextStep, calmSince, boundAt time.Time
-	dither                                  float64
-	ditherUntil                             time.Time
+	// peak is the highest number in flight lately, which fades by peakDecay, and peakAt when it
+	// was last reduced.
+	peak   float64
+	peakAt time.Time
+	// steppedAt is when the limit last changed, nextStep when it may change again, lastSignAt when
+	// the latest sign of overload came, and boundAt when a request last found no place.
+	steppedAt, nextStep, lastSignAt, boundAt time.Time
+	// dither is added to the limit before it is rounded down, 0 to 1, until ditherUntil.
+	dither      float64
+	ditherUntil time.Time
 }
 
 // NewWindow returns a Window without a limit. draw returns random numbers in [0, 1).
@@ -123,7 +125,7 @@
 
 // Begin sets a limit that grows fast, for a time at which nothing is known of the load.
 func (w *Window) Begin(limit float64, now time.Time) {
-	w.active, w.boundAt, w.calmSince, w.acceptedRun = true, now, now.Add(-growthAfter), growthRun+growthDoubling*growthLevels
+	w.active, w.boundAt, w.lastSignAt, w.acceptedRun = true, now, now.Add(-growthAfter), growthRun+growthDoubling*growthLevels
 	w.limit = w.bounded(limit)
 	w.setIncrease()
 }
@@ -169,7 +171,7 @@
 	return int(math.Floor(max(w.limit*(1+headroom), 1) + w.dither))
 }
 
-// recordPeak records a number in flight.
+// recordPeak updates the highest number in flight lately.
 func (w *Window) recordPeak(inFlight float64, now time.Time) {
 	if elapsed := now.Sub(w.peakAt); elapsed > 0 {
 		w.peak *= math.Exp(-float64(elapsed) / float64(peakDecay))
@@ -181,13 +183,13 @@
 // Observe adjusts the limit by a signal that came while inFlight requests were in flight.
 func (w *Window) Observe(s Signal, inFlight int, now time.Time) {
 	w.recordPeak(float64(inFlight), now)
-	met := 0.0
+	overloaded := 0.0
 	w.acceptedRun++
 	if s != Accepted {
-		met = 1
-		w.acceptedRun, w.calmSince = 0, now
+		overloaded = 1
+		w.acceptedRun, w.lastSignAt = 0, now
 	}
-	w.congestion += congestionWeight * (met - w.congestion)
+	w.congestion += congestionWeight * (overloaded - w.congestion)
 	switch {
 	case w.active:
 		w.step(s, inFlight, now)
@@ -236,7 +238,7 @@
 
 func (w *Window) growth(now time.Time) float64 {
 	step := w.increase
-	if now.Sub(w.calmSince) >= growthAfter && w.acceptedRun > growthRun {
+	if now.Sub(w.lastSignAt) >= growthAfter && w.acceptedRun > growthRun {
 		doublings := min((w.acceptedRun-growthRun)/growthDoubling, growthLevels)
 		step = max(step, min(math.Ldexp(step, doublings), maxGrowth*w.limit))
 	}
--- a/limit/window_admission.go
+++ b/limit/window_admission.go
@@ -29,17 +29,17 @@
 	}
 }
 
-// overShareReserve is the part of the limit that accounts leave to others that used more than an
-// even part lately.
+// overShareReserve is the part of the limit that accounts which used more than an even part lately
+// leave to the others.
 const overShareReserve = 0.2
 
-// waitMargin is by how much the expected wait may exceed the time left before work is refused at
-// once. Estimates of few places vary much: with a margin of 1, places went to work that was late
+// waitMargin is the ratio of the expected wait to the time left from which work is refused at
+// once. Estimates of few places vary much: with a ratio of 1, places went to work that was late
 // already.
 const waitMargin = 2
 
-// overShareFactor is by how much later than others an account is told to come back that has
-// more than its even part of the queue.
+// overShareFactor multiplies the retry delay of an account that has more than its even part of
+// the queue.
 const overShareFactor = 2
 
 // WindowAdmission decides which requests for one service may start on this VM: all of them
--- a/limit/window_gate.go
+++ b/limit/window_gate.go
@@ -69,6 +69,7 @@
 	}
 }
 
+// result converts the result of a waiter.
 func (g *WindowGate) result(err error) (WindowPermit, error) {
 	if err != nil {
 		return WindowPermit{}, err
@@ -76,6 +77,8 @@
 	return WindowPermit{gate: g, acquiredAt: g.clock.Now()}, nil
 }
 
+// offer starts or queues the work, and starts what else may start. The waiter is nil if the work
+// has started.
 func (g *WindowGate) offer(w Work, now time.Time) (*Waiter, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -151,7 +154,8 @@
 	return p.gate.limited
 }
 
-// Observe reports what an attempt of the request tells of its upstream.
+// Observe reports what an attempt of the request tells of its upstream. The permit must be held,
+// as for Limited and Release.
 func (p WindowPermit) Observe(s Signal) {
 	g := p.gate
 	g.mu.Lock()
--- a/slowstart/window.go
+++ b/slowstart/window.go
@@ -1,7 +1,7 @@
 // Package slowstart finds how many requests one VM may have in flight at an upstream that has
 // just started or recovered, from how the upstream answers.
 //
-// It answers loads under which such an upstream is flooded because it looks idle, or left idle
+// It is for loads under which such an upstream is flooded because it looks idle, or left idle
 // because it failed before: a release that replaces upstreams one after the other, a scale-out
 // into a burst, upstreams that crash and return, or that go down and up by turns. Answers are
 // compared with those of the other upstreams of the service at the same time, so that a load
@@ -16,12 +16,13 @@
 )
 
 const (
-	// Tolerance is the ratio to the peers' answers from which an answer is slow. Prompts and
-	// models differ; answers of one upstream vary by less than this around what is expected.
+	// Tolerance is the ratio of an answer's relative time to the peers' above which it is slow.
+	// Prompts and models differ; answers of one upstream vary by less than this around what is
+	// expected.
 	Tolerance = 1.5
-	// minSlow is the least difference from the peers' answers, relative to the expected time,
-	// from which an answer is slow.
-	minSlow = 0.25
+	// minExcess is the least difference from the peers' answers, as a multiple of the expected
+	// time, above which an answer is slow.
+	minExcess = 0.25
 	// shrinkFactor is applied to the window after a slow or rejected answer.
 	shrinkFactor = 0.5
 	// AlikeToEnd is the number of answers in a row as fast as those of the peers that the end
@@ -42,6 +43,8 @@
 // Peers is the moving average of how fast the upstreams of a service answer that are not new.
 // The zero value knows nothing. It is not safe for concurrent use.
 type Peers struct {
+	// relative is the average time to the first part of an answer, as a multiple of the expected
+	// one, and at the time of the newest answer in it.
 	relative float64
 	at       time.Time
 }
@@ -60,14 +63,15 @@
 // IsSlow reports whether an answer that took the given multiple of the expected time is slower
 // than those of the peers now. Without answers of peers none is.
 func (p *Peers) IsSlow(relative float64, now time.Time) bool {
-	return p.known(now) && relative > max(p.relative*Tolerance, p.relative+minSlow)
+	return p.known(now) && relative > max(p.relative*Tolerance, p.relative+minExcess)
 }
 
 // Window is the allowed concurrency of one upstream at one VM. The zero value is not limited.
 // It is not safe for concurrent use.
 type Window struct {
 	active bool
-	size   float64
+	// size is the allowed number of requests in flight; Allowed rounds it down.
+	size float64
 	// alike counts the latest answers in a row that were not slow.
 	alike int
 	// shrunkAt is when the window last became smaller.
