Say deferral for crash reports that wait, and correct docs of evidence

internal/quarantines called the deferral of a crash report doubt, dismiss and hasten; a reader took them for kinds of evidence. False ends are now removed in forget, with the other records that are over. Sizes in loadshare have comments.

--- a/internal/egress/tracker.go
+++ b/internal/egress/tracker.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// slowAfter is the time without progress from which a caller counts as slow. Callers that take
-// what they are sent are not ended for the bytes held.
+// slowAfter is the time without progress from which a caller counts as slow. Callers that make
+// progress are not ended for the bytes held.
 const slowAfter = 250 * time.Millisecond
 
 // Tracker bounds the bytes that are held for all callers of a VM. It is safe for concurrent
@@ -63,7 +63,9 @@
 	// onEnd is called with the error of each Writer that ends for its caller's slowness.
 	onEnd func(error)
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// held is the number of bytes that wait for all callers, and byOwner that for the callers of
+	// each client account.
 	held    int
 	byOwner map[account.ID]int
 	writers map[*Writer]struct{}
--- a/internal/egress/writer.go
+++ b/internal/egress/writer.go
@@ -90,6 +90,7 @@
 // the package.
 func (w *Writer) SendWhole(b []byte) error { return w.queue(b) }
 
+// queue adds b to what waits for the caller. Errors: those of the package.
 func (w *Writer) queue(b []byte) error {
 	w.mu.Lock()
 	if w.err != nil {
@@ -204,7 +205,8 @@
 	if len(parts) == 0 {
 		return nil, !w.closing
 	}
-	// Destinations of tests have no deadlines.
+	// The deadline of a connection is by the system's clock, not the Tracker's. An error is ignored,
+	// as destinations of tests have no deadlines.
 	_ = w.to.SetWriteDeadline(time.Now().Add(w.tracker.opts.WriteTimeout))
 	return parts, true
 }
--- a/internal/hints/budget.go
+++ b/internal/hints/budget.go
@@ -23,7 +23,7 @@
 	// decided without it. Entries, which change slowly, are kept for entriesMaxAge.
 	evidenceMaxAge = 2 * time.Second
 	entriesMaxAge  = 10 * time.Second
-	// dropEpisodeEnd is the time without a drop after which the next one is logged again.
+	// dropEpisodeEnd is the time without a dropped datagram after which the next one is logged again.
 	dropEpisodeEnd = 30 * time.Second
 )
 
--- a/internal/hints/evidence.go
+++ b/internal/hints/evidence.go
@@ -84,7 +84,7 @@
 // throughOne returns a delivery to the VM of a region that passes the message on there. If
 // none supports this, one VM of an older build is asked to pass on what older builds do.
 func throughOne(vms []members.Member, m quarantines.Message) []EvidenceDelivery {
-	if to, ok := chosen(vms, m); ok {
+	if to, ok := selectForwarder(vms, m); ok {
 		m.Spread.Region = true
 		return []EvidenceDelivery{{To: to, Message: m}}
 	}
@@ -110,7 +110,7 @@
 	}
 	var deliveries []EvidenceDelivery
 	for group, there := range byGroup {
-		to, ok := chosen(there, m)
+		to, ok := selectForwarder(there, m)
 		if !ok {
 			deliveries = directly(deliveries, there, m)
 			continue
@@ -122,13 +122,14 @@
 	return deliveries
 }
 
-// chosen returns the VM that passes a message on, and false if none supports this.
-func chosen(vms []members.Member, m quarantines.Message) (members.Member, bool) {
+// selectForwarder returns the VM that passes a message on, and false if none supports this.
+func selectForwarder(vms []members.Member, m quarantines.Message) (members.Member, bool) {
 	return highestFor(m, vms, func(other members.Member) bool { return other.PassesEvidence })
 }
 
 // highestFor returns the VM that ranks highest for the topic and turn of a message, of those
-// that match, and false if none does.
+// that match, and false if none does. Ranks differ by topic and turn, so that the work of passing on is
+// spread.
 func highestFor(m quarantines.Message, vms []members.Member, match func(members.Member) bool) (best members.Member, found bool) {
 	topic := string(m.Upstream()) + "/" + strconv.FormatInt(m.Turn, 36) + "/"
 	var highest uint64
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -1,9 +1,10 @@
-// Package hints notifies other VMs of expensive requests that this VM has just
-// sent to an upstream, so that they prefer other upstreams. Upstreams report their
-// load with their answers, and send no report while they prefill a long prompt.
+// Package hints notifies other VMs of what this VM has just learnt of upstreams; Hint lists it. One
+// kind are expensive requests that this VM has sent to an upstream, so that other VMs prefer
+// other upstreams: upstreams report their load with their answers, and send no report while they
+// prefill a long prompt.
 //
-// Hints are sent as UDP datagrams without acknowledgment. A lost hint can only lead
-// to a worse routing decision.
+// Hints are sent as UDP datagrams without acknowledgment, so no decision may depend on the
+// arrival of one. Evidence on requests that crash upstreams has a byte budget of its own.
 package hints
 
 import (
@@ -77,10 +78,11 @@
 	// evidence holds hints with evidence, apart from the others, which it must not displace.
 	evidence *ring.Ring[Hint]
 	router   EvidenceRouter
-	budget   *evidenceQueue
-	onHint   func(Hint)
-	log      *slog.Logger
-	outcomes *prometheus.CounterVec
+	// pacedEvidence holds the datagrams with evidence until the byte budget allows to send them.
+	pacedEvidence *evidenceQueue
+	onHint        func(Hint)
+	log           *slog.Logger
+	outcomes      *prometheus.CounterVec
 }
 
 // NewCounter registers and returns the counter of hints by outcome: sent,
@@ -110,7 +112,7 @@
 	}
 	return &Exchange{
 		conn: conn, vms: vms, regionOf: regionOf, queue: ring.New[Hint](maxQueuedHints), onHint: onHint, log: log, outcomes: outcomes,
-		evidence: ring.New[Hint](maxQueuedHints), router: EvidenceRouter{Region: region, RegionOf: regionOf}, budget: newEvidenceQueue(),
+		evidence: ring.New[Hint](maxQueuedHints), router: EvidenceRouter{Region: region, RegionOf: regionOf}, pacedEvidence: newEvidenceQueue(),
 	}, nil
 }
 
@@ -133,8 +135,8 @@
 
 // Send sends queued hints until ctx is done.
 func (x *Exchange) Send(ctx context.Context) {
-	budget := time.NewTimer(0)
-	defer budget.Stop()
+	nextEvidence := time.NewTimer(0)
+	defer nextEvidence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -144,10 +146,10 @@
 			continue
 		case h := <-x.evidence.Items():
 			x.queueEvidence(h)
-		case <-budget.C:
+		case <-nextEvidence.C:
 		}
 		if wait := x.sendEvidence(); wait > 0 {
-			budget.Reset(wait)
+			nextEvidence.Reset(wait)
 		}
 	}
 }
@@ -188,7 +190,7 @@
 			x.log.Error("cannot encode hint; it is not sent", "error", err)
 			return
 		}
-		x.budget.add(d.Message.Priority(), payload, d.To.Hints, now)
+		x.pacedEvidence.add(d.Message.Priority(), payload, d.To.Hints, now)
 	}
 }
 
@@ -197,8 +199,8 @@
 func (x *Exchange) sendEvidence() time.Duration {
 	for {
 		now := time.Now()
-		d, wait, ok := x.budget.next(now)
-		if dropped, first := x.budget.takeDropped(now); dropped > 0 {
+		d, wait, ok := x.pacedEvidence.next(now)
+		if dropped, first := x.pacedEvidence.takeDropped(now); dropped > 0 {
 			x.outcomes.WithLabelValues("evidence_dropped").Add(float64(dropped))
 			if first {
 				x.log.Warn("evidence on crashes exceeds its byte budget; a part of it is dropped", "bytes_per_second", evidenceBytesPerSecond)
--- a/internal/loadshare/message.go
+++ b/internal/loadshare/message.go
@@ -18,7 +18,7 @@
 // ErrMalformed is returned for a message that can't be decoded.
 var ErrMalformed = namespace.NewType("malformed")
 
-// MaxReportAge is the age from which a load report is not passed on.
+// MaxReportAge is the greatest age of a load report that is passed on.
 const MaxReportAge = 2 * time.Second
 
 // Entry is what a VM knows of one upstream.
@@ -63,12 +63,14 @@
 const (
 	// encodingVersion is the first byte of a message.
 	encodingVersion = 1
-	headerBytes     = 2
-	usualBytes      = 8
-	// keyBytes is the length of an upstream's key: with 1,000 upstreams two of them have the
+	// headerBytes and usualBytes are the lengths of the header and of a usual gap.
+	headerBytes = 2
+	usualBytes  = 8
+	// keyBytes is the length of an upstream's key, and maxKey the largest one: with 1,000 upstreams two of them have the
 	// same key with a probability of less than one in a million.
 	keyBytes, maxKey = 5, 1<<40 - 1
-	entryBytes       = keyBytes + 6
+	// entryBytes is the length of an entry: its key, 2 bytes of running requests and 4 of one byte.
+	entryBytes = keyBytes + 6
 	// maxUsuals bounds the usual gaps in a message.
 	maxUsuals = 8
 	// MaxMessageBytes bounds an encoded message, so that a datagram with it in base64 and the
@@ -105,13 +107,13 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(min(max(u.Gap, minGap), maxGap)/time.Microsecond))
 	}
 	for i := range entries {
-		b = entries[i].append(b)
+		b = entries[i].appendTo(b)
 	}
 	return b
 }
 
-// append appends the encoded entry.
-func (e *Entry) append(b []byte) []byte {
+// appendTo appends the encoded entry to b.
+func (e *Entry) appendTo(b []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(e.Key>>8))
 	b = append(b, byte(e.Key))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(max(e.Running, 0), maxRunning)))
@@ -135,7 +137,7 @@
 func Decode(b []byte) (Message, error) {
 	var m Message
 	if len(b) < headerBytes || len(b) > MaxMessageBytes || b[0] != encodingVersion {
-		return m, ErrMalformed.New("message of %d bytes, not of version %d", len(b), encodingVersion)
+		return m, ErrMalformed.New("message of %d bytes is empty, too long or not of version %d", len(b), encodingVersion)
 	}
 	usuals := int(b[1])
 	b = b[headerBytes:]
--- a/internal/loadshare/sender.go
+++ b/internal/loadshare/sender.go
@@ -18,11 +18,13 @@
 	// report seems newer by the latency of the link each time it is passed on; without this
 	// margin VMs would return the same report to each other until it is too old.
 	NewerBy = 50 * time.Millisecond
-	// newWeight is the increase of the weight of a speed, in gaps, that is worth a message.
-	newWeight = 8
+	// minWeightGain is the least increase of the weight of a speed, in gaps, that is worth a
+	// message.
+	minWeightGain = 8
 )
 
-// sent is what was last sent about an upstream.
+// sent is what was last sent about an upstream: the time of its report, the weight of its speed in
+// gaps, and when they were sent.
 type sent struct {
 	reportedAt time.Time
 	weight     float64
@@ -67,7 +69,7 @@
 		if e.HasReport {
 			gain = min(now.Add(-e.Age).Sub(last.reportedAt), MaxReportAge)
 		}
-		isNew := gain > NewerBy || e.Weight >= last.weight+newWeight
+		isNew := gain > NewerBy || e.Weight >= last.weight+minWeightGain
 		anyNew = anyNew || isNew
 		entries = append(entries, ranked{Entry: e, isNew: isNew, gain: gain, sentAt: last.at})
 	}
--- a/internal/quarantines/evidence.go
+++ b/internal/quarantines/evidence.go
@@ -105,7 +105,7 @@
 	}
 	g.metrics.lost.Inc()
 	suspects := g.takeSuspects(a.of, a)
-	if g.doubt(a.of, now, suspects) {
+	if g.deferCrash(a.of, now, suspects) {
 		return
 	}
 	g.reportCrash(a.of, now, suspects)
@@ -135,7 +135,7 @@
 	if !known {
 		return
 	}
-	g.dismiss(of, now)
+	g.dropDeferred(of, now)
 	if g.blame.RecordAlive(of, now) {
 		g.noteFalseEnd(of, now)
 		g.reports.addAlive(Alive{Incarnation: of, At: now})
--- a/internal/quarantines/exchange.go
+++ b/internal/quarantines/exchange.go
@@ -30,7 +30,7 @@
 		}
 		g.suspect(c)
 		g.markUnweighed()
-		g.hasten(c)
+		g.shortenDeferral(c)
 		if own := g.takeSuspects(c.Incarnation, nil); len(own) > 0 {
 			g.reportCrash(c.Incarnation, c.At, own)
 		}
@@ -42,7 +42,7 @@
 		g.markUnweighed()
 	}
 	for _, a := range m.Alive {
-		g.dismiss(a.Incarnation, a.At)
+		g.dropDeferred(a.Incarnation, a.At)
 		if g.blame.ReportAlive(a.Incarnation, a.At) {
 			g.noteFalseEnd(a.Incarnation, a.At)
 		}
@@ -105,9 +105,9 @@
 	defer g.mu.Unlock()
 	g.decide(now)
 	g.forget(now)
-	g.reportDoubtful(now)
+	g.reportDeferred(now)
 	g.reports.dropRepeats(func(c quarantine.Crash) bool { return !g.blame.Knows(c.Incarnation) })
-	more := g.unweighed || len(g.held) > 0 || len(g.doubtful) > 0
+	more := g.unweighed || len(g.held) > 0 || len(g.deferred) > 0
 	for o, send := range map[*outbox]func(Message){g.reports: g.opts.Report, g.relayed: g.opts.Broadcast, g.relayedToAll: g.opts.Report} {
 		for _, m := range o.flush(g.clock.Now()) {
 			m.Turn += 2 * int64(now/turnTime)
@@ -119,13 +119,14 @@
 	return more
 }
 
-// turnTime is the time for which the same VMs pass on the messages on an upstream.
+// turnTime is the time for which messages about an upstream are passed on by the same VMs.
 const turnTime = 10 * time.Second
 
-// forget removes the holds and suspicions that are over.
+// forget removes the holds, suspicions, false ends and records of passing on that are over.
 func (g *Guard) forget(now time.Duration) {
 	maps.DeleteFunc(g.suspected, func(_ quarantine.Key, s suspicion) bool { return s.crashAt+suspicionTime <= now })
 	maps.DeleteFunc(g.held, func(_ quarantine.Key, until time.Duration) bool { return until <= now })
+	maps.DeleteFunc(g.falseEnds, func(_ quarantine.Incarnation, e falseEnd) bool { return e.at+falseEndMemory <= now })
 	g.forgetPassed(now)
 	g.updateIdle()
 }
--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -56,9 +56,9 @@
 	// relayedToAll what it passes on to all VMs for VMs of older builds.
 	reports, relayed, relayedToAll *outbox
 	passed                         passed
-	// doubtful holds lost attempts at upstreams whose end was reported wrongly before, and
-	// falseEnds those upstreams.
-	doubtful  map[quarantine.Incarnation]doubtfulCrash
+	// deferred holds crashes that are not reported yet, of upstreams that were wrongly reported to
+	// have ended before, and falseEnds holds those upstreams.
+	deferred  map[quarantine.Incarnation]deferredCrash
 	falseEnds map[quarantine.Incarnation]falseEnd
 	list      quarantine.List
 	// held maps the keys that are held back to the time until which they are.
@@ -77,7 +77,7 @@
 		opts: opts, clock: opts.Clock, metrics: newMetrics(opts.Registry),
 		blame: quarantine.NewBlame(opts.Blame), attempts: make(map[quarantine.Incarnation]map[*Attempt]struct{}),
 		reports: newOutbox(), relayed: newOutbox(), relayedToAll: newOutbox(), passed: newPassed(),
-		doubtful: make(map[quarantine.Incarnation]doubtfulCrash), falseEnds: make(map[quarantine.Incarnation]falseEnd), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
+		deferred: make(map[quarantine.Incarnation]deferredCrash), falseEnds: make(map[quarantine.Incarnation]falseEnd), list: make(quarantine.List), held: make(map[quarantine.Key]time.Duration),
 		suspected: make(map[quarantine.Key]suspicion),
 		row:       newRowState(), wake: make(chan struct{}, 1),
 	}
--- a/internal/quarantines/outbox.go
+++ b/internal/quarantines/outbox.go
@@ -21,8 +21,8 @@
 	// repeatAfter is the time after which a report is sent a second time, as messages may
 	// be lost.
 	repeatAfter = 250 * time.Millisecond
-	// repeatTurn is Message.Turn of a message that is sent a second time, which other VMs are
-	// to pass on than the first.
+	// repeatTurn is Message.Turn of a message that is sent a second time, so that it is passed on
+	// by other VMs than the first time.
 	repeatTurn = 1
 )
 
--- a/internal/quarantines/passed.go
+++ b/internal/quarantines/passed.go
@@ -7,14 +7,14 @@
 	"github.com/poplarshore/poplarshore/quarantine"
 )
 
-// passedMemory is how long what this VM passed on is remembered.
+// passedMemory is how long this VM remembers what it passed on.
 const passedMemory = 2 * time.Second
 
-// passed holds what this VM has lately passed on to others, so that it passes on once what
-// many VMs tell. Times are on the shared clock.
+// passed holds what this VM has lately passed on to others, so that it passes on only once what
+// many VMs report. Times are on the shared clock.
 type passed struct {
-	// sound maps a key to the time of its answer, alive an upstream to when it was seen alive,
-	// and crashes to when it was last said to have ended.
+	// sound maps a key to the time of its sound answer, alive an upstream to when it was seen
+	// alive, and crashes an upstream to its last reported end.
 	sound          map[quarantine.Key]time.Duration
 	alive, crashes map[quarantine.Incarnation]time.Duration
 	// suspects maps a suspect to when it was passed on.
@@ -45,18 +45,18 @@
 	}
 	for _, c := range m.Crashes {
 		g.passed.crashes[c.Incarnation] = max(g.passed.crashes[c.Incarnation], c.At)
-		if rest, news := g.passed.news(c, now); news {
+		if rest, anyNew := g.passed.takeNew(c, now); anyNew {
 			to.addCrash(rest)
 		}
 	}
 	for _, s := range m.Sound {
-		if g.isSoundNews(s) {
+		if g.isNewSound(s) {
 			g.passed.sound[s.Key] = s.At
 			to.addSound(s.Key, s.At, m.Upstream())
 		}
 	}
 	for _, a := range m.Alive {
-		if g.isAliveNews(a) {
+		if g.isNewAlive(a) {
 			g.passed.alive[a.Incarnation] = a.At
 			to.addAlive(a)
 		}
@@ -64,15 +64,16 @@
 	g.markUnweighed()
 }
 
-// news returns a crash with the suspects that were not passed on before, and whether there is
-// anything to pass on. A crash without suspects makes other VMs tell theirs.
-func (p passed) news(c quarantine.Crash, now time.Duration) (quarantine.Crash, bool) {
+// takeNew returns a crash with the suspects that were not passed on within passedMemory, which it
+// records as passed on, and whether there is anything to pass on. A crash without suspects is
+// passed on as well, because it makes other VMs report theirs.
+func (p passed) takeNew(c quarantine.Crash, now time.Duration) (quarantine.Crash, bool) {
 	suspects := c.Suspects
 	c.Suspects = nil
 	if len(suspects) == 0 {
 		suspects = []quarantine.Suspect{{}}
 	}
-	news := false
+	anyNew := false
 	for _, s := range suspects {
 		id := passedSuspect{of: c.Incarnation, begun: s.Begun}
 		if len(s.Keys) > 0 {
@@ -82,17 +83,17 @@
 			continue
 		}
 		p.suspects[id], p.suspects[passedSuspect{of: c.Incarnation}] = now, now
-		news = true
+		anyNew = true
 		if len(s.Keys) > 0 {
 			c.Suspects = append(c.Suspects, s)
 		}
 	}
-	return c, news
+	return c, anyNew
 }
 
-// isSoundNews reports whether a sound answer clears its key of a crash of which the last one
-// that was passed on does not.
-func (g *Guard) isSoundNews(s Sound) bool {
+// isNewSound reports whether a sound answer clears its key of a crash that the last answer passed
+// on for the key does not clear it of.
+func (g *Guard) isNewSound(s Sound) bool {
 	last, told := g.passed.sound[s.Key]
 	if !told {
 		return true
@@ -104,19 +105,18 @@
 	return last < clearsFrom
 }
 
-// isAliveNews reports whether something that came from an upstream shows that it went on after
-// its last reported end, which what was passed on does not.
-func (g *Guard) isAliveNews(a Alive) bool {
+// isNewAlive reports whether a report that an upstream is alive is worth passing on: none was, or
+// the last one does not show that the upstream went on after its last reported end.
+func (g *Guard) isNewAlive(a Alive) bool {
 	last, told := g.passed.alive[a.Incarnation]
 	return !told || last < g.passed.crashes[a.Incarnation]+g.opts.Blame.SettleTime
 }
 
-// forgetPassed forgets what was passed on long ago. The caller holds mu.
+// forgetPassed removes what was passed on more than passedMemory ago. The caller holds mu.
 func (g *Guard) forgetPassed(now time.Duration) {
 	isOver := func(at time.Duration) bool { return at+passedMemory <= now }
 	maps.DeleteFunc(g.passed.sound, func(_ quarantine.Key, at time.Duration) bool { return isOver(at + passedMemory) })
 	maps.DeleteFunc(g.passed.alive, func(_ quarantine.Incarnation, at time.Duration) bool { return isOver(at) })
 	maps.DeleteFunc(g.passed.crashes, func(_ quarantine.Incarnation, at time.Duration) bool { return isOver(at) })
 	maps.DeleteFunc(g.passed.suspects, func(_ passedSuspect, at time.Duration) bool { return isOver(at) })
-	maps.DeleteFunc(g.falseEnds, func(_ quarantine.Incarnation, e falseEnd) bool { return e.at+falseEndMemory <= now })
 }
--- a/route/spread.go
+++ b/route/spread.go
@@ -30,7 +30,7 @@
 	switch {
 	case r.Home != "" && c.Upstream.ID == r.Home:
 		return 0
-	case c.PricePerMB > 0:
+	case c.PricePerMB > 0: // Only links to other regions have a price.
 		return s.Within.Seconds()
 	}
 	draw := mix(mix(r.Draw^spreadSalt) ^ HashID(c.Upstream.ID))
