Split the constructor of the gateway daemon

The options of the feed and of the directory of upstreams are in newPeerFeed and newDirectory. The debug line on a malformed message says that it holds another VM's shared reports.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -133,15 +133,43 @@
 	})
 	d.vms = members.NewList(s.VM.ID, vmTable, d.log)
 	d.collector = members.NewCollector(vmTable, d.store, clock, d.log)
+	d.peerFeed = d.newPeerFeed()
+	poolOptions := upconn.DefaultOptions()
+	poolOptions.Dial = o.upstreamDial
+	d.pool = upconn.NewPool(poolOptions)
+	d.directory = d.newDirectory()
+	d.peerPool = upconn.NewPool(d.peerPoolOptions())
+	d.reach = d.newReach()
+	d.shifts = shifts.New(shifts.Options{
+		VM: s.VM.ID, Table: vmTable, VMCount: func() int { return len(d.vms.Others()) + 1 },
+		Plan:        shift.PlanWithin(shift.Exposure{Share: s.Exposure, Slack: s.ExposureSlack}),
+		SharedClock: d.store, Writer: d.store,
+		Announce: wire.EncodeRolloutStatus, Clock: clock, Log: d.log,
+	})
+	d.quarantines = d.newQuarantines()
+	d.hintCounts = hints.NewCounter(d.registry)
+	d.shareCounts = newShareCounter(d.registry)
+	d.registry.MustRegister(&stateCollector{daemon: d})
+	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
+	d.relay = d.newRelay()
+	return d
+}
+
+// newPeerFeed returns the reader of the store's tables, directly or through other VMs.
+func (d *Daemon) newPeerFeed() *peerfeed.Feed {
+	s := d.settings
 	feedOptions := peerfeed.OptionsWithin(s.Changes.Bound())
 	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, d.regionOf
 	feedOptions.StoreClock = d.store
 	feedOptions.Seeds, feedOptions.Self = s.Seeds, s.Peers.Address
-	d.peerFeed = peerfeed.New(feedOptions, d.store, d.vms, clock, d.log, d.registry)
-	poolOptions := upconn.DefaultOptions()
-	poolOptions.Dial = o.upstreamDial
-	d.pool = upconn.NewPool(poolOptions)
-	d.directory = engines.New(engines.Options{
+	return peerfeed.New(feedOptions, d.store, d.vms, d.clock, d.log, d.registry)
+}
+
+// newDirectory returns the directory of upstreams, which announces to other VMs what it learns of
+// them.
+func (d *Daemon) newDirectory() *engines.Directory {
+	s := d.settings
+	return engines.New(engines.Options{
 		Region: s.VM.Region, Domain: s.VM.Domain,
 		RegionOf:            d.regionOf,
 		ReregistrationGrace: reregistrationGrace,
@@ -164,22 +192,7 @@
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Full: true, Region: d.regionOf(u.Domain)})
 		},
 		Registry: d.registry,
-	}, clock, d.log)
-	d.peerPool = upconn.NewPool(d.peerPoolOptions())
-	d.reach = d.newReach()
-	d.shifts = shifts.New(shifts.Options{
-		VM: s.VM.ID, Table: vmTable, VMCount: func() int { return len(d.vms.Others()) + 1 },
-		Plan:        shift.PlanWithin(shift.Exposure{Share: s.Exposure, Slack: s.ExposureSlack}),
-		SharedClock: d.store, Writer: d.store,
-		Announce: wire.EncodeRolloutStatus, Clock: clock, Log: d.log,
-	})
-	d.quarantines = d.newQuarantines()
-	d.hintCounts = hints.NewCounter(d.registry)
-	d.shareCounts = newShareCounter(d.registry)
-	d.registry.MustRegister(&stateCollector{daemon: d})
-	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
-	d.relay = d.newRelay()
-	return d
+	}, d.clock, d.log)
 }
 
 // regionOf returns the region of a failure domain.
--- a/internal/gatewayd/share.go
+++ b/internal/gatewayd/share.go
@@ -63,7 +63,8 @@
 	d.shareCounts.WithLabelValues("sent").Add(float64(len(to)))
 }
 
-// receiveReports uses a message of another VM. It is ignored unless the settings call for it.
+// receiveReports merges the shared reports of another VM, encoded by package loadshare. They are
+// ignored unless the settings call for them.
 func (d *Daemon) receiveReports(encoded []byte) {
 	if !sharesReports(d.settings) {
 		return
@@ -71,7 +72,7 @@
 	message, err := loadshare.Decode(encoded)
 	if err != nil {
 		d.shareCounts.WithLabelValues("malformed").Inc()
-		d.log.Debug("ignoring malformed message on upstreams", "error", err)
+		d.log.Debug("ignoring malformed shared reports of another VM", "error", err)
 		return
 	}
 	d.shareCounts.WithLabelValues("received").Inc()
