--- a/experiment/cold/cold.go
+++ b/experiment/cold/cold.go
@@ -55,11 +55,13 @@
 	tick = 10 * time.Millisecond
 	// runTime is the length of a run. Only its second half counts.
 	runTime = 20 * time.Second
-	// waitTime is how long a request waits.
+	// waitTime is how long a request waits for an upstream before it is refused.
 	waitTime = 250 * time.Millisecond
-	// rate is the requests per second of an upstream, and bound what it may get in any second.
+	// rate is the requests per second granted for an upstream, and bound the number that it may get
+	// in any second.
 	rate, bound = 15.0, 27
-	span        = 500 * time.Millisecond
+	// span is the time for which a grant can be used.
+	span = 500 * time.Millisecond
 )
 
 // Row holds the results of a way in one scenario, over several seeds.
--- a/experiment/slowstart/slowstart.go
+++ b/experiment/slowstart/slowstart.go
@@ -49,14 +49,16 @@
 	runTime, startTime = 14 * time.Second, 4 * time.Second
 	// service is the usual time of a request, and first that of the first part of an answer.
 	service, first = time.Second, 60 * time.Millisecond
-	// places is what an upstream runs at once, and queue what it queues.
+	// places is the number of requests that an upstream runs at once, and queue the number that it
+	// queues.
 	places, queue = 32, 8
-	// warmTime is how long an upstream is slow after its start, and warmFactor by how much at first.
+	// warmTime is how long an upstream is slow after its start, and warmFactor the multiple of the
+	// usual time that its work takes at first.
 	warmTime, warmFactor = 3 * time.Second, 4.0
 	// newTime is how long after its start an upstream counts as new in the results, and lateFactor
 	// the multiple of the usual first part from which an answer is late.
 	newTime, lateFactor = 5 * time.Second, 5.0
-	// delay is the way to an upstream.
+	// delay is the one-way latency to an upstream.
 	delay = 10 * time.Millisecond
 )
 
--- a/soak/regions.go
+++ b/soak/regions.go
@@ -19,9 +19,9 @@
 	since, until time.Time
 }
 
-// evacuationRest is how long an evacuation lasts beyond the bound, so that requests which it
-// excludes are sent.
-const evacuationRest = 2 * time.Second
+// evacuationTail is how long an evacuation lasts beyond the bound, so that requests are sent while
+// it must hold.
+const evacuationTail = 2 * time.Second
 
 // evacuate evacuates a failure domain until some time after the bound. There is one evacuation at a
 // time, so that upstreams are left.
@@ -33,7 +33,7 @@
 	e := evacuation{domain: domains[rng.IntN(len(domains))]}
 	f.bed.store.Put("op", "evacuate/"+string(e.domain), struct{}{})
 	e.since = time.Now()
-	sleep(ctx, f.bounds.Evacuate+f.bounds.HostAllowance+evacuationRest)
+	sleep(ctx, f.bounds.Evacuate+f.bounds.HostAllowance+evacuationTail)
 	e.until = time.Now()
 	f.bed.store.Remove("op", "evacuate/"+string(e.domain))
 	f.report.addEvacuation(e)
