--- a/cascade/confidence_test.go
+++ b/cascade/confidence_test.go
@@ -107,7 +107,7 @@
 }
 
 // TestConfidenceTriesOnlyModelsThatEndInTime guards against weak answers that are dropped for one
-// that is cut at the deadline: more than half of the failures of the measured day.
+// that is cut at the deadline.
 func TestConfidenceTriesOnlyModelsThatEndInTime(t *testing.T) {
 	g := NewWithT(t)
 	for _, c := range []struct {
--- a/internal/relay/answer_end_test.go
+++ b/internal/relay/answer_end_test.go
@@ -108,7 +108,7 @@
 	return x, placement, clock
 }
 
-// TestWeakAnswerIsKeptIfStrongerOnesEndLate replays the requests of the measured day whose weak
+// TestWeakAnswerIsKeptIfStrongerOnesEndLate replays requests whose weak
 // answers were dropped for ones that were cut at the deadline.
 func TestWeakAnswerIsKeptIfStrongerOnesEndLate(t *testing.T) {
 	g := NewWithT(t)
--- a/limit/surge_model_test.go
+++ b/limit/surge_model_test.go
@@ -21,7 +21,7 @@
 	maxTries      = 5
 )
 
-// requestKind is a kind of request of the load at Tsagaan. Service is how long an engine is
+// requestKind is a kind of request of the simulated load. Service is how long an engine is
 // occupied, prefill the part of it before the first event.
 type requestKind struct {
 	rank             int
