Log kept entries and the age of the list of upstreams

Two hypotheses of the incident DRAIN, a VM that doesn't learn that an upstream leaves and one that learns of it and keeps it, can't be told apart for a single request: no line said that a missing entry is kept, nor how old the list was. Each attempt now says both, and a metric gives the age of each table.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -287,6 +287,7 @@
 	if *old.entry() != e {
 		old.learnCold(e, false, false)
 	}
+	old.missing.Store(false)
 	old.set(e)
 }
 
@@ -299,12 +300,21 @@
 		return
 	}
 	if d.inOutageGrace() && !e.Leaving() {
-		d.lapsed[id] = true
+		d.keepLapsed(e)
 		return
 	}
 	d.evict(id, "entry removed")
 }
 
+// keepLapsed keeps an upstream whose entry may have expired during an outage.
+func (d *Directory) keepLapsed(e *Engine) {
+	d.lapsed[e.ID()] = true
+	if e.missing.CompareAndSwap(false, true) {
+		d.log.Info("upstream entry is missing, kept until the end of the outage's grace period", "upstream", e.ID(),
+			"service", e.entry().Service, "store_down", d.storeDown)
+	}
+}
+
 // evict removes an upstream and reports its address to Options.OnRemove.
 func (d *Directory) evict(id upstream.ID, reason string) {
 	e := d.byID[id]
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -29,6 +29,8 @@
 	// leaving is set once the entry or the upstream itself reports that the upstream is
 	// leaving, and is never cleared: an upstream that returns is a new incarnation.
 	leaving atomic.Bool
+	// missing is set while the entry is kept although it is missing in the store.
+	missing atomic.Bool
 
 	mu sync.Mutex
 	// inFlight is the number of this VM's requests on the upstream.
@@ -120,6 +122,10 @@
 // Leaving reports whether the upstream is draining and gets no new requests.
 func (e *Engine) Leaving() bool { return e.leaving.Load() }
 
+// Missing reports whether the upstream's entry is kept although it is missing in the store,
+// because it may have expired during an outage.
+func (e *Engine) Missing() bool { return e.missing.Load() }
+
 // AddRemoteWork adds prefill work that another VM sent to the upstream.
 func (e *Engine) AddRemoteWork(work time.Duration) {
 	now := e.directory.clock.Now()
--- a/internal/gatewayd/collector.go
+++ b/internal/gatewayd/collector.go
@@ -13,6 +13,8 @@
 		"1 while the balancer is told to send callers here.", nil, nil)
 	evacuatedDesc = prometheus.NewDesc("poplarshore_gateway_upstreams_evacuated",
 		"Upstreams in evacuated failure domains by service.", []string{"service"}, nil)
+	tableAgeDesc = prometheus.NewDesc("poplarshore_gateway_table_age_seconds",
+		"Time since a table of the store was last read, directly or through another VM.", []string{"table"}, nil)
 	dialsDesc = prometheus.NewDesc("poplarshore_gateway_upstream_dials_total",
 		"Connections opened to upstreams.", nil, nil)
 )
@@ -28,6 +30,7 @@
 	ch <- evacuatedDesc
 	ch <- configDesc
 	ch <- readyDesc
+	ch <- tableAgeDesc
 	ch <- dialsDesc
 }
 
@@ -40,6 +43,11 @@
 	for service, n := range d.directory.EvacuatedCounts() {
 		ch <- prometheus.MustNewConstMetric(evacuatedDesc, prometheus.GaugeValue, float64(n), service)
 	}
+	for _, table := range d.tables {
+		if age, read := table.Age(); read {
+			ch <- prometheus.MustNewConstMetric(tableAgeDesc, prometheus.GaugeValue, age.Seconds(), table.Table())
+		}
+	}
 	version := 0.0
 	if table := d.operatorSink.Table(); table != nil {
 		version = float64(table.Version())
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -82,7 +82,9 @@
 	shareCounts  *prometheus.CounterVec
 	retryBudgets *retry.WindowBudgets
 	relay        *relay.Server
-	phase        atomic.Int32
+	// tables are the watches of the store's tables.
+	tables []*watch.Watch
+	phase  atomic.Int32
 
 	runner        *duty.Runner
 	logRunner     *duty.Runner
@@ -151,6 +153,7 @@
 	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
+	d.tables = d.newTables()
 	d.relay = d.newRelay()
 	return d
 }
@@ -263,10 +266,9 @@
 		return err
 	}
 	d.runner = duty.NewRunner(ctx, d.log)
-	d.watchTable(wire.OperatorTable, d.operatorSink, 0)
-	upstreamBatchDelay := time.Duration(float64(d.settings.Changes.Bound()) * upstreamBatchFraction)
-	d.watchTable(wire.UpstreamTable, &upstreamSink{log: d.log, directory: d.directory}, upstreamBatchDelay)
-	d.watchTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms, quarantines: d.quarantines}, vmBatchDelay)
+	for _, table := range d.tables {
+		d.runner.Start("watch "+table.Table(), table.Run)
+	}
 	d.runner.Start("announce", d.announceVM)
 	d.runner.Start("collect VMs", d.collector.Run)
 	d.runner.Start("hints out", d.hints.Send)
@@ -289,13 +291,32 @@
 	return nil
 }
 
-// watchTable starts to watch a table of the store. batchDelay is the pause after
-// changes.
-func (d *Daemon) watchTable(table string, sink watch.Sink, batchDelay time.Duration) {
+// newTables returns the watches of the store's tables.
+func (d *Daemon) newTables() []*watch.Watch {
+	upstreamBatchDelay := time.Duration(float64(d.settings.Changes.Bound()) * upstreamBatchFraction)
+	return []*watch.Watch{
+		d.newTable(wire.OperatorTable, d.operatorSink, 0),
+		d.newTable(wire.UpstreamTable, &upstreamSink{log: d.log, directory: d.directory}, upstreamBatchDelay),
+		d.newTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms, quarantines: d.quarantines}, vmBatchDelay),
+	}
+}
+
+// newTable returns the watch of a table of the store. batchDelay is the pause after changes.
+func (d *Daemon) newTable(table string, sink watch.Sink, batchDelay time.Duration) *watch.Watch {
 	options := watch.DefaultOptions()
 	options.BatchDelay = batchDelay
-	w := watch.New(d.peerFeed, table, sink, d.clock, d.log, options)
-	d.runner.Start("watch "+table, w.Run)
+	return watch.New(d.peerFeed, table, sink, d.clock, d.log, options)
+}
+
+// tableAge returns the time since a table was last read; 0 before the first time.
+func (d *Daemon) tableAge(table string) time.Duration {
+	for _, t := range d.tables {
+		if t.Table() == table {
+			age, _ := t.Age()
+			return age
+		}
+	}
+	return 0
 }
 
 // announceVM publishes this VM's addresses for hints and for its peer feed to the
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -57,6 +57,7 @@
 		AnnounceSilence: func(u upstream.Upstream) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Silent: true, Region: d.regionOf(u.Domain)})
 		},
+		UpstreamsAge:     func() time.Duration { return d.tableAge(wire.UpstreamTable) },
 		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -56,6 +56,10 @@
 	// paused reports whether the upstream turned the request away and asked for a pause.
 	// Such an attempt is evidence neither about the upstream nor about its version.
 	paused bool
+	// missing reports whether the upstream's entry was missing when the attempt began, and
+	// listAge is how old the list of upstreams was.
+	missing bool
+	listAge time.Duration
 	// loadReported reports whether the response's header has a load report.
 	loadReported bool
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -133,6 +133,10 @@
 	// End is the time from the start of the attempt to the end of the answer that was expected
 	// when it began, in ms; 0 if unknown.
 	End int64 `json:"end,omitempty"`
+	// Missing reports whether the upstream's entry was missing in the store when the attempt
+	// began, and ListAge how old the list of upstreams was, in ms, if that is unusual.
+	Missing bool  `json:"missing,omitempty"`
+	ListAge int64 `json:"list_age,omitempty"`
 	// Slow reports whether the attempt was counted as slow for its version while it ran.
 	Slow bool `json:"slow,omitempty"`
 	// Confidence is the model's confidence in its response, 0 to 100; nil if it
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -112,6 +112,10 @@
 	return "answered"
 }
 
+// unusualListAge is the age of the list of upstreams from which it is logged with an attempt. VMs
+// read changes within less than that.
+const unusualListAge = 3 * time.Second
+
 // logAttempt counts the attempt by outcome and appends it to the log of the
 // exchange.
 func (x *exchange) logAttempt(a *attempt, err error, took time.Duration) {
@@ -123,7 +127,10 @@
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
 		First: a.firstAfter.Milliseconds(), Head: a.headAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
 		Gap: a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
-		End: a.expectedEnd.Milliseconds(),
+		End: a.expectedEnd.Milliseconds(), Missing: a.missing,
+	}
+	if a.listAge > unusualListAge {
+		record.ListAge = a.listAge.Milliseconds()
 	}
 	if a.confidence >= 0 {
 		record.Confidence = &a.confidence
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -285,6 +285,7 @@
 	startedAt := x.server.Clock.Now()
 	a := &attempt{exchange: x, engine: e, startedAt: startedAt, expectedWait: e.ExpectedWait(), confidence: -1}
 	a.model, a.expectedWork, a.expectedEnd = x.model(), x.expectedWork(), x.answerEnd
+	a.missing, a.listAge = e.Missing(), x.server.UpstreamsAge()
 	if a.tracked = e.Begin(a.expectedWork); a.tracked == nil {
 		return errOverLimit.New("upstream %s takes no more requests from this VM now", e.ID())
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -93,6 +93,8 @@
 	// AnnounceSilence informs other VMs that a request to an upstream timed out while
 	// nothing came from it.
 	AnnounceSilence func(u upstream.Upstream)
+	// UpstreamsAge returns the time since the list of upstreams was last read.
+	UpstreamsAge func() time.Duration
 	// AdmissionRefusal returns the reason why new requests are refused, or nil.
 	AdmissionRefusal func() *refusal.Refusal
 	// Aborting reports whether running requests are being aborted.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -132,6 +133,8 @@
 	listed           bool
 	backoff          time.Duration
 	unavailableSince time.Time
+	// lastReadAt is when the last read succeeded; nil before the first.
+	lastReadAt atomic.Pointer[time.Time]
 }
 
 // New returns a watch of a table of the source. Run starts it.
@@ -139,6 +142,19 @@
 	return &Watch{source: source, table: table, sink: sink, clock: clock, log: log, opts: opts}
 }
 
+// Table returns the name of the table.
+func (w *Watch) Table() string { return w.table }
+
+// Age returns the time since the last successful read, and false before the first one. It is safe
+// for concurrent use.
+func (w *Watch) Age() (time.Duration, bool) {
+	at := w.lastReadAt.Load()
+	if at == nil {
+		return 0, false
+	}
+	return w.clock.Since(*at), true
+}
+
 // Run follows the table until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -239,6 +255,8 @@
 // of the end of an outage.
 func (w *Watch) markAvailable() {
 	w.backoff = 0
+	now := w.clock.Now()
+	w.lastReadAt.Store(&now)
 	if w.unavailableSince.IsZero() {
 		return
 	}
