--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -126,6 +126,8 @@
 	clock   *clockwork.FakeClock
 	// lost holds the VMs that neither answer nor poll.
 	lost map[vm.ID]bool
+	// delay is how much longer each answer to a poll takes.
+	delay time.Duration
 }
 
 // newFleet starts n VMs past their startup period, which know each other and have
@@ -167,11 +169,15 @@
 		f.servers[id] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.pollsMu.Lock()
 			f.polls[id]++
-			lost := f.lost[id]
+			lost, delay := f.lost[id], f.delay
 			f.pollsMu.Unlock()
 			if lost {
 				panic(http.ErrAbortHandler)
 			}
+			select {
+			case <-r.Context().Done():
+			case <-time.After(delay):
+			}
 			mux.ServeHTTP(w, r)
 		}))
 		t.Cleanup(f.servers[id].Close)
