Remove upstreams at once that left while only this VM was cut off

The VM had read the removal 0.2 s before and kept the entry: it takes any failed read of its own for an outage of the store, in which entries expire although their upstreams live, and keeps them for 2 s after its own return. The log line 'upstream removed', reason 'lapsed', came at 31.634 s.

Readers now tell with each batch for how long the store has answered without interruption (Store-Up-Ms; older builds ignore it, and without it an outage counts as one of the store, as before). If that covers the time since the last read, the outage was the VM's own, and what is missing has left. A VM that comes back by the store itself knows nothing of the time between and keeps entries as before.

Not landed: timeouts of reads that rise while nothing responds.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -221,7 +221,7 @@
 	d.rebuildIndex()
 }
 
-// MarkStoreDown records that the store is unavailable.
+// MarkStoreDown records that this VM can't read the store.
 func (d *Directory) MarkStoreDown() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -236,6 +236,14 @@
 	d.storeUpAt = d.clock.Now()
 }
 
+// MarkStoreReached records that this VM reads the store again, which has been available to other
+// VMs meanwhile. Entries that are missing were removed, and did not expire.
+func (d *Directory) MarkStoreReached() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeDown = false
+}
+
 // ExpireLapsed removes the lapsed entries once Options.ReregistrationGrace has passed since the
 // store became available again, and adds the withheld entries whose time has passed. It also
 // updates since when the list of VMs has been known. It is to be called periodically.
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -245,6 +245,19 @@
 	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("back"))
 }
 
+// TestUpstreamThatLeftDuringLocalOutageIsRemovedAtOnce guards against requests to upstreams that left
+// while only this VM could not read the store.
+func TestUpstreamThatLeftDuringLocalOutageIsRemovedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("stays", "d1"), newEntry("left", "d1")})
+	d.MarkStoreDown()
+	clock.Advance(5 * time.Second)
+	d.MarkStoreReached()
+	d.Remove("left")
+	g.Expect(d.ForService("s")).To(HaveLen(1))
+}
+
 func TestRemoveEvictsLeavingUpstreamDuringOutage(t *testing.T) {
 	g := NewWithT(t)
 	d, _ := newDirectory()
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"maps"
 	"sync/atomic"
-	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
@@ -113,7 +112,7 @@
 func (o *operatorSink) StoreUnavailable(error) {}
 
 // StoreAvailable implements watch.Sink.
-func (o *operatorSink) StoreAvailable(time.Duration) {}
+func (o *operatorSink) StoreAvailable(watch.Outage) {}
 
 // upstreamSink applies the upstreams' entries to the directory. It implements
 // watch.Sink.
@@ -170,7 +169,13 @@
 func (u *upstreamSink) StoreUnavailable(error) { u.directory.MarkStoreDown() }
 
 // StoreAvailable implements watch.Sink.
-func (u *upstreamSink) StoreAvailable(time.Duration) { u.directory.MarkStoreUp() }
+func (u *upstreamSink) StoreAvailable(o watch.Outage) {
+	if o.Local {
+		u.directory.MarkStoreReached()
+		return
+	}
+	u.directory.MarkStoreUp()
+}
 
 // vmTable is the table of the rows that VMs write for each other.
 const vmTable = "poplarshore"
@@ -202,4 +207,4 @@
 func (v *vmSink) StoreUnavailable(error) {}
 
 // StoreAvailable implements watch.Sink.
-func (v *vmSink) StoreAvailable(time.Duration) {}
+func (v *vmSink) StoreAvailable(watch.Outage) {}
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -80,13 +80,17 @@
 	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}
 }
 
+// maxGapFactor times Options.MaxAge is the longest time between two confirmations by the store that
+// is no interruption of it. It is longer than a poll and the pause before the next one.
+const maxGapFactor = 2
+
 // history returns the history of a table. It creates an empty one if needed.
 func (f *Feed) history(table string) *history {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.histories[table]
 	if h == nil {
-		h = newHistory()
+		h = newHistory(maxGapFactor * f.opts.MaxAge)
 		f.histories[table] = h
 	}
 	return h
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -32,19 +32,23 @@
 	logStart watch.Revision
 	listed   bool
 	// confirmedAt is when the store last answered a poll by this VM, or
-	// unconfirmed.
-	confirmedAt time.Time
+	// unconfirmed. steadySince is since when it has answered without interruption.
+	confirmedAt, steadySince time.Time
 	// changed is closed and replaced at each change of the rows or of confirmedAt
 	// that waiting calls have to see.
 	changed chan struct{}
 	// confirmed is closed and replaced when the store confirms the rows.
 	confirmed chan struct{}
+	// maxGap is the longest time between two confirmations that is no interruption.
+	maxGap time.Duration
 	// encodings holds encoded responses to followers.
 	encodings encodings
 }
 
-func newHistory() *history {
-	return &history{rows: make(map[string]watch.Row), changed: make(chan struct{}), confirmed: make(chan struct{})}
+func newHistory(maxGap time.Duration) *history {
+	return &history{
+		rows: make(map[string]watch.Row), changed: make(chan struct{}), confirmed: make(chan struct{}), maxGap: maxGap,
+	}
 }
 
 // reset replaces the history with a listing. now is when the store confirmed that
@@ -60,7 +64,8 @@
 	for _, r := range b.Rows {
 		h.rows[r.Key] = r
 	}
-	h.era, h.revision, h.logStart, h.log, h.listed, h.confirmedAt = b.Era, b.At, b.At, nil, true, now
+	h.era, h.revision, h.logStart, h.log, h.listed = b.Era, b.At, b.At, nil, true
+	h.confirmedAt, h.steadySince = now, now
 	h.notify()
 }
 
@@ -74,7 +79,7 @@
 		return
 	}
 	shouldNotify := h.confirmedAt.IsZero() != now.IsZero() || len(b.Rows) > 0
-	h.confirmedAt = now
+	h.confirm(now, b.StoreUp)
 	if !now.IsZero() {
 		close(h.confirmed)
 		h.confirmed = make(chan struct{})
@@ -105,6 +110,25 @@
 	h.revision = b.At
 }
 
+// confirm records when the store confirmed the rows, and how long it has answered without
+// interruption by what the reader said; zero if unknown. The caller holds h.mu.
+func (h *history) confirm(at time.Time, storeUp time.Duration) {
+	if h.confirmedAt.IsZero() || at.IsZero() || at.Sub(h.confirmedAt) > h.maxGap {
+		h.steadySince = at
+	}
+	if since := at.Add(-storeUp); !at.IsZero() && since.Before(h.steadySince) {
+		h.steadySince = since
+	}
+	h.confirmedAt = at
+}
+
+// storeUp returns how long, at least, the store has answered without interruption.
+func (h *history) storeUp() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmedAt.Sub(h.steadySince)
+}
+
 // isFresh reports whether the store has confirmed the rows within maxAge.
 func (h *history) isFresh(now time.Time, maxAge time.Duration) bool {
 	h.mu.Lock()
@@ -136,7 +160,7 @@
 func (h *history) markStale() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.confirmedAt = time.Time{}
+	h.confirmedAt, h.steadySince = unconfirmed, unconfirmed
 	h.notify()
 }
 
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -78,6 +78,9 @@
 	// headerStoreClock is the response header with the time on the store's steady clock,
 	// in milliseconds; it is missing while that is unknown.
 	headerStoreClock = "Store-Clock-Ms"
+	// headerStoreUp is the response header with how long, at least, the store has answered
+	// without interruption, in milliseconds. Builds before it don't send it.
+	headerStoreUp = "Store-Up-Ms"
 )
 
 // pollPeerWithAge is pollPeer with the time since the store confirmed the batch.
@@ -95,6 +98,9 @@
 	if err != nil && p.passesOn {
 		return watch.Batch{}, 0, ErrNoReader.Wrap(err, "response of reader %s without the age of its data", p.name)
 	}
+	if up, err := strconv.ParseInt(resp.Header.Get(headerStoreUp), 10, 64); err == nil {
+		b.StoreUp = time.Duration(up) * time.Millisecond
+	}
 	return b, time.Duration(ms) * time.Millisecond, nil
 }
 
@@ -165,6 +171,7 @@
 	}
 	f.setClock(w.Header())
 	w.Header().Set(headerAge, strconv.FormatInt((f.opts.MaxAge-resp.freshFor).Milliseconds(), 10))
+	w.Header().Set(headerStoreUp, strconv.FormatInt(h.storeUp().Milliseconds(), 10))
 	body, err := h.encodings.get(q.after, resp.batch)
 	if err != nil {
 		f.log.Error("batch can't be encoded for a follower", "table", q.table, "error", err)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -57,6 +57,9 @@
 	At Revision
 	// Era is the era of At and of the rows' revisions.
 	Era Era `json:",omitzero"`
+	// StoreUp is how long, at least, the store has answered its readers without interruption;
+	// zero if unknown.
+	StoreUp time.Duration `json:"-"`
 }
 
 // Cursor returns the position up to which the batch includes all changes.
@@ -85,7 +88,16 @@
 	// outage.
 	StoreUnavailable(err error)
 	// StoreAvailable reports that the store answers again after an outage.
-	StoreAvailable(outage time.Duration)
+	StoreAvailable(o Outage)
+}
+
+// Outage is a time in which a VM could not read the store.
+type Outage struct {
+	// Duration is the time from the first failed read to the end.
+	Duration time.Duration
+	// Local reports that the store answered other VMs all the while: only this VM did not
+	// reach it. Nothing expired in the store because of the outage.
+	Local bool
 }
 
 // Options are the timing options of a Watch.
@@ -185,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	w.markAvailable()
+	w.markAvailable(b)
 	if b.Cursor().Before(w.cursor) {
 		w.log.Warn("ignored changes older than the known revision", "table", w.table, "at", b.At, "era", b.Era,
 			"known", w.cursor.Revision, "known_era", w.cursor.Era)
@@ -225,7 +237,7 @@
 		return errStale.New("listing at revision %d of era %d is older than known revision %d of era %d",
 			b.At, b.Era, w.cursor.Revision, w.cursor.Era)
 	}
-	w.markAvailable()
+	w.markAvailable(b)
 	if w.cursor != (Cursor{}) && b.Era > w.cursor.Era {
 		w.log.Warn("store was restored from an older copy", "table", w.table, "era", b.Era, "at", b.At,
 			"known_era", w.cursor.Era, "known", w.cursor.Revision)
@@ -253,15 +265,20 @@
 
 // markAvailable resets the backoff after a successful read, and notifies the sink
 // of the end of an outage.
-func (w *Watch) markAvailable() {
+func (w *Watch) markAvailable(b Batch) {
 	w.backoff = 0
 	now := w.clock.Now()
-	w.lastReadAt.Store(&now)
+	previous := w.lastReadAt.Swap(&now)
 	if w.unavailableSince.IsZero() {
 		return
 	}
-	outage := w.clock.Since(w.unavailableSince)
+	outage := Outage{
+		Duration: now.Sub(w.unavailableSince),
+		// The outage may have begun before its first failed read.
+		Local: previous != nil && b.StoreUp >= now.Sub(*previous),
+	}
 	w.unavailableSince = time.Time{}
-	w.log.Info("store available again", "table", w.table, "at", w.cursor.Revision, "away_ms", outage.Milliseconds())
+	w.log.Info("store available again", "table", w.table, "at", w.cursor.Revision, "away_ms", outage.Duration.Milliseconds(),
+		"local", outage.Local)
 	w.sink.StoreAvailable(outage)
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -78,10 +78,16 @@
 	return append([]string(nil), r.recorded...)
 }
 
-func (r *recordingSink) Reset(b watch.Batch)          { r.record("reset " + b.Rows[0].Key) }
-func (r *recordingSink) Change(b watch.Batch)         { r.record("change " + b.Rows[0].Key) }
-func (r *recordingSink) StoreUnavailable(error)       { r.record("unavailable") }
-func (r *recordingSink) StoreAvailable(time.Duration) { r.record("available") }
+func (r *recordingSink) Reset(b watch.Batch)    { r.record("reset " + b.Rows[0].Key) }
+func (r *recordingSink) Change(b watch.Batch)   { r.record("change " + b.Rows[0].Key) }
+func (r *recordingSink) StoreUnavailable(error) { r.record("unavailable") }
+func (r *recordingSink) StoreAvailable(o watch.Outage) {
+	if o.Local {
+		r.record("reached again")
+		return
+	}
+	r.record("available")
+}
 
 func batch(at watch.Revision, key string) watch.Batch {
 	return watch.Batch{At: at, Rows: []watch.Row{{Key: key}}}
@@ -196,3 +202,16 @@
 	opts := watch.DefaultOptions()
 	g.Expect(source.waits).To(Equal([]time.Duration{opts.Wait, opts.OutageWait, opts.OutageWait, opts.Wait}))
 }
+
+// TestOutageIsLocalIfStoreAnsweredOtherVMs guards against a VM that takes its own cut for an outage of
+// the store, and keeps upstreams that have left.
+func TestOutageIsLocalIfStoreAnsweredOtherVMs(t *testing.T) {
+	for up, want := range map[time.Duration]string{time.Hour: "reached again", 0: "available"} {
+		g := NewWithT(t)
+		failed := store.ErrUnavailable.New("no response")
+		back := batch(6, "b")
+		back.StoreUp = up
+		sink := startWatch(t, &scriptedSource{lists: []any{batch(5, "a")}, polls: []any{failed, back}})
+		g.Eventually(sink.events).Should(Equal([]string{"reset a", "unavailable", want, "change b"}))
+	}
+}
