Check that an upstream still takes requests right before the write

What callers saw: nothing yet. An upstream was chosen, and left, was removed or was evacuated while the connection was opened (up to 0.5 s); the request was written all the same.

The connection pool asks right before the write; a withdrawn upstream gets nothing, counts for nothing (no failure, no retry) and another one is chosen. It covers first tries, hedged and resumed streams, cascade steps and requests relayed for other VMs, as all of them pass there. Home regions that were narrowed meanwhile count, too. A connection that is put back unused keeps its idle time.

--- a/internal/engines/attempt.go
+++ b/internal/engines/attempt.go
@@ -51,12 +51,12 @@
 // Begin registers an attempt in flight. Work is how long the upstream is expected
 // to process the request before it responds. End must be called on the result. It
 // returns nil if this VM's part of the upstream's limit has been used since the upstream
-// was chosen, or if its failure domain has been evacuated since.
+// was chosen, or if it takes no requests any more.
 func (e *Engine) Begin(work time.Duration) *Attempt {
 	now := e.directory.clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.Evacuated() || !e.hasPlace(now) || !e.hasColdGrant(now) || !e.takeGrant(now) {
+	if !e.TakesRequests() || !e.hasPlace(now) || !e.hasColdGrant(now) || !e.takeGrant(now) {
 		return nil
 	}
 	e.recordSend(now)
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -278,6 +278,9 @@
 		return
 	}
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
+		if old != nil {
+			old.removed.Store(true)
+		}
 		d.byID[e.ID] = newEngine(e, d)
 		d.byID[e.ID].inheritSends(old)
 		d.byID[e.ID].learnCold(e, true, !d.listed)
@@ -329,6 +332,7 @@
 	if e == nil {
 		return
 	}
+	e.removed.Store(true)
 	delete(d.byID, id)
 	delete(d.lapsed, id)
 	d.removed[id] = removal{incarnation: e.entry().Incarnation, leaving: e.Leaving(), at: d.clock.Now()}
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/coldstart"
+	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/loadshare"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/pace"
@@ -29,6 +30,8 @@
 	// leaving is set once the entry or the upstream itself reports that the upstream is
 	// leaving, and is never cleared: an upstream that returns is a new incarnation.
 	leaving atomic.Bool
+	// removed is set once the directory no longer holds this incarnation of the upstream.
+	removed atomic.Bool
 	// missing is set while the entry is kept although it is missing in the store.
 	missing atomic.Bool
 
@@ -122,6 +125,13 @@
 // Leaving reports whether the upstream is draining and gets no new requests.
 func (e *Engine) Leaving() bool { return e.leaving.Load() }
 
+// TakesRequests reports whether the upstream may get new requests: it is registered, not leaving and
+// not evacuated.
+func (e *Engine) TakesRequests() bool { return !e.removed.Load() && !e.Leaving() && !e.Evacuated() }
+
+// Region returns the region of the upstream.
+func (e *Engine) Region() domain.Region { return e.directory.opts.RegionOf(e.entry().Domain) }
+
 // Missing reports whether the upstream's entry is kept although it is missing in the store,
 // because it may have expired during an outage.
 func (e *Engine) Missing() bool { return e.missing.Load() }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -97,6 +97,7 @@
 		HeaderTimeout: a.headerWait(),
 		OnSilence:     a.onSilence,
 		Request:       a.upstreamRequest(),
+		Withdrawn:     a.withdrawn,
 		Matches:       func(h http.Header) bool { return s.Protocol.AnswersRequest(x.request, h) },
 		IdleTimeout: func(h http.Header) time.Duration {
 			return s.Protocol.ReadHead(http.StatusOK, h).IdleTimeout
@@ -136,6 +137,12 @@
 	return a.handleResponse(resp, head)
 }
 
+// withdrawn reports whether the upstream must not get the request any more, by what became known
+// since it was chosen.
+func (a *attempt) withdrawn() bool {
+	return !a.engine.TakesRequests() || !a.exchange.regions().Contains(a.engine.Region())
+}
+
 // isRejection reports whether a response turns the request away for the time being.
 func isRejection(status int, head Head) bool {
 	return head.NotRun && status == http.StatusServiceUnavailable
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -70,7 +70,7 @@
 // that answered.
 func failsContact(err error) bool {
 	switch {
-	case errorx.IsOfType(err, errNotRun), errorx.IsOfType(err, errOverLimit), errorx.IsOfType(err, errLowConfidence):
+	case errorx.IsOfType(err, errNotRun), wasNotTried(err), errorx.IsOfType(err, errLowConfidence):
 		return false
 	}
 	return errorx.IsOfType(err, upconn.ErrNotSent) || errorx.IsOfType(err, upconn.ErrConnectionLost) || errorx.IsOfType(err, upconn.ErrSilent)
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -21,7 +21,7 @@
 	ended := err != nil && ctx.Err() != nil
 	moved := errorx.IsOfType(err, errMoved)
 	failed := err != nil && !ended && !moved && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
-	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || a.paused || moved
+	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || wasNotTried(err) || a.paused || moved
 	// A VM that has lost its way to the upstreams blames none of them.
 	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).CutOff
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -72,7 +72,7 @@
 			served = true
 			return nil
 		}
-		if errorx.IsOfType(err, errOverLimit) {
+		if wasNotTried(err) {
 			continue
 		}
 		if ended, err := x.ended(ctx); ended {
@@ -90,6 +90,12 @@
 	}
 }
 
+// wasNotTried reports whether an attempt ended before anything was sent, by what became known after
+// the upstream was chosen. Another upstream is chosen at once.
+func wasNotTried(err error) bool {
+	return errorx.IsOfType(err, errOverLimit) || errorx.IsOfType(err, upconn.ErrWithdrawn)
+}
+
 // prepareAttempt asks other VMs to relay the request if this VM should not send it, and otherwise
 // waits for a permit. If it returns true, the error is the result of the exchange.
 func (x *exchange) prepareAttempt(ctx context.Context) (bool, error) {
--- a/internal/upconn/errors.go
+++ b/internal/upconn/errors.go
@@ -13,6 +13,8 @@
 	ErrRefused = ErrNotSent.NewSubtype("connect_refused")
 	// ErrConnectTimeout is an ErrNotSent: nothing answered a new connection in time.
 	ErrConnectTimeout = ErrNotSent.NewSubtype("connect_timeout")
+	// ErrWithdrawn is an ErrNotSent: the upstream was withdrawn while the connection was opened.
+	ErrWithdrawn = ErrNotSent.NewSubtype("withdrawn")
 	// ErrBroken reports that the connection ended, or that no valid response to
 	// the request came, after at least a part of the request was sent. The
 	// upstream may have run the request.
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -30,6 +30,9 @@
 	// Address is the upstream's host:port.
 	Address string
 	Request Request
+	// Withdrawn reports whether the request must not be sent to the upstream any more. It is
+	// called right before the request is written. Nil never withdraws it.
+	Withdrawn func() bool
 	// Matches reports whether the response with the given header belongs to this
 	// request. Nil accepts every response.
 	Matches func(http.Header) bool
@@ -72,17 +75,22 @@
 const concurrentWriteBytes = 16 << 10
 
 // Do sends the request and reads the header of the response. The connection is
-// closed when ctx ends, also while the body is read. Nothing is sent if ctx ended while
-// the connection was opened. Errors: ErrNotSent, ErrBroken, ErrSilent.
+// closed when ctx ends, also while the body is read. Nothing is sent if ctx ended, or the
+// upstream was withdrawn, while the connection was opened. Errors: ErrNotSent, ErrBroken,
+// ErrSilent.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, error) {
 	c, err := p.get(ctx, call.Address)
 	if err != nil {
 		return nil, err
 	}
 	if ctx.Err() != nil {
-		p.putIdle(c, 0)
+		p.putUnused(c)
 		return nil, ErrNotSent.Wrap(ctx.Err(), "send request to %s", call.Address)
 	}
+	if call.Withdrawn != nil && call.Withdrawn() {
+		_ = c.Close()
+		return nil, ErrWithdrawn.New("upstream at %s was withdrawn before the request was sent", call.Address)
+	}
 	resp := &Response{pool: p, conn: c, NewConnection: c.expiresAt.IsZero()}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := resp.exchange(call); err != nil {
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	p.putIdle(c, 0)
+	p.putUnused(c)
 	return nil
 }
 
@@ -186,8 +186,18 @@
 	return ErrRefused.Wrap(err, "connect to %s", address)
 }
 
-// putIdle returns a connection to the pool. The upstream's idle timeout is zero
-// if unknown. The connection is closed if the pool holds MaxIdleConns already.
+// putUnused returns a connection to the pool on which nothing was sent since it was taken or
+// opened. Its idle time goes on.
+func (p *Pool) putUnused(c *conn) {
+	if c.expiresAt.IsZero() {
+		p.putIdle(c, 0)
+		return
+	}
+	p.keep(c)
+}
+
+// putIdle returns a connection to the pool after a request. The upstream's idle timeout is zero
+// if unknown.
 func (p *Pool) putIdle(c *conn, idleTimeout time.Duration) {
 	c.earlyUntil = time.Time{}
 	if idleTimeout > 0 {
@@ -197,6 +207,11 @@
 		idleTimeout = p.opts.IdleTimeout
 	}
 	c.expiresAt = time.Now().Add(idleTimeout)
+	p.keep(c)
+}
+
+// keep adds a connection to the idle ones. It is closed if there are MaxIdleConns already.
+func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= p.opts.MaxIdleConns {
