Take no answer for a request's own that does not name it

Cause: a response without an attempt ID was accepted on any connection. With the earlier request's ID the copy was skipped already. Class: on a connection that was used before, whatever comes next was taken for the answer unless it named another request.

Now a response without an ID is accepted on a connection's first request only; on a later one it is skipped like that of another request. A request is not sent again over the connection of its last try, nor over a used one if it has no ID, as the answers could not be told apart. Between VMs, refusals and relayed answers name the request; refusals of older builds don't, and are accepted as before, as a VM writes none twice.

Two tests of the pool used one ID for several requests and use distinct ones now; what they check is the same.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -98,7 +98,8 @@
 		OnSilence:     a.onSilence,
 		Request:       a.upstreamRequest(),
 		Withdrawn:     a.withdrawn,
-		Matches:       func(h http.Header) bool { return s.Protocol.AnswersRequest(x.request, h) },
+		ID:            x.request.ID,
+		ResponseID:    s.Protocol.ResponseID,
 		IdleTimeout: func(h http.Header) time.Duration {
 			return s.Protocol.ReadHead(http.StatusOK, h).IdleTimeout
 		},
@@ -320,6 +321,9 @@
 	for name, values := range x.server.Protocol.CallerHeader(header) {
 		dst[name] = values
 	}
+	if x.hop != nil {
+		x.server.Protocol.SetResponseID(dst, x.request.ID)
+	}
 	x.headerSent, x.status = true, status
 	x.w.WriteHeader(status)
 }
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -119,8 +119,10 @@
 	PeerHeader(s UpstreamAttempt) http.Header
 	// ReadHead parses the status and header of an upstream's response.
 	ReadHead(status int, h http.Header) Head
-	// AnswersRequest reports whether the response with header h answers request r.
-	AnswersRequest(r *Request, h http.Header) bool
+	// ResponseID returns the ID of the request that the response with header h answers; empty if
+	// it names none. SetResponseID sets it.
+	ResponseID(h http.Header) string
+	SetResponseID(h http.Header, id string)
 	// CallerHeader returns the fields of a response header to forward to the
 	// caller.
 	CallerHeader(h http.Header) http.Header
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -145,7 +145,8 @@
 		Request: upconn.Request{
 			Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: header, Body: x.body,
 		},
-		Matches:       func(h http.Header) bool { return s.Protocol.AnswersRequest(x.request, h) },
+		ID:            x.request.ID,
+		ResponseID:    x.peerResponseID,
 		HeaderTimeout: max(x.timeLeft(), minWait),
 	})
 	if err != nil {
@@ -169,6 +170,15 @@
 	return body.writeTo(x)
 }
 
+// peerResponseID returns the ID of the request that a response of another VM answers. Refusals of
+// older builds name none. A VM writes each of its refusals once, so that one is the answer.
+func (x *exchange) peerResponseID(h http.Header) string {
+	if id := x.server.Protocol.ResponseID(h); id != "" || h.Get(headerRefusal) == "" {
+		return id
+	}
+	return x.request.ID
+}
+
 // attemptThroughPeer describes the attempt for the header sent to another VM. A stream that
 // the caller has a part of goes on with the same model.
 func (x *exchange) attemptThroughPeer() UpstreamAttempt {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -196,6 +196,7 @@
 	h := x.w.Header()
 	if x.hop != nil {
 		h.Set(headerRefusal, string(refused.Reason))
+		s.Protocol.SetResponseID(h, x.request.ID)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
--- a/internal/upconn/doc.go
+++ b/internal/upconn/doc.go
@@ -3,7 +3,7 @@
 // It replaces the client of net/http, which retries some requests by itself and
 // accepts the next response on a connection as the response to the request.
 // Here, a request is written exactly once, because it may not be safe to repeat,
-// and a response is accepted only if it carries the id of the request. Stale
-// responses to other requests are skipped. A connection is not reused if the
+// and on a connection that was used before, a response is accepted only if it carries the id of
+// the request. Stale responses to other requests are skipped. A connection is not reused if the
 // upstream sends more than the response.
 package upconn
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -33,9 +33,12 @@
 	// Withdrawn reports whether the request must not be sent to the upstream any more. It is
 	// called right before the request is written. Nil never withdraws it.
 	Withdrawn func() bool
-	// Matches reports whether the response with the given header belongs to this
-	// request. Nil accepts every response.
-	Matches func(http.Header) bool
+	// ID identifies the request, and ResponseID returns the ID of the request that a response with
+	// the given header answers, empty if it names none. On a connection that was used before,
+	// only a response that names the request is accepted: any other may be a late or repeated
+	// response to an earlier request. Nil accepts every response.
+	ID         string
+	ResponseID func(http.Header) string
 	// HeaderTimeout is how long to wait for the first byte of the response.
 	HeaderTimeout time.Duration
 	// OnSilence is called when HeaderTimeout has passed without a byte. It
@@ -79,7 +82,7 @@
 // upstream was withdrawn, while the connection was opened. Errors: ErrNotSent, ErrBroken,
 // ErrSilent.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, error) {
-	c, err := p.get(ctx, call.Address)
+	c, err := p.get(ctx, &call)
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +94,8 @@
 		_ = c.Close()
 		return nil, ErrWithdrawn.New("upstream at %s was withdrawn before the request was sent", call.Address)
 	}
-	resp := &Response{pool: p, conn: c, NewConnection: c.expiresAt.IsZero()}
+	resp := &Response{pool: p, conn: c, NewConnection: !c.used}
+	c.used, c.lastID = true, call.ID
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := resp.exchange(call); err != nil {
 		resp.stopCancel()
@@ -213,7 +217,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if call.Matches == nil || call.Matches(resp.Header) {
+		if r.isAnswer(&call, resp.Header) {
 			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -227,6 +231,18 @@
 	return nil, ErrBroken.New("more than %d responses to other requests from %s", maxSkippedResponses, r.conn.address)
 }
 
+// isAnswer reports whether the response with the given header answers the request.
+func (r *Response) isAnswer(call *Call, h http.Header) bool {
+	if call.ResponseID == nil {
+		return true
+	}
+	id := call.ResponseID(h)
+	if id == "" {
+		return r.NewConnection
+	}
+	return id == call.ID
+}
+
 // headerReadTimeout is how long the rest of a header, or of the data that a read
 // of the body needs, may take to arrive after the first byte.
 const headerReadTimeout = 2 * time.Second
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -78,9 +79,11 @@
 	// reader reads from the connection through budget.
 	budget *budgetReader
 	reader *bufio.Reader
-	// expiresAt is when the unused connection must no longer be reused; zero before its
-	// first use.
+	// expiresAt is when the unused connection must no longer be reused; zero if it was never idle.
 	expiresAt time.Time
+	// used reports whether a request was sent, and lastID is the ID of the latest one.
+	used   bool
+	lastID string
 	// earlyUntil is until when the end of the unused connection is no idle timeout of the
 	// upstream; zero if the upstream reported none.
 	earlyUntil time.Time
@@ -121,12 +124,12 @@
 // created.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
-// get returns an unused connection to the address or opens a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns an idle connection for the call or opens a new one.
+func (p *Pool) get(ctx context.Context, call *Call) (*conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(call)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, call.Address)
 		}
 		if time.Now().Before(c.expiresAt) && c.isIdle() {
 			return c, nil
@@ -146,18 +149,25 @@
 	return nil
 }
 
-// popIdle removes and returns the most recently used idle connection to the
-// address, or nil if there is none.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that suits the call, or nil
+// if there is none.
+func (p *Pool) popIdle(call *Call) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	idle := p.idle[call.Address]
+	for i := len(idle) - 1; i >= 0; i-- {
+		if c := idle[i]; c.suits(call) {
+			p.idle[call.Address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
+}
+
+// suits reports whether the response to the call can be told from those to the requests that were
+// sent on the connection before.
+func (c *conn) suits(call *Call) bool {
+	return !c.used || call.ResponseID == nil || call.ID != "" && call.ID != c.lastID
 }
 
 // dial opens a connection. Errors: ErrRefused, ErrConnectTimeout, ErrNotSent if ctx ended.
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -62,7 +62,8 @@
 	return upconn.Call{
 		Address:       address,
 		Request:       upconn.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("b")},
-		Matches:       func(h http.Header) bool { return h.Get("Id") == id },
+		ID:            id,
+		ResponseID:    func(h http.Header) string { return h.Get("Id") },
 		HeaderTimeout: 300 * time.Millisecond,
 	}
 }
@@ -87,8 +88,8 @@
 	g := NewWithT(t)
 	address := startUpstream(t, func(_ int, r *http.Request, c net.Conn) { write(c, okResponse(r.Header.Get("Id"), "ok")) })
 	p := upconn.NewPool(upconn.DefaultOptions())
-	for range 3 {
-		resp, err := p.Do(context.Background(), newCall(address, "1"))
+	for _, id := range []string{"1", "2", "3"} {
+		resp, err := p.Do(context.Background(), newCall(address, id))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(readBody(resp)).To(Equal("ok"))
 		resp.Close()
@@ -120,8 +121,8 @@
 		write(c, okResponse(r.Header.Get("Id"), "ok")+okResponse(r.Header.Get("Id"), "no"))
 	})
 	p := upconn.NewPool(upconn.DefaultOptions())
-	for range 2 {
-		resp, err := p.Do(context.Background(), newCall(address, "1"))
+	for _, id := range []string{"1", "2"} {
+		resp, err := p.Do(context.Background(), newCall(address, id))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(readBody(resp)).To(Equal("ok"))
 		resp.Close()
