Verify answers on kept connections of the product's own API

The same fault as before in internal/entry: engines and services were called through net/http, which takes the next response on a kept connection for the answer. A repeated refusal made a completion count as not started while its engine ran it (not billed, not cancelled), and a repeated answer of a service would have gone to another caller.

Now a response on a reused connection must repeat X-Attempt-Id; otherwise the attempt ends as one that may have run, and the connection is closed. Upstreams that never repeat it get a new connection for each request. Calls that may run once had one of their own already.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -18,7 +18,7 @@
 
 // Header names of the engine protocol.
 const (
-	headerAttempt    = "X-Attempt-Id"
+	headerAttempt    = transport.HeaderAttempt
 	headerPriority   = "X-Priority"
 	headerDeadline   = "X-Deadline-Ms"
 	headerNotStarted = "X-Not-Started"
@@ -100,6 +100,7 @@
 	if err != nil {
 		return nil, ErrMalformed.Wrap(err, "address %q", address)
 	}
+	req.Header.Set(headerAttempt, attempt)
 	req.Header.Set("Last-Event-ID", attempt+"/"+strconv.Itoa(last))
 	return c.start(ctx, address, req)
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, refusal.Wrap(refusal.MalformedRequest, err)
 	}
-	req.Header.Set("X-Attempt-Id", s.NewID())
+	req.Header.Set(transport.HeaderAttempt, s.NewID())
 	end := s.Placement.Begin(u, Requirements{Client: call.exchange.Client, Service: call.service.Name})
 	startedAt := s.Clock.Now()
 	resp, err := s.roundTrip(req, transportOf(s.Pools.For(address)))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,6 +3,9 @@
 // Each upstream has its own pool. A request that must not be sent twice uses a
 // new connection: net/http resends a request by itself only if a reused
 // connection fails, so a request on a new connection is sent at most once.
+//
+// On a reused connection a response may belong to an earlier request, as net/http accepts whatever
+// comes next. It is therefore accepted only if it names the request.
 package transport
 
 import (
@@ -45,10 +48,11 @@
 
 // Pool holds the connections to one upstream.
 type Pool struct {
-	opts      Options
-	keepAlive *http.Transport
-	singleUse *http.Transport
-	dials     atomic.Int64
+	opts       Options
+	keepAlive  *http.Transport
+	singleUse  *http.Transport
+	idempotent *verifying
+	dials      atomic.Int64
 }
 
 // NewPool returns a pool without connections.
@@ -57,13 +61,15 @@
 	p.keepAlive = p.newTransport()
 	p.singleUse = p.newTransport()
 	p.singleUse.DisableKeepAlives = true
+	p.idempotent = &verifying{keepAlive: p.keepAlive, singleUse: p.singleUse}
 	return p
 }
 
 // Idempotent returns the round tripper for requests that may be sent more than
-// once. It reuses connections.
+// once. It reuses connections. The response to a request with HeaderAttempt must repeat that, or
+// come over a new connection; otherwise the error is ErrNoAnswer.
 func (p *Pool) Idempotent() http.RoundTripper {
-	return p.keepAlive
+	return p.idempotent
 }
 
 // NonIdempotent returns the round tripper for requests that must not be sent more than
--- a/standin/engine/write.go
+++ b/standin/engine/write.go
@@ -19,6 +19,7 @@
 		return
 	}
 	attemptID := r.PathValue("attempt")
+	w.Header().Set(HeaderAttempt, attemptID)
 	st, ok := s.streams.get(attemptID)
 	if !ok {
 		writeError(w, http.StatusNotFound, "unknown_attempt", "no such stream")
@@ -29,7 +30,6 @@
 		writeError(w, http.StatusBadRequest, "invalid_request_error", "Last-Event-ID is not of this attempt")
 		return
 	}
-	w.Header().Set(HeaderAttempt, attemptID)
 	s.writeStream(w, r, st, first)
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -20,7 +20,7 @@
 	"github.com/poplarshore/poplarshore/standin/host"
 )
 
-// HeaderAttempt is the header field with the attempt ID that the router sends.
+// HeaderAttempt is the header field with the attempt ID that the router sends. Responses repeat it.
 const HeaderAttempt = "X-Attempt-Id"
 
 // headerNotStarted is "true" in the response to a request that was refused without any
@@ -132,6 +132,7 @@
 }
 
 func (s *Server) serveIssue(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 	if s.injectBeforeRun(w, r) {
 		return
 	}
@@ -147,6 +148,7 @@
 }
 
 func (s *Server) serveStatus(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 	if s.injectBeforeRun(w, r) || s.injectAfterRun(w, r) {
 		return
 	}
