Give writes at stores connections of their own

The same fault in the clients of store and control: their responses name no request, and net/http takes the next one on a kept connection. A 503 written once more would have reported a transaction as not done that had taken effect, and an answer to a read of another table, with a later revision, would have made a VM miss changes.

The product's own clients of table, objects, VM list and rater keep connections for reads only.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -79,13 +79,13 @@
 	if err != nil {
 		return nil, err
 	}
-	idempotent := transport.NewPool(transport.Options{TLS: config}).Idempotent()
+	services := transport.NewPool(transport.Options{TLS: config}).ByMethod()
 	d := &Daemon{
 		settings: s, log: log, clock: clock, registry: metrics.NewRegistry(),
 		rows:       rows.Keys{Prefix: s.Platform.Prefix},
-		table:      httpstore.NewTable(httpstore.Options{BaseURL: s.Platform.Table, Transport: idempotent}),
-		objects:    httpstore.NewObjects(httpstore.Options{BaseURL: s.Platform.Objects, Transport: idempotent}),
-		vmList:     httplist.New(httplist.Options{BaseURL: s.Platform.VMList, Transport: idempotent}),
+		table:      httpstore.NewTable(httpstore.Options{BaseURL: s.Platform.Table, Transport: services}),
+		objects:    httpstore.NewObjects(httpstore.Options{BaseURL: s.Platform.Objects, Transport: services}),
+		vmList:     httplist.New(httplist.Options{BaseURL: s.Platform.VMList, Transport: services}),
 		pools:      transport.NewPools(transport.Options{TLS: config}),
 		contenders: make(map[string]*contender),
 	}
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -127,18 +127,18 @@
 // buildPlatform creates the clients of the platform's services and of the peers.
 func (d *Daemon) buildPlatform() error {
 	p := d.settings.Platform
-	idempotent := d.outbound.Idempotent()
-	d.platform.table = httpstore.NewTable(httpstore.Options{BaseURL: p.Table, Transport: idempotent})
-	d.platform.objects = httpstore.NewObjects(httpstore.Options{BaseURL: p.Objects, Transport: idempotent})
-	d.platform.vmList = httplist.New(httplist.Options{BaseURL: p.VMList, Transport: idempotent})
+	services, peers := d.outbound.ByMethod(), d.outbound.Idempotent()
+	d.platform.table = httpstore.NewTable(httpstore.Options{BaseURL: p.Table, Transport: services})
+	d.platform.objects = httpstore.NewObjects(httpstore.Options{BaseURL: p.Objects, Transport: services})
+	d.platform.vmList = httplist.New(httplist.Options{BaseURL: p.VMList, Transport: services})
 	if p.Rater != "" {
-		d.platform.rater = httprater.New(httprater.Options{BaseURL: p.Rater, Transport: idempotent})
+		d.platform.rater = httprater.New(httprater.Options{BaseURL: p.Rater, Transport: services})
 	}
 	scheme := "http"
 	if d.settings.Peers.TLS.Enabled() {
 		scheme = "https"
 	}
-	d.peers = &peer.Client{Scheme: scheme, Token: d.secrets.peer, Book: d.addressBook, Transport: idempotent}
+	d.peers = &peer.Client{Scheme: scheme, Token: d.secrets.peer, Book: d.addressBook, Transport: peers}
 	return nil
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -78,6 +78,24 @@
 	return p.singleUse
 }
 
+// ByMethod returns the round tripper for services whose responses name no request. It reuses
+// connections for reads (GET and HEAD) and opens a new one for each other request, so that a
+// repeated response to an earlier request is never taken for the result of a write.
+func (p *Pool) ByMethod() http.RoundTripper {
+	return byMethod{reads: p.keepAlive, writes: p.singleUse}
+}
+
+// byMethod selects the round tripper by the method of the request.
+type byMethod struct{ reads, writes http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (b byMethod) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.Method == http.MethodGet || req.Method == http.MethodHead {
+		return b.reads.RoundTrip(req)
+	}
+	return b.writes.RoundTrip(req)
+}
+
 // CloseIdle closes the unused connections. It is called after a connection of the
 // pool timed out, as the others may be dead too.
 func (p *Pool) CloseIdle() {
--- a/internal/transport/verify_test.go
+++ b/internal/transport/verify_test.go
@@ -122,3 +122,25 @@
 		g.Expect(connections.Load()).To(BeEquivalentTo(want[names]))
 	}
 }
+
+// TestRefusalWrittenAgainDoesNotAnswerWrite guards against a write that took effect and is reported as
+// refused, at services whose responses name no request.
+func TestRefusalWrittenAgainDoesNotAnswerWrite(t *testing.T) {
+	g := NewWithT(t)
+	url, _ := startUpstream(t, func(n int, r *http.Request) string {
+		refusal := response(http.StatusServiceUnavailable, "", "")
+		switch {
+		case r.Header.Get(transport.HeaderAttempt) == "1":
+			return refusal
+		case n > 1:
+			return refusal + response(http.StatusOK, "", "")
+		}
+		return response(http.StatusOK, "", "")
+	})
+	rt := transport.NewPool(transport.Options{}).ByMethod()
+	for i, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+		status, _, err := get(t, rt, url, fmt.Sprint(i+1))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(want))
+	}
+}
