--- a/internal/transport/verify_test.go
+++ b/internal/transport/verify_test.go
@@ -144,3 +144,29 @@
 		g.Expect(status).To(Equal(want))
 	}
 }
+
+// TestResponseCutInHeadIsAnError guards against a head that was cut and looks like a whole response
+// with an empty body.
+func TestResponseCutInHeadIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	whole := response(http.StatusOK, "1", "answer")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		for cut := 1; ; cut++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, strings.ReplaceAll(whole[:cut], "\n", "\r\n"))
+			_ = c.Close()
+		}
+	}()
+	for n := 1; n < len(whole)-len("answer"); n++ {
+		rt := transport.NewPool(transport.Options{}).Idempotent()
+		_, _, err := get(t, rt, "http://"+l.Addr().String(), "1")
+		g.Expect(err).To(HaveOccurred(), "%d of %d bytes", n, len(whole))
+	}
+}
