--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -52,6 +52,7 @@
 	f.IntVar(&o.ConcurrentFaults, "hands", o.ConcurrentFaults, "maximum number of faults at the same time")
 	f.BoolVar(&o.Limits, "limits", o.Limits, "let engines name limits, as one of the faults")
 	f.BoolVar(&o.Crashes, "crashes", o.Crashes, "let requests crash engines, as one of the faults")
+	f.BoolVar(&o.Answers, "answers", o.Answers, "let upstreams repeat refusals, cut heads and answer resumed streams with errors, as one of the faults")
 	f.BoolVar(&o.Regions, "regions", o.Regions, "evacuate failure domains and change the home regions of a route, as two of the faults")
 	f.BoolVar(&o.Fragile, "fragile", o.Fragile, "let engines end if they have to reject requests, as one of the faults")
 	f.BoolVar(&cuts, "cuts", true, "cut gateways off from engines, as one of the faults; they then run within this program instead of --binary")
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -37,6 +37,8 @@
 	CuttableBinary string
 	// Fragile includes engines that end if they have to reject requests among the faults.
 	Fragile bool
+	// Answers includes faulty answers of upstreams among the faults.
+	Answers bool
 	// Regions includes evacuations and other home regions of a route among the faults.
 	Regions bool
 	// Only restricts the faults to these kinds; empty allows all.
@@ -167,6 +169,9 @@
 	if o.Fragile {
 		faults.kinds = append(slices.Clip(faults.kinds), fragileFault)
 	}
+	if o.Answers {
+		faults.kinds = append(slices.Clip(faults.kinds), answersFault)
+	}
 	if o.Regions {
 		faults.kinds = append(slices.Clip(faults.kinds), regionFaults...)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,6 +64,19 @@
 	g.Expect(report.Faults).To(HaveKey("fragile"))
 }
 
+// TestShortSoakOfFaultyAnswersHasNoViolations guards against repeated refusals, cut heads and errors in
+// place of resumed streams that callers take for their own answers.
+func TestShortSoakOfFaultyAnswersHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 9101, 5
+	o.Duration, o.VMs, o.Engines, o.Rate, o.Answers, o.Only = 10*time.Second, 3, 4, 200, true, []string{"engine_answers"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("engine_answers"))
+}
+
 // TestShortSoakOfRegionsHasNoViolations guards against requests to evacuated upstreams and outside
 // home regions while configurations change.
 func TestShortSoakOfRegionsHasNoViolations(t *testing.T) {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -42,6 +42,8 @@
 	failurePercent atomic.Int32
 	// limit is the number of requests per second that it names as its limit; nil for none.
 	limit atomic.Pointer[float64]
+	// spoilsAnswers lets it write faulty answers; see spoiled.
+	spoilsAnswers atomic.Bool
 }
 
 // testbed is the environment of a run: the store, the upstreams and the VMs.
@@ -192,13 +194,16 @@
 	b.endedAt = append(b.endedAt, time.Now())
 }
 
-// behave fails failurePercent of the requests. Of the others, half of those to the small
+// behave fails failurePercent of the requests, besides those with spoiled answers. Of the others, half of those to the small
 // model get a low-confidence response, so that the large model runs as well.
 func (e *engine) behave(r *http.Request) standin.Behaviour {
 	b := standin.Behaviour{Confidence: -1}
 	if limit := e.limit.Load(); limit != nil {
 		b.Limit = *limit
 	}
+	if e.spoilsAnswers.Load() && rand.IntN(100) < spoiledPercent {
+		return e.spoiled(r)
+	}
 	if rand.Int32N(100) < e.failurePercent.Load() {
 		b.Status = http.StatusInternalServerError
 		return b
