Move forwarding of streams, buffered responses and tables to files of their own

Moves only, but for the age of the list of upstreams from which it is logged (4 s: a poll and the pause after it take 3.2 s), and the raw responses of the stand-in engine, which speak of the platform and belong to its folder.

--- a/internal/peerfeed/store_up_test.go
+++ b/internal/peerfeed/store_up_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
 	"github.com/poplarshore/poplarshore/internal/peerfeed"
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/vm"
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -114,7 +114,7 @@
 
 // unusualListAge is the age of the list of upstreams from which it is logged with an attempt. VMs
 // read changes within less than that.
-const unusualListAge = 3 * time.Second
+const unusualListAge = 4 * time.Second
 
 // logAttempt counts the attempt by outcome and appends it to the log of the
 // exchange.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/upconn"
@@ -150,22 +149,6 @@
 	}
 }
 
-// endStream ends the caller's stream as complete after the end of a response with the given number of
-// events, or returns why it is not complete. Errors: ErrConnectionLost, ErrBroken.
-func (x *exchange) endStream(resp *upconn.Response, pending *eventBuffer, events int, sender string) error {
-	switch {
-	case pending.hasPartial():
-		return upconn.ErrConnectionLost.New("stream from %s ended within an event", sender)
-	case resp.EndsWithConnection() && events == 0:
-		return upconn.ErrConnectionLost.New("connection to %s ended before the first event", sender)
-	case x.headerSent && events == 0:
-		return upconn.ErrBroken.New("resumed stream from %s ended before an event", sender)
-	case !x.headerSent:
-		x.sendHeader(resp.Status, resp.Header)
-	}
-	return nil
-}
-
 // readMonitored reads the next bytes of a stream and waits for them for the given
 // time. Meanwhile, a pause that is too long for a good version is counted against
 // the attempt's version.
@@ -225,40 +208,3 @@
 	pending.compact()
 	return written, nil
 }
-
-// forwardEvent forwards an event to the caller, after the header if that was not sent yet. Errors:
-// ErrBroken if the event doesn't follow the last one, a CallerGone refusal.
-func (x *exchange) forwardEvent(resp *upconn.Response, event []byte, sender string) error {
-	id := eventID(event)
-	switch {
-	case id != "" && !isLaterEvent(id, x.lastEvent):
-		return upconn.ErrBroken.New("event id %q from %s does not follow the last id %q", id, sender, x.lastEvent)
-	case id == "" && x.lastEvent != "" && !isComment(event):
-		return upconn.ErrBroken.New("event without id from %s after the one with id %q", sender, x.lastEvent)
-	}
-	if !x.headerSent {
-		x.sendHeader(resp.Status, resp.Header)
-		x.server.Metrics.firstEvent.WithLabelValues(x.route.Name).Observe(x.server.Clock.Since(x.startedAt).Seconds())
-	}
-	if err := x.sendPart(event); err != nil {
-		return err
-	}
-	if id != "" {
-		x.lastEvent = id
-	}
-	return nil
-}
-
-// isLaterEvent reports whether the event with the given id may follow the last
-// one. Numeric ids must increase; other ids have no order and must only differ.
-func isLaterEvent(id, last string) bool {
-	if last == "" {
-		return true
-	}
-	n, err := strconv.ParseInt(id, 10, 64)
-	lastN, lastErr := strconv.ParseInt(last, 10, 64)
-	if err != nil || lastErr != nil {
-		return id != last
-	}
-	return n > lastN
-}
--- a/soak/answers.go
+++ b/soak/answers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 
@@ -28,10 +27,9 @@
 // spoiled returns a faulty answer to the request: a refusal that comes once more on the connection,
 // a head that is cut, a stream that breaks off, or an error in place of a resumed stream.
 func (e *engine) spoiled(r *http.Request) standin.Behaviour {
-	cutHead := standin.Behaviour{Raw: "HTTP/1.1 200 OK\r\nX-Response-Seal: " + standin.SealOf(e.ID) + "\r\nContent-Length: 0\r\n"}
 	switch {
 	case rand.IntN(2) == 0:
-		return cutHead
+		return standin.Behaviour{Raw: standin.CutHead(e.ID)}
 	case e.Service != modelService:
 		return standin.Behaviour{NotRun: true, Repeated: true, NoID: rand.IntN(2) == 0, Confidence: -1}
 	case r.Header.Get("Last-Event-Id") == "":
@@ -45,7 +43,5 @@
 	statuses := []string{"200 OK", "400 Bad Request", "500 Internal Server Error"}
 	bodies := []string{"", "data: internal error\n\n", "HTTP/1.1 500 Internal Server Error\r\n\r\ninternal error\n\n"}
 	body := bodies[rand.IntN(len(bodies))]
-	return standin.Behaviour{Raw: fmt.Sprintf(
-		"HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		statuses[rand.IntN(len(statuses))], r.Header.Get("X-Attempt-Id"), standin.SealOf(e.ID), len(body), body)}
+	return standin.Behaviour{Raw: standin.RawEvents(r, e.ID, statuses[rand.IntN(len(statuses))], body)}
 }
