Tell a connection's first request from a connection opened for it

Since answers without an ID are accepted on a connection's first request only, a connection opened by a probe counted as opened for the request that used it first: its network latency was taken twice, and the contact with the upstream was recorded as a new connection. Both are as before again.

--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -56,8 +56,10 @@
 	// NewConnection reports whether a connection was opened for the request.
 	NewConnection bool
 
-	pool        *Pool
-	conn        *conn
+	pool *Pool
+	conn *conn
+	// first reports whether the request is the first one on the connection.
+	first       bool
 	body        io.ReadCloser
 	idleTimeout time.Duration
 	stopCancel  func() bool
@@ -94,7 +96,7 @@
 		_ = c.Close()
 		return nil, ErrWithdrawn.New("upstream at %s was withdrawn before the request was sent", call.Address)
 	}
-	resp := &Response{pool: p, conn: c, NewConnection: !c.used}
+	resp := &Response{pool: p, conn: c, NewConnection: c.expiresAt.IsZero(), first: !c.used}
 	c.used, c.lastID = true, call.ID
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := resp.exchange(call); err != nil {
@@ -238,7 +240,7 @@
 	}
 	id := call.ResponseID(h)
 	if id == "" {
-		return r.NewConnection
+		return r.first
 	}
 	return id == call.ID
 }
