--- a/internal/peerfeed/doc.go
+++ b/internal/peerfeed/doc.go
@@ -21,5 +21,7 @@
 // respond that their data is stale, the store is probably unavailable to all of
 // them, and each VM retries it only after Options.StoreRetryDelay.
 //
-// Responses also carry the store's clock, because most VMs never call the store.
+// Responses also carry the store's clock, because most VMs never call the store, and for how
+// long the store has answered without interruption, so that a VM that could not read for a
+// while can tell a cut of its own from an outage of the store.
 package peerfeed
