Answer requests that arrive while a server shuts down

Callers, and other VMs that hand a request over, saw the end of their connection after they had sent a whole request: http.Server.Shutdown discards each request whose header is complete only after it was called. listen.Server.Shutdown now keeps accepting and serving until no connection is left, so that the handler refuses what comes late; responses ask for the connection's end, and connections on which no byte of a request has come for 0.5 s are closed, after a look at what the kernel has received.

--- /dev/null
+++ b/internal/listen/conn.go
@@ -0,0 +1,155 @@
+package listen
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/poplarshore/poplarshore/internal/socket"
+)
+
+// conn is a connection that knows whether a request has begun on it, so that it can be closed
+// without losing one.
+type conn struct {
+	net.Conn
+	set *connSet
+	// encrypted reports whether bytes that are read may belong to no request.
+	encrypted bool
+
+	mu sync.Mutex
+	// waiting reports whether the connection has waited for a request since waitingSince.
+	waiting      bool
+	waitingSince time.Time
+	// retiring reports whether a pending read was interrupted to close the connection.
+	retiring bool
+}
+
+// Read implements net.Conn. It returns io.EOF on a connection that is retired.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.recordRead()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		retiring, again := c.retire()
+		if again {
+			continue
+		}
+		if retiring {
+			return 0, io.EOF
+		}
+		return n, err
+	}
+}
+
+// recordRead records that bytes were read, which begin a request on a connection that is not encrypted.
+func (c *conn) recordRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = c.waiting && c.encrypted
+	c.waitingSince = time.Now()
+	if c.retiring {
+		c.retiring = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// beginRequest records that a request is being handled.
+func (c *conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+}
+
+// awaitRequest records that the connection waits for a request.
+func (c *conn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.waitingSince = true, time.Now()
+}
+
+// interrupt ends the pending read of a connection that has waited for a request for the given time.
+func (c *conn) interrupt(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || time.Since(c.waitingSince) < idle {
+		return
+	}
+	c.retiring = true
+	_ = c.SetReadDeadline(time.Now())
+}
+
+// retire reports whether the connection is being closed, and whether to read again because a part
+// of a request has arrived after all.
+func (c *conn) retire() (retiring, again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.retiring {
+		return false, false
+	}
+	if socket.StateOf(c.Conn) != socket.Readable {
+		return true, false
+	}
+	c.retiring = false
+	_ = c.SetReadDeadline(time.Time{})
+	return false, true
+}
+
+// CloseWrite closes the sending side. The http.Server does so after the last response.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.set.remove(c)
+	return c.Conn.Close()
+}
+
+// connSet holds the open connections of a server.
+type connSet struct {
+	encrypted bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+func newConnSet(encrypted bool) *connSet {
+	return &connSet{encrypted: encrypted, conns: make(map[*conn]struct{})}
+}
+
+// add returns c as a connection of the set that waits for its first request.
+func (s *connSet) add(c net.Conn) *conn {
+	added := &conn{Conn: c, set: s, encrypted: s.encrypted, waiting: true, waitingSince: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[added] = struct{}{}
+	return added
+}
+
+func (s *connSet) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// all returns the connections of the set.
+func (s *connSet) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -5,7 +5,6 @@
 package listen
 
 import (
-	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -13,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -46,7 +46,11 @@
 // Server serves HTTP on one listener.
 type Server struct {
 	http     *http.Server
-	listener net.Listener
+	acceptor *acceptor
+	// served is closed when no more connections are accepted.
+	served chan struct{}
+	// stopping reports whether Shutdown has been called.
+	stopping atomic.Bool
 }
 
 // Open opens a listener and serves h on it in a new goroutine until Close or Shutdown.
@@ -56,13 +60,15 @@
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "listening on address %q", l.Address)
 	}
-	s := &Server{listener: listener, http: &http.Server{
-		Handler:           h,
+	s := &Server{acceptor: &acceptor{Listener: listener, set: newConnSet(l.TLS.Enabled())}, served: make(chan struct{})}
+	s.http = &http.Server{
+		Handler:           s.withCloseHeader(h),
 		MaxHeaderBytes:    b.MaxHeaderBytes,
 		ReadHeaderTimeout: b.HeaderTimeout,
 		IdleTimeout:       b.IdleTimeout,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-	}}
+		ConnState:         trackState,
+	}
 	if l.TLS.Enabled() {
 		config, err := ServerTLS(l.TLS)
 		if err != nil {
@@ -77,23 +83,18 @@
 
 // serve serves requests until the server is closed.
 func (s *Server) serve() {
+	defer close(s.served)
 	// The error is ignored: ServeTLS and Serve return one even after Close.
 	if s.http.TLSConfig != nil {
-		_ = s.http.ServeTLS(s.listener, "", "")
+		_ = s.http.ServeTLS(s.acceptor, "", "")
 		return
 	}
-	_ = s.http.Serve(s.listener)
+	_ = s.http.Serve(s.acceptor)
 }
 
 // Address returns the listener's address as host:port.
 func (s *Server) Address() string {
-	return s.listener.Addr().String()
-}
-
-// Shutdown stops accepting connections and waits for requests in flight. If ctx ends
-// first, it returns the error of ctx.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
+	return s.acceptor.Addr().String()
 }
 
 // Close closes the listener and all connections, which aborts requests in flight. The
@@ -101,7 +102,7 @@
 func (s *Server) Close() error {
 	err := s.http.Close()
 	// The http.Server does not know the listener if serve has not run yet.
-	if closeErr := s.listener.Close(); !errors.Is(closeErr, net.ErrClosed) {
+	if closeErr := s.acceptor.Close(); !errors.Is(closeErr, net.ErrClosed) {
 		err = errors.Join(err, closeErr)
 	}
 	return err
--- /dev/null
+++ b/internal/listen/shutdown.go
@@ -0,0 +1,88 @@
+package listen
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxIdle is how long a connection may wait for a request before a shutdown closes it.
+	maxIdle = 500 * time.Millisecond
+	// acceptWait is how long the listener accepts on after the last connection has ended.
+	acceptWait = 50 * time.Millisecond
+	// shutdownPoll is the interval at which a shutdown looks at the connections.
+	shutdownPoll = 20 * time.Millisecond
+)
+
+// Shutdown waits until all requests have been answered, and closes the listener then. Until that
+// moment connections are accepted and each request is passed to the handler, which should refuse
+// it; http.Server.Shutdown would discard requests that it reads. Responses tell callers to close
+// their connections, and connections without a request are closed after a short time. If ctx ends
+// first, Shutdown returns the error of ctx, and the server goes on.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
+	if err := s.awaitConns(ctx); err != nil {
+		return err
+	}
+	s.acceptor.drain(acceptWait)
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if err := s.awaitConns(ctx); err != nil {
+		return err
+	}
+	return s.http.Close()
+}
+
+// awaitConns waits until no connection is open, and closes those without a request.
+func (s *Server) awaitConns(ctx context.Context) error {
+	ticker := time.NewTicker(shutdownPoll)
+	defer ticker.Stop()
+	for {
+		conns := s.acceptor.set.all()
+		if len(conns) == 0 {
+			return nil
+		}
+		for _, c := range conns {
+			c.interrupt(maxIdle)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// withCloseHeader returns a handler whose responses ask callers to close their connections while
+// the server shuts down.
+func (s *Server) withCloseHeader(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// trackState records which connections wait for a request.
+func trackState(c net.Conn, state http.ConnState) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	tracked, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		tracked.beginRequest()
+	case http.StateIdle:
+		tracked.awaitRequest()
+	}
+}
--- a/internal/listen/shutdown_test.go
+++ b/internal/listen/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"log/slog"
 	"net"
@@ -158,3 +159,29 @@
 	s.send(late, wholeRequest)
 	s.expectAnswer(late, "after the context ended")
 }
+
+// TestShutdownClosesIdleEncryptedConnections guards against a shutdown that takes the bytes of a handshake for a request.
+func TestShutdownClosesIdleEncryptedConnections(t *testing.T) {
+	g := NewWithT(t)
+	RegisterTestingT(t)
+	certificate := writeCertificate(t.TempDir(), 1, time.Now())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	listener := settings.Listener{Address: "127.0.0.1:0", TLS: certificate}
+	server, err := listen.Open(listener, handler, listen.Bounds{}, slog.New(slog.DiscardHandler))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = server.Close() })
+	config := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"http/1.1"}}
+	unused, err := tls.Dial("tcp", server.Address(), config)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = unused.Close() }()
+	for _, http2 := range []bool{false, true} {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: config.Clone(), ForceAttemptHTTP2: http2}}
+		resp, err := client.Get("https://" + server.Address())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Body.Close()).To(Succeed())
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	g.Expect(server.Shutdown(ctx)).To(Succeed())
+}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/poplarshore/poplarshore/internal/socket"
 )
 
 // Options configures a Pool.
@@ -310,20 +312,5 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && idle
+	return socket.StateOf(c.Conn) == socket.Quiet
 }
