Let a shutdown end though callers keep connecting

A server that shuts down waited for all connections, so that callers who keep opening new ones, each refused at once, held it up until the end of its grace period.

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -25,6 +25,7 @@
 	waitingSince time.Time
 	// retiring reports whether a pending read was interrupted to close the connection.
 	retiring bool
+	closed   bool
 }
 
 // Read implements net.Conn. It returns io.EOF on a connection that is retired.
@@ -113,9 +114,18 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.set.remove(c)
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 // connSet holds the open connections of a server.
 type connSet struct {
 	encrypted bool
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -5,26 +5,27 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 )
 
 const (
 	// maxIdle is how long a connection may wait for a request before a shutdown closes it.
 	maxIdle = 500 * time.Millisecond
-	// acceptWait is how long the listener accepts on after the last connection has ended.
+	// acceptWait is how long the listener accepts on once the connections at the start of a shutdown have ended.
 	acceptWait = 50 * time.Millisecond
 	// shutdownPoll is the interval at which a shutdown looks at the connections.
 	shutdownPoll = 20 * time.Millisecond
 )
 
-// Shutdown waits until all requests have been answered, and closes the listener then. Until that
-// moment connections are accepted and each request is passed to the handler, which should refuse
-// it; http.Server.Shutdown would discard requests that it reads. Responses tell callers to close
-// their connections, and connections without a request are closed after a short time. If ctx ends
-// first, Shutdown returns the error of ctx, and the server goes on.
+// Shutdown waits until the connections that are open have ended, then closes the listener and waits
+// for those accepted meanwhile. Until then each request is passed to the handler, which should refuse
+// new ones; http.Server.Shutdown would discard requests that it reads. Responses tell callers to
+// close their connections, and connections without a request are closed after a short time. If ctx
+// ends first, Shutdown returns the error of ctx, and the server goes on.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
-	if err := s.awaitConns(ctx); err != nil {
+	if err := awaitEnd(ctx, s.acceptor.set.all()); err != nil {
 		return err
 	}
 	s.acceptor.drain(acceptWait)
@@ -33,18 +34,18 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if err := s.awaitConns(ctx); err != nil {
+	if err := awaitEnd(ctx, s.acceptor.set.all()); err != nil {
 		return err
 	}
 	return s.http.Close()
 }
 
-// awaitConns waits until no connection is open, and closes those without a request.
-func (s *Server) awaitConns(ctx context.Context) error {
+// awaitEnd waits until the connections have been closed, and closes those without a request.
+func awaitEnd(ctx context.Context, conns []*conn) error {
 	ticker := time.NewTicker(shutdownPoll)
 	defer ticker.Stop()
 	for {
-		conns := s.acceptor.set.all()
+		conns = slices.DeleteFunc(conns, (*conn).isClosed)
 		if len(conns) == 0 {
 			return nil
 		}
--- a/internal/listen/shutdown_test.go
+++ b/internal/listen/shutdown_test.go
@@ -185,3 +185,20 @@
 	defer cancel()
 	g.Expect(server.Shutdown(ctx)).To(Succeed())
 }
+
+// TestShutdownEndsThoughCallersKeepConnecting guards against a shutdown that new connections hold up.
+func TestShutdownEndsThoughCallersKeepConnecting(t *testing.T) {
+	s := newStoppingServer(t)
+	s.beginShutdown()
+	s.release()
+	s.Eventually(func() bool {
+		s.keepsConnections()
+		select {
+		case err := <-s.stopped:
+			s.Expect(err).NotTo(HaveOccurred())
+			return true
+		default:
+			return false
+		}
+	}, answerTimeout, time.Millisecond).Should(BeTrue())
+}
