Let the soak's callers send late and reopen connections around planned stops

The soak did not see whole requests that a planned stop left without an answer: it looked only at requests that an upstream had run, sent within a second of the signal. Late callers send a third of their bodies slowly, some orders take up to 3 s, and each caller keeps one connection that it opens again when the VM ends it; every whole request must be answered unless its VM failed or it crosses the end of the process. Processes that end without a signal are violations.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -59,6 +59,7 @@
 		c.checkRuns(x)
 		c.checkConfiguration(x)
 		c.checkPlannedStops(x)
+		c.checkAnswered(x)
 	}
 	c.checkConfigurationOrder()
 	c.checkExclusions()
@@ -67,6 +68,7 @@
 	c.checkCulprits()
 	c.checkCuts()
 	c.checkFragileTimes()
+	c.checkEnds()
 	if n := c.testbed.addEngineErrors.Load(); n > 0 {
 		c.addViolation("%d upstreams could not be started after a crash", n)
 	}
@@ -216,6 +218,15 @@
 	}
 }
 
+// checkEnds checks that no process ended without a signal.
+func (c *checker) checkEnds() {
+	for _, v := range c.testbed.vms {
+		for _, name := range v.unexpectedEnds() {
+			c.addViolation("%s ended by itself", name)
+		}
+	}
+}
+
 // checkConfigurationOrder checks that no process returned to an older configuration. It
 // compares only requests of which one ended before the other was sent.
 func (c *checker) checkConfigurationOrder() {
--- a/soak/process.go
+++ b/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,11 @@
 	exited chan struct{}
 	// incarnation is the number of processes started so far.
 	incarnation int
+	// endedAt holds when processes ended, and unexpected the names of those that ended without a
+	// signal that asks for it. signalled reports whether the running one got such a signal.
+	endedAt    []time.Time
+	unexpected []string
+	signalled  bool
 	// disturbances are the intervals in which the VM was killed, was paused or had a
 	// faulty link to the store. stopPeriods are those of planned stops, until the restart.
 	// cuts are those in which it was cut off from upstreams.
@@ -138,13 +144,18 @@
 	}
 	v.incarnation++
 	exited := make(chan struct{})
-	v.process, v.exited = cmd, exited
+	v.process, v.exited, v.signalled = cmd, exited, false
+	name := fmt.Sprintf("%s/%d", v.ID, v.incarnation)
 	go func() {
 		// A killed process has an exit status that is not an error of the run.
 		_ = cmd.Wait()
 		v.mu.Lock()
+		v.endedAt = append(v.endedAt, time.Now())
 		if v.process == cmd {
 			v.process = nil
+			if !v.signalled {
+				v.unexpected = append(v.unexpected, name)
+			}
 		}
 		v.mu.Unlock()
 		close(exited)
@@ -157,6 +168,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.process != nil {
+		v.signalled = v.signalled || s == syscall.SIGTERM || s == syscall.SIGKILL
 		// The call fails if the process has just exited, which is not an error here.
 		_ = v.process.Process.Signal(s)
 	}
@@ -186,6 +198,20 @@
 	return fmt.Sprintf("%s/%d", v.ID, v.incarnation)
 }
 
+// endedWithin reports whether a process of the VM ended between two times.
+func (v *VM) endedWithin(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(v.endedAt, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
+// unexpectedEnds returns the names of the processes that ended without a signal.
+func (v *VM) unexpectedEnds() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.unexpected)
+}
+
 // close kills the process, closes the link to the store and closes the log. SIGCONT comes
 // first, in case the process is paused.
 func (v *VM) close() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -41,6 +41,9 @@
 	Answers bool
 	// Regions includes evacuations and other home regions of a route among the faults.
 	Regions bool
+	// LateCallers is the number of callers that send some requests slowly, and each on a connection
+	// that it opens again when the VM ends it.
+	LateCallers int
 	// Only restricts the faults to these kinds; empty allows all.
 	Only []string
 	// Bounds are the time bounds that are checked.
@@ -183,6 +186,7 @@
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(worker)+1))
 		wait.Go(func() { faults.injectFaults(faultCtx, rng) })
 	}
+	wait.Go(func() { generator.runLateCallers(trafficCtx, o.LateCallers, o.Seed) })
 	generator.run(trafficCtx, o.Rate, rand.New(rand.NewPCG(o.Seed, 0)))
 	wait.Wait()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,6 +77,19 @@
 	g.Expect(report.Faults).To(HaveKey("engine_answers"))
 }
 
+// TestShortSoakOfPlannedStopsHasNoViolations guards against whole requests that a planned stop leaves
+// without an answer, while signals, restarts and configurations overlap.
+func TestShortSoakOfPlannedStopsHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 4601, 3
+	o.Duration, o.VMs, o.Engines, o.Rate, o.LateCallers, o.Only = 14*time.Second, 3, 3, 30, 60, []string{"stop", "hangup", "configure"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("stop"))
+}
+
 // TestShortSoakOfRegionsHasNoViolations guards against requests to evacuated upstreams and outside
 // home regions while configurations change.
 func TestShortSoakOfRegionsHasNoViolations(t *testing.T) {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -209,6 +209,7 @@
 		return b
 	}
 	if e.Service != modelService {
+		takeTime(r)
 		return b
 	}
 	b.Events, b.Gap, b.Confidence = streamEvents, streamGap, 90
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -32,6 +32,8 @@
 	// process is the name of the VM's process when the request was sent.
 	process        string
 	sentAt, doneAt time.Time
+	// wholeAt is when a late caller had sent the whole request; zero for others.
+	wholeAt time.Time
 	// configVersion is the version of the configuration that a probe requests; 0 for
 	// other kinds.
 	configVersion int64
@@ -164,6 +166,11 @@
 		Header: map[string]string{"Session": "session of " + x.id},
 	})
 	x.doneAt = time.Now()
+	g.record(x)
+}
+
+// record adds an exchange that has ended.
+func (g *trafficGenerator) record(x exchange) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.exchanges = append(g.exchanges, x)
