--- a/soak/checker.go
+++ b/soak/checker.go
@@ -60,6 +60,7 @@
 		c.checkConfiguration(x)
 		c.checkPlannedStops(x)
 		c.checkAnswered(x)
+		c.checkOddRows(x)
 	}
 	c.checkConfigurationOrder()
 	c.checkExclusions()
--- /dev/null
+++ b/soak/odd_rows.go
@@ -0,0 +1,63 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// oddRowFault writes odd entries among those of the engines. It is a kind of its own list, because the
+// seeds of regressions depend on the number of faultKinds.
+var oddRowFault = faultKind{"odd_rows", (*injector).writeOddRows}
+
+const (
+	// oddNesting is the depth of a nested entry, and oddRowCount how many odd entries are there at once.
+	oddNesting  = 20_000
+	oddRowCount = 3
+	// oddRowTime is how long they stay.
+	oddRowTime = 3 * time.Second
+)
+
+// writeOddRows writes entries that name no engine, and one with the address of a VM, and removes them.
+func (f *injector) writeOddRows(ctx context.Context, rng *rand.Rand) {
+	defer f.bed.oddRows.begin()()
+	for i := range oddRowCount {
+		key := fmt.Sprintf("odd-%d-%d", i, rng.Uint64())
+		f.bed.store.PutRaw("servers", key, []byte(f.oddEntry(rng)))
+		defer f.bed.store.Remove("servers", key)
+	}
+	sleep(ctx, oddRowTime)
+}
+
+// oddEntry returns the value of an odd entry.
+func (f *injector) oddEntry(rng *rand.Rand) string {
+	values := []string{
+		strings.Repeat("[", oddNesting) + strings.Repeat("]", oddNesting),
+		strings.Repeat(`{"a":`, oddNesting),
+		entryWith("127.0.0.1:99999", "8"), entryWith("127.0.0.1:0", "8"), entryWith("127.0.0.1:-1", "8"), entryWith(":8080", "8"),
+		entryWith("no-such-host.invalid:80", "8"), entryWith("0.0.0.0:80", "8"), entryWith(f.pickVM(rng).Callers, "8"),
+		entryWith("127.0.0.1:1", "9000000000000000000"), entryWith("127.0.0.1:1", "-5"), entryWith("127.0.0.1:1", "1e400"),
+		"\x00\xff", "", "null", "[]", `{"Service":7}`,
+	}
+	return values[rng.IntN(len(values))]
+}
+
+// entryWith returns an entry of orderService with an address and a capacity.
+func entryWith(address, capacity string) string {
+	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Capacity":%s,"Phase":"ready","born":1}`,
+		orderService, address, domains[0], capacity)
+}
+
+// checkOddRows checks that undisturbed calls were served by the sound engines while odd entries were
+// there.
+func (c *checker) checkOddRows(x exchange) {
+	if x.kind == streamRequest || !c.undisturbed(x) || c.testbed.oddRows.noneOverlap(x.sentAt, x.doneAt) || !c.testbed.crashes.noneOverlap(x.sentAt, x.doneAt) {
+		return
+	}
+	if x.response.Incomplete || x.response.Status >= http.StatusInternalServerError {
+		c.addViolation("%s at %s: status %d, %v, while odd entries were among those of the engines", x.id, x.vm.ID, x.response.Status, x.response.Err)
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -39,6 +39,8 @@
 	Fragile bool
 	// Answers includes faulty answers of upstreams among the faults.
 	Answers bool
+	// OddRows includes odd entries among those of the engines among the faults.
+	OddRows bool
 	// Regions includes evacuations and other home regions of a route among the faults.
 	Regions bool
 	// LateCallers is the number of callers that send some requests slowly, and each on a connection
@@ -175,6 +177,9 @@
 	if o.Answers {
 		faults.kinds = append(slices.Clip(faults.kinds), answersFault)
 	}
+	if o.OddRows {
+		faults.kinds = append(slices.Clip(faults.kinds), oddRowFault)
+	}
 	if o.Regions {
 		faults.kinds = append(slices.Clip(faults.kinds), regionFaults...)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,6 +90,19 @@
 	g.Expect(report.Faults).To(HaveKey("stop"))
 }
 
+// TestShortSoakOfOddRowsHasNoViolations guards against processes that end on one odd entry among those of the
+// engines, and against requests that are sent to it.
+func TestShortSoakOfOddRowsHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 4701, 2
+	o.Duration, o.VMs, o.Engines, o.Rate, o.OddRows, o.Only = 10*time.Second, 3, 3, 100, true, []string{"odd_rows", "configure"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("odd_rows"))
+}
+
 // TestShortSoakOfRegionsHasNoViolations guards against requests to evacuated upstreams and outside
 // home regions while configurations change.
 func TestShortSoakOfRegionsHasNoViolations(t *testing.T) {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -56,6 +56,8 @@
 
 	// disturbances are the intervals with a fault of the store or of an upstream.
 	disturbances intervals
+	// oddRows are the intervals with odd entries among those of the engines.
+	oddRows intervals
 	// crashes are the intervals in which requests crash upstreams. addEngineErrors counts the
 	// successors that could not be started.
 	crashes         intervals
