Check the nesting depth of documents before they are parsed

What operators saw: one POST of 2,000,000 times `[` to /operator/v1/document ended the process of the operator port, and a body of that kind named by the store's head row would end every VM that loads it, again at each start.

Cause: hujson.Parse calls itself once per level without a bound, and strictjson checked its limit of 64 levels only on the parsed text; document.Load, document/edit and document/diff parsed without any check. A stack overflow is a fatal error that no recover catches.

Fix: strictjson counts brackets in the raw text in one pass, without recursion, and rejects the 65th level with line and column (ErrTooDeep, a subtype of ErrInvalid). Strings with escapes and both comment forms don't count. All texts go through that package (Decode, Standardize, Patch), which alone imports hujson; a test says so. The check of the parsed depth went: nothing deeper reaches it.

FuzzNestingAgreesWithParser, 40 s, 316,637 executions, found no text where the check and the parser's depth differ.

--- a/document/diff/diff.go
+++ b/document/diff/diff.go
@@ -12,7 +12,8 @@
 	"strings"
 
 	"github.com/joomcode/errorx"
-	"github.com/tailscale/hujson"
+
+	"github.com/poplarshore/poplarshore/strictjson"
 )
 
 var namespace = errorx.NewNamespace("diff")
@@ -58,7 +59,7 @@
 }
 
 func decode(src []byte) (any, error) {
-	plain, err := hujson.Standardize(slices.Clone(src))
+	plain, err := strictjson.Standardize(src)
 	if err != nil {
 		return nil, ErrMalformed.Wrap(err, "document")
 	}
--- a/document/edit/edit.go
+++ b/document/edit/edit.go
@@ -8,17 +8,16 @@
 package edit
 
 import (
-	"bytes"
 	"encoding/json"
 	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
-	"github.com/tailscale/hujson"
 
 	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/rollout"
+	"github.com/poplarshore/poplarshore/strictjson"
 	"github.com/poplarshore/poplarshore/takeover"
 )
 
@@ -173,12 +172,9 @@
 	if err != nil {
 		return nil, ErrInvalid.Wrap(err, "patch")
 	}
-	value, err := hujson.Parse(bytes.Clone(src))
+	patched, err := strictjson.Patch(src, text)
 	if err != nil {
 		return nil, ErrInvalid.Wrap(err, "document")
 	}
-	if err := value.Patch(text); err != nil {
-		return nil, ErrInvalid.Wrap(err, "patch")
-	}
-	return value.Pack(), nil
+	return patched, nil
 }
--- a/document/load.go
+++ b/document/load.go
@@ -3,20 +3,20 @@
 import (
 	"bytes"
 	"encoding/json"
-	"slices"
 
-	"github.com/tailscale/hujson"
+	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/strictjson"
 )
 
 // Load decodes a document that was validated when it was accepted, without validating
 // it again, which costs a node a fraction of Parse. It rejects unknown fields and other
-// schema versions, because a newer program wrote them. Errors: strictjson.ErrInvalid.
+// schema versions, because a newer program wrote them. Errors: strictjson.ErrInvalid, also
+// strictjson.ErrTooDeep.
 func Load(src []byte) (*Document, error) {
 	plain, err := withoutComments(src)
 	if err != nil {
-		return nil, strictjson.ErrInvalid.Wrap(err, "document")
+		return nil, errorx.Decorate(err, "document")
 	}
 	doc := &Document{}
 	decoder := json.NewDecoder(bytes.NewReader(plain))
@@ -36,5 +36,5 @@
 	if json.Valid(src) {
 		return src, nil
 	}
-	return hujson.Standardize(slices.Clone(src))
+	return strictjson.Standardize(src)
 }
--- a/strictjson/decode.go
+++ b/strictjson/decode.go
@@ -13,9 +13,6 @@
 	"github.com/tailscale/hujson"
 )
 
-// maxDepth is the maximum nesting depth of values.
-const maxDepth = 64
-
 // Text is a decoded text with the positions of its values and the faults found in it.
 type Text struct {
 	src       []byte
@@ -32,12 +29,16 @@
 		t.faults = append(t.faults, Fault{Line: 1, Column: 1, Message: "text is not UTF-8"})
 		return t
 	}
+	if offset, ok := excessBracket(src); ok {
+		t.addFaultAt(offset, tooDeepMessage())
+		return t
+	}
 	root, err := hujson.Parse(src)
 	if err != nil {
 		t.addSyntaxFault(err)
 		return t
 	}
-	t.decodeValue("", root, reflect.ValueOf(dst).Elem(), 0)
+	t.decodeValue("", root, reflect.ValueOf(dst).Elem())
 	return t
 }
 
@@ -52,17 +53,15 @@
 	offset, ok := t.positions[path]
 	f := Fault{Path: path, Message: fmt.Sprintf(format, args...)}
 	if ok {
-		f.Line, f.Column = t.lineColumn(offset)
+		f.Line, f.Column = lineColumn(t.src, offset)
 	}
 	t.faults = append(t.faults, f)
 }
 
-// lineColumn returns the line and column of a byte offset, both counted from 1.
-func (t *Text) lineColumn(offset int) (line, column int) {
-	before := t.src[:min(offset, len(t.src))]
-	line = 1 + strings.Count(string(before), "\n")
-	column = offset - strings.LastIndexByte(string(before), '\n')
-	return line, column
+// addFaultAt records a fault of the text at a byte offset.
+func (t *Text) addFaultAt(offset int, message string) {
+	line, column := lineColumn(t.src, offset)
+	t.faults = append(t.faults, Fault{Line: line, Column: column, Message: message})
 }
 
 // addSyntaxFault records an error of the parser, with the position that it gives.
@@ -70,7 +69,7 @@
 	f := Fault{Line: 1, Column: 1, Message: err.Error()}
 	var se *json.SyntaxError
 	if errors.As(err, &se) {
-		f.Line, f.Column = t.lineColumn(int(se.Offset))
+		f.Line, f.Column = lineColumn(t.src, int(se.Offset))
 	}
 	if m := strings.TrimPrefix(err.Error(), "hujson: line "); m != err.Error() {
 		f.Line, f.Column = parsePosition(m, f.Line, f.Column)
@@ -88,26 +87,23 @@
 	return line, column
 }
 
-// decodeValue decodes v, which is at path and has the nesting depth, into dst.
-func (t *Text) decodeValue(path string, v hujson.Value, dst reflect.Value, depth int) {
+// decodeValue decodes v, which is at path, into dst. It calls itself at most once per level
+// of the text, of which there are maxDepth.
+func (t *Text) decodeValue(path string, v hujson.Value, dst reflect.Value) {
 	t.positions[path] = v.StartOffset
-	if depth > maxDepth {
-		t.AddFault(path, "nested deeper than %d levels", maxDepth)
-		return
-	}
 	if u, ok := textUnmarshaler(dst); ok {
 		t.decodeText(path, v, u)
 		return
 	}
 	switch dst.Kind() {
 	case reflect.Pointer:
-		t.decodePointer(path, v, dst, depth)
+		t.decodePointer(path, v, dst)
 	case reflect.Struct:
-		t.decodeObject(path, v, dst, depth)
+		t.decodeObject(path, v, dst)
 	case reflect.Slice:
-		t.decodeArray(path, v, dst, depth)
+		t.decodeArray(path, v, dst)
 	case reflect.Map:
-		t.decodeMap(path, v, dst, depth)
+		t.decodeMap(path, v, dst)
 	default:
 		t.decodeScalar(path, v, dst)
 	}
@@ -133,14 +129,14 @@
 	}
 }
 
-func (t *Text) decodePointer(path string, v hujson.Value, dst reflect.Value, depth int) {
+func (t *Text) decodePointer(path string, v hujson.Value, dst reflect.Value) {
 	if dst.IsNil() {
 		dst.Set(reflect.New(dst.Type().Elem()))
 	}
-	t.decodeValue(path, v, dst.Elem(), depth)
+	t.decodeValue(path, v, dst.Elem())
 }
 
-func (t *Text) decodeObject(path string, v hujson.Value, dst reflect.Value, depth int) {
+func (t *Text) decodeObject(path string, v hujson.Value, dst reflect.Value) {
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
 		t.AddFault(path, "must be an object")
@@ -162,11 +158,11 @@
 			t.AddFault(child, "unknown field; known are %s", strings.Join(fieldNames(dst.Type()), ", "))
 			continue
 		}
-		t.decodeValue(child, obj.Members[i].Value, dst.Field(index), depth+1)
+		t.decodeValue(child, obj.Members[i].Value, dst.Field(index))
 	}
 }
 
-func (t *Text) decodeArray(path string, v hujson.Value, dst reflect.Value, depth int) {
+func (t *Text) decodeArray(path string, v hujson.Value, dst reflect.Value) {
 	arr, ok := v.Value.(*hujson.Array)
 	if !ok {
 		t.AddFault(path, "must be an array")
@@ -174,12 +170,12 @@
 	}
 	out := reflect.MakeSlice(dst.Type(), len(arr.Elements), len(arr.Elements))
 	for i := range arr.Elements {
-		t.decodeValue(path+"["+strconv.Itoa(i)+"]", arr.Elements[i], out.Index(i), depth+1)
+		t.decodeValue(path+"["+strconv.Itoa(i)+"]", arr.Elements[i], out.Index(i))
 	}
 	dst.Set(out)
 }
 
-func (t *Text) decodeMap(path string, v hujson.Value, dst reflect.Value, depth int) {
+func (t *Text) decodeMap(path string, v hujson.Value, dst reflect.Value) {
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
 		t.AddFault(path, "must be an object")
@@ -195,7 +191,7 @@
 			continue
 		}
 		elem := reflect.New(dst.Type().Elem()).Elem()
-		t.decodeValue(child, obj.Members[i].Value, elem, depth+1)
+		t.decodeValue(child, obj.Members[i].Value, elem)
 		out.SetMapIndex(key, elem)
 	}
 	dst.Set(out)
--- a/strictjson/fault.go
+++ b/strictjson/fault.go
@@ -9,8 +9,19 @@
 
 var namespace = errorx.NewNamespace("strictjson")
 
-// ErrInvalid reports text that has at least one fault.
-var ErrInvalid = namespace.NewType("invalid")
+var (
+	// ErrInvalid reports text that has at least one fault.
+	ErrInvalid = namespace.NewType("invalid")
+	// ErrTooDeep reports text that is nested deeper than 64 levels. Its message names the
+	// line and column. It is a subtype of ErrInvalid.
+	ErrTooDeep = ErrInvalid.NewSubtype("too_deep")
+)
+
+// tooDeepMessage is the message of the fault and the error of text that is nested deeper
+// than maxDepth levels.
+func tooDeepMessage() string {
+	return fmt.Sprintf("nested deeper than %d levels", maxDepth)
+}
 
 // Fault is one error in the text.
 type Fault struct {
