Bound the faults that are listed of one text

What operators saw: POST of a document of 1 MB with a fault on each of 350,000 short lines kept a core of the VM busy for a minute; at the 16 MiB that a document may have it is hours, and the answer repeats the document several times.

Cause: strictjson finds the line of each fault by counting from the beginning of the text, so the time grows with the square of the number of faults.

Fix: at most 1,000 faults are listed, and one more that says so.

--- a/strictjson/decode.go
+++ b/strictjson/decode.go
@@ -13,11 +13,15 @@
 	"github.com/tailscale/hujson"
 )
 
+// maxFaults is the maximum number of faults that are listed.
+const maxFaults = 1000
+
 // Text is a decoded text with the positions of its values and the faults found in it.
 type Text struct {
 	src       []byte
 	positions map[string]int // byte offsets of values, by path
 	faults    Faults
+	truncated bool // whether there are more than maxFaults faults
 }
 
 // Decode decodes src into the value that dst points to. dst must be a non-nil pointer.
@@ -42,7 +46,8 @@
 	return t
 }
 
-// Faults returns the faults found so far.
+// Faults returns the faults found so far. If there are more than 1,000, the first 1,000
+// are listed, and one more that says so.
 func (t *Text) Faults() Faults {
 	return t.faults
 }
@@ -50,6 +55,9 @@
 // AddFault records a fault of the value at path, for example if the caller's validation
 // fails. The message is formatted as by fmt.Sprintf.
 func (t *Text) AddFault(path, format string, args ...any) {
+	if t.isFull() {
+		return
+	}
 	offset, ok := t.positions[path]
 	f := Fault{Path: path, Message: fmt.Sprintf(format, args...)}
 	if ok {
@@ -58,6 +66,19 @@
 	t.faults = append(t.faults, f)
 }
 
+// isFull reports whether no more faults are listed. The first time it adds the fault that
+// says so.
+func (t *Text) isFull() bool {
+	if len(t.faults) < maxFaults {
+		return false
+	}
+	if !t.truncated {
+		t.truncated = true
+		t.faults = append(t.faults, Fault{Message: fmt.Sprintf("there are more than %d faults; the others are not listed", maxFaults)})
+	}
+	return true
+}
+
 // addFaultAt records a fault of the text at a byte offset.
 func (t *Text) addFaultAt(offset int, message string) {
 	line, column := lineColumn(t.src, offset)
--- a/strictjson/decode_test.go
+++ b/strictjson/decode_test.go
@@ -1,6 +1,7 @@
 package strictjson_test
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -50,6 +51,23 @@
 		Expect(faults[0].Line).To(Equal(2))
 	})
 
+	// Guards against a text of 1 MB that takes minutes to check: the position of each fault
+	// is found by reading the text from its beginning.
+	It("lists a bounded number of faults, and says that there are more", func() {
+		src := `{"items": [` + strings.Repeat("0,\n", 350_000) + `{}]}`
+		var dst documentFixture
+		faults := strictjson.Decode([]byte(src), &dst).Faults()
+		Expect(faults).To(HaveLen(1001))
+		Expect(faults[999].Line).To(Equal(1000))
+		Expect(faults[1000].Message).To(ContainSubstring("more than 1000 faults"))
+	})
+
+	It("doesn't say that there are more faults than it lists if there are none", func() {
+		var dst documentFixture
+		faults := strictjson.Decode([]byte(`{"items": [`+strings.Repeat("0,", 1000)+`]}`), &dst).Faults()
+		Expect(faults).To(HaveLen(1000))
+	})
+
 	It("leaves absent values unchanged and rejects text that is not valid UTF-8", func() {
 		dst := documentFixture{Ratio: 3}
 		Expect(strictjson.Decode([]byte(`{"labels":{"a":"b"}}`), &dst).Faults().Err()).To(Succeed())
