Reject numbers in documents that overflow

What operators saw: a document with a deadline of 9,300,000,000,000 ms, a negative capacity or weight, or a price of 9e18 was accepted. The deadline is a negative duration then, so that each request of the contract had run out of time on arrival; a quiet period with a huge length was over before it began, which lets the older router run calls twice; an engine with a negative capacity looks idle; costs become negative and their billing records are refused.

Cause: document.Check looked only at the sign of some numbers, and the conversions to time.Duration multiply without a bound.

Fix: each number has a range, reported with its position, and the conversions treat higher values as the maximum, because Load reads bodies that another program may have stored without Check.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -43,8 +43,8 @@
 	Services []string `json:"services,omitempty"`
 	// QualityTarget is the mean rating to provide, 0 to 1.
 	QualityTarget float64 `json:"quality_target,omitempty"`
-	// DeadlineMS is the maximum time to a complete response, in milliseconds.
-	// Zero means DefaultDeadline.
+	// DeadlineMS is the maximum time to a complete response, in milliseconds, at most
+	// MaxDeadlineMS. Zero means DefaultDeadline.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	// Priority orders queued requests and is forwarded to engines; higher values
 	// are served first.
@@ -53,6 +53,10 @@
 	Weights  Weights `json:"weights,omitzero"`
 }
 
+// MaxDeadlineMS is the maximum of Contract.DeadlineMS, 366 days. Deadline treats higher
+// values as this one.
+const MaxDeadlineMS = 366 * 24 * 60 * 60 * 1000
+
 // DefaultDeadline applies to contracts that set no deadline.
 const DefaultDeadline = 60 * time.Second
 
@@ -62,7 +66,7 @@
 	if c.DeadlineMS <= 0 {
 		return DefaultDeadline
 	}
-	return time.Duration(c.DeadlineMS) * time.Millisecond
+	return time.Duration(min(c.DeadlineMS, MaxDeadlineMS)) * time.Millisecond
 }
 
 // AllowsModel reports whether callers may request the model or cascade.
--- a/document/document.go
+++ b/document/document.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 
 	"github.com/poplarshore/poplarshore/account"
 	"github.com/poplarshore/poplarshore/contract"
@@ -22,6 +23,10 @@
 // MaxBytes is the maximum size of a document in bytes, 16 MiB.
 const MaxBytes = 16 << 20
 
+// MaxTTLSeconds is the maximum of Session.TTLSeconds, 366 days. TTL treats higher values as
+// this one.
+const MaxTTLSeconds = 366 * 24 * 60 * 60
+
 // Session configures session tokens.
 type Session struct {
 	// Keys names the signing keys, newest first. New tokens are signed with the
@@ -32,6 +37,11 @@
 	TTLSeconds int64 `json:"ttl_seconds"`
 }
 
+// TTL returns the lifetime of a session.
+func (s Session) TTL() time.Duration {
+	return time.Duration(min(s.TTLSeconds, MaxTTLSeconds)) * time.Second
+}
+
 // Withdrawal takes a version of a model out of service: it gets no new requests.
 type Withdrawal struct {
 	// Version is the withdrawn version.
--- a/document/validate.go
+++ b/document/validate.go
@@ -7,8 +7,10 @@
 
 	"github.com/poplarshore/poplarshore/contract"
 	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/link"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/strictjson"
+	"github.com/poplarshore/poplarshore/takeover"
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
@@ -75,12 +77,8 @@
 		at := fmt.Sprintf("links[%d]", i)
 		v.checkRegion(l.From, at+".from")
 		v.checkRegion(l.To, at+".to")
-		if l.LatencyMS < 0 {
-			v.text.AddFault(at+".latency_ms", "must not be negative")
-		}
-		if l.PricePerMB < 0 {
-			v.text.AddFault(at+".price_per_mb", "must not be negative")
-		}
+		checkWithin(v, l.LatencyMS, link.MaxLatencyMS, at+".latency_ms")
+		checkWithin(v, l.PricePerMB, maxPrice, at+".price_per_mb")
 	}
 }
 
@@ -123,9 +121,8 @@
 		versionPath := fmt.Sprintf("%s.versions[%d]", at, i)
 		checkUnique(v, ids, ver.ID, "", versionPath+".id")
 		v.checkFraction(ver.Quality, versionPath+".quality")
-		if ver.PromptPrice < 0 || ver.CompletionPrice < 0 {
-			v.text.AddFault(versionPath, "prices must not be negative")
-		}
+		checkWithin(v, ver.PromptPrice, maxPrice, versionPath+".prompt_price")
+		checkWithin(v, ver.CompletionPrice, maxPrice, versionPath+".completion_price")
 	}
 	if !ids[m.Current] {
 		v.text.AddFault(at+".current", "version %q is not declared in versions", m.Current)
@@ -180,6 +177,7 @@
 	if !v.domains[u.Domain] {
 		v.text.AddFault(at+".domain", "failure domain %q is not declared in domains", u.Domain)
 	}
+	checkWithin(v, u.Capacity, maxCapacity, at+".capacity")
 	switch u.Kind {
 	case upstream.Engine:
 		if len(u.Versions) == 0 {
@@ -228,6 +226,9 @@
 	if len(v.doc.Session.Keys) > 0 && v.doc.Session.TTLSeconds <= 0 {
 		v.text.AddFault("session.ttl_seconds", "must be over 0 where session keys are named")
 	}
+	if v.doc.Session.TTLSeconds > MaxTTLSeconds {
+		v.text.AddFault("session.ttl_seconds", "must be at most %d", MaxTTLSeconds)
+	}
 }
 
 func (v *validator) checkTakeover() {
@@ -238,9 +239,8 @@
 	if t.OldRouter != "" && v.upstreams[t.OldRouter] != upstream.OldRouter {
 		v.text.AddFault("takeover.old_router", "upstream %q of kind %q is not declared", t.OldRouter, upstream.OldRouter)
 	}
-	if t.QuietSeconds < 0 {
-		v.text.AddFault("takeover.quiet_seconds", "must not be negative")
-	}
+	checkWithin(v, t.QuietSeconds, takeover.MaxQuietSeconds, "takeover.quiet_seconds")
+	checkWithin(v, t.ChangedAt, takeover.MaxChangedAt, "takeover.changed_at")
 	for i, r := range t.Rules {
 		v.checkFraction(r.Share, fmt.Sprintf("takeover.rules[%d].share", i))
 	}
--- a/document/validate_contracts.go
+++ b/document/validate_contracts.go
@@ -48,12 +48,13 @@
 		}
 	}
 	l := c.Limits
-	if l.RequestsPerSecond < 0 || l.TokensPerSecond < 0 || l.Concurrency < 0 {
-		v.text.AddFault(at+".limits", "must not be negative")
-	}
-	if c.DeadlineMS < 0 {
-		v.text.AddFault(at+".deadline_ms", "must not be negative")
-	}
+	checkWithin(v, l.RequestsPerSecond, maxRate, at+".limits.requests_per_second")
+	checkWithin(v, l.TokensPerSecond, maxRate, at+".limits.tokens_per_second")
+	checkWithin(v, l.Concurrency, maxConcurrency, at+".limits.concurrency")
+	checkWithin(v, c.Weights.Cost, maxWeight, at+".weights.cost")
+	checkWithin(v, c.Weights.Latency, maxWeight, at+".weights.latency")
+	checkWithin(v, c.Weights.Exposure, maxWeight, at+".weights.exposure")
+	checkWithin(v, c.DeadlineMS, contract.MaxDeadlineMS, at+".deadline_ms")
 }
 
 // checkContractModel reports a model or cascade that the contract allows but can't
@@ -126,9 +127,7 @@
 			v.text.AddFault(stepPath+".share", "must not be below the share of the step before")
 		}
 		previousShare = s.Share
-		if s.DwellSeconds < 0 {
-			v.text.AddFault(stepPath+".dwell_seconds", "must not be negative")
-		}
+		checkWithin(v, s.DwellSeconds, rollout.MaxDwellSeconds, stepPath+".dwell_seconds")
 		for k, d := range s.Domains {
 			if !v.domains[d] {
 				v.text.AddFault(fmt.Sprintf("%s.domains[%d]", stepPath, k), "failure domain %q is not declared in domains", d)
--- a/internal/sessions/sessions.go
+++ b/internal/sessions/sessions.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"strconv"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
@@ -93,7 +92,7 @@
 	if err != nil {
 		sessionID = rand.Uint64()
 	}
-	signed := session.New(session.ID(sessionID), id, s.clock.Now(), time.Duration(index.Doc.Session.TTLSeconds)*time.Second)
+	signed := session.New(session.ID(sessionID), id, s.clock.Now(), index.Doc.Session.TTL())
 	if !p.Expires.IsZero() {
 		signed.Expires = p.Expires
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -9,6 +9,10 @@
 	"github.com/poplarshore/poplarshore/money"
 )
 
+// MaxLatencyMS is the maximum of Link.LatencyMS, one hour. Latency treats higher values as
+// this one.
+const MaxLatencyMS = 60 * 60 * 1000
+
 // Link is a network link between two regions, with the same latency and price in
 // both directions.
 type Link struct {
@@ -22,7 +26,7 @@
 
 // Latency returns the one-way latency.
 func (l Link) Latency() time.Duration {
-	return time.Duration(l.LatencyMS * float64(time.Millisecond))
+	return time.Duration(min(max(l.LatencyMS, 0), MaxLatencyMS) * float64(time.Millisecond))
 }
 
 // Map is an index of links by pair of regions, in both orders.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -10,6 +10,10 @@
 // ID identifies a roll-out.
 type ID string
 
+// MaxDwellSeconds is the maximum of Step.DwellSeconds, 366 days. Dwell treats higher
+// values as this one.
+const MaxDwellSeconds = 366 * 24 * 60 * 60
+
 // Step is one stage of a roll-out.
 type Step struct {
 	// Share is the fraction of new sessions that get the new version, 0 to 1.
@@ -22,7 +26,7 @@
 
 // Dwell returns the minimum time on the step.
 func (s Step) Dwell() time.Duration {
-	return time.Duration(s.DwellSeconds) * time.Second
+	return time.Duration(min(max(s.DwellSeconds, 0), MaxDwellSeconds)) * time.Second
 }
 
 // Plan is a roll-out as declared by the operators.
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -25,6 +25,15 @@
 	Share float64 `json:"share"`
 }
 
+const (
+	// MaxQuietSeconds is the maximum of Config.QuietSeconds, 366 days. QuietTimeLeft treats
+	// higher values as this one.
+	MaxQuietSeconds = 366 * 24 * 60 * 60
+	// MaxChangedAt is the maximum of Config.ChangedAt, the end of the year 9999 in Unix
+	// seconds. QuietTimeLeft treats higher values as this one.
+	MaxChangedAt = 253_402_300_799
+)
+
 // Config is the takeover section of the configuration document.
 type Config struct {
 	// OldRouter is the upstream to which requests are forwarded that this system
@@ -45,7 +54,7 @@
 // QuietTimeLeft returns the time left of the quiet period, during which the caller must refuse
 // non-idempotent calls that this system serves. It is 0 or negative outside the period.
 func (c Config) QuietTimeLeft(now time.Time) time.Duration {
-	end := time.Unix(c.ChangedAt+c.QuietSeconds, 0)
+	end := time.Unix(min(c.ChangedAt, MaxChangedAt)+min(c.QuietSeconds, MaxQuietSeconds), 0)
 	return end.Sub(now)
 }
 
