Reject ledger segments with a sequence number that no writer reaches

What operators would see: one object under the segments' prefix, with a valid checksum and a sequence number of 2^63 or more, ends the control process that settles the ledger, and in turn each one that takes the job over.

Cause: the number of segments that are missing before it is converted to int and overflows to a negative number; the events counter panics on that, in a goroutine without recover. Smaller numbers were recorded as billions of missing segments.

Fix: decodeSegment accepts sequence numbers from 1 to 2^36, so that such a segment is treated as one that can't be decoded: counted, left in place, and refused by Holder.

--- a/coord/ledger/segment.go
+++ b/coord/ledger/segment.go
@@ -11,6 +11,9 @@
 const (
 	segmentFormat = 1  // version of the encoding of a segment
 	sequenceWidth = 20 // decimal digits of the highest uint64
+	// maxSequence is the highest valid sequence number of a segment. A writer with 100 segments
+	// per second would reach it after 21 years.
+	maxSequence = 1 << 36
 )
 
 // segment is the decoded contents of one segment object.
@@ -50,8 +53,8 @@
 	return SealedSegment{Key: segmentKey(prefix, s.Incarnation, s.Sequence), Body: body}, nil
 }
 
-// decodeSegment decodes a segment and verifies its checksum, its format and that it belongs under
-// key. Errors: ErrCorrupt.
+// decodeSegment decodes a segment and verifies its checksum, its format, its sequence number and
+// that it belongs under key. Errors: ErrCorrupt.
 func decodeSegment(prefix, key string, body []byte) (segment, error) {
 	sum, content, found := bytes.Cut(body, []byte("\n"))
 	wantSum := sha256.Sum256(content)
@@ -65,5 +68,8 @@
 	if s.Format != segmentFormat || segmentKey(prefix, s.Incarnation, s.Sequence) != key {
 		return segment{}, ErrCorrupt.New("segment %q has an unsupported format or does not match its key", key)
 	}
+	if s.Sequence == 0 || s.Sequence > maxSequence {
+		return segment{}, ErrCorrupt.New("segment %q has a sequence number that no writer reaches", key)
+	}
 	return s, nil
 }
