Settle the other accounts beside ledger rows and entries that can't be decoded

What operators saw: one entry, bucket row or incarnation row of another program's making stopped the settlement of every client account for good; one bucket row, or a row whose key is no bucket's, stopped compaction and pruning. Entries with a negative or huge amount were added to the totals. A bucket row whose keys don't match its sum was taken as it is, so that requests count twice, and a row of a writer with a huge next number made its new segments look settled: they were deleted uncounted.

Cause: a pass ended at the first ErrCorrupt, and what decoded was not checked.

Fix: entries that can't be decoded, or that Append would reject, are stored for an operator under "unreadable/", as late ones are, and counted; the rest of their segment is settled. A segment that needs a row that can't be decoded is held back, the others are settled, and Settle, Compact and Prune return ErrCorrupt at the end of the pass. Rows of buckets, totals and incarnations have to be ones that a settler writes. Once the row is mended, the segments held back are settled; entries counted before count once. The rows that we write are unchanged, so earlier builds read them.

--- a/coord/ledger/compact.go
+++ b/coord/ledger/compact.go
@@ -1,8 +1,8 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 
 	"github.com/poplarshore/poplarshore/coord/store"
 )
@@ -21,26 +21,30 @@
 //
 // Errors: ErrUnavailable if the store failed; ErrFenced if a settler with a higher fencing token
 // has written, after which the caller must stop settling; ErrContended if a row changed during
-// every attempt; ErrCorrupt if a row cannot be decoded.
+// every attempt; ErrCorrupt if a row or its key cannot be decoded, after the other rows were compacted.
 func (s *Settler) Compact(ctx context.Context) (int, error) {
 	watermark, err := s.raiseWatermark(ctx, s.opts.Clock.Now().Add(-s.opts.Retention).Unix())
 	if err != nil {
 		return 0, s.observeFenced(err)
 	}
 	compacted := 0
+	var held heldBack
 	err = s.scan(ctx, bucketsPrefix(s.opts.Prefix), func(row store.Row) error {
 		id, err := parseBucketKey(s.opts.Prefix, row.Key)
-		if err != nil || !watermark.covers(id, s.opts.BucketDuration) {
-			return err
+		if err != nil {
+			return held.skip(err)
+		}
+		if !watermark.covers(id, s.opts.BucketDuration) {
+			return nil
 		}
 		if err := s.compactRow(ctx, id); err != nil {
-			return err
+			return held.skip(err)
 		}
 		compacted++
 		s.opts.Observer.Observe(EventCompacted, 1)
 		return nil
 	})
-	return compacted, s.observeFenced(err)
+	return compacted, s.observeFenced(cmp.Or(err, held.err))
 }
 
 // raiseWatermark raises the compaction watermark to through (seconds since 1970) and its fencing
@@ -185,8 +189,6 @@
 // decodeRow decodes a row's JSON value. Errors: ErrCorrupt.
 func decodeRow[T any](row store.Row) (T, error) {
 	var value T
-	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return value, ErrCorrupt.Wrap(err, "decode row %q", row.Key)
-	}
-	return value, nil
+	err := decodeInto(row, &value)
+	return value, err
 }
--- a/coord/ledger/entry.go
+++ b/coord/ledger/entry.go
@@ -70,6 +70,14 @@
 	Cost     Micros `json:"cost"`   // of all attempts
 }
 
+// check reports an error if a sum is negative.
+func (t Totals) check() error {
+	if t.Requests < 0 || t.Attempts < 0 || t.Amount < 0 || t.Cost < 0 {
+		return ErrCorrupt.New("negative sum: %+v", t)
+	}
+	return nil
+}
+
 func (t Totals) plus(o Totals) Totals {
 	return Totals{
 		Requests: t.Requests + o.Requests,
--- a/coord/ledger/fold.go
+++ b/coord/ledger/fold.go
@@ -21,12 +21,10 @@
 }
 
 // fold adds the entries of a batch to their bucket rows, in the order of account, start and shard.
-// It stores entries whose bucket is closed as late.
-func (s *Settler) fold(ctx context.Context, batch []loadedSegment, report *Report) error {
-	groups, err := s.groupByBucket(batch)
-	if err != nil {
-		return err
-	}
+// It stores entries whose bucket is closed as late, and entries that can't be decoded as unreadable.
+// Segments with entries of a bucket whose row can't be decoded are held back.
+func (s *Settler) fold(ctx context.Context, batch []loadedSegment, report *Report, held *heldBack) error {
+	groups, unreadable := s.groupByBucket(batch)
 	order := slices.SortedFunc(maps.Keys(groups), func(a, b bucketID) int {
 		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.start, b.start), cmp.Compare(a.shard, b.shard))
 	})
@@ -34,17 +32,34 @@
 	for _, id := range order {
 		rejected, err := s.foldBucket(ctx, id, groups[id], report)
 		if err != nil {
-			return err
+			if err := held.skip(err, segmentsOf(groups[id])...); err != nil {
+				return err
+			}
+			continue
 		}
 		late = append(late, rejected...)
 	}
+	if err := s.storeUnreadableEntries(ctx, unreadable, report); err != nil {
+		return err
+	}
 	return s.storeLateEntries(ctx, late, report)
 }
 
+// segmentsOf returns the keys of the segments that contain the entries.
+func segmentsOf(items []segmentEntry) []string {
+	keys := make([]string, len(items))
+	for i, item := range items {
+		keys[i] = item.segment
+	}
+	return keys
+}
+
 // groupByBucket decodes the entries of a batch, without those of replayed segments, and groups
-// them by the bucket row that they belong to. Errors: ErrCorrupt.
-func (s *Settler) groupByBucket(batch []loadedSegment) (map[bucketID][]segmentEntry, error) {
+// them by the bucket row that they belong to. It returns separately, by the key of their segment, the
+// encoded entries that can't be decoded or that no writer accepts.
+func (s *Settler) groupByBucket(batch []loadedSegment) (map[bucketID][]segmentEntry, map[string][]json.RawMessage) {
 	groups := make(map[bucketID][]segmentEntry)
+	unreadable := make(map[string][]json.RawMessage)
 	for _, l := range batch {
 		if l.replay {
 			s.opts.Observer.Observe(EventReplayed, 1)
@@ -52,15 +67,16 @@
 		}
 		for _, encoded := range l.segment.Entries {
 			var e Entry
-			if err := json.Unmarshal(encoded, &e); err != nil {
-				return nil, ErrCorrupt.Wrap(err, "decode an entry of segment %q", l.key)
+			if err := json.Unmarshal(encoded, &e); err != nil || e.validate() != nil {
+				unreadable[l.key] = append(unreadable[l.key], encoded)
+				continue
 			}
 			item := segmentEntry{entry: e, key: keyOf(e.RequestID), segment: l.key}
 			id := s.bucketOf(item)
 			groups[id] = append(groups[id], item)
 		}
 	}
-	return groups, nil
+	return groups, unreadable
 }
 
 // bucketOf returns the bucket row that an entry belongs to.
@@ -213,4 +229,24 @@
 	return nil
 }
 
+// storeUnreadableEntries stores the entries that can't be decoded for an operator, as one object per
+// source segment.
+func (s *Settler) storeUnreadableEntries(ctx context.Context, unreadable map[string][]json.RawMessage, report *Report) error {
+	for _, source := range slices.Sorted(maps.Keys(unreadable)) {
+		body, err := json.Marshal(unreadable[source])
+		if err != nil {
+			return ErrInvalid.Wrap(err, "store unreadable entries of segment %q", source)
+		}
+		err = s.opts.Objects.Create(ctx, unreadablePrefix(s.opts.Prefix)+source[len(segmentsPrefix(s.opts.Prefix)):], body)
+		if err != nil && !errorx.IsOfType(err, store.ErrExists) {
+			return ErrUnavailable.Wrap(err, "store unreadable entries of segment %q", source)
+		}
+		report.Unreadable += len(unreadable[source])
+		s.opts.Observer.Observe(EventUnreadable, len(unreadable[source]))
+	}
+	return nil
+}
+
+func unreadablePrefix(prefix string) string { return prefix + "/unreadable/" }
+
 func latePrefix(prefix string) string { return prefix + "/late/" }
--- a/coord/ledger/incarnations.go
+++ b/coord/ledger/incarnations.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -46,6 +47,14 @@
 // Complete reports whether the writer has ended and all of its segments have been settled.
 func (i Incarnation) Complete() bool { return i.Final && len(i.Missing) == 0 }
 
+// check reports an error if no settler writes such a row.
+func (i *Incarnation) check() error {
+	if i.NextSequence > maxSequence+1 {
+		return ErrCorrupt.New("next sequence number %d, which no writer reaches", i.NextSequence)
+	}
+	return nil
+}
+
 func incarnationsPrefix(prefix string) string { return prefix + "/incarnations/" }
 
 // isFolded reports whether the segment with the sequence number has been settled.
@@ -104,15 +113,20 @@
 }
 
 // markReplays sets replay on the segments that an earlier pass has settled. They reappear if a
-// writer or holder created the object again after it was deleted.
-func (s *Settler) markReplays(ctx context.Context, batch []loadedSegment) error {
+// writer or holder created the object again after it was deleted. Segments of an incarnation whose
+// row can't be decoded are held back.
+func (s *Settler) markReplays(ctx context.Context, batch []loadedSegment, held *heldBack) error {
 	incarnations := make(map[string]Incarnation)
 	for i := range batch {
 		name := batch[i].segment.Incarnation
 		if _, ok := incarnations[name]; !ok {
 			var row Incarnation
-			if _, err := readRow(ctx, s.opts.Table, incarnationsPrefix(s.opts.Prefix)+name, &row); err != nil {
-				return err
+			_, err := readRow(ctx, s.opts.Table, incarnationsPrefix(s.opts.Prefix)+name, &row)
+			if err != nil {
+				if err := held.skip(err, batch[i].key); err != nil {
+					return err
+				}
+				continue
 			}
 			incarnations[name] = row
 		}
@@ -166,16 +180,21 @@
 }
 
 // Incarnations returns every incarnation that has settled segments and was not pruned, ordered by
-// name. It only reads, and needs no fencing token. Errors: ErrUnavailable, ErrCorrupt.
+// name. It only reads, and needs no fencing token. Errors: ErrUnavailable; ErrCorrupt if a row can't
+// be decoded, with which the other incarnations are returned.
 func (s *Settler) Incarnations(ctx context.Context) ([]Incarnation, error) {
 	var all []Incarnation
+	var held heldBack
 	err := s.scan(ctx, incarnationsPrefix(s.opts.Prefix), func(row store.Row) error {
 		i, err := decodeRow[Incarnation](row)
+		if err != nil {
+			return held.skip(err)
+		}
 		i.Name = strings.TrimPrefix(row.Key, incarnationsPrefix(s.opts.Prefix))
 		all = append(all, i)
-		return err
+		return nil
 	})
-	return all, err
+	return all, cmp.Or(err, held.err)
 }
 
 // Prune deletes the rows of complete incarnations once their last segment is older than
@@ -183,13 +202,14 @@
 // Segments of a pruned incarnation that reappear are no longer recognized as replays: their entries
 // are compared by request ID, or stored as late if their bucket has been compacted.
 //
-// Errors: ErrUnavailable, ErrCorrupt.
+// Errors: ErrUnavailable; ErrCorrupt if a row can't be decoded, after the others were pruned.
 func (s *Settler) Prune(ctx context.Context) (int, error) {
 	pruned := 0
+	var held heldBack
 	err := s.scan(ctx, incarnationsPrefix(s.opts.Prefix), func(row store.Row) error {
 		i, err := decodeRow[Incarnation](row)
 		if err != nil {
-			return err
+			return held.skip(err)
 		}
 		age := s.opts.Clock.Since(i.UpdatedAt)
 		if age < incompleteRetention && (!i.Complete() || age < s.opts.Retention) {
@@ -201,5 +221,5 @@
 		}
 		return err
 	})
-	return pruned, err
+	return pruned, cmp.Or(err, held.err)
 }
--- a/coord/ledger/observer.go
+++ b/coord/ledger/observer.go
@@ -46,6 +46,9 @@
 	// EventCorrupt is a segment that can't be decoded. It stays in the store, and each pass counts
 	// it again.
 	EventCorrupt Event = "corrupt"
+	// EventUnreadable counts entries that can't be decoded or that no writer accepts. They were stored
+	// for an operator, under the key prefix "unreadable/".
+	EventUnreadable Event = "unreadable"
 	// EventFenced is a settler call that ended with ErrFenced.
 	EventFenced Event = "fenced"
 	// EventCompacted is a bucket row added to its account's total row.
--- a/coord/ledger/odd_rows_test.go
+++ b/coord/ledger/odd_rows_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/poplarshore/poplarshore/coord/ledger"
+	"github.com/poplarshore/poplarshore/coord/store"
 	"github.com/poplarshore/poplarshore/internal/billing"
 )
 
@@ -70,4 +72,119 @@
 		Entry("none", uint64(0)),
 		Entry("a trillion", uint64(1_000_000_000_000)),
 	)
+
+	// insert writes a row as another program might.
+	insert := func(key, value string) store.Version {
+		version, err := f.table.Insert(context.Background(), prefix+key, []byte(value))
+		Expect(err).NotTo(HaveOccurred())
+		return version
+	}
+	// remaining returns the keys of the objects under a prefix.
+	remaining := func(under string) []string {
+		keys, err := f.objects.List(context.Background(), prefix+under, "", 100)
+		Expect(err).NotTo(HaveOccurred())
+		return keys
+	}
+	encode := func(e ledger.Entry) string {
+		encoded, err := json.Marshal(e)
+		Expect(err).NotTo(HaveOccurred())
+		return string(encoded)
+	}
+
+	// Guards against one entry that stops the settlement of all accounts for good.
+	DescribeTable("settles the other entries of a segment and stores an odd one for an operator", func(odd string) {
+		sound := f.entries(0, 2)
+		f.createObjects(sealedEntries("odd", 1, encode(sound[0]), odd, encode(sound[1])))
+		f.writeSegments("sound", false, f.entries(2, 4)...)
+		report, err := settle()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Requests).To(Equal(4))
+		Expect(report.Unreadable).To(Equal(1))
+		Expect(remaining("/segments/")).To(BeEmpty())
+		stored, err := f.objects.Get(context.Background(), fmt.Sprintf("%s/unreadable/odd/%020d", prefix, 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored).To(MatchJSON("[" + odd + "]"))
+	},
+		Entry("another type", `"x"`),
+		Entry("a field of another type", `{"id":1}`),
+		Entry("empty", `{}`),
+		Entry("null", `null`),
+		Entry("a number beyond the range", `{"id":"a","account":"b","time":"2001-09-09T01:46:40Z","amount":1e30}`),
+		Entry("a negative amount", `{"id":"a","account":"b","time":"2001-09-09T01:46:40Z","amount":-5}`),
+		Entry("a huge cost", `{"id":"a","account":"b","time":"2001-09-09T01:46:40Z","attempts":[{"cost":9000000000000000000}]}`),
+		Entry("a time before 1970", `{"id":"a","account":"b","time":"1969-09-09T01:46:40Z"}`),
+	)
+
+	// Guards against one bucket row that stops the settlement of all accounts, and against a
+	// row that is taken for one without requests, after which requests count twice.
+	DescribeTable("settles the other accounts beside an odd bucket row", func(value string) {
+		bucket := fmt.Sprintf("/buckets/other/%012d/", f.clock.Now().Unix()/300*300)
+		versions := map[string]store.Version{}
+		for _, shard := range []string{"000", "001"} {
+			versions[bucket+shard] = insert(bucket+shard, value)
+		}
+		other := f.entries(0, 1)
+		other[0].Account, other[0].Time = "other", f.clock.Now()
+		f.writeSegments("a", false, other...)
+		f.writeSegments("b", false, f.entries(1, 5)...)
+		report, err := settle()
+		Expect(errorx.IsOfType(err, ledger.ErrCorrupt)).To(BeTrue(), "%v", err)
+		Expect(report.HeldBack).To(Equal(1))
+		Expect(f.totals().Requests).To(Equal(int64(4)))
+		Expect(remaining("/segments/")).To(HaveLen(1))
+
+		for key, version := range versions {
+			Expect(f.table.Delete(context.Background(), prefix+key, version)).To(Succeed())
+		}
+		report, err = settle()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Requests).To(Equal(1))
+		Expect(remaining("/segments/")).To(BeEmpty())
+	},
+		Entry("no JSON", `{`),
+		Entry("another type", `[]`),
+		Entry("a negative sum", `{"sum":{"requests":-1}}`),
+		Entry("a sum without keys", `{"sum":{"requests":7}}`),
+		Entry("half a key", `{"keys":"AAAA"}`),
+	)
+
+	// Guards against one row of a writer that stops the settlement of the others, and against
+	// one that makes its new segments look settled.
+	DescribeTable("settles the other writers beside an odd row of one", func(value string) {
+		insert("/incarnations/a", value)
+		f.writeSegments("a", false, f.entries(0, 2)...)
+		f.writeSegments("b", false, f.entries(2, 4)...)
+		report, err := settle()
+		Expect(errorx.IsOfType(err, ledger.ErrCorrupt)).To(BeTrue(), "%v", err)
+		Expect(report.HeldBack).To(Equal(1))
+		Expect(f.totals().Requests).To(Equal(int64(2)))
+		Expect(remaining("/segments/")).To(HaveLen(1))
+		incarnations, err := f.settler(1).Incarnations(context.Background())
+		Expect(errorx.IsOfType(err, ledger.ErrCorrupt)).To(BeTrue(), "%v", err)
+		Expect(incarnations).To(HaveLen(1))
+	},
+		Entry("no JSON", `x`),
+		Entry("another type", `{"next":"a"}`),
+		Entry("a negative number", `{"next":-1}`),
+		Entry("a number that no writer reaches", `{"next":18446744073709551615}`),
+	)
+
+	// Guards against one row that stops the compaction of all others, so that they are kept
+	// for good.
+	It("compacts and prunes the other rows beside odd ones", func() {
+		f.writeSegments("a", true, f.entries(0, 4)...)
+		_, err := settle()
+		Expect(err).NotTo(HaveOccurred())
+		insert("/buckets/x", `{}`)
+		insert("/buckets/a/000000000000/000", `{`)
+		insert("/incarnations/A", `{`)
+		f.clock.Advance(26 * time.Hour)
+		compacted, err := f.settler(1).Compact(context.Background())
+		Expect(errorx.IsOfType(err, ledger.ErrCorrupt)).To(BeTrue(), "%v", err)
+		Expect(compacted).To(BeNumerically(">", 0))
+		Expect(f.totals().Requests).To(Equal(int64(4)))
+		pruned, err := f.settler(1).Prune(context.Background())
+		Expect(errorx.IsOfType(err, ledger.ErrCorrupt)).To(BeTrue(), "%v", err)
+		Expect(pruned).To(Equal(1))
+	})
 })
--- a/coord/ledger/rows.go
+++ b/coord/ledger/rows.go
@@ -24,6 +24,17 @@
 	Keys []byte `json:"keys"`
 }
 
+// check reports an error if no settler writes such a row.
+func (r *bucketRow) check() error {
+	if err := r.Sum.check(); err != nil {
+		return err
+	}
+	if len(r.Keys)%requestKeySize != 0 || r.Sum.Requests != int64(len(r.Keys)/requestKeySize) {
+		return ErrCorrupt.New("%d bytes of request keys for %d requests", len(r.Keys), r.Sum.Requests)
+	}
+	return nil
+}
+
 // addKeysTo adds the row's request keys to set.
 func (r *bucketRow) addKeysTo(set map[requestKey]bool) {
 	for i := 0; i+requestKeySize <= len(r.Keys); i += requestKeySize {
@@ -46,6 +57,9 @@
 	LastBucket rowRef `json:"last"`
 }
 
+// check reports an error if no settler writes such a row.
+func (r *totalRow) check() error { return r.Sum.check() }
+
 // compactionWatermark is the row that says up to which time buckets are being or have been
 // compacted. It only rises, and rises before any bucket below it is sealed.
 type compactionWatermark struct {
@@ -112,12 +126,26 @@
 	if err != nil {
 		return "", ErrUnavailable.Wrap(err, "read row %q", key)
 	}
-	if err := json.Unmarshal(row.Value, value); err != nil {
-		return "", ErrCorrupt.Wrap(err, "decode row %q", key)
+	if err := decodeInto(row, value); err != nil {
+		return "", err
 	}
 	return row.Version, nil
 }
 
+// decodeInto decodes a row's JSON value. If value has a method check, the value must pass it.
+// Errors: ErrCorrupt.
+func decodeInto(row store.Row, value any) error {
+	if err := json.Unmarshal(row.Value, value); err != nil {
+		return ErrCorrupt.Wrap(err, "decode row %q", row.Key)
+	}
+	if checked, ok := value.(interface{ check() error }); ok {
+		if err := checked.check(); err != nil {
+			return ErrCorrupt.Wrap(err, "row %q", row.Key)
+		}
+	}
+	return nil
+}
+
 // writeRow updates the row at key if its version is prev, or inserts it if prev is empty. It reports
 // false if the caller has to read the row again: it changed meanwhile, or the outcome of the write
 // is unknown. Errors: ErrInvalid, ErrUnavailable.
--- a/coord/ledger/settler.go
+++ b/coord/ledger/settler.go
@@ -87,6 +87,8 @@
 	Late            int // entries stored for an operator, because their bucket is closed
 	CorruptSegments int // segments that can't be decoded, left in the store
 	MissingSegments int // sequence numbers newly found missing
+	Unreadable      int // entries stored for an operator, because they can't be decoded or are invalid
+	HeldBack        int // segments left in the store, because a row that they need can't be decoded
 }
 
 // loadedSegment is a decoded segment with the key and the size of its object.
@@ -98,19 +100,20 @@
 }
 
 // Settle settles every segment that the object store lists: it counts the entries, records the
-// sequence numbers and deletes the segment. Segments that can't be decoded are reported and left in
-// place. After an error, the report holds what was done before it, and the next call continues from
+// sequence numbers and deletes the segment. Segments that can't be decoded, or that need a row that
+// can't be, are reported and left in place, and the others are settled. After an error, the report holds what was done before it, and the next call continues from
 // there.
 //
 // Errors: ErrUnavailable if the store failed; ErrFenced if a settler with a higher fencing token has
 // written, after which the caller must stop settling; ErrContended if a row changed during every
-// attempt; ErrCorrupt if a row or an entry cannot be decoded; ErrInvalid if the table rejects a row,
+// attempt; ErrCorrupt if a row cannot be decoded, at the end of the pass; ErrInvalid if the table rejects a row,
 // for example because it exceeds the size limit.
 func (s *Settler) Settle(ctx context.Context) (Report, error) {
 	var report Report
 	if _, err := s.raiseWatermark(ctx, 0); err != nil {
 		return report, s.observeFenced(err)
 	}
+	var held heldBack
 	after := ""
 	for {
 		keys, err := s.opts.Objects.List(ctx, segmentsPrefix(s.opts.Prefix), after, s.opts.PageSize)
@@ -118,9 +121,10 @@
 			return report, ErrUnavailable.Wrap(err, "list segments")
 		}
 		if len(keys) == 0 {
-			return report, nil
+			report.HeldBack = len(held.keys)
+			return report, held.err
 		}
-		if err := s.settlePage(ctx, keys, &report); err != nil {
+		if err := s.settlePage(ctx, keys, &report, &held); err != nil {
 			return report, s.observeFenced(err)
 		}
 		after = keys[len(keys)-1]
@@ -136,7 +140,7 @@
 }
 
 // settlePage settles the segments of one page of keys, in batches of about BatchBytes.
-func (s *Settler) settlePage(ctx context.Context, keys []string, report *Report) error {
+func (s *Settler) settlePage(ctx context.Context, keys []string, report *Report, held *heldBack) error {
 	var batch []loadedSegment
 	bytes := 0
 	for _, key := range keys {
@@ -149,13 +153,13 @@
 		}
 		batch = append(batch, l)
 		if bytes += l.bytes; bytes >= s.opts.BatchBytes {
-			if err := s.settleBatch(ctx, batch, report); err != nil {
+			if err := s.settleBatch(ctx, batch, report, held); err != nil {
 				return err
 			}
 			batch, bytes = nil, 0
 		}
 	}
-	return s.settleBatch(ctx, batch, report)
+	return s.settleBatch(ctx, batch, report, held)
 }
 
 // loadSegment reads one segment. It reports false for a segment that another settler has deleted or
@@ -180,16 +184,18 @@
 // settleBatch adds the entries to the bucket rows, then records the sequence numbers, then deletes
 // the segments. After a crash between two steps the remaining segments are settled again, without
 // effect on the totals.
-func (s *Settler) settleBatch(ctx context.Context, batch []loadedSegment, report *Report) error {
+func (s *Settler) settleBatch(ctx context.Context, batch []loadedSegment, report *Report, held *heldBack) error {
 	if len(batch) == 0 {
 		return nil
 	}
-	if err := s.markReplays(ctx, batch); err != nil {
+	if err := s.markReplays(ctx, batch, held); err != nil {
 		return err
 	}
-	if err := s.fold(ctx, batch, report); err != nil {
+	batch = held.others(batch)
+	if err := s.fold(ctx, batch, report, held); err != nil {
 		return err
 	}
+	batch = held.others(batch)
 	if err := s.updateIncarnations(ctx, batch, report); err != nil {
 		return err
 	}
