Take no odd head row or age for a proof of freshness

What operators saw: a head row that another program overwrote with `{}` or `null` was read as a head without a revision. Each VM then counted its own configuration as the newest one and went on serving by it, and a first proposal was accepted that no VM ever installed. A head row or digest with the highest number or a hash that is none made all VMs look for a body that can't exist, until all of them were restarted. A digest with a huge age made its receiver count as fresh for years.

Cause: what JSON decodes was taken as it is; ages are multiplied to a time.Duration and overflow to a time to come.

Fix: a head row names a number from 1 to 2^40 and a hash of 64 lower-case hexadecimal digits, or it is ErrCorrupt: polls fail as if the store did not answer, so that nodes serve as long as other evidence lasts, and proposals are refused. Known revisions of digests have to be of this form, too. Ages are bounded to 366 days before they become durations.

--- a/coord/revision/digest.go
+++ b/coord/revision/digest.go
@@ -13,6 +13,10 @@
 // statement never looks newer than it is.
 const ageUnit = 100 * time.Millisecond
 
+// maxAge is the highest age that a digest conveys; higher ones count as this one. It is far
+// above Options.FreshFor, and no age overflows when it becomes a duration.
+const maxAge = 366 * 24 * time.Hour
+
 // Ages maps nodes to the age of a statement by each of them, in tenths of a second,
 // rounded up. The statement says that the node had installed a certain revision and
 // had no open proposal.
@@ -30,12 +34,12 @@
 }
 
 // forEach calls visit for every statement, ordered by revision number, then node.
-// Negative ages count as 0.
+// Negative ages count as 0, and those above maxAge as maxAge.
 func (s Statements) forEach(visit func(id NodeID, number uint64, age time.Duration)) {
 	for _, number := range slices.Sorted(maps.Keys(s)) {
 		ages := s[number]
 		for _, id := range slices.Sorted(maps.Keys(ages)) {
-			visit(id, number, time.Duration(max(ages[id], 0))*ageUnit)
+			visit(id, number, ageOf(ages[id], ageUnit))
 		}
 	}
 }
@@ -77,7 +81,12 @@
 }
 
 // subtractAge returns the time that is ageMillis milliseconds before at. A negative
-// age counts as 0.
+// age counts as 0, and one above maxAge as maxAge.
 func subtractAge(at time.Time, ageMillis int64) time.Time {
-	return at.Add(-time.Duration(max(ageMillis, 0)) * time.Millisecond)
+	return at.Add(-ageOf(ageMillis, time.Millisecond))
+}
+
+// ageOf returns an age of n units, bounded to the range from 0 to maxAge.
+func ageOf(n int64, unit time.Duration) time.Duration {
+	return time.Duration(min(max(n, 0), int64(maxAge/unit))) * unit
 }
--- a/coord/revision/head.go
+++ b/coord/revision/head.go
@@ -39,6 +39,18 @@
 	Time time.Time `json:"time"`
 }
 
+// maxNumber is the highest valid number of a revision. At 100 changes per second, it would be
+// reached after 350 years.
+const maxNumber = 1 << 40
+
+// valid reports whether the revision may be one that a Publisher wrote: it has a number from
+// 1 to maxNumber and a well-formed hash.
+func (r Revision) valid() bool {
+	sum, err := hex.DecodeString(string(r.Hash))
+	return r.Number > 0 && r.Number <= maxNumber && err == nil && len(sum) == sha256.Size &&
+		hex.EncodeToString(sum) == string(r.Hash)
+}
+
 // Head is the content of the head row.
 type Head struct {
 	// Revision is the newest revision.
@@ -78,7 +90,7 @@
 }
 
 // readHead returns the head and the version of its row. Both are zero if there is
-// no row.
+// no row. Errors: ErrUnavailable; ErrCorrupt for a row that no Publisher wrote.
 func readHead(ctx context.Context, table store.Table, key string) (Head, store.Version, error) {
 	row, err := table.Get(ctx, key)
 	if errorx.IsOfType(err, store.ErrNotFound) {
@@ -91,6 +103,9 @@
 	if err := json.Unmarshal(row.Value, &head); err != nil {
 		return Head{}, "", ErrCorrupt.Wrap(err, "head row")
 	}
+	if !head.valid() {
+		return Head{}, "", ErrCorrupt.New("head row names revision %d with hash %q, which is not valid", head.Number, head.Hash)
+	}
 	return head, row.Version, nil
 }
 
--- a/coord/revision/node.go
+++ b/coord/revision/node.go
@@ -242,9 +242,9 @@
 	}
 }
 
-// recordKnown makes rev the known revision if its number is higher.
+// recordKnown makes rev the known revision if its number is higher and it is valid.
 func (n *Node) recordKnown(rev Revision) {
-	if rev.Number > n.known.Number {
+	if rev.Number > n.known.Number && rev.valid() {
 		n.known = rev
 	}
 }
