Bound the ages of gossiped updates about upstreams

What callers saw: one update with an age of 9.3e12 ms makes its receivers, and those that they pass it on to, treat a sound engine as suspect for years unless it answers in between, as the observation lies in the time to come.

Cause: the age is multiplied to a time.Duration and overflows.

Fix: ages are bounded to 366 days before they become durations.

--- a/coord/roster/digest.go
+++ b/coord/roster/digest.go
@@ -15,6 +15,15 @@
 	AgeMillis   int64       `json:"age"`  // time since the observation, in milliseconds
 }
 
+// maxAge is the highest age of an update; higher ones count as this one. No age overflows when it
+// becomes a duration.
+const maxAge = 366 * 24 * time.Hour
+
+// age returns the time since the observation, from 0 to maxAge.
+func (u Update) age() time.Duration {
+	return time.Duration(min(max(u.AgeMillis, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
 // Digest is the message that two processes send each other in one exchange.
 type Digest struct {
 	From    ID       `json:"from"` // Options.Self of the sender
@@ -72,7 +81,7 @@
 			err = ErrInvalid.New("update of unsupported kind %q", s.Kind)
 			continue
 		}
-		at := now.Add(-time.Duration(max(s.AgeMillis, 0)) * time.Millisecond)
+		at := now.Add(-s.age())
 		if s.Kind == Departing || r.opts.Policy.recentlyRefused(at, now) {
 			r.merge(Observation{ID: s.ID, Incarnation: s.Incarnation, Kind: s.Kind, At: at})
 		}
