Refuse claims that lack their id or the time of their creation

What callers would see: a claim of a call that runs at most once, overwritten by another program with `{}` or `null`, was taken for a claim from the year 1.

Cause: what JSON decodes was taken as it is.

Fix: such a row is malformed. All rows that we write have both fields.

--- a/coord/once/row.go
+++ b/coord/once/row.go
@@ -40,6 +40,9 @@
 	if err := json.Unmarshal(stored.Value, &r); err != nil {
 		return row{}, ErrMalformedRow.Wrap(err, "decode row %q", stored.Key)
 	}
+	if r.ClaimID == "" || r.Created.IsZero() {
+		return row{}, ErrMalformedRow.New("row %q lacks a claim or the time of its creation", stored.Key)
+	}
 	return r, nil
 }
 
