--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -12,7 +12,7 @@
 // Options configures a Manager. The zero value of a field selects its default.
 type Options struct {
 	// TTL is how long a job stays reserved for a holder that has stopped renewing.
-	// It is stored in the row in whole milliseconds. Default 10 s.
+	// It is stored in the row in whole milliseconds. At most one hour. Default 10 s.
 	TTL time.Duration
 	// Margin is how long before the end of the TTL the holder treats its lease as
 	// ended. It must cover the drift between any two clocks over one TTL and be less
@@ -96,6 +96,9 @@
 	if o.TTL <= 0 || o.Margin <= 0 || o.Margin >= o.TTL {
 		return ErrOptions.New("margin %v must be greater than 0 and less than the TTL %v", o.Margin, o.TTL)
 	}
+	if o.TTL > maxTTL {
+		return ErrOptions.New("the TTL %v must be at most %v", o.TTL, maxTTL)
+	}
 	if o.RenewInterval <= 0 || o.RenewInterval >= o.TTL-o.Margin {
 		return ErrOptions.New("renew interval %v must be greater than 0 and less than TTL minus margin, %v",
 			o.RenewInterval, o.TTL-o.Margin)
