Tell what a planned stop does to the requests of the gateway

What callers saw: connections that ended without a byte at the end of a planned stop. The logs told a status for each of these requests that no caller had received, and nothing of the connections.

Change: the lines of a stop (leaving, refusing new requests, grace period is over, stopped) tell how many requests and connections there are. The line of a request that the end of the grace ended has "aborted" (answered, cut, unsent), which poplarshore_relay_aborted_total counts and explain shows. An aborted request's refusal is flushed before it is logged, so that the line tells what was written.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -67,3 +67,16 @@
 	g.Expect(timelines[0].Entries).To(HaveLen(1))
 	g.Expect(timelines[0].Entries[0].Text).To(ContainSubstring(`"domain":"d2"`))
 }
+
+// TestSummaryTellsWhatCallerGotWhenStopEndedItsRequest guards against a status in a timeline that
+// the caller never received.
+func TestSummaryTellsWhatCallerGotWhenStopEndedItsRequest(t *testing.T) {
+	g := NewWithT(t)
+	const log = `{"time":"2026-01-01T10:00:00Z","msg":"request","vm":"vm-1","request":"abc","outcome":"draining","status":502,"config":7,"aborted":"unsent","ms":1}
+`
+	var builder explain.TimelineBuilder
+	g.Expect(explain.Read(strings.NewReader(log), builder.Add)).To(Succeed())
+	timelines, err := builder.Timelines("abc")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(timelines[0].Summary).To(ContainSubstring("ended by a planned stop, caller's answer: unsent"))
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -43,6 +43,9 @@
 	LeftMS   int64     `json:"left_ms"`
 	// Detail is what a refusal says beside its reason; empty for none.
 	Detail string `json:"detail"`
+	// Aborted is what the caller got if the end of a planned stop's grace ended the request:
+	// answered (with Status), cut or unsent; otherwise empty.
+	Aborted string `json:"aborted"`
 	// Upstream, Reader, Table and Domain identify the subject of other lines.
 	Upstream string `json:"upstream"`
 	Reader   string `json:"reader"`
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -158,6 +158,9 @@
 	} else {
 		text += fmt.Sprintf("; configuration %d", l.Config)
 	}
+	if l.Aborted != "" {
+		text += "; ended by a planned stop, caller's answer: " + l.Aborted
+	}
 	if l.Detail != "" {
 		text += "; " + l.Detail
 	}
--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/listen"
@@ -16,25 +17,35 @@
 	startedAt := d.clock.Now()
 	d.phase.Store(int32(draining))
 	grace := d.settings.Stop.GraceS.Duration()
-	d.log.Info("leaving", "grace_ms", grace.Milliseconds())
+	d.logStop(slog.LevelInfo, "leaving", "grace_ms", grace.Milliseconds())
 	d.wait(ctx, d.settings.Stop.TakeS.Duration())
 	d.phase.Store(int32(rejecting))
+	d.logStop(slog.LevelInfo, "refusing new requests", "after_ms", d.clock.Since(startedAt).Milliseconds())
 	timeLeft := grace - abortMargin - d.clock.Since(startedAt)
 	shutdownCtx, cancel := context.WithTimeout(ctx, timeLeft)
 	defer cancel()
 	err := errors.Join(d.callerServer.Shutdown(shutdownCtx), d.relayServer.Shutdown(shutdownCtx))
 	d.phase.Store(int32(aborting))
 	if err != nil {
-		d.log.Warn("grace period is over; aborting the running requests", "error", err)
+		d.logStop(slog.LevelWarn, "grace period is over; aborting the running requests", "error", err)
 	}
 	d.close()
 	if !d.relay.AwaitIdle(abortTimeout) {
 		d.log.Warn("aborted requests still run; their log lines are lost")
 	}
-	d.log.Info("stopped", "took_ms", d.clock.Since(startedAt).Milliseconds())
+	d.logStop(slog.LevelInfo, "stopped", "took_ms", d.clock.Since(startedAt).Milliseconds())
 	d.logRunner.Stop()
 }
 
+// logStop logs a phase of a stop with the numbers of requests in flight, of open connections of
+// callers and other VMs, and of those among them that wait for a request.
+func (d *Daemon) logStop(level slog.Level, message string, attrs ...any) {
+	open, waiting := d.callerServer.Connections()
+	relayOpen, relayWaiting := d.relayServer.Connections()
+	d.log.Log(context.Background(), level, message, append(attrs, "requests", d.relay.InFlight(), "connections", open+relayOpen,
+		"waiting_connections", waiting+relayWaiting)...)
+}
+
 // wait waits until the timeout has passed or ctx ends.
 func (d *Daemon) wait(ctx context.Context, timeout time.Duration) {
 	select {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -58,6 +58,10 @@
 	// empty.
 	refusalDetail string
 
+	// abortEnd is what the caller got if the end of a planned stop's grace ended the exchange;
+	// otherwise empty.
+	abortEnd abortEnd
+
 	// retryPrepaid reports whether the retry budget has already been charged for
 	// the next attempt, when a silent one was given up.
 	retryPrepaid bool
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,6 +26,8 @@
 	relayed *prometheus.CounterVec
 	// slowCallers counts the callers that were ended because they read too slowly.
 	slowCallers *prometheus.CounterVec
+	// aborted counts the requests that a planned stop ended.
+	aborted *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r. It panics if one of
@@ -66,7 +68,11 @@
 	m.slowCallers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_relay_slow_callers_total", Help: "Callers that were ended because they read too slowly, by reason."},
 		[]string{"reason"})
-	r.MustRegister(m.slowCallers, m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed, m.moves)
+	m.aborted = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_relay_aborted_total",
+		Help: "Requests that the end of a planned stop's grace ended, by what their callers got: answered, cut or unsent."},
+		[]string{"end"})
+	r.MustRegister(m.aborted, m.slowCallers, m.requests, m.attempts, m.retries, m.cascadeSteps, m.latency, m.firstEvent, m.inFlight, m.peerAttempts, m.relayed, m.moves)
 	return m
 }
 
@@ -88,6 +94,9 @@
 		s.Metrics.relayed.WithLabelValues(outcome).Inc()
 	}
 	x.recordMoved(outcome)
+	if x.abortEnd != "" {
+		s.Metrics.aborted.WithLabelValues(string(x.abortEnd)).Inc()
+	}
 	s.Metrics.requests.WithLabelValues(name, outcome, strconv.Itoa(status)).Inc()
 	s.Metrics.latency.WithLabelValues(name).Observe(took.Seconds())
 	level := slog.LevelInfo
@@ -98,5 +107,5 @@
 		"account", x.account, "service", x.service, "config", version, "priority", x.priority,
 		"path", x.request.Path, "session", x.request.Session, "prompt_tokens", x.request.PromptTokens, "keys", x.lostKeys(), "attempts", x.attemptLog,
 		"last_event", x.lastEvent, "ms", took.Milliseconds(),
-		"left_ms", x.timeLeft().Milliseconds(), "relay_for", relayFor, "detail", x.refusalDetail)
+		"left_ms", x.timeLeft().Milliseconds(), "relay_for", relayFor, "detail", x.refusalDetail, "aborted", x.abortEnd)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +16,6 @@
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/upconn"
-	"github.com/poplarshore/poplarshore/limit"
 	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -112,8 +110,9 @@
 	lengths  pace.Lengths
 	buffered bufferBudget
 	egress   *egress.Tracker
-	// exchanges counts the requests in flight, and relayedInFlight those of other VMs.
+	// exchanges and inFlight count the requests in flight, and relayedInFlight those of other VMs.
 	exchanges       sync.WaitGroup
+	inFlight        atomic.Int64
 	relayedInFlight atomic.Int64
 }
 
@@ -131,6 +130,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, hop *peerRequest) {
 	s.exchanges.Add(1)
 	defer s.exchanges.Done()
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
 	s.Metrics.inFlight.Inc()
 	defer s.Metrics.inFlight.Dec()
 	x := &exchange{
@@ -185,63 +186,17 @@
 	}
 	x.refusalDetail = refused.Detail
 	if x.headerSent {
+		x.recordAborted(abortCut)
 		s.record(x, string(refused.Reason), 0)
 		panic(http.ErrAbortHandler)
 	}
 	status := x.refusalStatus(refused)
-	s.record(x, string(refused.Reason), status)
 	if refused.Reason == refusal.CallerGone {
+		s.record(x, string(refused.Reason), status)
 		panic(http.ErrAbortHandler)
 	}
-	h := x.w.Header()
-	if x.hop != nil {
-		h.Set(headerRefusal, string(refused.Reason))
-		s.Protocol.SetResponseID(h, x.request.ID)
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
-	}
-	x.limitWrite()
-	x.w.WriteHeader(status)
-	if _, err := x.w.Write([]byte(string(refused.Reason) + "\n")); err != nil {
-		s.Log.Debug("failed to write refusal to caller", "request", x.request.ID, "error", err)
-	}
-}
-
-// refusalStatus returns the HTTP status of a refusal. A 503 promises that the
-// request was not run, so 502 replaces it once an attempt may have run.
-func (x *exchange) refusalStatus(refused *refusal.Refusal) int {
-	if refused.Status == http.StatusServiceUnavailable && x.retryState.Attempts > 0 {
-		return http.StatusBadGateway
-	}
-	return refused.Status
-}
-
-// returnAfter returns when a refused caller is told to come back. Callers come back within
-// their deadline, and not all at once, except with a request that crashes upstreams.
-func (x *exchange) returnAfter(refused *refusal.Refusal) time.Duration {
-	if refused.Reason == refusal.Quarantined {
-		return refused.RetryAfter
-	}
-	return limit.SpreadReturn(refused.RetryAfter, x.maxRetryAfter(), x.randFloat())
-}
-
-const (
-	// Retry-After is at most the remaining time divided by retryAfterDivisor,
-	// so that the caller can retry within its deadline.
-	retryAfterDivisor = 3
-	minRetryAfter     = 50 * time.Millisecond
-)
-
-// maxRetryAfter returns the upper bound for the Retry-After sent to a refused
-// caller.
-func (x *exchange) maxRetryAfter() time.Duration {
-	left := x.timeLeft()
-	if x.request.Deadline > 0 {
-		left = x.request.Deadline - x.server.Clock.Since(x.startedAt)
-	}
-	return max(left/retryAfterDivisor, minRetryAfter)
+	x.writeRefusal(r.Context(), refused, status)
+	s.record(x, string(refused.Reason), status)
 }
 
 // abortReason returns the reason to record for an aborted attempt. A planned stop
