Answer the requests that a planned stop of the gateway can't finish

What callers saw: at the end of the grace their connection was closed without a byte, though the request had been read whole; the log told 502 or 503.

Cause: the stop closed listeners and connections first, which ended the requests' contexts, and the refusals that the handlers wrote then had no connection left.

Change: at the end of the grace the running exchanges are ended by relay.Server.Abort while their connections are open. Each is answered by what is known: with the failure of an upstream that is at hand, with 503 if it was never sent or was said not to have run, and with 502 otherwise. An answer that has begun is broken off. A body that is still read is refused. Connections are closed when the handlers have returned and the responses have been sent, 300 and 150 ms later at most, which leaves 250 of the 700 ms before the end of the grace. The listeners of callers and of other VMs are shut down at the same time, not one after the other. AwaitIdle looks at a counter, as requests may begin while it waits. Attempts that the stop ended are logged as draining.

Evidence: TestCallThatGraceDoesNotHoldIsAnswered, TestRequestWhoseBodyNeverEndsIsRefusedAsNotRun and TestFailureAtHandIsDeliveredAtEndOfGrace, which failed before (EOF), are green in two runs with -race, beside the tests of peers, cuts and stops.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -249,8 +249,12 @@
 	// abortMargin is the time between aborting the remaining requests and the end
 	// of the grace period, when the process is killed.
 	abortMargin = 700 * time.Millisecond
-	// abortTimeout is how long aborted requests may take to end and be logged.
-	abortTimeout = 200 * time.Millisecond
+	// answerTimeout is how long aborted requests may take to write what is known of them, flushTimeout
+	// how long that may take to be sent, and logTimeout how long requests whose connections were
+	// closed then may take to be logged. Together they are less than abortMargin.
+	answerTimeout = 300 * time.Millisecond
+	flushTimeout  = 150 * time.Millisecond
+	logTimeout    = 100 * time.Millisecond
 )
 
 // Start opens the listeners and starts the background tasks, which run until Stop
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -58,7 +58,6 @@
 			d.hints.Announce(hints.Hint{Upstream: u.ID, Silent: true, Region: d.regionOf(u.Domain)})
 		},
 		UpstreamsAge:     func() time.Duration { return d.tableAge(wire.UpstreamTable) },
-		Aborting:         func() bool { return phase(d.phase.Load()) == aborting },
 		AdmissionRefusal: d.admissionRefusal, Draining: func() bool { return phase(d.phase.Load()) != serving },
 	}
 	services := admission.New(admission.Options{Clock: d.clock, Log: d.log, Registry: d.registry, Room: d.room})
--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -10,8 +10,8 @@
 )
 
 // Stop stops the daemon and returns when it has stopped. The daemon is not ready
-// from now on, refuses new requests after the settings' Stop.TakeS, and aborts the
-// requests that still run shortly before Stop.GraceS has passed. The end of ctx
+// from now on, refuses new requests after the settings' Stop.TakeS, and ends the
+// requests that still run, with an answer, shortly before Stop.GraceS has passed. The end of ctx
 // skips the remaining waits.
 func (d *Daemon) Stop(ctx context.Context) {
 	startedAt := d.clock.Now()
@@ -21,22 +21,44 @@
 	d.wait(ctx, d.settings.Stop.TakeS.Duration())
 	d.phase.Store(int32(rejecting))
 	d.logStop(slog.LevelInfo, "refusing new requests", "after_ms", d.clock.Since(startedAt).Milliseconds())
-	timeLeft := grace - abortMargin - d.clock.Since(startedAt)
-	shutdownCtx, cancel := context.WithTimeout(ctx, timeLeft)
+	shutdownCtx, cancel := context.WithTimeout(ctx, grace-abortMargin-d.clock.Since(startedAt))
 	defer cancel()
-	err := errors.Join(d.callerServer.Shutdown(shutdownCtx), d.relayServer.Shutdown(shutdownCtx))
-	d.phase.Store(int32(aborting))
-	if err != nil {
+	if err := d.shutDown(shutdownCtx); err != nil {
 		d.logStop(slog.LevelWarn, "grace period is over; aborting the running requests", "error", err)
+		d.abort()
 	}
+	d.phase.Store(int32(aborting))
 	d.close()
-	if !d.relay.AwaitIdle(abortTimeout) {
+	if !d.relay.AwaitIdle(logTimeout) {
 		d.log.Warn("aborted requests still run; their log lines are lost")
 	}
 	d.logStop(slog.LevelInfo, "stopped", "took_ms", d.clock.Since(startedAt).Milliseconds())
 	d.logRunner.Stop()
 }
 
+// shutDown answers requests of callers and other VMs until all have been answered and no connection
+// is left, or returns the error of ctx.
+func (d *Daemon) shutDown(ctx context.Context) error {
+	relayResult := make(chan error, 1)
+	go func() { relayResult <- d.relayServer.Shutdown(ctx) }()
+	return errors.Join(d.callerServer.Shutdown(ctx), <-relayResult)
+}
+
+// abort ends the running requests while their connections are open, so that callers get an answer,
+// and waits until these have been sent, at most for answerTimeout and flushTimeout.
+func (d *Daemon) abort() {
+	d.phase.Store(int32(aborting))
+	d.relay.Abort()
+	if !d.relay.AwaitIdle(answerTimeout) {
+		d.logStop(slog.LevelWarn, "aborted requests have not ended; closing their connections")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := d.shutDown(ctx); err != nil {
+		d.logStop(slog.LevelWarn, "closing the connections that are left", "error", err)
+	}
+}
+
 // logStop logs a phase of a stop with the numbers of requests in flight, of open connections of
 // callers and other VMs, and of those among them that wait for a request.
 func (d *Daemon) logStop(level slog.Level, message string, attrs ...any) {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -12,8 +12,8 @@
 
 // admit prepares an exchange for its first attempt: it finds the route and the
 // client account, sets the deadline, and reads the body. Every error it returns
-// is a refusal.
-func (x *exchange) admit(r *http.Request) error {
+// is a refusal. ctx ends with r, or when running requests are aborted.
+func (x *exchange) admit(ctx context.Context, r *http.Request) error {
 	s := x.server
 	x.deadline = x.startedAt.Add(s.opts.DefaultDeadline)
 	if x.hop != nil {
@@ -21,7 +21,7 @@
 			return refused
 		}
 	}
-	if refused := x.awaitStartup(r.Context()); refused != nil {
+	if refused := x.awaitStartup(ctx); refused != nil {
 		return refused
 	}
 	if x.table = s.Tables.Table(); x.table == nil {
@@ -35,7 +35,7 @@
 		return err
 	}
 	x.setDeadline()
-	if err := x.readBody(r); err != nil {
+	if err := x.readBody(ctx, r); err != nil {
 		return err
 	}
 	x.initRouting()
@@ -111,7 +111,7 @@
 
 // readBody reads the whole request body into memory, as further attempts may
 // have to send it again.
-func (x *exchange) readBody(r *http.Request) error {
+func (x *exchange) readBody(ctx context.Context, r *http.Request) error {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil
 	}
@@ -122,14 +122,9 @@
 	if r.ContentLength > limit {
 		return refusal.New(refusal.BodyTooLarge)
 	}
-	timeout := min(x.server.opts.BodyTimeout, time.Until(x.deadline))
-	if err := x.control.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		x.server.Log.Debug("failed to set read deadline for request body", "request", x.request.ID, "error", err)
-	}
+	release := x.limitRead(ctx, min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	if clearErr := x.control.SetReadDeadline(time.Time{}); clearErr != nil {
-		x.server.Log.Debug("failed to clear read deadline of request body", "request", x.request.ID, "error", clearErr)
-	}
+	release()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -138,5 +133,32 @@
 	case errors.As(err, &tooLarge):
 		return refusal.Wrap(refusal.BodyTooLarge, err)
 	}
+	var refused *refusal.Refusal
+	if errors.As(context.Cause(ctx), &refused) {
+		return refused
+	}
 	return refusal.Wrap(refusal.BodyTimeout, err)
 }
+
+// limitRead ends reads of the request body after the timeout, and when ctx ends. The returned
+// function removes the limit.
+func (x *exchange) limitRead(ctx context.Context, timeout time.Duration) (release func()) {
+	x.setReadDeadline(time.Now().Add(timeout))
+	ended := make(chan struct{})
+	detach := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		x.setReadDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !detach() {
+			<-ended
+		}
+		x.setReadDeadline(time.Time{})
+	}
+}
+
+func (x *exchange) setReadDeadline(at time.Time) {
+	if err := x.control.SetReadDeadline(at); err != nil {
+		x.server.Log.Debug("failed to set read deadline for request body", "request", x.request.ID, "error", err)
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -207,11 +207,13 @@
 	return x.deadline.Sub(x.server.Clock.Now())
 }
 
-// ended reports whether no further attempt can be made, because the deadline has
-// passed or the caller disconnected. If so, the error is the result of the
+// ended reports whether no further attempt can be made, because running requests are being
+// aborted, the deadline has passed or the caller disconnected. If so, the error is the result of the
 // exchange; nil means that a response has been sent.
 func (x *exchange) ended(ctx context.Context) (bool, error) {
 	switch {
+	case x.server.aborting():
+		return true, x.fail(refusal.New(refusal.Draining))
 	case x.timeLeft() <= minWait:
 		return true, x.fail(refusal.New(refusal.DeadlineExceeded))
 	case ctx.Err() != nil:
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -45,7 +45,7 @@
 		x.server.RepeatEstimator.Record(x.route.Name, true)
 	}
 	x.answerBegan = a.firstAfter > 0
-	x.logAttempt(a, err, took)
+	x.logAttempt(ctx, a, err, took)
 }
 
 // quarantineOutcome returns what the end of an attempt says about its request: whether its
@@ -96,7 +96,10 @@
 }
 
 // outcomeOf returns the name of an attempt's result in metrics and logs.
-func (x *exchange) outcomeOf(err error) string {
+func (x *exchange) outcomeOf(ctx context.Context, err error) string {
+	if err != nil && ctx.Err() != nil && x.server.aborting() {
+		return string(refusal.Draining)
+	}
 	var refused *refusal.Refusal
 	var elsewhere *peerRefusedError
 	switch {
@@ -118,8 +121,8 @@
 
 // logAttempt counts the attempt by outcome and appends it to the log of the
 // exchange.
-func (x *exchange) logAttempt(a *attempt, err error, took time.Duration) {
-	outcome := x.outcomeOf(err)
+func (x *exchange) logAttempt(ctx context.Context, a *attempt, err error, took time.Duration) {
+	outcome := x.outcomeOf(ctx, err)
 	x.connectionLost = x.connectionLost || errorx.IsOfType(err, upconn.ErrConnectionLost)
 	x.server.Metrics.attempts.WithLabelValues(x.service, outcome).Inc()
 	record := attemptRecord{
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -131,7 +131,7 @@
 		x.retryState.Attempts += left
 	}
 	peer.End(peerResult(ctx, err))
-	x.logPeerAttempt(peer, err, startedAt)
+	x.logPeerAttempt(ctx, peer, err, startedAt)
 	return err
 }
 
@@ -282,8 +282,8 @@
 
 // logPeerAttempt counts an attempt through another VM and appends it to the log of the
 // exchange.
-func (x *exchange) logPeerAttempt(peer *peerrelay.Peer, err error, startedAt time.Time) {
-	outcome := x.outcomeOf(err)
+func (x *exchange) logPeerAttempt(ctx context.Context, peer *peerrelay.Peer, err error, startedAt time.Time) {
+	outcome := x.outcomeOf(ctx, err)
 	x.server.Metrics.peerAttempts.WithLabelValues(outcome).Inc()
 	x.attemptLog = append(x.attemptLog, attemptRecord{
 		VM: string(peer.ID), Outcome: outcome, At: startedAt.Sub(x.startedAt).Milliseconds(),
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -19,8 +19,8 @@
 )
 
 // awaitPlace waits for a moment if the request found no upstream because this VM has used
-// its part of the places or has no grant for a cold upstream, and reports whether to choose
-// again.
+// its part of the places or has no grant for a cold upstream, and reports whether to go on: to
+// choose again, or to end because ctx ended.
 func (x *exchange) awaitPlace(ctx context.Context, choice engines.Choice) bool {
 	if choice.Refused[route.NoPlace] == 0 && choice.Refused[route.Cold] == 0 {
 		return false
@@ -32,7 +32,7 @@
 	x.placeWait += placePoll
 	select {
 	case <-ctx.Done():
-		return false
+		return true
 	case <-x.server.Clock.After(placePoll):
 		return true
 	}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -22,10 +22,14 @@
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
 	}
+	if x.server.Draining() {
+		// The rest of a request body is not read then.
+		h.Set("Connection", "close")
+	}
 	x.limitWrite()
 	x.w.WriteHeader(status)
 	_, err := x.w.Write([]byte(body))
-	if err == nil && x.server.Aborting() {
+	if err == nil && x.server.aborting() {
 		// The connection may be closed soon, and the log tells whether the caller was answered.
 		err = x.control.Flush()
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,8 +94,6 @@
 	UpstreamsAge func() time.Duration
 	// AdmissionRefusal returns the reason why new requests are refused, or nil.
 	AdmissionRefusal func() *refusal.Refusal
-	// Aborting reports whether running requests are being aborted.
-	Aborting func() bool
 	// Draining reports whether responses should ask callers to close their
 	// connections.
 	Draining func() bool
@@ -110,15 +107,16 @@
 	lengths  pace.Lengths
 	buffered bufferBudget
 	egress   *egress.Tracker
-	// exchanges and inFlight count the requests in flight, and relayedInFlight those of other VMs.
-	exchanges       sync.WaitGroup
+	// inFlight counts the requests in flight, and relayedInFlight those of other VMs.
 	inFlight        atomic.Int64
 	relayedInFlight atomic.Int64
+	stop            stopState
 }
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
+	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes},
+		stop: newStopState()}
 	s.egress = s.newEgress()
 	return s
 }
@@ -128,8 +126,6 @@
 
 // serve serves a request of a caller, or of another VM if hop is not nil.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, hop *peerRequest) {
-	s.exchanges.Add(1)
-	defer s.exchanges.Done()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	s.Metrics.inFlight.Inc()
@@ -144,9 +140,11 @@
 	if s.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	err := x.admit(r)
+	ctx, detach := s.withAbort(r.Context())
+	defer detach()
+	err := x.admit(ctx, r)
 	if err == nil {
-		ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, refusal.New(refusal.DeadlineExceeded))
+		ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, refusal.New(refusal.DeadlineExceeded))
 		x.cancel = cancel
 		err = x.closeOutput(x.run(ctx))
 		cancel()
@@ -154,22 +152,6 @@
 	s.finish(x, r, err)
 }
 
-// AwaitIdle waits until no request is in flight, at most for the timeout. It reports
-// whether none is. It must be called after the last request was accepted.
-func (s *Server) AwaitIdle(timeout time.Duration) bool {
-	idle := make(chan struct{})
-	go func() {
-		s.exchanges.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return true
-	case <-s.Clock.After(timeout):
-		return false
-	}
-}
-
 // finish records the end of an exchange. On an error it sends a refusal if no
 // part of a response has been sent yet, and aborts the connection otherwise.
 func (s *Server) finish(x *exchange, r *http.Request, err error) {
@@ -178,10 +160,11 @@
 		return
 	}
 	refused := refusal.FromError(err)
+	callerGone := r.Context().Err() != nil || refused.Reason == refusal.CallerGone
 	switch {
-	case s.Aborting():
+	case callerGone && s.aborting():
 		refused = refusal.Wrap(refusal.Draining, err)
-	case r.Context().Err() != nil && refused.Reason != refusal.CallerGone:
+	case callerGone && refused.Reason != refusal.CallerGone:
 		refused = refusal.Wrap(refusal.CallerGone, err)
 	}
 	x.refusalDetail = refused.Detail
@@ -200,10 +183,10 @@
 }
 
 // abortReason returns the reason to record for an aborted attempt. A planned stop
-// closes the caller's connection and so looks like a disconnect by the caller; it
-// is recorded as Draining.
+// closes connections that are left at its end, which looks like a disconnect by the caller;
+// it is recorded as Draining.
 func (s *Server) abortReason(reason refusal.Reason) refusal.Reason {
-	if reason == refusal.CallerGone && s.Aborting() {
+	if reason == refusal.CallerGone && s.aborting() {
 		return refusal.Draining
 	}
 	return reason
