Ask callers to close their connection in answers that end during a stop

What callers saw: an answer to a request from before the SIGTERM didn't say that its connection was about to be closed, so that the next request crossed the close.

Cause: the header was set when a handler began, by the relay and by the listener, and not when the answer did.

Change: the relay sets it when the header of an answer or a refusal is written. The http.Server closes such a connection after the response at once and does not wait for the rest of a request body.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -245,6 +245,15 @@
 	if x.hop != nil {
 		x.server.Protocol.SetResponseID(dst, x.request.ID)
 	}
+	x.askToClose()
 	x.headerSent, x.status = true, status
 	x.w.WriteHeader(status)
 }
+
+// askToClose sets the header that asks the caller to close its connection if the VM is stopping,
+// which may have begun after the request.
+func (x *exchange) askToClose() {
+	if x.server.Draining() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -22,10 +22,8 @@
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
 	}
-	if x.server.Draining() {
-		// The rest of a request body is not read then.
-		h.Set("Connection", "close")
-	}
+	// The http.Server does not wait for the rest of a request body then.
+	x.askToClose()
 	x.limitWrite()
 	x.w.WriteHeader(status)
 	_, err := x.w.Write([]byte(body))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -137,9 +137,7 @@
 	defer x.releaseRelayed()
 	defer x.endOutput()
 	x.clearWriteDeadline()
-	if s.Draining() {
-		w.Header().Set("Connection", "close")
-	}
+	x.askToClose()
 	ctx, detach := s.withAbort(r.Context())
 	defer detach()
 	err := x.admit(ctx, r)
