Send nothing to upstreams that the rest of a planned stop's grace can't hold

What callers saw: a request whose body was complete late in the grace, a retry, a step to a stronger model or a resumed stream was sent to an upstream and cut a moment later.

Cause: whether the VM still takes requests was asked once, before the body was read. Waits and further attempts came later.

Change: the relay knows from the SIGTERM on when running requests will be ended. Before the body is read, before and after each wait for admission, before each attempt at an upstream or another VM and right before its bytes are written, a request is refused if it is not expected to end before that: 503 with Retry-After if it has not run, and the upstream's failure or 502 otherwise. A weak answer is kept, a stream that is too slow is not moved and a silent attempt is not given up for an attempt that could not end. Reading the body, waiting for admission and backoff end when the grace can't hold the request any more. A request whose deadline is before the end of the grace is always sent.

A body whose read was cut lets the http.Server end the request's context; that is not taken for a caller that has left.

--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -15,8 +15,9 @@
 // skips the remaining waits.
 func (d *Daemon) Stop(ctx context.Context) {
 	startedAt := d.clock.Now()
-	d.phase.Store(int32(draining))
 	grace := d.settings.Stop.GraceS.Duration()
+	d.phase.Store(int32(draining))
+	d.relay.BeginStop(startedAt.Add(grace - abortMargin))
 	d.logStop(slog.LevelInfo, "leaving", "grace_ms", grace.Milliseconds())
 	d.wait(ctx, d.settings.Stop.TakeS.Duration())
 	d.phase.Store(int32(rejecting))
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -40,8 +40,13 @@
 	if x.server.Admission == nil || x.admission.permit.Held() {
 		return nil
 	}
+	ctx, endWait := x.whileHeld(ctx)
+	defer endWait()
 	permit, err := x.server.Admission.Acquire(ctx, x.service, x.admissionWork())
 	if err != nil {
+		if refused := causeOf(ctx); refused != nil {
+			return refused
+		}
 		return refusal.FromError(err)
 	}
 	x.admission.permit, x.admission.rejections = permit, 0
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -35,6 +35,9 @@
 		return err
 	}
 	x.setDeadline()
+	if refused := x.refuseUnfinishable(); refused != nil {
+		return refused
+	}
 	if err := x.readBody(ctx, r); err != nil {
 		return err
 	}
@@ -122,38 +125,41 @@
 	if r.ContentLength > limit {
 		return refusal.New(refusal.BodyTooLarge)
 	}
+	ctx, endWait := x.whileHeld(ctx)
+	defer endWait()
 	release := x.limitRead(ctx, min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	release()
+	x.readCut = release()
 	var tooLarge *http.MaxBytesError
+	refused := causeOf(ctx)
 	switch {
+	case refused != nil && (err != nil || x.readCut):
+		return refused
 	case err == nil:
 		x.body = body
 		return nil
 	case errors.As(err, &tooLarge):
 		return refusal.Wrap(refusal.BodyTooLarge, err)
 	}
-	var refused *refusal.Refusal
-	if errors.As(context.Cause(ctx), &refused) {
-		return refused
-	}
 	return refusal.Wrap(refusal.BodyTimeout, err)
 }
 
 // limitRead ends reads of the request body after the timeout, and when ctx ends. The returned
-// function removes the limit.
-func (x *exchange) limitRead(ctx context.Context, timeout time.Duration) (release func()) {
+// function removes the limit, and reports whether the end of ctx ended reads.
+func (x *exchange) limitRead(ctx context.Context, timeout time.Duration) (release func() bool) {
 	x.setReadDeadline(time.Now().Add(timeout))
 	ended := make(chan struct{})
 	detach := context.AfterFunc(ctx, func() {
 		defer close(ended)
 		x.setReadDeadline(time.Unix(1, 0))
 	})
-	return func() {
-		if !detach() {
+	return func() bool {
+		cut := !detach()
+		if cut {
 			<-ended
 		}
 		x.setReadDeadline(time.Time{})
+		return cut
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -137,7 +137,7 @@
 // withdrawn reports whether the upstream must not get the request any more, by what became known
 // since it was chosen.
 func (a *attempt) withdrawn() bool {
-	return !a.engine.TakesRequests() || !a.exchange.regions().Contains(a.engine.Region())
+	return a.exchange.refuseUnfinishable() != nil || !a.engine.TakesRequests() || !a.exchange.regions().Contains(a.engine.Region())
 }
 
 // isRejection reports whether a response turns the request away for the time being.
@@ -197,6 +197,10 @@
 	if !escalate {
 		return false
 	}
+	if x.refuseUnfinishable() != nil {
+		x.server.Metrics.cascadeSteps.WithLabelValues("kept_" + plannedStop).Inc()
+		return false
+	}
 	now := x.server.Clock.Now()
 	if reason := x.server.Retry.DecideStep(&x.retryState, now); reason != retry.Allowed {
 		x.server.Metrics.cascadeSteps.WithLabelValues("kept_" + reason.String()).Inc()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -58,6 +58,10 @@
 	// empty.
 	refusalDetail string
 
+	// readCut reports whether reads from the caller were ended while its request body was read. The
+	// http.Server may then have ended the request's context as if the caller had disconnected.
+	readCut bool
+
 	// abortEnd is what the caller got if the end of a planned stop's grace ended the exchange;
 	// otherwise empty.
 	abortEnd abortEnd
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -71,6 +71,10 @@
 		return false
 	}
 	a.move.checkAfter = now.Add(moveRetryInterval)
+	if x.refuseUnfinishable() != nil {
+		s.Metrics.moves.WithLabelValues(plannedStop).Inc()
+		return false
+	}
 	req := x.requirements()
 	req.Tried = append(req.Tried[:len(req.Tried):len(req.Tried)], a.engine.ID())
 	choice := s.Placement.Choose(req)
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -25,6 +25,9 @@
 	// A VM that has lost its way to the upstreams blames none of them.
 	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).CutOff
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
+	if err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		x.observeDuration(took, a.events)
+	}
 	if err == nil {
 		result.Took = took
 		x.observeLength()
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -84,6 +84,9 @@
 	x.peersAsked = true
 	var tried []vm.ID
 	for range maxPeersAsked {
+		if refused := x.refuseUnfinishable(); refused != nil {
+			return true, x.fail(refused)
+		}
 		peer, ok := x.server.Peers.Choose(x.service, x.regions(), tried)
 		if !ok {
 			x.server.Metrics.peerAttempts.WithLabelValues("no_peer").Inc()
@@ -130,6 +133,9 @@
 		// How many attempts the VM made is not known.
 		x.retryState.Attempts += left
 	}
+	if err == nil {
+		x.observeDuration(s.Clock.Since(startedAt), x.events)
+	}
 	peer.End(peerResult(ctx, err))
 	x.logPeerAttempt(ctx, peer, err, startedAt)
 	return err
@@ -145,6 +151,7 @@
 		Request: upconn.Request{
 			Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: header, Body: x.body,
 		},
+		Withdrawn:     func() bool { return x.refuseUnfinishable() != nil },
 		ID:            x.request.ID,
 		ResponseID:    x.peerResponseID,
 		HeaderTimeout: max(x.timeLeft(), minWait),
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		x.server.Log.Debug("failed to write refusal to caller", "request", x.request.ID, "error", err)
 	}
-	if err != nil || ctx.Err() != nil {
+	if err != nil || ctx.Err() != nil && !x.readCut {
 		x.recordAborted(abortUnsent)
 		return
 	}
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -30,6 +30,10 @@
 	errLowConfidence = upconn.ErrNotSent.NewSubtype("weak")
 )
 
+// plannedStop is the label, in metrics, of a further attempt that is not made because the rest of a
+// planned stop's grace can't hold it.
+const plannedStop = "planned_stop"
+
 // maxNotRun is how many attempts of one request upstreams may reject without
 // running it before the request is refused.
 const maxNotRun = 5
@@ -97,14 +101,20 @@
 }
 
 // prepareAttempt asks other VMs to relay the request if this VM should not send it, and otherwise
-// waits for a permit. If it returns true, the error is the result of the exchange.
+// waits for a permit. It refuses what the rest of a planned stop's grace can't hold. If it returns true, the error is the result of the exchange.
 func (x *exchange) prepareAttempt(ctx context.Context) (bool, error) {
+	if refused := x.refuseUnfinishable(); refused != nil {
+		return true, x.fail(refused)
+	}
 	if x.shouldAskPeers() {
 		if settled, err := x.askPeersOrRefuse(ctx); settled {
 			return true, err
 		}
 	}
 	refused := x.acquirePermit(ctx)
+	if refused == nil {
+		refused = x.refuseUnfinishable()
+	}
 	if refused == nil {
 		return false, nil
 	}
@@ -204,19 +214,23 @@
 	if errorx.IsOfType(err, errFailed) && !x.mayRetryFailure() {
 		return false, x.fail(refusal.Wrap(refusal.UpstreamFailed, err))
 	}
+	if late := x.refuseUnfinishable(); late != nil {
+		s.Metrics.retries.WithLabelValues(failure.Kind.String(), plannedStop).Inc()
+		return false, x.fail(refusal.Wrap(refusalReason(failure.Kind), err).With("%s", late.Detail))
+	}
 	decision := s.Retry.Decide(&x.retryState, failure, x.randFloat(), s.Clock.Now())
 	s.Metrics.retries.WithLabelValues(failure.Kind.String(), decision.Reason.String()).Inc()
 	if decision.Action != retry.Retry {
 		return false, x.fail(refusal.Wrap(refusalReason(failure.Kind), err))
 	}
 	x.retriedFailure = x.retriedFailure || errorx.IsOfType(err, errFailed)
+	wait, endWait := x.whileHeld(ctx)
+	defer endWait()
 	select {
-	case <-ctx.Done():
-		_, err := x.ended(ctx)
-		return false, err
+	case <-wait.Done():
 	case <-s.Clock.After(decision.Delay):
-		return true, nil
 	}
+	return true, nil
 }
 
 // mayRetryFailure reports whether a request is retried after an upstream
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -102,15 +102,17 @@
 // Server serves callers' requests. It implements http.Handler.
 type Server struct {
 	Deps
-	opts     Options
-	prefill  *prefillEstimator
-	lengths  pace.Lengths
-	buffered bufferBudget
-	egress   *egress.Tracker
+	opts    Options
+	prefill *prefillEstimator
+	lengths pace.Lengths
+	// durations are those of attempts that sent the whole answer, or that the deadline ended.
+	durations pace.Durations
+	buffered  bufferBudget
+	egress    *egress.Tracker
 	// inFlight counts the requests in flight, and relayedInFlight those of other VMs.
 	inFlight        atomic.Int64
 	relayedInFlight atomic.Int64
-	stop            stopState
+	stop            *stopState
 }
 
 // New returns a server.
@@ -158,7 +160,7 @@
 		return
 	}
 	refused := refusal.FromError(err)
-	callerGone := r.Context().Err() != nil || refused.Reason == refusal.CallerGone
+	callerGone := r.Context().Err() != nil && !x.readCut || refused.Reason == refusal.CallerGone
 	switch {
 	case callerGone && s.aborting():
 		refused = refusal.Wrap(refusal.Draining, err)
--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/poplarshore/poplarshore/refusal"
@@ -9,17 +10,30 @@
 
 // stopState is how far a planned stop of the VM has come.
 type stopState struct {
+	// begun ends, by begin, when the stop begins. abortAt is when running requests will be ended;
+	// nil before.
+	begun   context.Context
+	begin   context.CancelFunc
+	abortAt atomic.Pointer[time.Time]
 	// aborted ends, by abort, when the running requests are to be ended.
 	aborted context.Context
 	abort   context.CancelFunc
 }
 
-func newStopState() stopState {
-	var state stopState
+func newStopState() *stopState {
+	state := &stopState{}
+	state.begun, state.begin = context.WithCancel(context.Background())
 	state.aborted, state.abort = context.WithCancel(context.Background())
 	return state
 }
 
+// BeginStop tells that a planned stop has begun, and when running requests will be ended. From now on
+// requests that can't end before that are not sent to upstreams.
+func (s *Server) BeginStop(abortAt time.Time) {
+	s.stop.abortAt.Store(&abortAt)
+	s.stop.begin()
+}
+
 // Abort ends the running requests, and those that begin from now on. Each is answered by what is
 // known of it: with the failure of an upstream that is at hand, with status 503 if it has not run
 // and with 502 if it may have. An answer that has begun is broken off.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,13 +61,17 @@
 // onSilence decides what to do with an attempt that sent nothing for the allowed
 // time. It returns how much longer to wait. Zero gives the attempt up, because
 // the deadline has passed or because another attempt may be made; the retry
-// budget has then been charged for that one.
+// budget has then been charged for that one. It is not given up for an attempt that
+// the rest of a planned stop's grace can't hold.
 func (a *attempt) onSilence() time.Duration {
 	x := a.exchange
 	left := x.timeLeft()
 	if left <= minWait {
 		return 0
 	}
+	if x.refuseUnfinishable() != nil {
+		return left
+	}
 	// Count the silent attempt as well, since its upstream may run it.
 	retryState := x.retryState
 	retryState.Attempts++
