--- a/internal/relay/remainder.go
+++ b/internal/relay/remainder.go
@@ -41,7 +41,7 @@
 	if expected, known := s.durations.Expect(r.route.Name, r.size, now); known {
 		return expected
 	}
-	if r.begun || r.route.Repeatable() || r.route.Resumable {
+	if r.begun || r.route.Repeatable() {
 		return r.route.TargetLatency
 	}
 	return r.deadline.Sub(now)
--- /dev/null
+++ b/internal/relay/remainder_test.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/admission"
+	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/routing"
+)
+
+// endlessAdmission lets each request wait until its context ends.
+type endlessAdmission struct{ Admission }
+
+func (endlessAdmission) Acquire(ctx context.Context, _ string, _ admission.Work) (admission.Permit, error) {
+	<-ctx.Done()
+	return admission.Permit{}, refusal.Wrap(refusal.Overloaded, ctx.Err())
+}
+
+// newWaitingExchange returns an exchange of a call with 10 s left, whose like take a second.
+func newWaitingExchange() (*exchange, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	s := New(Deps{Clock: clock, Admission: endlessAdmission{}}, DefaultOptions())
+	x := &exchange{
+		server: s, request: &Request{}, route: &routing.Route{Name: "r"},
+		startedAt: clock.Now(), deadline: clock.Now().Add(10 * time.Second),
+	}
+	s.durations.Observe("r", 1, time.Second, clock.Now())
+	return x, clock
+}
+
+// TestWaitForAdmissionEndsWhenGraceCannotHoldRequest guards against a request that waits until the end
+// of a planned stop's grace, though it is known before that it can't be served.
+func TestWaitForAdmissionEndsWhenGraceCannotHoldRequest(t *testing.T) {
+	g := NewWithT(t)
+	x, clock := newWaitingExchange()
+	refused := make(chan *refusal.Refusal, 1)
+	go func() { refused <- x.acquirePermit(t.Context()) }()
+	x.server.BeginStop(clock.Now().Add(5 * time.Second))
+	g.Expect(clock.BlockUntilContext(t.Context(), 1)).To(Succeed())
+	clock.Advance(3 * time.Second)
+	g.Consistently(refused, "50ms").ShouldNot(Receive())
+	clock.Advance(1100 * time.Millisecond)
+	var r *refusal.Refusal
+	g.Eventually(refused).Should(Receive(&r))
+	g.Expect(r.Reason).To(Equal(refusal.Draining))
+}
+
+// TestRequestIsRefusedOnceGraceCannotHoldIt guards against requests that are refused too soon, or too late.
+func TestRequestIsRefusedOnceGraceCannotHoldIt(t *testing.T) {
+	g := NewWithT(t)
+	x, clock := newWaitingExchange()
+	g.Expect(x.refuseUnfinishable()).To(BeNil())
+	x.server.BeginStop(clock.Now().Add(5 * time.Second))
+	clock.Advance(3900 * time.Millisecond)
+	g.Expect(x.refuseUnfinishable()).To(BeNil())
+	clock.Advance(200 * time.Millisecond)
+	g.Expect(x.refuseUnfinishable()).NotTo(BeNil())
+	x.deadline = clock.Now().Add(500 * time.Millisecond)
+	g.Expect(x.refuseUnfinishable()).To(BeNil(), "the deadline is before the end of the grace")
+}
+
+// TestRequestOfUnknownDurationIsSentByWhatMayBeRepeated guards against a request that may run once only
+// and is cut, as nothing was known of how long it takes.
+func TestRequestOfUnknownDurationIsSentByWhatMayBeRepeated(t *testing.T) {
+	g := NewWithT(t)
+	x, clock := newWaitingExchange()
+	x.server.BeginStop(clock.Now().Add(5 * time.Second))
+	x.route = &routing.Route{Name: "once", TargetLatency: time.Second}
+	g.Expect(x.refuseUnfinishable()).NotTo(BeNil())
+	x.route = &routing.Route{Name: "resumable", Streaming: true, Resumable: true, TargetLatency: time.Second}
+	g.Expect(x.refuseUnfinishable()).To(BeNil())
+}
