Keep a second SIGTERM, and a SIGHUP during the start, from ending requests

What callers saw: a second SIGTERM within the grace, as service managers send to a process and its group, ended all running requests at once. A SIGHUP that came before the gateway listened for it, which it did only after its listeners were open, ended the process with its connections.

Cause: the second signal of either kind counted as an operator who doesn't want to wait; the default handling of SIGHUP.

Change: only a SIGINT after the first signal shortens a stop, for all daemons. The gateway's command ignores SIGHUP before it reads its settings and listens for it, as for SIGTERM, before anything is opened.

Evidence: TestSecondSIGTERMDoesNotShortenStop and TestSIGHUPDoesNotEndProcessThatStarts ("signal: hangup") fail on the code before, and are green with -race.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -26,8 +26,10 @@
 }
 
 // Signals returns a context that is cancelled by the first SIGTERM or SIGINT, and one
-// that is cancelled by the second. Both are also cancelled with parent. stop cancels
-// both and restores the default handling of the signals; call it once.
+// that is cancelled by a SIGINT after that, as of an operator who does not want to wait. A further
+// SIGTERM changes nothing: service managers may send one to a process and to its group. Both
+// contexts are also cancelled with parent. stop cancels both and restores the default handling of
+// the signals; call it once.
 func Signals(parent context.Context) (firstSignal, secondSignal context.Context, stop func()) {
 	firstSignal, cancelFirst := context.WithCancel(parent)
 	secondSignal, cancelSecond := context.WithCancel(parent)
@@ -35,10 +37,13 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	done := make(chan struct{})
 	go func() {
-		for _, cancel := range []func(){cancelFirst, cancelSecond} {
+		for {
 			select {
-			case <-signals:
-				cancel()
+			case sig := <-signals:
+				if sig == os.Interrupt && firstSignal.Err() != nil {
+					cancelSecond()
+				}
+				cancelFirst()
 			case <-done:
 				return
 			}
--- a/internal/gatewayd/command.go
+++ b/internal/gatewayd/command.go
@@ -17,27 +17,30 @@
 // given by its flags, and with the options.
 func NewCommand(opts ...Option) *cobra.Command {
 	s := settings.DefaultGateway()
-	return command.NewDaemonCommand(command.Program{
+	cmd := command.NewDaemonCommand(command.Program{
 		Name: "gateway", Short: "Run the gateway of the users' platform on this entry VM",
 		Example:     "  poplarshored gateway --settings /etc/poplarshore/gateway.json",
 		DefaultPath: "/etc/poplarshore/gateway.json",
 		Settings:    s,
 		Run:         func(cmd *cobra.Command) error { return run(cmd, s, opts) },
 	})
+	// By default the signal would end a process that still starts.
+	cmd.PreRun = func(*cobra.Command, []string) { signal.Ignore(syscall.SIGHUP) }
+	return cmd
 }
 
-// run serves until the first SIGTERM or SIGINT and then stops gracefully. A second
-// signal aborts the requests that are still running.
+// run serves until the first SIGTERM or SIGINT and then stops gracefully. A SIGINT after that
+// ends the requests that are still running.
 func run(cmd *cobra.Command, s *settings.Gateway, opts []Option) error {
-	d := New(s, cmd.OutOrStdout(), clockwork.NewRealClock(), opts...)
 	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
 	defer stopSignals()
-	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
-		return err
-	}
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(reloadSignals)
+	d := New(s, cmd.OutOrStdout(), clockwork.NewRealClock(), opts...)
+	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
+		return err
+	}
 	for {
 		select {
 		case <-reloadSignals:
