--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/poplarshore/poplarshore/settings"
@@ -25,12 +26,11 @@
 	return slog.New(slog.NewTextHandler(w, opts))
 }
 
-// Signals returns a context that is cancelled by the first SIGTERM or SIGINT, and one
-// that is cancelled by a SIGINT after that, as of an operator who does not want to wait. A further
-// SIGTERM changes nothing: service managers may send one to a process and to its group. Both
-// contexts are also cancelled with parent. stop cancels both and restores the default handling of
-// the signals; call it once.
-func Signals(parent context.Context) (firstSignal, secondSignal context.Context, stop func()) {
+// Signals returns a context that is cancelled by the first SIGTERM or SIGINT, and one that is
+// cancelled by the next of them. If hurry names signals, only one of these cancels the second one,
+// and others change nothing. Both contexts are also cancelled with parent. stop cancels both and
+// restores the default handling of the signals; call it once.
+func Signals(parent context.Context, hurry ...os.Signal) (firstSignal, secondSignal context.Context, stop func()) {
 	firstSignal, cancelFirst := context.WithCancel(parent)
 	secondSignal, cancelSecond := context.WithCancel(parent)
 	signals := make(chan os.Signal, 2)
@@ -40,7 +40,7 @@
 		for {
 			select {
 			case sig := <-signals:
-				if sig == os.Interrupt && firstSignal.Err() != nil {
+				if firstSignal.Err() != nil && (len(hurry) == 0 || slices.Contains(hurry, sig)) {
 					cancelSecond()
 				}
 				cancelFirst()
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -1,6 +1,7 @@
 package command_test
 
 import (
+	"os"
 	"syscall"
 	"testing"
 
@@ -12,11 +13,11 @@
 // send sends a signal to this process.
 func send(g *WithT, sig syscall.Signal) { g.Expect(syscall.Kill(syscall.Getpid(), sig)).To(Succeed()) }
 
-// TestSecondSIGTERMDoesNotShortenStop guards against requests that are cut because a service manager
+// TestSecondSIGTERMShortensStopOnlyIfItMay guards against requests that are cut because a service manager
 // sends SIGTERM twice, to the process and to its group.
-func TestSecondSIGTERMDoesNotShortenStop(t *testing.T) {
+func TestSecondSIGTERMShortensStopOnlyIfItMay(t *testing.T) {
 	g := NewWithT(t)
-	first, second, stop := command.Signals(t.Context())
+	first, second, stop := command.Signals(t.Context(), os.Interrupt)
 	defer stop()
 	send(g, syscall.SIGTERM)
 	g.Eventually(first.Done()).Should(BeClosed())
@@ -25,3 +26,15 @@
 	send(g, syscall.SIGINT)
 	g.Eventually(second.Done()).Should(BeClosed())
 }
+
+// TestAnySecondSignalShortensStop guards against a change of what signals do by default.
+func TestAnySecondSignalShortensStop(t *testing.T) {
+	g := NewWithT(t)
+	first, second, stop := command.Signals(t.Context())
+	defer stop()
+	send(g, syscall.SIGTERM)
+	g.Eventually(first.Done()).Should(BeClosed())
+	g.Expect(second.Err()).NotTo(HaveOccurred())
+	send(g, syscall.SIGTERM)
+	g.Eventually(second.Done()).Should(BeClosed())
+}
--- a/internal/gatewayd/command.go
+++ b/internal/gatewayd/command.go
@@ -32,7 +32,8 @@
 // run serves until the first SIGTERM or SIGINT and then stops gracefully. A SIGINT after that
 // ends the requests that are still running.
 func run(cmd *cobra.Command, s *settings.Gateway, opts []Option) error {
-	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
+	// A service manager may send SIGTERM twice, to the process and to its group.
+	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context(), os.Interrupt)
 	defer stopSignals()
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
