--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -58,6 +58,14 @@
 	// empty.
 	refusalDetail string
 
+	// readCut reports whether reads from the caller were ended while its request body was read. The
+	// http.Server may then have ended the request's context as if the caller had disconnected.
+	readCut bool
+
+	// abortEnd is what the caller got if the end of a planned stop's grace ended the exchange;
+	// otherwise empty.
+	abortEnd abortEnd
+
 	// retryPrepaid reports whether the retry budget has already been charged for
 	// the next attempt, when a silent one was given up.
 	retryPrepaid bool
@@ -203,11 +211,13 @@
 	return x.deadline.Sub(x.server.Clock.Now())
 }
 
-// ended reports whether no further attempt can be made, because the deadline has
-// passed or the caller disconnected. If so, the error is the result of the
+// ended reports whether no further attempt can be made, because running requests are being
+// aborted, the deadline has passed or the caller disconnected. If so, the error is the result of the
 // exchange; nil means that a response has been sent.
 func (x *exchange) ended(ctx context.Context) (bool, error) {
 	switch {
+	case x.server.aborting():
+		return true, x.fail(refusal.New(refusal.Draining))
 	case x.timeLeft() <= minWait:
 		return true, x.fail(refusal.New(refusal.DeadlineExceeded))
 	case ctx.Err() != nil:
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +15,6 @@
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/upconn"
-	"github.com/poplarshore/poplarshore/limit"
 	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -97,8 +94,6 @@
 	UpstreamsAge func() time.Duration
 	// AdmissionRefusal returns the reason why new requests are refused, or nil.
 	AdmissionRefusal func() *refusal.Refusal
-	// Aborting reports whether running requests are being aborted.
-	Aborting func() bool
 	// Draining reports whether responses should ask callers to close their
 	// connections.
 	Draining func() bool
@@ -107,19 +102,23 @@
 // Server serves callers' requests. It implements http.Handler.
 type Server struct {
 	Deps
-	opts     Options
-	prefill  *prefillEstimator
-	lengths  pace.Lengths
-	buffered bufferBudget
-	egress   *egress.Tracker
-	// exchanges counts the requests in flight, and relayedInFlight those of other VMs.
-	exchanges       sync.WaitGroup
+	opts    Options
+	prefill *prefillEstimator
+	lengths pace.Lengths
+	// durations are those of attempts that sent the whole answer, or that the deadline ended.
+	durations pace.Durations
+	buffered  bufferBudget
+	egress    *egress.Tracker
+	// inFlight counts the requests in flight, and relayedInFlight those of other VMs.
+	inFlight        atomic.Int64
 	relayedInFlight atomic.Int64
+	stop            *stopState
 }
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes}}
+	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes},
+		stop: newStopState()}
 	s.egress = s.newEgress()
 	return s
 }
@@ -129,8 +128,8 @@
 
 // serve serves a request of a caller, or of another VM if hop is not nil.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, hop *peerRequest) {
-	s.exchanges.Add(1)
-	defer s.exchanges.Done()
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
 	s.Metrics.inFlight.Inc()
 	defer s.Metrics.inFlight.Dec()
 	x := &exchange{
@@ -140,12 +139,12 @@
 	defer x.releaseRelayed()
 	defer x.endOutput()
 	x.clearWriteDeadline()
-	if s.Draining() {
-		w.Header().Set("Connection", "close")
-	}
-	err := x.admit(r)
+	x.askToClose()
+	ctx, detach := s.withAbort(r.Context())
+	defer detach()
+	err := x.admit(ctx, r)
 	if err == nil {
-		ctx, cancel := context.WithDeadlineCause(r.Context(), x.deadline, refusal.New(refusal.DeadlineExceeded))
+		ctx, cancel := context.WithDeadlineCause(ctx, x.deadline, refusal.New(refusal.DeadlineExceeded))
 		x.cancel = cancel
 		err = x.closeOutput(x.run(ctx))
 		cancel()
@@ -153,22 +152,6 @@
 	s.finish(x, r, err)
 }
 
-// AwaitIdle waits until no request is in flight, at most for the timeout. It reports
-// whether none is. It must be called after the last request was accepted.
-func (s *Server) AwaitIdle(timeout time.Duration) bool {
-	idle := make(chan struct{})
-	go func() {
-		s.exchanges.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return true
-	case <-s.Clock.After(timeout):
-		return false
-	}
-}
-
 // finish records the end of an exchange. On an error it sends a refusal if no
 // part of a response has been sent yet, and aborts the connection otherwise.
 func (s *Server) finish(x *exchange, r *http.Request, err error) {
@@ -177,78 +160,33 @@
 		return
 	}
 	refused := refusal.FromError(err)
+	callerGone := r.Context().Err() != nil && !x.readCut || refused.Reason == refusal.CallerGone
 	switch {
-	case s.Aborting():
+	case callerGone && s.aborting():
 		refused = refusal.Wrap(refusal.Draining, err)
-	case r.Context().Err() != nil && refused.Reason != refusal.CallerGone:
+	case callerGone && refused.Reason != refusal.CallerGone:
 		refused = refusal.Wrap(refusal.CallerGone, err)
 	}
 	x.refusalDetail = refused.Detail
 	if x.headerSent {
+		x.recordAborted(abortCut)
 		s.record(x, string(refused.Reason), 0)
 		panic(http.ErrAbortHandler)
 	}
 	status := x.refusalStatus(refused)
-	s.record(x, string(refused.Reason), status)
 	if refused.Reason == refusal.CallerGone {
+		s.record(x, string(refused.Reason), status)
 		panic(http.ErrAbortHandler)
 	}
-	h := x.w.Header()
-	if x.hop != nil {
-		h.Set(headerRefusal, string(refused.Reason))
-		s.Protocol.SetResponseID(h, x.request.ID)
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
-	}
-	x.limitWrite()
-	x.w.WriteHeader(status)
-	if _, err := x.w.Write([]byte(string(refused.Reason) + "\n")); err != nil {
-		s.Log.Debug("failed to write refusal to caller", "request", x.request.ID, "error", err)
-	}
-}
-
-// refusalStatus returns the HTTP status of a refusal. A 503 promises that the
-// request was not run, so 502 replaces it once an attempt may have run.
-func (x *exchange) refusalStatus(refused *refusal.Refusal) int {
-	if refused.Status == http.StatusServiceUnavailable && x.retryState.Attempts > 0 {
-		return http.StatusBadGateway
-	}
-	return refused.Status
-}
-
-// returnAfter returns when a refused caller is told to come back. Callers come back within
-// their deadline, and not all at once, except with a request that crashes upstreams.
-func (x *exchange) returnAfter(refused *refusal.Refusal) time.Duration {
-	if refused.Reason == refusal.Quarantined {
-		return refused.RetryAfter
-	}
-	return limit.SpreadReturn(refused.RetryAfter, x.maxRetryAfter(), x.randFloat())
-}
-
-const (
-	// Retry-After is at most the remaining time divided by retryAfterDivisor,
-	// so that the caller can retry within its deadline.
-	retryAfterDivisor = 3
-	minRetryAfter     = 50 * time.Millisecond
-)
-
-// maxRetryAfter returns the upper bound for the Retry-After sent to a refused
-// caller.
-func (x *exchange) maxRetryAfter() time.Duration {
-	left := x.timeLeft()
-	if x.request.Deadline > 0 {
-		left = x.request.Deadline - x.server.Clock.Since(x.startedAt)
-	}
-	return max(left/retryAfterDivisor, minRetryAfter)
+	x.writeRefusal(r.Context(), refused, status)
+	s.record(x, string(refused.Reason), status)
 }
 
 // abortReason returns the reason to record for an aborted attempt. A planned stop
-// closes the caller's connection and so looks like a disconnect by the caller; it
-// is recorded as Draining.
+// closes connections that are left at its end, which looks like a disconnect by the caller;
+// it is recorded as Draining.
 func (s *Server) abortReason(reason refusal.Reason) refusal.Reason {
-	if reason == refusal.CallerGone && s.Aborting() {
+	if reason == refusal.CallerGone && s.aborting() {
 		return refusal.Draining
 	}
 	return reason
