Send nothing upstream that the rest of a drain can't hold

Callers of poplarshored saw the end of their connection without a byte where a call's body was complete late in the drain, or where an attempt failed and another one followed: both were sent, and cut at the end of the drain.

Cause: whether the VM drains was asked once, before the body was read.

Drain now gets the time at which it ends. Before each attempt (retries, hedges, steps of a cascade, resumed streams and calls of the older router included) the deadline of the request is compared with it: a request ends by its deadline, so one whose deadline is not after the end of the drain is always held. Others that wait for their body, for admission or for a backoff are refused when the drain begins, with 503 draining and Retry-After if nothing was sent, else with 502 answer_cut. A claim is not cancelled halfway any more, since its row would keep the key in use; it is granted and abandoned.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -44,6 +44,9 @@
 		if err == nil || !resumable(a, err) || resumes == s.opts.MaxResumes || ctx.Err() != nil {
 			return err
 		}
+		if !s.stop.canHold(x.Deadline) {
+			return err
+		}
 		stream, err = s.resumeAttempt(ctx, a, err)
 	}
 }
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -29,7 +29,7 @@
 }
 
 func (s *Server) serveCompletion(x *Exchange, w http.ResponseWriter, r *http.Request, chat bool) error {
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(x, w, r)
 	if err != nil {
 		return err
 	}
@@ -52,24 +52,27 @@
 	}
 	ctx, timer := s.deadlineContext(r.Context(), x)
 	defer timer.stop()
-	ticket, err := s.Limits.Admit(ctx, Admission{
+	ticket, err := s.admit(ctx, x, Admission{
 		Client: x.Client, Group: request.Model, Deadline: x.Deadline,
 		Tokens: request.PromptTokens() + request.MaxTokens,
 	})
 	if err != nil {
-		return s.admitError(ctx, x, err)
+		return err
 	}
 	defer func() { ticket.Settle(x.usage()) }()
 	return s.answer(ctx, c, timer)
 }
 
-// admitError returns the error of the context if that has ended, as with a caller
-// that disconnected while it waited, or else the refusal of the limits.
-func (s *Server) admitError(ctx context.Context, x *Exchange, err error) error {
-	if ctx.Err() != nil {
-		return s.contextError(ctx, x)
+// admit waits until the limits admit the request. If ctx ends first, as with a caller that
+// disconnects, or a drain that can't hold the exchange begins, it returns the refusal for that.
+func (s *Server) admit(ctx context.Context, x *Exchange, a Admission) (Ticket, error) {
+	ctx, cancel := s.waitContext(ctx, x)
+	defer cancel()
+	ticket, err := s.Limits.Admit(ctx, a)
+	if err != nil && ctx.Err() != nil {
+		return nil, s.contextError(ctx, x)
 	}
-	return err
+	return ticket, err
 }
 
 func (s *Server) answer(ctx context.Context, c *completion, timer *deadlineTimer) error {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -88,6 +88,8 @@
 	}
 	state.Attempts++
 	s.metrics.retries.WithLabelValues(failure.Kind.String()).Inc()
+	ctx, cancel := s.waitContext(ctx, x)
+	defer cancel()
 	if !s.sleep(ctx, decision.Delay) {
 		return s.contextError(ctx, x)
 	}
@@ -133,6 +135,9 @@
 // configuration in force. If all engines have been tried, it starts over with all
 // of them.
 func (s *Server) placeAttempt(x *Exchange, j *job) (*attempt, error) {
+	if err := s.checkDrain(x); err != nil {
+		return nil, err
+	}
 	index, client, err := s.currentConfig(x)
 	if err != nil {
 		return nil, err
@@ -304,6 +309,9 @@
 func (s *Server) contextError(ctx context.Context, x *Exchange) error {
 	var refused *refusal.Refusal
 	if errors.As(context.Cause(ctx), &refused) {
+		if refused.Reason == refusal.Draining {
+			return drainRefusal(x)
+		}
 		return refusal.New(refused.Reason).WithRan(x.ran())
 	}
 	s.metrics.callersGone.Inc()
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -50,6 +50,7 @@
 // there is one, is claimed before the call is sent. Without a key every request is a
 // new call, which this VM sends once.
 func (s *Server) callNonIdempotent(call *serviceCall, w http.ResponseWriter) error {
+	call.exchange.Deadline = earlier(call.exchange.Deadline, s.Clock.Now().Add(maxNonIdempotentTime))
 	keys := call.request.Header.Values(call.service.IdempotencyHeader())
 	if len(keys) > 1 || (len(keys) == 1 && keys[0] == "") {
 		return refusal.New(refusal.KeyInvalid)
@@ -58,13 +59,22 @@
 		return s.sendAtMostOnce(call, w, nil)
 	}
 	key := once.Key{Account: string(call.exchange.Client.Account), ID: call.service.Name + "/" + keys[0]}
-	outcome, err := s.Claims.Claim(call.request.Context(), key, call.fingerprint())
+	if err := s.checkDrain(call.exchange); err != nil {
+		return err
+	}
+	ctx := call.request.Context()
+	// A claim whose write is cancelled would keep the key in use though the call is never sent.
+	outcome, err := s.Claims.Claim(context.WithoutCancel(ctx), key, call.fingerprint())
 	if err != nil {
 		return s.claimError(err)
 	}
 	s.metrics.claims.WithLabelValues(outcome.Status.String()).Inc()
 	switch outcome.Status {
 	case once.Claimed:
+		if ctx.Err() != nil {
+			s.abandonClaim(outcome.Claim)
+			return s.contextError(ctx, call.exchange)
+		}
 		return s.sendAtMostOnce(call, w, outcome.Claim)
 	case once.Done:
 		return s.sendStored(call, w, outcome.Result)
@@ -102,7 +112,6 @@
 // that no upstream has run the call. The call continues if the caller disconnects, so
 // that its outcome becomes known. claim is nil if the call has no idempotency key.
 func (s *Server) sendAtMostOnce(call *serviceCall, w http.ResponseWriter, claim *once.Claim) error {
-	call.exchange.Deadline = earlier(call.exchange.Deadline, s.Clock.Now().Add(maxNonIdempotentTime))
 	ctx, cancel := s.withDeadline(context.WithoutCancel(call.request.Context()), call.exchange)
 	defer cancel()
 	state := s.retryState(call.exchange, call.service.Name, false)
--- a/internal/entry/oldrouter.go
+++ b/internal/entry/oldrouter.go
@@ -81,6 +81,9 @@
 // answer. The older router bills it.
 func (s *Server) forwardToOldRouter(c *completion, r *http.Request, body []byte) error {
 	call := &serviceCall{exchange: c.exchange, service: &service.Service{}, request: r, body: body, viaOldRouter: true}
+	if err := s.checkDrain(c.exchange); err != nil {
+		return err
+	}
 	u, address, err := s.oldRouter(c.exchange.Index)
 	if err != nil {
 		return err
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -33,12 +34,19 @@
 	fields map[string]json.RawMessage
 }
 
-// readBody reads the request body, up to MaxBodyBytes and for at most BodyTimeout. Errors
-// are *refusal.Refusal.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the request body, up to MaxBodyBytes and for at most BodyTimeout, or
+// until a drain begins that can't hold the exchange. Errors are *refusal.Refusal.
+func (s *Server) readBody(x *Exchange, w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	// The context of the request ends with any failure of a read.
+	ctx, cancel := s.waitContext(context.WithoutCancel(r.Context()), x)
+	defer cancel()
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(s.Clock.Now().Add(s.opts.BodyTimeout))
+	interrupted := s.interruptRead(ctx, controller)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
+	if interrupted() {
+		return nil, s.contextError(ctx, x)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -88,6 +88,9 @@
 	a.pieceCount = int64(lastIndex + 1)
 	x.ID = point.Request
 	x.recordMayHaveRun(true)
+	if err := s.checkDrain(x); err != nil {
+		return err
+	}
 	return s.continueStream(x, w, r, a, point)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -106,6 +106,7 @@
 	metrics       *metrics
 	mux           *http.ServeMux
 	requests      requestTracker
+	stop          *stopState
 	cancellations *ring.Ring[cancellation]
 	// evaluations queues work that improves the cascades' estimates.
 	evaluations *ring.Ring[evaluation]
@@ -117,6 +118,7 @@
 		Deps:          deps,
 		opts:          opts.withDefaults(),
 		metrics:       newMetrics(deps.Registry),
+		stop:          newStopState(),
 		cancellations: ring.New[cancellation](cancelQueueSize),
 		evaluations:   ring.New[evaluation](evaluationQueueSize),
 	}
@@ -136,22 +138,6 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// Drain makes the server refuse new requests from now on.
-func (s *Server) Drain() {
-	s.requests.startDraining()
-}
-
-// Idle returns a channel that is closed once the server drains and no request is
-// in flight. Without a call of Drain it is never closed.
-func (s *Server) Idle() <-chan struct{} {
-	return s.requests.idle()
-}
-
-// InFlight returns the number of requests in flight.
-func (s *Server) InFlight() int {
-	return s.requests.count()
-}
-
 // handler serves one exchange. An error that it returns is reported to the caller.
 type handler func(x *Exchange, w http.ResponseWriter, r *http.Request) error
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -41,7 +41,7 @@
 	if !x.Client.Contract.AllowsService(name) {
 		return refusal.New(refusal.ServiceNotAllowed).With("The service is %q.", name)
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(x, w, r)
 	if err != nil {
 		return err
 	}
@@ -52,9 +52,9 @@
 	if !call.viaOldRouter && !s.Biller.CanBill() {
 		return refusal.New(refusal.BillingUnavailable)
 	}
-	ticket, err := s.Limits.Admit(r.Context(), Admission{Client: x.Client, Deadline: x.Deadline})
+	ticket, err := s.admit(r.Context(), x, Admission{Client: x.Client, Deadline: x.Deadline})
 	if err != nil {
-		return s.admitError(r.Context(), x, err)
+		return err
 	}
 	defer ticket.Settle(Usage{})
 	if svc.Repeatable(r.Method, call.path) {
@@ -91,6 +91,9 @@
 // placeService selects an upstream of the service, or the older router, and returns it
 // with its base URL. If all upstreams have been tried, it starts over with all of them.
 func (s *Server) placeService(call *serviceCall) (*upstream.Upstream, string, error) {
+	if err := s.checkDrain(call.exchange); err != nil {
+		return nil, "", err
+	}
 	index, client, err := s.currentConfig(call.exchange)
 	if err != nil {
 		return nil, "", refusal.FromError(err).WithRan(call.exchange.ran())
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -39,8 +39,9 @@
 //
 //  1. It reports that it is not ready, and waits until balancerNoticed is closed or
 //     the balancer's grace period has passed. A nil channel means the full period.
-//  2. It refuses new requests and waits until those in flight have completed, but
-//     at most for the drain time in the settings.
+//  2. It refuses new requests, and those that wait and might not end within the drain
+//     time in the settings. It waits until those in flight have completed, but at most
+//     for the drain time.
 //  3. It commits the billing records, or sends them to other VMs.
 //  4. It closes all listeners and connections.
 //
@@ -50,8 +51,9 @@
 	d.BeginStop()
 	d.log.Info("stopping", "in_flight", d.entry.InFlight())
 	d.wait(ctx, d.settings.Stop.BalancerGraceMS.Duration(), balancerNoticed)
-	d.entry.Drain()
-	d.wait(ctx, d.settings.Stop.DrainMS.Duration(), d.entry.Idle())
+	drain := d.settings.Stop.DrainMS.Duration()
+	d.entry.Drain(d.clock.Now().Add(drain))
+	d.wait(ctx, drain, d.entry.Idle())
 	aborted := d.entry.InFlight()
 	if aborted > 0 {
 		d.log.Error("drain ended before all requests completed; aborting the rest", "cut", aborted)
--- a/internal/entryd/stop_test.go
+++ b/internal/entryd/stop_test.go
@@ -251,4 +251,3 @@
 	s.Expect(a.reason).To(Equal("outcome_unknown"), a.body)
 	s.Eventually(s.stopped, stopTestTimeout).Should(Receive(Equal(1)))
 }
-
