Answer the requests that a stop ends

At the end of the drain, and on a second SIGTERM, callers of poplarshored saw the end of their connection without a byte for every request in flight: a call at a silent upstream, a completion without a first piece. The claims of non-idempotent calls stayed open, so that other VMs answered key_in_progress for the rest of the run limit. A caller that kept a connection with half a header also used up the time in which billing records are committed.

Cause: Stop closed the listeners with all connections while the handlers ran, and gave the callers' listener and the billing one common limit.

Server.Abort now ends the requests with a cause. Claims and bills may be written for another 2.5 s; records that are pending then are flushed with the ledger. The callers' listener serves until its connections have ended, and billing has a limit of its own.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -239,7 +239,7 @@
 }
 
 func (s *Server) writeBill(x *Exchange, ref model.Ref, amount money.Micros) error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.opts.BillTimeout)
+	ctx, cancel := context.WithTimeout(s.stop.recording, s.opts.BillTimeout)
 	defer cancel()
 	err := s.Biller.Bill(ctx, Bill{
 		RequestID: x.ID, Account: x.Client.Account, Ref: ref, Amount: amount, Attempts: x.attemptCosts(),
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -9,36 +9,51 @@
 	"github.com/poplarshore/poplarshore/refusal"
 )
 
-// stopState is the state of the planned stop of a server: it serves, then drains.
+// stopState is the state of the planned stop of a server: it serves, then drains, then aborts
+// what is left. Its contexts end with these changes.
 type stopState struct {
 	// drainEnd is when requests in flight will be aborted; nil before the drain.
 	drainEnd atomic.Pointer[time.Time]
-	// draining ends when the drain begins.
-	draining      context.Context
-	beginDraining context.CancelFunc
+
+	draining, aborting           context.Context
+	beginDraining, beginAborting context.CancelFunc
+	// recording is the parent of the contexts of claims' and billing records' writes, which go on
+	// for a short time after the other work of a request was aborted.
+	recording    context.Context
+	endRecording context.CancelFunc
 }
 
 func newStopState() *stopState {
 	s := &stopState{}
 	s.draining, s.beginDraining = context.WithCancel(context.Background())
+	s.aborting, s.beginAborting = context.WithCancel(context.Background())
+	s.recording, s.endRecording = context.WithCancel(context.Background())
 	return s
 }
 
 // canHold reports whether a request with the deadline ends before it would be aborted.
 func (s *stopState) canHold(deadline time.Time) bool {
 	end := s.drainEnd.Load()
-	return end == nil || !deadline.After(*end)
+	return end == nil || (s.aborting.Err() == nil && !deadline.After(*end))
 }
 
 // Drain makes the server refuse new requests from now on. It also refuses requests that wait, for
 // their body, admission or another attempt, if their deadline is after end, and sends no such request
-// to an upstream. The other requests go on; those left at end will be aborted.
+// to an upstream. The other requests go on; those left at end should be ended by Abort.
 func (s *Server) Drain(end time.Time) {
 	s.stop.drainEnd.Store(&end)
 	s.stop.beginDraining()
 	s.requests.startDraining()
 }
 
+// Abort ends the requests in flight after Drain. Each caller gets a refusal that says whether the
+// request may have run, or an answer that is visibly truncated. Claims and billing records of these
+// requests may be written for the given time; use Idle to wait until the requests have ended.
+func (s *Server) Abort(recordTime time.Duration) {
+	s.stop.beginAborting()
+	time.AfterFunc(recordTime, s.stop.endRecording)
+}
+
 // Idle returns a channel that is closed once the server drains and no request is
 // in flight. Without a call of Drain it is never closed.
 func (s *Server) Idle() <-chan struct{} {
@@ -50,6 +65,17 @@
 	return s.requests.count()
 }
 
+// abortableContext returns a context that ends with the parent, or when the requests in flight are
+// aborted. Its cause is a refusal then.
+func (s *Server) abortableContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	stop := context.AfterFunc(s.stop.aborting, func() { cancel(refusal.New(refusal.Draining)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // waitContext returns a context for a wait before the next attempt of the exchange. It ends with the
 // parent, or when a drain begins that can't hold the exchange.
 func (s *Server) waitContext(parent context.Context, x *Exchange) (context.Context, context.CancelFunc) {
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -112,7 +112,9 @@
 // that no upstream has run the call. The call continues if the caller disconnects, so
 // that its outcome becomes known. claim is nil if the call has no idempotency key.
 func (s *Server) sendAtMostOnce(call *serviceCall, w http.ResponseWriter, claim *once.Claim) error {
-	ctx, cancel := s.withDeadline(context.WithoutCancel(call.request.Context()), call.exchange)
+	abortable, end := s.abortableContext(context.WithoutCancel(call.request.Context()))
+	defer end()
+	ctx, cancel := s.withDeadline(abortable, call.exchange)
 	defer cancel()
 	state := s.retryState(call.exchange, call.service.Name, false)
 	for {
@@ -197,27 +199,27 @@
 	}
 	result, err := json.Marshal(response)
 	if err == nil {
-		err = writeClaim(func(ctx context.Context) error { return claim.Complete(ctx, result) })
+		err = s.writeClaim(func(ctx context.Context) error { return claim.Complete(ctx, result) })
 	}
 	s.countClaimWrite("complete", err)
 }
 
 func (s *Server) markUnknown(claim *once.Claim) {
 	if claim != nil {
-		s.countClaimWrite("mark_unknown", writeClaim(claim.MarkUnknown))
+		s.countClaimWrite("mark_unknown", s.writeClaim(claim.MarkUnknown))
 	}
 }
 
 func (s *Server) abandonClaim(claim *once.Claim) {
 	if claim != nil {
-		s.countClaimWrite("abandon", writeClaim(claim.Abandon))
+		s.countClaimWrite("abandon", s.writeClaim(claim.Abandon))
 	}
 }
 
 // writeClaim runs a write that ends a claim. Its context is independent of the caller's
 // request, which may be cancelled.
-func writeClaim(write func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), claimWriteTimeout)
+func (s *Server) writeClaim(write func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(s.stop.recording, claimWriteTimeout)
 	defer cancel()
 	return write(ctx)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -38,7 +38,9 @@
 // until a drain begins that can't hold the exchange. Errors are *refusal.Refusal.
 func (s *Server) readBody(x *Exchange, w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	// The context of the request ends with any failure of a read.
-	ctx, cancel := s.waitContext(context.WithoutCancel(r.Context()), x)
+	abortable, end := s.abortableContext(context.WithoutCancel(r.Context()))
+	defer end()
+	ctx, cancel := s.waitContext(abortable, x)
 	defer cancel()
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(s.Clock.Now().Add(s.opts.BodyTimeout))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -150,6 +150,9 @@
 			return
 		}
 		defer s.requests.remove()
+		ctx, cancel := s.abortableContext(r.Context())
+		defer cancel()
+		r = r.WithContext(ctx)
 		writer := &responseWriter{ResponseWriter: w, writeTimeout: s.opts.WriteTimeout}
 		err := s.admitCaller(x, r)
 		if err == nil {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -243,7 +243,7 @@
 	if call.viaOldRouter {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.opts.BillTimeout)
+	ctx, cancel := context.WithTimeout(s.stop.recording, s.opts.BillTimeout)
 	defer cancel()
 	err := s.Biller.Bill(ctx, Bill{RequestID: requestID, Account: call.exchange.Client.Account,
 		Service: call.service.Name})
--- a/internal/entryd/billing.go
+++ b/internal/entryd/billing.go
@@ -83,8 +83,10 @@
 }
 
 // stopBilling commits the uncommitted segments. If the store does not accept them
-// within flushTimeout, it sends them to other VMs.
+// within flushTimeout, it sends them to other VMs. It takes at most billingTimeout.
 func (d *Daemon) stopBilling(ctx context.Context) {
+	ctx, cancelStop := context.WithTimeout(ctx, billingTimeout)
+	defer cancelStop()
 	flushCtx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	if d.billing.writer.Close(flushCtx) == nil {
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -23,10 +23,19 @@
 	return "ready", true
 }
 
-// shutdownTimeout bounds the part of a stop that follows the drain: closing the
-// callers' listener and committing the billing records or sending them to other
-// VMs.
-const shutdownTimeout = 5 * time.Second
+const (
+	// abortRecordTimeout bounds the time in which aborted requests may write their
+	// claims and billing records, and abortTimeout the time until callers have been
+	// told how their aborted requests ended.
+	abortRecordTimeout = 2500 * time.Millisecond
+	abortTimeout       = 3 * time.Second
+	// closeTimeout bounds the time for closing the callers' listener once no request
+	// is in flight.
+	closeTimeout = 2 * time.Second
+	// billingTimeout bounds the time for committing the billing records or sending
+	// them to other VMs.
+	billingTimeout = 5 * time.Second
+)
 
 // BeginStop makes the daemon report that it is not ready, so that the load balancer
 // sends callers to other VMs. New requests are still served until Stop drains the
@@ -42,11 +51,13 @@
 //  2. It refuses new requests, and those that wait and might not end within the drain
 //     time in the settings. It waits until those in flight have completed, but at most
 //     for the drain time.
-//  3. It commits the billing records, or sends them to other VMs.
-//  4. It closes all listeners and connections.
+//  3. It aborts the requests that are left. Their callers are told whether they may
+//     have run. Then it closes the callers' listener.
+//  4. It commits the billing records, or sends them to other VMs.
+//  5. It closes all other listeners and connections.
 //
 // When ctx ends, both waits end early. Stop returns the number of requests that were
-// still in flight after the second wait; they are aborted.
+// still in flight after the second wait, and were aborted.
 func (d *Daemon) Stop(ctx context.Context, balancerNoticed <-chan struct{}) int {
 	d.BeginStop()
 	d.log.Info("stopping", "in_flight", d.entry.InFlight())
@@ -57,13 +68,11 @@
 	aborted := d.entry.InFlight()
 	if aborted > 0 {
 		d.log.Error("drain ended before all requests completed; aborting the rest", "cut", aborted)
+		d.entry.Abort(abortRecordTimeout)
+		d.wait(context.WithoutCancel(ctx), abortTimeout, d.entry.Idle())
 	}
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	if aborted == 0 {
-		_ = d.callerServer.Shutdown(shutdownCtx)
-	}
-	d.stopBilling(shutdownCtx)
+	d.shutDownCallers(context.WithoutCancel(ctx))
+	d.stopBilling(context.WithoutCancel(ctx))
 	d.runner.Stop()
 	d.closeListeners()
 	d.pools.Close()
@@ -72,6 +81,17 @@
 	return aborted
 }
 
+// shutDownCallers closes the callers' listener when all connections have ended, or
+// after closeTimeout.
+func (d *Daemon) shutDownCallers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := d.callerServer.Shutdown(ctx); err != nil {
+		d.log.Warn("closing connections of callers that sent no complete request or read no answer", "error", err)
+		_ = d.callerServer.Close()
+	}
+}
+
 // wait returns when done is closed, limit has passed or ctx ends.
 func (d *Daemon) wait(ctx context.Context, limit time.Duration, done <-chan struct{}) {
 	select {
