Run the background workers until a stop has ended

After a second SIGTERM operators of poplarshored saw a stop that took five seconds and "uncommitted ledger segments": records of the requests that the signal ended were sent to other VMs, or lost where no other VM took them.

Cause: the workers' context was that of the second signal, so that the ledger's worker ended before Stop asked it to commit.

Evidence: TestSecondSignalBillsRequests failed before, on "uncommitted ledger segments sent to other VMs" 5.1 s after the second signal. TestRestartWithinDrainCutsNothing and TestStopDuringStartEndsProcess passed before, too: a process that is started on the addresses of one that still drains ends with an error and cuts nothing, and a stop during the start ends the process.

--- a/internal/entryd/command.go
+++ b/internal/entryd/command.go
@@ -1,6 +1,8 @@
 package entryd
 
 import (
+	"context"
+
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 	"github.com/spf13/cobra"
@@ -29,7 +31,8 @@
 }
 
 // run serves until the first SIGTERM or SIGINT and then stops gracefully. A second
-// signal ends the wait for requests in flight, which are then aborted.
+// signal ends the wait for requests in flight, which are then aborted: their callers
+// are told whether they may have run, and they are billed.
 func run(cmd *cobra.Command, s *settings.Entry) error {
 	log := command.Logger(cmd.ErrOrStderr(), s.Log)
 	d, err := New(s, log, clockwork.NewRealClock())
@@ -38,7 +41,8 @@
 	}
 	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
 	defer stopSignals()
-	if err := d.Start(secondSignal); err != nil {
+	// The background workers run until the stop has ended: they commit the billing records.
+	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
 		return err
 	}
 	<-firstSignal.Done()
--- a/internal/entryd/stop_test.go
+++ b/internal/entryd/stop_test.go
@@ -61,7 +61,12 @@
 
 // sendTo sends text to a VM on a new connection.
 func (s *stopTest) sendTo(id vm.ID, text string) net.Conn {
-	c, err := net.Dial("tcp", s.VM(id).CallersAddress())
+	return s.sendToAddress(s.VM(id).CallersAddress(), text)
+}
+
+// sendToAddress sends text to a host:port on a new connection.
+func (s *stopTest) sendToAddress(address, text string) net.Conn {
+	c, err := net.Dial("tcp", address)
 	s.Expect(err).NotTo(HaveOccurred())
 	s.t.Cleanup(func() { _ = c.Close() })
 	s.Expect(c.SetDeadline(time.Now().Add(stopTestTimeout))).To(Succeed())
