Keep serving on SIGHUP

Callers of poplarshored lost all requests in flight when a supervisor or a closed terminal sent SIGHUP: the process ended at once. poplarshore-control ended without releasing its leases, and the gateway did so on a SIGHUP during its start.

Cause: only the gateway handled the signal, after it had begun to serve. All daemons now log it, from before they serve until they have stopped.

Evidence: TestHangupDoesNotEndProcess ended the test process with "signal: hangup" before. The daemons of the control and gateway commands have no such test.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -25,6 +25,36 @@
 	return slog.New(slog.NewTextHandler(w, opts))
 }
 
+// OnHangup calls f for each SIGHUP until stop is called. It is called before a daemon
+// serves, because the default action of the signal ends the process with all requests.
+func OnHangup(f func()) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+				f()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
+// LogHangups logs each SIGHUP until stop is called: the settings are fixed for the
+// lifetime of the process.
+func LogHangups(log *slog.Logger) (stop func()) {
+	return OnHangup(func() {
+		log.Info("received SIGHUP; changes of the settings file take effect after a restart")
+	})
+}
+
 // Signals returns a context that is cancelled by the first SIGTERM or SIGINT, and one
 // that is cancelled by the second. Both are also cancelled with parent. stop cancels
 // both and restores the default handling of the signals; call it once.
--- a/internal/controld/command.go
+++ b/internal/controld/command.go
@@ -1,6 +1,8 @@
 package controld
 
 import (
+	"context"
+
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
@@ -23,13 +25,15 @@
 
 // run contends for jobs until the first SIGTERM or SIGINT and then stops gracefully.
 func run(cmd *cobra.Command, s *settings.Control) error {
-	d, err := New(s, command.Logger(cmd.ErrOrStderr(), s.Log), clockwork.NewRealClock())
+	log := command.Logger(cmd.ErrOrStderr(), s.Log)
+	d, err := New(s, log, clockwork.NewRealClock())
 	if err != nil {
 		return err
 	}
-	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
+	firstSignal, _, stopSignals := command.Signals(cmd.Context())
 	defer stopSignals()
-	if err := d.Start(secondSignal); err != nil {
+	defer command.LogHangups(log)()
+	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
 		return err
 	}
 	<-firstSignal.Done()
--- a/internal/entryd/command.go
+++ b/internal/entryd/command.go
@@ -41,6 +41,7 @@
 	}
 	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
 	defer stopSignals()
+	defer command.LogHangups(log)()
 	// The background workers run until the stop has ended: they commit the billing records.
 	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
 		return err
--- a/internal/entryd/signal_test.go
+++ b/internal/entryd/signal_test.go
@@ -86,6 +86,18 @@
 	c.Expect(syscall.Kill(os.Getpid(), s)).To(Succeed())
 }
 
+// TestHangupDoesNotEndProcess guards against requests that are cut by SIGHUP, whose default action ends a process.
+func TestHangupDoesNotEndProcess(t *testing.T) {
+	c := startCommand(t)
+	c.signal(syscall.SIGHUP)
+	c.Eventually(c.log, stopTestTimeout).Should(gbytes.Say("SIGHUP"))
+	c.Expect(c.get("/v1/models")).To(Equal(http.StatusOK))
+	c.signal(syscall.SIGTERM)
+	c.Eventually(c.log, stopTestTimeout).Should(gbytes.Say("msg=stopping"))
+	c.signal(syscall.SIGHUP)
+	c.Eventually(c.ended, stopTestTimeout).Should(Receive(Succeed()))
+}
+
 // TestSecondSignalBillsRequests guards against a second SIGTERM that ends the ledger's worker together with the
 // requests: their records are not committed then, and get lost if no other VM takes them.
 func TestSecondSignalBillsRequests(t *testing.T) {
--- a/internal/gatewayd/command.go
+++ b/internal/gatewayd/command.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
@@ -32,21 +29,13 @@
 	d := New(s, cmd.OutOrStdout(), clockwork.NewRealClock(), opts...)
 	firstSignal, secondSignal, stopSignals := command.Signals(cmd.Context())
 	defer stopSignals()
+	defer command.OnHangup(d.LogSettingsChanged)()
 	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
 		return err
 	}
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
-	for {
-		select {
-		case <-reloadSignals:
-			d.LogSettingsChanged()
-		case <-firstSignal.Done():
-			d.Stop(secondSignal)
-			return nil
-		}
-	}
+	<-firstSignal.Done()
+	d.Stop(secondSignal)
+	return nil
 }
 
 // LogSettingsChanged logs that a change of the settings file takes effect only
