Tell operators what became of their requests when a VM stops

Operators who posted a document to a VM that was being stopped saw the end of their connection; the document might have been accepted or not.

Cause: Stop closed the operators' listener with all connections, without regard to requests. It now shuts the listener down as that of the callers.

Evidence: TestDocumentPostIsAnsweredDuringStop and TestDocumentPostThatStopEndsIsToldSo failed with an unexpected EOF before.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -79,6 +79,9 @@
 	operatorServer *listen.Server
 	peerServer     *listen.Server
 	stopping       chan struct{} // closed by BeginStop
+	// aborting ends when requests of operators are aborted.
+	aborting      context.Context
+	abortRequests context.CancelFunc
 	// requestCount is the number of request IDs issued.
 	requestCount atomic.Uint64
 	stopOnce     sync.Once
@@ -94,6 +97,7 @@
 		rows:        rows.Keys{Prefix: s.Platform.Prefix},
 		addressBook: peer.NewBook(s.VM.ID), stopping: make(chan struct{}),
 	}
+	d.aborting, d.abortRequests = context.WithCancel(context.Background())
 	for _, build := range []func() error{
 		d.buildSecrets, d.buildTransport, d.buildPlatform, d.buildConfiguration, d.buildPolicies, d.buildBilling, d.buildEntry,
 	} {
@@ -129,7 +133,7 @@
 	if d.callerServer, err = listen.Open(d.settings.Callers, d.entry, bounds, d.log); err != nil {
 		return err
 	}
-	if d.operatorServer, err = listen.Open(d.settings.Operators, d.operatorHandler(), bounds, d.log); err != nil {
+	if d.operatorServer, err = listen.Open(d.settings.Operators, d.withAbort(d.operatorHandler()), bounds, d.log); err != nil {
 		return err
 	}
 	d.peerServer, err = listen.Open(d.settings.Peers, d.peerHandler(), bounds, d.log)
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
 	"time"
+
+	"github.com/poplarshore/poplarshore/internal/listen"
 )
 
 // readiness reports whether the load balancer should send callers to this VM, and
@@ -29,9 +33,11 @@
 	// told how their aborted requests ended.
 	abortRecordTimeout = 2500 * time.Millisecond
 	abortTimeout       = 3 * time.Second
-	// closeTimeout bounds the time for closing the callers' listener once no request
-	// is in flight.
-	closeTimeout = 2 * time.Second
+	// closeTimeout bounds the time for closing the listeners once no request of a
+	// caller is in flight. Requests of operators that are left then are aborted,
+	// and abortedAnswerTimeout bounds the time for their answers.
+	closeTimeout         = 2 * time.Second
+	abortedAnswerTimeout = 500 * time.Millisecond
 	// billingTimeout bounds the time for committing the billing records or sending
 	// them to other VMs.
 	billingTimeout = 5 * time.Second
@@ -52,7 +58,8 @@
 //     time in the settings. It waits until those in flight have completed, but at most
 //     for the drain time.
 //  3. It aborts the requests that are left. Their callers are told whether they may
-//     have run. Then it closes the callers' listener.
+//     have run. Then it closes the listeners of callers and operators, when operators'
+//     requests have been answered.
 //  4. It commits the billing records, or sends them to other VMs.
 //  5. It closes all other listeners and connections.
 //
@@ -71,7 +78,7 @@
 		d.entry.Abort(abortRecordTimeout)
 		d.wait(context.WithoutCancel(ctx), abortTimeout, d.entry.Idle())
 	}
-	d.shutDownCallers(context.WithoutCancel(ctx))
+	d.shutDownListeners(context.WithoutCancel(ctx))
 	d.stopBilling(context.WithoutCancel(ctx))
 	d.runner.Stop()
 	d.closeListeners()
@@ -81,15 +88,34 @@
 	return aborted
 }
 
-// shutDownCallers closes the callers' listener when all connections have ended, or
-// after closeTimeout.
-func (d *Daemon) shutDownCallers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+// shutDownListeners closes the listeners of callers and operators. It waits until their requests have been
+// answered, and aborts those that take too long.
+func (d *Daemon) shutDownListeners(ctx context.Context) {
+	timer := time.AfterFunc(closeTimeout, d.abortRequests)
+	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout+abortedAnswerTimeout)
 	defer cancel()
-	if err := d.callerServer.Shutdown(ctx); err != nil {
-		d.log.Warn("closing connections of callers that sent no complete request or read no answer", "error", err)
-		_ = d.callerServer.Close()
+	var closing sync.WaitGroup
+	for _, s := range []*listen.Server{d.callerServer, d.operatorServer} {
+		closing.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				d.log.Warn("closing connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
+				_ = s.Close()
+			}
+		})
 	}
+	closing.Wait()
+}
+
+// withAbort returns a handler whose requests are cancelled when a stop can't wait for
+// them any more. They answer then with what they know of their outcome.
+func (d *Daemon) withAbort(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(d.aborting, cancel)()
+		h.ServeHTTP(w, r.WithContext(ctx))
+	})
 }
 
 // wait returns when done is closed, limit has passed or ctx ends.
--- a/internal/entryd/stop_test.go
+++ b/internal/entryd/stop_test.go
@@ -93,8 +93,8 @@
 
 // beginStop starts the stop of vm-1 and waits until it refuses new requests.
 func (s *stopTest) beginStop() {
-	go func() { s.stopped <- s.StopVM("vm-1") }()
 	address := s.VM("vm-1").CallersAddress()
+	s.startStop()
 	s.Eventually(func() int {
 		resp, err := http.Get("http://" + address + "/v1/models")
 		if err != nil {
@@ -105,6 +105,11 @@
 	}, stopTestTimeout).Should(Equal(http.StatusServiceUnavailable))
 }
 
+// startStop starts the stop of vm-1.
+func (s *stopTest) startStop() {
+	go func() { s.stopped <- s.StopVM("vm-1") }()
+}
+
 // answer is a response to a caller of the test.
 type answer struct {
 	status           int
