Accept no ledger segments that a stopping VM would lose

A VM that stops while the store is out sends its uncommitted ledger segments, and those it holds for other VMs, to other VMs. Until its end it still accepted further segments, with 204, and took them along: two VMs that stop together could lose billing records of answers that were delivered.

Cause: the peers' listener was closed last. It is now shut down before the segments are exported, so that a VM that asks then tries another one.

That two VMs really lost records was not seen.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -79,7 +79,7 @@
 	operatorServer *listen.Server
 	peerServer     *listen.Server
 	stopping       chan struct{} // closed by BeginStop
-	// aborting ends when requests of operators are aborted.
+	// aborting ends when requests of operators and of other VMs are aborted.
 	aborting      context.Context
 	abortRequests context.CancelFunc
 	// requestCount is the number of request IDs issued.
@@ -136,7 +136,7 @@
 	if d.operatorServer, err = listen.Open(d.settings.Operators, d.withAbort(d.operatorHandler()), bounds, d.log); err != nil {
 		return err
 	}
-	d.peerServer, err = listen.Open(d.settings.Peers, d.peerHandler(), bounds, d.log)
+	d.peerServer, err = listen.Open(d.settings.Peers, d.withAbort(d.peerHandler()), bounds, d.log)
 	return err
 }
 
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -34,7 +34,7 @@
 	abortRecordTimeout = 2500 * time.Millisecond
 	abortTimeout       = 3 * time.Second
 	// closeTimeout bounds the time for closing the listeners once no request of a
-	// caller is in flight. Requests of operators that are left then are aborted,
+	// caller is in flight. Requests of operators and VMs that are left then are aborted,
 	// and abortedAnswerTimeout bounds the time for their answers.
 	closeTimeout         = 2 * time.Second
 	abortedAnswerTimeout = 500 * time.Millisecond
@@ -58,10 +58,11 @@
 //     time in the settings. It waits until those in flight have completed, but at most
 //     for the drain time.
 //  3. It aborts the requests that are left. Their callers are told whether they may
-//     have run. Then it closes the listeners of callers and operators, when operators'
-//     requests have been answered.
-//  4. It commits the billing records, or sends them to other VMs.
-//  5. It closes all other listeners and connections.
+//     have run. Then it closes all listeners, when requests of operators and of other
+//     VMs have been answered.
+//  4. It commits the billing records, or sends them to other VMs. No segments of other
+//     VMs can arrive any more, which would be lost.
+//  5. It closes all connections.
 //
 // When ctx ends, both waits end early. Stop returns the number of requests that were
 // still in flight after the second wait, and were aborted.
@@ -88,7 +89,7 @@
 	return aborted
 }
 
-// shutDownListeners closes the listeners of callers and operators. It waits until their requests have been
+// shutDownListeners closes all listeners. It waits until their requests have been
 // answered, and aborts those that take too long.
 func (d *Daemon) shutDownListeners(ctx context.Context) {
 	timer := time.AfterFunc(closeTimeout, d.abortRequests)
@@ -96,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout+abortedAnswerTimeout)
 	defer cancel()
 	var closing sync.WaitGroup
-	for _, s := range []*listen.Server{d.callerServer, d.operatorServer} {
+	for _, s := range []*listen.Server{d.callerServer, d.operatorServer, d.peerServer} {
 		closing.Go(func() {
 			if err := s.Shutdown(ctx); err != nil {
 				d.log.Warn("closing connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
