--- a/internal/entryd/stop_test.go
+++ b/internal/entryd/stop_test.go
@@ -41,7 +41,11 @@
 // newStopTest starts an environment whose VMs drain for at most the given time.
 func newStopTest(t *testing.T, drain time.Duration) *stopTest {
 	g := NewWithT(t)
-	configure := func(s *settings.Entry) { s.Stop.DrainMS = settings.Millis(drain.Milliseconds()) }
+	configure := func(s *settings.Entry) {
+		s.Stop.DrainMS = settings.Millis(drain.Milliseconds())
+		// Silent engines are not given up before the test ends.
+		s.Timeouts.HeadersMS = settings.Millis(stopTestTimeout.Milliseconds())
+	}
 	e, err := environment.Start(t.Context(), environment.Options{
 		Document: examples.Quickstart,
 		VMs: []environment.VM{
