Refuse requests whose key was revoked while they waited

A request that waited, for its body or for admission, while its API key was revoked was still sent to an upstream: the account was looked up again before each attempt, but by its id. It is now looked up by the key of the request, and refused with 401 and "not run".

A service that was dropped from the contract was refused before, too.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -161,14 +161,15 @@
 }
 
 // currentConfig returns the configuration in force and the caller's account in it,
-// which both may have changed since the request arrived.
+// which both may have changed since the request arrived. A key that was revoked since is
+// refused.
 func (s *Server) currentConfig(x *Exchange) (*document.Index, *document.Client, error) {
 	if refused := s.Config.Refusal(); refused != nil {
 		return nil, nil, refused
 	}
 	index := s.Config.Index()
-	client := index.Account(x.Client.Account)
-	if client == nil {
+	client, ok := index.Client(x.key)
+	if !ok || client.Account != x.Client.Account {
 		return nil, nil, refusal.New(refusal.Unauthorized)
 	}
 	return index, client, nil
--- a/internal/entry/evaluation.go
+++ b/internal/entry/evaluation.go
@@ -63,7 +63,7 @@
 	c := *e.cascadeRun.completion
 	c.request = c.request.clone()
 	c.exchange = &Exchange{
-		ID: c.exchange.ID + "/shadow", Index: c.exchange.Index, Client: c.exchange.Client,
+		ID: c.exchange.ID + "/shadow", Index: c.exchange.Index, Client: c.exchange.Client, key: c.exchange.key,
 		StartedAt: s.Clock.Now(), Deadline: s.Clock.Now().Add(evaluationTimeout),
 	}
 	step := cascade.Step{Rate: true, RatingTimeout: evaluationTimeout}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -34,6 +34,8 @@
 	Index *document.Index
 	// Client is the caller's account in Index.
 	Client *document.Client
+	// key is the API key of the request.
+	key string
 	// StartedAt is when the request arrived.
 	StartedAt time.Time
 	// Deadline is when the exchange ends, unless a streamed answer has started.
@@ -130,6 +132,7 @@
 	if !ok {
 		return refusal.New(refusal.Unauthorized)
 	}
+	x.key = key
 	if x.Client, ok = x.Index.Client(key); !ok {
 		return refusal.New(refusal.Unauthorized)
 	}
--- a/internal/entryd/stop_callers_test.go
+++ b/internal/entryd/stop_callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/examples"
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	standinplatform "github.com/poplarshore/poplarshore/standin/platform"
@@ -117,6 +119,34 @@
 	s.Expect(mayHaveRun).To(BeNumerically(">=", faults.Report().Injected[engine.Stall]), "none that was sent is called not run")
 }
 
+// TestRevisionIsAppliedToRequestsThatWait guards against calls that run though their key was revoked, or their service
+// dropped, while they waited.
+func TestRevisionIsAppliedToRequestsThatWait(t *testing.T) {
+	const keyHash = "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c"
+	for _, change := range []struct {
+		name, old, new, reason string
+	}{
+		{"key revoked", keyHash, strings.Replace(keyHash, "c4", "d5", 1), "unauthorized"},
+		{"service not allowed", `"services": ["permits"]`, `"services": []`, "service_not_allowed"},
+	} {
+		t.Run(change.name, func(t *testing.T) {
+			s := newStopTest(t, time.Second)
+			text := request(http.MethodPost, permitsIssue, "", permitBody)
+			waiting := s.send(text[:len(text)-5])
+			s.awaitInFlight(1)
+			document := strings.Replace(string(examples.Quickstart), change.old, change.new, 1)
+			s.Expect(s.Publish([]byte(document))).To(Succeed())
+			s.Expect(s.AwaitRevision(t.Context(), 2)).To(Succeed())
+			_, err := io.WriteString(waiting, text[len(text)-5:])
+			s.Expect(err).NotTo(HaveOccurred())
+			a := s.readAnswer(waiting)
+			s.Expect(a.reason).To(Equal(change.reason), a.body)
+			s.Expect(a.ran).To(Equal("no"))
+			s.Expect(s.Services["permits-1"].Counts().Runs).To(BeZero())
+		})
+	}
+}
+
 // TestClaimOfCallThatDrainCannotHoldIsFree guards against keys that can't be used again though their call was never sent.
 func TestClaimOfCallThatDrainCannotHoldIsFree(t *testing.T) {
 	s := newStopTest(t, 5*time.Second)
