Merge the planned stop of the product's own API

Requests that a stop ends are answered, nothing is sent that the rest of the drain can't hold, posts of operators are told what became of them, and SIGHUP ends no daemon, which all daemons ignore from before they read their settings.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -26,6 +26,28 @@
 	return slog.New(slog.NewTextHandler(w, opts))
 }
 
+// LogHangups logs each SIGHUP until stop is called: the settings are fixed for the lifetime of
+// the process.
+func LogHangups(log *slog.Logger) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-signals:
+				log.Info("received SIGHUP; changes of the settings file take effect after a restart")
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 // Signals returns a context that is cancelled by the first SIGTERM or SIGINT, and one that is
 // cancelled by the next of them. If hurry names signals, only one of these cancels the second one,
 // and others change nothing. Both contexts are also cancelled with parent. stop cancels both and
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -1,6 +1,9 @@
 package command
 
 import (
+	"os/signal"
+	"syscall"
+
 	"github.com/spf13/cobra"
 
 	"github.com/poplarshore/poplarshore/settings"
@@ -30,6 +33,8 @@
 	cmd := &cobra.Command{
 		Use: p.Name, Short: p.Short, Example: p.Example, Args: cobra.NoArgs, SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			// By default the signal would end a process that still starts.
+			signal.Ignore(syscall.SIGHUP)
 			if printDefaults {
 				return settings.Print(cmd.OutOrStdout(), p.Settings)
 			}
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"net/http"
+	"sync"
 	"time"
+
+	"github.com/poplarshore/poplarshore/internal/listen"
 )
 
 // readiness reports whether the load balancer should send callers to this VM, and
@@ -23,10 +27,21 @@
 	return "ready", true
 }
 
-// shutdownTimeout bounds the part of a stop that follows the drain: closing the
-// callers' listener and committing the billing records or sending them to other
-// VMs.
-const shutdownTimeout = 5 * time.Second
+const (
+	// abortRecordTimeout bounds the time in which aborted requests may write their
+	// claims and billing records, and abortTimeout the time until callers have been
+	// told how their aborted requests ended.
+	abortRecordTimeout = 2500 * time.Millisecond
+	abortTimeout       = 3 * time.Second
+	// closeTimeout bounds the time for closing the listeners once no request of a
+	// caller is in flight. Requests of operators and VMs that are left then are aborted,
+	// and abortedAnswerTimeout bounds the time for their answers.
+	closeTimeout         = 2 * time.Second
+	abortedAnswerTimeout = 500 * time.Millisecond
+	// billingTimeout bounds the time for committing the billing records or sending
+	// them to other VMs.
+	billingTimeout = 5 * time.Second
+)
 
 // BeginStop makes the daemon report that it is not ready, so that the load balancer
 // sends callers to other VMs. New requests are still served until Stop drains the
@@ -39,29 +54,33 @@
 //
 //  1. It reports that it is not ready, and waits until balancerNoticed is closed or
 //     the balancer's grace period has passed. A nil channel means the full period.
-//  2. It refuses new requests and waits until those in flight have completed, but
-//     at most for the drain time in the settings.
-//  3. It commits the billing records, or sends them to other VMs.
-//  4. It closes all listeners and connections.
+//  2. It refuses new requests, and those that wait and might not end within the drain
+//     time in the settings. It waits until those in flight have completed, but at most
+//     for the drain time.
+//  3. It aborts the requests that are left. Their callers are told whether they may
+//     have run. Then it closes all listeners, when requests of operators and of other
+//     VMs have been answered.
+//  4. It commits the billing records, or sends them to other VMs. No segments of other
+//     VMs can arrive any more, which would be lost.
+//  5. It closes all connections.
 //
 // When ctx ends, both waits end early. Stop returns the number of requests that were
-// still in flight after the second wait; they are aborted.
+// still in flight after the second wait, and were aborted.
 func (d *Daemon) Stop(ctx context.Context, balancerNoticed <-chan struct{}) int {
 	d.BeginStop()
 	d.log.Info("stopping", "in_flight", d.entry.InFlight())
 	d.wait(ctx, d.settings.Stop.BalancerGraceMS.Duration(), balancerNoticed)
-	d.entry.Drain()
-	d.wait(ctx, d.settings.Stop.DrainMS.Duration(), d.entry.Idle())
+	drain := d.settings.Stop.DrainMS.Duration()
+	d.entry.Drain(d.clock.Now().Add(drain))
+	d.wait(ctx, drain, d.entry.Idle())
 	aborted := d.entry.InFlight()
 	if aborted > 0 {
 		d.log.Error("drain ended before all requests completed; aborting the rest", "cut", aborted)
+		d.entry.Abort(abortRecordTimeout)
+		d.wait(context.WithoutCancel(ctx), abortTimeout, d.entry.Idle())
 	}
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer cancel()
-	if aborted == 0 {
-		_ = d.callerServer.Shutdown(shutdownCtx)
-	}
-	d.stopBilling(shutdownCtx)
+	d.shutDownListeners(context.WithoutCancel(ctx))
+	d.stopBilling(context.WithoutCancel(ctx))
 	d.runner.Stop()
 	d.closeListeners()
 	d.pools.Close()
@@ -70,6 +89,36 @@
 	return aborted
 }
 
+// shutDownListeners closes all listeners. It waits until their requests have been
+// answered, and aborts those that take too long.
+func (d *Daemon) shutDownListeners(ctx context.Context) {
+	timer := time.AfterFunc(closeTimeout, d.abortRequests)
+	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout+abortedAnswerTimeout)
+	defer cancel()
+	var closing sync.WaitGroup
+	for _, s := range []*listen.Server{d.callerServer, d.operatorServer, d.peerServer} {
+		closing.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				d.log.Warn("closing connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
+				_ = s.Close()
+			}
+		})
+	}
+	closing.Wait()
+}
+
+// withAbort returns a handler whose requests are cancelled when a stop can't wait for
+// them any more. They answer then with what they know of their outcome.
+func (d *Daemon) withAbort(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(d.aborting, cancel)()
+		h.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 // wait returns when done is closed, limit has passed or ctx ends.
 func (d *Daemon) wait(ctx context.Context, limit time.Duration, done <-chan struct{}) {
 	select {
--- a/internal/gatewayd/command.go
+++ b/internal/gatewayd/command.go
@@ -17,16 +17,13 @@
 // given by its flags, and with the options.
 func NewCommand(opts ...Option) *cobra.Command {
 	s := settings.DefaultGateway()
-	cmd := command.NewDaemonCommand(command.Program{
+	return command.NewDaemonCommand(command.Program{
 		Name: "gateway", Short: "Run the gateway of the users' platform on this entry VM",
 		Example:     "  poplarshored gateway --settings /etc/poplarshore/gateway.json",
 		DefaultPath: "/etc/poplarshore/gateway.json",
 		Settings:    s,
 		Run:         func(cmd *cobra.Command) error { return run(cmd, s, opts) },
 	})
-	// By default the signal would end a process that still starts.
-	cmd.PreRun = func(*cobra.Command, []string) { signal.Ignore(syscall.SIGHUP) }
-	return cmd
 }
 
 // run serves until the first SIGTERM or SIGINT and then stops gracefully. A SIGINT after that
