Stop using an upstream at once when its entry becomes invalid

An entry that is overwritten by an odd one during or shortly after an outage of the store was kept as lapsed: callers' requests still went to an upstream that the row no longer names. Outside an outage it was removed, but came back as a new upstream, which is limited like a cold one. Each listing logged each invalid entry again, and entries of unknown failure domains were used.

Invalid entries now discard the upstream at once, also in an outage, because a row that is there has not expired; what is known of the upstream is kept for a minute, and used again when it writes its entry the next time. A change that makes an entry invalid is logged and counted once. Failure domains must be among those of the settings.

--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -137,6 +137,8 @@
 	// withheld holds the entries of removed upstreams that reappeared when the store
 	// was restored from an older copy.
 	withheld map[upstream.ID]withheldEntry
+	// discarded holds the upstreams whose entries became invalid lately.
+	discarded map[upstream.ID]discarded
 }
 
 // New returns an empty directory.
@@ -160,6 +162,7 @@
 		lapsed:    make(map[upstream.ID]bool),
 		removed:   make(map[upstream.ID]removal),
 		withheld:  make(map[upstream.ID]withheldEntry),
+		discarded: make(map[upstream.ID]discarded),
 	}
 	d.sizes.Store(&map[string]int{})
 	d.evacuated.Store(&map[domain.ID]bool{})
@@ -252,6 +255,7 @@
 	defer d.mu.Unlock()
 	d.followVMs()
 	d.releaseWithheld()
+	d.forgetDiscarded()
 	if len(d.lapsed) == 0 || d.inOutageGrace() {
 		return
 	}
@@ -277,6 +281,9 @@
 	if old == nil && d.refuseRemoved(e) {
 		return
 	}
+	if old == nil {
+		old = d.readopt(e)
+	}
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		if old != nil {
 			old.removed.Store(true)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -64,6 +64,7 @@
 
 	store        *rowstore.Client
 	operatorSink *operatorSink
+	upstreamSink *upstreamSink
 	directory    *engines.Directory
 	shifts       *shifts.Manager
 	quarantines  *quarantines.Guard
@@ -153,6 +154,7 @@
 	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
+	d.upstreamSink = newUpstreamSink(d)
 	d.tables = d.newTables()
 	d.relay = d.newRelay()
 	return d
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -13,7 +13,6 @@
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/platform/wire"
 	"github.com/poplarshore/poplarshore/routing"
-	"github.com/poplarshore/poplarshore/upstream"
 )
 
 // operatorSink applies the operators' table: the configuration, the orders of
@@ -114,69 +113,6 @@
 // StoreAvailable implements watch.Sink.
 func (o *operatorSink) StoreAvailable(watch.Outage) {}
 
-// upstreamSink applies the upstreams' entries to the directory. It implements
-// watch.Sink.
-type upstreamSink struct {
-	log       *slog.Logger
-	directory *engines.Directory
-	// era is that of the last listing.
-	era watch.Era
-}
-
-// Reset implements watch.Sink.
-func (u *upstreamSink) Reset(b watch.Batch) {
-	entries := make([]engines.Entry, 0, len(b.Rows))
-	for _, row := range b.Rows {
-		if e, ok := u.decode(row); ok {
-			entries = append(entries, e)
-		}
-	}
-	restored := u.directory.Listed() && b.Era > u.era
-	u.era = b.Era
-	if restored {
-		u.directory.Restore(entries)
-		return
-	}
-	u.directory.Replace(entries)
-}
-
-// Change implements watch.Sink. An upstream whose entry is deleted or invalid is
-// removed.
-func (u *upstreamSink) Change(b watch.Batch) {
-	for _, row := range b.Rows {
-		if row.Deleted {
-			u.directory.Remove(upstream.ID(row.Key))
-			continue
-		}
-		if e, ok := u.decode(row); ok {
-			u.directory.Put(e)
-			continue
-		}
-		u.directory.Remove(upstream.ID(row.Key))
-	}
-}
-
-func (u *upstreamSink) decode(row watch.Row) (engines.Entry, bool) {
-	e, err := wire.DecodeEntry(row)
-	if err != nil {
-		u.log.Warn("invalid upstream entry; upstream is not used", "key", row.Key,
-			"revision", row.Revision, "error", err)
-	}
-	return e, err == nil
-}
-
-// StoreUnavailable implements watch.Sink.
-func (u *upstreamSink) StoreUnavailable(error) { u.directory.MarkStoreDown() }
-
-// StoreAvailable implements watch.Sink.
-func (u *upstreamSink) StoreAvailable(o watch.Outage) {
-	if o.Local {
-		u.directory.MarkStoreReached()
-		return
-	}
-	u.directory.MarkStoreUp()
-}
-
 // vmTable is the table of the rows that VMs write for each other.
 const vmTable = "poplarshore"
 
--- a/internal/gatewayd/sinks_test.go
+++ b/internal/gatewayd/sinks_test.go
@@ -1,8 +1,11 @@
 package gatewayd
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,7 +27,7 @@
 		s.VM = settings.VM{ID: "vm-1", Domain: "d1", Region: "r1"}
 		s.Regions = map[domain.ID]domain.Region{"d1": "r1"}
 		d := New(s, io.Discard, clockwork.NewFakeClock())
-		sink := &upstreamSink{log: d.log, directory: d.directory}
+		sink := d.upstreamSink
 		entry := watch.Row{Key: "u", Value: []byte(`{"Service":"s","Address":"127.0.0.1:1","Zone":"d1","Version":"v1","Capacity":1,"Phase":"ready"}`)}
 		sink.Reset(watch.Batch{Rows: []watch.Row{entry}})
 		g.Expect(d.directory.ForService("s")).To(HaveLen(1))
@@ -35,3 +38,87 @@
 		g.Expect(d.directory.ForService("s")).To(HaveLen(want), "local: %v", local)
 	}
 }
+
+// newEntriesDaemon returns a daemon that has not been started, with one failure domain.
+func newEntriesDaemon(out io.Writer) (*Daemon, *clockwork.FakeClock) {
+	s := settings.DefaultGateway()
+	s.VM = settings.VM{ID: "vm-1", Domain: "d1", Region: "r1"}
+	s.Regions = map[domain.ID]domain.Region{"d1": "r1"}
+	clock := clockwork.NewFakeClock()
+	return New(s, out, clock), clock
+}
+
+// entryRow returns the row of an upstream, valid for the failure domain d1.
+func entryRow(id, failureDomain, address string, revision watch.Revision) watch.Row {
+	return watch.Row{Key: id, Revision: revision, Value: []byte(`{"Service":"s","Address":"` + address + `","Zone":"` + failureDomain +
+		`","Version":"v1","Capacity":1,"Phase":"ready","born":1}`)}
+}
+
+// TestUpstreamWithOverwrittenEntryIsNotUsedUntilItsEntryIsBack guards against requests to an upstream
+// that may be gone, and against a sound one that is limited like a new one when its entry is back.
+func TestUpstreamWithOverwrittenEntryIsNotUsedUntilItsEntryIsBack(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newEntriesDaemon(io.Discard)
+	sink := d.upstreamSink
+	sink.Reset(watch.Batch{Rows: []watch.Row{entryRow("u", "d1", "10.0.0.1:80", 1), entryRow("other", "d1", "10.0.0.2:80", 2)}})
+	known := d.directory.ForService("s")
+	g.Expect(known).To(HaveLen(2))
+	sink.StoreUnavailable(errors.New("no response"))
+	sink.StoreAvailable(watch.Outage{})
+	sink.Change(watch.Batch{Rows: []watch.Row{{Key: "u", Revision: 3, Value: []byte(`{"Phase":"odd"}`)}}})
+	left := d.directory.ForService("s")
+	g.Expect(left).To(HaveLen(1))
+	g.Expect(left[0].ID()).To(BeEquivalentTo("other"), "the others hold")
+
+	clock.Advance(5 * time.Second)
+	d.directory.ExpireLapsed()
+	sink.Change(watch.Batch{Rows: []watch.Row{entryRow("u", "d1", "10.0.0.1:80", 4)}})
+	g.Expect(d.directory.ForService("s")).To(ConsistOf(known[0], known[1]), "what is known of the upstream is kept")
+	for _, e := range known {
+		g.Expect(e.TakesRequests()).To(BeTrue())
+	}
+	sink.Reset(watch.Batch{Rows: []watch.Row{entryRow("u", "d1", "10.0.0.1:http", 5)}})
+	g.Expect(known[0].TakesRequests() || known[1].TakesRequests() && known[1].ID() == "u").To(BeFalse())
+}
+
+// counterSum returns the sum of a counter over its labels.
+func counterSum(g *WithT, d *Daemon, name string) float64 {
+	families, err := d.registry.Gather()
+	g.Expect(err).NotTo(HaveOccurred())
+	sum := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			sum += metric.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
+
+// TestInvalidEntryIsReportedOncePerChange guards against an odd entry that floods the log, and
+// against one that is used although its failure domain is unknown.
+func TestInvalidEntryIsReportedOncePerChange(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := newEntriesDaemon(io.Discard)
+	sink := d.upstreamSink
+	var lines bytes.Buffer
+	sink.log = slog.New(slog.NewTextHandler(&lines, nil))
+	reports := func() int {
+		g.Expect(counterSum(g, d, "poplarshore_upstream_entries_invalid_total")).To(BeNumerically("==", strings.Count(lines.String(), "invalid upstream entry")))
+		return strings.Count(lines.String(), "invalid upstream entry")
+	}
+	odd, sound := entryRow("odd", "elsewhere", "10.0.0.1:80", 1), entryRow("u", "d1", "10.0.0.2:80", 2)
+	for range 3 {
+		sink.Reset(watch.Batch{Rows: []watch.Row{odd, sound}})
+	}
+	g.Expect(d.directory.ForService("s")).To(HaveLen(1))
+	g.Expect(reports()).To(Equal(1))
+	odd.Revision, odd.Value = 3, []byte("{")
+	sink.Change(watch.Batch{Rows: []watch.Row{odd}})
+	sink.Change(watch.Batch{Rows: []watch.Row{odd}})
+	g.Expect(reports()).To(Equal(2))
+	sink.Reset(watch.Batch{Rows: []watch.Row{sound}})
+	g.Expect(sink.reported).To(BeEmpty())
+}
--- a/internal/gatewayd/tables.go
+++ b/internal/gatewayd/tables.go
@@ -12,7 +12,7 @@
 	upstreamBatchDelay := time.Duration(float64(d.settings.Changes.Bound()) * upstreamBatchFraction)
 	return []*watch.Watch{
 		d.newTable(wire.OperatorTable, d.operatorSink, 0),
-		d.newTable(wire.UpstreamTable, &upstreamSink{log: d.log, directory: d.directory}, upstreamBatchDelay),
+		d.newTable(wire.UpstreamTable, d.upstreamSink, upstreamBatchDelay),
 		d.newTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms, quarantines: d.quarantines}, vmBatchDelay),
 	}
 }
