Ignore roll-out states and evidence with values out of bounds

One row of the VMs' table ended every VM that read it: a roll-out state with step 7 is used as an index, and nothing recovers the panic (index out of range [7] with length 2). A row that can't be decoded stopped the roll-out for good: its revision was not noted, so each write of a state expected the one before and conflicted. Counts near the ends of int64 overflowed the sums of the evidence, and a bad version stayed active.

States and observations are checked after decoding. An invalid or deleted row counts as holding no state, at its revision, so that the VMs write the state that they know on top of it.

--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -41,6 +41,23 @@
 	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before), Overdue: o.Overdue + p.Overdue}
 }
 
+// check reports whether observations that were read have values within bounds. Errors:
+// shift.ErrOutOfBounds.
+func (o observed) check() error {
+	if o.Overdue < 0 || o.Overdue > maxOverdue {
+		return shift.ErrOutOfBounds.New("%d overdue attempts", o.Overdue)
+	}
+	for _, seen := range []shift.Observations{o.New, o.Old, o.Before} {
+		if err := seen.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// maxOverdue bounds the number of overdue attempts that a VM publishes.
+const maxOverdue = 1 << 20
+
 // problems returns the number of failures and of overdue attempts of the new version.
 func (o observed) problems() int64 { return o.New.Failures() + o.Overdue }
 
@@ -74,11 +91,17 @@
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
+	if r.Deleted {
+		return nil
+	}
 	serviceName, vmID, _ := strings.Cut(keySuffix, "/")
 	var row evidenceRow
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		return err
 	}
+	if err := row.check(); err != nil {
+		return err
+	}
 	s := m.getOrCreate(serviceName)
 	if row.Order != s.state.Order.ID || row.Era != s.state.Order.Era {
 		return nil
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -181,7 +181,7 @@
 func (m *Manager) applyRows(rows []watch.Row, prefix string, apply func(keySuffix string, r watch.Row) error) {
 	for _, r := range rows {
 		keySuffix, ok := strings.CutPrefix(r.Key, prefix)
-		if !ok || r.Deleted {
+		if !ok {
 			continue
 		}
 		if err := apply(keySuffix, r); err != nil {
@@ -190,13 +190,20 @@
 	}
 }
 
+// applyState applies the row of a state. One that is deleted or invalid, whoever wrote it, holds no state:
+// the VMs write the state that they know again, on top of it.
 func (m *Manager) applyState(keySuffix string, r watch.Row) error {
 	serviceName, era, err := parseStateKey(keySuffix)
 	if err != nil {
 		return err
 	}
-	var state shift.State
-	if err := json.Unmarshal(r.Value, &state); err != nil {
+	if r.Deleted {
+		m.clearRow(serviceName, era, r.Revision, 0)
+		return nil
+	}
+	state, err := decodeState(serviceName, era, r)
+	if err != nil {
+		m.clearRow(serviceName, era, r.Revision, r.Revision)
 		return err
 	}
 	s := m.getOrCreate(serviceName)
@@ -212,6 +219,29 @@
 	return nil
 }
 
+// decodeState decodes the row of a service's state in an era. Errors: shift.ErrOutOfBounds, and those of
+// package json.
+func decodeState(serviceName string, era watch.Era, r watch.Row) (shift.State, error) {
+	var state shift.State
+	if err := json.Unmarshal(r.Value, &state); err != nil {
+		return state, err
+	}
+	order := state.Order
+	if order.Service != serviceName || order.Era > int64(era) || order.Era == int64(era) && order.ID > int64(r.Revision) {
+		return state, shift.ErrOutOfBounds.New("row has the state of order %d of era %d for service %q", order.ID, order.Era, order.Service)
+	}
+	return state, state.Check()
+}
+
+// clearRow records that the row of a service's state holds none, as of a revision. The next write expects
+// the row to have the revision expected, 0 for none.
+func (m *Manager) clearRow(serviceName string, era watch.Era, at, expected watch.Revision) {
+	s := m.getOrCreate(serviceName)
+	if era == m.era && at > s.revision {
+		s.row, s.revision, s.dueSince = shift.State{}, expected, time.Time{}
+	}
+}
+
 // installState replaces the state. The observations of both versions are reset if it
 // belongs to another order. The caller holds mu.
 func (m *Manager) installState(s *serviceState, state shift.State) {
