Exclude entries with a VM's address or that of another upstream

An engine's entry with the address of a VM sent callers' requests round and round with their key taken off: in the users' trial 18 of 40 calls beside three such entries got 200, 15 got 401. One with the address of a sound engine answered 421 each time, which counts neither as a failure nor for the breaker, so that the odd entry looked idle for ever.

The directory excludes entries whose address is one of this VM's listeners, the store's, one that another VM announces, or an own port at the address of a VM. Among entries with one address, those are excluded that were answered 421 later than another, or that appeared while another one had answered within a second: the platform assigns an address again only some seconds after its upstream has ended. Answers and 421s go on to decide, so that no entry is excluded for good, and a single entry never is because of a 421.

--- /dev/null
+++ b/internal/engines/addresses_test.go
@@ -0,0 +1,105 @@
+package engines_test
+
+import (
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/upstream"
+)
+
+// entryAt returns an entry with an address.
+func entryAt(id, address string) engines.Entry {
+	e := newEntry(id, "d1")
+	e.Address = address
+	return e
+}
+
+// usedIDs returns the IDs of the upstreams that are in use.
+func usedIDs(d *engines.Directory) []upstream.ID {
+	var ids []upstream.ID
+	for _, e := range d.ForService("s") {
+		ids = append(ids, e.ID())
+	}
+	return ids
+}
+
+// TestEntryWithAddressOfAnsweringUpstreamIsNotUsed guards against requests that are sent to the address
+// of a sound upstream under another ID, which answers 421 each time.
+func TestEntryWithAddressOfAnsweringUpstreamIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{entryAt("sound", "10.0.0.1:80"), entryAt("far", "10.0.0.2:80")})
+	sound := find(d, "sound")
+	sound.MarkAnswered()
+	clock.Advance(500 * time.Millisecond)
+	d.Put(entryAt("odd", "10.0.0.1:80"))
+	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("sound"), upstream.ID("far")))
+	g.Expect(sound.TakesRequests()).To(BeTrue())
+	d.Remove("sound")
+	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("odd"), upstream.ID("far")))
+}
+
+// TestAddressThatIsAssignedAgainServesItsNewUpstream guards against a new upstream that gets nothing, and
+// an ended one that gets requests, while the entries of both are there.
+func TestAddressThatIsAssignedAgainServesItsNewUpstream(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{entryAt("ended", "10.0.0.1:80")})
+	ended := find(d, "ended")
+	ended.MarkAnswered()
+	clock.Advance(2 * time.Second)
+	d.Put(entryAt("next", "10.0.0.1:80"))
+	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("ended"), upstream.ID("next")), "it isn't known which one answers")
+	clock.Advance(time.Millisecond)
+	find(d, "next").MarkAnswered()
+	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("next")))
+	g.Expect(ended.TakesRequests()).To(BeFalse())
+}
+
+// TestMisdirectedEntryYieldsToOthersAtItsAddress guards against a sound upstream that is never used again
+// because it, too, answered a request with 421.
+func TestMisdirectedEntryYieldsToOthersAtItsAddress(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{entryAt("a", "10.0.0.1:80"), entryAt("b", "10.0.0.1:80")})
+	g.Expect(usedIDs(d)).To(HaveLen(2))
+	a, b := find(d, "a"), find(d, "b")
+	for range 3 {
+		clock.Advance(time.Millisecond)
+		a.MarkMisdirected()
+		g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("b")))
+		clock.Advance(time.Millisecond)
+		b.MarkMisdirected()
+		g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("a")))
+	}
+	d.Remove("b")
+	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("a")), "a single entry is used whatever it answers")
+}
+
+// TestEntryWithAddressOfAVMIsNotUsed guards against requests that VMs pass round and round.
+func TestEntryWithAddressOfAVMIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	known := false
+	clock := clockwork.NewFakeClock()
+	options := pacedOptions(clock, 0, 1, false)
+	options.IsVM = func(a netip.AddrPort) bool { return known && a == netip.MustParseAddrPort("10.0.0.9:80") }
+	d := engines.New(options, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.Replace([]engines.Entry{entryAt("vm", "10.0.0.9:80"), entryAt("other-port", "10.0.0.9:81")})
+	chosen := find(d, "vm")
+	known = true
+	d.RefreshAddresses()
+	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("other-port")))
+	g.Expect(chosen.Begin(0)).To(BeNil())
+	g.Expect(d.Counts()).To(HaveKeyWithValue([2]string{"s", "excluded"}, 1))
+	g.Expect(d.Slots("s")).To(Equal(10))
+	known = false
+	d.RefreshAddresses()
+	g.Expect(usedIDs(d)).To(HaveLen(2))
+}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,9 @@
 	// is not called.
 	OnFragile  func(u upstream.Upstream, fragile bool)
 	OnRejected func(u upstream.Upstream)
+	// IsVM reports whether an address is one at which a VM listens; nil for none. It is called with
+	// the directory locked. RefreshAddresses is to be called when it changes.
+	IsVM func(netip.AddrPort) bool
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
 	// OnRemove is called with the address of an upstream that was removed; nil is
@@ -103,7 +107,9 @@
 	policies policies
 	// selfReports counts what upstreams report of themselves in their answers.
 	selfReports *prometheus.CounterVec
-	cold        *coldUpstreams
+	// excluded counts the entries that name no upstream because of their address, by cause.
+	excluded *prometheus.CounterVec
+	cold     *coldUpstreams
 	// slow is nil if slow starts are off.
 	slow *slowStarts
 
@@ -150,9 +156,13 @@
 		Name: "poplarshore_upstream_self_reports_total",
 		Help: "What upstreams report of themselves in their answers: leaving, paused for a while, or limited.",
 	}, []string{"report"})
-	opts.Registry.MustRegister(selfReports)
+	excluded := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarshore_upstream_entries_excluded_total",
+		Help: "Entries of upstreams that were found to name none: they have a VM's address, or one at which another upstream answers.",
+	}, []string{"cause"})
+	opts.Registry.MustRegister(selfReports, excluded)
 	d := &Directory{
-		opts: opts, clock: clock, log: log, selfReports: selfReports, cold: newColdUpstreams(opts.Registry),
+		opts: opts, clock: clock, log: log, selfReports: selfReports, excluded: excluded, cold: newColdUpstreams(opts.Registry),
 		breakers:  retry.NewBreakers(opts.Placement.Breaker),
 		policies:  newPolicies(opts.Placement, opts.AnswerEnd, opts.AnswerEnd || opts.ShareReports),
 		fragile:   make(map[string]fragileService),
@@ -353,7 +363,11 @@
 // changing them, so that Choose can read them without the lock.
 func (d *Directory) rebuildIndex() {
 	byService := make(map[string][]*Engine, len(d.byService))
+	d.excludeByAddress()
 	for _, e := range d.byID {
+		if exclusion(e.excluded.Load()) != notExcluded {
+			continue
+		}
 		name := e.entry().Service
 		byService[name] = append(byService[name], e)
 	}
@@ -403,8 +417,8 @@
 	})
 }
 
-// Counts returns the number of upstreams by service and state, which is "ready"
-// or "leaving".
+// Counts returns the number of upstreams by service and state, which is "ready", "leaving", or
+// "excluded" because of the entry's address.
 func (d *Directory) Counts() map[[2]string]int {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -412,7 +426,10 @@
 	for _, e := range d.byID {
 		entry := e.entry()
 		state := "ready"
-		if e.Leaving() {
+		switch {
+		case exclusion(e.excluded.Load()) != notExcluded:
+			state = "excluded"
+		case e.Leaving():
 			state = "leaving"
 		}
 		counts[[2]string{entry.Service, state}]++
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,12 @@
 	removed atomic.Bool
 	// missing is set while the entry is kept although it is missing in the store.
 	missing atomic.Bool
+	// addressPort is the parsed address; invalid if it is none.
+	addressPort netip.AddrPort
+	// excluded is an exclusion. sharesAddress reports whether other entries have the same address, and
+	// holdsAddress whether this is the only one of them in use.
+	excluded                    atomic.Int32
+	sharesAddress, holdsAddress atomic.Bool
 
 	mu sync.Mutex
 	// inFlight is the number of this VM's requests on the upstream.
@@ -82,12 +89,16 @@
 	failureRate float64
 	// pace is what is known of how fast the upstream generates.
 	pace enginePace
+	// evidence is what is known of whether the upstream has its address.
+	evidence addressEvidence
 }
 
 func newEngine(e Entry, d *Directory) *Engine {
 	engine := &Engine{directory: d, hash: route.HashID(e.ID), key: loadshare.UpstreamKey(e.ID, e.Incarnation)}
 	engine.identity = upstream.Upstream{ID: e.ID, Domain: e.Domain, Service: e.Service, Capacity: e.Capacity}
 	engine.pace.lasting = pace.Factor{HalfLife: lastingHalfLife, MaxWeight: lastingMaxWeight}
+	engine.addressPort = parseAddress(e.Address)
+	engine.evidence.registeredAt = d.clock.Now()
 	engine.set(e)
 	return engine
 }
@@ -125,9 +136,11 @@
 // Leaving reports whether the upstream is draining and gets no new requests.
 func (e *Engine) Leaving() bool { return e.leaving.Load() }
 
-// TakesRequests reports whether the upstream may get new requests: it is registered, not leaving and
-// not evacuated.
-func (e *Engine) TakesRequests() bool { return !e.removed.Load() && !e.Leaving() && !e.Evacuated() }
+// TakesRequests reports whether the upstream may get new requests: it is registered, not leaving,
+// not evacuated, and has the address of its entry as far as this VM knows.
+func (e *Engine) TakesRequests() bool {
+	return !e.removed.Load() && !e.Leaving() && !e.Evacuated() && exclusion(e.excluded.Load()) == notExcluded
+}
 
 // Region returns the region of the upstream.
 func (e *Engine) Region() domain.Region { return e.directory.opts.RegionOf(e.entry().Domain) }
--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -49,13 +49,18 @@
 
 // newPacedDirectory returns one that regards when answers end, if answerEnd is set.
 func newPacedDirectory(clock *clockwork.FakeClock, rank, vms int, answerEnd bool) *engines.Directory {
-	return engines.New(engines.Options{
+	return engines.New(pacedOptions(clock, rank, vms, answerEnd), clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+// pacedOptions returns the options of newPacedDirectory.
+func pacedOptions(clock *clockwork.FakeClock, rank, vms int, answerEnd bool) engines.Options {
+	return engines.Options{
 		AnswerEnd:   answerEnd,
 		SharedClock: sharedClock{clock}, Rank: func() (int, int) { return rank, vms },
 		Region: "r1", Domain: "d1", ReregistrationGrace: 2 * time.Second, Placement: engines.DefaultPlacement(),
 		RegionOf: regionOf,
 		Registry: prometheus.NewRegistry(),
-	}, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}
 }
 
 func newEntry(id, failureDomain string) engines.Entry {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -71,12 +71,14 @@
 	pool         *upconn.Pool
 	// peerPool holds the connections to VMs that relay requests, and reach follows whether
 	// this VM reaches upstreams itself.
-	peerPool  *upconn.Pool
-	reach     *reach.Tracker
-	vms       *members.List
-	collector *members.Collector
-	peerFeed  *peerfeed.Feed
-	hints     *hints.Exchange
+	peerPool *upconn.Pool
+	reach    *reach.Tracker
+	vms      *members.List
+	// vmAddresses are the addresses of VMs, which no upstream has.
+	vmAddresses atomic.Pointer[vmAddresses]
+	collector   *members.Collector
+	peerFeed    *peerfeed.Feed
+	hints       *hints.Exchange
 	// hintCounts counts hints by outcome.
 	hintCounts *prometheus.CounterVec
 	// shareCounts counts shared reports by outcome.
@@ -182,6 +184,7 @@
 		AnswerEnd:           s.LoadControl.AnswerEnd,
 		ShareReports:        sharesReports(s),
 		OnRemove:            d.pool.CloseIdle,
+		IsVM:                d.isVMAddress,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
 		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
@@ -267,6 +270,7 @@
 		d.logRunner.Stop()
 		return err
 	}
+	d.refreshVMAddresses()
 	d.runner = duty.NewRunner(ctx, d.log)
 	for _, table := range d.tables {
 		d.runner.Start("watch "+table.Table(), table.Run)
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -122,11 +122,14 @@
 	shifts      *shifts.Manager
 	vms         *members.List
 	quarantines *quarantines.Guard
+	// onVMs is called when the list of VMs may have changed.
+	onVMs func()
 }
 
 // Reset implements watch.Sink.
 func (v *vmSink) Reset(b watch.Batch) {
 	v.vms.Reset(b)
+	v.onVMs()
 	v.quarantines.Replace(b)
 	v.shifts.Replace(b)
 }
@@ -134,6 +137,7 @@
 // Change implements watch.Sink.
 func (v *vmSink) Change(b watch.Batch) {
 	v.vms.Change(b)
+	v.onVMs()
 	v.quarantines.Change(b)
 	v.shifts.Change(b)
 }
--- a/internal/gatewayd/tables.go
+++ b/internal/gatewayd/tables.go
@@ -13,7 +13,7 @@
 	return []*watch.Watch{
 		d.newTable(wire.OperatorTable, d.operatorSink, 0),
 		d.newTable(wire.UpstreamTable, d.upstreamSink, upstreamBatchDelay),
-		d.newTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms, quarantines: d.quarantines}, vmBatchDelay),
+		d.newTable(vmTable, &vmSink{shifts: d.shifts, vms: d.vms, quarantines: d.quarantines, onVMs: d.refreshVMAddresses}, vmBatchDelay),
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -115,6 +115,12 @@
 		a.paused = true
 		a.engine.Pause(head.Pause)
 	}
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest:
+		a.engine.MarkMisdirected()
+	case head.Sealed:
+		a.engine.MarkAnswered()
+	}
 	if resp.Status != http.StatusMisdirectedRequest {
 		a.recordStart(head)
 		a.engine.SetRequestLimit(head.RequestLimit, a.startedAt)
