--- a/rollout/shift/check.go
+++ b/rollout/shift/check.go
@@ -15,7 +15,7 @@
 	// maxDuration bounds the duration of an order, and maxSharedTime times on the shared clock, so that
 	// sums of them can be represented.
 	maxDuration   = 1e6 * time.Second
-	maxSharedTime = 50 * 365 * 24 * time.Hour
+	maxSharedTime = 200 * 365 * 24 * time.Hour
 	// maxCount bounds each count of a VM's observations, so that the sums over all VMs can be
 	// represented.
 	maxCount = 1 << 40
