Write the row of quarantines again after an odd one

A row of quarantines that could not be decoded, or was deleted, was skipped without noting its revision: every later write expected the one before and conflicted, so that nothing was stored any more and VMs that started let requests through that crash upstreams. Entries with times near the ends of int64 were taken over, and overflowed when their next probe was computed. A message with a time in the future cleared a request of all crashes to come, and was remembered for good.

Such a row now counts as holding no entry, at its revision, and the VMs write what they know on top of it. Entries are decoded and checked one by one, and messages lose what lies more than a minute ahead.

--- a/internal/quarantines/exchange.go
+++ b/internal/quarantines/exchange.go
@@ -19,9 +19,11 @@
 
 // Receive applies a message of another VM.
 func (g *Guard) Receive(m Message) {
-	if _, known := g.opts.SharedClock.Now(); !known {
+	now, known := g.opts.SharedClock.Now()
+	if !known {
 		return
 	}
+	m = m.within(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range m.Crashes {
--- a/internal/quarantines/message.go
+++ b/internal/quarantines/message.go
@@ -1,6 +1,7 @@
 package quarantines
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -39,6 +40,20 @@
 	At time.Duration `json:"at"`
 }
 
+// maxClockSkew is how far the clocks of two VMs may be apart.
+const maxClockSkew = time.Minute
+
+// within returns the parts of a message that another VM can have sent at about the time now: what lies in
+// the future would be remembered for good.
+func (m Message) within(now time.Duration) Message {
+	isOdd := func(at time.Duration) bool { return !quarantine.IsTime(at) || at > now+maxClockSkew }
+	m.Crashes = slices.DeleteFunc(slices.Clone(m.Crashes), func(c quarantine.Crash) bool { return isOdd(c.At) })
+	m.Sound = slices.DeleteFunc(slices.Clone(m.Sound), func(s Sound) bool { return isOdd(s.At) })
+	m.Alive = slices.DeleteFunc(slices.Clone(m.Alive), func(a Alive) bool { return isOdd(a.At) })
+	m.Entries = slices.DeleteFunc(slices.Clone(m.Entries), func(e quarantine.Entry) bool { return e.Check() != nil })
+	return m
+}
+
 // Upstream returns the upstream that a message is about; empty if it is about none.
 func (m Message) Upstream() upstream.ID {
 	switch {
--- a/internal/quarantines/row.go
+++ b/internal/quarantines/row.go
@@ -80,21 +80,60 @@
 
 // The caller of the following methods holds mu.
 
+// apply applies the row of quarantines. One that is deleted or can't be decoded, whoever wrote it, holds
+// none: what this VM knows is written again on top of it.
 func (g *Guard) apply(b watch.Batch) {
 	for _, r := range b.Rows {
-		if r.Key != rowKey || r.Deleted || r.Revision <= g.row.revision {
-			continue
-		}
-		var value rowValue
-		if err := json.Unmarshal(r.Value, &value); err != nil {
-			g.opts.Log.Error("cannot decode row of quarantines; row ignored", "revision", r.Revision, "error", err)
+		if r.Key != rowKey || r.Revision <= g.row.revision {
 			continue
 		}
+		entries := g.decodeRow(r)
 		g.row.entries, g.row.revision, g.row.retryAt = make(quarantine.List), r.Revision, time.Time{}
-		g.row.entries.Merge(value.Entries...)
-		for _, e := range value.Entries {
+		if r.Deleted {
+			g.row.revision = 0
+		}
+		g.row.entries.Merge(entries...)
+		for _, e := range entries {
 			g.install(e)
 		}
+		g.noteUnstored()
+	}
+}
+
+// decodeRow returns the valid entries of the row.
+func (g *Guard) decodeRow(r watch.Row) []quarantine.Entry {
+	if r.Deleted {
+		return nil
+	}
+	var value struct {
+		Entries []json.RawMessage `json:"entries"`
+	}
+	if err := json.Unmarshal(r.Value, &value); err != nil {
+		g.opts.Log.Error("cannot decode row of quarantines; it is written again", "revision", r.Revision, "error", err)
+		return nil
+	}
+	var entries []quarantine.Entry
+	for _, text := range value.Entries {
+		var e quarantine.Entry
+		err := json.Unmarshal(text, &e)
+		if err == nil {
+			err = e.Check()
+		}
+		if err != nil {
+			g.opts.Log.Warn("quarantine ignored, can't decode it", "revision", r.Revision, "error", err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// noteUnstored records that this VM now knows of entries that the row lacks.
+func (g *Guard) noteUnstored() {
+	for key, e := range g.list {
+		if _, noted := g.row.foundAt[key]; !noted && !g.isStored(e) {
+			g.row.foundAt[key] = g.clock.Now()
+		}
 	}
 }
 
