Take only rows with addresses of machines for VMs

A row that names no address ({} or null), or ones of a whole network, counted as a VM: limits that VMs share were divided by one more, and hints were sent to broadcast and multicast addresses. VMs without a feed were polled.

Rows are checked when they are read and when a seed accepts one: an ID, at least one address, and each that of one machine with a port. Rows that lack some addresses are still read, as those of other builds may.

--- a/internal/members/collector.go
+++ b/internal/members/collector.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/ring"
 	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/vm"
 )
 
 // Path is the http.ServeMux pattern under which a VM accepts the rows of other VMs.
@@ -47,9 +47,8 @@
 // promise that the row is written.
 func (c *Collector) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	value, err := io.ReadAll(io.LimitReader(r.Body, maxRowBytes))
-	var m Member
 	if err == nil {
-		err = json.Unmarshal(value, &m)
+		_, err = decode(vm.ID(r.PathValue("vm")), value)
 	}
 	if err != nil {
 		http.Error(w, "invalid row: "+err.Error(), http.StatusBadRequest)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 
 	"github.com/poplarshore/poplarshore/domain"
+	"github.com/poplarshore/poplarshore/internal/netaddr"
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -126,17 +127,49 @@
 		if r.Deleted {
 			continue
 		}
-		var m Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		m, err := decode(id, r.Value)
+		if err != nil {
 			l.log.Warn("VM removed from the list, can't decode its row", "key", r.Key, "revision", r.Revision, "error", err)
 			continue
 		}
-		m.ID = id
 		all[id] = m
 	}
 	l.all.Store(&all)
 }
 
+// ErrInvalidRow reports a VM's row that can't be decoded or names no address at which the VM can be reached.
+var ErrInvalidRow = namespace.NewType("invalid_row")
+
+// maxIDBytes bounds the ID of a VM. Keys of the store have at most as many bytes.
+const maxIDBytes = 200
+
+// decode decodes a VM's row. Another writer's may lack all addresses, or name ones that aren't those of one
+// machine. Errors: ErrInvalidRow.
+func decode(id vm.ID, value []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, ErrInvalidRow.Wrap(err, "decode row of VM %q", id)
+	}
+	if id == "" || len(id) > maxIDBytes {
+		return Member{}, ErrInvalidRow.New("row of a VM with the invalid ID %q", id)
+	}
+	known := 0
+	for _, address := range []netip.AddrPort{m.Hints, m.Feed, m.Relay} {
+		if !address.IsValid() {
+			continue
+		}
+		if !netaddr.IsUnicast(address) {
+			return Member{}, ErrInvalidRow.New("row of VM %q: %s is not the address of one machine", id, address)
+		}
+		known++
+	}
+	if known == 0 {
+		return Member{}, ErrInvalidRow.New("row of VM %q without an address", id)
+	}
+	m.ID = id
+	return m, nil
+}
+
 // Filter returns the other VMs that match, sorted by ID.
 func (l *List) Filter(match func(Member) bool) []Member {
 	others := l.Others()
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -107,16 +107,16 @@
 // fleetPeers returns the other VMs of all regions; none if the fleet is too small to have
 // a reader.
 func (f *Feed) fleetPeers() []members.Member {
-	others := f.vms.Filter(func(members.Member) bool { return true })
+	others := f.vms.Filter(func(m members.Member) bool { return m.Feed.IsValid() })
 	if len(others)+1 < f.opts.MinFleet {
 		return nil
 	}
 	return others
 }
 
-// regionPeers returns the other VMs of the region.
+// regionPeers returns the other VMs of the region that serve their copies.
 func (f *Feed) regionPeers() []members.Member {
-	return f.vms.Filter(func(m members.Member) bool { return f.opts.RegionOf(m.Domain) == f.opts.Region })
+	return f.vms.Filter(func(m members.Member) bool { return m.Feed.IsValid() && f.opts.RegionOf(m.Domain) == f.opts.Region })
 }
 
 // sharesReads reports whether the region has enough VMs to share reads.
