Bound the figures of hints from other VMs

hints.Decode makes a hint with a negative figure invalid (counted as unreadable) and lowers others to named bounds.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -327,7 +327,7 @@
 	case h.Silent:
 		d.directory.MarkSilent(h.Upstream)
 	case h.Limit != nil:
-		d.directory.SetRequestLimit(h.Upstream, max(*h.Limit, 0))
+		d.directory.SetRequestLimit(h.Upstream, *h.Limit)
 	case h.Fragile != nil:
 		d.directory.SetFragile(h.Upstream, *h.Fragile)
 	case h.Cold != nil:
@@ -335,7 +335,7 @@
 	case h.Full:
 		d.directory.MarkRejected(h.Upstream)
 	default:
-		d.directory.AddRemoteWork(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
+		d.directory.AddRemoteWork(h.Upstream, h.Work())
 	}
 }
 
--- a/internal/hints/hints.go
+++ b/internal/hints/hints.go
@@ -224,8 +224,9 @@
 		if err != nil {
 			return
 		}
-		var h Hint
-		if err := json.Unmarshal(buf[:n], &h); err != nil {
+		h, err := Decode(buf[:n])
+		if err != nil {
+			x.log.Debug("ignoring hint", "error", err)
 			x.outcomes.WithLabelValues("unreadable").Inc()
 			continue
 		}
