Bound the times that VMs tell each other with their copies

The age of data, the store's clock and how long the store has answered came as milliseconds that were multiplied without a bound: a negative age made data count as confirmed in the future, and so as fresh; a wait near the end of int64 became none. Times out of bounds now count as missing.

--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -60,7 +60,7 @@
 	allowStale, err := strconv.ParseBool(values.Get("old"))
 	return query{
 		table: r.PathValue("table"), after: watch.Cursor{Era: watch.Era(era), Revision: watch.Revision(after)},
-		wait: time.Duration(wait) * time.Millisecond, renew: values.Get("renew") == "true", allowStale: allowStale,
+		wait: time.Duration(min(max(wait, 0), maxMilliseconds)) * time.Millisecond, renew: values.Get("renew") == "true", allowStale: allowStale,
 	}, err
 }
 
@@ -94,14 +94,27 @@
 		return watch.Batch{}, 0, ErrNoReader.Wrap(err, "decode response of reader %s", p.name)
 	}
 	f.observeClock(resp.Header)
-	ms, err := strconv.ParseInt(resp.Header.Get(headerAge), 10, 64)
-	if err != nil && p.passesOn {
-		return watch.Batch{}, 0, ErrNoReader.Wrap(err, "response of reader %s without the age of its data", p.name)
+	age, ok := parseMilliseconds(resp.Header.Get(headerAge))
+	if !ok && p.passesOn {
+		return watch.Batch{}, 0, ErrNoReader.New("response of reader %s without the age of its data", p.name)
 	}
-	if up, err := strconv.ParseInt(resp.Header.Get(headerStoreUp), 10, 64); err == nil {
-		b.StoreUp = time.Duration(up) * time.Millisecond
+	if up, ok := parseMilliseconds(resp.Header.Get(headerStoreUp)); ok {
+		b.StoreUp = up
 	}
-	return b, time.Duration(ms) * time.Millisecond, nil
+	return b, age, nil
+}
+
+// maxMilliseconds bounds times in headers, in milliseconds, so that they can be represented in nanoseconds
+// and added up: about 190 years.
+const maxMilliseconds = 6_000_000_000_000
+
+// parseMilliseconds parses a number of milliseconds. It returns false if it is none, or out of bounds.
+func parseMilliseconds(text string) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 0 || ms > maxMilliseconds {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
 }
 
 // setClock adds the time on the store's clock to a response, if it is known.
@@ -116,9 +129,8 @@
 
 // observeClock learns the time on the store's clock from the response of a reader.
 func (f *Feed) observeClock(h http.Header) {
-	ms, err := strconv.ParseInt(h.Get(headerStoreClock), 10, 64)
-	if err == nil && f.opts.StoreClock != nil {
-		f.opts.StoreClock.ObserveClock(time.Duration(ms) * time.Millisecond)
+	if now, ok := parseMilliseconds(h.Get(headerStoreClock)); ok && f.opts.StoreClock != nil {
+		f.opts.StoreClock.ObserveClock(now)
 	}
 }
 
