Merge the reading of odd rows on the users' platform

Entries, roll-out states, evidence, quarantines, VMs' rows, configurations, hints, headers and responses of the store are checked after decoding; one odd row costs no other row.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -64,18 +64,21 @@
 
 	store        *rowstore.Client
 	operatorSink *operatorSink
+	upstreamSink *upstreamSink
 	directory    *engines.Directory
 	shifts       *shifts.Manager
 	quarantines  *quarantines.Guard
 	pool         *upconn.Pool
 	// peerPool holds the connections to VMs that relay requests, and reach follows whether
 	// this VM reaches upstreams itself.
-	peerPool  *upconn.Pool
-	reach     *reach.Tracker
-	vms       *members.List
-	collector *members.Collector
-	peerFeed  *peerfeed.Feed
-	hints     *hints.Exchange
+	peerPool *upconn.Pool
+	reach    *reach.Tracker
+	vms      *members.List
+	// vmAddresses are the addresses of VMs, which no upstream has.
+	vmAddresses atomic.Pointer[vmAddresses]
+	collector   *members.Collector
+	peerFeed    *peerfeed.Feed
+	hints       *hints.Exchange
 	// hintCounts counts hints by outcome.
 	hintCounts *prometheus.CounterVec
 	// shareCounts counts shared reports by outcome.
@@ -153,6 +156,7 @@
 	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d})
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
+	d.upstreamSink = newUpstreamSink(d)
 	d.tables = d.newTables()
 	d.relay = d.newRelay()
 	return d
@@ -180,6 +184,7 @@
 		AnswerEnd:           s.LoadControl.AnswerEnd,
 		ShareReports:        sharesReports(s),
 		OnRemove:            d.pool.CloseIdle,
+		IsVM:                d.isVMAddress,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
 		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
@@ -269,6 +274,7 @@
 		d.logRunner.Stop()
 		return err
 	}
+	d.refreshVMAddresses()
 	d.runner = duty.NewRunner(ctx, d.log)
 	for _, table := range d.tables {
 		d.runner.Start("watch "+table.Table(), table.Run)
@@ -325,7 +331,7 @@
 	case h.Silent:
 		d.directory.MarkSilent(h.Upstream)
 	case h.Limit != nil:
-		d.directory.SetRequestLimit(h.Upstream, max(*h.Limit, 0))
+		d.directory.SetRequestLimit(h.Upstream, *h.Limit)
 	case h.Fragile != nil:
 		d.directory.SetFragile(h.Upstream, *h.Fragile)
 	case h.Cold != nil:
@@ -333,7 +339,7 @@
 	case h.Full:
 		d.directory.MarkRejected(h.Upstream)
 	default:
-		d.directory.AddRemoteWork(h.Upstream, time.Duration(h.WorkMS)*time.Millisecond)
+		d.directory.AddRemoteWork(h.Upstream, h.Work())
 	}
 }
 
