Announce at which address a VM serves callers, so that no upstream's entry is taken for one there

A caller with a sound key got 401 where an upstream's entry named the address of another VM that uses other ports than this one, as several VMs on one host do: only the addresses for VMs were announced. Rows of VMs name the callers' address now, unless it is not that of one machine; older builds ignore the field.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -312,6 +312,7 @@
 	members.NewAnnouncer(members.AnnouncerOptions{
 		List: d.vms, Member: members.Member{
 			Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed, Relay: d.announcedRelay(feed.Addr()),
+			Callers:        d.announcedCallers(),
 			PassesEvidence: true, KeepsRegions: true,
 		},
 		Seeds: d.settings.Seeds, Self: d.settings.Peers.Address, Collector: d.collector,
--- a/internal/gatewayd/vm_addresses.go
+++ b/internal/gatewayd/vm_addresses.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/netaddr"
 )
 
 // vmAddresses are the addresses at which VMs listen, as far as this VM knows.
@@ -59,6 +60,7 @@
 	for _, m := range d.vms.Others() {
 		v.add(m.Feed)
 		v.add(m.Relay)
+		v.add(m.Callers)
 		if m.Hints.IsValid() {
 			v.ips[m.Hints.Addr().Unmap()] = true
 		}
@@ -69,6 +71,17 @@
 	return v
 }
 
+// announcedCallers returns the address at which this VM serves callers, invalid if that is not the
+// address of one machine.
+func (d *Daemon) announcedCallers() netip.AddrPort {
+	address, err := netip.ParseAddrPort(d.callerServer.Address())
+	if err != nil || !netaddr.IsUnicast(address) {
+		d.log.Warn("the address for callers is not announced; an upstream's entry may name it", "address", d.callerServer.Address(), "error", err)
+		return netip.AddrPort{}
+	}
+	return address
+}
+
 // refreshVMAddresses finds the addresses of VMs again, and the upstreams' entries that have one of
 // them. It is called before the background tasks start, and then by the watch of the VMs' rows.
 func (d *Daemon) refreshVMAddresses() {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -32,6 +32,9 @@
 	// Relay is the HTTP address at which the VM relays requests of other VMs' callers;
 	// invalid if it doesn't.
 	Relay netip.AddrPort `json:"relay,omitzero"`
+	// Callers is the HTTP address at which the VM serves callers, which is that of no upstream;
+	// invalid if the VM listens at all addresses, and for older builds.
+	Callers netip.AddrPort `json:"callers,omitzero"`
 	// PassesEvidence reports that the VM passes evidence on to a part of the VMs
 	// (quarantines.Spread). Older builds don't.
 	PassesEvidence bool `json:"passes_evidence,omitzero"`
@@ -154,7 +157,7 @@
 		return Member{}, ErrInvalidRow.New("row of a VM with the invalid ID %q", id)
 	}
 	known := 0
-	for _, address := range []netip.AddrPort{m.Hints, m.Feed, m.Relay} {
+	for _, address := range []netip.AddrPort{m.Hints, m.Feed, m.Relay, m.Callers} {
 		if !address.IsValid() {
 			continue
 		}
