Answer requests whose handling panics

A caller saw the end of its connection without a byte, and operators no line, if the handling of its request panicked: the http.Server recovers, closes the connection and reports it at debug level. The relay now logs the panic with its stack and answers 500, which promises nothing, or breaks off an answer that has begun.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -138,6 +138,7 @@
 	}
 	defer x.releaseRelayed()
 	defer x.endOutput()
+	defer s.answerPanic(x, r)
 	x.clearWriteDeadline()
 	x.askToClose()
 	ctx, detach := s.withAbort(r.Context())
