Start the gateway once the process before has left its ports

What callers saw: nothing of a restart within the grace of the process before; the new process ended at once with "address already in use", and the VM served nothing until it was started again. Since a stopping process keeps its listeners until its last request has been answered, the time in which this happens has grown from take_s to the whole grace.

Change: the gateway's command tries again every 100 ms while an address is in use, for stop.grace_s at most, and ends at a SIGTERM meanwhile. The Go collector is registered once, when the daemon is created, as Start may be called again after a failure.

Evidence: TestStartWaitsForAddressOfProcessBefore and TestStartFailsWhileAddressStaysInUse are green, twice with -race.

--- a/internal/gatewayd/command.go
+++ b/internal/gatewayd/command.go
@@ -1,7 +1,6 @@
 package gatewayd
 
 import (
-	"context"
 	"os"
 	"os/signal"
 	"syscall"
@@ -39,7 +38,7 @@
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(reloadSignals)
 	d := New(s, cmd.OutOrStdout(), clockwork.NewRealClock(), opts...)
-	if err := d.Start(context.WithoutCancel(cmd.Context())); err != nil {
+	if err := d.StartWhenFree(firstSignal); err != nil {
 		return err
 	}
 	for {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/boundlog"
@@ -151,7 +152,7 @@
 	d.quarantines = d.newQuarantines()
 	d.hintCounts = hints.NewCounter(d.registry)
 	d.shareCounts = newShareCounter(d.registry)
-	d.registry.MustRegister(&stateCollector{daemon: d})
+	d.registry.MustRegister(&stateCollector{daemon: d}, collectors.NewGoCollector())
 	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
 	d.tables = d.newTables()
 	d.relay = d.newRelay()
--- a/internal/gatewayd/listeners.go
+++ b/internal/gatewayd/listeners.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/poplarshore/poplarshore/internal/hints"
@@ -27,7 +26,6 @@
 	peerMux.HandleFunc(quarantines.ListPath, d.quarantines.ServeList)
 	peerMux.HandleFunc(quarantines.LiftPath, d.quarantines.ServeLift)
 	metricsMux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	d.registry.MustRegister(collectors.NewGoCollector())
 	for _, l := range []struct {
 		server  **listen.Server
 		config  settings.Listener
