--- a/internal/relay/remainder_test.go
+++ b/internal/relay/remainder_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/admission"
 	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/routing"
 )
 
@@ -75,3 +76,21 @@
 	x.route = &routing.Route{Name: "resumable", Streaming: true, Resumable: true, TargetLatency: time.Second}
 	g.Expect(x.refuseUnfinishable()).To(BeNil())
 }
+
+// TestSlowStreamIsMovedOnlyIfGraceHoldsIt guards against a stream that is moved to another upstream and cut there.
+func TestSlowStreamIsMovedOnlyIfGraceHoldsIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		grace time.Duration
+		moved bool
+	}{"held": {9 * time.Second, true}, "not held": {3 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, placement, clock := newStream(t, retry.Allowance{Slack: 10})
+			x.modelIndex, placement.ends["large"] = 2, 2*time.Second
+			x.server.durations.Observe("r", 30, 6*time.Second, clock.Now())
+			a := runEvents(x, clock, 5, 900*time.Millisecond)
+			x.server.BeginStop(clock.Now().Add(c.grace))
+			g.Expect(a.shouldMove()).To(Equal(c.moved))
+		})
+	}
+}
