End a planned stop before the kill whatever take_s is

What callers saw: with a take_s close to grace_s, requests were ended only when take_s was over, at the moment of the kill.

--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -19,7 +19,7 @@
 	d.phase.Store(int32(draining))
 	d.relay.BeginStop(startedAt.Add(grace - abortMargin))
 	d.logStop(slog.LevelInfo, "leaving", "grace_ms", grace.Milliseconds())
-	d.wait(ctx, d.settings.Stop.TakeS.Duration())
+	d.wait(ctx, min(d.settings.Stop.TakeS.Duration(), grace-abortMargin))
 	d.phase.Store(int32(rejecting))
 	d.logStop(slog.LevelInfo, "refusing new requests", "after_ms", d.clock.Since(startedAt).Milliseconds())
 	shutdownCtx, cancel := context.WithTimeout(ctx, grace-abortMargin-d.clock.Since(startedAt))
