Cancel all jobs of poplarshore-control at once when it stops

With the store out or slow, a stop of poplarshore-control took one store timeout (a third of the lease's TTL) for each job, while the jobs whose turn had not come went on, until the supervisor killed the process with their leases held.

Cause: Stop cancelled the jobs one after the other, and waited for the release of each lease in between.

Evidence: TestStopCancelsAllJobsAtOnce failed before: 1 of 4 jobs had ended after 2 s.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -119,7 +119,7 @@
 	return nil
 }
 
-// Stop cancels all jobs, waits until their leases are released and closes the
+// Stop cancels all jobs at once, waits until their leases are released and closes the
 // listener.
 func (d *Daemon) Stop() {
 	d.log.Info("stopping")
@@ -132,6 +132,8 @@
 	d.mu.Unlock()
 	for _, c := range running {
 		c.cancel()
+	}
+	for _, c := range running {
 		<-c.done
 	}
 	if d.operatorServer != nil {
