Leave broken-off streams to their callers when a VM stops

A caller whose stream was broken off by the stop of its VM, and who resumed it at another VM, was refused with 404 stream_unknown: the rest of its answer was lost.

Cause: the entry cancels an attempt that fails at its engine, also when its own stop ended it. It doesn't do so now once the caller has a resume token.

The request is billed once.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -241,7 +241,9 @@
 	s.recordCost(x, j, a, mayHaveStarted)
 	if err != nil {
 		s.countIdleTimeout(err)
-		s.queueCancellation(a, mayHaveStarted)
+		if !s.resumableElsewhere(sink) {
+			s.queueCancellation(a, mayHaveStarted)
+		}
 	}
 	s.metrics.attempts.WithLabelValues(outcomeLabel(err)).Inc()
 	return err
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// resumableElsewhere reports whether the caller of an attempt that has ended may read the rest of its
+// answer at another VM: it has received a resume token, and this server ends its requests.
+func (s *Server) resumableElsewhere(sink answerSink) bool {
+	return s.stop.aborting.Err() != nil && sink.started()
+}
+
 // checkDrain returns a refusal if the server drains and can't hold the exchange. It must be called
 // before anything is sent to an upstream.
 func (s *Server) checkDrain(x *Exchange) error {
--- a/internal/entryd/stop_callers_test.go
+++ b/internal/entryd/stop_callers_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/examples"
+	"github.com/poplarshore/poplarshore/standin/caller"
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	standinplatform "github.com/poplarshore/poplarshore/standin/platform"
@@ -164,3 +165,27 @@
 	s.Expect(a.status).To(Equal(http.StatusCreated), fmt.Sprint(a))
 	s.Expect(permits.Counts().Runs).To(BeEquivalentTo(1))
 }
+
+// TestStreamBrokenOffByDrainIsResumedElsewhere guards against a stop that cancels a run whose rest its caller reads at
+// another VM: it is refused there with stream_unknown.
+func TestStreamBrokenOffByDrainIsResumedElsewhere(t *testing.T) {
+	RegisterTestingT(t)
+	s := newStopTestWithTokenTime(t, 300*time.Millisecond, 100*time.Millisecond)
+	faults := s.Engines["strong-1"].Faults
+	s.Expect(faults.Add(fault.Rule{Kind: engine.Stall, AfterPieces: 3, Count: 1})).To(Succeed())
+	stream := s.send(request(http.MethodPost, "/v1/completions", "", `{"model":"strong","prompt":"x","stream":true}`))
+	s.awaitInjected(faults, engine.Stall)
+	s.startStop()
+	brokenOff := s.readAnswer(stream)
+	s.Expect(brokenOff.whole).To(BeFalse())
+	s.Eventually(s.stopped, stopTestTimeout).Should(Receive(Equal(1)))
+	c := &caller.Caller{Address: s.VM("vm-2").CallersAddress(), Key: demoKey}
+	rest, err := c.Resume(t.Context(), brokenOff.resumeToken, "2")
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(rest.Status).To(Equal(http.StatusOK), "%s", rest.Body)
+	s.Expect(rest.Complete).To(BeTrue())
+	s.Expect(rest.Pieces).To(BeNumerically(">", 0))
+	s.Expect(s.Engines["strong-1"].Counts().Cancels).To(BeZero())
+	s.Expect(ledgerEntries(s.Environment)).To(HaveLen(1))
+	s.Expect(settledTotals(s.Environment).Requests).To(BeEquivalentTo(1))
+}
--- a/internal/entryd/stop_test.go
+++ b/internal/entryd/stop_test.go
@@ -19,6 +19,7 @@
 	"github.com/poplarshore/poplarshore/standin/environment"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	"github.com/poplarshore/poplarshore/standin/service"
+	"github.com/poplarshore/poplarshore/upstream"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -40,6 +41,11 @@
 
 // newStopTest starts an environment whose VMs drain for at most the given time.
 func newStopTest(t *testing.T, drain time.Duration) *stopTest {
+	return newStopTestWithTokenTime(t, drain, 0)
+}
+
+// newStopTestWithTokenTime starts an environment whose engines take the given time for each token.
+func newStopTestWithTokenTime(t *testing.T, drain, tokenTime time.Duration) *stopTest {
 	g := NewWithT(t)
 	configure := func(s *settings.Entry) {
 		s.Stop.DrainMS = settings.Millis(drain.Milliseconds())
@@ -47,7 +53,8 @@
 		s.Timeouts.HeadersMS = settings.Millis(stopTestTimeout.Milliseconds())
 	}
 	e, err := environment.Start(t.Context(), environment.Options{
-		Document: examples.Quickstart,
+		Document:        examples.Quickstart,
+		ConfigureEngine: func(_ upstream.Upstream, o *engine.Options) { o.TokenTime = tokenTime },
 		VMs: []environment.VM{
 			{ID: "vm-1", Domain: "local-1", ConfigureSettings: configure},
 			{ID: "vm-2", Domain: "local-1", ConfigureSettings: configure},
@@ -119,6 +126,7 @@
 	status           int
 	reason, ran      string
 	retryAfter, body string
+	resumeToken      string
 	// whole reports whether the body ended orderly.
 	whole bool
 }
@@ -134,7 +142,7 @@
 	_ = json.Unmarshal(body, &parsed)
 	return answer{
 		status: resp.StatusCode, reason: parsed.Error.Code, ran: parsed.Error.Ran,
-		retryAfter: resp.Header.Get("Retry-After"), body: string(body), whole: err == nil,
+		retryAfter: resp.Header.Get("Retry-After"), resumeToken: resp.Header.Get("Poplarshore-Resume"), body: string(body), whole: err == nil,
 	}
 }
 
