Test stops without a store and in the middle of a cascade

A call that a stop ends while the store is out is told its outcome, and a drain begins no step of a cascade that it can't hold: the answer of the cheaper model is delivered.

--- a/internal/entryd/stop_test.go
+++ b/internal/entryd/stop_test.go
@@ -18,6 +18,7 @@
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/environment"
 	"github.com/poplarshore/poplarshore/standin/fault"
+	standinplatform "github.com/poplarshore/poplarshore/standin/platform"
 	"github.com/poplarshore/poplarshore/standin/service"
 	"github.com/poplarshore/poplarshore/upstream"
 	"github.com/poplarshore/poplarshore/vm"
@@ -273,3 +274,37 @@
 	s.Expect(a.reason).To(Equal("outcome_unknown"), a.body)
 	s.Eventually(s.stopped, stopTestTimeout).Should(Receive(Equal(1)))
 }
+
+// TestUnansweredCallIsToldWithoutStore guards against callers that get no answer because the claim of their call can't be
+// written when a stop ends it.
+func TestUnansweredCallIsToldWithoutStore(t *testing.T) {
+	s := newStopTest(t, 300*time.Millisecond)
+	permits := s.Services["permits-1"]
+	s.Expect(permits.Faults.Add(fault.Rule{Kind: service.Stall, Count: 1})).To(Succeed())
+	c := s.send(request(http.MethodPost, permitsIssue, "Idempotency-Key: one\r\n", permitBody))
+	s.awaitInjected(permits.Faults, service.Stall)
+	hang := fault.Rule{Kind: standinplatform.Slow, DelayMs: time.Minute.Milliseconds()}
+	s.Expect(s.Platform.Faults.Add(hang)).To(Succeed())
+	s.beginStop()
+	a := s.readAnswer(c)
+	s.Expect(a.reason).To(Equal("outcome_unknown"), a.body)
+	s.Expect(a.ran).To(Equal("unknown"))
+	s.Eventually(s.stopped, stopTestTimeout).Should(Receive(Equal(1)))
+}
+
+// TestDrainBeginsNoStepOfCascadeThatItCannotHold guards against a stronger model that is asked late in the drain, and cut.
+func TestDrainBeginsNoStepOfCascadeThatItCannotHold(t *testing.T) {
+	s := newStopTestWithTokenTime(t, 10*time.Second, 50*time.Millisecond)
+	for _, id := range []upstream.ID{"cheap-1", "cheap-2"} {
+		s.Expect(s.Engines[id].Faults.Add(fault.Rule{Kind: engine.BadQuality})).To(Succeed())
+	}
+	c := s.send(request(http.MethodPost, "/v1/completions", "", `{"model":"draft","prompt":"x"}`))
+	s.Eventually(func() uint64 {
+		return s.Engines["cheap-1"].Counts().Runs + s.Engines["cheap-2"].Counts().Runs
+	}, stopTestTimeout).Should(BeNumerically(">", 0))
+	s.beginStop()
+	a := s.readAnswer(c)
+	s.Expect(s.Engines["strong-1"].Counts().Runs).To(BeZero(), a.body)
+	s.Expect(a.status).To(Equal(http.StatusOK), "the answer of the cheap model is delivered: %s", a.body)
+	s.Eventually(s.stopped, stopTestTimeout).Should(Receive(BeZero()))
+}
