Listen for callers last

A process that can't start because an address is taken, as within the drain of the process before it, listened for callers first, and reset the connections that it had accepted when the next address failed.

Evidence: TestFailedStartTakesNoRequests failed before: with both addresses taken, the callers' address was the first to fail. That a request was lost this way was not seen.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -122,21 +122,21 @@
 	return nil
 }
 
-// openListeners opens the listeners for callers, operators and peers. After an error
-// some of them may be open.
+// openListeners opens the listeners for operators, peers and callers. After an error
+// some of them may be open, but not that for callers, whose requests would be cut.
 func (d *Daemon) openListeners() error {
 	r := d.settings.Requests
 	bounds := listen.Bounds{
 		MaxHeaderBytes: int(r.MaxHeaderBytes), HeaderTimeout: r.HeaderTimeoutMS.Duration(), IdleTimeout: r.KeepAliveMS.Duration(),
 	}
 	var err error
-	if d.callerServer, err = listen.Open(d.settings.Callers, d.entry, bounds, d.log); err != nil {
+	if d.operatorServer, err = listen.Open(d.settings.Operators, d.withAbort(d.operatorHandler()), bounds, d.log); err != nil {
 		return err
 	}
-	if d.operatorServer, err = listen.Open(d.settings.Operators, d.withAbort(d.operatorHandler()), bounds, d.log); err != nil {
+	if d.peerServer, err = listen.Open(d.settings.Peers, d.withAbort(d.peerHandler()), bounds, d.log); err != nil {
 		return err
 	}
-	d.peerServer, err = listen.Open(d.settings.Peers, d.withAbort(d.peerHandler()), bounds, d.log)
+	d.callerServer, err = listen.Open(d.settings.Callers, d.entry, bounds, d.log)
 	return err
 }
 
--- a/internal/entryd/signal_test.go
+++ b/internal/entryd/signal_test.go
@@ -9,6 +9,7 @@
 	"regexp"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gbytes"
@@ -144,3 +145,24 @@
 	c.Expect(command.ExecuteContext(ctx)).To(Succeed())
 	c.Expect(c.log).To(gbytes.Say("msg=stopped"))
 }
+
+// TestFailedStartTakesNoRequests guards against requests that are cut by a process that can't start, as within the drain
+// of the process before: it must not listen for callers until all other addresses are its own.
+func TestFailedStartTakesNoRequests(t *testing.T) {
+	s := newStopTest(t, time.Second)
+	running := s.VM("vm-1")
+	for _, taken := range []func(*settings.Entry) string{
+		func(e *settings.Entry) string {
+			e.Operators.Address = running.OperatorsAddress()
+			return e.Operators.Address
+		},
+		func(e *settings.Entry) string { e.Peers.Address = running.PeersAddress(); return e.Peers.Address },
+	} {
+		var address string
+		_, err := s.StartVM(environment.VM{ID: "vm-3", Domain: "local-1", ConfigureSettings: func(e *settings.Entry) {
+			e.Callers.Address = running.CallersAddress()
+			address = taken(e)
+		}})
+		s.Expect(err).To(MatchError(ContainSubstring(address)), "fails before it listens for callers")
+	}
+}
