Answer callers that keep connecting while a server shuts down

Cause: once its deadline has passed, Accept returns without looking at the connections that wait, and closing the listener resets these. While callers keep connecting, Shutdown also found no moment without connections, and Close cut what was in flight.

At the deadline the listener now accepts what waits until the kernel has nothing more, and refuses connections in the same moment. Server.Finish ends a server that Shutdown couldn't: it accepts no more, and answers what is open.

Trials that dropped the first packet of new connections by a socket filter failed: this kernel doesn't support it.

--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -38,6 +38,9 @@
 	// and abortedAnswerTimeout bounds the time for their answers.
 	closeTimeout         = 2 * time.Second
 	abortedAnswerTimeout = 500 * time.Millisecond
+	// finishTimeout bounds the time for answers on a listener that has been closed
+	// although callers kept connecting.
+	finishTimeout = time.Second
 	// billingTimeout bounds the time for committing the billing records or sending
 	// them to other VMs.
 	billingTimeout = 5 * time.Second
@@ -94,14 +97,18 @@
 func (d *Daemon) shutDownListeners(ctx context.Context) {
 	timer := time.AfterFunc(closeTimeout, d.abortRequests)
 	defer timer.Stop()
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout+abortedAnswerTimeout)
+	shutdownCtx, cancel := context.WithTimeout(ctx, closeTimeout+abortedAnswerTimeout)
 	defer cancel()
+	finishCtx, cancelFinish := context.WithTimeout(ctx, closeTimeout+abortedAnswerTimeout+finishTimeout)
+	defer cancelFinish()
 	var closing sync.WaitGroup
 	for _, s := range []*listen.Server{d.callerServer, d.operatorServer, d.peerServer} {
 		closing.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
-				d.log.Warn("closing connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
-				_ = s.Close()
+			if s.Shutdown(shutdownCtx) == nil {
+				return
+			}
+			if err := s.Finish(finishCtx); err != nil {
+				d.log.Warn("closed connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
 			}
 		})
 	}
--- a/internal/entryd/stop_callers_test.go
+++ b/internal/entryd/stop_callers_test.go
@@ -26,6 +26,8 @@
 type crossing struct {
 	address string
 	text    string
+	// insistent makes the caller go on after a refusal, until it can't connect.
+	insistent bool
 	// served counts the answers of all callers, lost their requests without an answer.
 	served, lost *atomic.Int64
 }
@@ -60,9 +62,12 @@
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
 		if resp.StatusCode == http.StatusServiceUnavailable {
-			return false
+			if !c.insistent {
+				return false
+			}
+		} else {
+			c.served.Add(1)
 		}
-		c.served.Add(1)
 		if resp.Close {
 			return true
 		}
@@ -72,12 +77,24 @@
 // TestRequestsThatCrossStopAreAnswered guards against whole requests that get the end of their connection in place of an
 // answer, in the moment in which the listener stops.
 func TestRequestsThatCrossStopAreAnswered(t *testing.T) {
+	crossStop(t, false)
+}
+
+// TestCallersThatKeepConnectingAreAnswered guards against requests that are reset because their callers open a connection
+// again after each refusal, so that some always wait to be accepted when the listener is closed.
+func TestCallersThatKeepConnectingAreAnswered(t *testing.T) {
+	crossStop(t, true)
+}
+
+// crossStop stops a VM while callers send requests.
+func crossStop(t *testing.T, insistent bool) {
 	const callers = 60
 	s := newStopTest(t, 5*time.Second)
 	var served, lost atomic.Int64
 	var running sync.WaitGroup
 	c := crossing{
 		address: s.VM("vm-1").CallersAddress(), text: request(http.MethodGet, "/v1/models", "", ""), served: &served, lost: &lost,
+		insistent: insistent,
 	}
 	for range callers {
 		running.Go(c.run)
--- a/internal/listen/acceptor.go
+++ b/internal/listen/acceptor.go
@@ -24,6 +24,9 @@
 		return a.set.add(c), nil
 	}
 	if a.draining.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		if c := acceptPending(a.Listener); c != nil {
+			return a.set.add(c), nil
+		}
 		return nil, errors.Join(net.ErrClosed, a.Close())
 	}
 	return nil, err
