--- a/internal/entryd/stop_callers_test.go
+++ b/internal/entryd/stop_callers_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/examples"
+	"github.com/poplarshore/poplarshore/standin/caller"
 	"github.com/poplarshore/poplarshore/standin/engine"
 	"github.com/poplarshore/poplarshore/standin/fault"
 	standinplatform "github.com/poplarshore/poplarshore/standin/platform"
@@ -25,6 +26,8 @@
 type crossing struct {
 	address string
 	text    string
+	// insistent makes the caller go on after a refusal, until it can't connect.
+	insistent bool
 	// served counts the answers of all callers, lost their requests without an answer.
 	served, lost *atomic.Int64
 }
@@ -59,9 +62,12 @@
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
 		if resp.StatusCode == http.StatusServiceUnavailable {
-			return false
+			if !c.insistent {
+				return false
+			}
+		} else {
+			c.served.Add(1)
 		}
-		c.served.Add(1)
 		if resp.Close {
 			return true
 		}
@@ -71,12 +77,24 @@
 // TestRequestsThatCrossStopAreAnswered guards against whole requests that get the end of their connection in place of an
 // answer, in the moment in which the listener stops.
 func TestRequestsThatCrossStopAreAnswered(t *testing.T) {
+	crossStop(t, false)
+}
+
+// TestCallersThatKeepConnectingAreAnswered guards against requests that are reset because their callers open a connection
+// again after each refusal, so that some always wait to be accepted when the listener is closed.
+func TestCallersThatKeepConnectingAreAnswered(t *testing.T) {
+	crossStop(t, true)
+}
+
+// crossStop stops a VM while callers send requests.
+func crossStop(t *testing.T, insistent bool) {
 	const callers = 60
 	s := newStopTest(t, 5*time.Second)
 	var served, lost atomic.Int64
 	var running sync.WaitGroup
 	c := crossing{
 		address: s.VM("vm-1").CallersAddress(), text: request(http.MethodGet, "/v1/models", "", ""), served: &served, lost: &lost,
+		insistent: insistent,
 	}
 	for range callers {
 		running.Go(c.run)
@@ -164,3 +182,27 @@
 	s.Expect(a.status).To(Equal(http.StatusCreated), fmt.Sprint(a))
 	s.Expect(permits.Counts().Runs).To(BeEquivalentTo(1))
 }
+
+// TestStreamBrokenOffByDrainIsResumedElsewhere guards against a stop that cancels a run whose rest its caller reads at
+// another VM: it is refused there with stream_unknown.
+func TestStreamBrokenOffByDrainIsResumedElsewhere(t *testing.T) {
+	RegisterTestingT(t)
+	s := newStopTestWithTokenTime(t, 300*time.Millisecond, 100*time.Millisecond)
+	faults := s.Engines["strong-1"].Faults
+	s.Expect(faults.Add(fault.Rule{Kind: engine.Stall, AfterPieces: 3, Count: 1})).To(Succeed())
+	stream := s.send(request(http.MethodPost, "/v1/completions", "", `{"model":"strong","prompt":"x","stream":true}`))
+	s.awaitInjected(faults, engine.Stall)
+	s.startStop()
+	brokenOff := s.readAnswer(stream)
+	s.Expect(brokenOff.whole).To(BeFalse())
+	s.Eventually(s.stopped, stopTestTimeout).Should(Receive(Equal(1)))
+	c := &caller.Caller{Address: s.VM("vm-2").CallersAddress(), Key: demoKey}
+	rest, err := c.Resume(t.Context(), brokenOff.resumeToken, "2")
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(rest.Status).To(Equal(http.StatusOK), "%s", rest.Body)
+	s.Expect(rest.Complete).To(BeTrue())
+	s.Expect(rest.Pieces).To(BeNumerically(">", 0))
+	s.Expect(s.Engines["strong-1"].Counts().Cancels).To(BeZero())
+	s.Expect(ledgerEntries(s.Environment)).To(HaveLen(1))
+	s.Expect(settledTotals(s.Environment).Requests).To(BeEquivalentTo(1))
+}
