Weigh only the entries with a changed address

The check of addresses went through all entries at each change of one.

The property holds for any order of entries, answers and 421s at one address: as long as there is an entry, one of them is in use.

--- a/internal/engines/addresses.go
+++ b/internal/engines/addresses.go
@@ -1,7 +1,9 @@
 package engines
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -35,6 +37,12 @@
 	answeredAt, misdirectedAt time.Time
 }
 
+// compare returns a positive number if a is stronger than o, and a negative one if it is weaker: an earlier
+// 421, or none, counts first, and then a later answer.
+func (a addressEvidence) compare(o addressEvidence) int {
+	return cmp.Or(o.misdirectedAt.Compare(a.misdirectedAt), a.answeredAt.Compare(o.answeredAt))
+}
+
 // outweighs reports whether the evidence shows that o has no right to the address that both have.
 func (a addressEvidence) outweighs(o addressEvidence) bool {
 	if !a.misdirectedAt.Equal(o.misdirectedAt) {
@@ -50,7 +58,7 @@
 	e.evidence.misdirectedAt = now
 	e.mu.Unlock()
 	if e.sharesAddress.Load() {
-		e.directory.RefreshAddresses()
+		e.directory.weighAgain(e.Address())
 	}
 }
 
@@ -61,81 +69,94 @@
 	e.evidence.answeredAt, e.evidence.misdirectedAt = now, time.Time{}
 	e.mu.Unlock()
 	if e.sharesAddress.Load() && !e.holdsAddress.Load() {
-		e.directory.RefreshAddresses()
+		e.directory.weighAgain(e.Address())
 	}
 }
 
+// weighAgain finds again which entries with an address name no upstream.
+func (d *Directory) weighAgain(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.weigh(address)
+	d.rebuildIndex()
+}
+
 // RefreshAddresses finds again which entries name no upstream because of their address. It is to be
 // called when Options.IsVM changes.
 func (d *Directory) RefreshAddresses() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for address := range d.byAddress {
+		d.weigh(address)
+	}
 	d.rebuildIndex()
 }
 
-// excludeByAddress finds the entries that name no upstream to use because of their address: that of a VM,
-// or one at which another upstream answers. Until that is known, all with the same address are used. The
-// caller holds mu.
-func (d *Directory) excludeByAddress() {
-	byAddress := make(map[string]*Engine, len(d.byID))
-	var shared map[string][]*Engine
-	for _, e := range d.byID {
-		address := e.Address()
-		first := byAddress[address]
-		if first == nil {
-			byAddress[address] = e
-			continue
-		}
-		if shared == nil {
-			shared = make(map[string][]*Engine)
-		}
-		if shared[address] == nil {
-			shared[address] = []*Engine{first}
-		}
-		shared[address] = append(shared[address], e)
+// The caller of the following methods of Directory holds mu.
+
+// attach adds an upstream to those with its address.
+func (d *Directory) attach(e *Engine) {
+	address := e.Address()
+	d.byAddress[address] = append(d.byAddress[address], e)
+	d.weigh(address)
+}
+
+// detach removes an upstream from those with its address.
+func (d *Directory) detach(e *Engine) {
+	address := e.Address()
+	others := slices.DeleteFunc(d.byAddress[address], func(o *Engine) bool { return o == e })
+	if len(others) == 0 {
+		delete(d.byAddress, address)
+		return
 	}
-	for _, e := range d.byID {
-		group := shared[e.Address()]
+	d.byAddress[address] = others
+	d.weigh(address)
+}
+
+// weigh finds which entries with an address name no upstream to use: all if it is that of a VM, and those
+// that the evidence speaks against if several have it. Until there is evidence, all of them are used.
+func (d *Directory) weigh(address string) {
+	group := d.byAddress[address]
+	if len(group) == 0 {
+		return
+	}
+	inUse, best := 0, strongest(group)
+	for _, e := range group {
 		e.sharesAddress.Store(len(group) > 1)
-		reason := d.exclusionOf(e, group)
+		reason := d.exclusionOf(e, best)
 		if before := exclusion(e.excluded.Swap(int32(reason))); before != reason {
 			d.reportExclusion(e, reason)
 		}
+		if reason == notExcluded {
+			inUse++
+		}
 	}
-	for _, group := range shared {
-		markHolder(group)
+	for _, e := range group {
+		e.holdsAddress.Store(inUse == 1 && exclusion(e.excluded.Load()) == notExcluded)
 	}
 }
 
-// exclusionOf returns why the entry names no upstream. group holds the entries with the same address if
-// there are several.
-func (d *Directory) exclusionOf(e *Engine, group []*Engine) exclusion {
+// exclusionOf returns why the entry names no upstream. best is the strongest evidence among the entries
+// with the same address.
+func (d *Directory) exclusionOf(e *Engine, best addressEvidence) exclusion {
 	if d.opts.IsVM != nil && e.addressPort.IsValid() && d.opts.IsVM(e.addressPort) {
 		return vmAddress
 	}
-	if len(group) < 2 {
-		return notExcluded
-	}
-	own := e.addressEvidence()
-	for _, other := range group {
-		if other != e && other.addressEvidence().outweighs(own) {
-			return othersAddress
-		}
+	if best.outweighs(e.addressEvidence()) {
+		return othersAddress
 	}
 	return notExcluded
 }
 
-// markHolder records whether one entry of a group with the same address is the only one in use.
-func markHolder(group []*Engine) {
-	inUse := 0
-	for _, e := range group {
-		if exclusion(e.excluded.Load()) == notExcluded {
-			inUse++
+// strongest returns the evidence of a group that outweighs the others' if any does.
+func strongest(group []*Engine) addressEvidence {
+	best := group[0].addressEvidence()
+	for _, e := range group[1:] {
+		if own := e.addressEvidence(); own.compare(best) > 0 {
+			best = own
 		}
 	}
-	for _, e := range group {
-		e.holdsAddress.Store(inUse == 1 && exclusion(e.excluded.Load()) == notExcluded)
-	}
+	return best
 }
 
 // reportExclusion logs and counts that an entry names no upstream, or does so again.
--- a/internal/engines/addresses_test.go
+++ b/internal/engines/addresses_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -103,3 +104,46 @@
 	d.RefreshAddresses()
 	g.Expect(usedIDs(d)).To(HaveLen(2))
 }
+
+// TestAnyEntriesAtOneAddressLeaveOneInUse guards against an address that no request reaches, whatever came
+// from it and in which order its entries appeared.
+func TestAnyEntriesAtOneAddressLeaveOneInUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d, clock := newDirectory()
+		d.Replace(nil)
+		ids := []string{"a", "b", "c"}
+		pick := func(t *rapid.T) string { return rapid.SampledFrom(ids).Draw(t, "id") }
+		registered := make(map[string]bool)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				id := pick(t)
+				d.Put(entryAt(id, "10.0.0.1:80"))
+				registered[id] = true
+			},
+			"remove": func(t *rapid.T) {
+				id := pick(t)
+				d.Remove(upstream.ID(id))
+				delete(registered, id)
+			},
+			"answer": func(t *rapid.T) {
+				if e := find(d, upstream.ID(pick(t))); e != nil {
+					e.MarkAnswered()
+				}
+			},
+			"misdirect": func(t *rapid.T) {
+				if e := find(d, upstream.ID(pick(t))); e != nil {
+					e.MarkMisdirected()
+				}
+			},
+			"wait": func(t *rapid.T) {
+				clock.Advance(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				used := usedIDs(d)
+				if len(registered) > 0 && len(used) == 0 || len(used) > len(registered) {
+					t.Fatalf("registered %v, used %v", registered, used)
+				}
+			},
+		})
+	})
+}
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -128,6 +128,8 @@
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
 	byService map[string][]*Engine
+	// byAddress holds the upstreams in byID by the address of their entry.
+	byAddress map[string][]*Engine
 	// sizes holds the number of upstreams of each service. It is read without mu.
 	sizes  atomic.Pointer[map[string]int]
 	listed bool
@@ -169,6 +171,7 @@
 		paces:     make(map[string]*servicePace),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
+		byAddress: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
 		removed:   make(map[upstream.ID]removal),
 		withheld:  make(map[upstream.ID]withheldEntry),
@@ -297,8 +300,10 @@
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		if old != nil {
 			old.removed.Store(true)
+			d.detach(old)
 		}
 		d.byID[e.ID] = newEngine(e, d)
+		d.attach(d.byID[e.ID])
 		d.byID[e.ID].inheritSends(old)
 		d.byID[e.ID].learnCold(e, true, !d.listed)
 		if d.listed {
@@ -351,6 +356,7 @@
 	}
 	e.removed.Store(true)
 	delete(d.byID, id)
+	d.detach(e)
 	delete(d.lapsed, id)
 	d.removed[id] = removal{incarnation: e.entry().Incarnation, leaving: e.Leaving(), at: d.clock.Now()}
 	d.log.Info("upstream removed", "upstream", id, "service", e.entry().Service, "reason", reason)
@@ -363,7 +369,6 @@
 // changing them, so that Choose can read them without the lock.
 func (d *Directory) rebuildIndex() {
 	byService := make(map[string][]*Engine, len(d.byService))
-	d.excludeByAddress()
 	for _, e := range d.byID {
 		if exclusion(e.excluded.Load()) != notExcluded {
 			continue
--- a/internal/engines/discard.go
+++ b/internal/engines/discard.go
@@ -39,6 +39,7 @@
 	}
 	kept.engine.removed.Store(false)
 	d.byID[e.ID] = kept.engine
+	d.attach(kept.engine)
 	d.log.Info("upstream entry is valid again", "upstream", e.ID, "service", e.Service, "after", d.clock.Since(kept.at))
 	return kept.engine
 }
