Write a roll-out's state again when a listing lacks its row

A row that was gone when the table had to be listed was still expected at its revision by each write, so that the roll-out stayed where it was. The state is kept, and its row now counts as missing. Older listings are refused before they get here.

--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -147,13 +147,22 @@
 		"order", o.ID, "era", o.Era, "duration_ms", o.Duration.Milliseconds())
 }
 
-// Replace applies a complete listing of the table. Rows that it no longer contains
-// are not removed.
+// Replace applies a complete listing of the table. What rows that it no longer contains said is kept, and
+// written again.
 func (m *Manager) Replace(b watch.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
 	m.apply(b)
+	present := make(map[string]bool, len(b.Rows))
+	for _, r := range b.Rows {
+		present[r.Key] = true
+	}
+	for serviceName, s := range m.byService {
+		if s.revision != 0 && !present[stateKey(serviceName, m.era)] {
+			s.row, s.revision, s.dueSince = shift.State{}, 0, time.Time{}
+		}
+	}
 }
 
 // Change applies changed rows.
--- a/internal/shifts/odd_rows_test.go
+++ b/internal/shifts/odd_rows_test.go
@@ -61,6 +61,33 @@
 	}
 }
 
+// TestStateWhoseRowIsGoneIsWrittenAgain guards against a roll-out that is never finished, as each write expects
+// a row that is no longer there, whether the VMs see the deletion or only a listing without the row.
+func TestStateWhoseRowIsGoneIsWrittenAgain(t *testing.T) {
+	for _, seen := range []bool{true, false} {
+		f := newFleet(t, "a", "b")
+		f.order()
+		f.advance(2 * time.Second)
+		f.table.revision++
+		delete(f.table.rows, "shift/s")
+		gone := watch.Batch{At: f.table.revision, Era: f.table.era}
+		if seen {
+			gone.Rows = []watch.Row{{Key: "shift/s", Revision: f.table.revision, Deleted: true}}
+		}
+		f.table.log = nil
+		for _, m := range f.vms {
+			if seen {
+				m.Change(gone)
+			} else {
+				m.Replace(gone)
+			}
+		}
+		f.advance(2 * time.Second)
+		f.Expect(f.table.rows).To(HaveKey("shift/s"), "deletion seen: %v", seen)
+		f.Expect(f.state().Phase).To(Equal(shift.Active))
+	}
+}
+
 // TestOddEvidenceIsIgnored guards against counts of another writer that hide the failures of a bad
 // version, or complete it.
 func TestOddEvidenceIsIgnored(t *testing.T) {
