Keep connections open while another entry has the address

The removal of an odd entry with the address of a sound upstream closed the unused connections to that upstream.

--- a/internal/engines/addresses_test.go
+++ b/internal/engines/addresses_test.go
@@ -84,6 +84,22 @@
 	g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("a")), "a single entry is used whatever it answers")
 }
 
+// TestConnectionsStayOpenWhileAnotherEntryHasTheAddress guards against a sound upstream whose connections are
+// closed each time an odd entry with its address is removed.
+func TestConnectionsStayOpenWhileAnotherEntryHasTheAddress(t *testing.T) {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	options := pacedOptions(clock, 0, 1, false)
+	var closed []string
+	options.OnRemove = func(address string) { closed = append(closed, address) }
+	d := engines.New(options, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.Replace([]engines.Entry{entryAt("sound", "10.0.0.1:80"), entryAt("odd", "10.0.0.1:80")})
+	d.Remove("odd")
+	g.Expect(closed).To(BeEmpty())
+	d.Remove("sound")
+	g.Expect(closed).To(Equal([]string{"10.0.0.1:80"}))
+}
+
 // TestEntryWithAddressOfAVMIsNotUsed guards against requests that VMs pass round and round.
 func TestEntryWithAddressOfAVMIsNotUsed(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -92,8 +92,8 @@
 	IsVM func(netip.AddrPort) bool
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
-	// OnRemove is called with the address of an upstream that was removed; nil is
-	// not called. It is called with the directory locked.
+	// OnRemove is called with the address of an upstream that was removed, unless another one
+	// has the address; nil is not called. It is called with the directory locked.
 	OnRemove func(address string)
 }
 
@@ -348,7 +348,7 @@
 	}
 }
 
-// evict removes an upstream and reports its address to Options.OnRemove.
+// evict removes an upstream and reports its address to Options.OnRemove, unless another one has it.
 func (d *Directory) evict(id upstream.ID, reason string) {
 	e := d.byID[id]
 	if e == nil {
@@ -360,8 +360,8 @@
 	delete(d.lapsed, id)
 	d.removed[id] = removal{incarnation: e.entry().Incarnation, leaving: e.Leaving(), at: d.clock.Now()}
 	d.log.Info("upstream removed", "upstream", id, "service", e.entry().Service, "reason", reason)
-	if d.opts.OnRemove != nil {
-		d.opts.OnRemove(e.entry().Address)
+	if address := e.Address(); d.opts.OnRemove != nil && len(d.byAddress[address]) == 0 {
+		d.opts.OnRemove(address)
 	}
 }
 
