Let upstreams have a VM's port at another loopback address

Where VMs listen at loopback addresses, as in the soak, an upstream at another loopback address may have the number of a VM's port by chance, and would have been taken for the VM. Only listeners that aren't bound to a loopback address can be reached at one by the machine itself. Found by reading; TestPortsOfOwnListenersAreThoseOfAllVMs covers it.

--- a/internal/gatewayd/vm_addresses.go
+++ b/internal/gatewayd/vm_addresses.go
@@ -16,18 +16,20 @@
 	// same on all VMs.
 	ips   map[netip.Addr]bool
 	ports map[uint16]bool
+	// atLoopback reports that this VM's listeners can also be reached at its loopback addresses: they
+	// aren't bound to one of these.
+	atLoopback bool
 }
 
-// contains reports whether a VM listens at the address. A VM can be reached at its loopback address,
-// too, but only by itself.
+// contains reports whether a VM listens at the address.
 func (v *vmAddresses) contains(address netip.AddrPort) bool {
 	ip := address.Addr()
-	return v.exact[address] || v.ports[address.Port()] && (v.ips[ip] || ip.IsLoopback())
+	return v.exact[address] || v.ports[address.Port()] && (v.ips[ip] || v.atLoopback && ip.IsLoopback())
 }
 
 // equal reports whether both hold the same addresses.
 func (v *vmAddresses) equal(o *vmAddresses) bool {
-	return maps.Equal(v.exact, o.exact) && maps.Equal(v.ips, o.ips) && maps.Equal(v.ports, o.ports)
+	return maps.Equal(v.exact, o.exact) && maps.Equal(v.ips, o.ips) && maps.Equal(v.ports, o.ports) && v.atLoopback == o.atLoopback
 }
 
 // add adds a whole address, if it is valid.
@@ -55,6 +57,7 @@
 		}
 		v.add(address)
 		v.ports[address.Port()] = true
+		v.atLoopback = v.atLoopback || !address.Addr().IsLoopback()
 	}
 	for _, m := range d.vms.Others() {
 		v.add(m.Feed)
--- a/internal/gatewayd/vm_addresses_test.go
+++ b/internal/gatewayd/vm_addresses_test.go
@@ -36,11 +36,13 @@
 // VM, which VMs don't announce.
 func TestPortsOfOwnListenersAreThoseOfAllVMs(t *testing.T) {
 	g := NewWithT(t)
-	v := &vmAddresses{exact: map[netip.AddrPort]bool{}, ips: map[netip.Addr]bool{}, ports: map[uint16]bool{8227: true}}
+	v := &vmAddresses{exact: map[netip.AddrPort]bool{}, ips: map[netip.Addr]bool{}, ports: map[uint16]bool{8227: true}, atLoopback: true}
 	v.add(netip.MustParseAddrPort("10.0.0.1:8229"))
 	for text, want := range map[string]bool{
 		"10.0.0.1:8229": true, "10.0.0.1:8227": true, "127.0.0.2:8227": true, "10.0.0.1:9000": false, "10.0.0.2:8227": false, "10.0.0.2:8229": false,
 	} {
 		g.Expect(v.contains(netip.MustParseAddrPort(text))).To(Equal(want), text)
 	}
+	v.atLoopback = false
+	g.Expect(v.contains(netip.MustParseAddrPort("127.0.0.2:8227"))).To(BeFalse(), "VMs and upstreams at different loopback addresses may have the same port")
 }
