--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -92,8 +92,8 @@
 	IsVM func(netip.AddrPort) bool
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
-	// OnRemove is called with the address of an upstream that was removed; nil is
-	// not called. It is called with the directory locked.
+	// OnRemove is called with the address of an upstream that was removed, unless another one
+	// has the address; nil is not called. It is called with the directory locked.
 	OnRemove func(address string)
 }
 
@@ -128,6 +128,8 @@
 	mu        sync.RWMutex
 	byID      map[upstream.ID]*Engine
 	byService map[string][]*Engine
+	// byAddress holds the upstreams in byID by the address of their entry.
+	byAddress map[string][]*Engine
 	// sizes holds the number of upstreams of each service. It is read without mu.
 	sizes  atomic.Pointer[map[string]int]
 	listed bool
@@ -169,6 +171,7 @@
 		paces:     make(map[string]*servicePace),
 		byID:      make(map[upstream.ID]*Engine),
 		byService: make(map[string][]*Engine),
+		byAddress: make(map[string][]*Engine),
 		lapsed:    make(map[upstream.ID]bool),
 		removed:   make(map[upstream.ID]removal),
 		withheld:  make(map[upstream.ID]withheldEntry),
@@ -297,8 +300,10 @@
 	if old == nil || old.entry().Incarnation != e.Incarnation || old.entry().Address != e.Address {
 		if old != nil {
 			old.removed.Store(true)
+			d.detach(old)
 		}
 		d.byID[e.ID] = newEngine(e, d)
+		d.attach(d.byID[e.ID])
 		d.byID[e.ID].inheritSends(old)
 		d.byID[e.ID].learnCold(e, true, !d.listed)
 		if d.listed {
@@ -343,7 +348,7 @@
 	}
 }
 
-// evict removes an upstream and reports its address to Options.OnRemove.
+// evict removes an upstream and reports its address to Options.OnRemove, unless another one has it.
 func (d *Directory) evict(id upstream.ID, reason string) {
 	e := d.byID[id]
 	if e == nil {
@@ -351,11 +356,12 @@
 	}
 	e.removed.Store(true)
 	delete(d.byID, id)
+	d.detach(e)
 	delete(d.lapsed, id)
 	d.removed[id] = removal{incarnation: e.entry().Incarnation, leaving: e.Leaving(), at: d.clock.Now()}
 	d.log.Info("upstream removed", "upstream", id, "service", e.entry().Service, "reason", reason)
-	if d.opts.OnRemove != nil {
-		d.opts.OnRemove(e.entry().Address)
+	if address := e.Address(); d.opts.OnRemove != nil && len(d.byAddress[address]) == 0 {
+		d.opts.OnRemove(address)
 	}
 }
 
@@ -363,7 +369,6 @@
 // changing them, so that Choose can read them without the lock.
 func (d *Directory) rebuildIndex() {
 	byService := make(map[string][]*Engine, len(d.byService))
-	d.excludeByAddress()
 	for _, e := range d.byID {
 		if exclusion(e.excluded.Load()) != notExcluded {
 			continue
