Reject odd rows of roll-outs, and log what the control daemon can't decode

What operators saw: a report of another program's making with a negative or huge count took part in the decision on a version; a report under another VM's key counted twice; a progress row with the highest generation was installed by all VMs, after which no sound row was until their restart. Rows that could not be decoded were skipped without a word, and a control process decoded an unreadable configuration of up to 16 MiB again in each round. That the settlement of the ledger fails was only counted.

Cause: what JSON decodes was taken as it is, and errors ended in a counter or nowhere.

Fix: rollout.DecodeReport and DecodeProgress check ranges (counts from 0 to 2^40, so that sums of all VMs don't overflow; generations to 2^40, no step begun in a later one), and the rows' keys have to fit them. The control daemon logs and counts each version of an odd row once (poplarshore_control_undecodable_rows_total), a VM logs it once, an unreadable configuration is decoded once, and the settlement logs an error when it changes. Compaction and pruning go on beside rows that can't be decoded.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -56,6 +56,7 @@
 	leases        *lease.Manager
 	metrics       *jobMetrics
 	ledgerMetrics *billing.Metrics
+	oddRows       *oddRows
 
 	runner         *duty.Runner
 	operatorServer *listen.Server
@@ -90,6 +91,7 @@
 		contenders: make(map[string]*contender),
 	}
 	d.metrics = newJobMetrics(d.registry)
+	d.oddRows = newOddRows(log, d.metrics.undecodableRows)
 	d.ledgerMetrics = billing.NewMetrics(d.registry)
 	d.leases, err = lease.New(d.table, string(s.VM.ID), lease.Options{
 		TTL: s.Jobs.LeaseTTLMS.Duration(), Prefix: d.rows.Leases(), Clock: clock, Observer: d.metrics,
--- a/internal/controld/document.go
+++ b/internal/controld/document.go
@@ -7,6 +7,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/revision"
+	"github.com/poplarshore/poplarshore/coord/store"
 	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -21,13 +22,16 @@
 // holders read the configuration, so the cost doesn't grow with the number of VMs.
 type documentFollower struct {
 	node    *revision.Node
+	oddRows *oddRows
 	current atomic.Pointer[document.Index]
+	// unreadable is the number of the newest revision that can't be decoded.
+	unreadable atomic.Uint64
 }
 
 // followDocument returns a follower that reads the configuration from the store until
 // ctx ends.
 func (d *Daemon) followDocument(ctx context.Context) *documentFollower {
-	follower := &documentFollower{node: revision.NewNode(revision.Options{
+	follower := &documentFollower{oddRows: d.oddRows, node: revision.NewNode(revision.Options{
 		ID: revision.NodeID("control/" + string(d.settings.VM.ID)), Clock: d.clock,
 	})}
 	syncer := revision.NewSyncer(revision.SyncerOptions{
@@ -43,11 +47,13 @@
 func (f *documentFollower) index() *document.Index {
 	rev, body := f.node.Current()
 	index := f.current.Load()
-	if rev.Number == 0 || (index != nil && index.Number == rev.Number) {
+	if rev.Number == 0 || rev.Number == f.unreadable.Load() || (index != nil && index.Number == rev.Number) {
 		return index
 	}
 	doc, err := document.Load(body)
 	if err != nil {
+		f.unreadable.Store(rev.Number)
+		f.oddRows.record("configuration "+string(rev.Hash), store.Version(rev.Hash), err)
 		return index
 	}
 	index = document.NewIndex(rev.Number, doc)
--- a/internal/controld/metrics.go
+++ b/internal/controld/metrics.go
@@ -23,6 +23,7 @@
 	claimEvents        *prometheus.CounterVec
 	sweptClaims        prometheus.Counter
 	sweepFailures      prometheus.Counter
+	undecodableRows    prometheus.Counter
 }
 
 // newJobMetrics returns the metrics and registers them. It panics if they are
@@ -48,9 +49,10 @@
 		claimEvents:        counterVec("claim_events_total", "Events of the sweep of claims, by kind.", "event"),
 		sweptClaims:        counter("swept_claims_total", "Claims deleted past their retention."),
 		sweepFailures:      counter("sweep_failures_total", "Pages of claims that the store did not serve."),
+		undecodableRows:    counter("undecodable_rows_total", "Versions of rows that could not be decoded."),
 		settledSegments:    counter("settled_segments_total", "Ledger segments folded into totals."),
 	}
-	reg.MustRegister(m.leaseEvents, m.orderEvents, m.rolloutDecisions, m.rolloutStalled, m.rolloutFailures, m.vmListFailures, m.settlementFailures, m.settledSegments, m.claimEvents, m.sweptClaims, m.sweepFailures)
+	reg.MustRegister(m.leaseEvents, m.orderEvents, m.rolloutDecisions, m.rolloutStalled, m.rolloutFailures, m.vmListFailures, m.settlementFailures, m.settledSegments, m.claimEvents, m.sweptClaims, m.sweepFailures, m.undecodableRows)
 	return m
 }
 
--- a/internal/controld/rollouts.go
+++ b/internal/controld/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/joomcode/errorx"
 
@@ -92,11 +91,17 @@
 		return rollout.Progress{}, "", err
 	}
 	progress, err := rollout.DecodeProgress(row.Value)
+	if err == nil && progress.ID != plan.ID {
+		err = rollout.ErrInvalid.New("progress of roll-out %q under the key of another one", progress.ID)
+	}
+	if err != nil {
+		d.oddRows.record(key, row.Version, err)
+	}
 	return progress, row.Version, err
 }
 
-// readReports reads all VMs' reports on a roll-out. Reports that can't be decoded are
-// skipped.
+// readReports reads all VMs' reports on a roll-out. Reports that can't be decoded, or that
+// another VM than the key's has made, are skipped.
 func (d *Daemon) readReports(ctx context.Context, id rollout.ID) ([]rollout.Report, error) {
 	var reports []rollout.Report
 	after := ""
@@ -106,10 +111,15 @@
 			return nil, err
 		}
 		for _, row := range page {
-			var r rollout.Report
-			if json.Unmarshal(row.Value, &r) == nil {
-				reports = append(reports, r)
+			r, err := rollout.DecodeReport(row.Value)
+			if err == nil && d.rows.Report(id, r.VM) != row.Key {
+				err = rollout.ErrInvalid.New("report of VM %q under the key of another one", r.VM)
+			}
+			if err != nil {
+				d.oddRows.record(row.Key, row.Version, err)
+				continue
 			}
+			reports = append(reports, r)
 		}
 		if len(page) < reportPage {
 			return reports, nil
--- a/internal/controld/settle.go
+++ b/internal/controld/settle.go
@@ -1,9 +1,12 @@
 package controld
 
 import (
+	"cmp"
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/poplarshore/poplarshore/coord/lease"
 	"github.com/poplarshore/poplarshore/coord/ledger"
 )
@@ -25,26 +28,33 @@
 		Objects: &leasedObjects{Objects: d.objects, lease: l, timeout: d.settings.Jobs.StoreMS.Duration()},
 		Prefix:  d.rows.Ledger(), Fence: l.Fence(), Retention: ledgerRetention, Clock: d.clock, Observer: d.ledgerMetrics,
 	})
-	lastCompaction := d.clock.Now()
+	lastCompaction, lastError := d.clock.Now(), ""
 	return d.repeatWhileHeld(ctx, l, d.settings.Jobs.SettlePeriodMS.Duration(), func(ctx context.Context) {
 		report, err := settler.Settle(ctx)
 		d.metrics.settledSegments.Add(float64(report.Segments))
-		if err == nil && d.clock.Since(lastCompaction) >= compactPeriod {
+		if settled := err == nil || errorx.IsOfType(err, ledger.ErrCorrupt); settled && d.clock.Since(lastCompaction) >= compactPeriod {
 			lastCompaction = d.clock.Now()
-			err = compactAndPrune(ctx, settler)
+			err = cmp.Or(err, compactAndPrune(ctx, settler))
+		}
+		if err == nil {
+			lastError = ""
+			return
 		}
-		if err != nil {
-			d.metrics.settlementFailures.Inc()
+		d.metrics.settlementFailures.Inc()
+		if message := err.Error(); message != lastError {
+			lastError = message
+			d.log.Error("settlement of the ledger failed or is incomplete, repeating", "held_back", report.HeldBack, "error", err)
 		}
 	})
 }
 
 // compactAndPrune adds the buckets older than the retention to the accounts' total rows
-// and deletes the rows of writers that have ended.
+// and deletes the rows of writers that have ended, also beside rows that can't be decoded.
 func compactAndPrune(ctx context.Context, settler *ledger.Settler) error {
-	if _, err := settler.Compact(ctx); err != nil {
+	_, err := settler.Compact(ctx)
+	if err != nil && !errorx.IsOfType(err, ledger.ErrCorrupt) {
 		return err
 	}
-	_, err := settler.Prune(ctx)
-	return err
+	_, pruneErr := settler.Prune(ctx)
+	return cmp.Or(err, pruneErr)
 }
--- a/internal/versions/exchange.go
+++ b/internal/versions/exchange.go
@@ -27,6 +27,10 @@
 	Period time.Duration
 	// Timeout limits the store calls of one roll-out in a round.
 	Timeout time.Duration
+
+	// unreadable has the version of each progress row that can't be decoded. Only Round uses
+	// it, one call at a time.
+	unreadable map[rollout.ID]store.Version
 }
 
 // Run runs rounds until ctx ends. Reports hold cumulative counts, so that nothing is
@@ -72,7 +76,11 @@
 		return
 	}
 	progress, err := rollout.DecodeProgress(row.Value)
+	if err == nil && progress.ID != id {
+		err = rollout.ErrInvalid.New("progress of roll-out %q under the key of another one", progress.ID)
+	}
 	if err != nil {
+		e.logUnreadable(id, row.Version, err)
 		return
 	}
 	if guard.Install(progress) {
@@ -81,6 +89,18 @@
 	}
 }
 
+// logUnreadable logs a progress row that can't be decoded, each version of the row once.
+func (e *Exchange) logUnreadable(id rollout.ID, version store.Version, err error) {
+	if e.unreadable[id] == version {
+		return
+	}
+	if e.unreadable == nil {
+		e.unreadable = make(map[rollout.ID]store.Version)
+	}
+	e.unreadable[id] = version
+	e.Versions.log.Error("roll-out progress ignored, can't be decoded", "rollout", id, "version", version, "error", err)
+}
+
 // writeReport replaces this VM's report. No other VM writes this row, so a conflict
 // means that an earlier write took effect late; the next round writes again.
 func (e *Exchange) writeReport(ctx context.Context, id rollout.ID, guard *rollout.Guard) {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
@@ -33,6 +34,20 @@
 	Gone bool `json:"gone,omitempty"`
 }
 
+// DecodeReport parses a report. Unknown fields are ignored, so that an older program can read
+// a report of a newer one. Errors: ErrInvalid, also for counts that no VM has counted.
+func DecodeReport(encoded []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(encoded, &r); err != nil {
+		return Report{}, ErrInvalid.Wrap(err, "decode report")
+	}
+	if r.VM == "" || r.Generation > maxGeneration || !r.NewCounts.valid() || !r.OldCounts.valid() {
+		return Report{}, ErrInvalid.New("invalid report of VM %q: generation %d, counts %+v and %+v",
+			r.VM, r.Generation, r.NewCounts, r.OldCounts)
+	}
+	return r, nil
+}
+
 // Input holds all data on which a decision is based.
 type Input struct {
 	Plan Plan
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -19,6 +19,20 @@
 	RatingSum float64 `json:"rating_sum,omitempty"`
 }
 
+// maxCount is the highest valid count in a row. The sum of all VMs' counts up to it stays
+// within the range of int64.
+const maxCount = 1 << 40
+
+// valid reports whether each count is one that a VM may have counted.
+func (c Counts) valid() bool {
+	for _, n := range []int64{c.Requests, c.Errors, c.Slow, c.Rated, c.Low} {
+		if n < 0 || n > maxCount {
+			return false
+		}
+	}
+	return c.RatingSum >= 0 && c.RatingSum <= maxCount
+}
+
 // Add returns the sum of c and o.
 func (c Counts) Add(o Counts) Counts {
 	return Counts{
--- a/rollout/progress.go
+++ b/rollout/progress.go
@@ -127,6 +127,9 @@
 	return encoded, nil
 }
 
+// maxGeneration is the highest valid generation of a progress row.
+const maxGeneration = 1 << 40
+
 // DecodeProgress parses a progress row. Unknown fields are ignored, so that an older
 // program can read a row from a newer one. Errors: ErrInvalid.
 func DecodeProgress(encoded []byte) (Progress, error) {
@@ -135,7 +138,8 @@
 		return Progress{}, ErrInvalid.Wrap(err, "decode progress row")
 	}
 	validPhase := p.Phase == Running || p.Phase == Done || p.Phase == RolledBack
-	if p.ID == "" || p.Generation == 0 || p.Step < 0 || !validPhase {
+	validGeneration := p.Generation > 0 && p.Generation <= maxGeneration && p.StepGeneration <= p.Generation
+	if p.ID == "" || !validGeneration || p.Step < 0 || !validPhase || !p.Baseline.valid() {
 		return Progress{}, ErrInvalid.New("invalid progress row of roll-out %q: generation %d, step %d, phase %q",
 			p.ID, p.Generation, p.Step, p.Phase)
 	}
