List the other VMs beside an odd entry of the platform's list

What operators saw: one entry with a field of another type made the whole list of VMs unreadable, without a log line: a VM that starts then knows no other one. An entry without an ID, or `null`, became a VM without a name, and of two entries with one ID the last one won. A response without a list (`{}`, `null`) was an empty list, by which a VM believes itself alone and takes the whole of each client account's limits.

Cause: the list was decoded as one value, and its entries were not checked.

Fix: each entry is decoded by itself. One that can't be decoded, has no ID or repeats one is skipped; the daemons log and count it once while it stays listed (poplarshore_vm_list_skipped_total, poplarshore_control_undecodable_rows_total). A response without a list is an error, and the VMs known before remain.

--- a/internal/controld/daemon.go
+++ b/internal/controld/daemon.go
@@ -42,6 +42,9 @@
 // vmListPeriod is the time between two reads of the list of VMs.
 const vmListPeriod = 10 * time.Second
 
+// maxLoggedEntryBytes bounds the text of an entry of the list of VMs in the log.
+const maxLoggedEntryBytes = 200
+
 // Daemon is one control process. Create it with New.
 type Daemon struct {
 	settings      *settings.Control
@@ -80,13 +83,17 @@
 	if err != nil {
 		return nil, err
 	}
+	var d *Daemon
+	skipped := func(entry string, err error) {
+		d.oddRows.record("list of VMs: "+entry[:min(len(entry), maxLoggedEntryBytes)], "", err)
+	}
 	services := transport.NewPool(transport.Options{TLS: config}).ByMethod()
-	d := &Daemon{
+	d = &Daemon{
 		settings: s, log: log, clock: clock, registry: metrics.NewRegistry(),
 		rows:       rows.Keys{Prefix: s.Platform.Prefix},
 		table:      httpstore.NewTable(httpstore.Options{BaseURL: s.Platform.Table, Transport: services}),
 		objects:    httpstore.NewObjects(httpstore.Options{BaseURL: s.Platform.Objects, Transport: services}),
-		vmList:     httplist.New(httplist.Options{BaseURL: s.Platform.VMList, Transport: services}),
+		vmList:     httplist.New(httplist.Options{BaseURL: s.Platform.VMList, Transport: services, Skipped: skipped}),
 		pools:      transport.NewPools(transport.Options{TLS: config}),
 		contenders: make(map[string]*contender),
 	}
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -130,7 +130,7 @@
 	services, peers := d.outbound.ByMethod(), d.outbound.Idempotent()
 	d.platform.table = httpstore.NewTable(httpstore.Options{BaseURL: p.Table, Transport: services})
 	d.platform.objects = httpstore.NewObjects(httpstore.Options{BaseURL: p.Objects, Transport: services})
-	d.platform.vmList = httplist.New(httplist.Options{BaseURL: p.VMList, Transport: services})
+	d.platform.vmList = httplist.New(httplist.Options{BaseURL: p.VMList, Transport: services, Skipped: d.skippedVM()})
 	if p.Rater != "" {
 		d.platform.rater = httprater.New(httprater.Options{BaseURL: p.Rater, Transport: services})
 	}
