Bound the numbers in callers' headers

What callers saw: a resumption with Last-Event-ID began an answer and then hung without an end: one was still open when its test was ended after ten minutes. With a Poplarshore-Deadline-Ms of 9,300,000,000,000, meant as no limit, a request had run out of time on arrival (504).

Cause: both numbers overflow, the first to the lowest index of a piece, from which on pieces are awaited, the second as a time.Duration.

Fix: a stream is resumed after piece 2^24 at most, else the answer is 404 stream_unknown; the time limit is bounded to 366 days before it becomes a duration.

Evidence: both specs failed on (status 200 and no end within 20 s; 504); they pass now, with the race detector too, beside the specs of resumed streams.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarshore/poplarshore/contract"
 	"github.com/poplarshore/poplarshore/document"
 	"github.com/poplarshore/poplarshore/refusal"
 )
@@ -148,7 +149,7 @@
 	if err != nil || ms <= 0 {
 		return timeout
 	}
-	return min(timeout, time.Duration(ms)*time.Millisecond)
+	return min(timeout, time.Duration(min(ms, contract.MaxDeadlineMS))*time.Millisecond)
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -60,6 +60,9 @@
 	return p, nil
 }
 
+// maxPieceIndex is the highest index of a piece of a stream that can be resumed.
+const maxPieceIndex = 1 << 24
+
 // resumeStream resumes a stream whose VM failed. The Last-Event-ID header contains the
 // index of the last piece that the caller received; without it the stream starts again
 // at the first piece. The request id stays the same, so that the request is billed only
@@ -71,7 +74,7 @@
 	}
 	lastIndex := -1
 	if id := r.Header.Get("Last-Event-ID"); id != "" {
-		if lastIndex, err = strconv.Atoi(id); err != nil || lastIndex < 0 {
+		if lastIndex, err = strconv.Atoi(id); err != nil || lastIndex < 0 || lastIndex > maxPieceIndex {
 			return refusal.Wrap(refusal.StreamUnknown, err).With("Last-Event-ID is not a piece's number.")
 		}
 	}
