Adapt the timeouts of reads to how long answers of a target take

Cause: each read gave up after 0.4 and 0.5 s beyond its wait, always, although the data would have been fresh enough when it came.

Change: fetch.Timeouts keeps an estimate of each target's transfer times, as TCP does for its retransmissions: the next read after a timeout may take twice as long, later ones as long as answers take with a margin, and answers in time bring the shortest timeout back.

Evidence: both tests pass, 3 times of 3 with -race, and are no longer known red; all others of fetch, peerfeed, rowstore and watch pass unchanged. In the tests of fetch, of 50 answers of 0.6 s one times out; the shortest timeout is back after fewer than 20 prompt ones.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -35,6 +35,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// HeaderTime is the time from the request to the response header.
+	HeaderTime time.Duration
 }
 
 // Do sends a request and reads its response. Errors: ErrTimeout, ErrTooLong and those of
@@ -55,17 +57,19 @@
 // read sends the request and reads the response. Each read of the body restarts the
 // timer.
 func read(client *http.Client, req *http.Request, l Limits, timer *time.Timer) (Response, error) {
+	sentAt := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		return Response{}, err
 	}
+	headerTime := time.Since(sentAt)
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(&idleReader{body: io.LimitReader(resp.Body, l.MaxBytes+1),
 		timer: timer, idleTimeout: l.IdleTimeout})
 	if err == nil && int64(len(body)) > l.MaxBytes {
 		err = ErrTooLong.New("body from %s is longer than %d bytes", req.URL.Host, l.MaxBytes)
 	}
-	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, err
+	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, HeaderTime: headerTime}, err
 }
 
 // idleReader restarts the timer with the idle timeout at each read of the body.
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/poplarshore/poplarshore/internal/fetch"
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/watch"
 )
@@ -35,14 +36,16 @@
 // polls of other VMs. Each table is read by one goroutine; different tables and
 // the handler can be used concurrently.
 type Feed struct {
-	opts    Options
-	store   watch.Source
-	vms     *members.List
-	http    *http.Client
-	clock   clockwork.Clock
-	log     *slog.Logger
-	reads   *prometheus.CounterVec
-	started time.Time
+	opts  Options
+	store watch.Source
+	vms   *members.List
+	http  *http.Client
+	// timeouts are those of polls of other VMs, by address.
+	timeouts *fetch.Timeouts
+	clock    clockwork.Clock
+	log      *slog.Logger
+	reads    *prometheus.CounterVec
+	started  time.Time
 
 	mu sync.Mutex
 	// histories are this VM's copies of the tables, by table.
@@ -63,6 +66,7 @@
 	f := &Feed{
 		opts: opts, store: store, vms: vms, clock: clock, log: log, started: clock.Now(),
 		http:      &http.Client{Transport: newTransport(opts.DialTimeout)},
+		timeouts:  fetch.NewTimeouts(opts.Slack, opts.MaxSlack),
 		histories: make(map[string]*history), backoffUntil: make(map[backoffKey]time.Time),
 		storeFailedAt: make(map[string]time.Time), polledAt: make(map[string]time.Time),
 		cancelWait: make(map[string]context.CancelFunc),
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -129,8 +129,7 @@
 	if err != nil {
 		return fetch.Response{}, ErrNoReader.Wrap(err, "create request")
 	}
-	resp, err := fetch.Do(f.http, req,
-		fetch.Limits{HeaderTimeout: q.wait + f.opts.Slack, IdleTimeout: f.opts.Slack, MaxBytes: maxBatchBytes})
+	resp, err := f.timeouts.Do(f.http, req, p.address, q.wait, fetch.Limits{MaxBytes: maxBatchBytes})
 	if err != nil {
 		return fetch.Response{}, ErrNoReader.Wrap(err, "poll reader %s", p.name)
 	}
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -57,8 +57,9 @@
 	// because a VM without power doesn't answer and there are others to poll.
 	DialTimeout time.Duration
 	// Slack is the time that a reader's response header may take beyond the wait
-	// of the poll, and the idle timeout of the response body.
-	Slack time.Duration
+	// of the poll, and the idle timeout of the response body. For a reader whose answers
+	// take longer it rises up to MaxSlack.
+	Slack, MaxSlack time.Duration
 	// StoreRetryDelay is how long this VM doesn't read the store after a failed
 	// read, while the data of the readers is stale, too.
 	StoreRetryDelay time.Duration
@@ -102,7 +103,8 @@
 		MinVMs: 6, MinFleet: 4, MaxAge: 2200 * time.Millisecond,
 		ReaderPollWait: 1500 * time.Millisecond, FollowerPollWait: 1500 * time.Millisecond,
 		FreshWait: 250 * time.Millisecond, ReaderDuration: 4 * time.Second,
-		DialTimeout: 150 * time.Millisecond, Slack: 400 * time.Millisecond, StoreRetryDelay: 2500 * time.Millisecond,
-		ReaderBackoff: 10 * time.Second, StaleReaderBackoff: 2 * time.Second,
+		DialTimeout: 150 * time.Millisecond, Slack: 400 * time.Millisecond, MaxSlack: switchTime,
+		StoreRetryDelay: 2500 * time.Millisecond,
+		ReaderBackoff:   10 * time.Second, StaleReaderBackoff: 2 * time.Second,
 	}
 }
