Split the stand-in environment by job

The stand-ins of the platform and the upstreams, and the entry VMs, have files of their own; the code is moved unchanged.

--- a/standin/environment/environment.go
+++ b/standin/environment/environment.go
@@ -5,14 +5,10 @@
 import (
 	"context"
 	"crypto/rand"
-
 	"io"
 	"log/slog"
-	"maps"
-	"net"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,8 +21,6 @@
 	"github.com/poplarshore/poplarshore/internal/controld"
 	"github.com/poplarshore/poplarshore/internal/entryd"
 	"github.com/poplarshore/poplarshore/internal/rows"
-	"github.com/poplarshore/poplarshore/model"
-	"github.com/poplarshore/poplarshore/platform"
 	"github.com/poplarshore/poplarshore/platform/httpstore"
 	"github.com/poplarshore/poplarshore/settings"
 	"github.com/poplarshore/poplarshore/standin/engine"
@@ -64,20 +58,6 @@
 	Log *slog.Logger
 }
 
-// VM configures an entry VM, or the VM on which a control process runs.
-type VM struct {
-	ID vm.ID
-	// Domain is the failure domain, one that the document declares.
-	Domain string
-	// Region is the region in the platform's list of VMs. The VM's own settings take theirs from the document.
-	Region string
-	// CallersAddress and OperatorsAddress are the listeners' host:port. Empty means a free port on 127.0.0.1.
-	CallersAddress   string
-	OperatorsAddress string
-	// ConfigureSettings, if set, modifies the entry's settings before the start. Nil keeps the defaults.
-	ConfigureSettings func(*settings.Entry)
-}
-
 // Environment is a running environment. Start creates it.
 type Environment struct {
 	// Platform, Engines, Services and OldRouter are the stand-ins. OldRouter is nil if the document declares none.
@@ -188,83 +168,6 @@
 	return filepath.Join(e.secretsDir, name)
 }
 
-// startStandIns starts the platform, then the upstreams, last the older router, which needs the others' addresses.
-func (e *Environment) startStandIns() error {
-	listener, err := listenLoopback()
-	if err != nil {
-		return err
-	}
-	e.Platform = standinplatform.Start(listener, e.opts.Platform)
-	for _, u := range e.doc.Upstreams {
-		if u.Kind == upstream.OldRouter {
-			continue
-		}
-		if err := e.startUpstream(u); err != nil {
-			return err
-		}
-	}
-	return e.startOldRouter()
-}
-
-// startUpstream starts the stand-in of a plain service, or of an engine. An engine queues up to four times its
-// capacity in waiting requests.
-func (e *Environment) startUpstream(u upstream.Upstream) error {
-	listener, err := listenLoopback()
-	if err != nil {
-		return err
-	}
-	if u.Kind == upstream.Service {
-		e.Services[u.ID] = service.Start(listener, service.Options{})
-		e.Addresses[u.ID] = e.Services[u.ID].URL()
-		return nil
-	}
-	options := engine.Options{
-		Fencing: u.Fencing, Capacity: max(u.Capacity, 1), MaxWaiting: 4 * max(u.Capacity, 1),
-		PrefixBlocks: 4096, MinTokens: 8, MaxTokens: 32, StreamRetention: 30 * time.Second,
-	}
-	for _, ref := range u.Versions {
-		options.Versions = append(options.Versions, engine.VersionRef{Model: string(ref.Model), Version: string(ref.Version)})
-	}
-	if e.opts.ConfigureEngine != nil {
-		e.opts.ConfigureEngine(u, &options)
-	}
-	e.Engines[u.ID] = engine.Start(listener, options)
-	e.Addresses[u.ID] = e.Engines[u.ID].URL()
-	return nil
-}
-
-// startOldRouter starts the stand-in of the older router, if the document declares one. It serves the current
-// versions of the first document and all plain services.
-func (e *Environment) startOldRouter() error {
-	id := e.doc.Takeover.OldRouter
-	if id == "" {
-		return nil
-	}
-	listener, err := listenLoopback()
-	if err != nil {
-		return err
-	}
-	options := oldrouter.Options{
-		Models: make(map[string]string), Services: make(map[string]string), EnginesByModel: make(map[string][]string),
-	}
-	index := document.NewIndex(0, e.doc)
-	for _, m := range e.doc.Models {
-		ref := model.Ref{Model: m.Name, Version: m.Current}
-		options.Models[string(m.Name)] = ref.String()
-		for _, u := range index.Engines(ref) {
-			options.EnginesByModel[string(m.Name)] = append(options.EnginesByModel[string(m.Name)], e.Addresses[u.ID])
-		}
-	}
-	for _, u := range e.doc.Upstreams {
-		if u.Kind == upstream.Service {
-			options.Services[u.Service] = e.Addresses[u.ID]
-		}
-	}
-	e.OldRouter = oldrouter.Start(listener, options)
-	e.Addresses[id] = e.OldRouter.URL()
-	return nil
-}
-
 // Publish publishes text as the next revision of the configuration. It doesn't wait until the VMs have installed
 // it; see AwaitRevision.
 func (e *Environment) Publish(text []byte) error {
@@ -282,62 +185,6 @@
 	return nil
 }
 
-// StartVM starts an entry VM, adds it to the platform's list of VMs and waits until it is ready.
-func (e *Environment) StartVM(v VM) (*entryd.Daemon, error) {
-	d, err := entryd.New(e.entrySettings(v), e.opts.Log, clockwork.NewRealClock())
-	if err != nil {
-		return nil, err
-	}
-	if err := d.Start(e.ctx); err != nil {
-		return nil, err
-	}
-	e.addVM(v.ID, d)
-	e.Platform.SetMember(platform.Member{
-		ID: string(v.ID), Address: d.PeersAddress(), Region: v.Region, Domain: v.Domain, State: platform.MemberLive,
-	})
-	return d, d.AwaitReady(e.ctx)
-}
-
-// entrySettings returns the settings of an entry VM: the defaults with the environment's addresses and secrets,
-// short periods, and the changes that v.ConfigureSettings makes.
-func (e *Environment) entrySettings(v VM) *settings.Entry {
-	s := settings.DefaultEntry()
-	s.VM = settings.VM{ID: v.ID}
-	for _, d := range e.doc.Domains {
-		if string(d.ID) == v.Domain {
-			s.VM.Domain, s.VM.Region = d.ID, d.Region
-		}
-	}
-	s.Callers.Address, s.Operators.Address, s.Peers.Address = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	if v.CallersAddress != "" {
-		s.Callers.Address = v.CallersAddress
-	}
-	if v.OperatorsAddress != "" {
-		s.Operators.Address = v.OperatorsAddress
-	}
-	url := e.Platform.URL()
-	s.Platform.Table, s.Platform.Objects, s.Platform.VMList, s.Platform.Rater = url, url, url, url
-	s.Upstreams = e.Addresses
-	s.PeerTokenFile, s.OperatorTokenFile = e.SecretFile("peer"), e.SecretFile("operator")
-	s.SessionKeyFiles = make(map[string]string)
-	for _, name := range e.doc.Session.Keys {
-		s.SessionKeyFiles[name] = e.SecretFile("session")
-	}
-	s.Stop.BalancerGraceMS = balancerGraceMS
-	s.Timeouts.VMListPeriodMS = vmListPeriodMS
-	if v.ConfigureSettings != nil {
-		v.ConfigureSettings(s)
-	}
-	return s
-}
-
-// balancerGraceMS is the maximum time for the balancer to notice a planned stop, in ms. StopVM ends the grace
-// period as soon as no request is in transit to the VM.
-const balancerGraceMS = 60_000
-
-// vmListPeriodMS is the time between a VM's reads of the list of VMs, in ms.
-const vmListPeriodMS = 100
-
 // pollInterval is the time between two checks of a VM's revision or roster.
 const pollInterval = 10 * time.Millisecond
 
@@ -354,45 +201,6 @@
 	return nil
 }
 
-// VM returns the running entry VM with the id, or nil.
-func (e *Environment) VM(id vm.ID) *entryd.Daemon {
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	return e.vms[id]
-}
-
-// FirstVM returns the smallest id of the running entry VMs, or an empty id if there are none.
-func (e *Environment) FirstVM() vm.ID {
-	ids := e.runningVMs()
-	if len(ids) == 0 {
-		return ""
-	}
-	return ids[0]
-}
-
-// SelectVM selects an entry VM for a request, as the platform's balancer does: the first ready one in the order of
-// ids, from offset (modulo their number). The caller must call arrived once, when the VM has started to answer or
-// the request has failed; a planned stop waits for it. If none is ready, d is nil and arrived has no effect.
-func (e *Environment) SelectVM(offset int) (d *entryd.Daemon, arrived func()) {
-	ids := e.runningVMs()
-	for i := range ids {
-		id := ids[(offset+i)%len(ids)]
-		arrived := e.balancer.beginRequest(id)
-		if d := e.VM(id); d != nil && d.IsReady() {
-			return d, arrived
-		}
-		arrived()
-	}
-	return nil, func() {}
-}
-
-// runningVMs returns the ids of the running entry VMs in ascending order.
-func (e *Environment) runningVMs() []vm.ID {
-	e.mu.RLock()
-	defer e.mu.RUnlock()
-	return slices.Sorted(maps.Keys(e.vms))
-}
-
 // CurrentVersion returns the current version of a model in the first document, or "" if that doesn't declare it.
 func (e *Environment) CurrentVersion(name string) string {
 	for _, m := range e.doc.Models {
@@ -408,21 +216,6 @@
 	return e.published
 }
 
-func (e *Environment) addVM(id vm.ID, d *entryd.Daemon) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.vms[id] = d
-}
-
-// removeVM removes an entry VM from the running ones and returns it. It doesn't stop it.
-func (e *Environment) removeVM(id vm.ID) *entryd.Daemon {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	d := e.vms[id]
-	delete(e.vms, id)
-	return d
-}
-
 // StartControl starts a control process (poplarshore-control) with the identity of an entry VM. configure, if not
 // nil, modifies its settings before the start. The process runs until StopControls or Close is called.
 func (e *Environment) StartControl(v VM, configure func(*settings.Control)) error {
@@ -449,23 +242,6 @@
 	e.controls = nil
 }
 
-// StopVM stops an entry VM gracefully, removes it from the platform's list of VMs and returns the number of
-// requests that the stop interrupted. The VM must be running.
-func (e *Environment) StopVM(id vm.ID) int {
-	d := e.VM(id)
-	d.BeginStop()
-	interrupted := d.Stop(context.Background(), e.balancer.drained(id))
-	e.removeVM(id)
-	e.Platform.RemoveMember(string(id))
-	return interrupted
-}
-
-// KillVM ends an entry VM at once, like the loss of its machine. The VM stays in the platform's list of VMs. The
-// VM must be running.
-func (e *Environment) KillVM(id vm.ID) {
-	e.removeVM(id).Kill()
-}
-
 // Close stops all parts of the environment and removes the files of its secrets.
 func (e *Environment) Close() {
 	for _, id := range e.runningVMs() {
@@ -487,12 +263,3 @@
 	}
 	_ = os.RemoveAll(e.secretsDir)
 }
-
-// listenLoopback listens on a free port of 127.0.0.1.
-func listenLoopback() (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, ErrStart.Wrap(err, "listen on 127.0.0.1")
-	}
-	return l, nil
-}
