--- a/experiment/blame/run.go
+++ b/experiment/blame/run.go
@@ -1,5 +1,7 @@
 package blame
 
+import "github.com/poplarshore/poplarshore/experiment"
+
 // Row holds the results of a rule in one scenario, over several seeds.
 type Row struct {
 	Scenario string `json:"scenario"`
@@ -27,13 +29,7 @@
 
 // Run simulates all scenarios under all rules, with the seeds 1 to runs.
 func Run(runs int) []Row {
-	var rows []Row
-	for _, scenario := range Scenarios {
-		for _, rule := range Rules {
-			rows = append(rows, measure(scenario, rule, runs))
-		}
-	}
-	return rows
+	return experiment.Compare(Scenarios, Rules, func(scenario Scenario, rule Rule) Row { return measure(scenario, rule, runs) })
 }
 
 // measure simulates one scenario under one rule.
--- a/experiment/cold/cold.go
+++ b/experiment/cold/cold.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/poplarshore/poplarshore/experiment"
 	"github.com/poplarshore/poplarshore/limit"
 )
 
@@ -79,13 +80,7 @@
 
 // Run simulates all scenarios with all ways, with the seeds 1 to runs.
 func Run(runs int) []Row {
-	var rows []Row
-	for _, scenario := range Scenarios {
-		for _, way := range Ways {
-			rows = append(rows, measure(scenario, way, runs))
-		}
-	}
-	return rows
+	return experiment.Compare(Scenarios, Ways, func(scenario Scenario, way Way) Row { return measure(scenario, way, runs) })
 }
 
 func measure(scenario Scenario, way Way, runs int) Row {
--- a/experiment/exposure/run.go
+++ b/experiment/exposure/run.go
@@ -30,13 +30,7 @@
 // Run runs every scenario with every fault and the seeds 1 to seeds. It returns one
 // row for each scenario and fault.
 func Run(seeds int) []Row {
-	var rows []Row
-	for _, scenario := range Scenarios() {
-		for _, fault := range Faults {
-			rows = append(rows, measureFault(scenario, fault, seeds))
-		}
-	}
-	return rows
+	return experiment.Compare(Scenarios(), Faults, func(scenario Scenario, fault Behaviour) Row { return measureFault(scenario, fault, seeds) })
 }
 
 func measureFault(scenario Scenario, fault Behaviour, seeds int) Row {
--- a/experiment/reach/run.go
+++ b/experiment/reach/run.go
@@ -1,6 +1,10 @@
 package reach
 
-import "time"
+import (
+	"time"
+
+	"github.com/poplarshore/poplarshore/experiment"
+)
 
 // Rule is how a VM decides that its way is lost.
 type Rule string
@@ -40,13 +44,7 @@
 
 // Run simulates all scenarios under all rules, with the seeds 1 to runs.
 func Run(runs int) []Row {
-	var rows []Row
-	for _, scenario := range Scenarios {
-		for _, rule := range Rules {
-			rows = append(rows, measure(scenario, rule, runs))
-		}
-	}
-	return rows
+	return experiment.Compare(Scenarios, Rules, func(scenario Scenario, rule Rule) Row { return measure(scenario, rule, runs) })
 }
 
 // measure simulates one scenario under one rule.
--- a/experiment/slowstart/slowstart.go
+++ b/experiment/slowstart/slowstart.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/poplarshore/poplarshore/experiment"
 	"github.com/poplarshore/poplarshore/slowstart"
 )
 
@@ -108,13 +109,7 @@
 
 // Run simulates all scenarios with all ways, with the seeds 1 to runs.
 func Run(runs int) []Row {
-	var rows []Row
-	for _, s := range Scenarios {
-		for _, way := range Ways {
-			rows = append(rows, measure(s, way, runs))
-		}
-	}
-	return rows
+	return experiment.Compare(Scenarios, Ways, func(s Scenario, way Way) Row { return measure(s, way, runs) })
 }
 
 func measure(s Scenario, way Way, runs int) Row {
