--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -45,43 +45,45 @@
 	Close() error
 }
 
-// serveUntilDone listens, starts a stand-in, prints its URL and closes it when the command's context
-// ends.
-func serveUntilDone(cmd *cobra.Command, listen string, start func(net.Listener) server) error {
-	l, err := net.Listen("tcp", listen)
-	if err != nil {
-		return ErrFlag.Wrap(err, "listen on %q", listen)
+// serveCommand returns a command that listens, starts a stand-in, prints its URL and closes it when
+// the command's context ends.
+func serveCommand(use, short string, start func(net.Listener) server) *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:   use,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return ErrFlag.Wrap(err, "listen on %q", listen)
+			}
+			s := start(l)
+			_, _ = fmt.Fprintln(cmd.OutOrStdout(), "listening on", s.URL())
+			<-cmd.Context().Done()
+			return s.Close()
+		},
 	}
-	s := start(l)
-	_, _ = fmt.Fprintln(cmd.OutOrStdout(), "listening on", s.URL())
-	<-cmd.Context().Done()
-	return s.Close()
+	cmd.Flags().StringVar(&listen, "listen", defaultListen, "host:port to listen on")
+	return cmd
 }
 
 func engineCommand() *cobra.Command {
 	var (
 		o        engine.Options
-		listen   string
 		versions []string
 		quality  map[string]string
 	)
-	cmd := &cobra.Command{
-		Use:   "engine",
-		Short: "Serve a model engine",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			var err error
-			if o.Versions, err = parseVersions(versions); err != nil {
-				return err
-			}
-			if o.Quality, err = parseQuality(quality); err != nil {
-				return err
-			}
-			return serveUntilDone(cmd, listen, func(l net.Listener) server { return engine.Start(l, o) })
-		},
+	cmd := serveCommand("engine", "Serve a model engine", func(l net.Listener) server { return engine.Start(l, o) })
+	cmd.PreRunE = func(*cobra.Command, []string) error {
+		var err error
+		if o.Versions, err = parseVersions(versions); err != nil {
+			return err
+		}
+		o.Quality, err = parseQuality(quality)
+		return err
 	}
 	flags := cmd.Flags()
-	flags.StringVar(&listen, "listen", defaultListen, "host:port to listen on")
 	flags.StringSliceVar(&versions, "version", []string{"cheap@v1"}, "model@version to load, repeatable")
 	flags.StringToStringVar(&quality, "quality", nil, "share of good answers by model@version, from 0 to 1")
 	flags.BoolVar(&o.Fencing, "fencing", false, "refuse orders with an old fencing number")
@@ -102,37 +104,15 @@
 }
 
 func serviceCommand() *cobra.Command {
-	var (
-		o      service.Options
-		listen string
-	)
-	cmd := &cobra.Command{
-		Use:   "service",
-		Short: "Serve a plain service that issues permits",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveUntilDone(cmd, listen, func(l net.Listener) server { return service.Start(l, o) })
-		},
-	}
-	cmd.Flags().StringVar(&listen, "listen", defaultListen, "host:port to listen on")
+	var o service.Options
+	cmd := serveCommand("service", "Serve a plain service that issues permits", func(l net.Listener) server { return service.Start(l, o) })
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of faults")
 	return cmd
 }
 
 func platformCommand() *cobra.Command {
-	var (
-		o      platform.Options
-		listen string
-	)
-	cmd := &cobra.Command{
-		Use:   "platform",
-		Short: "Serve the platform's table, objects, list of VMs and rating service",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveUntilDone(cmd, listen, func(l net.Listener) server { return platform.Start(l, o) })
-		},
-	}
-	cmd.Flags().StringVar(&listen, "listen", defaultListen, "host:port to listen on")
+	var o platform.Options
+	cmd := serveCommand("platform", "Serve the platform's table, objects, list of VMs and rating service", func(l net.Listener) server { return platform.Start(l, o) })
 	cmd.Flags().DurationVar(&o.Latency, "latency", 5*time.Millisecond, "delay of each storage operation")
 	cmd.Flags().DurationVar(&o.ListLag, "list-lag", 3*time.Second, "delay until changes appear in the list of VMs")
 	cmd.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of faults")
@@ -140,19 +120,8 @@
 }
 
 func oldRouterCommand() *cobra.Command {
-	var (
-		o      oldrouter.Options
-		listen string
-	)
-	cmd := &cobra.Command{
-		Use:   "oldrouter",
-		Short: "Serve the older router",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serveUntilDone(cmd, listen, func(l net.Listener) server { return oldrouter.Start(l, o) })
-		},
-	}
-	cmd.Flags().StringVar(&listen, "listen", defaultListen, "host:port to listen on")
+	var o oldrouter.Options
+	cmd := serveCommand("oldrouter", "Serve the older router", func(l net.Listener) server { return oldrouter.Start(l, o) })
 	cmd.Flags().StringToStringVar(&o.Models, "model", nil, "model=model@version, repeatable")
 	cmd.Flags().StringSliceVar(&o.Engines, "engine", nil, "base URL of an engine, repeatable")
 	cmd.Flags().StringToStringVar(&o.Services, "service", nil, "service=base URL, repeatable")
