Answer callers whose request body comes too late

Cause: the http.Server ends the request's context when a read fails, also by our own read deadline, and the relay took that for a caller that had left. After the panic with which it ends such a request, as after a refusal, the http.Server reads the rest of the body, without a deadline.

Change: a read that the timeout ended is not taken for a caller that left, the refusal asks for the connection's end, and the rest of the body is read for 0.5 s at most.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/poplarshore/poplarshore/refusal"
@@ -112,6 +113,10 @@
 	x.deadline = x.startedAt.Add(limit)
 }
 
+// bodyDiscardTimeout is how long the rest of a body is read after the request was refused. A connection
+// closed with unread data is reset, and the caller might lose the refusal.
+const bodyDiscardTimeout = 500 * time.Millisecond
+
 // readBody reads the whole request body into memory, as further attempts may
 // have to send it again.
 func (x *exchange) readBody(ctx context.Context, r *http.Request) error {
@@ -131,7 +136,10 @@
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
 	cut := release()
 	refused := causeOf(ctx)
-	x.readCut = cut && refused != nil
+	x.readCut = cut && refused != nil || errors.Is(err, os.ErrDeadlineExceeded)
+	if x.readCut {
+		x.setReadDeadline(time.Now().Add(bodyDiscardTimeout))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case refused != nil && (err != nil || x.readCut):
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -58,8 +58,9 @@
 	// empty.
 	refusalDetail string
 
-	// readCut reports whether reads from the caller were ended while its request body was read. The
-	// http.Server may then have ended the request's context as if the caller had disconnected.
+	// readCut reports whether reads from the caller were ended, by a stop or the timeout of the body,
+	// while its request body was read. The http.Server may then have ended the request's context as if
+	// the caller had disconnected.
 	readCut bool
 
 	// abortEnd is what the caller got if the end of a planned stop's grace ended the exchange;
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -22,8 +22,11 @@
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(x.returnAfter(refused).Seconds(), 'f', 3, 64))
 	}
-	// The http.Server does not wait for the rest of a request body then.
 	x.askToClose()
+	if x.readCut {
+		// The http.Server would wait for the rest of the body before it sends the response.
+		h.Set("Connection", "close")
+	}
 	x.limitWrite()
 	x.w.WriteHeader(status)
 	_, err := x.w.Write([]byte(body))
