--- a/coord/ledger/odd_rows_test.go
+++ b/coord/ledger/odd_rows_test.go
@@ -6,8 +6,10 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -15,6 +17,7 @@
 
 	"github.com/poplarshore/poplarshore/coord/ledger"
 	"github.com/poplarshore/poplarshore/coord/store"
+	"github.com/poplarshore/poplarshore/coord/store/memory"
 	"github.com/poplarshore/poplarshore/internal/billing"
 )
 
@@ -188,3 +191,33 @@
 		Expect(pruned).To(Equal(1))
 	})
 })
+
+// FuzzSettle guards against segments and rows that end the process that settles the ledger: it
+// passes each of its events to a counter, which panics on a negative number.
+func FuzzSettle(f *testing.F) {
+	f.Add([]byte(`{"format":1,"incarnation":"a","sequence":2,"entries":[{"id":"r","account":"x","time":"2026-01-01T00:00:00Z","amount":5}]}`),
+		uint64(2), []byte(`{"sum":{"requests":1},"keys":"AAAAAAAAAAAAAAAAAAAAAA=="}`), []byte(`{"next":2}`))
+	f.Add([]byte(`{"format":1,"incarnation":"a","sequence":9223372036854775813,"entries":[]}`), uint64(9223372036854775813), []byte(`{}`), []byte(`{"missing":[{"from":0,"to":18446744073709551615}]}`))
+	f.Fuzz(func(t *testing.T, content []byte, sequence uint64, bucket, incarnation []byte) {
+		ctx, table, objects := context.Background(), memory.NewTable(), memory.NewObjects()
+		clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+		sum := sha256.Sum256(content)
+		body := append([]byte(hex.EncodeToString(sum[:])+"\n"), content...)
+		if objects.Create(ctx, fmt.Sprintf("%s/segments/a/%020d", prefix, sequence), body) != nil {
+			t.Skip()
+		}
+		_, _ = table.Insert(ctx, fmt.Sprintf("%s/buckets/x/%012d/000", prefix, clock.Now().Unix()), bucket)
+		_, _ = table.Insert(ctx, prefix+"/incarnations/a", incarnation)
+		s := ledger.NewSettler(ledger.SettlerOptions{
+			Table: table, Objects: objects, Prefix: prefix, Fence: 1, Clock: clock, Shards: 1,
+			Observer: billing.NewMetrics(prometheus.NewRegistry()),
+		})
+		_, _ = s.Settle(ctx)
+		clock.Advance(26 * time.Hour)
+		_, _ = s.Compact(ctx)
+		_, _ = s.Prune(ctx)
+		if totals, err := s.Totals(ctx, "x"); err == nil && (totals.Requests < 0 || totals.Amount < 0 || totals.Cost < 0) {
+			t.Fatalf("totals %+v", totals)
+		}
+	})
+}
