Tell a caller that left from a stop that cut its body, and an answer from none

A request whose own context ended while its body was read was taken for one that the stop had cut, so that a refusal would have been written. Found in a read-through, not seen. A caller that closed its connection at once after the answer to an aborted request was logged as "unsent": whether it had left was asked after the answer had been flushed. Seen as a failure of TestCallThatGraceDoesNotHoldIsAnswered, once in two runs beside load and again in the next one; the log line of it shows the cause.

A test guards the counter of aborted requests.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -129,9 +129,10 @@
 	defer endWait()
 	release := x.limitRead(ctx, min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	x.readCut = release()
-	var tooLarge *http.MaxBytesError
+	cut := release()
 	refused := causeOf(ctx)
+	x.readCut = cut && refused != nil
+	var tooLarge *http.MaxBytesError
 	switch {
 	case refused != nil && (err != nil || x.readCut):
 		return refused
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -12,6 +12,8 @@
 
 // writeRefusal sends a refusal to the caller. ctx is that of the caller's request.
 func (x *exchange) writeRefusal(ctx context.Context, refused *refusal.Refusal, status int) {
+	// Once answered, the caller may close its connection, which ends ctx as well.
+	gone := ctx.Err() != nil && !x.readCut
 	h, body := x.w.Header(), string(refused.Reason)+"\n"
 	if x.hop != nil {
 		h.Set(headerRefusal, string(refused.Reason))
@@ -34,7 +36,7 @@
 	if err != nil {
 		x.server.Log.Debug("failed to write refusal to caller", "request", x.request.ID, "error", err)
 	}
-	if err != nil || ctx.Err() != nil && !x.readCut {
+	if err != nil || gone {
 		x.recordAborted(abortUnsent)
 		return
 	}
--- a/internal/relay/remainder_test.go
+++ b/internal/relay/remainder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -94,3 +95,18 @@
 		})
 	}
 }
+
+// TestRequestsThatStopEndsAreCounted guards against aborted requests that no counter shows, and against
+// others that it does.
+func TestRequestsThatStopEndsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	x, placement, _ := newStream(t, retry.Allowance{})
+	x.server.Log = slog.New(slog.DiscardHandler)
+	x.recordAborted(abortCut)
+	x.server.record(x, "answer_cut", 0)
+	g.Expect(placement.count("poplarshore_relay_aborted_total", "cut")).To(BeZero())
+	x.server.Abort()
+	x.recordAborted(abortCut)
+	x.server.record(x, "draining", 0)
+	g.Expect(placement.count("poplarshore_relay_aborted_total", "cut")).To(BeEquivalentTo(1))
+}
