--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -40,9 +40,14 @@
 // shutDown answers requests of callers and other VMs until all have been answered and no connection
 // is left, or returns the error of ctx.
 func (d *Daemon) shutDown(ctx context.Context) error {
+	return d.endListeners(func(s *listen.Server) error { return s.Shutdown(ctx) })
+}
+
+// endListeners calls end for the listeners for callers and for other VMs at the same time.
+func (d *Daemon) endListeners(end func(*listen.Server) error) error {
 	relayResult := make(chan error, 1)
-	go func() { relayResult <- d.relayServer.Shutdown(ctx) }()
-	return errors.Join(d.callerServer.Shutdown(ctx), <-relayResult)
+	go func() { relayResult <- end(d.relayServer) }()
+	return errors.Join(end(d.callerServer), <-relayResult)
 }
 
 // abort ends the running requests while their connections are open, so that callers get an answer,
@@ -55,8 +60,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	if err := d.shutDown(ctx); err != nil {
-		d.logStop(slog.LevelWarn, "closing the connections that are left", "error", err)
+	if err := d.endListeners(func(s *listen.Server) error { return s.Finish(ctx) }); err != nil {
+		d.logStop(slog.LevelInfo, "closed the connections that were left", "error", err)
 	}
 }
 
