Test a model that is dropped while its requests wait

A request whose body is complete only after a revision dropped its model from the contract is refused with model_not_allowed, and not run. It was before; the test didn't show it.

--- a/internal/entryd/stop_callers_test.go
+++ b/internal/entryd/stop_callers_test.go
@@ -138,18 +138,21 @@
 }
 
 // TestRevisionIsAppliedToRequestsThatWait guards against calls that run though their key was revoked, or their service
-// dropped, while they waited.
+// or model dropped, while they waited.
 func TestRevisionIsAppliedToRequestsThatWait(t *testing.T) {
 	const keyHash = "c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c"
 	for _, change := range []struct {
-		name, old, new, reason string
+		name, path, body, old, new, reason string
 	}{
-		{"key revoked", keyHash, strings.Replace(keyHash, "c4", "d5", 1), "unauthorized"},
-		{"service not allowed", `"services": ["permits"]`, `"services": []`, "service_not_allowed"},
+		{"key revoked", permitsIssue, permitBody, keyHash, strings.Replace(keyHash, "c4", "d5", 1), "unauthorized"},
+		{"service not allowed", permitsIssue, permitBody, `"services": ["permits"]`, `"services": []`, "service_not_allowed"},
+		{"model not allowed", "/v1/completions", `{"model":"strong","prompt":"x"}`, `"cheap", "strong"],
+      "services"`, `"cheap"],
+      "services"`, "model_not_allowed"},
 	} {
 		t.Run(change.name, func(t *testing.T) {
 			s := newStopTest(t, time.Second)
-			text := request(http.MethodPost, permitsIssue, "", permitBody)
+			text := request(http.MethodPost, change.path, "", change.body)
 			waiting := s.send(text[:len(text)-5])
 			s.awaitInFlight(1)
 			document := strings.Replace(string(examples.Quickstart), change.old, change.new, 1)
@@ -161,6 +164,7 @@
 			s.Expect(a.reason).To(Equal(change.reason), a.body)
 			s.Expect(a.ran).To(Equal("no"))
 			s.Expect(s.Services["permits-1"].Counts().Runs).To(BeZero())
+			s.Expect(s.Engines["strong-1"].Counts().Runs).To(BeZero())
 		})
 	}
 }
