Answer requests of the product's own API whose handling panics

The caller is told that the router failed, and that the request may have run, or its answer is broken off; the stack is logged.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -95,6 +96,8 @@
 	// ResumeKey is the key that signs resume tokens. It must be the same on all
 	// VMs, as a stream may be resumed at any of them.
 	ResumeKey []byte
+	// Log receives what is not expected to happen, such as panics.
+	Log *slog.Logger
 	// Registry is where the server registers its metrics.
 	Registry prometheus.Registerer
 }
@@ -154,6 +157,7 @@
 		defer cancel()
 		r = r.WithContext(ctx)
 		writer := &responseWriter{ResponseWriter: w, writeTimeout: s.opts.WriteTimeout}
+		defer s.answerPanic(x, writer)
 		err := s.admitCaller(x, r)
 		if err == nil {
 			err = h(x, writer, r)
