Don't hold calls of a VM that is cut off from all engines against odd entries

The trace: cut_off was under way, the call's VM and three others that it asked reached no engine (upstreams_out_of_reach).

--- a/soak/odd_rows.go
+++ b/soak/odd_rows.go
@@ -51,12 +51,15 @@
 		orderService, address, domains[0], capacity)
 }
 
-// checkOddRows checks that undisturbed calls were served by the sound engines while odd entries were
-// there.
+// checkOddRows checks that undisturbed calls, at VMs that reached the engines, were served by the sound
+// ones while odd entries were there.
 func (c *checker) checkOddRows(x exchange) {
 	if x.kind == streamRequest || !c.undisturbed(x) || c.testbed.oddRows.noneOverlap(x.sentAt, x.doneAt) || !c.testbed.crashes.noneOverlap(x.sentAt, x.doneAt) {
 		return
 	}
+	if !x.vm.cuts.noneOverlap(x.sentAt.Add(-c.bounds.SettleTime), x.doneAt) {
+		return
+	}
 	if x.response.Incomplete || x.response.Status >= http.StatusInternalServerError {
 		c.addViolation("%s at %s: status %d, %v, while odd entries were among those of the engines", x.id, x.vm.ID, x.response.Status, x.response.Err)
 	}
