Keep reading a request that begins while its connection is interrupted

Cause: Shutdown interrupts connections that have waited for a request for 500 ms. On an encrypted connection (or one with a pipelined request) bytes that were read don't end the wait; only the begin of the request does, after its header was parsed. If the interrupt came in between, on a VM that got no processor time for that long, beginRequest left the interrupt in force: the next read returned io.EOF, which net/http takes for a disconnect. The request's context ended, and its connection closed without an answer.

The begin of a request now removes the interrupt. interrupt and beginRequest hold the same mutex, and interrupt does nothing once a request has begun.

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -56,17 +56,24 @@
 	defer c.mu.Unlock()
 	c.waiting = c.waiting && c.encrypted
 	c.waitingSince = time.Now()
-	if c.retiring {
-		c.retiring = false
-		_ = c.SetReadDeadline(time.Time{})
-	}
+	c.resume()
 }
 
-// beginRequest records that a request is being handled.
+// beginRequest records that a request is being handled. The connection may have been interrupted after
+// the header of the request was read; its reads go on.
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
+	c.resume()
+}
+
+// resume lets reads go on if the connection was interrupted. The caller holds mu.
+func (c *conn) resume() {
+	if c.retiring {
+		c.retiring = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
 }
 
 // awaitRequest records that the connection waits for a request.
--- /dev/null
+++ b/internal/listen/conn_test.go
@@ -0,0 +1,57 @@
+package listen
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const readTimeout = 5 * time.Second
+
+// listenLocally returns a listener and a function that dials it.
+func listenLocally(t *testing.T) (*acceptor, func() net.Conn) {
+	t.Helper()
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	a := &acceptor{Listener: listener, set: newConnSet(false)}
+	t.Cleanup(func() { _ = a.Close() })
+	return a, func() net.Conn {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+}
+
+// TestRequestThatBeginsWhileItsConnectionIsInterruptedIsRead guards against a request whose connection
+// ends, without an answer, because it was interrupted between the last read of the header and the
+// begin of the request: reads of its body, and those that watch for a disconnect, returned io.EOF.
+func TestRequestThatBeginsWhileItsConnectionIsInterruptedIsRead(t *testing.T) {
+	g := NewWithT(t)
+	a, dial := listenLocally(t)
+	a.set.encrypted = true
+	caller := dial()
+	accepted, err := a.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	served := accepted.(*conn)
+	_, err = caller.Write([]byte("header"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = served.Read(make([]byte, 100))
+	g.Expect(err).NotTo(HaveOccurred())
+
+	served.interrupt(0)
+	served.beginRequest()
+
+	result := make(chan error, 1)
+	go func() {
+		_, err := served.Read(make([]byte, 100))
+		result <- err
+	}()
+	g.Consistently(result, 100*time.Millisecond).ShouldNot(Receive(), "the read waits for the body")
+	_, err = caller.Write([]byte("body"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(result, readTimeout).Should(Receive(BeNil()))
+}
