Close the listener before the time of a shutdown has passed

Cause: Shutdown closed the listener only after all earlier connections had ended. If one of them did not (a silent upstream, a caller that sends half a header or reads no answer), the listener accepted connections until Close, which reset those with a whole request.

The listener is now closed 200 ms before the deadline of the shutdown's context at the latest. Later callers are refused a connection, and the requests accepted last have that time for their answers.

--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -14,6 +14,9 @@
 	maxIdle = 500 * time.Millisecond
 	// acceptWait is how long the listener accepts on once the connections at the start of a shutdown have ended.
 	acceptWait = 50 * time.Millisecond
+	// closeMargin is how long before the deadline of a shutdown the listener is closed though earlier
+	// connections are left. Requests on connections accepted last are answered in that time.
+	closeMargin = 200 * time.Millisecond
 	// shutdownPoll is the interval at which a shutdown looks at the connections.
 	shutdownPoll = 20 * time.Millisecond
 )
@@ -22,11 +25,15 @@
 // for those accepted meanwhile. Until then each request is passed to the handler, which should refuse
 // new ones; http.Server.Shutdown would discard requests that it reads. Responses tell callers to
 // close their connections, and connections without a request are closed after a short time. If ctx
-// ends first, Shutdown returns the error of ctx, and the server goes on.
+// ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
+// left. Shortly before a deadline of ctx it closes the listener all the same, so that Close resets no
+// connection that was just opened.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
-	if err := awaitEnd(ctx, s.acceptor.set.all()); err != nil {
-		return err
+	acceptCtx, cancel := withEarlierDeadline(ctx, closeMargin)
+	defer cancel()
+	if awaitEnd(acceptCtx, s.acceptor.set.all()) != nil && ctx.Err() != nil {
+		return ctx.Err()
 	}
 	s.acceptor.drain(acceptWait)
 	select {
@@ -40,6 +47,15 @@
 	return s.http.Close()
 }
 
+// withEarlierDeadline returns a context that ends with ctx, or the margin before its deadline.
+func withEarlierDeadline(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-margin))
+}
+
 // awaitEnd waits until the connections have been closed, and closes those without a request.
 func awaitEnd(ctx context.Context, conns []*conn) error {
 	ticker := time.NewTicker(shutdownPoll)
