Estimate durations by classes of sizes

Cause: a duration was divided by the size that was expected of the answer. The time to the first event, which doesn't grow with the size, was thereby multiplied for long answers. With the 95th percentile the short answers of a route decide. During a planned stop, long streams were refused, not repeated and not moved though the grace could hold them.

Sizes are now told apart by powers of two; a class without recent samples uses the nearest one. A class with samples takes about 14 KB (computed from the histogram's parameters, not measured).

--- a/pace/durations.go
+++ b/pace/durations.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"sync"
 	"time"
 
@@ -18,17 +19,26 @@
 	// that are kept of them.
 	maxDurationPerUnit = 10 * time.Minute
 	durationDigits     = 1
+	// sizeClasses is the number of classes of sizes, each of which begins at twice the size of the one
+	// before. The time to the beginning of an answer doesn't grow with its size, so that what a unit of
+	// small requests takes says little about large ones.
+	sizeClasses = 16
 )
 
 // Durations learns how long requests take by route, in relation to their expected size. It is safe
 // for concurrent use.
 type Durations struct {
 	mu      sync.Mutex
-	byRoute map[string]*recentDurations
+	byRoute map[string]*[sizeClasses]*recentDurations
 }
 
-// recentDurations holds the durations of a route's recent requests for each unit of their size, in
-// microseconds.
+// sizeClass returns the class of a size.
+func sizeClass(size float64) int {
+	return min(bits.Len(uint(min(size, 1<<sizeClasses))), sizeClasses-1)
+}
+
+// recentDurations holds the durations of a route's recent requests of a class of sizes for each unit of
+// their size, in microseconds.
 type recentDurations struct {
 	perUnit *hdrhistogram.WindowedHistogram
 	// windowEnd is when the current window ends.
@@ -44,19 +54,25 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.byRoute[route]
-	if r == nil {
+	classes := d.byRoute[route]
+	if classes == nil {
 		if len(d.byRoute) >= maxRoutes {
 			return
 		}
 		if d.byRoute == nil {
-			d.byRoute = make(map[string]*recentDurations)
+			d.byRoute = make(map[string]*[sizeClasses]*recentDurations)
 		}
+		classes = new([sizeClasses]*recentDurations)
+		d.byRoute[route] = classes
+	}
+	class := sizeClass(size)
+	r := classes[class]
+	if r == nil {
 		r = &recentDurations{
 			perUnit:   hdrhistogram.NewWindowed(durationWindows, 1, maxDurationPerUnit.Microseconds(), durationDigits),
 			windowEnd: now.Add(durationWindow),
 		}
-		d.byRoute[route] = r
+		classes[class] = r
 	}
 	r.advance(now)
 	perUnit := min(max(float64(took.Microseconds())/size, 1), float64(maxDurationPerUnit.Microseconds()))
@@ -64,25 +80,42 @@
 	_ = r.perUnit.Current.RecordValue(int64(perUnit))
 }
 
-// Expect returns the time that most requests of a route and size take, and false if none ended
-// recently.
+// Expect returns the time that most requests of a route and size take, and false if none of the route
+// ended recently. Without recent ones of about its size it is derived from those whose size is nearest.
 func (d *Durations) Expect(route string, size float64, now time.Time) (time.Duration, bool) {
 	if size <= 0 || math.IsNaN(size) {
 		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.byRoute[route]
-	if r == nil {
+	classes := d.byRoute[route]
+	if classes == nil {
 		return 0, false
 	}
+	class := sizeClass(size)
+	for distance := range sizeClasses {
+		// What a unit of smaller requests takes is rather too much than too little.
+		for _, near := range []int{class - distance, class + distance} {
+			if near < 0 || near >= sizeClasses || classes[near] == nil {
+				continue
+			}
+			if perUnit, known := classes[near].expect(now); known {
+				return time.Duration(min(perUnit*size, float64(maxDurationPerUnit.Microseconds()))) * time.Microsecond, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// expect returns the time, in microseconds, that most requests take for each unit, and false if none
+// ended recently.
+func (r *recentDurations) expect(now time.Time) (float64, bool) {
 	r.advance(now)
 	recent := r.perUnit.Merge()
 	if recent.TotalCount() == 0 {
 		return 0, false
 	}
-	perUnit := float64(recent.ValueAtQuantile(100 * durationQuantile))
-	return time.Duration(min(perUnit*size, float64(maxDurationPerUnit.Microseconds()))) * time.Microsecond, true
+	return float64(recent.ValueAtQuantile(100 * durationQuantile)), true
 }
 
 // advance begins the window of the given time.
