Learn durations from requests without an error status only

Cause: an answer below 500 counted as a measure of how long requests of its route take, so also a 404 that an upstream gave at once. During a planned stop, a call that may not be repeated was then sent though nothing showed that the rest of the grace could hold it, and was ended with 502.

Evidence: TestRejectedRequestIsNoMeasureOfThoseThatRun fails without the change: 502 instead of 503, the second call had been sent.

Answers with a status from 400 are not observed now. Attempts that the deadline ended are, as before.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -25,7 +25,7 @@
 	// A VM that has lost its way to the upstreams blames none of them.
 	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).CutOff
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
-	if err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if err == nil && x.succeeded() || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		x.observeDuration(took, a.events)
 	}
 	if err == nil {
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -133,7 +133,7 @@
 		// How many attempts the VM made is not known.
 		x.retryState.Attempts += left
 	}
-	if err == nil {
+	if err == nil && x.succeeded() {
 		x.observeDuration(s.Clock.Since(startedAt), x.events)
 	}
 	peer.End(peerResult(ctx, err))
--- a/internal/relay/remainder.go
+++ b/internal/relay/remainder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/poplarshore/poplarshore/refusal"
@@ -108,8 +109,12 @@
 	return nil
 }
 
-// observeDuration records how long an attempt took that sent the whole answer, or that the
-// deadline ended.
+// succeeded reports whether the caller was sent a status that isn't an error. Requests with an error are
+// mostly turned down early, and are no measure of how long others run.
+func (x *exchange) succeeded() bool { return x.headerSent && x.status < http.StatusBadRequest }
+
+// observeDuration records how long an attempt took that sent the whole answer, without an error status, or
+// that the deadline ended.
 func (x *exchange) observeDuration(took time.Duration, eventsOfAttempt int) {
 	size := 1.0
 	if x.route.Streaming {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -105,7 +105,8 @@
 	opts    Options
 	prefill *prefillEstimator
 	lengths pace.Lengths
-	// durations are those of attempts that sent the whole answer, or that the deadline ended.
+	// durations are those of attempts that sent the whole answer, without an error status, or that the
+	// deadline ended.
 	durations pace.Durations
 	buffered  bufferBudget
 	egress    *egress.Tracker
