--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -55,3 +55,22 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(result, readTimeout).Should(Receive(BeNil()))
 }
+
+// TestDrainAcceptsConnectionsThatWait guards against connections that are reset because the time for
+// accepting them passed while the process did not run.
+func TestDrainAcceptsConnectionsThatWait(t *testing.T) {
+	g := NewWithT(t)
+	a, dial := listenLocally(t)
+	const waiting = 5
+	for range waiting {
+		dial()
+	}
+	a.drain(0)
+	for i := range waiting {
+		c, err := a.Accept()
+		g.Expect(err).NotTo(HaveOccurred(), "connection %d", i)
+		g.Expect(c.Close()).To(Succeed())
+	}
+	_, err := a.Accept()
+	g.Expect(err).To(MatchError(net.ErrClosed))
+}
