Read the rows of VMs that listen at all their addresses

A VM one of whose listeners has a wildcard address was left out of the list by the other VMs, so that each took too large a part of shared limits; found by the review. Such an address counts as missing now, in rows of earlier builds as well.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -146,8 +146,9 @@
 // maxIDBytes bounds the ID of a VM. Keys of the store have at most as many bytes.
 const maxIDBytes = 200
 
-// decode decodes a VM's row. Another writer's may lack all addresses, or name ones that aren't those of one
-// machine. Errors: ErrInvalidRow.
+// decode decodes a VM's row. An address of a VM that listens at all its addresses counts as missing.
+// Another writer's row may lack all addresses, or name ones that aren't those of one machine. Errors:
+// ErrInvalidRow.
 func decode(id vm.ID, value []byte) (Member, error) {
 	var m Member
 	if err := json.Unmarshal(value, &m); err != nil {
@@ -157,11 +158,14 @@
 		return Member{}, ErrInvalidRow.New("row of a VM with the invalid ID %q", id)
 	}
 	known := 0
-	for _, address := range []netip.AddrPort{m.Hints, m.Feed, m.Relay, m.Callers} {
+	for _, address := range []*netip.AddrPort{&m.Hints, &m.Feed, &m.Relay, &m.Callers} {
+		if address.Addr().Unmap().IsUnspecified() {
+			*address = netip.AddrPort{}
+		}
 		if !address.IsValid() {
 			continue
 		}
-		if !netaddr.IsUnicast(address) {
+		if !netaddr.IsUnicast(*address) {
 			return Member{}, ErrInvalidRow.New("row of VM %q: %s is not the address of one machine", id, address)
 		}
 		known++
