--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -40,7 +40,7 @@
 	if x.server.Admission == nil || x.admission.permit.Held() {
 		return nil
 	}
-	ctx, endWait := x.whileHeld(ctx)
+	ctx, endWait := x.waitContext(ctx)
 	defer endWait()
 	permit, err := x.server.Admission.Acquire(ctx, x.service, x.admissionWork())
 	if err != nil {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -130,7 +130,7 @@
 	if r.ContentLength > limit {
 		return refusal.New(refusal.BodyTooLarge)
 	}
-	ctx, endWait := x.whileHeld(ctx)
+	ctx, endWait := x.waitContext(ctx)
 	defer endWait()
 	release := x.limitRead(ctx, min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
--- a/internal/relay/remainder.go
+++ b/internal/relay/remainder.go
@@ -77,10 +77,10 @@
 	return refusal.New(refusal.Draining).With("To end before the stop does it had to be sent by %s.", by.Format(time.RFC3339Nano))
 }
 
-// whileHeld returns a context for a wait before the request is sent. It ends with ctx, and, with a
+// waitContext returns a context for a wait before the request is sent. It ends with ctx, and, with a
 // refusal as its cause, when the rest of a planned stop's grace is not expected to hold the
 // request any more.
-func (x *exchange) whileHeld(ctx context.Context) (context.Context, context.CancelFunc) {
+func (x *exchange) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	s, rest := x.server, x.remainder()
 	ctx, end := context.WithCancelCause(ctx)
 	detach := context.AfterFunc(s.stop.begun, func() {
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -101,7 +101,8 @@
 }
 
 // prepareAttempt asks other VMs to relay the request if this VM should not send it, and otherwise
-// waits for a permit. It refuses what the rest of a planned stop's grace can't hold. If it returns true, the error is the result of the exchange.
+// waits for a permit. It refuses a request that the rest of a planned stop's grace can't hold. If it
+// returns true, the error is the result of the exchange.
 func (x *exchange) prepareAttempt(ctx context.Context) (bool, error) {
 	if refused := x.refuseUnfinishable(); refused != nil {
 		return true, x.fail(refused)
@@ -224,7 +225,7 @@
 		return false, x.fail(refusal.Wrap(refusalReason(failure.Kind), err))
 	}
 	x.retriedFailure = x.retriedFailure || errorx.IsOfType(err, errFailed)
-	wait, endWait := x.whileHeld(ctx)
+	wait, endWait := x.waitContext(ctx)
 	defer endWait()
 	select {
 	case <-wait.Done():
