--- a/soak/late_callers.go
+++ b/soak/late_callers.go
@@ -40,6 +40,8 @@
 	vm      *VM
 	conn    net.Conn
 	reader  *bufio.Reader
+	// usedAt is when the connection was opened or last used.
+	usedAt time.Time
 }
 
 // runLateCallers runs callers until ctx ends, and waits for their last answers.
@@ -79,6 +81,7 @@
 		return true
 	}
 	c.vm = c.traffic.testbed.vms[c.rng.IntN(len(c.traffic.testbed.vms))]
+	c.usedAt = time.Now()
 	conn, err := net.DialTimeout("tcp", c.vm.Callers, time.Second)
 	if err != nil {
 		return false
@@ -97,7 +100,7 @@
 // send sends one order and records the exchange.
 func (c *lateCaller) send() {
 	c.sent++
-	x := exchange{id: fmt.Sprintf("late-%d-%d", c.number, c.sent), key: permanentKey, kind: orderRequest, vm: c.vm}
+	x := exchange{id: fmt.Sprintf("late-%d-%d", c.number, c.sent), key: permanentKey, kind: orderRequest, vm: c.vm, connectedAt: c.usedAt}
 	x.path = "/o/" + x.id
 	if c.rng.IntN(4) == 0 {
 		x.path = slowPath + x.id
@@ -110,6 +113,7 @@
 	}
 	x.response = c.read()
 	x.doneAt = time.Now()
+	c.usedAt = x.doneAt
 	if writeErr != nil && x.response.Incomplete {
 		// The VM ended the connection before it had the whole request.
 		c.disconnect()
@@ -156,13 +160,13 @@
 	}
 }
 
-// checkAnswered checks that a whole request of a late caller was answered unless its VM failed. One that
-// crosses the end of the process and is not passed on may go without.
+// checkAnswered checks that a whole request of a late caller was answered unless its VM failed since its
+// connection was last used. One that crosses the end of the process and is not passed on may go without.
 func (c *checker) checkAnswered(x exchange) {
 	if x.wholeAt.IsZero() || !x.response.Incomplete {
 		return
 	}
-	if !x.vm.disturbances.noneOverlap(x.sentAt, x.doneAt) || !x.vm.cuts.noneOverlap(x.sentAt, x.doneAt) {
+	if !x.vm.disturbances.noneOverlap(x.connectedAt, x.doneAt) || !x.vm.cuts.noneOverlap(x.connectedAt, x.doneAt) {
 		return
 	}
 	if c.runs[x.id] == nil && x.vm.endedWithin(x.wholeAt, x.doneAt.Add(crossingTime)) && x.doneAt.Sub(x.wholeAt) < crossingTime {
--- a/soak/odd_rows.go
+++ b/soak/odd_rows.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -51,13 +52,19 @@
 		orderService, address, domains[0], capacity)
 }
 
+// mayBeRestricted reports whether a configuration that can be in force during a lookup restricts the
+// regions in which it may be served.
+func (c *checker) mayBeRestricted(x exchange) bool {
+	return x.kind == lookupRequest && slices.ContainsFunc(c.possibleConfigurations(x), func(cfg configuration) bool { return len(cfg.homes) > 0 })
+}
+
 // checkOddRows checks that undisturbed calls, at VMs that reached the engines, were served by the sound
-// ones while odd entries were there.
+// ones while odd entries were there. Late callers may use up their time themselves.
 func (c *checker) checkOddRows(x exchange) {
 	if x.kind == streamRequest || !c.undisturbed(x) || c.testbed.oddRows.noneOverlap(x.sentAt, x.doneAt) || !c.testbed.crashes.noneOverlap(x.sentAt, x.doneAt) {
 		return
 	}
-	if !x.vm.cuts.noneOverlap(x.sentAt.Add(-c.bounds.SettleTime), x.doneAt) {
+	if !x.vm.cuts.noneOverlap(x.sentAt.Add(-c.bounds.SettleTime), x.doneAt) || !x.wholeAt.IsZero() || c.mayBeRestricted(x) {
 		return
 	}
 	if x.response.Incomplete || x.response.Status >= http.StatusInternalServerError {
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -34,6 +34,8 @@
 	sentAt, doneAt time.Time
 	// wholeAt is when a late caller had sent the whole request; zero for others.
 	wholeAt time.Time
+	// connectedAt is when its connection was opened, or last used before.
+	connectedAt time.Time
 	// configVersion is the version of the configuration that a probe requests; 0 for
 	// other kinds.
 	configVersion int64
