Don't copy an incomplete event at each read of a stream

Cause: after each read of 4 KiB the buffer, of up to 1 MiB, was copied onto itself although no event had been taken from it. Now it is left alone then. The bound stays.

--- a/internal/relay/event_buffer.go
+++ b/internal/relay/event_buffer.go
@@ -27,6 +27,9 @@
 
 // compact discards the events already returned by next.
 func (e *eventBuffer) compact() {
+	if e.consumed == 0 {
+		return
+	}
 	e.buf = append(e.buf[:0], e.buf[e.consumed:]...)
 	e.searched = max(e.searched-e.consumed, 0)
 	e.consumed = 0
