Review: an entry without Sequence is used as an engine

Entries of upstreams are taken as valid without Sequence and ColdRemainingMs. Such an entry of another writer sends requests to another service's engine.

--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -62,7 +62,7 @@
 	b.server = httptest.NewServer(b.store)
 	b.store.Put("op", "config", standin.Config(1, []standin.Route{
 		{Name: "status", Host: siteHost, Prefix: "/status/", Kind: standin.KindIdempotent, Service: service, TimeoutMS: 3000, TargetLatencyMS: 400, MaxAttempts: 2},
-		{Name: "issue", Host: siteHost, Prefix: "/issue/", Kind: standin.KindNonIdempotent, Service: service, TimeoutMS: 3000, TargetLatencyMS: 400, MaxAttempts: 1},
+		{Name: "issue", Host: siteHost, Prefix: "/issue/", Kind: standin.KindNonIdempotent, Service: otherService, TimeoutMS: 3000, TargetLatencyMS: 400, MaxAttempts: 1},
 	}, map[string][]string{tenant: {siteKey}}))
 	if err := b.startGateways(binary); err != nil {
 		b.close()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
 	"repeated-order": repeatedOrder,
+	"foreign-entry":  foreignEntry,
 }
 
 func main() {
