Review: a request that may run once runs twice by an encoded slash

Routes are matched by the decoded path, and requests forwarded by the encoded one, so that POST /permits/A%2F2026%2F17 is taken for a request of the idempotent route /permits/A/ and repeated after a lost answer.

--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -25,6 +25,8 @@
 	siteKey  = "key-of-a-client"
 	tenant   = "tenant-1"
 	service  = "permits"
+	// oldVersion is the version of all engines.
+	oldVersion = "v1"
 )
 
 // zones are the zones, each in a region of its own.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -21,8 +23,8 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (bool, error){
-	"repeated-order": repeatedOrder,
-	"foreign-entry":  foreignEntry,
+	"foreign-entry": foreignEntry,
+	"encoded-slash": encodedSlash,
 }
 
 func main() {
@@ -47,6 +49,13 @@
 		return exitNotRun
 	}
 	defer b.close()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-ended
+		b.close()
+		os.Exit(exitNotRun)
+	}()
 	b.note("case %s, disruption: %t, %s", name, trouble, time.Now().UTC().Format(time.RFC3339))
 	broken, err := run(b, trouble)
 	switch {
