Log why upstreams count as out of reach, and silences of attempts

The line that a VM lost its way told how many upstreams are unreached, not what failed there, so that silence could not be told from refused or lost connections. It now tells lost and silent ones, and the time since anything came from any upstream. No decision changes.

--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -112,7 +112,8 @@
 		s.since = now
 		t.cutOff.WithLabelValues(name).Set(1)
 		t.changes.WithLabelValues(name, "lost").Inc()
-		t.opts.Log.Warn("upstreams out of reach", "service", name, "unreached", status.Unreached, "usable", status.Usable)
+		t.opts.Log.Warn("upstreams out of reach", "service", name, "unreached", status.Unreached, "usable", status.Usable,
+			"lost", status.Lost, "silent", status.Silent, "since_contact_ms", status.SinceContact.Milliseconds())
 		return
 	}
 	t.cutOff.WithLabelValues(name).Set(0)
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -23,11 +23,12 @@
 		x.notConnected++
 		x.connectTimedOut = true
 		a.recordContact(reachability.NotConnected)
-	case failsContact(err) && ctx.Err() == nil:
-		if !errorx.IsOfType(err, upconn.ErrSilent) || a.engine.SinceLastReceived() >= took {
-			a.recordContact(reachability.Lost)
+	case errorx.IsOfType(err, upconn.ErrSilent) && ctx.Err() == nil,
+		errors.Is(ctx.Err(), context.DeadlineExceeded) && a.headAfter == 0:
+		if a.engine.SinceLastReceived() >= took {
+			a.recordContact(reachability.Silent)
 		}
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && a.headAfter == 0 && a.engine.SinceLastReceived() >= took:
+	case failsContact(err) && ctx.Err() == nil:
 		a.recordContact(reachability.Lost)
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -137,6 +137,9 @@
 	Head int64 `json:"head,omitempty"`
 	// Pause is the longest time between two events, in ms.
 	Pause int64 `json:"pause,omitempty"`
+	// Silences is how often nothing came for the idle timeout; the attempt goes on after all of them
+	// but the one that it is given up for.
+	Silences int `json:"silences,omitempty"`
 	// Gap is the usual time between two events, in ms; 0 if it is unknown.
 	Gap int64 `json:"gap,omitempty"`
 	// End is the time from the start of the attempt to the end of the answer that was expected
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -132,7 +132,8 @@
 		Upstream: string(a.engine.ID()), Version: string(a.engine.Version()), Model: string(a.model),
 		Outcome: outcome, Expected: a.expectedWait.Milliseconds(), At: a.startedAt.Sub(x.startedAt).Milliseconds(),
 		First: a.firstAfter.Milliseconds(), Head: a.headAfter.Milliseconds(), MS: took.Milliseconds(), Pause: a.maxGap.Milliseconds(),
-		Gap: a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
+		Silences: a.silences,
+		Gap:      a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
 		End: a.expectedEnd.Milliseconds(), Missing: a.missing,
 	}
 	if a.listAge > unusualListAge {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -76,8 +76,9 @@
 	retryState := x.retryState
 	retryState.Attempts++
 	decision := x.server.Retry.Decide(&retryState, retry.Failure{Kind: retry.IdleTimeout, HasAlternative: true}, 0, x.server.Clock.Now())
+	x.server.Metrics.retries.WithLabelValues(retry.IdleTimeout.String(), decision.Reason.String()).Inc()
+	a.silences++
 	if decision.Action == retry.Retry {
-		x.server.Metrics.retries.WithLabelValues(retry.IdleTimeout.String(), decision.Reason.String()).Inc()
 		x.retryPrepaid = true
 		return 0
 	}
--- a/reachability/view.go
+++ b/reachability/view.go
@@ -19,10 +19,19 @@
 	Connected
 	// NotConnected means that a new connection was refused or not answered.
 	NotConnected
-	// Lost means that a connection ended or was silent instead of an answer.
+	// Lost means that a connection ended instead of an answer.
 	Lost
+	// Silent means that an open connection carried nothing for the idle timeout, nor did any
+	// other one to the same upstream.
+	Silent
 )
 
+// failure is the last contact with an upstream, which failed.
+type failure struct {
+	at   time.Time
+	kind Contact
+}
+
 // Options configure a View.
 type Options struct {
 	// MinUnreached is the number of upstreams that can't be reached from which the way to the
@@ -56,8 +65,8 @@
 // concurrent use.
 type View struct {
 	opts Options
-	// unreached holds when the last contact with an upstream failed.
-	unreached map[upstream.ID]time.Time
+	// unreached holds the upstreams with which the last contact failed.
+	unreached map[upstream.ID]failure
 	// contactAt is when anything last came from any upstream.
 	contactAt time.Time
 	// lostAt is when the way was last seen lost.
@@ -69,7 +78,7 @@
 
 // NewView returns a View without contacts.
 func NewView(opts Options) *View {
-	return &View{opts: opts, unreached: make(map[upstream.ID]time.Time)}
+	return &View{opts: opts, unreached: make(map[upstream.ID]failure)}
 }
 
 // Record records a contact.
@@ -81,8 +90,8 @@
 	case Connected:
 		v.contactAt = now
 		v.regain(u)
-	case NotConnected, Lost:
-		v.unreached[u] = now
+	case NotConnected, Lost, Silent:
+		v.unreached[u] = failure{at: now, kind: c}
 		v.regained = 0
 	}
 }
@@ -102,7 +111,7 @@
 
 // Retain forgets the upstreams that keep returns false for.
 func (v *View) Retain(keep func(upstream.ID) bool) {
-	maps.DeleteFunc(v.unreached, func(u upstream.ID, _ time.Time) bool { return !keep(u) })
+	maps.DeleteFunc(v.unreached, func(u upstream.ID, _ failure) bool { return !keep(u) })
 }
 
 // AllReached reports that no upstream is known as unreached.
@@ -116,6 +125,11 @@
 	Quiet bool
 	// Unreached and Usable are the numbers of upstreams that can't be reached, and of all.
 	Unreached, Usable int
+	// Lost and Silent are the numbers of those among Unreached to which a connection was lost, and
+	// from which nothing came over an open one. No connection could be opened to the others.
+	Lost, Silent int
+	// SinceContact is the time since anything came from any upstream.
+	SinceContact time.Duration
 }
 
 // NoneReached reports that the way to the service is lost and every upstream was tried.
@@ -124,10 +138,11 @@
 // Status decides whether the way to the service is lost. Usable are the upstreams that
 // requests may be sent to; othersCutOff reports whether the way to another service is lost.
 func (v *View) Status(usable []upstream.ID, othersCutOff bool, now time.Time) Status {
-	s := Status{Usable: len(usable), Quiet: now.Sub(v.contactAt) >= v.opts.Quiet}
+	s := Status{Usable: len(usable), SinceContact: now.Sub(v.contactAt)}
+	s.Quiet = s.SinceContact >= v.opts.Quiet
 	for _, u := range usable {
-		if at, unreached := v.unreached[u]; unreached && now.Sub(at) < v.opts.Memory {
-			s.Unreached++
+		if f, unreached := v.unreached[u]; unreached && now.Sub(f.at) < v.opts.Memory {
+			s.count(f.kind)
 		}
 	}
 	needed := min(v.opts.MinUnreached, s.Usable)
@@ -145,6 +160,17 @@
 	return s
 }
 
+// count counts an upstream that can't be reached.
+func (s *Status) count(kind Contact) {
+	s.Unreached++
+	switch kind {
+	case Lost:
+		s.Lost++
+	case Silent:
+		s.Silent++
+	}
+}
+
 // Probe returns the upstream to connect to next, by a number drawn from 0 to 1, and false
 // without usable upstreams. Half of the probes go to those that are not known as unreached: if
 // one of them is reached, only some upstreams are not.
