Don't take silent upstreams for a lost way without opening a connection

Callers got 502 (upstreams_out_of_reach) or a cut stream while all upstreams of their service paused for a second or two. Cause: an upstream that sent nothing for the idle timeout counted as unreached like one that refuses connections, so that a few of them, and 100 ms without anything from any other, made the VM count as cut off from all.

Silence now leaves the matter in doubt: the VM connects to the silent upstreams at its next probing step. If they refuse or don't answer, they count as unreached; if one takes the connection, the way is not to blame. While in doubt a VM blames no upstream, as when cut off.

--- a/experiment/reach/simulation.go
+++ b/experiment/reach/simulation.go
@@ -84,7 +84,7 @@
 	for _, c := range s.contacts[s.now] {
 		s.view.Record(c.of, c.kind, at)
 		switch c.kind {
-		case reachability.NotConnected, reachability.Lost:
+		case reachability.NotConnected, reachability.Lost, reachability.Silent:
 			s.failures++
 			continue
 		case reachability.Connected:
@@ -100,11 +100,28 @@
 	if s.rule == Row3 {
 		return s.failures >= 3
 	}
-	return s.view.Status(s.usable, false, time.Time{}.Add(s.now)).CutOff
+	return s.status().CutOff
 }
 
-// act sends a request now and then, or a probe while the way counts as lost.
+// status returns what the VM knows of its way.
+func (s *simulation) status() reachability.Status {
+	return s.view.Status(s.usable, false, time.Time{}.Add(s.now))
+}
+
+// probeSilent opens connections to silent upstreams if these leave in doubt whether the way is lost.
+func (s *simulation) probeSilent() {
+	if s.rule == Row3 || s.now-s.probedAt < reach.ProbeInterval || !s.status().InDoubt {
+		return
+	}
+	s.probedAt = s.now
+	for _, u := range s.view.SilentAmong(s.usable, time.Time{}.Add(s.now)) {
+		s.connect(u, false)
+	}
+}
+
+// act sends a request now and then, and probes while the way counts as lost or may be.
 func (s *simulation) act(lost bool) {
+	s.probeSilent()
 	switch {
 	case lost && s.now-s.probedAt >= reach.ProbeInterval:
 		s.probedAt = s.now
@@ -161,11 +178,11 @@
 			s.add(max(at, troubleAt), u, reachability.Lost)
 			return
 		case silence:
-			s.add(at+s.HeaderWait, u, reachability.Lost)
+			s.add(at+s.HeaderWait, u, reachability.Silent)
 			return
 		case pauses:
 			if s.HeaderWait < s.lasts {
-				s.add(at+s.HeaderWait, u, reachability.Lost)
+				s.add(at+s.HeaderWait, u, reachability.Silent)
 			}
 			s.add(troubleAt+s.lasts, u, reachability.Received)
 			return
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -140,50 +141,69 @@
 	probeTimeout = 400 * time.Millisecond
 )
 
-// Step probes the services that are cut off, all at the same time. It is to be called every
-// ProbeInterval.
+// Step probes the services that are cut off, or may be, all at the same time. It is to be called
+// every ProbeInterval.
 func (t *Tracker) Step(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, name := range t.cutOffServices() {
+	cutOff, inDoubt := t.servicesToProbe()
+	for _, name := range cutOff {
 		wg.Go(func() { t.probeService(ctx, name) })
 	}
+	for _, target := range inDoubt {
+		wg.Go(func() { t.probe(ctx, target.service, target.Target) })
+	}
 	wg.Wait()
 }
 
-// cutOffServices returns the services that are cut off. It forgets upstreams that are not in
-// use any more.
-func (t *Tracker) cutOffServices() []string {
+// silentTarget is a silent upstream of a service.
+type silentTarget struct {
+	Target
+	service string
+}
+
+// servicesToProbe returns the services that are cut off, and the silent upstreams of those that may
+// be. It forgets upstreams that are not in use any more.
+func (t *Tracker) servicesToProbe() (cutOff []string, inDoubt []silentTarget) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var names []string
 	for name, s := range maps.All(t.services) {
 		if s.view.AllReached() && !s.cutOff {
 			continue
 		}
 		targets := t.opts.Usable(name)
 		retain(s.view, targets)
-		if t.decide(name, s, targets).CutOff {
-			names = append(names, name)
+		switch status := t.decide(name, s, targets); {
+		case status.CutOff:
+			cutOff = append(cutOff, name)
+		case status.InDoubt:
+			inDoubt = append(inDoubt, t.silentTargets(name, s.view, targets)...)
 		}
 	}
-	return names
+	return cutOff, inDoubt
+}
+
+// silentTargets returns silent upstreams of a service among the targets.
+func (t *Tracker) silentTargets(name string, v *reachability.View, targets []Target) []silentTarget {
+	var silent []silentTarget
+	for _, id := range v.SilentAmong(idsOf(targets), t.opts.Clock.Now()) {
+		i := slices.IndexFunc(targets, func(target Target) bool { return target.ID == id })
+		silent = append(silent, silentTarget{Target: targets[i], service: name})
+	}
+	return silent
 }
 
 // probeService probes upstreams of a service until one is not reached, or the way is back.
 func (t *Tracker) probeService(ctx context.Context, name string) {
-	for ctx.Err() == nil && t.probe(ctx, name) {
-		if !t.Status(name).CutOff {
+	for ctx.Err() == nil {
+		target, ok := t.nextProbe(name)
+		if !ok || !t.probe(ctx, name, target) || !t.Status(name).CutOff {
 			return
 		}
 	}
 }
 
 // probe connects to an upstream of a service and reports whether that succeeded.
-func (t *Tracker) probe(ctx context.Context, name string) bool {
-	target, ok := t.nextProbe(name)
-	if !ok {
-		return false
-	}
+func (t *Tracker) probe(ctx context.Context, name string, target Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if err := t.opts.Probe(ctx, target.Address); err != nil {
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -86,3 +86,33 @@
 	g.Expect(r.Status(service).CutOff).To(BeFalse())
 	g.Expect(r.regained).To(Equal([]string{service}))
 }
+
+// silence records that no upstream sent anything, and waits.
+func (r *rig) silence() {
+	for _, target := range targets {
+		r.Record(service, target.ID, reachability.Silent)
+	}
+	r.clock.Advance(time.Second)
+}
+
+// Guards against requests that are refused or sent round while upstreams only pause.
+func TestWayIsNotLostWhileSilentUpstreamsTakeConnections(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig()
+	r.reached = true
+	r.silence()
+	g.Expect(r.Status(service).CutOff).To(BeFalse())
+	g.Expect(r.Status(service).InDoubt).To(BeTrue())
+	r.Step(t.Context())
+	g.Expect(r.Status(service).InDoubt).To(BeFalse())
+	r.Step(t.Context())
+	g.Expect(r.probes).To(BeNumerically("<=", reachability.DefaultOptions().MinUnreached))
+}
+
+func TestWayIsLostIfSilentUpstreamsTakeNoConnections(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig()
+	r.silence()
+	r.Step(t.Context())
+	g.Expect(r.Status(service).CutOff).To(BeTrue())
+}
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -33,10 +33,10 @@
 	}
 }
 
-// recordEnd records that the upstream may have ended if the end of an attempt suggests it. A VM that has
+// recordEnd records that the upstream may have ended if the end of an attempt suggests it. A VM that may have
 // lost its way to the upstreams says nothing of them.
 func (x *exchange) recordEnd(ctx context.Context, a *attempt, err error, took time.Duration) {
-	if ctx.Err() != nil || !failsContact(err) || x.server.Reach.Status(x.service).CutOff {
+	if ctx.Err() != nil || !failsContact(err) || x.server.Reach.Status(x.service).MayBeCutOff() {
 		return
 	}
 	switch {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -22,8 +22,8 @@
 	moved := errorx.IsOfType(err, errMoved)
 	failed := err != nil && !ended && !moved && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
 	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || wasNotTried(err) || a.paused || moved
-	// A VM that has lost its way to the upstreams blames none of them.
-	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).CutOff
+	// A VM that may have lost its way to the upstreams blames none of them.
+	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).MayBeCutOff()
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
 	if err == nil && x.succeeded() || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		x.observeDuration(took, a.events)
--- a/reachability/view.go
+++ b/reachability/view.go
@@ -43,7 +43,7 @@
 	// comes from the others.
 	Quiet          time.Duration
 	UnreachedShare float64
-	// Memory is how long an upstream counts as unreached after its last failure.
+	// Memory is how long an upstream counts as unreached after its last failure, or as silent.
 	Memory time.Duration
 	// RecentLoss is the time after the way was lost in which one unreached upstream suffices, as
 	// it is often lost again.
@@ -65,8 +65,10 @@
 // concurrent use.
 type View struct {
 	opts Options
-	// unreached holds the upstreams with which the last contact failed.
+	// unreached holds the upstreams with which the last contact failed, and silent those that
+	// were silent.
 	unreached map[upstream.ID]failure
+	silent    map[upstream.ID]time.Time
 	// contactAt is when anything last came from any upstream.
 	contactAt time.Time
 	// lostAt is when the way was last seen lost.
@@ -78,7 +80,7 @@
 
 // NewView returns a View without contacts.
 func NewView(opts Options) *View {
-	return &View{opts: opts, unreached: make(map[upstream.ID]failure)}
+	return &View{opts: opts, unreached: make(map[upstream.ID]failure), silent: make(map[upstream.ID]time.Time)}
 }
 
 // Record records a contact.
@@ -87,18 +89,33 @@
 	case Received:
 		v.contactAt = now
 		delete(v.unreached, u)
+		delete(v.silent, u)
 	case Connected:
 		v.contactAt = now
 		v.regain(u)
-	case NotConnected, Lost, Silent:
+	case NotConnected, Lost:
 		v.unreached[u] = failure{at: now, kind: c}
+		delete(v.silent, u)
 		v.regained = 0
+	case Silent:
+		v.recordSilence(u, now)
 	}
 }
 
-// regain records that an upstream was connected to. If enough of them were, all others are
-// given another chance.
+// recordSilence records that an upstream was silent. That says nothing new of one that can't be reached.
+func (v *View) recordSilence(u upstream.ID, now time.Time) {
+	if _, unreached := v.unreached[u]; !unreached {
+		v.silent[u] = now
+	}
+}
+
+// regain records that an upstream was connected to. If enough of those that can't be reached
+// were, all others are given another chance. If a silent one was, the way is not to blame for the
+// silence of the others.
 func (v *View) regain(u upstream.ID) {
+	if _, wasSilent := v.silent[u]; wasSilent {
+		clear(v.silent)
+	}
 	if _, wasUnreached := v.unreached[u]; !wasUnreached {
 		return
 	}
@@ -112,21 +129,26 @@
 // Retain forgets the upstreams that keep returns false for.
 func (v *View) Retain(keep func(upstream.ID) bool) {
 	maps.DeleteFunc(v.unreached, func(u upstream.ID, _ failure) bool { return !keep(u) })
+	maps.DeleteFunc(v.silent, func(u upstream.ID, _ time.Time) bool { return !keep(u) })
 }
 
-// AllReached reports that no upstream is known as unreached.
-func (v *View) AllReached() bool { return len(v.unreached) == 0 }
+// AllReached reports that no upstream is known as unreached or silent.
+func (v *View) AllReached() bool { return len(v.unreached) == 0 && len(v.silent) == 0 }
 
 // Status is how a VM reaches the upstreams of a service.
 type Status struct {
 	// CutOff reports that the way to the service is lost.
 	CutOff bool
+	// InDoubt reports that the way is lost if the silent upstreams can't be reached, which a
+	// connection to them shows.
+	InDoubt bool
 	// Quiet reports that nothing came from any upstream for Options.Quiet.
 	Quiet bool
 	// Unreached and Usable are the numbers of upstreams that can't be reached, and of all.
 	Unreached, Usable int
-	// Lost and Silent are the numbers of those among Unreached to which a connection was lost, and
-	// from which nothing came over an open one. No connection could be opened to the others.
+	// Lost is the number of those among Unreached to which a connection was lost; no connection
+	// could be opened to the others. Silent is the number of silent upstreams, which don't count as
+	// unreached.
 	Lost, Silent int
 	// SinceContact is the time since anything came from any upstream.
 	SinceContact time.Duration
@@ -135,6 +157,9 @@
 // NoneReached reports that the way to the service is lost and every upstream was tried.
 func (s Status) NoneReached() bool { return s.CutOff && s.Unreached == s.Usable }
 
+// MayBeCutOff reports that the way to the service is lost, or that this is in doubt.
+func (s Status) MayBeCutOff() bool { return s.CutOff || s.InDoubt }
+
 // Status decides whether the way to the service is lost. Usable are the upstreams that
 // requests may be sent to; othersCutOff reports whether the way to another service is lost.
 func (v *View) Status(usable []upstream.ID, othersCutOff bool, now time.Time) Status {
@@ -142,35 +167,58 @@
 	s.Quiet = s.SinceContact >= v.opts.Quiet
 	for _, u := range usable {
 		if f, unreached := v.unreached[u]; unreached && now.Sub(f.at) < v.opts.Memory {
-			s.count(f.kind)
+			s.countUnreached(f.kind)
+		}
+		if v.isSilent(u, now) {
+			s.Silent++
 		}
 	}
 	needed := min(v.opts.MinUnreached, s.Usable)
 	if othersCutOff || !v.lostAt.IsZero() && now.Sub(v.lostAt) < v.opts.RecentLoss {
 		needed = 1
 	}
-	if s.Unreached == 0 || s.Unreached < needed {
-		return s
-	}
-	share := float64(s.Unreached) / float64(s.Usable)
-	s.CutOff = s.Quiet || share >= v.opts.UnreachedShare
+	s.CutOff = v.isLost(&s, s.Unreached, needed)
+	s.InDoubt = !s.CutOff && s.Silent > 0 && v.isLost(&s, s.Unreached+s.Silent, needed)
 	if s.CutOff {
 		v.lostAt = now
 	}
 	return s
 }
 
-// count counts an upstream that can't be reached.
-func (s *Status) count(kind Contact) {
+// isLost reports whether the way is lost if the given number of upstreams can't be reached, of
+// which needed ones suffice.
+func (v *View) isLost(s *Status, failed, needed int) bool {
+	if failed == 0 || failed < needed {
+		return false
+	}
+	return s.Quiet || float64(failed)/float64(s.Usable) >= v.opts.UnreachedShare
+}
+
+// isSilent reports whether an upstream was silent lately and nothing came from it since.
+func (v *View) isSilent(u upstream.ID, now time.Time) bool {
+	at, silent := v.silent[u]
+	return silent && now.Sub(at) < v.opts.Memory
+}
+
+// countUnreached counts an upstream that can't be reached.
+func (s *Status) countUnreached(kind Contact) {
 	s.Unreached++
-	switch kind {
-	case Lost:
+	if kind == Lost {
 		s.Lost++
-	case Silent:
-		s.Silent++
 	}
 }
 
+// SilentAmong returns the upstreams that are silent among the usable ones, at most Options.MinUnreached.
+func (v *View) SilentAmong(usable []upstream.ID, now time.Time) []upstream.ID {
+	var silent []upstream.ID
+	for _, u := range usable {
+		if v.isSilent(u, now) && len(silent) < v.opts.MinUnreached {
+			silent = append(silent, u)
+		}
+	}
+	return silent
+}
+
 // Probe returns the upstream to connect to next, by a number drawn from 0 to 1, and false
 // without usable upstreams. Half of the probes go to those that are not known as unreached: if
 // one of them is reached, only some upstreams are not.
--- a/reachability/view_test.go
+++ b/reachability/view_test.go
@@ -151,6 +151,49 @@
 	g.Expect(v.Status(next, false, at(500)).NoneReached()).To(BeFalse())
 }
 
+// Guards against taking upstreams that pause for a lost way.
+func TestSilenceLeavesInDoubtWhetherTheWayIsLost(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(3)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.Silent, at(1000))
+	}
+	status := v.Status(usable, false, at(1000))
+	g.Expect(status.CutOff).To(BeFalse())
+	g.Expect(status.InDoubt).To(BeTrue())
+	g.Expect(v.SilentAmong(usable, at(1000))).To(ConsistOf(usable))
+	for _, u := range usable {
+		v.Record(u, reachability.NotConnected, at(1400))
+	}
+	g.Expect(v.Status(usable, false, at(1400)).NoneReached()).To(BeTrue())
+}
+
+func TestConnectionToOneSilentUpstreamEndsTheDoubt(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(3)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.Silent, at(1000))
+	}
+	v.Record(usable[1], reachability.Connected, at(1030))
+	g.Expect(v.AllReached()).To(BeTrue())
+	g.Expect(v.Status(usable, false, at(2000)).InDoubt).To(BeFalse())
+}
+
+func TestFewSilentUpstreamsOfManyLeaveNoDoubt(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(12)
+	v := newView(usable)
+	for _, u := range usable[:2] {
+		v.Record(u, reachability.Silent, at(1000))
+	}
+	g.Expect(v.Status(usable, false, at(2000)).InDoubt).To(BeFalse())
+	v.Record(usable[2], reachability.Silent, at(2000))
+	g.Expect(v.Status(usable, false, at(2000)).InDoubt).To(BeTrue())
+	g.Expect(v.Status(usable, false, at(12_500)).InDoubt).To(BeFalse(), "long ago")
+}
+
 // Whatever the contacts are, the way isn't lost right after all upstreams were heard from.
 func TestWayIsNeverLostRightAfterContactWithAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -160,7 +203,7 @@
 		for range rapid.IntRange(0, 60).Draw(t, "contacts") {
 			now += rapid.IntRange(0, 400).Draw(t, "pause")
 			u := usable[rapid.IntRange(0, len(usable)-1).Draw(t, "upstream")]
-			v.Record(u, reachability.Contact(rapid.IntRange(0, 3).Draw(t, "contact")), at(now))
+			v.Record(u, reachability.Contact(rapid.IntRange(0, 4).Draw(t, "contact")), at(now))
 		}
 		for _, u := range usable {
 			v.Record(u, reachability.Received, at(now))
