Don't give up a silent attempt while nothing else can serve the request

Callers got 502, or a stream that was cut after its first events, although the upstream that ran their request was sound and went on a second later. Cause: an attempt that sent nothing for the idle timeout was given up whenever the request may be repeated; that another upstream can take it was assumed (HasAlternative: true), never asked. With one upstream, or with others that were tried, full, paused, kept from the request or silent themselves, the run was ended for nothing.

An attempt is now given up only for something that can serve the request at that moment: an upstream that passes all filters and is not silent itself, which then gets the next attempt, or another VM if the way to the upstreams is lost. Silence of a running attempt is recorded as it lasts, no longer at the attempt's end, so that a VM that is cut off still notices.

--- a/internal/engines/engines_test.go
+++ b/internal/engines/engines_test.go
@@ -94,6 +94,22 @@
 	g.Expect(chooseID(d, engines.Requirements{Bytes: 10_000})).To(BeEquivalentTo("far"))
 }
 
+func TestSilenceOfUpstreamLastsSinceItsLastPartOrFirstRequest(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("e", "d1")})
+	e := find(d, "e")
+	clock.Advance(time.Minute)
+	g.Expect(e.Silence()).To(BeZero(), "nothing runs on it")
+	first := e.Begin(0)
+	clock.Advance(time.Second)
+	e.Begin(0)
+	g.Expect(e.Silence()).To(Equal(time.Second))
+	first.MarkReceived()
+	clock.Advance(300 * time.Millisecond)
+	g.Expect(e.Silence()).To(Equal(300 * time.Millisecond))
+}
+
 // TestSilentUpstreamIsAvoidedUnderLoad replays a load under which the other upstream is
 // nearly full. One that has answered nothing looks idle then, and without more than the
 // record of one failure it would get the next requests, each of which waits for its
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,6 +71,9 @@
 	// the next attempt, when a silent one was given up.
 	retryPrepaid bool
 
+	// successor is the upstream for which a silent attempt was given up; nil if there is none.
+	successor *engines.Choice
+
 	// headerSent reports whether the header of a response has been sent to the
 	// caller.
 	headerSent bool
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -56,7 +56,7 @@
 		if settled, err := x.prepareAttempt(ctx); settled {
 			return err
 		}
-		choice := s.Placement.Choose(x.requirements())
+		choice := x.choose()
 		if choice.Engine == nil && x.notConnected > 0 && x.mayAskPeers() {
 			x.notConnected = maxNotConnected
 			continue
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,7 +7,6 @@
 
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/reachability"
-	"github.com/poplarshore/poplarshore/retry"
 )
 
 const (
@@ -26,9 +25,6 @@
 	defaultEventGap = 5 * time.Second
 	// maxEventBytes is the largest size of an event.
 	maxEventBytes = 1 << 20
-	// budgetPoll is the interval at which an exhausted retry budget is checked
-	// again.
-	budgetPoll = 250 * time.Millisecond
 	// minWait is the lower bound of every wait, and minReadWait that of a read of a stream,
 	// in which bytes that have arrived are always found.
 	minWait     = time.Millisecond
@@ -58,39 +54,10 @@
 	return max(min(wait, x.timeLeft()), minWait)
 }
 
-// onSilence decides what to do with an attempt that sent nothing for the allowed
-// time. It returns how much longer to wait. Zero gives the attempt up, because
-// the deadline has passed or because another attempt may be made; the retry
-// budget has then been charged for that one. It is not given up for an attempt that
-// the rest of a planned stop's grace can't hold.
-func (a *attempt) onSilence() time.Duration {
-	x := a.exchange
-	left := x.timeLeft()
-	if left <= minWait {
-		return 0
-	}
-	if x.refuseUnfinishable() != nil {
-		return left
-	}
-	// Count the silent attempt as well, since its upstream may run it.
-	retryState := x.retryState
-	retryState.Attempts++
-	decision := x.server.Retry.Decide(&retryState, retry.Failure{Kind: retry.IdleTimeout, HasAlternative: true}, 0, x.server.Clock.Now())
-	x.server.Metrics.retries.WithLabelValues(retry.IdleTimeout.String(), decision.Reason.String()).Inc()
-	a.silences++
-	if decision.Action == retry.Retry {
-		x.retryPrepaid = true
-		return 0
-	}
-	if decision.Reason == retry.AccountBudgetExhausted || decision.Reason == retry.UpstreamBudgetExhausted {
-		return min(left, budgetPoll)
-	}
-	return left
-}
-
 // recordReceived records that a part of the response arrived.
 func (a *attempt) recordReceived() {
 	a.tracked.MarkReceived()
+	a.silent = false
 	a.recordContact(reachability.Received)
 	if a.firstAfter == 0 {
 		a.firstAfter = a.exchange.server.Clock.Since(a.startedAt)
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -53,6 +53,8 @@
 	RetryAfter time.Duration
 	// HasAlternative reports that the next attempt can go to another upstream.
 	HasAlternative bool
+	// Running reports that the attempt still runs, and is given up for another one.
+	Running bool
 }
 
 // State describes a request over all of its attempts.
@@ -132,13 +134,15 @@
 	// AlreadyHedged means that the request has been hedged; each request is
 	// hedged at most once.
 	AlreadyHedged
+	// NoAlternative means that the attempt still runs and nothing else can serve the request.
+	NoAlternative
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"allowed", "may_have_run", "answer_begun", "final", "sender_retries", "attempts_spent",
 	"no_time", "account_budget", "upstream_budget", "may_crash_upstreams",
-	"already_hedged",
+	"already_hedged", "no_alternative",
 }
 
 // String returns the reason's metric label.
@@ -282,6 +286,8 @@
 		return SenderRetries
 	case p.attemptsExhausted(s):
 		return AttemptsExhausted
+	case f.Running && !f.HasAlternative:
+		return NoAlternative
 	}
 	return Allowed
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -90,6 +90,13 @@
 		Expect(p.Decide(request(), f, 0, startTime).Delay).To(Equal(3 * time.Second))
 	})
 
+	It("does not give up a running attempt without an alternative", func() {
+		f := retry.Failure{Kind: retry.IdleTimeout, Running: true}
+		Expect(newPolicy(retry.DefaultOptions()).Decide(request(), f, 0, startTime).Reason).To(Equal(retry.NoAlternative))
+		f.HasAlternative = true
+		Expect(newPolicy(retry.DefaultOptions()).Decide(request(), f, 0, startTime).Action).To(Equal(retry.Retry))
+	})
+
 	It("limits retries and hedges to the ratio of first attempts", func() {
 		o, giveUps := retry.DefaultOptions(), map[retry.Reason]int{}
 		o.Hooks.OnGiveUp = func(_ retry.FailureKind, r retry.Reason) { giveUps[r]++ }
