Count only failures since the last contact with any upstream for a lost way

VMs with few requests counted as cut off from all upstreams although a few of many had ended or paused: three failures in 10 s and 100 ms without anything from the others sufficed, and nothing was due from these. Their requests were sent round by other VMs, which costs them their further attempts, or refused.

A contact shows that the way was there after the failures before it, so these count only where nearly all upstreams fail. TestFailuresBeforeTheLastContactDoNotCount fails without the change.

--- a/experiment/reach/scenario.go
+++ b/experiment/reach/scenario.go
@@ -11,6 +11,7 @@
 	silence
 	refusesNew
 	crashes
+	dark
 	pauses
 )
 
@@ -47,6 +48,8 @@
 	{Name: "half of 12 upstreams end", Upstreams: 12, PerSecond: 10, Takes: time.Second, HeaderWait: streamWait, trouble: crashes, share: 0.5, lasts: 4 * time.Second},
 	{Name: "1 of 3 plain upstreams ends", Upstreams: 3, PerSecond: 5, Takes: 20 * time.Millisecond, HeaderWait: callWait, trouble: crashes, share: 0.34, lasts: 4 * time.Second},
 	{Name: "half of 12 upstreams end, 1 request a second", Upstreams: 12, PerSecond: 1, Takes: time.Second, HeaderWait: streamWait, trouble: crashes, share: 0.5, lasts: 4 * time.Second},
+	{Name: "15 of 90 upstreams end, 3 requests a second", Upstreams: 90, PerSecond: 3, Takes: 200 * time.Millisecond, HeaderWait: streamWait, trouble: crashes, share: 0.17, lasts: 10 * time.Second},
+	{Name: "15 of 90 upstreams are dark, 3 requests a second", Upstreams: 90, PerSecond: 3, Takes: 200 * time.Millisecond, HeaderWait: streamWait, trouble: dark, share: 0.17, lasts: 10 * time.Second},
 	{Name: "12 upstreams are silent for a second", Upstreams: 12, PerSecond: 10, Takes: time.Second, HeaderWait: streamWait, trouble: pauses, share: 1, lasts: time.Second},
 	{Name: "3 plain upstreams are silent for a second", Upstreams: 3, PerSecond: 5, Takes: 20 * time.Millisecond, HeaderWait: callWait, trouble: pauses, share: 1, lasts: time.Second},
 }
--- a/experiment/reach/simulation.go
+++ b/experiment/reach/simulation.go
@@ -154,7 +154,7 @@
 // connect opens a connection, for a request or a probe.
 func (s *simulation) connect(u upstream.ID, request bool) {
 	switch {
-	case s.isConcerned(u, s.now) && s.trouble == silence:
+	case s.isConcerned(u, s.now) && (s.trouble == silence || s.trouble == dark):
 		s.add(s.now+connectTimeout, u, reachability.NotConnected)
 	case s.isConcerned(u, s.now) && s.trouble != pauses:
 		s.add(s.now+roundTrip, u, reachability.NotConnected)
@@ -177,7 +177,7 @@
 		case resets, crashes:
 			s.add(max(at, troubleAt), u, reachability.Lost)
 			return
-		case silence:
+		case silence, dark:
 			s.add(at+s.HeaderWait, u, reachability.Silent)
 			return
 		case pauses:
--- a/reachability/view.go
+++ b/reachability/view.go
@@ -38,9 +38,9 @@
 	// service may be lost; fewer suffice if the service has fewer, or if the way to another
 	// service is lost.
 	MinUnreached int
-	// Quiet is the time without anything from any upstream after which the way counts as lost,
-	// and UnreachedShare the share of unreached upstreams, 0 to 1, from which it does whatever
-	// comes from the others.
+	// Quiet is the time without anything from any upstream after which the way counts as lost if
+	// MinUnreached contacts failed since, and UnreachedShare the share of unreached upstreams, 0 to
+	// 1, from which it does whatever comes from the others.
 	Quiet          time.Duration
 	UnreachedShare float64
 	// Memory is how long an upstream counts as unreached after its last failure, or as silent.
@@ -165,33 +165,54 @@
 func (v *View) Status(usable []upstream.ID, othersCutOff bool, now time.Time) Status {
 	s := Status{Usable: len(usable), SinceContact: now.Sub(v.contactAt)}
 	s.Quiet = s.SinceContact >= v.opts.Quiet
+	var unreached, silent failures
 	for _, u := range usable {
-		if f, unreached := v.unreached[u]; unreached && now.Sub(f.at) < v.opts.Memory {
+		if f, failed := v.unreached[u]; failed && now.Sub(f.at) < v.opts.Memory {
 			s.countUnreached(f.kind)
+			unreached.add(f.at, v.contactAt)
 		}
 		if v.isSilent(u, now) {
 			s.Silent++
+			silent.add(v.silent[u], v.contactAt)
 		}
 	}
 	needed := min(v.opts.MinUnreached, s.Usable)
 	if othersCutOff || !v.lostAt.IsZero() && now.Sub(v.lostAt) < v.opts.RecentLoss {
 		needed = 1
 	}
-	s.CutOff = v.isLost(&s, s.Unreached, needed)
-	s.InDoubt = !s.CutOff && s.Silent > 0 && v.isLost(&s, s.Unreached+s.Silent, needed)
+	s.CutOff = v.isLost(&s, unreached, needed)
+	s.InDoubt = !s.CutOff && s.Silent > 0 && v.isLost(&s, unreached.plus(silent), needed)
 	if s.CutOff {
 		v.lostAt = now
 	}
 	return s
 }
 
-// isLost reports whether the way is lost if the given number of upstreams can't be reached, of
-// which needed ones suffice.
-func (v *View) isLost(s *Status, failed, needed int) bool {
-	if failed == 0 || failed < needed {
+// failures are the numbers of upstreams with which the last contact failed: all of them, and those with
+// which it did since the last contact with any upstream.
+type failures struct{ all, sinceContact int }
+
+// add adds an upstream with which a contact failed at a time. The last contact with any upstream was at
+// contactAt.
+func (f *failures) add(failedAt, contactAt time.Time) {
+	f.all++
+	if !failedAt.Before(contactAt) {
+		f.sinceContact++
+	}
+}
+
+// plus returns the sums of both.
+func (f failures) plus(other failures) failures {
+	return failures{all: f.all + other.all, sinceContact: f.sinceContact + other.sinceContact}
+}
+
+// isLost reports whether the way is lost by the given failures, of which needed ones suffice. A contact
+// shows that the way was there after the failures before it; these count only if nearly all upstreams fail.
+func (v *View) isLost(s *Status, f failures, needed int) bool {
+	if f.all == 0 || f.all < needed {
 		return false
 	}
-	return s.Quiet || float64(failed)/float64(s.Usable) >= v.opts.UnreachedShare
+	return s.Quiet && f.sinceContact >= needed || float64(f.all)/float64(s.Usable) >= v.opts.UnreachedShare
 }
 
 // isSilent reports whether an upstream was silent lately and nothing came from it since.
--- a/reachability/view_test.go
+++ b/reachability/view_test.go
@@ -49,6 +49,24 @@
 	g.Expect(v.Status(usable, false, at(200)).CutOff).To(BeFalse())
 }
 
+// Guards against a VM with few requests that takes the end of some of its many upstreams for a lost way:
+// nothing comes from the others for a moment, as nothing is due.
+func TestFailuresBeforeTheLastContactDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(90)
+	v := newView(usable)
+	for i, u := range usable[:5] {
+		v.Record(u, reachability.NotConnected, at(1000*i))
+		v.Record(usable[80], reachability.Received, at(1000*i+100))
+		g.Expect(v.Status(usable, false, at(1000*i+900)).CutOff).To(BeFalse(), "%d upstreams ended", i+1)
+	}
+	for i, u := range usable[10:13] {
+		g.Expect(v.Status(usable, false, at(6000+10*i)).CutOff).To(BeFalse())
+		v.Record(u, reachability.NotConnected, at(6000+10*i))
+	}
+	g.Expect(v.Status(usable, false, at(6020)).CutOff).To(BeTrue())
+}
+
 func TestWayIsLostIfNearlyAllUpstreamsFailWhateverComesFromOthers(t *testing.T) {
 	g := NewWithT(t)
 	usable := upstreams(12)
