Withdraw versions whose shift did not complete, and take a repeated order for one

Cause: what a shift found was dropped with its state. An order that operators wrote again, as they got no response to the first write, was another order: its version was rolled out a second time, and sessions went back from a completed one.

The state of a shift carries the last four versions whose shifts did not complete; no session uses them until a later order names them.

--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -254,7 +254,7 @@
 // installState replaces the state. The observations of both versions are reset if it
 // belongs to another order. The caller holds mu.
 func (m *Manager) installState(s *serviceState, state shift.State) {
-	if !s.known || !m.isSameOrder(state.Order, s.state.Order) {
+	if !s.known || !m.isSameShift(state, s.state) {
 		s.local, s.inherited = observed{}, observed{}
 		clear(s.remote)
 		clear(s.unanswered)
@@ -271,7 +271,8 @@
 
 // Allowed returns a function that reports whether a session may use a version of
 // the service. Position is the hash of the session's key, 0 to 1. Until the state
-// row of a new order is known, sessions may use all versions but the new one.
+// row of a new order is known, sessions may use all versions but the new one. No session
+// may use a version that an earlier shift did not complete.
 func (m *Manager) Allowed(serviceName string, position float64) func(model.VersionID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -280,12 +281,18 @@
 	case s == nil || s.order.ID == 0 && !s.known:
 		return func(model.VersionID) bool { return true }
 	case m.isNewOrder(s):
-		to := s.order.To
-		return func(v model.VersionID) bool { return v != to }
+		// The shift before may have completed meanwhile, unless it is known to be reverted.
+		return allowOld(s.order.To, s.state)
 	}
 	to := s.state.Order.To
 	if !s.localVerdict.Bad && m.opts.Plan.GetsNewVersion(s.state, position) || s.state.Phase == shift.Complete {
 		return func(v model.VersionID) bool { return v == to }
 	}
-	return func(v model.VersionID) bool { return v != to }
+	return allowOld(to, s.state)
+}
+
+// allowOld returns a function that reports whether a version is neither the new one nor withdrawn in
+// a state.
+func allowOld(newVersion model.VersionID, s shift.State) func(model.VersionID) bool {
+	return func(v model.VersionID) bool { return v != newVersion && !s.IsWithdrawn(v) }
 }
--- a/internal/shifts/restore.go
+++ b/internal/shifts/restore.go
@@ -80,15 +80,16 @@
 	return o.SameRequest(known) && (o.Era > known.Era || o.ID > known.ID && m.recentlyRestored())
 }
 
-// isSameOrder reports whether two orders are the same, possibly written again.
-func (m *Manager) isSameOrder(a, b shift.Order) bool {
-	return a == b || m.isRewrite(a, b) || m.isRewrite(b, a)
+// isSameShift reports whether two states are of the same shift. Its order may have been written again, after a
+// restore or by operators who got no response to the first write.
+func (m *Manager) isSameShift(a, b shift.State) bool {
+	return a.Order == b.Order || a.SameShift(b) || m.isRewrite(a.Order, b.Order) || m.isRewrite(b.Order, a.Order)
 }
 
 // supersedes reports whether state a is newer than b: it is ahead in the same order, or
 // belongs to a later one.
 func (m *Manager) supersedes(a, b shift.State) bool {
-	if m.isSameOrder(a.Order, b.Order) {
+	if m.isSameShift(a, b) {
 		return a.Ahead(b)
 	}
 	return a.Order.After(b.Order)
@@ -110,5 +111,17 @@
 
 // isNewOrder reports whether the service has an order for which there is no state yet.
 func (m *Manager) isNewOrder(s *serviceState) bool {
-	return s.order.After(s.state.Order) && !(s.known && m.isRewrite(s.order, s.state.Order))
+	if !s.order.After(s.state.Order) {
+		return false
+	}
+	return !s.known || !m.isRewrite(s.order, s.state.Order) && !m.isRepeat(s)
+}
+
+// isRepeat reports whether the newest order is that of the known state, which operators wrote once more.
+func (m *Manager) isRepeat(s *serviceState) bool {
+	at, known := s.orderedAt, s.orderedAt != 0
+	if !known {
+		at, known = m.opts.SharedClock.Now()
+	}
+	return known && s.state.IsRepeatedBy(s.order, at)
 }
--- a/internal/shifts/step.go
+++ b/internal/shifts/step.go
@@ -83,7 +83,7 @@
 		next.Order = s.order
 	}
 	if m.isNewOrder(s) {
-		next, changed = shift.Begin(s.order, cmp.Or(s.orderedAt, now)), true
+		next, changed = s.state.Follow(s.order, cmp.Or(s.orderedAt, now)), true
 	} else if s.known && s.localVerdict.Bad && !s.state.Ended() {
 		next, changed = shift.Revert(next, s.localVerdict), true
 	} else if s.known {
--- a/rollout/shift/doc.go
+++ b/rollout/shift/doc.go
@@ -9,6 +9,10 @@
 //	waiting -> steps of a growing share -> complete
 //	   any of these before complete     -> reverted
 //
+// An order for another version begins the next shift. A version whose shift did not complete is
+// withdrawn then, and no session uses it unless a later order names it. An order that is written
+// twice before the deadline, or for the version that the service has, changes nothing.
+//
 // Sessions stay on the old version for the first half of the duration, because a
 // session must not change its version during that time and no VM knows all
 // sessions. After that a session moves once, when the share exceeds the hash of its
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarshore/poplarshore/model"
@@ -60,6 +61,34 @@
 	// Verdict is why the shift was reverted, if it was. It is the zero value if the version
 	// was not shown to be good by the deadline.
 	Verdict rollout.Verdict `json:"verdict,omitzero"`
+	// Withdrawn holds the versions of earlier shifts of the service that did not complete.
+	Withdrawn Withdrawn `json:"withdrawn,omitzero"`
+}
+
+// maxWithdrawn is the number of withdrawn versions that a state remembers. The upstreams of a reverted version
+// leave within seconds, so that only those of the last few shifts may still run.
+const maxWithdrawn = 4
+
+// Withdrawn is a list of withdrawn versions, the latest one first; unused places are empty.
+type Withdrawn [maxWithdrawn]model.VersionID
+
+// Contains reports whether a version is in the list.
+func (w Withdrawn) Contains(v model.VersionID) bool {
+	return v != "" && slices.Contains(w[:], v)
+}
+
+// with returns the list with a version added at its begin.
+func (w Withdrawn) with(v model.VersionID) Withdrawn {
+	added := Withdrawn{v}
+	copy(added[1:], slices.DeleteFunc(w[:], func(other model.VersionID) bool { return other == v }))
+	return added
+}
+
+// without returns the list without a version.
+func (w Withdrawn) without(v model.VersionID) Withdrawn {
+	var rest Withdrawn
+	copy(rest[:], slices.DeleteFunc(w[:], func(other model.VersionID) bool { return other == v }))
+	return rest
 }
 
 // Ended reports whether the shift is complete or reverted.
@@ -150,6 +179,34 @@
 	return State{Order: o, Phase: Active, Started: now}
 }
 
+// Follow returns the first state of an order that follows the shift s of the same service. A version whose shift
+// did not complete is withdrawn, as those that were before, unless the order names it.
+func (s State) Follow(o Order, now time.Duration) State {
+	next := Begin(o, now)
+	next.Withdrawn = s.Withdrawn
+	if s.Phase == Active || s.Phase == Reverted {
+		next.Withdrawn = next.Withdrawn.with(s.Order.To)
+	}
+	next.Withdrawn = next.Withdrawn.without(o.To)
+	return next
+}
+
+// IsWithdrawn reports whether a version was withdrawn by the shift, which has ended, or before it.
+func (s State) IsWithdrawn(v model.VersionID) bool {
+	return s.Withdrawn.Contains(v) || s.Phase == Reverted && v == s.Order.To
+}
+
+// IsRepeatedBy reports whether an order, received at the given time on the shared clock, is the order of s written
+// once more: it requests the same before the shift's deadline, or what the shift has completed.
+func (s State) IsRepeatedBy(o Order, at time.Duration) bool {
+	return o.After(s.Order) && o.SameRequest(s.Order) && (s.Phase == Complete || at < s.Started+s.Order.Duration)
+}
+
+// SameShift reports whether s and other are states of one shift, whose order may have been written twice.
+func (s State) SameShift(other State) bool {
+	return s.Order.SameRequest(other.Order) && s.Started == other.Started
+}
+
 // Revert returns the state after the new version was given up, with the verdict on it.
 func Revert(s State, v rollout.Verdict) State {
 	s.Phase, s.Verdict = Reverted, v
