Go back to upstreams that were only silent when no other one is left

Callers got 502, or a stream that was cut after its first events, if the upstream for which a silent one had been given up failed as well, although the first one had gone on meanwhile. Cause: an attempt that was given up for a silence or a move excluded its upstream for the rest of the request like one that failed, so that a service of two upstreams had none left.

Such an upstream is now selected again if there is no other one, within the request's attempts and the retry budget.

Not changed: with a single upstream, or all of them, a lost connection counts as a lost way at once, and a stream that may be resumed is cut (upstreams_out_of_reach) although the upstream is sound.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -34,7 +34,7 @@
 	}
 	a.tracked.End(result)
 	if failed || moved {
-		x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
+		x.recordTried(a, err)
 		if errorx.IsOfType(err, upconn.ErrSilent) {
 			x.server.Pool.CloseIdle(a.engine.Address())
 			if !cutOff {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -4,10 +4,14 @@
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/peerrelay"
+	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/reachability"
 	"github.com/poplarshore/poplarshore/retry"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 const (
@@ -98,7 +102,7 @@
 func (a *attempt) chooseOther() *engines.Choice {
 	x := a.exchange
 	req := x.requirements()
-	req.Tried = append(slices.Clone(req.Tried), a.engine.ID())
+	req.Tried = append(x.triedWithout(x.resumed()), a.engine.ID())
 	for range maxSuccessors {
 		choice := x.server.Placement.Choose(req)
 		if choice.Engine == nil {
@@ -112,14 +116,45 @@
 	return nil
 }
 
+// resumed returns the upstreams of attempts that were given up that have sent something a moment ago.
+func (x *exchange) resumed() []*engines.Engine {
+	return slices.DeleteFunc(slices.Clone(x.givenUp), func(e *engines.Engine) bool {
+		return e.SinceLastReceived() >= minHeaderWait
+	})
+}
+
 // choose selects the upstream of the next attempt: the one for which a silent attempt was given up,
-// or else the best one.
+// or else the best one. If there is none, those whose attempts were given up may be tried again.
 func (x *exchange) choose() engines.Choice {
 	if successor := x.successor; successor != nil {
 		x.successor = nil
 		return *successor
 	}
-	return x.server.Placement.Choose(x.requirements())
+	req := x.requirements()
+	choice := x.server.Placement.Choose(req)
+	if choice.Engine != nil || len(x.givenUp) == 0 {
+		return choice
+	}
+	req.Tried = x.triedWithout(x.givenUp)
+	if again := x.server.Placement.Choose(req); again.Engine != nil {
+		return again
+	}
+	return choice
+}
+
+// recordTried records that an attempt on an upstream ended with err.
+func (x *exchange) recordTried(a *attempt, err error) {
+	x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
+	if errorx.IsOfType(err, upconn.ErrSilent) || errorx.IsOfType(err, errMoved) {
+		x.givenUp = append(x.givenUp, a.engine)
+	}
+}
+
+// triedWithout returns the upstreams that must not be selected again, except those that are given.
+func (x *exchange) triedWithout(excepted []*engines.Engine) []upstream.ID {
+	return slices.DeleteFunc(slices.Clone(x.retryState.Tried), func(id upstream.ID) bool {
+		return slices.ContainsFunc(excepted, func(e *engines.Engine) bool { return e.ID() == id })
+	})
 }
 
 // hasPeer reports whether another VM may be asked to relay the request.
