Handle relayed requests by the configuration that was in force when they began

Callers got a cut stream, 404 or 401 if a configuration dropped or moved their route, shortened its timeout or revoked their key while their request ran, and the VM then lost its way to the upstreams. Cause: a VM admits a request by the configuration of its start and keeps that over all of its own attempts, but the VM that relays a later attempt matched route, key and timeout by its newest configuration. It refused what had been admitted with a status that is final, ended it at the new timeout, or sent it to the new service.

The VM that asks sends the request's age and the version by which it admitted the request, to VMs that announce keeps_configs; these handle it by the oldest configuration of at least that version that was still in force when the request began. A request that began later is handled by the newest one as before, so that none is handled as only an older version allows. Towards older builds, and from them, nothing changes.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -156,7 +156,7 @@
 	d.hintCounts = hints.NewCounter(d.registry)
 	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d}, collectors.NewGoCollector())
-	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
+	d.operatorSink = &operatorSink{log: d.log, clock: clock, shifts: d.shifts, directory: d.directory}
 	d.upstreamSink = newUpstreamSink(d)
 	d.tables = d.newTables()
 	d.relay = d.newRelay()
@@ -314,7 +314,7 @@
 		List: d.vms, Member: members.Member{
 			Domain: d.settings.VM.Domain, Hints: d.hints.Address(), Feed: feed, Relay: d.announcedRelay(feed.Addr()),
 			Callers:        d.announcedCallers(),
-			PassesEvidence: true, KeepsRegions: true,
+			PassesEvidence: true, KeepsRegions: true, KeepsConfigs: true,
 		},
 		Seeds: d.settings.Seeds, Self: d.settings.Peers.Address, Collector: d.collector,
 		Writer: d.store, Clock: d.clock, Log: d.log,
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -5,6 +5,8 @@
 	"maps"
 	"sync/atomic"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/members"
@@ -18,8 +20,10 @@
 // operatorSink applies the operators' table: the configuration, the orders of
 // roll-outs and the evacuated failure domains. It implements watch.Sink and relay.Tables.
 type operatorSink struct {
-	log    *slog.Logger
-	table  atomic.Pointer[routing.Table]
+	log   *slog.Logger
+	clock clockwork.Clock
+	// History implements relay.Tables.
+	routing.History
 	shifts *shifts.Manager
 	listed atomic.Bool
 	// evacuated holds the evacuated failure domains. Only the watch of the table uses it.
@@ -27,9 +31,6 @@
 	directory *engines.Directory
 }
 
-// Table implements relay.Tables.
-func (o *operatorSink) Table() *routing.Table { return o.table.Load() }
-
 // Reset implements watch.Sink. An evacuation whose row is not listed has ended.
 func (o *operatorSink) Reset(b watch.Batch) {
 	o.evacuated = nil
@@ -84,13 +85,13 @@
 	if err != nil {
 		return err
 	}
-	if current := o.table.Load(); current != nil && config.Version <= current.Version() {
+	if current := o.Table(); current != nil && config.Version <= current.Version() {
 		return nil
 	}
 	for _, s := range config.Services {
 		o.directory.SetColdStart(s.Name, engines.ColdStart{For: s.ColdStart, PerSecond: s.ColdPerSecond})
 	}
-	o.table.Store(routing.Compile(config))
+	o.Install(routing.Compile(config), o.clock.Now())
 	o.log.Info("configuration in force", "config", config.Version, "revision", row.Revision,
 		"routes", len(config.Routes), "accounts", len(config.Accounts))
 	return nil
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -41,6 +41,9 @@
 	// KeepsRegions reports that the VM keeps requests in the regions in which they may be
 	// served. Older builds don't, so that they get no restricted request to relay.
 	KeepsRegions bool `json:"keeps_regions,omitzero"`
+	// KeepsConfigs reports that the VM handles requests that it relays by the configuration that was
+	// in force when they began. Older builds handle them by the newest one.
+	KeepsConfigs bool `json:"keeps_configs,omitzero"`
 }
 
 // List is the list of the other VMs. One goroutine updates it by Reset and Change;
--- a/internal/peerrelay/chooser.go
+++ b/internal/peerrelay/chooser.go
@@ -87,6 +87,8 @@
 	ID vm.ID
 	// Address is the host:port of its listener for relayed requests.
 	Address string
+	// KeepsConfigs is that of members.Member.
+	KeepsConfigs bool
 
 	domain  domain.ID
 	service string
@@ -111,7 +113,7 @@
 		return nil, false
 	}
 	c.inFlight[best.ID]++
-	return &Peer{ID: best.ID, Address: best.Relay.String(), domain: best.Domain, service: service, chooser: c}, true
+	return &Peer{ID: best.ID, Address: best.Relay.String(), KeepsConfigs: best.KeepsConfigs, domain: best.Domain, service: service, chooser: c}, true
 }
 
 // candidates returns VMs that may be asked, at most maxCandidates, in random order. The
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/routing"
 )
 
 // admit prepares an exchange for its first attempt: it finds the route and the
@@ -25,7 +26,7 @@
 	if refused := x.awaitStartup(ctx); refused != nil {
 		return refused
 	}
-	if x.table = s.Tables.Table(); x.table == nil {
+	if x.table = x.admittingTable(); x.table == nil {
 		return refusal.New(refusal.ConfigurationStale)
 	}
 	if x.route = x.table.Match(x.request.Host, x.request.Path); x.route == nil {
@@ -51,6 +52,16 @@
 	return nil
 }
 
+// admittingTable returns the configuration by which the request is handled: the one in force, or for a
+// request of another VM the one that was in force when it began there. It is nil before the first one.
+func (x *exchange) admittingTable() *routing.Table {
+	tables := x.server.Tables
+	if x.hop == nil || !x.hop.keepsConfig {
+		return tables.Table()
+	}
+	return tables.TableAt(x.startedAt.Add(-x.hop.age), x.hop.admittedBy)
+}
+
 const (
 	// startupWait is how long a request waits for the first configuration after
 	// the process started, but at most the caller's deadline divided by
--- a/internal/relay/answer_end_test.go
+++ b/internal/relay/answer_end_test.go
@@ -65,6 +65,8 @@
 
 func (emptyTables) Table() *routing.Table { return routing.Compile(routing.Config{}) }
 
+func (emptyTables) TableAt(time.Time, int64) *routing.Table { return routing.Compile(routing.Config{}) }
+
 // newStream returns a request on a resumable route with 15 s to its deadline, whose answers have
 // some 30 events, and the placement that serves it.
 func newStream(t *testing.T, budget retry.Allowance) (*exchange, *fixedPlacement, *clockwork.FakeClock) {
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -133,6 +133,9 @@
 	// Table returns the current routing table, or nil before the first one has
 	// been read.
 	Table() *routing.Table
+	// TableAt returns the table by which a request is handled that began at the given time on a VM
+	// with at least the given version of the configuration, or nil before the first one.
+	TableAt(began time.Time, minVersion int64) *routing.Table
 }
 
 // Placement selects the upstream for an attempt.
--- a/internal/relay/panic_test.go
+++ b/internal/relay/panic_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
@@ -23,6 +24,8 @@
 
 func (faultyTables) Table() *routing.Table { panic("index out of range") }
 
+func (faultyTables) TableAt(time.Time, int64) *routing.Table { panic("index out of range") }
+
 // TestRequestWhoseHandlingPanicsIsAnswered guards against connections that end without an answer, and without a line
 // in the log.
 func TestRequestWhoseHandlingPanicsIsAnswered(t *testing.T) {
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -145,7 +145,10 @@
 func (x *exchange) exchangeWithPeer(ctx context.Context, peer *peerrelay.Peer) error {
 	s := x.server
 	header := s.Protocol.PeerHeader(x.attemptThroughPeer())
-	peerRequest{from: s.VM, attemptsLeft: x.attemptsLeft(), config: x.requiredConfig()}.addTo(header)
+	peerRequest{
+		from: s.VM, attemptsLeft: x.attemptsLeft(), config: x.requiredConfig(),
+		keepsConfig: peer.KeepsConfigs, admittedBy: x.table.Version(), age: s.Clock.Since(x.startedAt),
+	}.addTo(header)
 	resp, err := s.PeerPool.Do(ctx, upconn.Call{
 		Address: peer.Address,
 		Request: upconn.Request{
--- a/internal/relay/peer_protocol.go
+++ b/internal/relay/peer_protocol.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -12,6 +13,10 @@
 	headerRelayFor      = "Poplarshore-Relay-For"
 	headerAttemptsLeft  = "Poplarshore-Attempts-Left"
 	headerConfigVersion = "Poplarshore-Config-Version"
+	// headerAdmittedBy is the version of the configuration by which the request was admitted, and
+	// headerAge its age in ms. They are only sent to VMs that keep former configurations.
+	headerAdmittedBy = "Poplarshore-Admitted-By"
+	headerAge        = "Poplarshore-Age-Ms"
 	// headerRefusal is the reason of a refusal by the VM itself, in its response.
 	headerRefusal = "Poplarshore-Refusal"
 	// refusedAtDoor is in place of a reason if the sender is no known VM, or its fields are
@@ -28,6 +33,11 @@
 	// config is the version of the configuration by which the VM that asks handles the
 	// request.
 	config int64
+	// keepsConfig reports whether the request is handled by the configuration that was in force when it
+	// began: admittedBy or a later one, age ago.
+	keepsConfig bool
+	admittedBy  int64
+	age         time.Duration
 }
 
 // addTo adds the request's fields to the header.
@@ -35,6 +45,10 @@
 	h.Set(headerRelayFor, string(p.from))
 	h.Set(headerAttemptsLeft, strconv.Itoa(p.attemptsLeft))
 	h.Set(headerConfigVersion, strconv.FormatInt(p.config, 10))
+	if p.keepsConfig {
+		h.Set(headerAdmittedBy, strconv.FormatInt(p.admittedBy, 10))
+		h.Set(headerAge, strconv.FormatInt(p.age.Milliseconds(), 10))
+	}
 }
 
 // takePeerRequest reads the request's fields and removes them from the header. It returns
@@ -44,8 +58,23 @@
 	var attemptsErr, configErr error
 	p.attemptsLeft, attemptsErr = strconv.Atoi(h.Get(headerAttemptsLeft))
 	p.config, configErr = strconv.ParseInt(h.Get(headerConfigVersion), 10, 64)
-	for _, name := range []string{headerRelayFor, headerAttemptsLeft, headerConfigVersion} {
+	p.takeAge(h)
+	for _, name := range []string{headerRelayFor, headerAttemptsLeft, headerConfigVersion, headerAdmittedBy, headerAge} {
 		h.Del(name)
 	}
 	return p, p.from != "" && attemptsErr == nil && configErr == nil && p.attemptsLeft >= 1
 }
+
+// takeAge reads when and by which configuration the request was admitted. Without these, or if they are
+// invalid, it is handled by the configuration in force.
+func (p *peerRequest) takeAge(h http.Header) {
+	admittedBy, versionErr := strconv.ParseInt(h.Get(headerAdmittedBy), 10, 64)
+	age, ageErr := strconv.ParseInt(h.Get(headerAge), 10, 64)
+	if versionErr != nil || ageErr != nil || age < 0 || age > maxAge.Milliseconds() {
+		return
+	}
+	p.keepsConfig, p.admittedBy, p.age = true, admittedBy, time.Duration(age)*time.Millisecond
+}
+
+// maxAge is the highest age of a request that another VM may name.
+const maxAge = time.Hour
--- a/internal/relay/peer_server.go
+++ b/internal/relay/peer_server.go
@@ -65,7 +65,7 @@
 // configuration is older than that of the VM that asks, or it is cut off, too.
 func (x *exchange) checkRelayed() *refusal.Refusal {
 	switch {
-	case x.table.Version() < x.hop.config:
+	case x.server.Tables.Table().Version() < x.hop.config:
 		return refusal.New(refusal.PeerBehind)
 	case x.server.Reach.Status(x.service).CutOff:
 		return refusal.New(refusal.OutOfReach)
