Keep a weak answer if no upstream takes another attempt

Callers got 502 although an upstream had begun to answer them. Cause: a cascade dropped a low-confidence answer for a stronger model without asking whether any upstream takes the next attempt; with none (the policy then only lowers the confidence that it accepts) the answer was gone and the request ended as no_upstream.

The answer is now kept if no upstream can be selected for the step, before the retry budget is charged for it (cascade step kept_no_alternative).

TestWeakAnswerIsDeliveredIfNoUpstreamTakesAnotherRequest (the only upstream says in its answer that it is leaving) failed before with status 502; it and the other tests of cascades pass in three runs, and with -race.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -193,7 +193,7 @@
 
 // shouldEscalate reports whether to drop this response and ask a stronger model.
 // If so, it selects the model of the next attempt and charges the cascade step
-// to the retry budget.
+// to the retry budget. The response is kept if no upstream takes another attempt.
 func (a *attempt) shouldEscalate(head Head) bool {
 	x := a.exchange
 	if !x.routerPicksModel() || x.headerSent {
@@ -211,6 +211,10 @@
 		x.server.Metrics.cascadeSteps.WithLabelValues("kept_" + plannedStop).Inc()
 		return false
 	}
+	if x.server.Placement.Choose(x.requirements()).Engine == nil {
+		x.server.Metrics.cascadeSteps.WithLabelValues("kept_" + retry.NoAlternative.String()).Inc()
+		return false
+	}
 	now := x.server.Clock.Now()
 	if reason := x.server.Retry.DecideStep(&x.retryState, now); reason != retry.Allowed {
 		x.server.Metrics.cascadeSteps.WithLabelValues("kept_" + reason.String()).Inc()
