Let a new connection vouch for the way to upstreams, and forget old failures

And silence of an upstream that could not be reached a minute before was ignored, so that a cut with silent connections left no doubt.

The beginning of a doubt is logged and counted.

--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -54,6 +54,8 @@
 	// cutOff is the last decision, and since when it holds if it is true.
 	cutOff bool
 	since  time.Time
+	// inDoubt is the last decision on whether the way may be lost.
+	inDoubt bool
 }
 
 // New returns a Tracker without contacts.
@@ -63,9 +65,9 @@
 		cutOff: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "poplarshore_reach_cut_off", Help: "1 while this VM does not reach the upstreams of a service."}, []string{"service"}),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "poplarshore_reach_changes_total", Help: "How often the way to the upstreams of a service was lost or regained."}, []string{"service", "change"}),
+			Name: "poplarshore_reach_changes_total", Help: "How often the way to the upstreams of a service was doubted, lost or regained."}, []string{"service", "change"}),
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "poplarshore_reach_probes_total", Help: "Probes of upstreams that this VM does not reach, by outcome."}, []string{"outcome"}),
+			Name: "poplarshore_reach_probes_total", Help: "Probes of upstreams that this VM does not reach, or that are silent, by outcome."}, []string{"outcome"}),
 	}
 	opts.Registry.MustRegister(t.cutOff, t.changes, t.probes)
 	return t
@@ -95,6 +97,17 @@
 	return t.decide(name, s, t.opts.Usable(name))
 }
 
+// Unreached returns the upstreams of a service that can't be reached.
+func (t *Tracker) Unreached(name string) []upstream.ID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		return nil
+	}
+	return s.view.Unreached(t.opts.Clock.Now())
+}
+
 // decide decides whether the way to a service is lost, and notes a change. The caller holds
 // mu.
 func (t *Tracker) decide(name string, s *service, targets []Target) reachability.Status {
@@ -103,6 +116,12 @@
 	if status.CutOff != s.cutOff {
 		t.change(name, s, status, now)
 	}
+	if status.InDoubt && !s.inDoubt {
+		t.changes.WithLabelValues(name, "doubted").Inc()
+		t.opts.Log.Info("upstreams are silent; opening connections to them", "service", name, "silent", status.Silent,
+			"unreached", status.Unreached, "usable", status.Usable, "since_contact_ms", status.SinceContact.Milliseconds())
+	}
+	s.inDoubt = status.InDoubt
 	return status
 }
 
--- a/reachability/view.go
+++ b/reachability/view.go
@@ -48,6 +48,9 @@
 	// RecentLoss is the time after the way was lost in which one unreached upstream suffices, as
 	// it is often lost again.
 	RecentLoss time.Duration
+	// Vouched is the time after a new connection to any upstream in which silence leaves no doubt
+	// whether the way is lost.
+	Vouched time.Duration
 	// ClearingProbes is the number of upstreams that have to be reached again, one after the
 	// other, for the way to be back.
 	ClearingProbes int
@@ -57,7 +60,7 @@
 func DefaultOptions() Options {
 	return Options{
 		MinUnreached: 3, Quiet: 100 * time.Millisecond, UnreachedShare: 0.75,
-		Memory: 10 * time.Second, RecentLoss: 15 * time.Second, ClearingProbes: 3,
+		Memory: 10 * time.Second, RecentLoss: 15 * time.Second, Vouched: time.Second, ClearingProbes: 3,
 	}
 }
 
@@ -69,8 +72,9 @@
 	// were silent.
 	unreached map[upstream.ID]failure
 	silent    map[upstream.ID]time.Time
-	// contactAt is when anything last came from any upstream.
-	contactAt time.Time
+	// contactAt is when anything last came from any upstream, and connectedAt when a connection to
+	// one was last opened.
+	contactAt, connectedAt time.Time
 	// lostAt is when the way was last seen lost.
 	lostAt time.Time
 	// regained is the number of unreached upstreams that were connected to again since the
@@ -91,7 +95,7 @@
 		delete(v.unreached, u)
 		delete(v.silent, u)
 	case Connected:
-		v.contactAt = now
+		v.contactAt, v.connectedAt = now, now
 		v.regain(u)
 	case NotConnected, Lost:
 		v.unreached[u] = failure{at: now, kind: c}
@@ -104,9 +108,28 @@
 
 // recordSilence records that an upstream was silent. That says nothing new of one that can't be reached.
 func (v *View) recordSilence(u upstream.ID, now time.Time) {
-	if _, unreached := v.unreached[u]; !unreached {
-		v.silent[u] = now
+	if v.isUnreached(u, now) {
+		return
+	}
+	delete(v.unreached, u)
+	v.silent[u] = now
+}
+
+// isUnreached reports whether the last contact with an upstream failed lately.
+func (v *View) isUnreached(u upstream.ID, now time.Time) bool {
+	f, failed := v.unreached[u]
+	return failed && now.Sub(f.at) < v.opts.Memory
+}
+
+// Unreached returns the upstreams that can't be reached.
+func (v *View) Unreached(now time.Time) []upstream.ID {
+	var unreached []upstream.ID
+	for u := range v.unreached {
+		if v.isUnreached(u, now) {
+			unreached = append(unreached, u)
+		}
 	}
+	return unreached
 }
 
 // regain records that an upstream was connected to. If enough of those that can't be reached
@@ -167,7 +190,8 @@
 	s.Quiet = s.SinceContact >= v.opts.Quiet
 	var unreached, silent failures
 	for _, u := range usable {
-		if f, failed := v.unreached[u]; failed && now.Sub(f.at) < v.opts.Memory {
+		if v.isUnreached(u, now) {
+			f := v.unreached[u]
 			s.countUnreached(f.kind)
 			unreached.add(f.at, v.contactAt)
 		}
@@ -181,7 +205,8 @@
 		needed = 1
 	}
 	s.CutOff = v.isLost(&s, unreached, needed)
-	s.InDoubt = !s.CutOff && s.Silent > 0 && v.isLost(&s, unreached.plus(silent), needed)
+	vouched := now.Sub(v.connectedAt) < v.opts.Vouched
+	s.InDoubt = !s.CutOff && !vouched && s.Silent > 0 && v.isLost(&s, unreached.plus(silent), needed)
 	if s.CutOff {
 		v.lostAt = now
 	}
--- a/reachability/view_test.go
+++ b/reachability/view_test.go
@@ -199,6 +199,33 @@
 	g.Expect(v.Status(usable, false, at(2000)).InDoubt).To(BeFalse())
 }
 
+// Guards against a cut that is not noticed, because all upstreams were lost long before.
+func TestSilenceCountsAfterOldFailure(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(3)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.Lost, at(0))
+	}
+	for _, u := range usable {
+		v.Record(u, reachability.Silent, at(60_000))
+	}
+	g.Expect(v.Status(usable, false, at(60_000)).InDoubt).To(BeTrue())
+	g.Expect(v.Unreached(at(60_000))).To(BeEmpty())
+}
+
+// Guards against connections that are opened again and again while upstreams pause.
+func TestNewConnectionVouchesForTheWay(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(1)
+	v := newView(usable)
+	v.Record(usable[0], reachability.Silent, at(1000))
+	v.Record(usable[0], reachability.Connected, at(1030))
+	v.Record(usable[0], reachability.Silent, at(1250))
+	g.Expect(v.Status(usable, false, at(1500)).InDoubt).To(BeFalse())
+	g.Expect(v.Status(usable, false, at(2100)).InDoubt).To(BeTrue())
+}
+
 func TestFewSilentUpstreamsOfManyLeaveNoDoubt(t *testing.T) {
 	g := NewWithT(t)
 	usable := upstreams(12)
