Charge the retry budget once for a stream that is given up once

Each such stream cost two retries of the budget, so that fewer were left when an upstream really failed. The wait for an event is now only judged after a read without an error.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -57,7 +57,7 @@
 // recordReceived records that a part of the response arrived.
 func (a *attempt) recordReceived() {
 	a.tracked.MarkReceived()
-	a.silent = false
+	a.overdue = false
 	a.recordContact(reachability.Received)
 	if a.firstAfter == 0 {
 		a.firstAfter = a.exchange.server.Clock.Since(a.startedAt)
@@ -106,12 +106,12 @@
 		if forwarded {
 			a.recordPace()
 			awaited = a.awaitEvent()
-		} else if awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited) {
-			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
 		}
 		switch {
 		case pending.partialBytes() > maxEventBytes:
 			return upconn.ErrBroken.New("event larger than %d bytes from %s", maxEventBytes, a.engine.ID())
+		case err == nil && awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited):
+			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
 		case err == nil:
 			continue
 		case !errors.Is(err, io.EOF):
