Give a silent attempt up only for an upstream or VM that is known to answer

The attempt's own upstream must now be unreached, and another VM must have relayed a request for the service within three seconds. - While a VM counted as cut off and no other VM was there, no other upstream was looked for: calls stayed at a mute one. One is silent only if a request to it got nothing for its idle timeout. - The check for quarantines used up a probe's permit at each poll; it has no effect now. - A successor is checked again before it is used, and polls don't count as decisions.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -168,19 +168,12 @@
 	return e.directory.clock.Since(e.lastReceivedAt)
 }
 
-// Silence returns for how long the upstream has sent nothing although requests of this VM run on
-// it; zero if none does.
-func (e *Engine) Silence() time.Duration {
+// IsSilent reports whether a request to the upstream lately got nothing for its idle timeout, and nothing has
+// come from the upstream since.
+func (e *Engine) IsSilent() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.inFlight == 0 {
-		return 0
-	}
-	since := e.lastReceivedAt
-	if len(e.pending) == e.inFlight && e.pending[0].startedAt.After(since) {
-		since = e.pending[0].startedAt
-	}
-	return e.directory.clock.Since(since)
+	return e.directory.clock.Now().Before(e.silentUntil)
 }
 
 // fillCandidate fills in the upstream as a candidate for selection. FirstToken is
--- a/internal/peerrelay/chooser.go
+++ b/internal/peerrelay/chooser.go
@@ -116,6 +116,23 @@
 	return &Peer{ID: best.ID, Address: best.Relay.String(), KeepsConfigs: best.KeepsConfigs, domain: best.Domain, service: service, chooser: c}, true
 }
 
+// HasProven reports whether a VM in one of the regions that may be asked has lately relayed a request for the
+// service, so that it reaches its upstreams.
+func (c *Chooser) HasProven(service string, regions domain.RegionSet) bool {
+	now := c.opts.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.candidates(service, regions, nil, now), func(m members.Member) bool {
+		return c.isProven(m.ID, service, now)
+	})
+}
+
+// isProven reports whether a VM has lately relayed a request for the service. The caller holds mu.
+func (c *Chooser) isProven(id vm.ID, service string, now time.Time) bool {
+	provenAt, known := c.provenAt[standingKey{id, service}]
+	return known && now.Sub(provenAt) <= provenFor
+}
+
 // candidates returns VMs that may be asked, at most maxCandidates, in random order. The
 // caller holds mu, as for cost.
 func (c *Chooser) candidates(service string, regions domain.RegionSet, tried []vm.ID, now time.Time) []members.Member {
@@ -147,8 +164,7 @@
 	case c.opts.RegionOf(m.Domain) == c.opts.Region:
 		cost = sameRegionCost
 	}
-	provenAt, known := c.provenAt[standingKey{m.ID, service}]
-	if !known || now.Sub(provenAt) > provenFor {
+	if !c.isProven(m.ID, service, now) {
 		cost += costIfNotProven
 		if refusedAt, refused := c.domainRefusedAt[domainKey{m.Domain, service}]; refused && now.Sub(refusedAt) < doubtedFor {
 			cost += costIfDoubted
--- a/internal/quarantines/guard.go
+++ b/internal/quarantines/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,6 +115,22 @@
 	return Exclusion{}, false
 }
 
+// Excludes reports whether Check would refuse a request with the keys. It uses no permit up and counts nothing.
+func (g *Guard) Excludes(keys []quarantine.Key) bool {
+	if g.idle.Load() {
+		return false
+	}
+	now, _ := g.opts.SharedClock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.ContainsFunc(keys, func(key quarantine.Key) bool {
+		if _, active := g.list.Active(key); active {
+			return !g.hasPermit(key)
+		}
+		return g.held[key] > now
+	})
+}
+
 // The caller of the following methods holds mu.
 
 func (g *Guard) check(key quarantine.Key, now time.Duration) (Exclusion, bool) {
--- a/internal/quarantines/row.go
+++ b/internal/quarantines/row.go
@@ -152,9 +152,9 @@
 // usePermit reports whether a request with the key may be sent as a probe, and uses the
 // permit up.
 func (g *Guard) usePermit(key quarantine.Key) bool {
-	until, granted := g.row.permits[key]
+	permitted := g.hasPermit(key)
 	delete(g.row.permits, key)
-	if !granted || g.clock.Now().After(until) {
+	if !permitted {
 		return false
 	}
 	g.metrics.probes.WithLabelValues("sent").Inc()
@@ -162,6 +162,12 @@
 	return true
 }
 
+// hasPermit reports whether a request with the key may be sent as a probe.
+func (g *Guard) hasPermit(key quarantine.Key) bool {
+	until, granted := g.row.permits[key]
+	return granted && !g.clock.Now().After(until)
+}
+
 // isStored reports whether the row has the entry, or a state of it that is as good.
 func (g *Guard) isStored(e quarantine.Entry) bool {
 	stored, exists := g.row.entries[e.Key]
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -40,10 +40,10 @@
 	headAfter time.Duration
 	// maxGap is the longest time between two events.
 	maxGap time.Duration
-	// silences counts how often nothing came for the idle timeout; silent reports whether nothing
+	// silences counts how often nothing came for the idle timeout; overdue reports whether nothing
 	// has come since the last time.
 	silences int
-	silent   bool
+	overdue  bool
 	// expectedEnd is the time from startedAt to the expected end of the answer; zero if unknown.
 	expectedEnd time.Duration
 	// events is the number of events, and pacedEvents that of those recorded for the pace of
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,8 +71,8 @@
 	// the next attempt, when a silent one was given up.
 	retryPrepaid bool
 
-	// successor is the upstream for which a silent attempt was given up; nil if there is none.
-	successor *engines.Choice
+	// successor is that for which a silent attempt was given up, until the next attempt.
+	successor successor
 	// givenUp holds the upstreams of attempts that were given up for a silence or moved. They are
 	// tried again if there is no other one.
 	givenUp []*engines.Engine
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -151,6 +151,8 @@
 	// Check returns why a request with the keys must not be sent now, and false if it may
 	// be.
 	Check(keys []quarantine.Key) (quarantines.Exclusion, bool)
+	// Excludes reports whether Check would refuse a request with the keys, without an effect.
+	Excludes(keys []quarantine.Key) bool
 	// Begin registers an attempt of a request with the keys. End must be called on the
 	// result.
 	Begin(of quarantine.Incarnation, keys []quarantine.Key) *quarantines.Attempt
@@ -162,6 +164,8 @@
 	Record(service string, u upstream.ID, c reachability.Contact)
 	// Status returns how this VM reaches the upstreams of a service.
 	Status(service string) reachability.Status
+	// Unreached returns the upstreams of a service that can't be reached.
+	Unreached(service string) []upstream.ID
 }
 
 // Peers selects other VMs that relay requests for this one.
@@ -169,6 +173,8 @@
 	// Choose returns a VM in one of the regions that may relay a request for a service, other
 	// than those tried, and false if there is none. End must be called on the result.
 	Choose(service string, regions domain.RegionSet, tried []vm.ID) (*peerrelay.Peer, bool)
+	// HasProven reports whether such a VM has lately relayed a request for the service.
+	HasProven(service string, regions domain.RegionSet) bool
 }
 
 // Versions decides which versions a session may use and records how attempts on
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -65,9 +65,10 @@
 	return x.hop == nil && !x.peersAsked && x.attemptsLeft() >= 1
 }
 
-// shouldAskPeers reports whether other VMs are to be asked to relay the request.
+// shouldAskPeers reports whether other VMs are to be asked to relay the request. They are not while an
+// upstream has been chosen that is reached.
 func (x *exchange) shouldAskPeers() bool {
-	if !x.mayAskPeers() {
+	if !x.mayAskPeers() || x.successor.choice != nil {
 		return false
 	}
 	status := x.server.Reach.Status(x.service)
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -7,20 +7,15 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/internal/engines"
-	"github.com/poplarshore/poplarshore/internal/peerrelay"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/reachability"
 	"github.com/poplarshore/poplarshore/retry"
 	"github.com/poplarshore/poplarshore/upstream"
 )
 
-const (
-	// silencePoll is the interval at which it is decided again whether a silent attempt is given up,
-	// if the reason against it may pass.
-	silencePoll = 250 * time.Millisecond
-	// maxSuccessors is the number of upstreams that are looked at to replace a silent one.
-	maxSuccessors = 3
-)
+// silencePoll is the interval at which it is decided again whether a silent attempt is given up, if the reason
+// against it may pass.
+const silencePoll = 250 * time.Millisecond
 
 // onSilence decides what to do with an attempt that sent nothing for the allowed
 // time. It returns how much longer to wait. Zero gives the attempt up, because
@@ -38,7 +33,9 @@
 	if x.refuseUnfinishable() != nil {
 		return left
 	}
-	switch a.decideSilence() {
+	reason := a.decideSilence()
+	a.countDecision(reason)
+	switch reason {
 	case retry.Allowed:
 		x.retryPrepaid = true
 		return 0
@@ -48,72 +45,87 @@
 	return left
 }
 
-// recordSilence records that nothing came for the allowed time, or until the next poll after that.
+// recordSilence records that nothing came for the allowed time, or until the next poll after that. A VM that
+// may have lost its way to the upstreams blames none of them.
 func (a *attempt) recordSilence() {
-	if !a.silent {
-		a.silent = true
-		a.silences++
+	if a.engine.SinceLastReceived() < a.sinceReceived() {
+		return
 	}
-	if a.engine.SinceLastReceived() >= a.silence() {
-		a.recordContact(reachability.Silent)
+	a.recordContact(reachability.Silent)
+	if !a.exchange.server.Reach.Status(a.exchange.service).MayBeCutOff() {
+		a.engine.MarkSilent()
 	}
 }
 
-// silence returns for how long the attempt has received nothing.
-func (a *attempt) silence() time.Duration {
+// sinceReceived returns for how long the attempt has received nothing.
+func (a *attempt) sinceReceived() time.Duration {
 	return a.exchange.server.Clock.Since(a.startedAt) - max(a.lastAfter, a.firstAfter, a.headAfter)
 }
 
+// countDecision counts a decision on a silent attempt: the first one, and the one that gives it up.
+func (a *attempt) countDecision(reason retry.Reason) {
+	if a.overdue && reason != retry.Allowed {
+		return
+	}
+	if !a.overdue {
+		a.overdue = true
+		a.silences++
+	}
+	a.exchange.server.Metrics.retries.WithLabelValues(retry.IdleTimeout.String(), reason.String()).Inc()
+}
+
 // decideSilence returns Allowed if the silent attempt is given up for another one, for which the
 // retry budget has then been charged, and otherwise why not.
 func (a *attempt) decideSilence() retry.Reason {
 	x := a.exchange
-	successor, found := a.findSuccessor()
+	next, found := a.findSuccessor()
 	// Count the silent attempt as well, since its upstream may run it.
 	retryState := x.retryState
 	retryState.Attempts++
 	failure := retry.Failure{Kind: retry.IdleTimeout, Running: true, HasAlternative: found}
 	reason := x.server.Retry.Decide(&retryState, failure, 0, x.server.Clock.Now()).Reason
-	x.server.Metrics.retries.WithLabelValues(retry.IdleTimeout.String(), reason.String()).Inc()
 	if reason == retry.Allowed {
-		x.successor = successor
+		x.successor = next
 	}
 	return reason
 }
 
-// findSuccessor looks for what can serve the request in place of the running attempt: another
-// upstream, or nil for another VM, if this one has lost its way to the upstreams. While that is in
-// doubt there is nothing.
-func (a *attempt) findSuccessor() (*engines.Choice, bool) {
+// successor is what serves a request in place of an attempt that is given up: another upstream, or another
+// VM if choice is nil.
+type successor struct{ choice *engines.Choice }
+
+// findSuccessor looks for what can serve the request in place of the running attempt. While it is in doubt
+// whether this VM has lost its way to the upstreams, there is nothing.
+func (a *attempt) findSuccessor() (successor, bool) {
 	x := a.exchange
 	status := x.server.Reach.Status(x.service)
-	switch {
-	case status.CutOff:
-		return nil, x.hasPeer()
-	case status.InDoubt, x.refuseQuarantined() != nil:
-		return nil, false
-	}
-	choice := a.chooseOther()
-	return choice, choice != nil
+	if status.InDoubt || x.server.Quarantine.Excludes(x.keys) {
+		return successor{}, false
+	}
+	unreached := x.server.Reach.Unreached(x.service)
+	if status.CutOff && slices.Contains(unreached, a.engine.ID()) && x.hasProvenPeer() {
+		return successor{}, true
+	}
+	choice := a.chooseOther(unreached)
+	return successor{choice: choice}, choice != nil
 }
 
-// chooseOther returns the choice of another upstream that is not silent itself; nil if there is
-// none.
-func (a *attempt) chooseOther() *engines.Choice {
+// chooseOther returns the choice of another upstream that is reached and not silent itself; nil if there is
+// none. Silent ones are chosen last.
+func (a *attempt) chooseOther(unreached []upstream.ID) *engines.Choice {
 	x := a.exchange
 	req := x.requirements()
-	req.Tried = append(x.triedWithout(x.resumed()), a.engine.ID())
-	for range maxSuccessors {
-		choice := x.server.Placement.Choose(req)
-		if choice.Engine == nil {
-			return nil
-		}
-		if choice.Engine.Silence() < minHeaderWait {
-			return &choice
-		}
-		req.Tried = append(req.Tried, choice.Engine.ID())
-	}
-	return nil
+	req.Tried = append(append(x.triedWithout(x.resumed()), a.engine.ID()), unreached...)
+	choice := x.server.Placement.Choose(req)
+	if choice.Engine == nil || choice.Engine.IsSilent() {
+		return nil
+	}
+	return &choice
+}
+
+// hasProvenPeer reports whether another VM that reaches the upstreams may be asked to relay the request.
+func (x *exchange) hasProvenPeer() bool {
+	return x.mayAskPeers() && x.server.Peers.HasProven(x.service, x.regions())
 }
 
 // resumed returns the upstreams of attempts that were given up that have sent something a moment ago.
@@ -126,9 +138,8 @@
 // choose selects the upstream of the next attempt: the one for which a silent attempt was given up,
 // or else the best one. If there is none, those whose attempts were given up may be tried again.
 func (x *exchange) choose() engines.Choice {
-	if successor := x.successor; successor != nil {
-		x.successor = nil
-		return *successor
+	if choice := x.takeSuccessor(); choice != nil {
+		return *choice
 	}
 	req := x.requirements()
 	choice := x.server.Placement.Choose(req)
@@ -157,14 +168,14 @@
 	})
 }
 
-// hasPeer reports whether another VM may be asked to relay the request.
-func (x *exchange) hasPeer() bool {
-	if !x.mayAskPeers() {
-		return false
+// takeSuccessor returns the upstream for which a silent attempt was given up, if it may still be used. Nil means that
+// there is none.
+func (x *exchange) takeSuccessor() *engines.Choice {
+	choice := x.successor.choice
+	x.successor = successor{}
+	if choice == nil || !choice.Engine.TakesRequests() || choice.Engine.IsSilent() ||
+		!x.server.Versions.Allowed(x.service, x.sessionPosition)(choice.Engine.Version()) {
+		return nil
 	}
-	peer, found := x.server.Peers.Choose(x.service, x.regions(), nil)
-	if found {
-		peer.End(peerrelay.Inconclusive)
-	}
-	return found
+	return choice
 }
