Soak: stop no engines of roll-outs and replacements that the run cuts short

Cause, in the soak: when the time of faults was over, a roll-out that had not ended counted as reverted, and the engines of its version were stopped at once; likewise the wait of a revert and of a drain was cut short. The platform stops engines only after the end of a roll-out, of the rollback and of the drain.

They stay now until the run ends. No check changes: an exclusion begins after its bound, which lies beyond the requests that are sent in the rest of the run.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -247,7 +247,7 @@
 }
 
 // replaceEngine starts a replacement of an upstream, marks the old one as draining and
-// removes it after the drain bound.
+// removes it after the drain bound, unless the run has ended by then.
 func (f *injector) replaceEngine(ctx context.Context, rng *rand.Rand) {
 	if !f.replaceMu.TryLock() {
 		return
@@ -261,6 +261,9 @@
 	f.bed.register(e, "draining")
 	f.report.addExclusion(exclusion{engines: []*engine{e}, since: time.Now(), bound: f.bounds.Drain, reason: "leaving"})
 	sleep(ctx, f.bounds.Drain+f.bounds.HostAllowance)
+	if ctx.Err() != nil {
+		return
+	}
 	f.bed.removeEngine(e)
 }
 
@@ -288,8 +291,8 @@
 func (f *injector) rollOutBad(ctx context.Context, rng *rand.Rand) { f.rollOut(ctx, rng, 70) }
 
 // rollOut starts as many engines of a new version as there are model engines and requests
-// a roll-out to it. When it has ended, the engines of the version that is out of service are
-// removed. It is a violation if a bad version is completed, or a good one reverted without a
+// a roll-out to it. When it has ended before the run, the engines of the version that is out of
+// service are removed. It is a violation if a bad version is completed, or a good one reverted without a
 // disturbance of the store or an upstream.
 func (f *injector) rollOut(ctx context.Context, _ *rand.Rand, failurePercent int32) {
 	if !f.replaceMu.TryLock() {
@@ -312,6 +315,10 @@
 	}
 	f.bed.store.Put("op", "rollout/"+modelService, map[string]any{"Service": modelService, "To": version, "DurationS": rolloutSeconds})
 	phase := f.awaitPhase(ctx, version)
+	if phase == "" {
+		// The platform stops no engines before a roll-out has ended.
+		return
+	}
 	switch {
 	case phase == "complete" && failurePercent > 0:
 		f.report.addViolation("roll-out of bad version %s was completed", version)
@@ -327,6 +334,9 @@
 	} else {
 		f.report.addExclusion(exclusion{engines: newEngines, since: time.Now(), bound: f.bounds.Rollback, reason: "found bad"})
 		sleep(ctx, f.bounds.Rollback+f.bounds.HostAllowance)
+		if ctx.Err() != nil {
+			return
+		}
 	}
 	for _, e := range retired {
 		f.bed.removeEngine(e)
