Soak: let sound engines fall silent, and check that requests are answered

The check: each whole request, with nothing but silences, configurations, SIGHUP, planned stops and roll-outs since 4 s before it, ends with its whole answer, an engine's failure, or a status that says truly that it was not run. The report counts these by reason.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -26,6 +26,9 @@
 	// LimitDelay is the time from which on a limit that an upstream names is kept, over any
 	// LimitSpan.
 	LimitDelay, LimitSpan time.Duration
+	// LossSlack is the time after the last byte of a request within which a connection may end
+	// without an answer, if the request was not passed on. No HostAllowance is added to it.
+	LossSlack time.Duration
 	// HostAllowance is added to each of them, as the host may be busy.
 	HostAllowance time.Duration
 }
@@ -34,7 +37,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		SettleTime: 4 * time.Second, Config: 3 * time.Second, Drain: 3 * time.Second, Rollback: 5 * time.Second, Evacuate: 5 * time.Second,
-		LimitDelay: 4 * time.Second, LimitSpan: 4 * time.Second, HostAllowance: time.Second,
+		LimitDelay: 4 * time.Second, LimitSpan: 4 * time.Second, LossSlack: 200 * time.Millisecond, HostAllowance: time.Second,
 	}
 }
 
@@ -70,6 +73,7 @@
 	c.checkCuts()
 	c.checkFragileTimes()
 	c.checkEnds()
+	c.checkSilences()
 	if n := c.testbed.addEngineErrors.Load(); n > 0 {
 		c.addViolation("%d upstreams could not be started after a crash", n)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -329,7 +329,7 @@
 	if phase == "complete" {
 		retired = oldEngines
 		for _, e := range oldEngines {
-			e.link.SetMode(Refuse)
+			e.stop()
 		}
 	} else {
 		f.report.addExclusion(exclusion{engines: newEngines, since: time.Now(), bound: f.bounds.Rollback, reason: "found bad"})
--- a/soak/intervals.go
+++ b/soak/intervals.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,6 +29,28 @@
 	}
 }
 
+// overlap returns for how long any of the intervals overlapped the time between from and until.
+func (s *intervals) overlap(from, until time.Time) time.Duration {
+	s.mu.Lock()
+	entries := slices.Clone(s.entries)
+	s.mu.Unlock()
+	slices.SortFunc(entries, func(a, b interval) int { return a.from.Compare(b.from) })
+	var total time.Duration
+	for _, entry := range entries {
+		if entry.until.IsZero() || entry.until.After(until) {
+			entry.until = until
+		}
+		if entry.from.Before(from) {
+			entry.from = from
+		}
+		if entry.until.After(entry.from) {
+			total += entry.until.Sub(entry.from)
+			from = entry.until
+		}
+	}
+	return total
+}
+
 // noneOverlap reports whether no interval overlaps the time between from and until.
 func (s *intervals) noneOverlap(from, until time.Time) bool {
 	s.mu.Lock()
--- a/soak/late_callers.go
+++ b/soak/late_callers.go
@@ -153,9 +153,12 @@
 	return standin.Response{Status: resp.StatusCode, Header: resp.Header, Body: string(body), Incomplete: err != nil, Err: err}
 }
 
+// isSlow reports whether orders with the path take some time.
+func isSlow(path string) bool { return strings.HasPrefix(path, slowPath) }
+
 // takeTime makes an order with slowPath take some time, unless its VM leaves.
 func takeTime(r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, slowPath) {
+	if isSlow(r.URL.Path) {
 		sleep(r.Context(), time.Duration(rand.Int64N(int64(slowOrder))))
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -43,6 +43,9 @@
 	OddRows bool
 	// Regions includes evacuations and other home regions of a route among the faults.
 	Regions bool
+	// Silences includes sound engines that send nothing for a moment among the faults, and checks
+	// that requests are answered in spite of them.
+	Silences bool
 	// LateCallers is the number of callers that send some requests slowly, and each on a connection
 	// that it opens again when the VM ends it.
 	LateCallers int
@@ -75,6 +78,8 @@
 	Faults map[string]int `json:"faults"`
 	// Violations describes each failed check. It is empty if the run passed.
 	Violations []string `json:"violations"`
+	// Silences is what was checked beside silent engines; nil in runs without these.
+	Silences *SilenceReport `json:"silences,omitempty"`
 
 	mu           sync.Mutex
 	plannedStops []plannedStop
@@ -85,6 +90,16 @@
 	evacuations  []evacuation
 }
 
+// SilenceReport counts the requests that are to be answered in spite of silent engines.
+type SilenceReport struct {
+	// Checked is the number of whole requests beside planned work and silences alone, and
+	// DuringSilence that of those during which an engine was silent.
+	Checked       int `json:"checked"`
+	DuringSilence int `json:"during_silence"`
+	// Unanswered counts those that ended without an answer, as the rules allow, by reason.
+	Unanswered map[string]int `json:"unanswered"`
+}
+
 func (r *Report) addViolation(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,6 +155,9 @@
 	if err != nil {
 		return report, err
 	}
+	if o.Silences {
+		report.Silences = &SilenceReport{Unanswered: make(map[string]int)}
+	}
 	traffic := newTrafficGenerator(bed)
 	if err := traffic.awaitReady(ctx); err != nil {
 		return report, err
@@ -183,6 +201,9 @@
 	if o.Regions {
 		faults.kinds = append(slices.Clip(faults.kinds), regionFaults...)
 	}
+	if o.Silences {
+		faults.kinds = append(slices.Clip(faults.kinds), silenceFault)
+	}
 	if len(o.Only) > 0 {
 		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
 	}
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -26,6 +26,9 @@
 	// Streams of 16 events every 40 ms last less than a second.
 	streamEvents = 16
 	streamGap    = 40 * time.Millisecond
+	// streamTimeout and callTimeout are the timeouts of the routes of streams and of calls.
+	streamTimeout = 12 * time.Second
+	callTimeout   = 4 * time.Second
 	// maxAttempts is the limit of attempts per request of all routes.
 	maxAttempts = 3
 )
@@ -44,6 +47,20 @@
 	limit atomic.Pointer[float64]
 	// spoilsAnswers lets it write faulty answers; see spoiled.
 	spoilsAnswers atomic.Bool
+	// stoppedAt is when it was stopped, in Unix nanoseconds; 0 while it is not.
+	stoppedAt atomic.Int64
+}
+
+// stop makes the upstream unreachable for good.
+func (e *engine) stop() {
+	e.stoppedAt.CompareAndSwap(0, time.Now().UnixNano())
+	e.link.SetMode(Refuse)
+}
+
+// stopTime returns when the upstream was stopped; false if it was not.
+func (e *engine) stopTime() (time.Time, bool) {
+	at := e.stoppedAt.Load()
+	return time.Unix(0, at), at != 0
 }
 
 // testbed is the environment of a run: the store, the upstreams and the VMs.
@@ -56,6 +73,8 @@
 
 	// disturbances are the intervals with a fault of the store or of an upstream.
 	disturbances intervals
+	// silences are the intervals in which sound engines send nothing.
+	silences intervals
 	// oddRows are the intervals with odd entries among those of the engines.
 	oddRows intervals
 	// crashes are the intervals in which requests crash upstreams. addEngineErrors counts the
@@ -244,7 +263,7 @@
 
 // removeEngine makes an upstream unreachable and deletes its entry from the store.
 func (b *testbed) removeEngine(e *engine) {
-	e.link.SetMode(Refuse)
+	e.stop()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.registeredEngines, e.ID)
@@ -281,11 +300,11 @@
 // homes only. The last one is its probe route.
 func routes(version int64, homes []string) []standin.Route {
 	return []standin.Route{
-		{Name: "stream", Host: siteHost, Prefix: "/s/", Kind: standin.KindStreaming, Service: modelService, TimeoutMS: 12000, TargetLatencyMS: 2000,
+		{Name: "stream", Host: siteHost, Prefix: "/s/", Kind: standin.KindStreaming, Service: modelService, TimeoutMS: streamTimeout.Milliseconds(), TargetLatencyMS: 2000,
 			Sizes: []string{"small", "large"}, MaxAttempts: maxAttempts, Resumable: true},
-		{Name: "order", Host: siteHost, Prefix: "/o/", Kind: standin.KindNonIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts},
-		{Name: "look", Host: siteHost, Prefix: "/l/", Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts, Regions: homes},
-		{Name: "probe", Host: siteHost, Prefix: probePath(version), Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: 4000, TargetLatencyMS: 400, MaxAttempts: maxAttempts},
+		{Name: "order", Host: siteHost, Prefix: "/o/", Kind: standin.KindNonIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: 400, MaxAttempts: maxAttempts},
+		{Name: "look", Host: siteHost, Prefix: "/l/", Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: 400, MaxAttempts: maxAttempts, Regions: homes},
+		{Name: "probe", Host: siteHost, Prefix: probePath(version), Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: 400, MaxAttempts: maxAttempts},
 	}
 }
 
