Soak: don't blame a planned stop for responses of engines that a roll-out stopped

Trace: the stream ran on an engine of the old version; the roll-out was completed at 46:48.647, the platform stopped the engine, and the attempt ended 8 ms later with connection_lost. The response was cut at 46:49.616, 33 ms after the SIGTERM, which had no part in it.

The check of planned stops now passes over requests that ran on an engine which was stopped before they ended, as the check of silences does.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -48,6 +48,8 @@
 	bounds    Bounds
 	exchanges []exchange
 	runs      map[string][]standin.Run // by request ID
+	// brokenOff holds the IDs of the requests that ran on an engine which was stopped before they ended.
+	brokenOff map[string]bool
 	report    *Report
 }
 
@@ -57,12 +59,14 @@
 
 func (c *checker) check() {
 	c.collectRuns()
+	c.collectBrokenOff()
 	for _, x := range c.exchanges {
 		c.checkResponse(x)
 		c.checkRuns(x)
 		c.checkConfiguration(x)
 		c.checkPlannedStops(x)
 		c.checkAnswered(x)
+		c.checkSilence(x)
 		c.checkOddRows(x)
 	}
 	c.checkConfigurationOrder()
@@ -73,7 +77,6 @@
 	c.checkCuts()
 	c.checkFragileTimes()
 	c.checkEnds()
-	c.checkSilences()
 	if n := c.testbed.addEngineErrors.Load(); n > 0 {
 		c.addViolation("%d upstreams could not be started after a crash", n)
 	}
@@ -208,9 +211,10 @@
 }
 
 // checkPlannedStops checks that no planned stop truncated the response of a request that the
-// VM had accepted, unless another disturbance may have been the cause.
+// VM had accepted, unless another disturbance may have been the cause, or the platform stopped the engine
+// that worked on it at the end of a roll-out.
 func (c *checker) checkPlannedStops(x exchange) {
-	if !x.response.Incomplete || c.runs[x.id] == nil {
+	if !x.response.Incomplete || c.runs[x.id] == nil || c.brokenOff[x.id] {
 		return
 	}
 	for _, s := range c.report.plannedStops {
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -90,21 +90,10 @@
 	stopCallersFor  = 3 * time.Second
 )
 
-// checkSilences checks that each whole request gets its answer, or a refusal if it was not run, unless
+// checkSilence checks that a whole request gets its answer, or a refusal if it was not run, unless
 // something other than silences and planned work was disturbed.
-func (c *checker) checkSilences() {
-	if c.report.Silences == nil {
-		return
-	}
-	brokenOff := c.requestsBrokenOff()
-	for _, x := range c.exchanges {
-		c.checkSilence(x, brokenOff)
-	}
-}
-
-// checkSilence checks one request. brokenOff holds the IDs of those whose engines were stopped.
-func (c *checker) checkSilence(x exchange, brokenOff map[string]bool) {
-	if x.lastByteAt().IsZero() || !c.onlyPlannedWork(x) {
+func (c *checker) checkSilence(x exchange) {
+	if c.report.Silences == nil || x.lastByteAt().IsZero() || !c.onlyPlannedWork(x) {
 		return
 	}
 	c.report.Silences.Checked++
@@ -115,7 +104,7 @@
 	if c.isAnswered(x) {
 		return
 	}
-	if reason := c.unansweredReason(x, brokenOff); reason != "" {
+	if reason := c.unansweredReason(x); reason != "" {
 		c.report.Silences.Unanswered[string(reason)]++
 		return
 	}
@@ -164,10 +153,10 @@
 
 // unansweredReason returns why the rules allow the request to end without its answer; empty if
 // they don't.
-func (c *checker) unansweredReason(x exchange, brokenOff map[string]bool) unansweredReason {
+func (c *checker) unansweredReason(x exchange) unansweredReason {
 	runs := c.runs[x.id]
 	switch {
-	case brokenOff[x.id]:
+	case c.brokenOff[x.id]:
 		return engineBrokeOff
 	case x.doneAt.Sub(x.sentAt) >= x.timeLimit() && !c.timeAllowsSilence(x):
 		return timeReached
@@ -214,13 +203,13 @@
 	})
 }
 
-// requestsBrokenOff returns the IDs of the requests that ran on an engine which was stopped before they ended.
-func (c *checker) requestsBrokenOff() map[string]bool {
+// collectBrokenOff collects the requests whose engines were stopped before they ended.
+func (c *checker) collectBrokenOff() {
 	doneAt := make(map[string]time.Time, len(c.exchanges))
 	for _, x := range c.exchanges {
 		doneAt[x.id] = x.doneAt
 	}
-	brokenOff := make(map[string]bool)
+	c.brokenOff = make(map[string]bool)
 	for _, e := range c.testbed.allEngines {
 		stoppedAt, stopped := e.stopTime()
 		if !stopped {
@@ -228,9 +217,8 @@
 		}
 		for _, run := range e.Runs() {
 			if run.At.Before(stoppedAt) && doneAt[run.ID].After(stoppedAt) {
-				brokenOff[run.ID] = true
+				c.brokenOff[run.ID] = true
 			}
 		}
 	}
-	return brokenOff
 }
