Soak: only silences of the engines that ran a request excuse that its time was over

The check of silences excused a request at its timeout by the silences of all engines, also of other services. It now counts those of the engines that ran the request, or of all if none did, so that an idempotent request which waits until its timeout beside sound engines is reported.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -48,6 +48,8 @@
 	bounds    Bounds
 	exchanges []exchange
 	runs      map[string][]standin.Run // by request ID
+	// ranOn holds the engines that ran a request, by its ID.
+	ranOn map[string][]*engine
 	// brokenOff holds the IDs of the requests that ran on an engine which was stopped before they ended.
 	brokenOff map[string]bool
 	report    *Report
@@ -85,7 +87,7 @@
 // collectRuns groups the runs of all upstreams by request ID. A run that differs from the
 // request with its ID in path, body or account is a violation.
 func (c *checker) collectRuns() {
-	c.runs = make(map[string][]standin.Run)
+	c.runs, c.ranOn = make(map[string][]standin.Run), make(map[string][]*engine)
 	known := make(map[string]exchange, len(c.exchanges))
 	for _, x := range c.exchanges {
 		known[x.id] = x
@@ -93,6 +95,7 @@
 	for _, e := range c.testbed.allEngines {
 		for _, run := range e.Runs() {
 			c.runs[run.ID] = append(c.runs[run.ID], run)
+			c.ranOn[run.ID] = append(c.ranOn[run.ID], e)
 			x, ok := known[run.ID]
 			if !ok || run.Path != x.path || run.Body != x.requestBody() || run.Account != "account-of-"+x.key {
 				c.addViolation("%s ran %q at %s for %s, which no caller sent", e.ID, run.ID, run.Path, run.Account)
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -41,6 +41,7 @@
 	defer f.bed.silences.begin()()
 	for _, e := range engines {
 		e.Freeze(length)
+		defer e.silences.begin()()
 	}
 	// The silence lasts its full time also at the end of the run.
 	sleep(context.WithoutCancel(ctx), length)
@@ -177,7 +178,7 @@
 }
 
 // timeAllowsSilence reports whether the request could have been answered within its time in spite of
-// the silences. Those of all engines count, as it may have run on any of them.
+// the silences of the engines that ran it, or of all if none did.
 func (c *checker) timeAllowsSilence(x exchange) bool {
 	ordinary := ordinaryOrder
 	switch {
@@ -189,7 +190,14 @@
 	if !x.wholeAt.IsZero() {
 		ordinary += x.wholeAt.Sub(x.sentAt)
 	}
-	return c.testbed.silences.overlap(x.sentAt, x.doneAt)+ordinary < x.timeLimit()
+	silences := &c.testbed.silences
+	if engines := c.ranOn[x.id]; len(engines) > 0 {
+		silences = &intervals{}
+		for _, e := range engines {
+			silences.entries = append(silences.entries, e.silences.entries...)
+		}
+	}
+	return silences.overlap(x.sentAt, x.doneAt)+ordinary < x.timeLimit()
 }
 
 // graceWasSpent reports whether the request ended in the last part of the grace of a planned stop
--- a/soak/silences_test.go
+++ b/soak/silences_test.go
@@ -20,6 +20,8 @@
 	signalledBefore   time.Duration
 	engineStopped     bool
 	disturbed, unsent bool
+	// otherSilent reports whether the silent engine was not the one that ran the request.
+	otherSilent bool
 }
 
 // check returns the violations and the reasons for which the request may end without an answer.
@@ -35,11 +37,18 @@
 	if s.disturbed {
 		bed.disturbances.entries = []interval{{from: sentAt, until: sentAt.Add(time.Second)}}
 	}
+	e := &engine{}
+	if !s.otherSilent {
+		e.silences.entries = bed.silences.entries
+	}
 	report := &Report{Silences: &SilenceReport{Unanswered: make(map[string]int)}}
 	if s.signalledBefore > 0 {
 		report.plannedStops = []plannedStop{{vm: v, at: x.doneAt.Add(-s.signalledBefore)}}
 	}
 	c := &checker{testbed: bed, bounds: DefaultBounds(), exchanges: []exchange{x}, report: report, runs: map[string][]standin.Run{"x": make([]standin.Run, s.runs)}, brokenOff: map[string]bool{"x": s.engineStopped}}
+	if s.runs > 0 {
+		c.ranOn = map[string][]*engine{"x": {e}}
+	}
 	c.checkSilence(x)
 	return report.Violations, report.Silences.Unanswered
 }
@@ -63,6 +72,7 @@
 		"cut while disturbed":              {silenceCase{kind: streamRequest, response: cut, took: 3 * time.Second, runs: 2, disturbed: true}, ""},
 		"not sent":                         {silenceCase{kind: streamRequest, response: standin.Response{Incomplete: true}, unsent: true}, ""},
 		"time used up by silence":          {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: 3 * time.Second, runs: 1}, "time_reached"},
+		"time over, another silent":        {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: 3 * time.Second, runs: 1, otherSilent: true}, "violation"},
 		"time over in spite of a moment":   {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: time.Second, runs: 1}, "violation"},
 		"time of slow order used up":       {silenceCase{kind: orderRequest, path: slowPath + "1", response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: time.Second, runs: 1}, "time_reached"},
 		"given up before the time is over": {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: 3 * time.Second, silence: 3 * time.Second, runs: 1}, "violation"},
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -49,6 +49,8 @@
 	spoilsAnswers atomic.Bool
 	// stoppedAt is when it was stopped, in Unix nanoseconds; 0 while it is not.
 	stoppedAt atomic.Int64
+	// silences are the intervals in which it sends nothing.
+	silences intervals
 }
 
 // stop makes the upstream unreachable for good.
