--- a/soak/checker.go
+++ b/soak/checker.go
@@ -26,6 +26,9 @@
 	// LimitDelay is the time from which on a limit that an upstream names is kept, over any
 	// LimitSpan.
 	LimitDelay, LimitSpan time.Duration
+	// LossSlack is the time after the last byte of a request within which a connection may end
+	// without an answer, if the request was not passed on. No HostAllowance is added to it.
+	LossSlack time.Duration
 	// HostAllowance is added to each of them, as the host may be busy.
 	HostAllowance time.Duration
 }
@@ -34,7 +37,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		SettleTime: 4 * time.Second, Config: 3 * time.Second, Drain: 3 * time.Second, Rollback: 5 * time.Second, Evacuate: 5 * time.Second,
-		LimitDelay: 4 * time.Second, LimitSpan: 4 * time.Second, HostAllowance: time.Second,
+		LimitDelay: 4 * time.Second, LimitSpan: 4 * time.Second, LossSlack: 200 * time.Millisecond, HostAllowance: time.Second,
 	}
 }
 
@@ -45,6 +48,10 @@
 	bounds    Bounds
 	exchanges []exchange
 	runs      map[string][]standin.Run // by request ID
+	// ranOn holds the engines that ran a request, by its ID.
+	ranOn map[string][]*engine
+	// brokenOff holds the IDs of the requests that ran on an engine which was stopped before they ended.
+	brokenOff map[string]bool
 	report    *Report
 }
 
@@ -54,12 +61,14 @@
 
 func (c *checker) check() {
 	c.collectRuns()
+	c.collectBrokenOff()
 	for _, x := range c.exchanges {
 		c.checkResponse(x)
 		c.checkRuns(x)
 		c.checkConfiguration(x)
 		c.checkPlannedStops(x)
 		c.checkAnswered(x)
+		c.checkSilence(x)
 		c.checkOddRows(x)
 	}
 	c.checkConfigurationOrder()
@@ -78,7 +87,7 @@
 // collectRuns groups the runs of all upstreams by request ID. A run that differs from the
 // request with its ID in path, body or account is a violation.
 func (c *checker) collectRuns() {
-	c.runs = make(map[string][]standin.Run)
+	c.runs, c.ranOn = make(map[string][]standin.Run), make(map[string][]*engine)
 	known := make(map[string]exchange, len(c.exchanges))
 	for _, x := range c.exchanges {
 		known[x.id] = x
@@ -86,6 +95,7 @@
 	for _, e := range c.testbed.allEngines {
 		for _, run := range e.Runs() {
 			c.runs[run.ID] = append(c.runs[run.ID], run)
+			c.ranOn[run.ID] = append(c.ranOn[run.ID], e)
 			x, ok := known[run.ID]
 			if !ok || run.Path != x.path || run.Body != x.requestBody() || run.Account != "account-of-"+x.key {
 				c.addViolation("%s ran %q at %s for %s, which no caller sent", e.ID, run.ID, run.Path, run.Account)
@@ -204,9 +214,10 @@
 }
 
 // checkPlannedStops checks that no planned stop truncated the response of a request that the
-// VM had accepted, unless another disturbance may have been the cause.
+// VM had accepted, unless another disturbance may have been the cause, or the platform stopped the engine
+// that worked on it at the end of a roll-out.
 func (c *checker) checkPlannedStops(x exchange) {
-	if !x.response.Incomplete || c.runs[x.id] == nil {
+	if !x.response.Incomplete || c.runs[x.id] == nil || c.brokenOff[x.id] {
 		return
 	}
 	for _, s := range c.report.plannedStops {
