Wait for an upstream that is silent within a response as for one before it

Every read of a connection now asks the same decision when its deadline has passed, and one that is given up there is silent, not broken. A read of bytes that are buffered sets a deadline of its own, in place of one that is long over for a slow caller. TestPauseWithinResponseIsWaitedForLikeOneBeforeIt failed before for a header and the size of a chunk after 2.0 s. Tests of endless, unframed and cut responses pass.

--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -245,35 +245,30 @@
 	return id == call.ID
 }
 
-// headerReadTimeout is how long the rest of a header, or of the data that a read
-// of the body needs, may take to arrive after the first byte.
-const headerReadTimeout = 2 * time.Second
+// minRestTimeout is the least time for the rest of a header, or of the data that a read of the body needs, to
+// arrive after the first byte before the upstream counts as silent.
+const minRestTimeout = 2 * time.Second
 
-// waitReadable waits for the next byte from the upstream. When limit has passed,
-// onSilence returns how much longer to wait. Errors are those of the connection.
+// waitReadable waits for the next byte from the upstream. When limit has passed, onSilence returns how much
+// longer to wait, also for the bytes that the same read needs after that. Errors are those of the connection.
 func (r *Response) waitReadable(limit time.Duration, onSilence func() time.Duration) error {
-	for {
+	r.conn.patient.onSilence = onSilence
+	if r.conn.reader.Buffered() == 0 {
 		if err := r.conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
 			return err
 		}
-		_, err := r.conn.reader.Peek(1)
-		if err == nil {
-			return r.conn.SetReadDeadline(time.Now().Add(headerReadTimeout))
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || onSilence == nil {
-			return err
-		}
-		if limit = onSilence(); limit <= 0 {
+		if _, err := r.conn.reader.Peek(1); err != nil {
 			return err
 		}
 	}
+	return r.conn.SetReadDeadline(time.Now().Add(max(limit, minRestTimeout)))
 }
 
 // readError wraps an error of a read as ErrSilent, as ErrConnectionLost, or as another
 // ErrBroken if the connection is not its cause.
 func (r *Response) readError(err error) error {
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), r.conn.patient.gaveUp:
 		return ErrSilent.Wrap(err, "timed out waiting for response from %s", r.conn.address)
 	case isConnectionEnd(err):
 		return ErrConnectionLost.Wrap(err, "read response from %s", r.conn.address)
@@ -294,7 +289,7 @@
 // up. At the end of a complete body it returns io.EOF. Errors: ErrBroken,
 // ErrSilent.
 func (r *Response) Read(buf []byte, limit time.Duration, onSilence func() time.Duration) (int, error) {
-	if !r.complete && r.body != http.NoBody && r.conn.reader.Buffered() == 0 {
+	if !r.complete && r.body != http.NoBody {
 		err := r.waitReadable(limit, onSilence)
 		if errors.Is(err, io.EOF) && !r.framed {
 			r.complete = true
@@ -322,6 +317,7 @@
 // was written, the response was read to its end and nothing followed it;
 // otherwise it is closed.
 func (r *Response) Close() {
+	r.conn.patient.onSilence = nil
 	notCancelled := r.stopCancel()
 	if notCancelled && r.complete && r.reusable && r.requestWritten() && r.conn.reader.Buffered() == 0 &&
 		r.conn.SetDeadline(time.Time{}) == nil {
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -78,9 +78,10 @@
 type conn struct {
 	net.Conn
 	address string
-	// reader reads from the connection through budget.
-	budget *budgetReader
-	reader *bufio.Reader
+	// reader reads from the connection through budget, and that through patient.
+	patient *patientReader
+	budget  *budgetReader
+	reader  *bufio.Reader
 	// expiresAt is when the unused connection must no longer be reused; zero if it was never idle.
 	expiresAt time.Time
 	// used reports whether a request was sent, and lastID is the ID of the latest one.
@@ -181,8 +182,9 @@
 	if err != nil {
 		return nil, connectError(ctx, err, address)
 	}
-	budget := &budgetReader{source: c, left: unlimited}
-	return &conn{Conn: c, address: address, budget: budget, reader: bufio.NewReaderSize(budget, readBufferBytes)}, nil
+	patient := &patientReader{conn: c}
+	budget := &budgetReader{source: patient, left: unlimited}
+	return &conn{Conn: c, address: address, patient: patient, budget: budget, reader: bufio.NewReaderSize(budget, readBufferBytes)}, nil
 }
 
 // connectError wraps the error of a failed connect by what it says about the way to the
