Ignore new handshakes while a listener is closed

Cause: a close of a listening socket resets the connections that wait in its queue. acceptOrRefuse accepts until the queue is empty and shuts the socket down next, but the kernel may preempt the process between the two system calls, and callers that insist connect meanwhile.

Fix: the listener gets a socket filter that drops segments with SYN and without ACK before its queue is accepted for the last time. Handshakes under way go on, new ones don't begin, so the queue only gets shorter and is empty when the socket is closed. A caller whose SYN is dropped sends it again after a second and is refused then, before it has sent anything. Listeners use plain TCP now. Where filters are missing, listeners close as before.

Evidence: TestNoConnectionIsEstablishedWhileListenerDrains failed before ("Expected an error, got nil").

--- a/internal/listen/acceptor.go
+++ b/internal/listen/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 type acceptor struct {
 	net.Listener
 	set *connSet
+	log *slog.Logger
 	// draining reports whether the listener is closed once nothing waits to be accepted.
 	draining atomic.Bool
 }
@@ -32,8 +34,12 @@
 	return nil, err
 }
 
-// drain accepts what arrives within the given time and closes the listener then.
+// drain accepts the connections that wait and those whose handshake ends within the given time, and
+// closes the listener then. Where the kernel has no socket filters, new connections are accepted until then.
 func (a *acceptor) drain(wait time.Duration) {
+	if err := ignoreHandshakes(a.Listener); err != nil {
+		a.log.Debug("handshakes that begin while the listener is closed are not ignored", "error", err)
+	}
 	a.draining.Store(true)
 	limited, ok := a.Listener.(interface{ SetDeadline(time.Time) error })
 	if !ok || limited.SetDeadline(time.Now().Add(wait)) != nil {
--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -1,7 +1,9 @@
 package listen
 
 import (
+	"log/slog"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -14,9 +16,9 @@
 func listenLocally(t *testing.T) (*acceptor, func() net.Conn) {
 	t.Helper()
 	g := NewWithT(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenTCP("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	a := &acceptor{Listener: listener, set: newConnSet(false)}
+	a := &acceptor{Listener: listener, set: newConnSet(false), log: slog.New(slog.DiscardHandler)}
 	t.Cleanup(func() { _ = a.Close() })
 	return a, func() net.Conn {
 		c, err := net.Dial("tcp", listener.Addr().String())
@@ -74,3 +76,21 @@
 	_, err := a.Accept()
 	g.Expect(err).To(MatchError(net.ErrClosed))
 }
+
+// TestNoConnectionIsEstablishedWhileListenerDrains guards against connections that are established between the
+// last accept and the close of the listener, which resets them with their requests.
+func TestNoConnectionIsEstablishedWhileListenerDrains(t *testing.T) {
+	const dialTimeout = 100 * time.Millisecond
+	g := NewWithT(t)
+	a, dial := listenLocally(t)
+	waiting := dial()
+	a.drain(readTimeout)
+	_, err := net.DialTimeout("tcp", a.Addr().String(), dialTimeout)
+	g.Expect(os.IsTimeout(err)).To(BeTrue(), "%v", err)
+
+	accepted, err := a.Accept()
+	g.Expect(err).NotTo(HaveOccurred(), "the connection from before is accepted")
+	_, err = waiting.Write([]byte("request"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(accepted.Read(make([]byte, 100))).To(Equal(len("request")))
+}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -5,6 +5,7 @@
 package listen
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -56,11 +57,12 @@
 // Open opens a listener and serves h on it in a new goroutine until Close or Shutdown.
 // Errors of connections are logged at debug level. Errors: ErrListen, ErrCertificate.
 func Open(l settings.Listener, h http.Handler, b Bounds, log *slog.Logger) (*Server, error) {
-	listener, err := net.Listen("tcp", l.Address)
+	listener, err := listenTCP(l.Address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "listening on address %q", l.Address)
 	}
-	s := &Server{acceptor: &acceptor{Listener: listener, set: newConnSet(l.TLS.Enabled())}, served: make(chan struct{})}
+	accepting := &acceptor{Listener: listener, set: newConnSet(l.TLS.Enabled()), log: log}
+	s := &Server{acceptor: accepting, served: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.withCloseHeader(h),
 		MaxHeaderBytes:    b.MaxHeaderBytes,
@@ -81,6 +83,13 @@
 	return s, nil
 }
 
+// listenTCP opens a listener without Multipath TCP, whose sockets take no filter; see ignoreHandshakes.
+func listenTCP(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // serve serves requests until the server is closed.
 func (s *Server) serve() {
 	defer close(s.served)
--- a/internal/listen/pending.go
+++ b/internal/listen/pending.go
@@ -1,6 +1,8 @@
 package listen
 
 import (
+	"errors"
+	"math"
 	"net"
 	"os"
 	"syscall"
@@ -8,6 +10,42 @@
 	"golang.org/x/sys/unix"
 )
 
+// Offset and bits of the flags in a TCP header.
+const (
+	tcpFlagsOffset = 13
+	tcpSYN         = 0x02
+	tcpACK         = 0x10
+)
+
+// withoutHandshakes is a socket filter that drops TCP segments that begin a handshake.
+var withoutHandshakes = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsOffset},
+	{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: tcpSYN | tcpACK},
+	{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jf: 1, K: tcpSYN},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: math.MaxUint32},
+}
+
+// ignoreHandshakes makes the kernel drop handshakes that begin from now on, so that the queue of
+// connections that wait to be accepted only gets shorter. Callers repeat a handshake that was dropped
+// and find the address closed. Those under way go on.
+func ignoreHandshakes(l net.Listener) error {
+	source, ok := l.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return err
+	}
+	program := unix.SockFprog{Len: uint16(len(withoutHandshakes)), Filter: &withoutHandshakes[0]}
+	var attachErr error
+	err = raw.Control(func(listener uintptr) {
+		attachErr = unix.SetsockoptSockFprog(int(listener), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	return errors.Join(err, attachErr)
+}
+
 // acceptPending accepts a connection that waits already, also after the listener's deadline. If none
 // waits, it makes the kernel refuse connections at once, and returns nil: a connection that is
 // established before the listener is closed, but was not accepted, would be reset with its request.
@@ -35,8 +73,8 @@
 }
 
 // acceptOrRefuse accepts a connection on a listening socket, or else makes the socket refuse
-// connections. The system calls don't wait, and bypass the Go scheduler: a pause between them would let
-// connections arrive.
+// connections. The system calls don't wait, and bypass the Go scheduler: unless handshakes are
+// ignored, a pause between them lets connections arrive.
 func acceptOrRefuse(listener uintptr) (fd int, accepted bool) {
 	for {
 		n, _, errno := unix.RawSyscall6(unix.SYS_ACCEPT4, listener, 0, 0, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0, 0)
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -12,7 +12,8 @@
 const (
 	// maxIdle is how long a connection may wait for a request before a shutdown closes it.
 	maxIdle = 500 * time.Millisecond
-	// acceptWait is how long the listener accepts on once the connections at the start of a shutdown have ended.
+	// acceptWait is how long the listener accepts connections whose handshake was under way when the
+	// connections at the start of a shutdown had ended.
 	acceptWait = 50 * time.Millisecond
 	// closeMargin is how long before the deadline of a shutdown the listener is closed though earlier
 	// connections are left. Requests on connections accepted last are answered in that time.
