Close the listener also when the time of a shutdown has passed

Cause: Shutdown and Finish gave up the orderly close of the listener when their context ended, and left it to Close, which resets what waits to be accepted.

Only a cancelled context leaves the listener open, as before.

Evidence: TestShutdownClosesListenerAfterItsTime, a shutdown whose deadline has passed, failed before ("the address is free: expected an error, got nil").

--- a/internal/listen/finish.go
+++ b/internal/listen/finish.go
@@ -7,11 +7,7 @@
 // connections are closed. Errors: that of ctx, if requests were aborted.
 func (s *Server) Finish(ctx context.Context) error {
 	s.stopping.Store(true)
-	s.acceptor.drain(acceptWait)
-	select {
-	case <-s.served:
-	case <-ctx.Done():
-	}
+	s.closeListener()
 	err := awaitEnd(ctx, s.acceptor.set.all())
 	if closeErr := s.Close(); err == nil {
 		err = closeErr
--- a/internal/listen/reconnect_test.go
+++ b/internal/listen/reconnect_test.go
@@ -52,3 +52,17 @@
 	callers.Wait()
 	s.Expect(unanswered.Load()).To(BeZero())
 }
+
+// TestShutdownClosesListenerAfterItsTime guards against a listener that is left open, with connections that Close
+// resets, because the process did not run when the time of a shutdown passed.
+func TestShutdownClosesListenerAfterItsTime(t *testing.T) {
+	s := newStoppingServer(t)
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now())
+	defer cancel()
+	waiting := s.connect()
+	s.send(waiting, wholeRequest)
+	s.Expect(s.server.Shutdown(ctx)).To(MatchError(context.DeadlineExceeded))
+	_, err := net.Dial("tcp", s.server.Address())
+	s.Expect(err).To(HaveOccurred(), "the address is free")
+	s.expectAnswer(waiting, "on a connection that waited to be accepted")
+}
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -27,27 +28,34 @@
 // new ones; http.Server.Shutdown would discard requests that it reads. Responses tell callers to
 // close their connections, and connections without a request are closed after a short time. If ctx
 // ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
-// left. Shortly before a deadline of ctx it closes the listener all the same, so that Close resets no
-// connection that was just opened.
+// left. Shortly before a deadline of ctx, or after it if the process did not run in time, it closes the
+// listener all the same, so that Close resets no connection that was just opened.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	acceptCtx, cancel := withEarlierDeadline(ctx, closeMargin)
 	defer cancel()
-	if awaitEnd(acceptCtx, s.acceptor.set.all()) != nil && ctx.Err() != nil {
-		return ctx.Err()
-	}
-	s.acceptor.drain(acceptWait)
-	select {
-	case <-s.served:
-	case <-ctx.Done():
+	_ = awaitEnd(acceptCtx, s.acceptor.set.all())
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
 	}
+	s.closeListener()
 	if err := awaitEnd(ctx, s.acceptor.set.all()); err != nil {
 		return err
 	}
 	return s.http.Close()
 }
 
+// closeListener accepts the connections that wait and closes the listener. It looks at no deadline: Close
+// would reset those that are left. Where handshakes can't be ignored, callers that keep connecting
+// could hold it up, so that it returns after some time though the listener is open.
+func (s *Server) closeListener() {
+	s.acceptor.drain(acceptWait)
+	select {
+	case <-s.served:
+	case <-time.After(acceptWait + closeMargin):
+	}
+}
+
 // withEarlierDeadline returns a context that ends with ctx, or the margin before its deadline.
 func withEarlierDeadline(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
