Keep callers' connections for the idle limit in force

Callers saw: none reported it; found by reading. A gateway closed callers' connections after 60 s without a request, whatever the configuration says (Limits.IdleTimeoutMs). Callers may reuse connections that were idle for four fifths of the limit, so with a limit above 75 s, or after a configuration that raises it, a request crosses the close and its connection is reset without an answer. A request that the kernel had received when the timeout passed was not read either.

Cause: the idle timeout was a constant, and http.Server closes a connection whose deadline has passed without a look at what has arrived.

Fix: when the idle deadline of a connection passes, listen.conn asks for the limit in force, goes on if that is longer, also for connections that were idle before the change, and reads a request that has arrived, as a shutdown does already. It does so only until the first byte of a request is read, so the limit on a header's time stays. The limit never shortens the 60 s: callers may know an older one. A request that arrives between this look and the close is still reset; it is not read and not passed on.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -235,8 +235,8 @@
 	// listeners.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
-	// callerIdleTimeout is longer than callers keep unused connections, so that
-	// the callers close them first.
+	// callerIdleTimeout is how long unused connections are kept, or for as long as the configuration lets
+	// callers keep them if that is longer, so that the callers close them first.
 	callerIdleTimeout = 60 * time.Second
 
 	// Pauses after changes, so that further changes arrive in one batch: vmBatchDelay for
--- a/internal/gatewayd/listeners.go
+++ b/internal/gatewayd/listeners.go
@@ -20,6 +20,8 @@
 		return err
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	callerBounds := bounds
+	callerBounds.IdleLimit = d.operatorSink.idleLimit
 	peerMux, metricsMux := http.NewServeMux(), http.NewServeMux()
 	peerMux.Handle(peerfeed.Path, d.peerFeed)
 	peerMux.Handle(members.Path, d.collector)
@@ -30,14 +32,15 @@
 		server  **listen.Server
 		config  settings.Listener
 		handler http.Handler
+		bounds  listen.Bounds
 	}{
-		{&d.callerServer, d.settings.Callers, d.relay},
-		{&d.healthServer, d.settings.Health, http.HandlerFunc(d.serveHealth)},
-		{&d.metricsServer, d.settings.Metrics, metricsMux},
-		{&d.peerServer, d.settings.Peers, peerMux},
-		{&d.relayServer, d.settings.Relay, d.relay.PeerHandler()},
+		{&d.callerServer, d.settings.Callers, d.relay, callerBounds},
+		{&d.healthServer, d.settings.Health, http.HandlerFunc(d.serveHealth), bounds},
+		{&d.metricsServer, d.settings.Metrics, metricsMux, bounds},
+		{&d.peerServer, d.settings.Peers, peerMux, bounds},
+		{&d.relayServer, d.settings.Relay, d.relay.PeerHandler(), bounds},
 	} {
-		server, err := listen.Open(l.config, l.handler, bounds, d.log)
+		server, err := listen.Open(l.config, l.handler, l.bounds, d.log)
 		if err != nil {
 			d.closeListeners()
 			return err
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"sync/atomic"
+	"time"
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
@@ -30,6 +31,15 @@
 // Table implements relay.Tables.
 func (o *operatorSink) Table() *routing.Table { return o.table.Load() }
 
+// idleLimit returns how long callers may leave a connection unused by the configuration in force; 0 without one.
+func (o *operatorSink) idleLimit() time.Duration {
+	table := o.table.Load()
+	if table == nil {
+		return 0
+	}
+	return table.Limits().IdleTimeout
+}
+
 // Reset implements watch.Sink. An evacuation whose row is not listed has ended.
 func (o *operatorSink) Reset(b watch.Batch) {
 	o.evacuated = nil
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -23,6 +23,8 @@
 	// waiting reports whether the connection has waited for a request since waitingSince.
 	waiting      bool
 	waitingSince time.Time
+	// idle reports whether nothing was read since a request was answered.
+	idle bool
 	// retiring reports whether a pending read was interrupted to close the connection.
 	retiring bool
 	closed   bool
@@ -39,22 +41,75 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		retiring, again := c.retire()
-		if again {
-			continue
-		}
-		if retiring {
+		switch c.passDeadline() {
+		case readOn:
+		case retire:
 			return 0, io.EOF
+		case fail:
+			return n, err
 		}
-		return n, err
 	}
 }
 
+// afterDeadline is what a read does whose deadline has passed.
+type afterDeadline int
+
+const (
+	// readOn goes on reading, with another deadline or none.
+	readOn afterDeadline = iota
+	// retire ends the connection, which a shutdown has interrupted.
+	retire
+	// fail returns the error.
+	fail
+)
+
+// idleReadMargin is how long the rest of the first read of a request is awaited that has arrived when the
+// connection was about to be closed as idle.
+const idleReadMargin = time.Second
+
+// passDeadline decides what a read does whose deadline has passed.
+func (c *conn) passDeadline() afterDeadline {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retiring {
+		return c.passInterrupt()
+	}
+	if c.idle {
+		return c.passIdleDeadline()
+	}
+	return fail
+}
+
+// passInterrupt ends a connection that was interrupted, unless a part of a request has arrived after
+// all. The caller holds mu.
+func (c *conn) passInterrupt() afterDeadline {
+	if socket.StateOf(c.Conn) != socket.Readable {
+		return retire
+	}
+	c.retiring = false
+	_ = c.SetReadDeadline(time.Time{})
+	return readOn
+}
+
+// passIdleDeadline keeps an idle connection for as long as the limit in force allows, and to read a
+// request that has arrived. The caller holds mu.
+func (c *conn) passIdleDeadline() afterDeadline {
+	if until := c.waitingSince.Add(c.set.idleLimit()); time.Now().Before(until) {
+		_ = c.SetReadDeadline(until)
+		return readOn
+	}
+	if socket.StateOf(c.Conn) != socket.Readable {
+		return fail
+	}
+	_ = c.SetReadDeadline(time.Now().Add(idleReadMargin))
+	return readOn
+}
+
 // recordRead records that bytes were read, which begin a request on a connection that is not encrypted.
 func (c *conn) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = c.waiting && c.encrypted
+	c.waiting, c.idle = c.waiting && c.encrypted, false
 	c.waitingSince = time.Now()
 	c.resume()
 }
@@ -64,7 +119,7 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = false
+	c.waiting, c.idle = false, false
 	c.resume()
 }
 
@@ -80,7 +135,7 @@
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.waitingSince = true, time.Now()
+	c.waiting, c.waitingSince, c.idle = true, time.Now(), true
 }
 
 // interrupt ends the pending read of a connection that has waited for a request for the given time.
@@ -94,22 +149,6 @@
 	_ = c.SetReadDeadline(time.Now())
 }
 
-// retire reports whether the connection is being closed, and whether to read again because a part
-// of a request has arrived after all.
-func (c *conn) retire() (retiring, again bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.retiring {
-		return false, false
-	}
-	if socket.StateOf(c.Conn) != socket.Readable {
-		return true, false
-	}
-	c.retiring = false
-	_ = c.SetReadDeadline(time.Time{})
-	return false, true
-}
-
 // CloseWrite closes the sending side. The http.Server does so after the last response.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -136,13 +175,19 @@
 // connSet holds the open connections of a server.
 type connSet struct {
 	encrypted bool
+	// idleLimit returns how long a connection may be idle, if that is longer than the IdleTimeout of the server.
+	idleLimit func() time.Duration
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
-func newConnSet(encrypted bool) *connSet {
-	return &connSet{encrypted: encrypted, conns: make(map[*conn]struct{})}
+// newConnSet returns an empty set. idleLimit may be nil.
+func newConnSet(encrypted bool, idleLimit func() time.Duration) *connSet {
+	if idleLimit == nil {
+		idleLimit = func() time.Duration { return 0 }
+	}
+	return &connSet{encrypted: encrypted, idleLimit: idleLimit, conns: make(map[*conn]struct{})}
 }
 
 // add returns c as a connection of the set that waits for its first request.
--- a/internal/listen/conn_test.go
+++ b/internal/listen/conn_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/socket"
 )
 
 const readTimeout = 5 * time.Second
@@ -18,7 +20,7 @@
 	g := NewWithT(t)
 	listener, err := listenTCP("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	a := &acceptor{Listener: listener, set: newConnSet(false), log: slog.New(slog.DiscardHandler)}
+	a := &acceptor{Listener: listener, set: newConnSet(false, nil), log: slog.New(slog.DiscardHandler)}
 	t.Cleanup(func() { _ = a.Close() })
 	return a, func() net.Conn {
 		c, err := net.Dial("tcp", listener.Addr().String())
@@ -94,3 +96,53 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(accepted.Read(make([]byte, 100))).To(Equal(len("request")))
 }
+
+// idleConn returns a connection on which a request was answered, whose idle timeout has passed, and its caller.
+func idleConn(t *testing.T, limit time.Duration) (served *conn, caller net.Conn) {
+	g := NewWithT(t)
+	a, dial := listenLocally(t)
+	a.set.idleLimit = func() time.Duration { return limit }
+	caller = dial()
+	accepted, err := a.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	served = accepted.(*conn)
+	served.beginRequest()
+	served.awaitRequest()
+	g.Expect(served.SetReadDeadline(time.Unix(1, 0))).To(Succeed())
+	return served, caller
+}
+
+// TestConnectionIsKeptForIdleLimitInForce guards against connections that are closed while their callers may reuse them,
+// because the limit was raised.
+func TestConnectionIsKeptForIdleLimitInForce(t *testing.T) {
+	g := NewWithT(t)
+	served, caller := idleConn(t, time.Hour)
+	result := make(chan error, 1)
+	go func() {
+		_, err := served.Read(make([]byte, 100))
+		result <- err
+	}()
+	g.Consistently(result, "50ms").ShouldNot(Receive())
+	_, err := caller.Write([]byte("request"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(result, readTimeout).Should(Receive(BeNil()))
+}
+
+// TestIdleConnectionEndsAfterLimit guards against idle connections that are kept for ever.
+func TestIdleConnectionEndsAfterLimit(t *testing.T) {
+	g := NewWithT(t)
+	served, _ := idleConn(t, 0)
+	_, err := served.Read(make([]byte, 100))
+	g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+}
+
+// TestRequestThatArrivesAtIdleTimeoutIsRead guards against a request that the kernel has received when its connection is
+// closed as idle: the close resets it.
+func TestRequestThatArrivesAtIdleTimeoutIsRead(t *testing.T) {
+	g := NewWithT(t)
+	served, caller := idleConn(t, 0)
+	_, err := caller.Write([]byte("request"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() socket.State { return socket.StateOf(served.Conn) }, readTimeout).Should(Equal(socket.Readable))
+	g.Expect(served.Read(make([]byte, 100))).To(Equal(len("request")))
+}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -42,6 +42,9 @@
 	// IdleTimeout limits the time that a connection stays open without a request. By
 	// default there is no limit.
 	IdleTimeout time.Duration
+	// IdleLimit returns the limit in force, where it may change; connections are kept for IdleTimeout or for
+	// this, whichever is longer. It applies to connections that are idle already. HTTP/2 has IdleTimeout only. Default nil.
+	IdleLimit func() time.Duration
 }
 
 // Server serves HTTP on one listener.
@@ -61,7 +64,7 @@
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "listening on address %q", l.Address)
 	}
-	accepting := &acceptor{Listener: listener, set: newConnSet(l.TLS.Enabled()), log: log}
+	accepting := &acceptor{Listener: listener, set: newConnSet(l.TLS.Enabled(), b.IdleLimit), log: log}
 	s := &Server{acceptor: accepting, served: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.withCloseHeader(h),
