Answer callers whose time for a chunked body passes at its end

Callers saw: a request with a chunked body whose last bytes (the end of the last chunk, or trailers) did not come within the time for the body ended with its connection, without the 408 that other late bodies get.

Cause: net/http ends the request's context with any failed read. The relay told its own deadline from a caller that left by os.ErrDeadlineExceeded, but body.readTrailer returns "unexpected EOF reading trailer" in its place, so that the request was taken for one whose caller is gone.

Fix: the read was ended by the limit if it failed after the limit's time, whatever the error says.

The wider suspicion, a deadline that fires between the end of the body and its removal, does not hold: http.Server removes the read deadline before it watches for a disconnect, and a read that a stop ends there is told apart.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/poplarshore/poplarshore/refusal"
@@ -132,11 +131,14 @@
 	}
 	ctx, endWait := x.waitContext(ctx)
 	defer endWait()
-	release := x.limitRead(ctx, min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
+	readBy := time.Now().Add(min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
+	release := x.limitRead(ctx, readBy)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
+	// The error doesn't tell: net/http replaces that of a read within the end of a chunked body.
+	timedOut := err != nil && !time.Now().Before(readBy)
 	cut := release()
 	refused := causeOf(ctx)
-	x.readCut = cut && refused != nil || errors.Is(err, os.ErrDeadlineExceeded)
+	x.readCut = cut && refused != nil || timedOut
 	if x.readCut {
 		x.setReadDeadline(time.Now().Add(bodyDiscardTimeout))
 	}
@@ -153,10 +155,10 @@
 	return refusal.Wrap(refusal.BodyTimeout, err)
 }
 
-// limitRead ends reads of the request body after the timeout, and when ctx ends. The returned
+// limitRead ends reads of the request body at the given time, and when ctx ends. The returned
 // function removes the limit, and reports whether the end of ctx ended reads.
-func (x *exchange) limitRead(ctx context.Context, timeout time.Duration) (release func() bool) {
-	x.setReadDeadline(time.Now().Add(timeout))
+func (x *exchange) limitRead(ctx context.Context, until time.Time) (release func() bool) {
+	x.setReadDeadline(until)
 	ended := make(chan struct{})
 	detach := context.AfterFunc(ctx, func() {
 		defer close(ended)
