--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -31,6 +32,15 @@
 	directory *engines.Directory
 }
 
+// idleLimit returns how long callers may leave a connection unused by the configuration in force; 0 without one.
+func (o *operatorSink) idleLimit() time.Duration {
+	table := o.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Limits().IdleTimeout
+}
+
 // Reset implements watch.Sink. An evacuation whose row is not listed has ended.
 func (o *operatorSink) Reset(b watch.Batch) {
 	o.evacuated = nil
