Try upstreams again that only lost a connection

Callers got a cut stream, or 502 (upstreams_out_of_reach), if the only upstream of a service, or all of them, had lost one connection each, although they took new ones. Cause: as after a silence, something was given up on for what isn't known: a lost connection counts as an unreached upstream, so that one of one, or three of four, mean a lost way; without another VM to relay the request it was refused as if every upstream had been tried. The stream's own upstream was excluded for the rest of the request besides.

A request is now refused as out of reach only if some upstream took no new connection; otherwise the VM tries itself, and a cut way shows at once by refused connections. An upstream that lost the connection after the answer had begun is selected again if there is no other one. The verdict itself is unchanged: other VMs are asked first.

TestUpstreamsThatOnlyLostConnectionsAreLeftToTry is new.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -73,9 +73,9 @@
 
 	// successor is the upstream for which a silent attempt was given up; nil if there is none.
 	successor *engines.Choice
-	// givenUp holds the upstreams of attempts that were given up for a silence or moved. They are
-	// tried again if there is no other one.
-	givenUp []*engines.Engine
+	// interrupted holds the upstreams of attempts that were given up for a silence, moved, or lost
+	// their connection after the answer had begun. They are tried again if there is no other one.
+	interrupted []*engines.Engine
 
 	// headerSent reports whether the header of a response has been sent to the
 	// caller.
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -116,15 +116,15 @@
 	return nil
 }
 
-// resumed returns the upstreams of attempts that were given up that have sent something a moment ago.
+// resumed returns the upstreams of interrupted attempts that have sent something a moment ago.
 func (x *exchange) resumed() []*engines.Engine {
-	return slices.DeleteFunc(slices.Clone(x.givenUp), func(e *engines.Engine) bool {
+	return slices.DeleteFunc(slices.Clone(x.interrupted), func(e *engines.Engine) bool {
 		return e.SinceLastReceived() >= minHeaderWait
 	})
 }
 
 // choose selects the upstream of the next attempt: the one for which a silent attempt was given up,
-// or else the best one. If there is none, those whose attempts were given up may be tried again.
+// or else the best one. If there is none, those of interrupted attempts may be tried again.
 func (x *exchange) choose() engines.Choice {
 	if successor := x.successor; successor != nil {
 		x.successor = nil
@@ -132,10 +132,10 @@
 	}
 	req := x.requirements()
 	choice := x.server.Placement.Choose(req)
-	if choice.Engine != nil || len(x.givenUp) == 0 {
+	if choice.Engine != nil || len(x.interrupted) == 0 {
 		return choice
 	}
-	req.Tried = x.triedWithout(x.givenUp)
+	req.Tried = x.triedWithout(x.interrupted)
 	if again := x.server.Placement.Choose(req); again.Engine != nil {
 		return again
 	}
@@ -145,8 +145,9 @@
 // recordTried records that an attempt on an upstream ended with err.
 func (x *exchange) recordTried(a *attempt, err error) {
 	x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
-	if errorx.IsOfType(err, upconn.ErrSilent) || errorx.IsOfType(err, errMoved) {
-		x.givenUp = append(x.givenUp, a.engine)
+	if errorx.IsOfType(err, upconn.ErrSilent) || errorx.IsOfType(err, errMoved) ||
+		errorx.IsOfType(err, upconn.ErrConnectionLost) && a.firstAfter > 0 {
+		x.interrupted = append(x.interrupted, a.engine)
 	}
 }
 
--- a/reachability/view.go
+++ b/reachability/view.go
@@ -154,8 +154,11 @@
 	SinceContact time.Duration
 }
 
-// NoneReached reports that the way to the service is lost and every upstream was tried.
-func (s Status) NoneReached() bool { return s.CutOff && s.Unreached == s.Usable }
+// NoneReached reports that the way to the service is lost and no upstream is left to try: all are
+// unreached, and some of them took no new connection. Those that only lost one may take another.
+func (s Status) NoneReached() bool {
+	return s.CutOff && s.Unreached == s.Usable && s.Lost < s.Unreached
+}
 
 // MayBeCutOff reports that the way to the service is lost, or that this is in doubt.
 func (s Status) MayBeCutOff() bool { return s.CutOff || s.InDoubt }
--- a/reachability/view_test.go
+++ b/reachability/view_test.go
@@ -213,3 +213,18 @@
 		}
 	})
 }
+
+// Guards against requests that are refused because all upstreams lost a connection, without trying a new one.
+func TestUpstreamsThatOnlyLostConnectionsAreLeftToTry(t *testing.T) {
+	g := NewWithT(t)
+	usable := upstreams(2)
+	v := newView(usable)
+	for _, u := range usable {
+		v.Record(u, reachability.Lost, at(10))
+	}
+	status := v.Status(usable, false, at(500))
+	g.Expect(status.CutOff).To(BeTrue())
+	g.Expect(status.NoneReached()).To(BeFalse())
+	v.Record(usable[0], reachability.NotConnected, at(500))
+	g.Expect(v.Status(usable, false, at(500)).NoneReached()).To(BeTrue())
+}
