--- a/internal/gatewayd/idle_limit_test.go
+++ b/internal/gatewayd/idle_limit_test.go
@@ -16,7 +16,7 @@
 	sink := &operatorSink{}
 	g.Expect(sink.idleLimit()).To(BeZero())
 	for _, limit := range []time.Duration{15 * time.Second, 2 * time.Minute} {
-		sink.table.Store(routing.Compile(routing.Config{Limits: routing.Limits{IdleTimeout: limit}}))
+		sink.Install(routing.Compile(routing.Config{Limits: routing.Limits{IdleTimeout: limit}}), time.Time{})
 		g.Expect(sink.idleLimit()).To(Equal(limit))
 	}
 }
