Match routes by the target as it is forwarded

Cause: routes were matched by URL.Path, which is decoded, while the request was forwarded by RequestURI. So the router and the upstream could read different paths from one target.

What recipients may rewrite or read in another way is refused with 400 ambiguous_request, a new reason with the counter of refusals: dot segments, also encoded ones, fragments, backslashes, the absolute form, malformed encodings and an encoded NUL. Prefixes with bytes that targets must encode match in their encoded form.

Builds of both kinds: older VMs match the decoded path. A request whose route differs by it is not relayed through other VMs.

Evidence: on TestRequestThatMayRunOnceRunsOnceWhateverItsTarget fails with status 200 in place of 502 for /permits/A%2F2026%2F17, and TestTargetsOfSeveralReadingsAreRefused with 200 in place of 400 for /open/../permits/17.

--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -67,7 +67,9 @@
 		ReadHeaderTimeout: b.HeaderTimeout,
 		IdleTimeout:       b.IdleTimeout,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
-		ConnState:         trackState,
+		// A success must come from an upstream, also one for OPTIONS *.
+		DisableGeneralOptionsHandler: true,
+		ConnState:                    trackState,
 	}
 	if l.TLS.Enabled() {
 		config, err := ServerTLS(l.TLS)
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -17,6 +17,9 @@
 func (x *exchange) admit(ctx context.Context, r *http.Request) error {
 	s := x.server
 	x.deadline = x.startedAt.Add(s.opts.DefaultDeadline)
+	if x.request.Invalid != nil {
+		return refusal.Wrap(refusal.AmbiguousRequest, x.request.Invalid)
+	}
 	if x.hop != nil {
 		if refused := x.admitRelayed(); refused != nil {
 			return refused
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -32,8 +32,11 @@
 	// ID is the attempt id set by the caller; the upstream's response repeats it.
 	ID     string
 	Method string
-	// Host and Path select the route; Target is the path with the query string.
+	// Host and Path select the route; Target is the path with the query string. Path is the first
+	// part of Target as it is, neither decoded nor cleaned.
 	Host, Path, Target string
+	// Invalid is why the request can't be read in one way only, and is refused; nil if it can.
+	Invalid error
 	// Key is the caller's bearer token; empty if it sent none.
 	Key string
 	// Deadline is how long the caller waits for the response, from the start of
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -62,7 +64,17 @@
 // mayAskPeers reports whether other VMs may be asked to relay the request: once, and not
 // for one that this VM relays itself.
 func (x *exchange) mayAskPeers() bool {
-	return x.hop == nil && !x.peersAsked && x.attemptsLeft() >= 1
+	return x.hop == nil && !x.peersAsked && x.attemptsLeft() >= 1 && !x.olderBuildsTakeOtherRoute()
+}
+
+// olderBuildsTakeOtherRoute reports whether builds that match the decoded path would take another route than
+// this one, and might run a request again that may run once only. No VM is asked to relay such a request.
+func (x *exchange) olderBuildsTakeOtherRoute() bool {
+	if !strings.Contains(x.request.Path, "%") {
+		return false
+	}
+	decoded, err := url.PathUnescape(x.request.Path)
+	return err != nil || x.table.Match(x.request.Host, decoded) != x.route
 }
 
 // shouldAskPeers reports whether other VMs are to be asked to relay the request.
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -26,6 +26,7 @@
 // The reasons for a refusal. The help texts in specs explain them.
 const (
 	MalformedRequest   Reason = "malformed_request"
+	AmbiguousRequest   Reason = "ambiguous_request"
 	NotUTF8            Reason = "not_utf8"
 	BodyTooLarge       Reason = "body_too_large"
 	BodyTimeout        Reason = "body_timeout"
@@ -113,6 +114,7 @@
 
 var specs = []Spec{
 	{MalformedRequest, ClassRequest, http.StatusBadRequest, RanNo, 0, "The body is not the JSON that this path takes."},
+	{AmbiguousRequest, ClassRequest, http.StatusBadRequest, RanNo, 0, "The target or a repeated header field can be read in more than one way."},
 	{NotUTF8, ClassRequest, http.StatusBadRequest, RanNo, 0, "The body is not UTF-8."},
 	{BodyTooLarge, ClassRequest, http.StatusRequestEntityTooLarge, RanNo, 0, "The body is larger than the limit."},
 	{BodyTimeout, ClassRequest, http.StatusRequestTimeout, RanNo, shortRetryAfter, "The body did not arrive in time."},
--- a/routing/table.go
+++ b/routing/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"crypto/sha256"
 	"net"
+	"net/url"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -13,28 +15,49 @@
 // Table is a configuration compiled for lookups. It is safe for concurrent use.
 type Table struct {
 	config Config
-	// byHost maps lower-case host names to their routes, longest prefix first.
-	byHost map[string][]*Route
+	// byHost maps lower-case host names to their prefixes, the longest first.
+	byHost map[string][]prefix
 	// byKey maps the SHA-256 hash of a key to its account.
 	byKey    map[[sha256.Size]byte]*Account
 	services map[string]*Service
 }
 
+// prefix is a route's prefix as it is on a request line.
+type prefix struct {
+	text  string
+	route *Route
+}
+
+// prefixes returns the forms in which a target can have the route's prefix. A prefix with bytes that have to
+// be encoded in targets has three: as it is, and encoded with digits of either case.
+func prefixes(r *Route) []prefix {
+	forms := []prefix{{r.Prefix, r}}
+	encoded := (&url.URL{Path: r.Prefix}).EscapedPath()
+	if strings.Contains(r.Prefix, "%") || encoded == r.Prefix {
+		return forms
+	}
+	lower := encodings.ReplaceAllStringFunc(encoded, strings.ToLower)
+	return append(forms, prefix{encoded, r}, prefix{lower, r})
+}
+
+// encodings matches percent-encoded bytes.
+var encodings = regexp.MustCompile("%[0-9A-F]{2}")
+
 // Compile builds the table of a configuration.
 func Compile(c Config) *Table {
 	t := &Table{
 		config:   c,
-		byHost:   make(map[string][]*Route),
+		byHost:   make(map[string][]prefix),
 		byKey:    make(map[[sha256.Size]byte]*Account),
 		services: make(map[string]*Service),
 	}
 	for i := range t.config.Routes {
 		r := &t.config.Routes[i]
 		host := strings.ToLower(r.Host)
-		t.byHost[host] = append(t.byHost[host], r)
+		t.byHost[host] = append(t.byHost[host], prefixes(r)...)
 	}
-	for _, routes := range t.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	for _, forms := range t.byHost {
+		slices.SortStableFunc(forms, func(a, b prefix) int { return cmp.Compare(len(b.route.Prefix), len(a.route.Prefix)) })
 	}
 	for i := range t.config.Accounts {
 		a := &t.config.Accounts[i]
@@ -59,14 +82,15 @@
 func (t *Table) Limits() Limits { return t.config.Limits }
 
 // Match returns the route of the host with the longest prefix of the path, or nil
-// if there is none. A port in host is ignored.
+// if there is none. The path is that of the request line, compared byte by byte and not decoded. A port in
+// host is ignored.
 func (t *Table) Match(host, path string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, r := range t.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+	for _, p := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, p.text) {
+			return p.route
 		}
 	}
 	return nil
