Classify and forward calls of services by the target as it was sent

Callers saw: GET /services/permits/status/A%2F1 reached the service as /status/A/1, and /status/A%252F1 as /status/A%2F1: targets were decoded once by the mux and once more by URL.JoinPath, and cleaned. What may be repeated was decided by the path decoded once, so the service could run another call than the one that was classified. The older router got rewritten targets, too. Dot segments and empty segments were answered with a redirect.

Cause: the path came from PathValue or URL.Path and was joined to the base URL as if it were encoded.

Now the path below /services/{service} is cut from the request line and forwarded as it is; Service.Repeatable and the older router get the same bytes. Targets that can be read in two ways are refused with 400 ambiguous_request before the mux sees them, empty segments included, as the mux would redirect. The fingerprint of a key keeps the decoded path for the usual encoding, as builds before take it, and the path as it is for any other.

--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -100,7 +100,7 @@
 // detects the reuse of an idempotency key for a different request.
 func (c *serviceCall) fingerprint() string {
 	h := sha256.New()
-	for _, part := range []string{c.request.Method, c.path, c.request.URL.RawQuery, c.request.Header.Get("Content-Type")} {
+	for _, part := range []string{c.request.Method, fingerprintPath(c.path), c.request.URL.RawQuery, c.request.Header.Get("Content-Type")} {
 		_, _ = io.WriteString(h, part)
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/entry/oldrouter.go
+++ b/internal/entry/oldrouter.go
@@ -72,7 +72,7 @@
 // path of the original request.
 func (c *serviceCall) upstreamPath() string {
 	if c.viaOldRouter {
-		return c.request.URL.Path
+		return rawPath(c.request)
 	}
 	return c.path
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -105,9 +105,11 @@
 // Server is the HTTP handler for callers. It is safe for concurrent use.
 type Server struct {
 	Deps
-	opts          Options
-	metrics       *metrics
-	mux           *http.ServeMux
+	opts    Options
+	metrics *metrics
+	mux     *http.ServeMux
+	// refuseTarget answers requests whose target can be read in more than one way.
+	refuseTarget  http.Handler
 	requests      requestTracker
 	stop          *stopState
 	cancellations *ring.Ring[cancellation]
@@ -133,11 +135,16 @@
 	s.mux.HandleFunc("/services/{service}/{path...}", s.handle(s.callService))
 	s.mux.HandleFunc("/v1/", s.handle(wrongMethod))
 	s.mux.HandleFunc("/", s.handle(unknownPath))
+	s.refuseTarget = s.handle(ambiguousTarget)
 	return s
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if checkTarget(r) != nil {
+		s.refuseTarget.ServeHTTP(w, r)
+		return
+	}
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -190,6 +197,10 @@
 	return refusal.New(refusal.PathUnknown)
 }
 
+func ambiguousTarget(_ *Exchange, _ http.ResponseWriter, r *http.Request) error {
+	return refusal.Wrap(refusal.AmbiguousRequest, checkTarget(r))
+}
+
 func unknownPath(_ *Exchange, _ http.ResponseWriter, _ *http.Request) error {
 	return refusal.New(refusal.PathUnknown)
 }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -24,9 +24,10 @@
 	exchange *Exchange
 	service  *service.Service
 	request  *http.Request
-	path     string
-	body     []byte
-	tried    []upstream.ID
+	// path is the path at the service as it is on the request line.
+	path  string
+	body  []byte
+	tried []upstream.ID
 	// viaOldRouter reports whether the older router serves and bills the call.
 	viaOldRouter bool
 }
@@ -45,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	call := &serviceCall{exchange: x, service: svc, request: r, path: "/" + r.PathValue("path"), body: body}
+	call := &serviceCall{exchange: x, service: svc, request: r, path: servicePath(r), body: body}
 	if err := s.selectRouter(call); err != nil {
 		return err
 	}
@@ -260,12 +261,11 @@
 	if err != nil {
 		return nil, errAddress.Wrap(err, "parse upstream address %q", address)
 	}
-	target := base.JoinPath(c.upstreamPath())
-	target.RawQuery = c.request.URL.RawQuery
-	req, err := http.NewRequestWithContext(ctx, c.request.Method, target.String(), bytes.NewReader(c.body))
+	req, err := http.NewRequestWithContext(ctx, c.request.Method, address, bytes.NewReader(c.body))
 	if err != nil {
 		return nil, errAddress.Wrap(err, "create request to upstream address %q", address)
 	}
+	req.URL = withPath(base, c.upstreamPath(), c.request.URL)
 	if len(c.body) == 0 {
 		req.Body = http.NoBody
 	}
--- a/internal/entryd/entryd_test.go
+++ b/internal/entryd/entryd_test.go
@@ -128,6 +128,24 @@
 		Expect(e.Services["permits-1"].Counts().Runs).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a call that is classified by another reading of its target than the one that its service gets.
+	DescribeTable("forwards the target of a call as it was sent",
+		func(target string) {
+			e, c := startEnvironment(ctx, examples.Quickstart)
+			_, err := c.Do(ctx, http.MethodGet, "/services/permits"+target, nil, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.Services["permits-1"].LastTarget()).To(Equal(target))
+		},
+		Entry("plain", "/status/P-1"),
+		Entry("encoded slash", "/status/A%2F2026"),
+		Entry("encoding that is encoded", "/status/A%252F1"),
+		Entry("lower-case digits", "/status/%c3%ad?x=%zz&y"),
+		Entry("letter that needs no encoding", "/status/%41"),
+		Entry("encoded question mark", "/status/A%3Fx=1"),
+		Entry("empty query", "/status/A?"),
+		Entry("root", "/"),
+	)
+
 	DescribeTable("refuses invalid requests with a specific status and reason",
 		func(method, path, body string, headers map[string]string, status int, reason string) {
 			_, c := startEnvironment(ctx, examples.Quickstart)
@@ -143,6 +161,10 @@
 		Entry("not UTF-8", "POST", "/v1/chat/completions", "\xff", nil, 400, "not_utf8"),
 		Entry("max_tokens over the limit", "POST", "/v1/completions", `{"model":"cheap","prompt":"x","max_tokens":99999999}`, nil, 400, "bad_max_tokens"),
 		Entry("unknown model", "POST", "/v1/completions", `{"model":"none","prompt":"x"}`, nil, 404, "model_unknown"),
+		Entry("dot segments", "POST", "/services/permits/status/../issue", `{}`, nil, 400, "ambiguous_request"),
+		Entry("encoded dot segments", "POST", "/services/permits/%2e%2E/stock/x", `{}`, nil, 400, "ambiguous_request"),
+		Entry("empty segment", "GET", "/services/permits//status/x", ``, nil, 400, "ambiguous_request"),
+		Entry("encoded NUL", "GET", "/services/permits/status/x%00", ``, nil, 400, "ambiguous_request"),
 		Entry("unknown service", "GET", "/services/none/x", ``, nil, 404, "service_unknown"),
 		Entry("wrong method", "GET", "/v1/completions", ``, nil, 405, "method_not_allowed"),
 		Entry("unknown path", "GET", "/v2", ``, nil, 404, "path_unknown"),
--- a/service/service.go
+++ b/service/service.go
@@ -12,7 +12,7 @@
 	// Method is compared without regard to case.
 	Method string `json:"method"`
 	// Path is a pattern in the syntax of path.Match, relative to the root of the
-	// service.
+	// service. It is compared with paths as they are on the request line, which are not decoded.
 	Path string `json:"path"`
 }
 
@@ -32,7 +32,7 @@
 const DefaultKeyHeader = "Idempotency-Key"
 
 // Repeatable reports whether a request with this method and path may be sent more
-// than once. urlPath is relative to the root of the service.
+// than once. urlPath is relative to the root of the service, and as on the request line.
 func (s Service) Repeatable(method, urlPath string) bool {
 	for _, c := range s.Idempotent {
 		if c.matches(method, urlPath) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -91,6 +91,8 @@
 
 	mu     sync.Mutex
 	counts Counts
+	// lastTarget is the target of the last request as it was received.
+	lastTarget string
 	// permits holds the request bodies by permit number.
 	permits map[string]string
 }
@@ -114,7 +116,10 @@
 		host.WriteJSON(w, http.StatusOK, s.Counts())
 	})
 	s.Faults.Register(mux)
-	s.host = host.Start(l, mux)
+	s.host = host.Start(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.recordTarget(r.RequestURI)
+		mux.ServeHTTP(w, r)
+	}))
 	return s
 }
 
@@ -124,6 +129,19 @@
 // Close closes all connections and stops listening.
 func (s *Server) Close() error { return s.host.Close() }
 
+func (s *Server) recordTarget(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastTarget = target
+}
+
+// LastTarget returns the target of the last request as it was received.
+func (s *Server) LastTarget() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastTarget
+}
+
 // Counts returns the counts since the start.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
