--- a/soak/odd_rows.go
+++ b/soak/odd_rows.go
@@ -48,7 +48,7 @@
 
 // entryWith returns an entry of orderService with an address and a capacity.
 func entryWith(address, capacity string) string {
-	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Capacity":%s,"Phase":"ready","born":1}`,
+	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Capacity":%s,"Phase":"ready","ColdRemainingMs":0,"Sequence":1,"born":1}`,
 		orderService, address, domains[0], capacity)
 }
 
