--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -156,7 +156,7 @@
 	d.hintCounts = hints.NewCounter(d.registry)
 	d.shareCounts = newShareCounter(d.registry)
 	d.registry.MustRegister(&stateCollector{daemon: d}, collectors.NewGoCollector())
-	d.operatorSink = &operatorSink{log: d.log, shifts: d.shifts, directory: d.directory}
+	d.operatorSink = newOperatorSink(d)
 	d.upstreamSink = newUpstreamSink(d)
 	d.tables = d.newTables()
 	d.relay = d.newRelay()
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -5,6 +5,8 @@
 	"maps"
 	"sync/atomic"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/members"
@@ -25,6 +27,23 @@
 	// evacuated holds the evacuated failure domains. Only the watch of the table uses it.
 	evacuated map[domain.ID]bool
 	directory *engines.Directory
+	// invalid counts changes that made a row invalid, by kind.
+	invalid *prometheus.CounterVec
+	// reported holds the positions of the invalid rows that were logged and counted, by key.
+	reported map[string]watch.Cursor
+}
+
+// newOperatorSink returns the sink of a daemon, and registers its metric.
+func newOperatorSink(d *Daemon) *operatorSink {
+	o := &operatorSink{
+		log: d.log, shifts: d.shifts, directory: d.directory, reported: make(map[string]watch.Cursor),
+		invalid: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_operator_rows_invalid_total",
+			Help: "Changes that made a row of the operators' table invalid, so that it has no effect, by kind.",
+		}, []string{"kind"}),
+	}
+	d.registry.MustRegister(o.invalid)
+	return o
 }
 
 // Table implements relay.Tables.
@@ -37,25 +56,39 @@
 	o.listed.Store(true)
 }
 
-// Change implements watch.Sink. A deleted row ends an evacuation; others have no effect.
+// Change implements watch.Sink. A deleted row ends an evacuation; others have no effect. An invalid row has none
+// either: what the row said before stays in force.
 func (o *operatorSink) Change(b watch.Batch) {
 	o.applyEvacuations(b)
 	for _, row := range b.Rows {
 		if row.Deleted {
+			delete(o.reported, row.Key)
 			continue
 		}
-		var err error
+		kind, err := "", error(nil)
 		switch {
 		case wire.IsConfig(row.Key):
-			err = o.installConfig(row)
+			kind, err = "configuration", o.installConfig(row)
 		case wire.IsRollout(row.Key):
-			err = o.orderRollout(row, b.Era)
+			kind, err = "rollout", o.orderRollout(row, b.Era)
 		}
-		if err != nil {
-			o.log.Error("ignoring invalid row of the operators' table", "key", row.Key,
-				"revision", row.Revision, "error", err)
+		if err == nil {
+			delete(o.reported, row.Key)
+			continue
 		}
+		o.reportInvalid(row, b.Era, kind, err)
+	}
+}
+
+// reportInvalid logs and counts an invalid row, once for each change of it.
+func (o *operatorSink) reportInvalid(row watch.Row, era watch.Era, kind string, err error) {
+	position := watch.Cursor{Era: era, Revision: row.Revision}
+	if before, ok := o.reported[row.Key]; ok && before == position {
+		return
 	}
+	o.reported[row.Key] = position
+	o.invalid.WithLabelValues(kind).Inc()
+	o.log.Error("ignoring invalid row of the operators' table", "key", row.Key, "revision", row.Revision, "error", err)
 }
 
 // applyEvacuations passes the evacuated failure domains to the directory. A row that was added
--- a/internal/gatewayd/sinks_test.go
+++ b/internal/gatewayd/sinks_test.go
@@ -122,3 +122,26 @@
 	sink.Reset(watch.Batch{Rows: []watch.Row{sound}})
 	g.Expect(sink.reported).To(BeEmpty())
 }
+
+// TestInvalidOperatorRowsHaveNoEffectAndAreReportedOnce guards against an incomplete configuration that takes the
+// place of the one in force, and against one that floods the log.
+func TestInvalidOperatorRowsHaveNoEffectAndAreReportedOnce(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := newEntriesDaemon(io.Discard)
+	sink := d.operatorSink
+	config := watch.Row{Key: "config", Revision: 2, Value: []byte(`{"Routes":[{"Name":"r","Hostname":"h","Prefix":"/a/"}]}`)}
+	order := watch.Row{Key: "rollout/s", Revision: 3, Value: []byte(`{"Service":"s"}`)}
+	for range 3 {
+		sink.Reset(watch.Batch{Rows: []watch.Row{config, order}})
+	}
+	g.Expect(sink.Table()).To(BeNil(), "a configuration without a version is none")
+	g.Expect(counterSum(g, d, "poplarshore_operator_rows_invalid_total")).To(BeNumerically("==", 2))
+	sound := watch.Row{Key: "config", Revision: 4, Value: []byte(`{"Version":3}`)}
+	sink.Change(watch.Batch{Rows: []watch.Row{sound}})
+	g.Expect(sink.Table().Version()).To(BeEquivalentTo(3))
+	g.Expect(sink.reported).NotTo(HaveKey("config"))
+	config.Revision = 5
+	sink.Change(watch.Batch{Rows: []watch.Row{config}})
+	g.Expect(sink.Table().Version()).To(BeEquivalentTo(3), "the last sound one stays in force")
+	g.Expect(counterSum(g, d, "poplarshore_operator_rows_invalid_total")).To(BeNumerically("==", 3))
+}
