Keep pauses of up to an hour that upstreams ask for

The bound is now an hour, which only keeps an upstream with a wrong value from being out of use for good.

--- a/internal/engines/restore_test.go
+++ b/internal/engines/restore_test.go
@@ -111,3 +111,17 @@
 	find(d, "b").Pause(time.Second)
 	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("a"))
 }
+
+// TestLongPauseIsKept guards against requests to an upstream before the time at which it asked to be asked again.
+func TestLongPauseIsKept(t *testing.T) {
+	g := NewWithT(t)
+	d, clock := newDirectory()
+	d.Replace([]engines.Entry{newEntry("a", "d1")})
+	find(d, "a").Pause(75 * time.Second)
+	clock.Advance(74 * time.Second)
+	choice := d.Choose(engines.Requirements{Service: "s"})
+	g.Expect(choice.Engine).To(BeNil())
+	g.Expect(choice.PauseLeft).To(Equal(time.Second))
+	clock.Advance(time.Second)
+	g.Expect(chooseID(d, engines.Requirements{})).To(BeEquivalentTo("a"))
+}
--- a/internal/engines/self_report.go
+++ b/internal/engines/self_report.go
@@ -16,8 +16,9 @@
 	d.log.Info("upstream reports that it is leaving", "upstream", e.ID(), "service", e.entry().Service)
 }
 
-// maxPause bounds the time for which an upstream may pause this VM.
-const maxPause = time.Minute
+// maxPause bounds the time for which an upstream may pause this VM, as for an upstream whose clock or
+// configuration is wrong.
+const maxPause = time.Hour
 
 // Pause sends no new requests to the upstream for the given time, because it asked for
 // that. A shorter pause does not end a longer one.
