Slide retry budgets by the steady clock

When the time of day was set forward by the length of the window or more, the windows of the retry budgets were empty at once, and a VM could make its whole allowance again; set back, they stood still. Slots were counted from the Unix time. They are now counted from the first time that the budgets were given, by time.Time.Sub, which takes the steady reading of both.

--- a/retry/window_budget.go
+++ b/retry/window_budget.go
@@ -46,6 +46,9 @@
 	mu      sync.Mutex
 	opts    WindowBudgetOptions
 	byScope map[Scope]*attemptWindow
+	// startedAt is the time that slots are counted from. Times since then are taken on the steady clock, so that
+	// windows don't move when the time of day is set.
+	startedAt time.Time
 }
 
 // attemptWindow counts the first and the additional attempts of a scope in slots
@@ -153,7 +156,10 @@
 // there is none.
 func (w *WindowBudgets) window(s Scope, now time.Time) *attemptWindow {
 	window := w.byScope[s]
-	slot := now.UnixNano() / int64(w.opts.Span/(attemptWindowSlots-1))
+	if w.startedAt.IsZero() {
+		w.startedAt = now
+	}
+	slot := max(int64(now.Sub(w.startedAt)), 0) / int64(w.opts.Span/(attemptWindowSlots-1))
 	if window == nil {
 		window = &attemptWindow{newestSlot: slot}
 		w.byScope[s] = window
