End events with an empty line of either kind

A stream whose lines end with CR LF was never forwarded: eventBuffer looked for two LF. An event now ends with LF and an empty line, which may be LF or CR LF, so that mixed streams are split rightly, too. The bytes are forwarded as they came. Lines that end with CR alone, which the format allows as well, are not known from any upstream and still don't end.

--- a/internal/relay/event_buffer.go
+++ b/internal/relay/event_buffer.go
@@ -13,18 +13,37 @@
 // next returns the next complete event, or nil if there is none yet. The event is
 // valid until compact is called.
 func (e *eventBuffer) next() []byte {
-	from := max(e.searched-len(eventSeparator)+1, e.consumed)
-	i := bytes.Index(e.buf[from:], eventSeparator)
-	if i < 0 {
+	from := max(e.searched-len(crlfEnd)+1, e.consumed)
+	length := endOfEvent(e.buf[from:])
+	if length == 0 {
 		e.searched = len(e.buf)
 		return nil
 	}
-	end := from + i + len(eventSeparator)
+	end := from + length
 	event := e.buf[e.consumed:end]
 	e.consumed, e.searched = end, end
 	return event
 }
 
+// Ends of an event: the end of its last line, which may be CR LF as well, and an empty line.
+var (
+	lfEnd   = []byte("\n\n")
+	crlfEnd = []byte("\n\r\n")
+)
+
+// endOfEvent returns the length of the part of buf up to the first end of an event, 0 if there is none.
+func endOfEvent(buf []byte) int {
+	length := 0
+	if i := bytes.Index(buf, lfEnd); i >= 0 {
+		length = i + len(lfEnd)
+		buf = buf[:length]
+	}
+	if i := bytes.Index(buf, crlfEnd); i >= 0 {
+		length = i + len(crlfEnd)
+	}
+	return length
+}
+
 // compact discards the events already returned by next.
 func (e *eventBuffer) compact() {
 	if e.consumed == 0 {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -80,9 +80,6 @@
 	a.guarded.RecordEvent()
 }
 
-// eventSeparator marks the end of an event.
-var eventSeparator = []byte("\n\n")
-
 // streamBufferBytes is the size of the buffer for reading a stream.
 const streamBufferBytes = 4 << 10
 
