--- a/internal/gatewayd/sinks_test.go
+++ b/internal/gatewayd/sinks_test.go
@@ -28,7 +28,7 @@
 		s.Regions = map[domain.ID]domain.Region{"d1": "r1"}
 		d := New(s, io.Discard, clockwork.NewFakeClock())
 		sink := d.upstreamSink
-		entry := watch.Row{Key: "u", Value: []byte(`{"Service":"s","Address":"127.0.0.1:1","Zone":"d1","Version":"v1","Capacity":1,"Phase":"ready"}`)}
+		entry := watch.Row{Key: "u", Value: []byte(`{"Service":"s","Address":"127.0.0.1:1","Zone":"d1","Version":"v1","Capacity":1,"Phase":"ready","ColdRemainingMs":0,"Sequence":1}`)}
 		sink.Reset(watch.Batch{Rows: []watch.Row{entry}})
 		g.Expect(d.directory.ForService("s")).To(HaveLen(1))
 
@@ -51,7 +51,7 @@
 // entryRow returns the row of an upstream, valid for the failure domain d1.
 func entryRow(id, failureDomain, address string, revision watch.Revision) watch.Row {
 	return watch.Row{Key: id, Revision: revision, Value: []byte(`{"Service":"s","Address":"` + address + `","Zone":"` + failureDomain +
-		`","Version":"v1","Capacity":1,"Phase":"ready","born":1}`)}
+		`","Version":"v1","Capacity":1,"Phase":"ready","ColdRemainingMs":0,"Sequence":1,"born":1}`)}
 }
 
 // TestUpstreamWithOverwrittenEntryIsNotUsedUntilItsEntryIsBack guards against requests to an upstream
@@ -122,3 +122,26 @@
 	sink.Reset(watch.Batch{Rows: []watch.Row{sound}})
 	g.Expect(sink.reported).To(BeEmpty())
 }
+
+// TestInvalidOperatorRowsHaveNoEffectAndAreReportedOnce guards against an incomplete configuration that takes the
+// place of the one in force, and against one that floods the log.
+func TestInvalidOperatorRowsHaveNoEffectAndAreReportedOnce(t *testing.T) {
+	g := NewWithT(t)
+	d, _ := newEntriesDaemon(io.Discard)
+	sink := d.operatorSink
+	config := watch.Row{Key: "config", Revision: 2, Value: []byte(`{"Routes":[{"Name":"r","Hostname":"h","Prefix":"/a/"}]}`)}
+	order := watch.Row{Key: "rollout/s", Revision: 3, Value: []byte(`{"Service":"s"}`)}
+	for range 3 {
+		sink.Reset(watch.Batch{Rows: []watch.Row{config, order}})
+	}
+	g.Expect(sink.Table()).To(BeNil(), "a configuration without a version is none")
+	g.Expect(counterSum(g, d, "poplarshore_operator_rows_invalid_total")).To(BeNumerically("==", 2))
+	sound := watch.Row{Key: "config", Revision: 4, Value: []byte(`{"Version":3}`)}
+	sink.Change(watch.Batch{Rows: []watch.Row{sound}})
+	g.Expect(sink.Table().Version()).To(BeEquivalentTo(3))
+	g.Expect(sink.reported).NotTo(HaveKey("config"))
+	config.Revision = 5
+	sink.Change(watch.Batch{Rows: []watch.Row{config}})
+	g.Expect(sink.Table().Version()).To(BeEquivalentTo(3), "the last sound one stays in force")
+	g.Expect(counterSum(g, d, "poplarshore_operator_rows_invalid_total")).To(BeNumerically("==", 3))
+}
