--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -117,6 +117,21 @@
 	g.Expect(report.Faults).To(HaveKey("home_regions"))
 }
 
+// TestShortSoakOfSilentEnginesHasNoViolations guards against whole requests that end without an answer because sound
+// engines were silent for a moment, while configurations, signals and planned stops overlap.
+func TestShortSoakOfSilentEnginesHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults, o.Fragile = binary(t, "poplarshored"), t.TempDir(), 5509, 3, false
+	o.Duration, o.VMs, o.Engines, o.Rate, o.LateCallers = 7*time.Second, 3, 2, 60, 10
+	o.Silences, o.Only = true, []string{"engine_silence", "configure", "hangup", "stop"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("engine_silence"))
+	g.Expect(report.Silences.DuringSilence).To(BeNumerically(">", 50))
+}
+
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
 	path := binary(t, "poplarshored")
 	for _, r := range regressions {
