Soak: count a request's time as over within the last part of a millisecond

Deadlines and timeouts are told in whole milliseconds, and the caller's clock begins at another moment than the VM's. A request that ends a whole millisecond early is still reported, as the test of the check expects.

--- a/soak/silences.go
+++ b/soak/silences.go
@@ -70,6 +70,9 @@
 	ordinaryOrder  = time.Second
 )
 
+// timeResolution is the unit in which deadlines and timeouts are told.
+const timeResolution = time.Millisecond
+
 // unansweredReason is why a request may end without its answer; empty if it must not.
 type unansweredReason string
 
@@ -159,7 +162,7 @@
 	switch {
 	case c.brokenOff[x.id]:
 		return engineBrokeOff
-	case x.doneAt.Sub(x.sentAt) >= x.timeLimit() && !c.timeAllowsSilence(x):
+	case x.doneAt.Sub(x.sentAt) > x.timeLimit()-timeResolution && !c.timeAllowsSilence(x):
 		return timeReached
 	case len(runs) > 0 && c.graceWasSpent(x):
 		return graceSpent
