Soak: let an engine name one limit at a time

Cause, in the soak: two workers let the same engine name a limit. The end of the first fault took the limit of the second one away; the VMs log "upstream names no limit any more" at 19:58:48.7, 2.7 s after it named the second one, which was checked for 9 s or more.

A limit is no longer given to an engine that names one. The draws stay as they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -235,13 +235,16 @@
 	e.failurePercent.Store(0)
 }
 
-// limitEngine lets an upstream name a limit of 1 to 5 requests per second.
+// limitEngine lets an upstream name a limit of 1 to 5 requests per second, unless it names one already.
 func (f *injector) limitEngine(ctx context.Context, rng *rand.Rand) {
 	e := f.pickEngine(rng)
 	perSecond := 1 + 4*rng.Float64()
-	e.limit.Store(&perSecond)
+	length := f.bounds.LimitDelay + f.bounds.LimitSpan + randomDuration(rng)
+	if !e.limit.CompareAndSwap(nil, &perSecond) {
+		return
+	}
 	since := time.Now()
-	sleep(ctx, f.bounds.LimitDelay+f.bounds.LimitSpan+randomDuration(rng))
+	sleep(ctx, length)
 	f.report.addLimit(namedLimit{engine: e, perSecond: perSecond, since: since, until: time.Now()})
 	e.limit.Store(nil)
 }
