Soak: check silences beside good roll-outs only

The check of silences took requests beside a roll-out of a version that fails 70% of its requests for requests beside planned work: their 502 after three failed attempts would be a violation. Times of such roll-outs now count as disturbed in this check, as its description says; checks of other faults are as they were.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -313,6 +313,9 @@
 		}
 	}
 	newEngines := f.bed.registered(modelService, version)
+	if failurePercent > 0 {
+		defer f.bed.badRollouts.begin()()
+	}
 	for _, e := range newEngines {
 		e.failurePercent.Store(failurePercent)
 	}
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -124,7 +124,7 @@
 	return x.response.SentAt
 }
 
-// onlyPlannedWork reports whether nothing but silences, configurations, planned stops and roll-outs came
+// onlyPlannedWork reports whether nothing but silences, configurations, planned stops and good roll-outs came
 // between the settle time before the request and its end.
 func (c *checker) onlyPlannedWork(x exchange) bool {
 	from := x.sentAt.Add(-c.bounds.SettleTime)
@@ -134,7 +134,7 @@
 		}
 	}
 	return x.culprit == nil && c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) &&
-		c.testbed.oddRows.noneOverlap(from, x.doneAt)
+		c.testbed.oddRows.noneOverlap(from, x.doneAt) && c.testbed.badRollouts.noneOverlap(from, x.doneAt)
 }
 
 // isAnswered reports whether the response is complete and is that of an engine, one that rejects
--- a/soak/silences_test.go
+++ b/soak/silences_test.go
@@ -20,6 +20,8 @@
 	signalledBefore   time.Duration
 	engineStopped     bool
 	disturbed, unsent bool
+	// badRollout reports whether a version that fails requests was rolled out.
+	badRollout bool
 	// otherSilent reports whether the silent engine was not the one that ran the request.
 	otherSilent bool
 }
@@ -37,6 +39,9 @@
 	if s.disturbed {
 		bed.disturbances.entries = []interval{{from: sentAt, until: sentAt.Add(time.Second)}}
 	}
+	if s.badRollout {
+		bed.badRollouts.entries = []interval{{from: sentAt, until: sentAt.Add(time.Second)}}
+	}
 	e := &engine{}
 	if !s.otherSilent {
 		e.silences.entries = bed.silences.entries
@@ -63,18 +68,19 @@
 		// reason is why the request may end so; "violation" if it must not, and empty if it was answered.
 		reason string
 	}{
-		"answered":                       {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusOK}, runs: 1}, ""},
-		"failure of an engine":           {silenceCase{kind: lookupRequest, response: sealed, runs: 1}, ""},
-		"true refusal":                   {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusServiceUnavailable}}, ""},
-		"untrue refusal":                 {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusTooManyRequests}, runs: 1}, "violation"},
-		"bad gateway":                    {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusBadGateway}, took: time.Second, silence: time.Second}, "violation"},
-		"cut stream":                     {silenceCase{kind: streamRequest, response: cut, took: 3 * time.Second, silence: 2 * time.Second, runs: 2}, "violation"},
-		"cut while disturbed":            {silenceCase{kind: streamRequest, response: cut, took: 3 * time.Second, runs: 2, disturbed: true}, ""},
-		"not sent":                       {silenceCase{kind: streamRequest, response: standin.Response{Incomplete: true}, unsent: true}, ""},
-		"time used up by silence":        {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: 3 * time.Second, runs: 1}, "time_reached"},
-		"time over, another silent":      {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: 3 * time.Second, runs: 1, otherSilent: true}, "violation"},
-		"time over in spite of a moment": {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: time.Second, runs: 1}, "violation"},
-		"time of slow order used up":     {silenceCase{kind: orderRequest, path: slowPath + "1", response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: time.Second, runs: 1}, "time_reached"},
+		"answered":                                     {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusOK}, runs: 1}, ""},
+		"failure of an engine":                         {silenceCase{kind: lookupRequest, response: sealed, runs: 1}, ""},
+		"true refusal":                                 {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusServiceUnavailable}}, ""},
+		"untrue refusal":                               {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusTooManyRequests}, runs: 1}, "violation"},
+		"bad gateway":                                  {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusBadGateway}, took: time.Second, silence: time.Second}, "violation"},
+		"cut stream":                                   {silenceCase{kind: streamRequest, response: cut, took: 3 * time.Second, silence: 2 * time.Second, runs: 2}, "violation"},
+		"cut while disturbed":                          {silenceCase{kind: streamRequest, response: cut, took: 3 * time.Second, runs: 2, disturbed: true}, ""},
+		"failed during a bad roll-out":                 {silenceCase{kind: streamRequest, response: standin.Response{Status: http.StatusBadGateway}, took: time.Second, runs: 3, badRollout: true}, ""},
+		"not sent":                                     {silenceCase{kind: streamRequest, response: standin.Response{Incomplete: true}, unsent: true}, ""},
+		"time used up by silence":                      {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: 3 * time.Second, runs: 1}, "time_reached"},
+		"time over, another silent":                    {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: 3 * time.Second, runs: 1, otherSilent: true}, "violation"},
+		"time over in spite of a moment":               {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: time.Second, runs: 1}, "violation"},
+		"time of slow order used up":                   {silenceCase{kind: orderRequest, path: slowPath + "1", response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout, silence: time.Second, runs: 1}, "time_reached"},
 		"time used up but for a part of a millisecond": {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout - timeResolution/2, silence: 3 * time.Second, runs: 1}, "time_reached"},
 		"given up a millisecond early":                 {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: callTimeout - timeResolution, silence: 3 * time.Second, runs: 1}, "violation"},
 		"given up before the time is over":             {silenceCase{kind: lookupRequest, response: standin.Response{Status: http.StatusGatewayTimeout}, took: 3 * time.Second, silence: 3 * time.Second, runs: 1}, "violation"},
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -77,6 +77,8 @@
 	disturbances intervals
 	// silences are the intervals in which sound engines send nothing.
 	silences intervals
+	// badRollouts are the intervals of roll-outs of versions that fail requests.
+	badRollouts intervals
 	// oddRows are the intervals with odd entries among those of the engines.
 	oddRows intervals
 	// crashes are the intervals in which requests crash upstreams. addEngineErrors counts the
