--- a/soak/silences.go
+++ b/soak/silences.go
@@ -70,6 +70,9 @@
 	ordinaryOrder  = time.Second
 )
 
+// timeResolution is the unit in which deadlines and timeouts are told.
+const timeResolution = time.Millisecond
+
 // unansweredReason is why a request may end without its answer; empty if it must not.
 type unansweredReason string
 
@@ -121,7 +124,7 @@
 	return x.response.SentAt
 }
 
-// onlyPlannedWork reports whether nothing but silences, configurations, planned stops and roll-outs came
+// onlyPlannedWork reports whether nothing but silences, configurations, planned stops and good roll-outs came
 // between the settle time before the request and its end.
 func (c *checker) onlyPlannedWork(x exchange) bool {
 	from := x.sentAt.Add(-c.bounds.SettleTime)
@@ -131,7 +134,7 @@
 		}
 	}
 	return x.culprit == nil && c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) &&
-		c.testbed.oddRows.noneOverlap(from, x.doneAt)
+		c.testbed.oddRows.noneOverlap(from, x.doneAt) && c.testbed.badRollouts.noneOverlap(from, x.doneAt)
 }
 
 // isAnswered reports whether the response is complete and is that of an engine, one that rejects
@@ -159,7 +162,7 @@
 	switch {
 	case c.brokenOff[x.id]:
 		return engineBrokeOff
-	case x.doneAt.Sub(x.sentAt) >= x.timeLimit() && !c.timeAllowsSilence(x):
+	case x.doneAt.Sub(x.sentAt) > x.timeLimit()-timeResolution && !c.timeAllowsSilence(x):
 		return timeReached
 	case len(runs) > 0 && c.graceWasSpent(x):
 		return graceSpent
