Write entries for tests and the soak in one place

The text of an engine's entry stood in four places since entries need all their fields, three of them outside platform/, which alone speaks the users' names. platform/standin/entry writes it now. No check changes.

--- a/internal/gatewayd/entries_property_test.go
+++ b/internal/gatewayd/entries_property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/platform/standin/entry"
 )
 
 // rowState is what the last row of an upstream holds.
@@ -35,8 +36,7 @@
 var modelIDs = []string{"a", "b", "c"}
 
 // oddValues are values of entries that name no upstream.
-var oddValues = []string{"", "{", `{"Phase":"ready"}`, `{"Service":"s","Address":"10.0.0.9:0","Zone":"d1","Version":"v1","Capacity":1,"Phase":"ready","ColdRemainingMs":0,"Sequence":1}`,
-	`{"Service":"s","Address":"10.0.0.9:80","Zone":"d1","Version":"v1","Capacity":1,"Phase":"ready","ColdRemainingMs":0}`}
+var oddValues = []string{"", "{", `{"Phase":"ready"}`, entry.Text("s", "10.0.0.9:0", "d1", "1"), entry.Incomplete("s", "10.0.0.9:80", "d1")}
 
 // set changes the row of an upstream, and delivers the change if follow is set.
 func (m *entriesModel) set(id string, state rowState, odd string, follow bool) {
--- a/internal/gatewayd/sinks_test.go
+++ b/internal/gatewayd/sinks_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/platform/standin/entry"
 	"github.com/poplarshore/poplarshore/settings"
 )
 
@@ -28,8 +29,8 @@
 		s.Regions = map[domain.ID]domain.Region{"d1": "r1"}
 		d := New(s, io.Discard, clockwork.NewFakeClock())
 		sink := d.upstreamSink
-		entry := watch.Row{Key: "u", Value: []byte(`{"Service":"s","Address":"127.0.0.1:1","Zone":"d1","Version":"v1","Capacity":1,"Phase":"ready","ColdRemainingMs":0,"Sequence":1}`)}
-		sink.Reset(watch.Batch{Rows: []watch.Row{entry}})
+		row := watch.Row{Key: "u", Value: []byte(entry.Text("s", "127.0.0.1:1", "d1", "1"))}
+		sink.Reset(watch.Batch{Rows: []watch.Row{row}})
 		g.Expect(d.directory.ForService("s")).To(HaveLen(1))
 
 		sink.StoreUnavailable(errors.New("no response"))
@@ -50,8 +51,7 @@
 
 // entryRow returns the row of an upstream, valid for the failure domain d1.
 func entryRow(id, failureDomain, address string, revision watch.Revision) watch.Row {
-	return watch.Row{Key: id, Revision: revision, Value: []byte(`{"Service":"s","Address":"` + address + `","Zone":"` + failureDomain +
-		`","Version":"v1","Capacity":1,"Phase":"ready","ColdRemainingMs":0,"Sequence":1,"born":1}`)}
+	return watch.Row{Key: id, Revision: revision, Value: []byte(entry.Text("s", address, failureDomain, "1"))}
 }
 
 // TestUpstreamWithOverwrittenEntryIsNotUsedUntilItsEntryIsBack guards against requests to an upstream
--- a/soak/odd_rows.go
+++ b/soak/odd_rows.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/poplarshore/poplarshore/platform/standin/entry"
 )
 
 // oddRowFault writes odd entries among those of the engines. It is a kind of its own list, because the
@@ -48,8 +50,7 @@
 
 // entryWith returns an entry of orderService with an address and a capacity.
 func entryWith(address, capacity string) string {
-	return fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Capacity":%s,"Phase":"ready","ColdRemainingMs":0,"Sequence":1,"born":1}`,
-		orderService, address, domains[0], capacity)
+	return entry.Text(orderService, address, string(domains[0]), capacity)
 }
 
 // mayBeRestricted reports whether a configuration that can be in force during a lookup restricts the
--- a/soak/silences_test.go
+++ b/soak/silences_test.go
@@ -62,7 +62,7 @@
 // rules allow.
 func TestCheckOfSilences(t *testing.T) {
 	cut := standin.Response{Status: http.StatusOK, Incomplete: true}
-	sealed := standin.Response{Status: http.StatusInternalServerError, Header: http.Header{"X-Response-Seal": {"seal-e"}}}
+	sealed := standin.Response{Status: http.StatusInternalServerError, Header: standin.SealedHeader("e")}
 	for name, c := range map[string]struct {
 		silenceCase
 		// reason is why the request may end so; "violation" if it must not, and empty if it was answered.
