Add membudget: a budget of the memory that a VM keeps for others

Each limit on what upstreams and callers send stands alone, so that nothing bounds the sum. A Budget is shared by all, and a holder may keep a fraction of what is free, so that an upstream, a service or an account that sends too much leaves room for others. Not used yet.

--- /dev/null
+++ b/internal/membudget/budget.go
@@ -0,0 +1,125 @@
+package membudget
+
+import (
+	"sync"
+
+	"github.com/joomcode/errorx"
+)
+
+var namespace = errorx.NewNamespace("membudget")
+
+// Errors of a Reservation.
+var (
+	// ErrExhausted reports that there was no room for more bytes.
+	ErrExhausted = namespace.NewType("exhausted")
+	// ErrHolderShare is an ErrExhausted: the first holder of the reservation keeps as much as it may by itself.
+	ErrHolderShare = ErrExhausted.NewSubtype("holder_share")
+	// ErrTooLarge reports that a Buffer would exceed its largest size.
+	ErrTooLarge = namespace.NewType("too_large")
+)
+
+// Kind is the kind of a holder.
+type Kind string
+
+// Kinds of holders.
+const (
+	Upstream Kind = "upstream"
+	Service  Kind = "service"
+	Account  Kind = "account"
+	Callers  Kind = "callers"
+	VM       Kind = "vm"
+)
+
+// freeFactors are how many times the free part of the budget all reservations of a holder may keep. A single
+// holder with factor f can keep f/(1+f) of the budget.
+var freeFactors = map[Kind]float64{Upstream: 0.5, Account: 0.5, VM: 0.5, Callers: 1, Service: 2}
+
+// Holder is on whose behalf bytes are kept.
+type Holder struct {
+	Kind Kind
+	ID   string
+}
+
+// Budget bounds the bytes that are kept on a VM. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+
+	mu      sync.Mutex
+	used    int64
+	byOwner map[Holder]int64
+	refused map[Kind]int64
+}
+
+// New returns a budget of limit bytes.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, byOwner: make(map[Holder]int64), refused: make(map[Kind]int64)}
+}
+
+// Limit returns the size of the budget in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Reserve returns a reservation without bytes. The first holder is the one that sends what is kept. Release must be called.
+func (b *Budget) Reserve(holders ...Holder) *Reservation {
+	return &Reservation{budget: b, holders: holders}
+}
+
+// grow reserves n bytes more for all holders, or none. Errors: ErrExhausted, ErrHolderShare.
+func (b *Budget) grow(holders []Holder, n int64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	free := b.limit - b.used
+	for i, h := range holders {
+		if float64(b.byOwner[h]+n) <= freeFactors[h.Kind]*float64(free) {
+			continue
+		}
+		b.refused[h.Kind]++
+		err := ErrExhausted
+		if i == 0 && b.byOwner[h] > 0 {
+			err = ErrHolderShare
+		}
+		return err.New("%s %q keeps %d bytes of %d, of which %d are free; no room for %d more", h.Kind, h.ID, b.byOwner[h], b.limit, free, n)
+	}
+	b.add(holders, n)
+	return nil
+}
+
+// add changes the bytes kept. The caller holds mu.
+func (b *Budget) add(holders []Holder, n int64) {
+	b.used += n
+	for _, h := range holders {
+		if b.byOwner[h] += n; b.byOwner[h] == 0 {
+			delete(b.byOwner, h)
+		}
+	}
+}
+
+// Reservation is the part of a budget that one response or body keeps. It is used by one goroutine at a time.
+type Reservation struct {
+	budget  *Budget
+	holders []Holder
+	bytes   int64
+}
+
+// Grow reserves n bytes more. Errors: ErrExhausted, ErrHolderShare; nothing is reserved then.
+func (r *Reservation) Grow(n int) error {
+	if err := r.budget.grow(r.holders, int64(n)); err != nil {
+		return err
+	}
+	r.bytes += int64(n)
+	return nil
+}
+
+// Shrink returns n bytes.
+func (r *Reservation) Shrink(n int) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.budget.add(r.holders, -int64(n))
+	r.bytes -= int64(n)
+}
+
+// Release returns all bytes. It may be called more than once.
+func (r *Reservation) Release() {
+	if r.bytes > 0 {
+		r.Shrink(int(r.bytes))
+	}
+}
