Bound what a VM keeps of responses and request bodies by one budget

What other operators saw: a faulty engine sent bytes without end, and the requests of all clients on the VM ended with the process.

Cause: each limit stood alone. An event could have 1 MiB, a body 8 MiB, of each request in flight; one counter of 32 MiB covered the length of bodies alone, whatever the VM's memory, without shares, and slices that grow by append kept and dropped several times of it. Callers' bodies had no common bound before admission.

Now events, bodies of responses and callers' bodies reserve their capacity in one budget of a fifth of the VM's memory (64 MiB without a limit), by upstream and service, other VM and service, or account. A holder may keep a fraction of what is free, so that two faulty engines of a service leave half of it. An attempt beyond its upstream's share ends as over_share and counts against the upstream, one beyond the others' as no_memory and counts against none; a caller's body without room is refused at once as memory_full. Arrays that buffers have outgrown are reused, and a request's body is no longer copied for each attempt. What waits for slow callers is a tenth of the memory, at most 16 MiB as before. New metrics: gateway_kept_bytes, gateway_keep_refused_total.

--- a/internal/gatewayd/collector.go
+++ b/internal/gatewayd/collector.go
@@ -17,6 +17,11 @@
 		"Time since a table of the store was last read, directly or through another VM.", []string{"table"}, nil)
 	dialsDesc = prometheus.NewDesc("poplarshore_gateway_upstream_dials_total",
 		"Connections opened to upstreams.", nil, nil)
+	keptDesc = prometheus.NewDesc("poplarshore_gateway_kept_bytes",
+		"Bytes of responses and request bodies that are kept.", nil, nil)
+	keepRefusedDesc = prometheus.NewDesc("poplarshore_gateway_keep_refused_total",
+		"Parts of responses and request bodies for which there was no room, by the kind of the holder that had used up its share.",
+		[]string{"holder"}, nil)
 )
 
 // stateCollector exports the daemon's state as metrics.
@@ -32,6 +37,8 @@
 	ch <- readyDesc
 	ch <- tableAgeDesc
 	ch <- dialsDesc
+	ch <- keptDesc
+	ch <- keepRefusedDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -59,4 +66,9 @@
 	}
 	ch <- prometheus.MustNewConstMetric(readyDesc, prometheus.GaugeValue, ready)
 	ch <- prometheus.MustNewConstMetric(dialsDesc, prometheus.CounterValue, float64(d.pool.Dials()))
+	usage := d.memory.Usage()
+	ch <- prometheus.MustNewConstMetric(keptDesc, prometheus.GaugeValue, float64(usage.Bytes))
+	for kind, n := range usage.Refused {
+		ch <- prometheus.MustNewConstMetric(keepRefusedDesc, prometheus.CounterValue, float64(n), string(kind))
+	}
 }
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/poplarshore/poplarshore/internal/hints"
 	"github.com/poplarshore/poplarshore/internal/listen"
 	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/peerfeed"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
@@ -86,6 +87,8 @@
 	shareCounts  *prometheus.CounterVec
 	retryBudgets *retry.WindowBudgets
 	relay        *relay.Server
+	// memory bounds what is kept of responses and request bodies.
+	memory *membudget.Budget
 	// tables are the watches of the store's tables.
 	tables []*watch.Watch
 	phase  atomic.Int32
@@ -100,11 +103,6 @@
 }
 
 const (
-	// memoryLimitFraction is the fraction of settings.Gateway.MemoryMB that is set
-	// as the runtime's soft memory limit. Near that limit garbage collection runs
-	// more often.
-	memoryLimitFraction = 0.6
-	bytesPerMB          = 1 << 20
 	// reregistrationGrace is how long lapsed upstream entries are kept after the
 	// store is available again.
 	reregistrationGrace = 2 * time.Second
@@ -134,6 +132,7 @@
 	d := &Daemon{settings: s, logOutput: out, clock: clock, registry: metrics.NewRegistry()}
 	d.logWriter = boundlog.New(d.registry)
 	d.log = slog.New(d.logWriter.Handler(command.Logger(d.logWriter, s.Log).Handler())).With("vm", s.VM.ID)
+	d.memory = membudget.New(partsOf(s).kept)
 	d.store = rowstore.New(rowstore.Options{
 		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Registry: d.registry,
 	})
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -50,7 +50,7 @@
 		Retry: retry.NewPolicy(retryOptions, d.retryBudgets), RepeatEstimator: retry.NewRepeatEstimator(), Pool: d.pool,
 		VM: d.settings.VM.ID, Reach: d.reach, Peers: d.newPeers(), PeerPool: d.peerPool, IsPeer: d.isPeer,
 		Quarantine: d.quarantines, Digester: quarantine.NewDigester(d.settings.DigestSecret),
-		Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
+		Memory: d.memory, Clock: d.clock, Log: d.log, Metrics: relay.NewMetrics(d.registry),
 		AnnounceWork: func(u upstream.Upstream, work time.Duration) {
 			d.hints.Announce(hints.Hint{Upstream: u.ID, WorkMS: work.Milliseconds(), Region: d.regionOf(u.Domain)})
 		},
@@ -65,6 +65,7 @@
 		deps.Admission = services
 	}
 	options := relay.DefaultOptions()
+	options.MaxWaitingBytes = partsOf(d.settings).waiting
 	options.AnswerEnd = d.settings.LoadControl.AnswerEnd
 	return relay.New(deps, options)
 }
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -1,6 +1,7 @@
 package membudget
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -58,6 +59,21 @@
 // Limit returns the size of the budget in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
 
+// Usage is what is kept on a VM.
+type Usage struct {
+	// Bytes are kept for all holders together.
+	Bytes int64
+	// Refused counts how often there was no room, by the kind of the holder that had used up its share.
+	Refused map[Kind]int64
+}
+
+// Usage returns what is kept now.
+func (b *Budget) Usage() Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Usage{Bytes: b.used, Refused: maps.Clone(b.refused)}
+}
+
 // Reserve returns a reservation without bytes. The first holder is the one that sends what is kept. Release must be called.
 func (b *Budget) Reserve(holders ...Holder) *Reservation {
 	return &Reservation{budget: b, holders: holders}
--- a/internal/membudget/buffer.go
+++ b/internal/membudget/buffer.go
@@ -25,17 +25,30 @@
 // Len returns the number of bytes that are kept.
 func (b *Buffer) Len() int { return len(b.data) }
 
+// Fits returns why there is no room for n bytes in an empty buffer now, or nil. It reserves nothing. Errors: those of
+// Reservation.Grow.
+func (b *Buffer) Fits(n int) error {
+	if n <= unreservedBytes {
+		return nil
+	}
+	if err := b.reservation.Grow(n); err != nil {
+		return err
+	}
+	b.reservation.Shrink(n)
+	return nil
+}
+
 // Append keeps a copy of p. Errors: ErrTooLarge, and those of Reservation.Grow; the buffer is unchanged then.
 func (b *Buffer) Append(p []byte) error {
-	if err := b.Reserve(len(p)); err != nil {
+	if err := b.makeRoom(len(p)); err != nil {
 		return err
 	}
 	b.data = append(b.data, p...)
 	return nil
 }
 
-// Reserve makes room for n bytes more. Errors: those of Append.
-func (b *Buffer) Reserve(n int) error {
+// makeRoom makes room for n bytes more. Errors: those of Append.
+func (b *Buffer) makeRoom(n int) error {
 	need := len(b.data) + n
 	if need > b.maxBytes {
 		return ErrTooLarge.New("more than %d bytes", b.maxBytes)
@@ -43,16 +56,15 @@
 	if need <= cap(b.data) {
 		return nil
 	}
-	size := min(max(2*cap(b.data), need, unreservedBytes), b.maxBytes)
+	size := min(max(sizeFor(need), unreservedBytes), b.maxBytes)
 	reserved := max(size-unreservedBytes, 0)
-	// Both the old and the new array are kept while the bytes are copied.
-	if err := b.reservation.Grow(reserved); err != nil {
+	// The old array is kept only while the bytes are copied.
+	if err := b.reservation.Grow(reserved - b.reserved); err != nil {
 		return err
 	}
-	data := make([]byte, len(b.data), size)
-	copy(data, b.data)
-	b.data = data
-	b.reservation.Shrink(b.reserved)
+	old := b.data
+	b.data = append(newArray(size), old...)
+	recycle(old)
 	b.reserved = reserved
 	return nil
 }
@@ -65,8 +77,9 @@
 	}
 }
 
-// Release drops all bytes and returns what was reserved for them.
+// Release drops all bytes and returns what was reserved for them. Slices returned by Bytes must not be used any more.
 func (b *Buffer) Release() {
+	recycle(b.data)
 	b.data = nil
 	b.reservation.Shrink(b.reserved)
 	b.reserved = 0
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/routing"
 )
@@ -147,7 +147,7 @@
 	defer endWait()
 	readBy := time.Now().Add(min(x.server.opts.BodyTimeout, time.Until(x.deadline)))
 	release := x.limitRead(ctx, readBy)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
+	err := x.keepBody(r, limit)
 	// The error doesn't tell: net/http replaces that of a read within the end of a chunked body.
 	timedOut := err != nil && !time.Now().Before(readBy)
 	cut := release()
@@ -157,18 +157,36 @@
 		x.setReadDeadline(time.Now().Add(bodyDiscardTimeout))
 	}
 	var tooLarge *http.MaxBytesError
+	var full *refusal.Refusal
 	switch {
 	case refused != nil && (err != nil || x.readCut):
 		return refused
 	case err == nil:
-		x.body = body
 		return nil
+	case errors.As(err, &full):
+		x.setReadDeadline(time.Now().Add(bodyDiscardTimeout))
+		return full
 	case errors.As(err, &tooLarge):
 		return refusal.Wrap(refusal.BodyTooLarge, err)
 	}
 	return refusal.Wrap(refusal.BodyTimeout, err)
 }
 
+// keepBody reads the body of a request, of at most limit bytes, in memory that is reserved. Errors: those of the
+// connection, and a MemoryFull refusal.
+func (x *exchange) keepBody(r *http.Request, limit int64) error {
+	x.bodyMemory = x.reserveForCaller()
+	body := membudget.NewBuffer(x.bodyMemory, int(limit))
+	if err := body.Fits(int(r.ContentLength)); err != nil {
+		return refusal.Wrap(refusal.MemoryFull, err)
+	}
+	if err := readInto(body, http.MaxBytesReader(x.w, r.Body, limit)); err != nil {
+		return err
+	}
+	x.body = body.Bytes()
+	return nil
+}
+
 // limitRead ends reads of the request body at the given time, and when ctx ends. The returned
 // function removes the limit, and reports whether the end of ctx ended reads.
 func (x *exchange) limitRead(ctx context.Context, until time.Time) (release func() bool) {
--- a/internal/relay/body_end_test.go
+++ b/internal/relay/body_end_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/routing"
 )
@@ -108,6 +109,7 @@
 		x.w, x.control, x.table = w, http.NewResponseController(w), routing.Compile(routing.Config{})
 		x.deadline = time.Now().Add(bodyEndTimeout)
 		x.server.opts.BodyTimeout = bodyTimeout
+		x.server.Memory = membudget.New(1 << 20)
 		close(header)
 		err := x.readBody(ctx, r)
 		// net/http watches for a disconnect from the end of the body on.
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 )
 
@@ -31,17 +32,21 @@
 	status int
 	header http.Header
 	body   []byte
+	memory *membudget.Reservation
 }
 
+// release returns what was reserved for the body.
+func (b *bufferedResponse) release() { b.memory.Release() }
+
 // buffer reads the complete response. A failure is stored, to be forwarded if no
 // later attempt succeeds; any other response is forwarded at once.
 func (a *attempt) buffer(resp *upconn.Response, failure bool) error {
 	x := a.exchange
-	b, err := x.readWhole(resp, string(a.engine.ID()))
+	b, err := x.readWhole(resp, x.reserveFor(a.engine), string(a.engine.ID()))
 	if err != nil {
 		return err
 	}
-	defer x.server.buffered.release(len(b.body))
+	x.keepUntilEnd(b)
 	a.recordReceived()
 	if failure {
 		x.upstreamFailure = b
@@ -50,26 +55,29 @@
 	return b.writeTo(x)
 }
 
-// readWhole reads the complete response from the named sender. After a success its size must
-// be released from the server's buffer budget.
-func (x *exchange) readWhole(resp *upconn.Response, sender string) (*bufferedResponse, error) {
-	b := &bufferedResponse{status: resp.Status, header: resp.Header}
+// keepUntilEnd keeps the response until the end of the exchange, in place of the one before it.
+func (x *exchange) keepUntilEnd(b *bufferedResponse) {
+	if x.buffered != nil {
+		x.buffered.release()
+	}
+	x.buffered = b
+}
+
+// readWhole reads the complete response from the named sender. The reservation grows with it, and is released if it
+// fails. Errors: errTooLarge, errOverShare, errNoMemory and those of upconn.
+func (x *exchange) readWhole(resp *upconn.Response, memory *membudget.Reservation, sender string) (*bufferedResponse, error) {
+	body := membudget.NewBuffer(memory, x.server.opts.MaxBufferedBytes)
 	buf := make([]byte, maxDrainBytes)
 	for {
 		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
-		taken := x.server.buffered.take(n)
-		b.body = append(b.body, buf[:n]...)
+		if keepErr := body.Append(buf[:n]); keepErr != nil {
+			err = keepError(keepErr, sender)
+		}
 		switch {
-		case !taken:
-			err = upconn.ErrBroken.New("responses being read together exceed %d bytes, among them one from %s",
-				x.server.opts.MaxTotalBufferedBytes, sender)
 		case errors.Is(err, io.EOF):
-			return b, nil
-		case err == nil && len(b.body) > x.server.opts.MaxBufferedBytes:
-			err = upconn.ErrBroken.New("response larger than %d bytes from %s", x.server.opts.MaxBufferedBytes, sender)
-		}
-		if err != nil {
-			x.server.buffered.release(len(b.body))
+			return &bufferedResponse{status: resp.Status, header: resp.Header, body: body.Bytes(), memory: memory}, nil
+		case err != nil:
+			body.Release()
 			return nil, err
 		}
 	}
--- a/internal/relay/event_buffer.go
+++ b/internal/relay/event_buffer.go
@@ -1,26 +1,42 @@
 package relay
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/poplarshore/poplarshore/internal/membudget"
+)
 
 // eventBuffer splits a stream into complete server-sent events.
 type eventBuffer struct {
-	buf []byte
+	kept *membudget.Buffer
 	// consumed is the length of the events already returned by next, and searched that of
 	// the part in which no further event ends.
 	consumed, searched int
 }
 
+// newEventBuffer returns an empty buffer. What it keeps is reserved.
+func newEventBuffer(r *membudget.Reservation) *eventBuffer {
+	return &eventBuffer{kept: membudget.NewBuffer(r, maxEventBytes)}
+}
+
+// release drops what is kept.
+func (e *eventBuffer) release() { e.kept.Release() }
+
+// append adds bytes of the stream. Errors: those of membudget.Buffer.
+func (e *eventBuffer) append(p []byte) error { return e.kept.Append(p) }
+
 // next returns the next complete event, or nil if there is none yet. The event is
 // valid until compact is called.
 func (e *eventBuffer) next() []byte {
+	buf := e.kept.Bytes()
 	from := max(e.searched-len(crlfEnd)+1, e.consumed)
-	length := endOfEvent(e.buf[from:])
+	length := endOfEvent(buf[from:])
 	if length == 0 {
-		e.searched = len(e.buf)
+		e.searched = len(buf)
 		return nil
 	}
 	end := from + length
-	event := e.buf[e.consumed:end]
+	event := buf[e.consumed:end]
 	e.consumed, e.searched = end, end
 	return event
 }
@@ -49,17 +65,14 @@
 	if e.consumed == 0 {
 		return
 	}
-	e.buf = append(e.buf[:0], e.buf[e.consumed:]...)
+	e.kept.Discard(e.consumed)
 	e.searched = max(e.searched-e.consumed, 0)
 	e.consumed = 0
 }
 
-// partialBytes returns the length of the incomplete event in the buffer.
-func (e *eventBuffer) partialBytes() int { return len(e.buf) - e.consumed }
-
 // hasPartial reports whether the buffer holds an incomplete event.
 func (e *eventBuffer) hasPartial() bool {
-	return len(bytes.TrimSpace(e.buf[e.consumed:])) > 0
+	return len(bytes.TrimSpace(e.kept.Bytes()[e.consumed:])) > 0
 }
 
 // idField is the start of the line with an event's id.
--- a/internal/relay/event_buffer_test.go
+++ b/internal/relay/event_buffer_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/membudget"
 )
 
 // TestEventsEndWithEmptyLineOfEitherKind guards against events that are never forwarded, or forwarded in
@@ -16,12 +18,12 @@
 	}
 	for size := 1; size <= len(whole); size++ {
 		g := NewWithT(t)
-		var buffer eventBuffer
+		buffer := newEventBuffer(membudget.New(maxEventBytes).Reserve())
 		var got []string
 		for rest := whole; rest != ""; {
 			part := rest[:min(size, len(rest))]
 			rest = rest[len(part):]
-			buffer.buf = append(buffer.buf, part...)
+			g.Expect(buffer.append([]byte(part))).To(Succeed())
 			for event := buffer.next(); event != nil; event = buffer.next() {
 				got = append(got, string(event))
 			}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/poplarshore/poplarshore/account"
 	"github.com/poplarshore/poplarshore/internal/egress"
 	"github.com/poplarshore/poplarshore/internal/engines"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/quarantine"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/retry"
@@ -23,6 +24,10 @@
 	control *http.ResponseController
 	request *Request
 	body    []byte
+	// bodyMemory is what is reserved for the body; nil for none. buffered is the last response that was read
+	// completely, nil if there was none.
+	bodyMemory *membudget.Reservation
+	buffered   *bufferedResponse
 
 	table    *routing.Table
 	route    *routing.Route
--- a/internal/relay/output.go
+++ b/internal/relay/output.go
@@ -10,10 +10,16 @@
 	"github.com/poplarshore/poplarshore/refusal"
 )
 
+// accountWaitingDivisor is the part of what may wait for callers that may wait for those of one client account.
+const accountWaitingDivisor = 4
+
 // newEgress returns the tracker of what waits for callers.
 func (s *Server) newEgress() *egress.Tracker {
 	opts := egress.DefaultOptions()
 	opts.WriteTimeout = s.opts.WriteTimeout
+	if s.opts.MaxWaitingBytes > 0 {
+		opts.MaxBytes, opts.MaxAccountBytes = s.opts.MaxWaitingBytes, s.opts.MaxWaitingBytes/accountWaitingDivisor
+	}
 	return egress.NewTracker(opts, s.Clock, func(err error) {
 		s.Metrics.slowCallers.WithLabelValues(slownessOf(err)).Inc()
 	})
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -183,13 +183,13 @@
 		return upconn.ErrBroken.New("expected an event stream to resume from VM %s, got status %d", peer.ID, resp.Status)
 	}
 	if isEventStream(resp.Header) {
-		return x.forwardPeerStream(resp, "VM "+string(peer.ID))
+		return x.forwardPeerStream(resp, peer.ID)
 	}
-	body, err := x.readWhole(resp, "VM "+string(peer.ID))
+	body, err := x.readWhole(resp, x.reserveForPeer(peer.ID), "VM "+string(peer.ID))
 	if err != nil {
 		return err
 	}
-	defer s.buffered.release(len(body.body))
+	x.keepUntilEnd(body)
 	return body.writeTo(x)
 }
 
@@ -276,14 +276,17 @@
 	return peerrelay.Inconclusive
 }
 
-// forwardPeerStream forwards complete events of a stream of another VM, the named sender, as they
-// arrive.
-func (x *exchange) forwardPeerStream(resp *upconn.Response, sender string) error {
-	var pending eventBuffer
+// forwardPeerStream forwards complete events of a stream of another VM as they arrive.
+func (x *exchange) forwardPeerStream(resp *upconn.Response, peer vm.ID) error {
+	pending := newEventBuffer(x.reserveForPeer(peer))
+	defer pending.release()
+	sender := "VM " + string(peer)
 	buf := make([]byte, streamBufferBytes)
 	for events := 0; ; {
 		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
-		pending.buf = append(pending.buf, buf[:n]...)
+		if keepErr := pending.append(buf[:n]); keepErr != nil {
+			return keepError(keepErr, sender)
+		}
 		for event := pending.next(); event != nil; event = pending.next() {
 			if forwardErr := x.forwardEvent(resp, event, sender); forwardErr != nil {
 				return forwardErr
@@ -292,14 +295,12 @@
 		}
 		pending.compact()
 		switch {
-		case pending.partialBytes() > maxEventBytes:
-			return upconn.ErrBroken.New("event larger than %d bytes from %s", maxEventBytes, sender)
 		case err == nil:
 			continue
 		case !errors.Is(err, io.EOF) || resp.EndsWithConnection():
 			return upconn.ErrConnectionLost.Wrap(err, "stream of another VM ended early")
 		}
-		return x.endStream(resp, &pending, events, sender)
+		return x.endStream(resp, pending, events, sender)
 	}
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/internal/egress"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/pace"
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -33,9 +34,9 @@
 	// MaxBufferedBytes is the largest response without events, in bytes, and the
 	// largest request body if the configuration sets no limit. Default 8 MiB.
 	MaxBufferedBytes int
-	// MaxTotalBufferedBytes is the largest size of all responses without events together that
-	// are being read. Default 32 MiB.
-	MaxTotalBufferedBytes int64
+	// MaxWaitingBytes is how much of answers may wait for callers that read slowly. Those of one client account
+	// may be a quarter of it. Default 16 MiB.
+	MaxWaitingBytes int
 	// DefaultDeadline is the time limit of a request if neither the caller nor
 	// the route sets one. Default 30 s.
 	DefaultDeadline time.Duration
@@ -52,7 +53,7 @@
 		Cascade: cascade.ConfidencePolicy{
 			MinConfidence: 58, MinConfidenceLate: 25, NextModelConfidence: 48,
 			IdleWait: 0.02, BusyWait: 0.2, LatestStart: 0.85, StepTime: 300 * time.Millisecond, LatestEnd: 0.8},
-		MaxBufferedBytes: 8 << 20, MaxTotalBufferedBytes: 32 << 20, DefaultDeadline: 30 * time.Second,
+		MaxBufferedBytes: 8 << 20, MaxWaitingBytes: 16 << 20, DefaultDeadline: 30 * time.Second,
 		WriteTimeout: 10 * time.Second, BodyTimeout: 10 * time.Second,
 	}
 }
@@ -69,6 +70,8 @@
 	RepeatEstimator *retry.RepeatEstimator
 	Pool            *upconn.Pool
 	Quarantine      Quarantine
+	// Memory bounds what is kept of responses and request bodies.
+	Memory *membudget.Budget
 	// VM is this VM. Reach follows whether it reaches upstreams; while it doesn't, requests go
 	// to Peers by PeerPool.
 	VM       vm.ID
@@ -108,7 +111,6 @@
 	// durations are those of attempts that sent the whole answer, without an error status, or that the
 	// deadline ended.
 	durations pace.Durations
-	buffered  bufferBudget
 	egress    *egress.Tracker
 	// inFlight counts the requests in flight, and relayedInFlight those of other VMs.
 	inFlight        atomic.Int64
@@ -118,8 +120,7 @@
 
 // New returns a server.
 func New(deps Deps, opts Options) *Server {
-	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), buffered: bufferBudget{limit: opts.MaxTotalBufferedBytes},
-		stop: newStopState()}
+	s := &Server{Deps: deps, opts: opts, prefill: newPrefillEstimator(), stop: newStopState()}
 	s.egress = s.newEgress()
 	return s
 }
@@ -137,6 +138,7 @@
 		server: s, w: w, startedAt: s.Clock.Now(), control: http.NewResponseController(w),
 		request: s.Protocol.ReadRequest(r), randState: rand.Uint64(), hop: hop,
 	}
+	defer x.releaseMemory()
 	defer x.releaseRelayed()
 	defer x.endOutput()
 	defer s.answerPanic(x, r)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -87,7 +87,8 @@
 // the first event, so that another upstream may respond until then.
 func (a *attempt) forwardStream(resp *upconn.Response) error {
 	x := a.exchange
-	var pending eventBuffer
+	pending := newEventBuffer(x.reserveFor(a.engine))
+	defer pending.release()
 	buf := make([]byte, streamBufferBytes)
 	awaited := a.awaitEvent()
 	for {
@@ -95,8 +96,10 @@
 			return errMoved.New("stream from %s is too slow to end in time", a.engine.ID())
 		}
 		n, err := a.readPaced(resp, buf, max(awaited.left(x.server.Clock.Now()), minReadWait))
-		pending.buf = append(pending.buf, buf[:n]...)
-		forwarded, sendErr := a.forwardEvents(resp, &pending)
+		if keepErr := pending.append(buf[:n]); keepErr != nil {
+			return keepError(keepErr, string(a.engine.ID()))
+		}
+		forwarded, sendErr := a.forwardEvents(resp, pending)
 		if sendErr != nil {
 			return sendErr
 		}
@@ -105,8 +108,6 @@
 			awaited = a.awaitEvent()
 		}
 		switch {
-		case pending.partialBytes() > maxEventBytes:
-			return upconn.ErrBroken.New("event larger than %d bytes from %s", maxEventBytes, a.engine.ID())
 		case err == nil && awaited.isOver(x.server.Clock.Now()) && !a.mayWaitOn(&awaited):
 			return upconn.ErrSilent.New("no event within the idle timeout from %s", a.engine.ID())
 		case err == nil:
@@ -114,7 +115,7 @@
 		case !errors.Is(err, io.EOF):
 			return err
 		}
-		return x.endStream(resp, &pending, a.events, string(a.engine.ID()))
+		return x.endStream(resp, pending, a.events, string(a.engine.ID()))
 	}
 }
 
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -134,13 +134,13 @@
 
 // write writes the request; a large one in the background.
 func (r *Response) write(req Request) error {
-	data := encode(req)
-	if len(data) >= concurrentWriteBytes {
+	head := encodeHead(req)
+	if len(head)+len(req.Body) >= concurrentWriteBytes {
 		r.writeResult = make(chan error, 1)
-		go func() { r.writeResult <- r.writeParts(data) }()
+		go func() { r.writeResult <- r.writeParts(head, req.Body) }()
 		return nil
 	}
-	n, err := r.conn.Write(data)
+	n, err := r.conn.Write(append(head, req.Body...))
 	switch {
 	case err == nil:
 		return nil
@@ -159,26 +159,39 @@
 // timeout on a slow link as long as the upstream takes some of it. If the upstream takes
 // nothing for that long and has not responded either, the connection is closed, as it would
 // otherwise wait for the response to a request that was never complete.
-func (r *Response) writeParts(data []byte) error {
-	for part := range slices.Chunk(data, concurrentWriteBytes) {
-		err := r.limitWrite()
-		if err == nil {
-			_, err = r.conn.Write(part)
-		}
-		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && !r.responded.Load() {
-				_ = r.conn.Close()
-			}
+func (r *Response) writeParts(head, body []byte) error {
+	// The body is not copied, as it may be large.
+	withHead := min(len(body), max(concurrentWriteBytes-len(head), 0))
+	if err := r.writePart(append(head, body[:withHead]...)); err != nil {
+		return err
+	}
+	for part := range slices.Chunk(body[withHead:], concurrentWriteBytes) {
+		if err := r.writePart(part); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// encode returns the request in the HTTP/1.1 wire format.
-func encode(req Request) []byte {
+// writePart writes a part of a large request.
+func (r *Response) writePart(part []byte) error {
+	err := r.limitWrite()
+	if err == nil {
+		_, err = r.conn.Write(part)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !r.responded.Load() {
+		_ = r.conn.Close()
+	}
+	return err
+}
+
+// headCapacity is the usual size of a request's header, with a short body, in bytes.
+const headCapacity = 2 << 10
+
+// encodeHead returns the request line and the header in the HTTP/1.1 wire format.
+func encodeHead(req Request) []byte {
 	var b bytes.Buffer
-	b.Grow(len(req.Body) + 1024)
+	b.Grow(headCapacity)
 	b.WriteString(req.Method)
 	b.WriteByte(' ')
 	b.WriteString(req.Target)
@@ -193,7 +206,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
 	return b.Bytes()
 }
 
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -72,6 +72,7 @@
 	BillingUnavailable Reason = "billing_unavailable"
 	ConfigurationStale Reason = "configuration_stale"
 	Draining           Reason = "draining"
+	MemoryFull         Reason = "memory_full"
 	TakeoverQuiet      Reason = "takeover_quiet"
 	LoopDetected       Reason = "loop_detected"
 	StreamUnknown      Reason = "stream_unknown"
@@ -160,6 +161,7 @@
 	{BillingUnavailable, ClassUnavailable, http.StatusServiceUnavailable, RanNo, longRetryAfter, "Billing records cannot be kept at present."},
 	{ConfigurationStale, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM does not know whether its configuration is in force."},
 	{Draining, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM is leaving."},
+	{MemoryFull, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has no memory left for the body of the request."},
 	{TakeoverQuiet, ClassUnavailable, http.StatusServiceUnavailable, RanNo, longRetryAfter, "The call is moving between routers."},
 	{LoopDetected, ClassRequest, http.StatusLoopDetected, RanNo, 0, "The request has passed this router before."},
 	{StreamUnknown, ClassRequest, http.StatusNotFound, RanUnknown, 0, "No answer with this request id can be resumed here."},
