Don't wait for the body of a rejection

What callers would see: an engine said that it had not run a request, and the VM read the body of that response until the request's deadline: 504 after 3 s, although another engine was idle, and for all requests without one.

Cause: drainBody read with the request's time as the limit of each read, in order to reuse the connection. Now a body that is known to be long isn't read, and any other one for 100 ms in all, whatever comes.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -173,7 +173,7 @@
 	x := a.exchange
 	switch {
 	case head.NotRun:
-		a.drainBody(resp)
+		resp.Drain(maxDrainBytes, min(drainTimeout, x.timeLeft()))
 		return errNotRun.New("upstream did not run the request: status %d from %s", resp.Status, a.engine.ID())
 	case resp.Status < http.StatusMultipleChoices && !head.Sealed:
 		return upconn.ErrBroken.New("expected a seal on the successful response from %s, got none", a.engine.ID())
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -5,26 +5,20 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/upconn"
 )
 
-// maxDrainBytes is how much of the body of a rejection is read in order to reuse
-// the connection, and the size of the read buffer.
-const maxDrainBytes = 4 << 10
-
-// drainBody reads a short body to its end, so that the connection can be reused.
-func (a *attempt) drainBody(resp *upconn.Response) {
-	buf := make([]byte, maxDrainBytes)
-	for read := 0; read < maxDrainBytes; {
-		n, err := resp.Read(buf, a.exchange.timeLeft(), nil)
-		if err != nil {
-			return
-		}
-		read += n
-	}
-}
+const (
+	// maxDrainBytes is how much of the body of a rejection is read in order to reuse the connection, and drainTimeout how
+	// long that may delay the request.
+	maxDrainBytes = 4 << 10
+	drainTimeout  = 100 * time.Millisecond
+	// bodyPartBytes is how much of a body is read at a time.
+	bodyPartBytes = 4 << 10
+)
 
 // bufferedResponse is a response that is read completely before any part of it
 // is forwarded.
@@ -67,7 +61,7 @@
 // fails. Errors: errTooLarge, errOverShare, errNoMemory and those of upconn.
 func (x *exchange) readWhole(resp *upconn.Response, memory *membudget.Reservation, sender string) (*bufferedResponse, error) {
 	body := membudget.NewBuffer(memory, x.server.opts.MaxBufferedBytes)
-	buf := make([]byte, maxDrainBytes)
+	buf := make([]byte, bodyPartBytes)
 	for {
 		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
 		if keepErr := body.Append(buf[:n]); keepErr != nil {
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -67,6 +67,8 @@
 	writeResult chan error
 	// responded reports whether the header of the response has been read.
 	responded atomic.Bool
+	// length is that of the body, -1 if the header doesn't name it.
+	length int64
 	// complete reports whether the body has been read to its end.
 	complete bool
 	// framed reports whether the end of the body is given by Content-Length or a
@@ -124,6 +126,7 @@
 	}
 	r.responded.Store(true)
 	r.Status, r.Header, r.body = resp.StatusCode, resp.Header, resp.Body
+	r.length = resp.ContentLength
 	r.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	r.reusable = !resp.Close && r.framed
 	if call.IdleTimeout != nil {
@@ -322,6 +325,23 @@
 	return n, r.readError(err)
 }
 
+// Drain reads the rest of a short body, so that the connection can be reused. It stops after the time limit, whatever
+// has come, and does nothing if the body is known to be longer than maxBytes.
+func (r *Response) Drain(maxBytes int64, limit time.Duration) {
+	if r.complete || r.length > maxBytes {
+		return
+	}
+	r.conn.patient.onSilence = nil
+	if r.conn.SetReadDeadline(time.Now().Add(limit)) != nil {
+		return
+	}
+	_, err := io.CopyN(io.Discard, r.body, maxBytes+1)
+	r.complete = errors.Is(err, io.EOF)
+}
+
+// Length returns the length of the body that the header names, and false if it names none.
+func (r *Response) Length() (int64, bool) { return r.length, r.length >= 0 }
+
 // EndsWithConnection reports whether only the end of the connection marks that of the body.
 func (r *Response) EndsWithConnection() bool { return !r.framed }
 
