Don't count comments as events of a stream

What callers would see: an engine sends comments without end (": hello" each 30 ms) and no event. The comment committed the answer and extended every wait, so that the stream was cut at the deadline although another engine was idle.

Now comments before the first event are kept, within the limits of an event, and sent with it; later ones are forwarded at once. Neither is progress: the wait for the next event goes on, the engine is left like a silent one, and an attempt that sent only comments has sent no event.

--- a/internal/relay/event_buffer.go
+++ b/internal/relay/event_buffer.go
@@ -12,6 +12,15 @@
 	// consumed is the length of the events already returned by next, and searched that of
 	// the part in which no further event ends.
 	consumed, searched int
+	// comments is the length of the comments before the event that is not complete yet.
+	comments int
+}
+
+// takeComments returns the comments after which no event has come; empty if there are none.
+func (e *eventBuffer) takeComments() []byte {
+	comments := e.kept.Bytes()[e.consumed : e.consumed+e.comments]
+	e.consumed, e.comments = e.consumed+e.comments, 0
+	return comments
 }
 
 // newEventBuffer returns an empty buffer. What it keeps is reserved.
@@ -26,19 +35,27 @@
 func (e *eventBuffer) append(p []byte) error { return e.kept.Append(p) }
 
 // next returns the next complete event, or nil if there is none yet. The event is
-// valid until compact is called.
-func (e *eventBuffer) next() []byte {
+// valid until compact is called. Comments are events of their own, or the beginning of the event that
+// follows them if loneComments is false.
+func (e *eventBuffer) next(loneComments bool) []byte {
 	buf := e.kept.Bytes()
-	from := max(e.searched-len(crlfEnd)+1, e.consumed)
-	length := endOfEvent(buf[from:])
-	if length == 0 {
-		e.searched = len(buf)
-		return nil
+	for {
+		from := max(e.searched-len(crlfEnd)+1, e.consumed+e.comments)
+		length := endOfEvent(buf[from:])
+		if length == 0 {
+			e.searched = len(buf)
+			return nil
+		}
+		end := from + length
+		e.searched = end
+		if !loneComments && isComment(buf[e.consumed+e.comments:end]) {
+			e.comments = end - e.consumed
+			continue
+		}
+		event := buf[e.consumed:end]
+		e.consumed, e.comments = end, 0
+		return event
 	}
-	end := from + length
-	event := buf[e.consumed:end]
-	e.consumed, e.searched = end, end
-	return event
 }
 
 // Ends of an event: the end of its last line, which may be CR LF as well, and an empty line.
--- a/internal/relay/event_buffer_test.go
+++ b/internal/relay/event_buffer_test.go
@@ -24,7 +24,7 @@
 			part := rest[:min(size, len(rest))]
 			rest = rest[len(part):]
 			g.Expect(buffer.append([]byte(part))).To(Succeed())
-			for event := buffer.next(); event != nil; event = buffer.next() {
+			for event := buffer.next(true); event != nil; event = buffer.next(true) {
 				got = append(got, string(event))
 			}
 			buffer.compact()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -39,7 +39,9 @@
 	if id != "" {
 		x.lastEvent = id
 	}
-	x.mayHaveEnded = false
+	if !isComment(event) {
+		x.mayHaveEnded = false
+	}
 	return nil
 }
 
@@ -61,6 +63,7 @@
 // events, or returns why it is not complete. A resumed stream without an event is complete only if nothing
 // may have been left to send. Errors: ErrConnectionLost, ErrBroken.
 func (x *exchange) endStream(resp *upconn.Response, pending *eventBuffer, events int, sender string) error {
+	comments := pending.takeComments()
 	switch {
 	case pending.hasPartial():
 		return upconn.ErrConnectionLost.New("stream from %s ended within an event", sender)
@@ -71,5 +74,8 @@
 	case !x.headerSent:
 		x.sendHeader(resp.Status, resp.Header)
 	}
+	if len(comments) > 0 {
+		return x.sendPart(comments)
+	}
 	return nil
 }
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -287,11 +287,13 @@
 		if keepErr := pending.append(buf[:n]); keepErr != nil {
 			return keepError(keepErr, sender)
 		}
-		for event := pending.next(); event != nil; event = pending.next() {
+		for event := pending.next(x.headerSent); event != nil; event = pending.next(x.headerSent) {
 			if forwardErr := x.forwardEvent(resp, event, sender); forwardErr != nil {
 				return forwardErr
 			}
-			events++
+			if !isComment(event) {
+				events++
+			}
 		}
 		pending.compact()
 		switch {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -164,16 +164,20 @@
 	return more > 0
 }
 
-// forwardEvents forwards the complete events in the buffer to the caller. It reports whether there were any.
+// forwardEvents forwards the complete events in the buffer to the caller. It reports whether there were any. Comments are
+// forwarded, too, but count as none.
 func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) (bool, error) {
 	written := false
-	for event := pending.next(); event != nil; event = pending.next() {
-		a.recordReceived()
-		a.recordEvent()
+	for event := pending.next(a.exchange.headerSent); event != nil; event = pending.next(a.exchange.headerSent) {
+		comment := isComment(event)
+		if !comment {
+			a.recordReceived()
+			a.recordEvent()
+		}
 		if err := a.exchange.forwardEvent(resp, event, string(a.engine.ID())); err != nil {
 			return written, err
 		}
-		written = true
+		written = written || !comment
 	}
 	pending.compact()
 	return written, nil
