Leave a body without end while another engine has time for the request

What callers would see: a body without end that comes slowly (100 kB/s, 200 or 500) kept a call that may be repeated until its deadline, 504, although another engine was idle; one that is announced as larger than allowed was read as far as the limit.

Cause: each part that came restarted the wait, and only silence asked whether something else could serve the request. Now a body must be complete within half of the time that is left, or twice what most requests of the route take, unless its length is known and it comes fast enough; then the decision is that on a silent attempt, without blaming the engine for silence. A Content-Length above the limit ends the attempt before the body is read.

TestSlowBodyWithoutEndIsLeftForAnotherEngine failed before with 504 after 3.0 s, TestBodyAnnouncedAsTooLargeIsNotRead likewise; both pass.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -36,7 +36,7 @@
 // later attempt succeeds; any other response is forwarded at once.
 func (a *attempt) buffer(resp *upconn.Response, failure bool) error {
 	x := a.exchange
-	b, err := x.readWhole(resp, x.reserveFor(a.engine), string(a.engine.ID()))
+	b, err := x.readWhole(resp, x.reserveFor(a.engine), string(a.engine.ID()), a.awaitBody(resp))
 	if err != nil {
 		return err
 	}
@@ -58,15 +58,24 @@
 }
 
 // readWhole reads the complete response from the named sender. The reservation grows with it, and is released if it
-// fails. Errors: errTooLarge, errOverShare, errNoMemory and those of upconn.
-func (x *exchange) readWhole(resp *upconn.Response, memory *membudget.Reservation, sender string) (*bufferedResponse, error) {
+// fails. It is given up when the wait says so; nil waits until the deadline. Errors: errTooLarge, errOverShare,
+// errNoMemory, errUnending and those of upconn.
+func (x *exchange) readWhole(
+	resp *upconn.Response, memory *membudget.Reservation, sender string, wait *bodyWait,
+) (*bufferedResponse, error) {
+	if length, known := resp.Length(); known && length > int64(x.server.opts.MaxBufferedBytes) {
+		return nil, errTooLarge.New("response of %d bytes from %s", length, sender)
+	}
 	body := membudget.NewBuffer(memory, x.server.opts.MaxBufferedBytes)
 	buf := make([]byte, bodyPartBytes)
 	for {
-		n, err := resp.Read(buf, max(x.timeLeft(), minWait), nil)
+		n, err := resp.Read(buf, wait.limit(x), wait.onSilence())
 		if keepErr := body.Append(buf[:n]); keepErr != nil {
 			err = keepError(keepErr, sender)
 		}
+		if err == nil && wait.isOver(x, body.Len()) {
+			err = errUnending.New("response from %s goes on", sender)
+		}
 		switch {
 		case errors.Is(err, io.EOF):
 			return &bufferedResponse{status: resp.Status, header: resp.Header, body: body.Bytes(), memory: memory}, nil
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -185,7 +185,7 @@
 	if isEventStream(resp.Header) {
 		return x.forwardPeerStream(resp, peer.ID)
 	}
-	body, err := x.readWhole(resp, x.reserveForPeer(peer.ID), "VM "+string(peer.ID))
+	body, err := x.readWhole(resp, x.reserveForPeer(peer.ID), "VM "+string(peer.ID), nil)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -30,6 +30,13 @@
 		return 0
 	}
 	a.recordSilence()
+	return a.waitOrGiveUp(left)
+}
+
+// waitOrGiveUp decides whether an attempt that takes too long is given up, and returns how much longer to wait, as
+// onSilence does. left is the time until the deadline.
+func (a *attempt) waitOrGiveUp(left time.Duration) time.Duration {
+	x := a.exchange
 	if x.refuseUnfinishable() != nil {
 		return left
 	}
