Move no slow stream to a silent upstream

Callers saw a stream that was slow but alive end at its upstream and wait at another one that sent nothing to anyone.

Cause: shouldMove compares the expected end and the utilization of the best other upstream. One that is silent looks idle, and nothing asked whether it is. A silent attempt is given up only for an upstream that is not silent; the move of a slow stream had no such rule.

Change: the stream stays where it is while the best other upstream is silent, counted as silent_upstream in poplarshore_relay_moves_total.

Before, TestSlowStreamIsNotMovedToSilentUpstream failed: "the only target is silent. Expected true to be false". After: passes, go test -race ./internal/relay passes.

--- a/internal/relay/answer_end_test.go
+++ b/internal/relay/answer_end_test.go
@@ -207,6 +207,21 @@
 	g.Expect(runEvents(x, clock, 5, 900*time.Millisecond).shouldMove()).To(BeFalse(), "the route can't be resumed")
 }
 
+// TestSlowStreamIsNotMovedToSilentUpstream guards against a stream, slow but alive, that is ended for an upstream that sends
+// nothing.
+func TestSlowStreamIsNotMovedToSilentUpstream(t *testing.T) {
+	g := NewWithT(t)
+	x, placement, clock := newStream(t, retry.Allowance{Slack: 10})
+	x.modelIndex, placement.ends["large"] = 2, 2*time.Second
+	a := runEvents(x, clock, 5, 900*time.Millisecond)
+	placement.engine.MarkSilent()
+	g.Expect(a.shouldMove()).To(BeFalse(), "the only target is silent")
+	g.Expect(x.retryPrepaid).To(BeFalse())
+	g.Expect(placement.count("poplarshore_relay_moves_total", "silent_upstream")).To(BeEquivalentTo(1))
+	clock.Advance(engines.SilencePenalty)
+	g.Expect(a.shouldMove()).To(BeTrue())
+}
+
 // TestSlowCallerMovesNoStream guards against moves of streams that their caller holds up.
 func TestSlowCallerMovesNoStream(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -82,6 +82,11 @@
 		s.Metrics.moves.WithLabelValues("no_faster_upstream").Inc()
 		return false
 	}
+	if choice.Engine.IsSilent() {
+		// Silent upstreams are chosen last: no other one is there.
+		s.Metrics.moves.WithLabelValues("silent_upstream").Inc()
+		return false
+	}
 	// Count this attempt as well, since its upstream runs it.
 	retryState := x.retryState
 	retryState.Attempts++
