Limit the heads of responses to 64 KiB in all clients

Callers saw: requests of all clients on a VM end, as its memory is used up by an upstream, a peer or a platform service that sends a head without end. Cause: no http.Transport set MaxResponseHeaderBytes, so that net/http's default of 10 MB held for each connection, and a head within it costs several times as much while it is parsed.

Trailers and chunk extensions have net/http's own limits.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -11,6 +11,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/fetch"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
+	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/quarantine"
 )
 
@@ -37,7 +38,10 @@
 	if err != nil {
 		return nil, ErrUsage.Wrap(err, "invalid --peers")
 	}
-	resp, err := fetch.Do(http.DefaultClient, req, fetch.Limits{
+	client := &http.Client{Transport: &http.Transport{
+		Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+	}}
+	resp, err := fetch.Do(client, req, fetch.Limits{
 		HeaderTimeout: gatewayTimeout, IdleTimeout: gatewayTimeout, MaxBytes: maxListingBytes,
 	})
 	if err != nil {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -15,6 +15,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/listen"
 	"github.com/poplarshore/poplarshore/internal/operatorclient"
+	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/settings"
 	"github.com/poplarshore/poplarshore/strictjson"
 )
@@ -101,7 +102,9 @@
 	}
 	return &operatorclient.Client{
 		URLs: e.urls, Token: string(token),
-		HTTP: &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: config}},
+		HTTP: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+			TLSClientConfig: config, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+		}},
 	}, nil
 }
 
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -15,6 +15,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/internal/fetch"
+	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/internal/watch"
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -34,6 +35,8 @@
 	// seedTimeout bounds each phase of a call to a seed, and maxReplyBytes its response.
 	seedTimeout   = 500 * time.Millisecond
 	maxReplyBytes = 1 << 10
+	// idleConnTimeout is how long an unused connection to a seed is kept.
+	idleConnTimeout = 90 * time.Second
 )
 
 // AnnouncerOptions configure an Announcer. All fields are required.
@@ -60,7 +63,10 @@
 
 // NewAnnouncer returns an announcer. It does nothing before Run.
 func NewAnnouncer(opts AnnouncerOptions) *Announcer {
-	return &Announcer{opts: opts, http: &http.Client{}}
+	client := &http.Client{Transport: &http.Transport{
+		IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+	}}
+	return &Announcer{opts: opts, http: client}
 }
 
 // Run writes the row whenever the known rows lack it, until ctx ends.
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -15,6 +15,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/fetch"
 	"github.com/poplarshore/poplarshore/internal/members"
+	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/internal/watch"
 )
 
@@ -81,7 +82,9 @@
 // newTransport returns the transport for polls of other VMs.
 func newTransport(dialTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
+	}
 }
 
 // maxGapFactor times Options.MaxAge is the longest time between two confirmations by the store that
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -122,13 +122,14 @@
 			p.dials.Add(1)
 			return dialer.DialContext(ctx, network, addr)
 		},
-		TLSClientConfig:       p.opts.TLS,
-		TLSHandshakeTimeout:   p.opts.ConnectTimeout,
-		MaxIdleConns:          p.opts.MaxIdleConns,
-		MaxIdleConnsPerHost:   p.opts.MaxIdleConns,
-		IdleConnTimeout:       p.opts.IdleTimeout,
-		DisableCompression:    true,
-		ExpectContinueTimeout: 0,
+		TLSClientConfig:        p.opts.TLS,
+		TLSHandshakeTimeout:    p.opts.ConnectTimeout,
+		MaxIdleConns:           p.opts.MaxIdleConns,
+		MaxIdleConnsPerHost:    p.opts.MaxIdleConns,
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
+		IdleConnTimeout:        p.opts.IdleTimeout,
+		DisableCompression:     true,
+		ExpectContinueTimeout:  0,
 	}
 }
 
