Give up streams of engines that send bytes but no new piece, and keep their events within a budget

Callers saw: an attempt goes on until the deadline, although another engine is idle, as each byte restarted the wait for the next one: comments, empty lines, an event without end, pieces that came before, pieces of another attempt. Each event may have 1 MiB, and nothing bounded the sum.

Change: the wait for a new piece goes on through everything else; only the time that the caller's connection takes is not counted. The buffer of an unfinished event is reserved in the budget of the VM, with the engine and the model as holders (ErrNoRoom, and ErrUpstreamShare if the engine itself keeps too much; only that counts against the engine).

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/transport"
 )
 
@@ -33,7 +34,7 @@
 	// Headers is how long to wait for the response header, and for the whole
 	// response of Cancel and Load. Default 2 s.
 	Headers time.Duration
-	// Idle is how long a stream may be idle. Default 2 s.
+	// Idle is how long a stream may go on without a new piece. Default 2 s.
 	Idle time.Duration
 }
 
@@ -51,11 +52,13 @@
 type Client struct {
 	pools  *transport.Pools
 	limits Limits
+	memory *membudget.Budget
 }
 
-// New returns a client that uses the connections of pools.
-func New(pools *transport.Pools, limits Limits) *Client {
-	return &Client{pools: pools, limits: limits.withDefaults()}
+// New returns a client that uses the connections of pools, and keeps parts of responses
+// within the memory budget.
+func New(pools *transport.Pools, limits Limits, memory *membudget.Budget) *Client {
+	return &Client{pools: pools, limits: limits.withDefaults(), memory: memory}
 }
 
 // Call is one attempt at a completion.
@@ -64,6 +67,8 @@
 	Address string
 	// Path is the API path, such as "/v1/chat/completions".
 	Path string
+	// Model is the model that answers; it shares the VM's memory with other models.
+	Model string
 	// Attempt is the id of the attempt; it must be unique.
 	Attempt string
 	// Body is the JSON request, with the version in its "model" field and "stream"
@@ -89,20 +94,20 @@
 	req.Header.Set(headerAttempt, call.Attempt)
 	req.Header.Set(headerPriority, strconv.Itoa(call.Priority))
 	req.Header.Set(headerDeadline, strconv.FormatInt(call.TimeLeft.Milliseconds(), 10))
-	return c.start(ctx, call.Address, req)
+	return c.start(ctx, call.Address, req, call.Model, progress{attempt: call.Attempt, highest: -1})
 }
 
-// Resume requests the pieces of an attempt after index last as a new stream, which
-// doesn't use the broken connection. Errors: those of Open; ErrGone means that the
+// Resume requests the pieces of an attempt of a model after index last as a new stream,
+// which doesn't use the broken connection. Errors: those of Open; ErrGone means that the
 // engine no longer has the stream.
-func (c *Client) Resume(ctx context.Context, address, attempt string, last int) (*Stream, error) {
+func (c *Client) Resume(ctx context.Context, address, model, attempt string, last int) (*Stream, error) {
 	req, err := http.NewRequest(http.MethodGet, address+"/v1/streams/"+attempt, nil)
 	if err != nil {
 		return nil, ErrMalformed.Wrap(err, "address %q", address)
 	}
 	req.Header.Set(headerAttempt, attempt)
 	req.Header.Set("Last-Event-ID", attempt+"/"+strconv.Itoa(last))
-	return c.start(ctx, address, req)
+	return c.start(ctx, address, req, model, progress{attempt: attempt, highest: last})
 }
 
 // Cancel requests that the engine stop an attempt. The status of the response is
@@ -122,10 +127,11 @@
 }
 
 // start sends the request and waits for the response header up to Limits.Headers.
-func (c *Client) start(ctx context.Context, address string, req *http.Request) (*Stream, error) {
+func (c *Client) start(ctx context.Context, address string, req *http.Request, model string, p progress) (*Stream, error) {
 	pool := c.pools.For(address)
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Stream{cancel: cancel, ctx: ctx, idleTimeout: c.limits.Idle, pool: pool}
+	p.memory = c.memory.Reserve(membudget.Holder{Kind: membudget.Upstream, ID: address}, membudget.Holder{Kind: membudget.Service, ID: model})
+	s := &Stream{cancel: cancel, ctx: ctx, idleTimeout: c.limits.Idle, pool: pool, progress: p}
 	s.idleTimer = time.AfterFunc(c.limits.Headers, s.onSilence)
 	resp, err := pool.Idempotent().RoundTrip(req.WithContext(ctx))
 	s.idleTimer.Stop()
--- a/internal/engineclient/errors.go
+++ b/internal/engineclient/errors.go
@@ -6,7 +6,11 @@
 // complete piece.
 package engineclient
 
-import "github.com/joomcode/errorx"
+import (
+	"github.com/joomcode/errorx"
+
+	"github.com/poplarshore/poplarshore/internal/membudget"
+)
 
 var namespace = errorx.NewNamespace("engineclient")
 
@@ -33,8 +37,22 @@
 	// ErrMalformed reports an invalid address, or a response that violates the
 	// protocol.
 	ErrMalformed = namespace.NewType("malformed")
+	// ErrNoRoom reports that the VM had no memory for the parts of the response.
+	ErrNoRoom = namespace.NewType("no_room")
+	// ErrUpstreamShare is an ErrNoRoom: the parts of the engine's responses keep as much
+	// memory as those of one engine may.
+	ErrUpstreamShare = ErrNoRoom.NewSubtype("upstream_share")
 )
 
+// noRoomError returns the error for one of a memory reservation whose first holder is
+// the engine.
+func noRoomError(err error) error {
+	if errorx.IsOfType(err, membudget.ErrHolderShare) {
+		return ErrUpstreamShare.Wrap(err, "keep part of a response")
+	}
+	return ErrNoRoom.Wrap(err, "keep part of a response")
+}
+
 // MayHaveStarted reports whether the engine may have started the call that failed with
 // err.
 func MayHaveStarted(err error) bool {
--- /dev/null
+++ b/internal/engineclient/progress.go
@@ -0,0 +1,84 @@
+package engineclient
+
+import (
+	"time"
+
+	"github.com/poplarshore/poplarshore/internal/membudget"
+	"github.com/poplarshore/poplarshore/internal/sequence"
+)
+
+// unreservedBytes is the capacity of a stream's buffer that is not counted in the memory budget.
+const unreservedBytes = 4 << 10
+
+// progress bounds the time and the memory that a stream takes without a new piece: comments, pieces that were
+// received before and parts of an event don't extend the wait for the next piece.
+type progress struct {
+	// attempt is the attempt whose pieces count, and highest the highest index that was received.
+	attempt string
+	highest int
+	// waitUntil is when the stream is given up, unless a new piece arrives.
+	waitUntil time.Time
+	// unfinished is the number of bytes since the last event.
+	unfinished int
+	// memory is what the buffer of unfinished bytes keeps; its capacity, of reserved bytes, never shrinks.
+	memory   *membudget.Reservation
+	reserved int
+}
+
+// isNew records a piece and reports whether it has a higher index than all before it.
+func (p *progress) isNew(piece sequence.Piece) bool {
+	if piece.Attempt != p.attempt || piece.Index <= p.highest {
+		return false
+	}
+	p.highest = piece.Index
+	return true
+}
+
+// keep reserves memory for n more bytes of an event that is not complete. The buffer grows by doubling. Errors: those
+// of membudget.Reservation.Grow.
+func (p *progress) keep(n int) error {
+	p.unfinished += n
+	size := max(p.reserved, unreservedBytes)
+	for size < p.unfinished {
+		size *= 2
+	}
+	if size == max(p.reserved, unreservedBytes) {
+		return nil
+	}
+	// Both the old and the new buffer are kept while the bytes are copied.
+	if err := p.memory.Grow(size); err != nil {
+		return err
+	}
+	p.memory.Shrink(p.reserved)
+	p.reserved = size
+	return nil
+}
+
+// progressReader reads the response body. It aborts the stream if no new piece arrives within the idle time limit; the
+// time that flush takes isn't counted.
+type progressReader struct {
+	stream *Stream
+	flush  func()
+}
+
+// Read implements io.Reader.
+func (r *progressReader) Read(b []byte) (int, error) {
+	s := r.stream
+	if r.flush != nil {
+		startedAt := time.Now()
+		r.flush()
+		s.progress.waitUntil = s.progress.waitUntil.Add(time.Since(startedAt))
+	}
+	wait := time.Until(s.progress.waitUntil)
+	if wait <= 0 {
+		s.onSilence()
+		return 0, ErrSilent.New("no new piece received for %v", s.idleTimeout)
+	}
+	s.idleTimer.Reset(wait)
+	n, err := s.resp.Body.Read(b)
+	s.idleTimer.Stop()
+	if err := s.progress.keep(n); err != nil {
+		return 0, noRoomError(err)
+	}
+	return n, err
+}
--- a/internal/engineclient/resume_test.go
+++ b/internal/engineclient/resume_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/internal/engineclient"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/sequence"
 	"github.com/poplarshore/poplarshore/internal/transport"
 )
@@ -51,8 +52,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			client := engineclient.New(transport.NewPools(transport.Options{}), engineclient.Limits{})
-			stream, err := client.Resume(t.Context(), startEngine(t, raw), "a", 2)
+			client := engineclient.New(transport.NewPools(transport.Options{}), engineclient.Limits{}, membudget.New(1<<20))
+			stream, err := client.Resume(t.Context(), startEngine(t, raw), "m", "a", 2)
 			if err == nil {
 				err = stream.Pieces(func(p sequence.Piece) error { return fmt.Errorf("piece %q", p.Data) }, nil)
 			}
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -1,6 +1,7 @@
 package engineclient
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
 	sse "github.com/tmaxmax/go-sse"
 
 	"github.com/poplarshore/poplarshore/internal/sequence"
@@ -35,6 +37,7 @@
 	cancel      context.CancelCauseFunc
 	ctx         context.Context
 	idleTimeout time.Duration
+	progress    progress
 	pool        idleCloser
 	idleTimer   *time.Timer
 	timedOut    atomic.Bool
@@ -47,8 +50,9 @@
 // Pieces reads the stream and calls yield for each piece in the order of arrival.
 // It calls flush, unless that is nil, before each wait for more data. It returns
 // nil after the final event; otherwise the error of yield, the cause of the
-// context's cancellation, ErrBroken, ErrSilent or ErrMalformed. The stream must
-// not be used afterwards.
+// context's cancellation, ErrBroken, ErrSilent, ErrMalformed or ErrNoRoom. ErrSilent
+// also means that no new piece arrived, whatever else did. The stream must not be used
+// afterwards.
 func (s *Stream) Pieces(yield func(sequence.Piece) error, flush func()) error {
 	err := s.read(yield, flush)
 	if err == nil {
@@ -70,11 +74,13 @@
 
 // read passes pieces to yield until the final event.
 func (s *Stream) read(yield func(sequence.Piece) error, flush func()) error {
-	body := &idleTimeoutReader{stream: s, flush: flush}
+	s.progress.waitUntil = time.Now().Add(s.idleTimeout)
+	body := &progressReader{stream: s, flush: flush}
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return s.streamError(err)
 		}
+		s.progress.unfinished = 0
 		if ev.Data == doneData {
 			return nil
 		}
@@ -85,6 +91,9 @@
 		if err := yield(p); err != nil {
 			return err
 		}
+		if s.progress.isNew(p) {
+			s.progress.waitUntil = time.Now().Add(s.idleTimeout)
+		}
 	}
 	return s.streamError(io.ErrUnexpectedEOF)
 }
@@ -95,12 +104,19 @@
 	s.idleTimer.Stop()
 	s.cancel(nil)
 	_ = s.resp.Body.Close()
+	s.progress.memory.Release()
 }
 
 // streamError returns the error for a stream that failed with err.
 func (s *Stream) streamError(err error) error {
 	if s.timedOut.Load() {
-		return ErrSilent.Wrap(err, "no data received for %v", s.idleTimeout)
+		return ErrSilent.Wrap(err, "no new piece received for %v", s.idleTimeout)
+	}
+	if errorx.IsOfType(err, ErrNoRoom) {
+		return err
+	}
+	if errors.Is(err, bufio.ErrTooLong) {
+		return ErrMalformed.Wrap(err, "event of more than %d bytes", maxEventBytes)
 	}
 	if cause := context.Cause(s.ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		return cause
@@ -108,24 +124,6 @@
 	return ErrBroken.Wrap(err, "stream ended before the final event")
 }
 
-// idleTimeoutReader reads the response body. It aborts the stream if a read takes
-// longer than the idle time limit.
-type idleTimeoutReader struct {
-	stream *Stream
-	flush  func()
-}
-
-// Read implements io.Reader.
-func (r *idleTimeoutReader) Read(b []byte) (int, error) {
-	if r.flush != nil {
-		r.flush()
-	}
-	r.stream.idleTimer.Reset(r.stream.idleTimeout)
-	n, err := r.stream.resp.Body.Read(b)
-	r.stream.idleTimer.Stop()
-	return n, err
-}
-
 // parsePiece converts an event with the id "attempt/index" into a piece. Errors:
 // ErrMalformed.
 func parsePiece(ev sse.Event) (sequence.Piece, error) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -59,6 +59,7 @@
 	stream, err := s.Engines.Open(ctx, engineclient.Call{
 		Address:  a.address,
 		Path:     j.path(),
+		Model:    string(a.ref.Model),
 		Attempt:  a.id,
 		Body:     body,
 		Priority: x.Client.Contract.Priority,
@@ -121,7 +122,7 @@
 
 func (s *Server) resumeAttempt(ctx context.Context, a *attempt, cause error) (*engineclient.Stream, error) {
 	s.countIdleTimeout(cause)
-	stream, err := s.Engines.Resume(ctx, a.address, a.id, a.sequence.Next()-1)
+	stream, err := s.Engines.Resume(ctx, a.address, string(a.ref.Model), a.id, a.sequence.Next()-1)
 	if err != nil {
 		s.metrics.resumes.WithLabelValues(errorLabel(err)).Inc()
 		return nil, err
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -250,10 +250,12 @@
 }
 
 // upstreamError returns err if the upstream caused it, or nil if the caller
-// disconnected or the entry itself ended the attempt.
+// disconnected or the entry itself ended the attempt, also because others had used
+// up its memory.
 func upstreamError(ctx context.Context, err error) error {
 	var refused *refusal.Refusal
-	if errors.As(err, &refused) || errors.Is(ctx.Err(), context.Canceled) {
+	outOfMemory := errorx.IsOfType(err, engineclient.ErrNoRoom) && !errorx.IsOfType(err, engineclient.ErrUpstreamShare)
+	if outOfMemory || errors.As(err, &refused) || errors.Is(ctx.Err(), context.Canceled) {
 		return nil
 	}
 	return err
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -106,7 +106,7 @@
 	}
 	sink.start(a)
 	a.startedAt = s.Clock.Now()
-	stream, err := s.Engines.Resume(r.Context(), a.address, a.id, a.sequence.Next()-1)
+	stream, err := s.Engines.Resume(r.Context(), a.address, string(a.ref.Model), a.id, a.sequence.Next()-1)
 	if err == nil {
 		err = s.relayPieces(a, stream, sink)
 	}
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -222,7 +222,7 @@
 // buildEntry creates the server for callers' requests.
 func (d *Daemon) buildEntry() error {
 	timeouts := d.settings.Timeouts
-	d.engines = engineclient.New(d.pools, engineclient.Limits{Headers: timeouts.HeadersMS.Duration(), Idle: timeouts.IdleMS.Duration()})
+	d.engines = engineclient.New(d.pools, engineclient.Limits{Headers: timeouts.HeadersMS.Duration(), Idle: timeouts.IdleMS.Duration()}, d.memory)
 	claimEvents := newCounterVec("claim_events_total", "Events of claims of non-idempotent calls, by kind.", "event")
 	d.registry.MustRegister(claimEvents)
 	claims, err := once.New(d.platform.table, string(d.self.ID)+"/"+string(d.incarnation), once.Options{
--- a/internal/entryd/command.go
+++ b/internal/entryd/command.go
@@ -34,6 +34,7 @@
 // signal ends the wait for requests in flight, which are then aborted: their callers
 // are told whether they may have run, and they are billed.
 func run(cmd *cobra.Command, s *settings.Entry) error {
+	setMemoryLimit(s.MemoryMB)
 	log := command.Logger(cmd.ErrOrStderr(), s.Log)
 	d, err := New(s, log, clockwork.NewRealClock())
 	if err != nil {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/poplarshore/poplarshore/internal/entry"
 	"github.com/poplarshore/poplarshore/internal/limits"
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/metrics"
 	"github.com/poplarshore/poplarshore/internal/operator"
 	"github.com/poplarshore/poplarshore/internal/peer"
@@ -53,9 +54,11 @@
 	platform platformClients
 	// pools holds the connections to upstreams, outbound those to the platform's
 	// services and to peers.
-	pools       *transport.Pools
-	outbound    *transport.Pool
-	engines     *engineclient.Client
+	pools    *transport.Pools
+	outbound *transport.Pool
+	engines  *engineclient.Client
+	// memory bounds the bodies and parts of responses that are kept.
+	memory      *membudget.Budget
 	addressBook *peer.Book
 	peers       *peer.Client
 	node        *revision.Node
@@ -95,7 +98,7 @@
 		self:        vm.VM{ID: s.VM.ID, Domain: s.VM.Domain, Region: s.VM.Region},
 		incarnation: vm.Incarnation(newID()),
 		rows:        rows.Keys{Prefix: s.Platform.Prefix},
-		addressBook: peer.NewBook(s.VM.ID), stopping: make(chan struct{}),
+		addressBook: peer.NewBook(s.VM.ID), stopping: make(chan struct{}), memory: newMemoryBudget(s.MemoryMB),
 	}
 	d.aborting, d.abortRequests = context.WithCancel(context.Background())
 	for _, build := range []func() error{
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -22,8 +22,10 @@
 	Promotion         Promotion         `json:"promotion" doc:"How documents go from the trial environment to production."`
 	Requests          Requests          `json:"requests" doc:"Bounds on what callers send."`
 	Timeouts          Timeouts          `json:"timeouts" doc:"Limits on each wait."`
-	Stop              Stop              `json:"stop" doc:"Planned stops."`
-	Log               Log               `json:"log" doc:"Logs to standard error."`
+	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
+	MemoryMB int64 `json:"memory_mb" doc:"Memory that the process may use, in MB; 0 means no limit. Default 0."`
+	Stop     Stop  `json:"stop" doc:"Planned stops."`
+	Log      Log   `json:"log" doc:"Logs to standard error."`
 }
 
 // Promotion configures the role of the environment in the promotion of documents.
@@ -120,6 +122,9 @@
 	e.Requests.check(text)
 	e.Timeouts.check(text)
 	checkPositive(text, "stop.drain_ms", e.Stop.DrainMS)
+	if e.MemoryMB < 0 {
+		text.AddFault("memory_mb", "must not be negative")
+	}
 }
 
 func (r Requests) check(text *strictjson.Text) {
