Give up bodies that trickle without end in internal/fetch

Callers saw: requests refused or sent by an old list, as a poll of another VM or of the store waits for as long as a byte comes now and then: only each pause was limited (0.4 s to 1 s), so that a batch of 16 MiB may take months.

Change: the body as a whole must come with 4 KiB/s after the first four idle timeouts. Bodies on slow links go on as before. The error is that of a silent connection, which callers count and treat as such already.

TestTrickledBodyIsGivenUp (a byte each 50 ms, idle timeout 400 ms) before: "context deadline exceeded" after the test's 10 s. After: silent; the tests of internal/fetch, internal/peerfeed, platform/rowstore and internal/members pass with -race. The rate was chosen, no run shows the slowest link on which a table is still read.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -1,6 +1,7 @@
 // Package fetch makes HTTP requests with a timeout for the response header and an
 // idle timeout for the body. Unlike one timeout for the whole response, this
-// distinguishes a long response on a slow link from a silent connection.
+// distinguishes a long response on a slow link from a silent connection. A body whose
+// bytes trickle without end is given up, too.
 package fetch
 
 import (
@@ -15,7 +16,7 @@
 var namespace = errorx.NewNamespace("fetch")
 
 // ErrTimeout reports that the header or the next part of the body did not arrive
-// within its limit.
+// within its limit, or that the body came too slowly as a whole.
 var ErrTimeout = namespace.NewType("silent", errorx.Timeout())
 
 // ErrTooLong reports a body of more than Limits.MaxBytes.
@@ -65,22 +66,34 @@
 	headerTime := time.Since(sentAt)
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(&idleReader{body: io.LimitReader(resp.Body, l.MaxBytes+1),
-		timer: timer, idleTimeout: l.IdleTimeout})
+		timer: timer, idleTimeout: l.IdleTimeout, tooSlowAt: time.Now().Add(maxPauses * l.IdleTimeout)})
 	if err == nil && int64(len(body)) > l.MaxBytes {
 		err = ErrTooLong.New("body from %s is longer than %d bytes", req.URL.Host, l.MaxBytes)
 	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body, HeaderTime: headerTime}, err
 }
 
-// idleReader restarts the timer with the idle timeout at each read of the body.
+const (
+	// minBytesPerSecond is the rate at which the whole body must come at least, after the first maxPauses
+	// idle timeouts. It is below that of a link that is nearly full.
+	minBytesPerSecond = 4 << 10
+	maxPauses         = 4
+)
+
+// idleReader restarts the timer at each read of the body, with the idle timeout or what is left until the body
+// is too slow.
 type idleReader struct {
 	body        io.Reader
 	timer       *time.Timer
 	idleTimeout time.Duration
+	// tooSlowAt is when the body is too slow if nothing more comes.
+	tooSlowAt time.Time
 }
 
 // Read implements io.Reader.
 func (r *idleReader) Read(p []byte) (int, error) {
-	r.timer.Reset(r.idleTimeout)
-	return r.body.Read(p)
+	r.timer.Reset(min(r.idleTimeout, time.Until(r.tooSlowAt)))
+	n, err := r.body.Read(p)
+	r.tooSlowAt = r.tooSlowAt.Add(time.Duration(n) * time.Second / minBytesPerSecond)
+	return n, err
 }
