Keep request bodies and answers of the own API within the budget of the VM

Callers saw: requests of all clients on a VM end, as its memory is used up. Cause: each limit stands alone. The response of a call that may run once only may have 8 MiB, and growing its slice costs several times that; a request body may have 4 MiB, kept before the request is admitted, for as long as its last byte takes; a whole answer may have 8 MiB; what follows the usage in a stream, and the copy of a stream for rating, had no limit; up to 256 early pieces of 1 MiB wait for a missing one.

Change: all of these reserve their bytes in the budget of the VM: responses and answers for the upstream and the service or model, request bodies for the account and all callers. What an exchange keeps is released when it ends, also if an attempt outlasts it; 4 KiB of each are not counted, so that small requests and answers get through. A request body without room is refused (503, no_memory, not run), before anything runs. A response without room has an unknown outcome, as one that is too large had; both are counted (responses_not_kept_total). A known length above the limit is refused before the body is read. A copy for rating without room is dropped.

Open: what decoding a completion request and rating an answer cost beyond its text is not counted; nor are the answers that wait for evaluations.

--- a/internal/engineclient/endless_test.go
+++ b/internal/engineclient/endless_test.go
@@ -73,7 +73,7 @@
 	g := NewWithT(t)
 	g.Expect(errorx.IsOfType(err, engineclient.ErrNoRoom)).To(BeTrue(), "error: %v", err)
 	g.Expect(errorx.IsOfType(err, engineclient.ErrUpstreamShare)).To(BeTrue(), "error: %v", err)
-	free := memory.Reserve(membudget.Holder{Kind: membudget.Service, ID: "m"})
+	free := memory.Reserve(membudget.Holder{Kind: membudget.Callers, ID: "all"})
 	g.Expect(free.Grow(limit)).To(Succeed(), "what was kept is released")
 }
 
--- a/internal/engineclient/errors.go
+++ b/internal/engineclient/errors.go
@@ -44,9 +44,9 @@
 	ErrUpstreamShare = ErrNoRoom.NewSubtype("upstream_share")
 )
 
-// noRoomError returns the error for one of a memory reservation whose first holder is
+// NoRoomError returns the error for one of a memory reservation whose first holder is
 // the engine.
-func noRoomError(err error) error {
+func NoRoomError(err error) error {
 	if errorx.IsOfType(err, membudget.ErrHolderShare) {
 		return ErrUpstreamShare.Wrap(err, "keep part of a response")
 	}
--- a/internal/engineclient/progress.go
+++ b/internal/engineclient/progress.go
@@ -78,7 +78,7 @@
 	n, err := s.resp.Body.Read(b)
 	s.idleTimer.Stop()
 	if err := s.progress.keep(n); err != nil {
-		return 0, noRoomError(err)
+		return 0, NoRoomError(err)
 	}
 	return n, err
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,7 +23,9 @@
 	address   string
 	startedAt time.Time
 
-	sequence         *sequence.Sequencer
+	sequence *sequence.Sequencer
+	// early is the memory of the pieces that wait for a missing one.
+	early            *kept
 	usage            assemble.Usage
 	usageKnown       bool
 	pieceCount       int64
@@ -36,6 +38,8 @@
 // piece that arrived in order, at most MaxResumes times.
 func (s *Server) streamAttempt(ctx context.Context, x *Exchange, j *job, a *attempt, sink answerSink) error {
 	sink.start(a)
+	a.early = s.keepAnswer(x, a.engine.ID, a.ref.Model)
+	defer a.early.release()
 	stream, err := s.openStream(ctx, x, j, a)
 	for resumes := 0; ; resumes++ {
 		if err == nil {
@@ -81,6 +85,9 @@
 		if err != nil {
 			return engineclient.ErrBroken.Wrap(err, "reorder pieces of the answer")
 		}
+		if err := a.early.set(a.sequence.BufferedBytes()); err != nil {
+			return err
+		}
 		return s.deliverPieces(a, ready, sink)
 	}, sink.flush)
 	if err == nil && (!a.usageKnown || !a.sequence.Contiguous()) {
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -123,7 +123,8 @@
 
 // stream streams the answer of one model, except its end; finishStream sends that.
 func (s *Server) stream(ctx context.Context, c *completion, timer *deadlineTimer) (*streamSink, *attempt, error) {
-	sink := &streamSink{w: c.w, sampled: s.Ratings.ShouldSample()}
+	sink := s.newStreamSink(c.exchange, c.w)
+	sink.sampled = s.Ratings.ShouldSample()
 	sink.setHeaders = func(h http.Header, ref model.Ref) { s.setAnswerHeaders(c, h, ref, sink.attempt) }
 	sink.onStart = func() {
 		timer.stop()
@@ -158,7 +159,7 @@
 }
 
 func (s *Server) newBufferSink(c *completion) *bufferSink {
-	return &bufferSink{chat: c.request.Chat, maxBytes: s.opts.MaxBufferedBytes}
+	return &bufferSink{chat: c.request.Chat, maxBytes: s.opts.MaxBufferedBytes, keep: s.keeperOf(c.exchange)}
 }
 
 // sendBuffered bills a buffered answer and sends it as a stream or as one JSON
@@ -190,7 +191,7 @@
 
 // streamBuffered sends a buffered answer as a stream.
 func (s *Server) streamBuffered(c *completion, buffered *bufferSink) error {
-	sink := &streamSink{w: c.w, onStart: func() {}}
+	sink := s.newStreamSink(c.exchange, c.w)
 	sink.setHeaders = func(h http.Header, ref model.Ref) { s.setAnswerHeaders(c, h, ref, buffered.attempt) }
 	sink.start(buffered.attempt)
 	for _, p := range buffered.pieces {
--- a/internal/entry/evaluation.go
+++ b/internal/entry/evaluation.go
@@ -66,6 +66,7 @@
 		ID: c.exchange.ID + "/shadow", Index: c.exchange.Index, Client: c.exchange.Client, key: c.exchange.key,
 		StartedAt: s.Clock.Now(), Deadline: s.Clock.Now().Add(evaluationTimeout),
 	}
+	defer c.exchange.releaseKept()
 	step := cascade.Step{Rate: true, RatingTimeout: evaluationTimeout}
 	result := s.runStep(ctx, &c, e.cascadeRun.request.Options[e.shadow].Model, e.shadow, step)
 	s.Cascades.Observe(e.cascadeRun.run, result.outcome, s.Clock.Now())
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -49,6 +49,9 @@
 	// firstToken and rejected show the load of the engines; see Usage.
 	firstToken time.Duration
 	rejected   bool
+	// kept is the memory of the exchange; ended reports whether it was released.
+	kept  []*kept
+	ended bool
 }
 
 // usage returns the usage that is charged to the account's limits.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,8 +21,15 @@
 	tokens            prometheus.Counter
 	timeToFirstPiece  prometheus.Histogram
 	claims            *prometheus.CounterVec
+	responsesNotKept  *prometheus.CounterVec
 }
 
+// The reasons why a response of a service was not read to its end.
+const (
+	notKeptTooLarge = "too_large"
+	notKeptNoMemory = "no_memory"
+)
+
 func newMetrics(reg prometheus.Registerer) *metrics {
 	m := &metrics{
 		answers: newCounter("answers_total", "Requests answered whole."),
@@ -38,6 +45,8 @@
 		hedges:            newCounter("hedges_total", "Second attempts started because the first was slow."),
 		tokens:            newCounter("tokens_total", "Tokens of delivered answers, prompts included."),
 		claims:            newCounterVec("claims_total", "Claims of non-idempotent requests by status.", "status"),
+		responsesNotKept: newCounterVec("responses_not_kept_total",
+			"Responses to calls that may run once only that were not read to their end, by reason.", "reason"),
 		timeToFirstPiece: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "first_piece_seconds",
 			Help:    "Time from a request's arrival to the first piece of its answer.",
@@ -48,7 +57,7 @@
 		m.refusals.WithLabelValues(string(spec.Reason), string(spec.Ran))
 	}
 	reg.MustRegister(m.answers, m.refusals, m.answersCut, m.attempts, m.retries, m.resumes, m.piecesDropped,
-		m.silentConnections, m.callersGone, m.hedges, m.tokens, m.claims, m.timeToFirstPiece)
+		m.silentConnections, m.callersGone, m.hedges, m.tokens, m.claims, m.responsesNotKept, m.timeToFirstPiece)
 	return m
 }
 
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -13,8 +13,10 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/once"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/refusal"
+	"github.com/poplarshore/poplarshore/upstream"
 )
 
 // maxStoredBodyBytes is the largest body of a response that is stored with a claim. If
@@ -125,7 +127,7 @@
 		}
 		resp, err := s.send(ctx, call, u, address, (*transport.Pool).NonIdempotent)
 		if err == nil {
-			return s.storeAndSend(call, w, claim, resp)
+			return s.storeAndSend(call, w, claim, u.ID, resp)
 		}
 		if mayHaveRun(err) {
 			s.markUnknown(claim)
@@ -139,16 +141,34 @@
 	}
 }
 
+// readResponse reads the body of a response into the buffer. A body whose length is known to exceed it is not read.
+// Errors: membudget.ErrTooLarge, and those of readInto.
+func (s *Server) readResponse(buffer *membudget.Buffer, resp *http.Response) error {
+	if resp.ContentLength > s.opts.MaxBufferedBytes {
+		s.metrics.responsesNotKept.WithLabelValues(notKeptTooLarge).Inc()
+		return membudget.ErrTooLarge.New("response of %d bytes", resp.ContentLength)
+	}
+	err := readInto(buffer, resp.Body)
+	switch {
+	case errorx.IsOfType(err, membudget.ErrTooLarge):
+		s.metrics.responsesNotKept.WithLabelValues(notKeptTooLarge).Inc()
+	case errorx.IsOfType(err, membudget.ErrExhausted):
+		s.metrics.responsesNotKept.WithLabelValues(notKeptNoMemory).Inc()
+	}
+	return err
+}
+
 // storeAndSend reads the response, stores it with the claim, bills the call and sends
-// the response to the caller. The outcome is unknown if the response is truncated or
-// larger than MaxBufferedBytes.
-func (s *Server) storeAndSend(call *serviceCall, w http.ResponseWriter, claim *once.Claim, resp *http.Response) error {
+// the response to the caller. The outcome is unknown if the response is truncated,
+// larger than MaxBufferedBytes or more than the VM has memory for.
+func (s *Server) storeAndSend(call *serviceCall, w http.ResponseWriter, claim *once.Claim, u upstream.ID, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, s.opts.MaxBufferedBytes+1))
-	if err != nil || int64(len(body)) > s.opts.MaxBufferedBytes {
+	buffer := s.responseBuffer(call, u)
+	if err := s.readResponse(buffer, resp); err != nil {
 		s.markUnknown(claim)
 		return refusal.Wrap(refusal.OutcomeUnknown, err)
 	}
+	body := buffer.Bytes()
 	response := storedResponse{Status: resp.StatusCode, Header: make(http.Header), Body: body, Request: call.exchange.ID}
 	copyResponseHeaders(response.Header, resp.Header)
 	s.completeClaim(claim, response)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"time"
@@ -45,10 +44,14 @@
 	readBy := s.Clock.Now().Add(s.opts.BodyTimeout)
 	_ = controller.SetReadDeadline(readBy)
 	interrupted := s.interruptRead(ctx, controller)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
+	buffer := s.requestBuffer(x)
+	err := readInto(buffer, http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
 	if interrupted() {
 		return nil, s.contextError(ctx, x)
 	}
+	if refused := noMemory(err); refused != nil {
+		return nil, refused
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -60,7 +63,7 @@
 		return nil, refusal.Wrap(refusal.MalformedRequest, err).With("The body broke off.")
 	}
 	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
+	return buffer.Bytes(), nil
 }
 
 // decodeCompletion decodes and validates a completion request. Errors are
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -99,7 +99,8 @@
 
 func (s *Server) continueStream(x *Exchange, w http.ResponseWriter, r *http.Request, a *attempt, p resumePoint) error {
 	c := &completion{exchange: x, w: w, request: &completionRequest{Chat: p.Chat, Model: p.Ref.Model, Stream: true}}
-	sink := &streamSink{w: w, onStart: func() {}}
+	sink := s.newStreamSink(x, w)
+	a.early = s.keepAnswer(x, a.engine.ID, a.ref.Model)
 	sink.setHeaders = func(h http.Header, ref model.Ref) {
 		h.Set(headerRequestID, x.ID)
 		s.setAnswerHeaders(c, h, ref, a)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"github.com/poplarshore/poplarshore/cascade"
 	"github.com/poplarshore/poplarshore/domain"
 	"github.com/poplarshore/poplarshore/internal/engineclient"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/ring"
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -96,6 +97,8 @@
 	// ResumeKey is the key that signs resume tokens. It must be the same on all
 	// VMs, as a stream may be resumed at any of them.
 	ResumeKey []byte
+	// Memory bounds the request bodies and answers that are kept.
+	Memory *membudget.Budget
 	// Log receives what is not expected to happen, such as panics.
 	Log *slog.Logger
 	// Registry is where the server registers its metrics.
@@ -164,6 +167,7 @@
 		defer cancel()
 		r = r.WithContext(ctx)
 		writer := &responseWriter{ResponseWriter: w, writeTimeout: s.opts.WriteTimeout}
+		defer x.releaseKept()
 		defer s.answerPanic(x, writer)
 		err := s.admitCaller(x, r)
 		if err == nil {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/poplarshore/poplarshore/internal/assemble"
+	"github.com/poplarshore/poplarshore/internal/engineclient"
 	"github.com/poplarshore/poplarshore/internal/sequence"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -36,17 +37,36 @@
 	// sampled reports whether to keep a copy of the answer for rating.
 	sampled bool
 
+	keep     keeper
+	maxBytes int64
+
 	attempt    *attempt
 	ratingCopy *assemble.Assembler
-	withheld   []sequence.Piece
-	headerSent bool
-	unflushed  bool
-	buf        []byte
+	// ratingBytes is the length of the pieces in ratingCopy, and ratingKept its memory.
+	ratingBytes int64
+	ratingKept  *kept
+	// withheldBytes is the length of the withheld pieces, and withheldKept their memory.
+	withheld      []sequence.Piece
+	withheldBytes int64
+	withheldKept  *kept
+	headerSent    bool
+	unflushed     bool
+	buf           []byte
+}
+
+// newStreamSink returns a sink for the caller of an exchange.
+func (s *Server) newStreamSink(x *Exchange, w http.ResponseWriter) *streamSink {
+	return &streamSink{w: w, onStart: func() {}, keep: s.keeperOf(x), maxBytes: s.opts.MaxBufferedBytes}
 }
 
 func (s *streamSink) start(a *attempt) {
+	if s.attempt != nil {
+		s.withheldKept.release()
+		s.ratingKept.release()
+	}
 	s.attempt = a
-	s.withheld = nil
+	s.withheld, s.withheldBytes, s.withheldKept = nil, 0, s.keep(a)
+	s.ratingCopy, s.ratingBytes, s.ratingKept = nil, 0, s.keep(a)
 	if s.sampled {
 		s.ratingCopy = &assemble.Assembler{}
 	}
@@ -57,16 +77,38 @@
 }
 
 func (s *streamSink) writePiece(p sequence.Piece) error {
-	if s.ratingCopy != nil && s.ratingCopy.Add(p.Data) != nil {
-		s.ratingCopy = nil
-	}
+	s.copyForRating(p)
 	if len(s.withheld) > 0 || s.attempt.usageKnown {
-		s.withheld = append(s.withheld, p)
-		return nil
+		return s.withhold(p)
 	}
 	return s.sendPiece(p)
 }
 
+// copyForRating adds the piece to the copy for rating. A copy for which there is no memory is dropped.
+func (s *streamSink) copyForRating(p sequence.Piece) {
+	if s.ratingCopy == nil {
+		return
+	}
+	s.ratingBytes += int64(len(p.Data))
+	if s.ratingBytes > s.maxBytes || s.ratingKept.add(len(p.Data)) != nil || s.ratingCopy.Add(p.Data) != nil {
+		s.ratingCopy = nil
+		s.ratingKept.release()
+	}
+}
+
+// withhold keeps a piece until the answer is billed.
+func (s *streamSink) withhold(p sequence.Piece) error {
+	s.withheldBytes += int64(len(p.Data))
+	if s.withheldBytes > s.maxBytes {
+		return engineclient.ErrMalformed.New("more than %d bytes after the usage", s.maxBytes)
+	}
+	if err := s.withheldKept.add(len(p.Data)); err != nil {
+		return err
+	}
+	s.withheld = append(s.withheld, p)
+	return nil
+}
+
 func (s *streamSink) sendPiece(p sequence.Piece) error {
 	if !s.headerSent {
 		s.sendHeader()
@@ -117,20 +159,29 @@
 	return nil
 }
 
+// bufferedCopies is how often a bufferSink keeps the data of a piece: as it came and assembled.
+const bufferedCopies = 2
+
 // bufferSink buffers a complete answer, because the caller did not request a stream or
 // because the answer must be rated first.
 type bufferSink struct {
 	chat     bool
 	maxBytes int64
+	keep     keeper
 
 	attempt       *attempt
+	kept          *kept
 	pieces        []sequence.Piece
 	bufferedBytes int64
 	assembler     *assemble.Assembler
 }
 
 func (s *bufferSink) start(a *attempt) {
+	if s.kept != nil {
+		s.kept.release()
+	}
 	s.attempt = a
+	s.kept = s.keep(a)
 	s.pieces = s.pieces[:0]
 	s.bufferedBytes = 0
 	s.assembler = &assemble.Assembler{Chat: s.chat}
@@ -145,6 +196,9 @@
 	if s.bufferedBytes > s.maxBytes {
 		return refusal.New(refusal.AnswerCut).With("The answer is larger than %d bytes.", s.maxBytes)
 	}
+	if err := s.kept.add(bufferedCopies * len(p.Data)); err != nil {
+		return err
+	}
 	s.pieces = append(s.pieces, p)
 	if err := s.assembler.Add(p.Data); err != nil {
 		return refusal.Wrap(refusal.UpstreamFailed, err)
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -252,7 +252,7 @@
 		}),
 		Sessions: sessions.New(d.secrets.sessions, d.clock), Addresses: d.settings.Upstreams,
 		Engines: d.engines, Pools: d.pools, Clock: d.clock, NewID: newID, NewRequestID: d.newRequestID, NewSessionID: newSessionID,
-		Draw: randv2.Float64, ResumeKey: d.secrets.peer, Log: d.log, Registry: d.registry,
+		Draw: randv2.Float64, ResumeKey: d.secrets.peer, Memory: d.memory, Log: d.log, Registry: d.registry,
 	}, entryOptions(d.settings))
 	return nil
 }
--- a/internal/sequence/sequence.go
+++ b/internal/sequence/sequence.go
@@ -41,6 +41,8 @@
 	buffered map[int]Piece
 	ready    []Piece
 	dropped  Dropped
+	// bufferedBytes is the length of the data of all buffered pieces.
+	bufferedBytes int
 }
 
 // New returns a sequencer for an attempt whose next piece has the index first.
@@ -77,6 +79,11 @@
 	return len(s.buffered) == 0
 }
 
+// BufferedBytes returns the length of the data of the pieces that wait for a missing one.
+func (s *Sequencer) BufferedBytes() int {
+	return s.bufferedBytes
+}
+
 // Dropped returns the counts of dropped pieces.
 func (s *Sequencer) Dropped() Dropped {
 	return s.dropped
@@ -90,10 +97,12 @@
 	if s.buffered == nil {
 		s.buffered = make(map[int]Piece)
 	}
-	if _, ok := s.buffered[p.Index]; ok {
+	if former, ok := s.buffered[p.Index]; ok {
 		s.dropped.Duplicate++
+		s.bufferedBytes -= len(former.Data)
 	}
 	s.buffered[p.Index] = p
+	s.bufferedBytes += len(p.Data)
 	return nil
 }
 
@@ -108,6 +117,7 @@
 			return
 		}
 		delete(s.buffered, s.next)
+		s.bufferedBytes -= len(p.Data)
 		s.ready = append(s.ready, p)
 		s.next++
 	}
--- a/internal/sequence/sequence_test.go
+++ b/internal/sequence/sequence_test.go
@@ -24,7 +24,7 @@
 			var got []int
 			for _, i := range order {
 				for _, attempt := range []string{"b", "a", "a"} {
-					ready, err := s.Accept(sequence.Piece{Attempt: attempt, Index: i})
+					ready, err := s.Accept(sequence.Piece{Attempt: attempt, Index: i, Data: "piece"})
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -33,7 +33,7 @@
 					}
 				}
 			}
-			if len(got) != n || !s.Contiguous() || s.Dropped() != (sequence.Dropped{OtherAttempt: n, Duplicate: n}) {
+			if len(got) != n || !s.Contiguous() || s.BufferedBytes() != 0 || s.Dropped() != (sequence.Dropped{OtherAttempt: n, Duplicate: n}) {
 				t.Fatalf("got %v, dropped %+v", got, s.Dropped())
 			}
 			for i, index := range got {
@@ -44,6 +44,15 @@
 		})
 	})
 
+	It("counts the bytes of pieces that wait for a missing one", func() {
+		s := sequence.New("a", 0)
+		for _, p := range []sequence.Piece{{Attempt: "a", Index: 2, Data: "1234"}, {Attempt: "a", Index: 1, Data: "12"}, {Attempt: "a", Index: 2, Data: "123"}} {
+			_, err := s.Accept(p)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(s.BufferedBytes()).To(Equal(5))
+	})
+
 	It("rejects a piece too far ahead of the missing one", func() {
 		s := sequence.New("a", 0)
 		_, err := s.Accept(sequence.Piece{Attempt: "a", Index: 1 << 20})
