--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,7 +23,9 @@
 	address   string
 	startedAt time.Time
 
-	sequence         *sequence.Sequencer
+	sequence *sequence.Sequencer
+	// early is the memory of the pieces that wait for a missing one.
+	early            *kept
 	usage            assemble.Usage
 	usageKnown       bool
 	pieceCount       int64
@@ -36,6 +38,8 @@
 // piece that arrived in order, at most MaxResumes times.
 func (s *Server) streamAttempt(ctx context.Context, x *Exchange, j *job, a *attempt, sink answerSink) error {
 	sink.start(a)
+	a.early = s.keepAnswer(x, a.engine.ID, a.ref.Model)
+	defer a.early.release()
 	stream, err := s.openStream(ctx, x, j, a)
 	for resumes := 0; ; resumes++ {
 		if err == nil {
@@ -59,6 +63,7 @@
 	stream, err := s.Engines.Open(ctx, engineclient.Call{
 		Address:  a.address,
 		Path:     j.path(),
+		Model:    string(a.ref.Model),
 		Attempt:  a.id,
 		Body:     body,
 		Priority: x.Client.Contract.Priority,
@@ -80,6 +85,9 @@
 		if err != nil {
 			return engineclient.ErrBroken.Wrap(err, "reorder pieces of the answer")
 		}
+		if err := a.early.set(a.sequence.BufferedBytes()); err != nil {
+			return err
+		}
 		return s.deliverPieces(a, ready, sink)
 	}, sink.flush)
 	if err == nil && (!a.usageKnown || !a.sequence.Contiguous()) {
@@ -121,7 +129,7 @@
 
 func (s *Server) resumeAttempt(ctx context.Context, a *attempt, cause error) (*engineclient.Stream, error) {
 	s.countIdleTimeout(cause)
-	stream, err := s.Engines.Resume(ctx, a.address, a.id, a.sequence.Next()-1)
+	stream, err := s.Engines.Resume(ctx, a.address, string(a.ref.Model), a.id, a.sequence.Next()-1)
 	if err != nil {
 		s.metrics.resumes.WithLabelValues(errorLabel(err)).Inc()
 		return nil, err
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -99,14 +99,15 @@
 
 func (s *Server) continueStream(x *Exchange, w http.ResponseWriter, r *http.Request, a *attempt, p resumePoint) error {
 	c := &completion{exchange: x, w: w, request: &completionRequest{Chat: p.Chat, Model: p.Ref.Model, Stream: true}}
-	sink := &streamSink{w: w, onStart: func() {}}
+	sink := s.newStreamSink(x, w)
+	a.early = s.keepAnswer(x, a.engine.ID, a.ref.Model)
 	sink.setHeaders = func(h http.Header, ref model.Ref) {
 		h.Set(headerRequestID, x.ID)
 		s.setAnswerHeaders(c, h, ref, a)
 	}
 	sink.start(a)
 	a.startedAt = s.Clock.Now()
-	stream, err := s.Engines.Resume(r.Context(), a.address, a.id, a.sequence.Next()-1)
+	stream, err := s.Engines.Resume(r.Context(), a.address, string(a.ref.Model), a.id, a.sequence.Next()-1)
 	if err == nil {
 		err = s.relayPieces(a, stream, sink)
 	}
