Compute the parts of a VM's memory, and read into budgets, in one place

Both daemons computed the same fractions of their memory, and three packages read into a buffer in the same way. A request body without room has one reason, memory_full, in both request paths. No other behaviour changes; the tests of membudget, relay, entry, fetch and call pass with -race.

--- a/internal/entry/kept.go
+++ b/internal/entry/kept.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"sync"
 
 	"github.com/joomcode/errorx"
@@ -119,34 +117,10 @@
 	return membudget.NewBuffer(k.reservation, int(s.opts.MaxBufferedBytes))
 }
 
-// chunkBytes is how much is read at once.
-const chunkBytes = 32 << 10
-
-// chunks holds arrays for reads.
-var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
-
-// readInto reads r to its end into the buffer. Errors: those of r and of membudget.Buffer.Append.
-func readInto(buffer *membudget.Buffer, r io.Reader) error {
-	chunk := chunks.Get().(*[chunkBytes]byte)
-	defer chunks.Put(chunk)
-	for {
-		n, err := r.Read(chunk[:])
-		if err := buffer.Append(chunk[:n]); err != nil {
-			return err
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // noMemory returns the refusal for a request body that the VM has no memory for, or nil if err is another error.
 func noMemory(err error) *refusal.Refusal {
 	if errorx.IsOfType(err, membudget.ErrExhausted) {
-		return refusal.Wrap(refusal.NoMemory, err)
+		return refusal.Wrap(refusal.MemoryFull, err)
 	}
 	return nil
 }
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -142,13 +142,13 @@
 }
 
 // readResponse reads the body of a response into the buffer. A body whose length is known to exceed it is not read.
-// Errors: membudget.ErrTooLarge, and those of readInto.
+// Errors: membudget.ErrTooLarge, and those of membudget.Buffer.ReadFrom.
 func (s *Server) readResponse(buffer *membudget.Buffer, resp *http.Response) error {
 	if resp.ContentLength > s.opts.MaxBufferedBytes {
 		s.metrics.responsesNotKept.WithLabelValues(notKeptTooLarge).Inc()
 		return membudget.ErrTooLarge.New("response of %d bytes", resp.ContentLength)
 	}
-	err := readInto(buffer, resp.Body)
+	_, err := buffer.ReadFrom(resp.Body)
 	switch {
 	case errorx.IsOfType(err, membudget.ErrTooLarge):
 		s.metrics.responsesNotKept.WithLabelValues(notKeptTooLarge).Inc()
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -41,7 +41,7 @@
 		h.Set("WWW-Authenticate", "Bearer")
 	}
 	if refused.Reason == refusal.BodyTimeout || refused.Reason == refusal.BodyTooLarge ||
-		refused.Reason == refusal.NoMemory || refused.Reason == refusal.Draining {
+		refused.Reason == refusal.MemoryFull || refused.Reason == refusal.Draining {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(refused.Status)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -45,7 +45,7 @@
 	_ = controller.SetReadDeadline(readBy)
 	interrupted := s.interruptRead(ctx, controller)
 	buffer := s.requestBuffer(x)
-	err := readInto(buffer, http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
+	_, err := buffer.ReadFrom(http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
 	if interrupted() {
 		return nil, s.contextError(ctx, x)
 	}
--- a/internal/entryd/command.go
+++ b/internal/entryd/command.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poplarshore/poplarshore/internal/command"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/settings"
 )
 
@@ -34,7 +35,7 @@
 // signal ends the wait for requests in flight, which are then aborted: their callers
 // are told whether they may have run, and they are billed.
 func run(cmd *cobra.Command, s *settings.Entry) error {
-	setMemoryLimit(s.MemoryMB)
+	membudget.SetRuntimeLimit(s.MemoryMB)
 	log := command.Logger(cmd.ErrOrStderr(), s.Log)
 	d, err := New(s, log, clockwork.NewRealClock())
 	if err != nil {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -98,7 +98,7 @@
 		self:        vm.VM{ID: s.VM.ID, Domain: s.VM.Domain, Region: s.VM.Region},
 		incarnation: vm.Incarnation(newID()),
 		rows:        rows.Keys{Prefix: s.Platform.Prefix},
-		addressBook: peer.NewBook(s.VM.ID), stopping: make(chan struct{}), memory: newMemoryBudget(s.MemoryMB),
+		addressBook: peer.NewBook(s.VM.ID), stopping: make(chan struct{}), memory: membudget.New(membudget.PartsOf(s.MemoryMB).Kept),
 	}
 	d.aborting, d.abortRequests = context.WithCancel(context.Background())
 	for _, build := range []func() error{
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"net/netip"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -126,13 +125,11 @@
 	for _, apply := range opts {
 		apply(&o)
 	}
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB*bytesPerMB) * memoryLimitFraction))
-	}
+	membudget.SetRuntimeLimit(s.MemoryMB)
 	d := &Daemon{settings: s, logOutput: out, clock: clock, registry: metrics.NewRegistry()}
 	d.logWriter = boundlog.New(d.registry)
 	d.log = slog.New(d.logWriter.Handler(command.Logger(d.logWriter, s.Log).Handler())).With("vm", s.VM.ID)
-	d.memory = membudget.New(partsOf(s).kept)
+	d.memory = membudget.New(membudget.PartsOf(s.MemoryMB).Kept)
 	d.store = rowstore.New(rowstore.Options{
 		Address: s.Store.Address, CallTimeout: s.Store.CallMS.Duration(), Registry: d.registry,
 	})
--- a/internal/gatewayd/relay.go
+++ b/internal/gatewayd/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/admission"
 	"github.com/poplarshore/poplarshore/internal/hints"
+	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/relay"
 	"github.com/poplarshore/poplarshore/platform/wire"
 	"github.com/poplarshore/poplarshore/quarantine"
@@ -65,7 +66,7 @@
 		deps.Admission = services
 	}
 	options := relay.DefaultOptions()
-	options.MaxWaitingBytes = partsOf(d.settings).waiting
+	options.MaxWaitingBytes = membudget.PartsOf(d.settings.MemoryMB).Waiting
 	options.AnswerEnd = d.settings.LoadControl.AnswerEnd
 	return relay.New(deps, options)
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/routing"
@@ -177,14 +179,15 @@
 func (x *exchange) keepBody(r *http.Request, limit int64) error {
 	x.bodyMemory = x.reserveForCaller()
 	body := membudget.NewBuffer(x.bodyMemory, int(limit))
-	if err := body.Fits(int(r.ContentLength)); err != nil {
-		return refusal.Wrap(refusal.MemoryFull, err)
+	err := body.Fits(int(r.ContentLength))
+	if err == nil {
+		_, err = body.ReadFrom(http.MaxBytesReader(x.w, r.Body, limit))
 	}
-	if err := readInto(body, http.MaxBytesReader(x.w, r.Body, limit)); err != nil {
-		return err
+	if errorx.IsOfType(err, membudget.ErrExhausted) {
+		return refusal.Wrap(refusal.MemoryFull, err)
 	}
 	x.body = body.Bytes()
-	return nil
+	return err
 }
 
 // limitRead ends reads of the request body at the given time, and when ctx ends. The returned
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -1,15 +1,11 @@
 package relay
 
 import (
-	"errors"
-	"io"
-
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/internal/engines"
 	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/upconn"
-	"github.com/poplarshore/poplarshore/refusal"
 	"github.com/poplarshore/poplarshore/vm"
 )
 
@@ -57,27 +53,6 @@
 	return errNoMemory.Wrap(err, "response from %s", sender)
 }
 
-// requestBodyPart is the number of bytes by which a request body is read at a time.
-const requestBodyPart = 4 << 10
-
-// readInto reads until the end of r. The buffer reserves memory before it grows. Errors: those of r, of which io.EOF is none, and a
-// MemoryFull refusal.
-func readInto(buffer *membudget.Buffer, r io.Reader) error {
-	part := make([]byte, requestBodyPart)
-	for {
-		n, err := r.Read(part)
-		if keepErr := buffer.Append(part[:n]); keepErr != nil {
-			return refusal.Wrap(refusal.MemoryFull, keepErr)
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil
-		case err != nil:
-			return err
-		}
-	}
-}
-
 // releaseMemory returns what the exchange has reserved for its request and a response.
 func (x *exchange) releaseMemory() {
 	if x.bodyMemory != nil {
--- a/refusal/reason.go
+++ b/refusal/reason.go
@@ -59,7 +59,6 @@
 	OutOfReach         Reason = "upstreams_out_of_reach"
 	PeerBusy           Reason = "peer_busy"
 	PeerBehind         Reason = "peer_behind"
-	NoMemory           Reason = "no_memory"
 	RetriesExhausted   Reason = "retries_exhausted"
 	DeadlineExceeded   Reason = "deadline_exceeded"
 	UpstreamFailed     Reason = "upstream_failed"
@@ -149,7 +148,6 @@
 	{OutOfReach, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "No VM that was asked reaches an upstream that serves this."},
 	{PeerBusy, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM relays as many requests of other VMs as it may."},
 	{PeerBehind, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM has an older configuration than the VM that asked it to relay the request."},
-	{NoMemory, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "This VM keeps as much of its callers' requests as it may."},
 	{RetriesExhausted, ClassUnavailable, http.StatusServiceUnavailable, RanNo, shortRetryAfter, "Every try failed before an upstream started."},
 	{DeadlineExceeded, ClassUnavailable, http.StatusGatewayTimeout, RanUnknown, 0, "The answer did not come before the deadline."},
 	{UpstreamFailed, ClassUpstream, http.StatusBadGateway, RanUnknown, 0, "The upstream failed after it was sent the request."},
