Soak: let engines send bytes without end

The soak had no engine that goes on until the caller closes, which other operators report: a process then runs out of memory and ends with the requests of all others on it.

Checked: VmHWM of each process, read every 100 ms; requests to a service without a flood get their answer within the target of the route and the host's allowance; those to a service with a flood end by their time, with a whole answer or a true refusal if a sound engine is there. A rejection does not count as a run.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -69,6 +69,7 @@
 		c.checkPlannedStops(x)
 		c.checkAnswered(x)
 		c.checkSilence(x)
+		c.checkFloods(x)
 		c.checkOddRows(x)
 	}
 	c.checkConfigurationOrder()
@@ -79,6 +80,7 @@
 	c.checkCuts()
 	c.checkFragileTimes()
 	c.checkEnds()
+	c.checkMemory()
 	if n := c.testbed.addEngineErrors.Load(); n > 0 {
 		c.addViolation("%d upstreams could not be started after a crash", n)
 	}
@@ -214,10 +216,10 @@
 }
 
 // checkPlannedStops checks that no planned stop truncated the response of a request that the
-// VM had accepted, unless another disturbance may have been the cause, or the platform stopped the engine
+// VM had accepted, unless another disturbance or a flood may have been the cause, or the platform stopped the engine
 // that worked on it at the end of a roll-out.
 func (c *checker) checkPlannedStops(x exchange) {
-	if !x.response.Incomplete || c.runs[x.id] == nil || c.brokenOff[x.id] {
+	if !x.response.Incomplete || c.runs[x.id] == nil || c.brokenOff[x.id] || c.besideFloods(x) {
 		return
 	}
 	for _, s := range c.report.plannedStops {
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -56,6 +56,8 @@
 	f.BoolVar(&o.Regions, "regions", o.Regions, "evacuate failure domains and change the home regions of a route, as two of the faults")
 	f.IntVar(&o.LateCallers, "late-callers", o.LateCallers, "number of callers that send bodies slowly and reopen their connections")
 	f.BoolVar(&o.Silences, "silence", o.Silences, "let sound engines send nothing for a moment, as one of the faults, and check that requests are answered")
+	f.BoolVar(&o.Floods, "floods", o.Floods, "let engines send bytes that are no answer without end, as one of the faults, to VMs with little memory")
+	f.StringSliceVar(&o.FloodPlaces, "flood-places", nil, "let floods go on at these places of a response only; default all")
 	f.BoolVar(&o.OddRows, "odd-rows", o.OddRows, "write odd entries among those of the engines, as one of the faults")
 	f.BoolVar(&o.Fragile, "fragile", o.Fragile, "let engines end if they have to reject requests, as one of the faults")
 	f.BoolVar(&cuts, "cuts", true, "cut gateways off from engines, as one of the faults; they then run within this program instead of --binary")
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -136,6 +136,6 @@
 
 // isProper reports whether a request is one that is served if nothing is disturbed.
 func (c *checker) isProper(x exchange) bool {
-	return x.key == permanentKey && x.kind != probeRequest && x.culprit == nil && c.undisturbed(x) &&
+	return x.key == permanentKey && x.kind != probeRequest && x.culprit == nil && c.undisturbed(x) && !c.besideFloods(x) &&
 		c.testbed.crashes.noneOverlap(x.sentAt.Add(-c.bounds.SettleTime), x.doneAt)
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -43,6 +43,8 @@
 	report *Report
 	// kinds are the kinds of faults, drawn with equal probability.
 	kinds []faultKind
+	// floodPlaces restricts the places of floods; empty allows all.
+	floodPlaces []string
 	// replaceMu allows only one fault at a time to replace engines.
 	replaceMu sync.Mutex
 	// restoreMu allows only one restore of the store at a time.
--- a/soak/odd_rows.go
+++ b/soak/odd_rows.go
@@ -65,7 +65,7 @@
 	if x.kind == streamRequest || !c.undisturbed(x) || c.testbed.oddRows.noneOverlap(x.sentAt, x.doneAt) || !c.testbed.crashes.noneOverlap(x.sentAt, x.doneAt) {
 		return
 	}
-	if !x.vm.cuts.noneOverlap(x.sentAt.Add(-c.bounds.SettleTime), x.doneAt) || !x.wholeAt.IsZero() || c.mayBeRestricted(x) {
+	if !x.vm.cuts.noneOverlap(x.sentAt.Add(-c.bounds.SettleTime), x.doneAt) || !x.wholeAt.IsZero() || c.mayBeRestricted(x) || c.besideFloods(x) {
 		return
 	}
 	if x.response.Incomplete || x.response.Status >= http.StatusInternalServerError {
--- a/soak/process.go
+++ b/soak/process.go
@@ -55,7 +55,9 @@
 	// signal that asks for it. signalled reports whether the running one got such a signal.
 	endedAt    []time.Time
 	unexpected []string
-	signalled  bool
+	// peaks holds the largest resident memory of processes by their names, in bytes, if it is watched.
+	peaks     map[string]int64
+	signalled bool
 	// disturbances are the intervals in which the VM was killed, was paused or had a
 	// faulty link to the store. stopPeriods are those of planned stops, until the restart.
 	// cuts are those in which it was cut off from upstreams.
@@ -66,8 +68,8 @@
 type addresses struct{ callers, health, metrics, peers, control string }
 
 // newVM writes the settings of a VM to dir and opens its log there. It does not start the
-// process. Errors: ErrStart.
-func newVM(id vm.ID, d domain.ID, binary, dir, storeAddress string, seeds []string, addrs addresses) (*VM, error) {
+// process. change changes its settings. Errors: ErrStart.
+func newVM(id vm.ID, d domain.ID, binary, dir, storeAddress string, change func(*settings.Gateway), seeds []string, addrs addresses) (*VM, error) {
 	link, err := NewLink(storeAddress)
 	if err != nil {
 		return nil, err
@@ -78,6 +80,7 @@
 	gateway.Regions = regions()
 	gateway.Callers.Address, gateway.Health.Address, gateway.Metrics.Address, gateway.Peers.Address = addrs.callers, addrs.health, addrs.metrics, addrs.peers
 	gateway.Hints, gateway.Seeds, gateway.Store.Address = "127.0.0.1:0", seeds, link.Address()
+	change(gateway)
 	var text bytes.Buffer
 	if err := settings.Print(&text, gateway); err != nil {
 		return nil, ErrStart.Wrap(err, "encode settings of %s", id)
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -127,6 +127,12 @@
 // onlyPlannedWork reports whether nothing but silences, configurations, planned stops and good roll-outs came
 // between the settle time before the request and its end.
 func (c *checker) onlyPlannedWork(x exchange) bool {
+	return c.onlyDisturbedByFloods(x) && !c.besideFloods(x)
+}
+
+// onlyDisturbedByFloods reports whether nothing but floods and what onlyPlannedWork allows came between the settle time
+// before the request and its end.
+func (c *checker) onlyDisturbedByFloods(x exchange) bool {
 	from := x.sentAt.Add(-c.bounds.SettleTime)
 	for _, v := range c.testbed.vms {
 		if !v.disturbances.noneOverlap(from, x.doneAt) || !v.cuts.noneOverlap(from, x.doneAt) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,6 +46,10 @@
 	// Silences includes sound engines that send nothing for a moment among the faults, and checks
 	// that requests are answered in spite of them.
 	Silences bool
+	// Floods includes engines that send bytes without end among the faults, gives the VMs the memory of the smallest one,
+	// and checks that this suffices. FloodPlaces restricts where they go on; empty allows all places.
+	Floods      bool
+	FloodPlaces []string
 	// LateCallers is the number of callers that send some requests slowly, and each on a connection
 	// that it opens again when the VM ends it.
 	LateCallers int
@@ -80,6 +84,8 @@
 	Violations []string `json:"violations"`
 	// Silences is what was checked beside silent engines; nil in runs without these.
 	Silences *SilenceReport `json:"silences,omitempty"`
+	// Floods is what was checked beside engines that flood; nil in runs without these.
+	Floods *FloodReport `json:"floods,omitempty"`
 
 	mu           sync.Mutex
 	plannedStops []plannedStop
@@ -158,6 +164,9 @@
 	if o.Silences {
 		report.Silences = &SilenceReport{Unanswered: make(map[string]int)}
 	}
+	if o.Floods {
+		report.Floods = &FloodReport{Places: make(map[string]int), Unanswered: make(map[string]int)}
+	}
 	traffic := newTrafficGenerator(bed)
 	if err := traffic.awaitReady(ctx); err != nil {
 		return report, err
@@ -176,7 +185,7 @@
 	defer endTraffic()
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Duration)
 	defer endFaults()
-	faults := &injector{bed: bed, bounds: o.Bounds, report: report, kinds: faultKinds}
+	faults := &injector{bed: bed, bounds: o.Bounds, report: report, kinds: faultKinds, floodPlaces: o.FloodPlaces}
 	if o.Restores {
 		faults.kinds = append(slices.Clip(faults.kinds), restoreFault)
 	}
@@ -204,10 +213,16 @@
 	if o.Silences {
 		faults.kinds = append(slices.Clip(faults.kinds), silenceFault)
 	}
+	if o.Floods {
+		faults.kinds = append(slices.Clip(faults.kinds), floodFault)
+	}
 	if len(o.Only) > 0 {
 		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
 	}
 	var wait sync.WaitGroup
+	if o.Floods {
+		wait.Go(func() { bed.watchMemory(trafficCtx) })
+	}
 	for worker := range o.ConcurrentFaults {
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(worker)+1))
 		wait.Go(func() { faults.injectFaults(faultCtx, rng) })
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -29,6 +29,9 @@
 	// streamTimeout and callTimeout are the timeouts of the routes of streams and of calls.
 	streamTimeout = 12 * time.Second
 	callTimeout   = 4 * time.Second
+	// streamTarget and callTarget are the latencies that these routes aim at.
+	streamTarget = 2 * time.Second
+	callTarget   = 400 * time.Millisecond
 	// maxAttempts is the limit of attempts per request of all routes.
 	maxAttempts = 3
 )
@@ -51,6 +54,11 @@
 	stoppedAt atomic.Int64
 	// silences are the intervals in which it sends nothing.
 	silences intervals
+	// flood is where it sends bytes without end; nil while it does not.
+	flood atomic.Pointer[floodPlace]
+	// rejected counts the floods that stated that a request was not run, by its ID; guarded by rejectedMu.
+	rejectedMu sync.Mutex
+	rejected   map[string]int
 }
 
 // stop makes the upstream unreachable for good.
@@ -77,6 +85,9 @@
 	disturbances intervals
 	// silences are the intervals in which sound engines send nothing.
 	silences intervals
+	// modelFloods and orderFloods are the intervals in which engines of a service send bytes without end, and fullFloods
+	// those in which all engines of one do.
+	modelFloods, orderFloods, fullFloods intervals
 	// badRollouts are the intervals of roll-outs of versions that fail requests.
 	badRollouts intervals
 	// oddRows are the intervals with odd entries among those of the engines.
@@ -158,7 +169,7 @@
 			binary = o.CuttableBinary
 		}
 		v, err := newVM(vm.ID(fmt.Sprintf("vm-%d", i+1)), domains[i%len(domains)], binary, dir,
-			strings.TrimPrefix(b.storeHTTP.URL, "http://"), seeds, addrs[i])
+			strings.TrimPrefix(b.storeHTTP.URL, "http://"), o.changeSettings, seeds, addrs[i])
 		if err != nil {
 			return err
 		}
@@ -219,13 +230,16 @@
 	b.endedAt = append(b.endedAt, time.Now())
 }
 
-// behave fails failurePercent of the requests, besides those with spoiled answers. Of the others, half of those to the small
+// behave floods, or fails failurePercent of the requests, besides those with spoiled answers. Of the others, half of those to the small
 // model get a low-confidence response, so that the large model runs as well.
 func (e *engine) behave(r *http.Request) standin.Behaviour {
 	b := standin.Behaviour{Confidence: -1}
 	if limit := e.limit.Load(); limit != nil {
 		b.Limit = *limit
 	}
+	if place := e.flood.Load(); place != nil {
+		return e.flooded(r, place)
+	}
 	if e.spoilsAnswers.Load() && rand.IntN(100) < spoiledPercent {
 		return e.spoiled(r)
 	}
@@ -304,11 +318,11 @@
 // homes only. The last one is its probe route.
 func routes(version int64, homes []string) []standin.Route {
 	return []standin.Route{
-		{Name: "stream", Host: siteHost, Prefix: "/s/", Kind: standin.KindStreaming, Service: modelService, TimeoutMS: streamTimeout.Milliseconds(), TargetLatencyMS: 2000,
+		{Name: "stream", Host: siteHost, Prefix: "/s/", Kind: standin.KindStreaming, Service: modelService, TimeoutMS: streamTimeout.Milliseconds(), TargetLatencyMS: streamTarget.Milliseconds(),
 			Sizes: []string{"small", "large"}, MaxAttempts: maxAttempts, Resumable: true},
-		{Name: "order", Host: siteHost, Prefix: "/o/", Kind: standin.KindNonIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: 400, MaxAttempts: maxAttempts},
-		{Name: "look", Host: siteHost, Prefix: "/l/", Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: 400, MaxAttempts: maxAttempts, Regions: homes},
-		{Name: "probe", Host: siteHost, Prefix: probePath(version), Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: 400, MaxAttempts: maxAttempts},
+		{Name: "order", Host: siteHost, Prefix: "/o/", Kind: standin.KindNonIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: callTarget.Milliseconds(), MaxAttempts: maxAttempts},
+		{Name: "look", Host: siteHost, Prefix: "/l/", Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: callTarget.Milliseconds(), MaxAttempts: maxAttempts, Regions: homes},
+		{Name: "probe", Host: siteHost, Prefix: probePath(version), Kind: standin.KindIdempotent, Service: orderService, TimeoutMS: callTimeout.Milliseconds(), TargetLatencyMS: callTarget.Milliseconds(), MaxAttempts: maxAttempts},
 	}
 }
 
