Test that chunks and trailers without end are bounded by net/http

A limit of a body doesn't count what frames it, so that the limit of heads alone says nothing on extensions of chunks, sizes of chunks and trailers.

--- a/internal/transport/endless_test.go
+++ b/internal/transport/endless_test.go
@@ -1,6 +1,7 @@
 package transport_test
 
 import (
+	"io"
 	"net/http"
 	"runtime"
 	"strings"
@@ -72,3 +73,34 @@
 	}
 	return err
 }
+
+// TestFramingWithoutEndDoesNotFillMemory guards against upstreams whose chunks are framed by bytes without end, which no limit
+// of a body counts.
+func TestFramingWithoutEndDoesNotFillMemory(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n"
+	for name, response := range map[string]endless.Response{
+		"extension of a chunk":           {Start: head + "1;", Part: strings.Repeat("a", 4000)},
+		"extensions of chunks":           {Start: head, Part: strings.Repeat("1;"+strings.Repeat("a", 200)+"\r\nb\r\n", 20)},
+		"one trailer line":               {Start: head + "1\r\nb\r\n0\r\nX-A: ", Part: strings.Repeat("a", 4000)},
+		"trailer lines":                  {Start: head + "1\r\nb\r\n0\r\n", Part: strings.Repeat("X-A: "+strings.Repeat("a", 200)+"\r\n", 20)},
+		"size of a chunk without an end": {Start: head, Part: strings.Repeat("0", 4000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			server, err := endless.Listen(response)
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Cleanup(server.Close)
+			pool := transport.NewPool(transport.Options{})
+			t.Cleanup(pool.Close)
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL(), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			resp, err := pool.Idempotent().RoundTrip(req)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			before := allocatedBytes()
+			_, err = io.Copy(io.Discard, resp.Body)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(allocatedBytes() - before).To(BeNumerically("<", 64*transport.MaxResponseHeaderBytes))
+		})
+	}
+}
