Limit decompressed messages of other VMs as messages, not as documents

A message of another VM may have 1 MiB, but its decompressed form had the limit of documents, 16 MiB, so that a faulty VM's small messages cost sixteen times their limit, and more once they are decoded. The limit holds for both forms now. The VMs of this build send messages uncompressed and documents within their limit.

The new case of TestPeer (a message of 1 MiB + 2 bytes, compressed) before: no error. After: malformed; internal/peer passes with -race.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -103,8 +103,8 @@
 	return nil
 }
 
-// send makes a request and returns the body of its response, decompressed. It
-// reads up to maxBytes of the body as it was sent.
+// send makes a request and returns the body of its response, decompressed. The body
+// may have up to maxBytes, as it was sent and decompressed.
 func (c *Client) send(ctx context.Context, id vm.ID, method, path string, body []byte, maxBytes int64) ([]byte, error) {
 	address, ok := c.Book.Address(id)
 	if !ok {
@@ -132,7 +132,7 @@
 		return nil, ErrRefused.New("VM %q responded with status %s", id, resp.Status)
 	}
 	if resp.Header.Get("Content-Encoding") == encodingGzip {
-		return Unpack(reply)
+		return unpack(reply, maxBytes)
 	}
 	return reply, nil
 }
--- a/internal/peer/pack.go
+++ b/internal/peer/pack.go
@@ -27,16 +27,21 @@
 // Unpack decompresses a document that Pack compressed. Errors: ErrMalformed, also
 // if the document is larger than document.MaxBytes.
 func Unpack(packed []byte) ([]byte, error) {
+	return unpack(packed, document.MaxBytes)
+}
+
+// unpack decompresses a body of at most maxBytes. Errors: ErrMalformed.
+func unpack(packed []byte, maxBytes int64) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return nil, ErrMalformed.Wrap(err, "decompress document")
+		return nil, ErrMalformed.Wrap(err, "decompress body")
 	}
-	body, err := io.ReadAll(io.LimitReader(r, document.MaxBytes+1))
+	body, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
 	if err != nil {
-		return nil, ErrMalformed.Wrap(err, "decompress document")
+		return nil, ErrMalformed.Wrap(err, "decompress body")
 	}
-	if len(body) > document.MaxBytes {
-		return nil, ErrMalformed.New("decompressed document is larger than %d bytes", document.MaxBytes)
+	if int64(len(body)) > maxBytes {
+		return nil, ErrMalformed.New("decompressed body is larger than %d bytes", maxBytes)
 	}
 	return body, nil
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -62,6 +62,21 @@
 		Expect(errorx.IsOfType(err, peer.ErrMalformed)).To(BeTrue(), "%v", err)
 	})
 
+	// Guards against VMs whose messages, small as they are sent, fill the memory of the others.
+	It("rejects a message that is longer than a message may be once it is decompressed", func() {
+		const messageBytes = 1 << 20
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Encoding", "gzip")
+			_, _ = w.Write(peer.Pack(append([]byte("{}"), bytes.Repeat([]byte(" "), messageBytes)...)))
+		}))
+		DeferCleanup(server.Close)
+		book := peer.NewBook("b")
+		book.Set(map[vm.ID]string{"a": strings.TrimPrefix(server.URL, "http://")})
+		client := &peer.Client{Scheme: "http", Book: book, Transport: http.DefaultTransport}
+		_, err := client.Peer("a").Exchange(context.Background(), revision.Digest{})
+		Expect(errorx.IsOfType(err, peer.ErrMalformed)).To(BeTrue(), "%v", err)
+	})
+
 	It("refuses a client with the wrong token, and rejects a truncated document", func() {
 		_, client := startServer()
 		client.Token = []byte("other")
