Wait on for a silent engine of the own API if no other one would take the request

Callers saw: an engine that is silent for more than headers_ms before its answer lost the request, although nothing else serves the model: the run was given up, and started again at the same engine, or refused. A sound engine may be silent for a moment. Cause: nothing asked what else is there.

Change: when the time limit passes before the first byte of the body, it starts again, twice at most, while no engine that the request has not tried would be chosen for it. Attempts whose engine has sent bytes, steps of cascades (another model answers) and resumed streams are given up as before. Each such decision counts in silences_outwaited_total. The timer is a type of its own, that can't end a stream after the wait that it belongs to has ended.

Open: whether the retry budget would allow the next attempt is not asked; an engine that is mute for good and alone is given up after three limits in place of one.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -79,6 +79,10 @@
 	// TimeLeft is the time until the request's deadline; it is sent to the
 	// engine in milliseconds.
 	TimeLeft time.Duration
+	// WaitOn is called when the engine has sent nothing of the body for the time limit. It
+	// reports whether to wait for that time once more. It may be called from any goroutine,
+	// until Open or Stream.Pieces has returned. Nil never waits on.
+	WaitOn func() bool
 }
 
 // Open sends the call and waits for the response header. Errors: ErrConnect,
@@ -94,7 +98,7 @@
 	req.Header.Set(headerAttempt, call.Attempt)
 	req.Header.Set(headerPriority, strconv.Itoa(call.Priority))
 	req.Header.Set(headerDeadline, strconv.FormatInt(call.TimeLeft.Milliseconds(), 10))
-	return c.start(ctx, call.Address, req, call.Model, progress{attempt: call.Attempt, highest: -1})
+	return c.start(ctx, req, streamOptions{address: call.Address, model: call.Model, attempt: call.Attempt, last: -1, waitOn: call.WaitOn})
 }
 
 // Resume requests the pieces of an attempt of a model after index last as a new stream,
@@ -107,7 +111,7 @@
 	}
 	req.Header.Set(headerAttempt, attempt)
 	req.Header.Set("Last-Event-ID", attempt+"/"+strconv.Itoa(last))
-	return c.start(ctx, address, req, model, progress{attempt: attempt, highest: last})
+	return c.start(ctx, req, streamOptions{address: address, model: model, attempt: attempt, last: last})
 }
 
 // Cancel requests that the engine stop an attempt. The status of the response is
@@ -126,15 +130,26 @@
 	return resp.Body.Close()
 }
 
-// start sends the request and waits for the response header up to Limits.Headers.
-func (c *Client) start(ctx context.Context, address string, req *http.Request, model string, p progress) (*Stream, error) {
-	pool := c.pools.For(address)
+// streamOptions are what a stream needs beside its request.
+type streamOptions struct {
+	address, model, attempt string
+	// last is the index of the last piece that was received before.
+	last   int
+	waitOn func() bool
+}
+
+// start sends the request and waits for the response header up to Limits.Headers, or
+// longer if waitOn says so.
+func (c *Client) start(ctx context.Context, req *http.Request, o streamOptions) (*Stream, error) {
+	pool := c.pools.For(o.address)
 	ctx, cancel := context.WithCancelCause(ctx)
-	p.memory = c.memory.Reserve(membudget.Holder{Kind: membudget.Upstream, ID: address}, membudget.Holder{Kind: membudget.Service, ID: model})
-	s := &Stream{cancel: cancel, ctx: ctx, idleTimeout: c.limits.Idle, pool: pool, progress: p}
-	s.idleTimer = time.AfterFunc(c.limits.Headers, s.onSilence)
+	memory := c.memory.Reserve(membudget.Holder{Kind: membudget.Upstream, ID: o.address}, membudget.Holder{Kind: membudget.Service, ID: o.model})
+	s := &Stream{cancel: cancel, ctx: ctx, idleTimeout: c.limits.Idle, pool: pool,
+		progress: progress{attempt: o.attempt, highest: o.last, memory: memory}}
+	s.silence = newSilenceTimer(c.limits.Headers, o.waitOn, s.onSilence)
+	s.silence.begin()
 	resp, err := pool.Idempotent().RoundTrip(req.WithContext(ctx))
-	s.idleTimer.Stop()
+	s.silence.end()
 	if err != nil {
 		cancel(nil)
 		return nil, s.requestError(err)
@@ -148,11 +163,10 @@
 	return nil, statusError(resp)
 }
 
-// onSilence aborts the stream after its time limit passed without data, and closes
-// the engine's unused connections, which may be dead too.
+// onSilence aborts the stream after its time limit passed without a new piece, and
+// closes the engine's unused connections, which may be dead too.
 func (s *Stream) onSilence() {
-	s.timedOut.Store(true)
-	s.cancel(ErrSilent.New("nothing received within the time limit"))
+	s.cancel(ErrSilent.New("nothing new received within the time limit"))
 	s.pool.CloseIdle()
 }
 
@@ -162,7 +176,7 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return ErrConnect.Wrap(err, "connect to engine")
 	}
-	if s.timedOut.Load() {
+	if s.silence.hasExpired() {
 		return ErrSilent.Wrap(err, "no response header within the time limit")
 	}
 	return ErrBroken.Wrap(err, "send request or read response header")
--- a/internal/engineclient/progress.go
+++ b/internal/engineclient/progress.go
@@ -10,14 +10,12 @@
 // unreservedBytes is the capacity of a stream's buffer that is not counted in the memory budget.
 const unreservedBytes = 4 << 10
 
-// progress bounds the time and the memory that a stream takes without a new piece: comments, pieces that were
-// received before and parts of an event don't extend the wait for the next piece.
+// progress tells new pieces of a stream from what doesn't extend the wait for the next one: comments, pieces that were
+// received before and parts of an event. It bounds the memory of the latter.
 type progress struct {
 	// attempt is the attempt whose pieces count, and highest the highest index that was received.
 	attempt string
 	highest int
-	// waitUntil is when the stream is given up, unless a new piece arrives.
-	waitUntil time.Time
 	// unfinished is the number of bytes since the last event.
 	unfinished int
 	// memory is what the buffer of unfinished bytes keeps; its capacity, of reserved bytes, never shrinks.
@@ -67,16 +65,16 @@
 	if r.flush != nil {
 		startedAt := time.Now()
 		r.flush()
-		s.progress.waitUntil = s.progress.waitUntil.Add(time.Since(startedAt))
+		s.silence.pause(time.Since(startedAt))
 	}
-	wait := time.Until(s.progress.waitUntil)
-	if wait <= 0 {
-		s.onSilence()
+	if !s.silence.begin() {
 		return 0, ErrSilent.New("no new piece received for %v", s.idleTimeout)
 	}
-	s.idleTimer.Reset(wait)
 	n, err := s.resp.Body.Read(b)
-	s.idleTimer.Stop()
+	s.silence.end()
+	if n > 0 {
+		s.silence.insist()
+	}
 	if err := s.progress.keep(n); err != nil {
 		return 0, NoRoomError(err)
 	}
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -39,8 +38,7 @@
 	idleTimeout time.Duration
 	progress    progress
 	pool        idleCloser
-	idleTimer   *time.Timer
-	timedOut    atomic.Bool
+	silence     *silenceTimer
 }
 
 // idleCloser closes unused connections, which may be dead after a time-out on
@@ -68,13 +66,16 @@
 // caller.
 func (s *Stream) drainAfterDone() {
 	defer s.Close()
-	s.idleTimer.Reset(s.idleTimeout)
+	s.silence.renew(s.idleTimeout)
+	if !s.silence.begin() {
+		return
+	}
 	_, _ = io.CopyN(io.Discard, s.resp.Body, maxBytesAfterDone)
 }
 
 // read passes pieces to yield until the final event.
 func (s *Stream) read(yield func(sequence.Piece) error, flush func()) error {
-	s.progress.waitUntil = time.Now().Add(s.idleTimeout)
+	s.silence.renew(s.idleTimeout)
 	body := &progressReader{stream: s, flush: flush}
 	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
@@ -92,7 +93,7 @@
 			return err
 		}
 		if s.progress.isNew(p) {
-			s.progress.waitUntil = time.Now().Add(s.idleTimeout)
+			s.silence.renew(s.idleTimeout)
 		}
 	}
 	return s.streamError(io.ErrUnexpectedEOF)
@@ -101,7 +102,7 @@
 // Close ends the stream. A connection whose response was not read to its end is
 // closed.
 func (s *Stream) Close() {
-	s.idleTimer.Stop()
+	s.silence.end()
 	s.cancel(nil)
 	_ = s.resp.Body.Close()
 	s.progress.memory.Release()
@@ -109,7 +110,7 @@
 
 // streamError returns the error for a stream that failed with err.
 func (s *Stream) streamError(err error) error {
-	if s.timedOut.Load() {
+	if s.silence.hasExpired() {
 		return ErrSilent.Wrap(err, "no new piece received for %v", s.idleTimeout)
 	}
 	if errorx.IsOfType(err, ErrNoRoom) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -68,6 +68,7 @@
 		Body:     body,
 		Priority: x.Client.Contract.Priority,
 		TimeLeft: s.timeLeft(x),
+		WaitOn:   s.waitOn(x, j, a),
 	})
 	if err != nil {
 		a.draining = engineclient.Draining(err)
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -25,7 +25,9 @@
 	// inSession reports whether the caller uses a session.
 	inSession bool
 	class     string
-	w         http.ResponseWriter
+	// cascaded reports whether a cascade answers the request.
+	cascaded bool
+	w        http.ResponseWriter
 }
 
 func (s *Server) serveCompletion(x *Exchange, w http.ResponseWriter, r *http.Request, chat bool) error {
@@ -77,6 +79,7 @@
 
 func (s *Server) answer(ctx context.Context, c *completion, timer *deadlineTimer) error {
 	if cascade := c.exchange.Index.Cascade(c.request.Model); cascade != nil {
+		c.cascaded = true
 		return s.answerCascade(ctx, c, cascade, timer)
 	}
 	if c.request.Stream {
@@ -100,7 +103,7 @@
 func (s *Server) newJob(c *completion, name model.Name) *job {
 	return &job{
 		request: c.request, model: name,
-		pinned: c.pins.Version[name], preferred: c.pins.Engine[name], assignmentKey: c.sessionKey(),
+		pinned: c.pins.Version[name], preferred: c.pins.Engine[name], assignmentKey: c.sessionKey(), cascaded: c.cascaded,
 	}
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -28,6 +28,8 @@
 	// preferred is the session's engine; may be empty.
 	preferred upstream.ID
 	tried     []upstream.ID
+	// cascaded reports whether another model answers if this one doesn't.
+	cascaded bool
 }
 
 func (j *job) path() string {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,6 +16,7 @@
 	resumes           *prometheus.CounterVec
 	piecesDropped     *prometheus.CounterVec
 	silentConnections prometheus.Counter
+	silencesOutwaited prometheus.Counter
 	callersGone       prometheus.Counter
 	hedges            prometheus.Counter
 	tokens            prometheus.Counter
@@ -40,6 +41,7 @@
 		retries:           newCounterVec("retries_total", "Further attempts by the reason of the failure before.", "reason"),
 		resumes:           newCounterVec("resumes_total", "Resumed streams by outcome.", "outcome"),
 		piecesDropped:     newCounterVec("pieces_dropped_total", "Pieces of answers dropped, by reason.", "reason"),
+		silencesOutwaited: newCounter("silences_outwaited_total", "Decisions to wait on for a silent engine, as no other one would take the request."),
 		silentConnections: newCounter("silent_connections_total", "Connections given up because nothing came."),
 		callersGone:       newCounter("callers_gone_total", "Callers that went away before the end of their answer."),
 		hedges:            newCounter("hedges_total", "Second attempts started because the first was slow."),
@@ -57,7 +59,7 @@
 		m.refusals.WithLabelValues(string(spec.Reason), string(spec.Ran))
 	}
 	reg.MustRegister(m.answers, m.refusals, m.answersCut, m.attempts, m.retries, m.resumes, m.piecesDropped,
-		m.silentConnections, m.callersGone, m.hedges, m.tokens, m.claims, m.responsesNotKept, m.timeToFirstPiece)
+		m.silentConnections, m.silencesOutwaited, m.callersGone, m.hedges, m.tokens, m.claims, m.responsesNotKept, m.timeToFirstPiece)
 	return m
 }
 
