--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -222,7 +222,7 @@
 // buildEntry creates the server for callers' requests.
 func (d *Daemon) buildEntry() error {
 	timeouts := d.settings.Timeouts
-	d.engines = engineclient.New(d.pools, engineclient.Limits{Headers: timeouts.HeadersMS.Duration(), Idle: timeouts.IdleMS.Duration()})
+	d.engines = engineclient.New(d.pools, engineclient.Limits{Headers: timeouts.HeadersMS.Duration(), Idle: timeouts.IdleMS.Duration()}, d.memory)
 	claimEvents := newCounterVec("claim_events_total", "Events of claims of non-idempotent calls, by kind.", "event")
 	d.registry.MustRegister(claimEvents)
 	claims, err := once.New(d.platform.table, string(d.self.ID)+"/"+string(d.incarnation), once.Options{
@@ -252,7 +252,7 @@
 		}),
 		Sessions: sessions.New(d.secrets.sessions, d.clock), Addresses: d.settings.Upstreams,
 		Engines: d.engines, Pools: d.pools, Clock: d.clock, NewID: newID, NewRequestID: d.newRequestID, NewSessionID: newSessionID,
-		Draw: randv2.Float64, ResumeKey: d.secrets.peer, Log: d.log, Registry: d.registry,
+		Draw: randv2.Float64, ResumeKey: d.secrets.peer, Memory: d.memory, Log: d.log, Registry: d.registry,
 	}, entryOptions(d.settings))
 	return nil
 }
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -185,7 +185,7 @@
 	if isEventStream(resp.Header) {
 		return x.forwardPeerStream(resp, peer.ID)
 	}
-	body, err := x.readWhole(resp, x.reserveForPeer(peer.ID), "VM "+string(peer.ID))
+	body, err := x.readWhole(resp, x.reserveForPeer(peer.ID), "VM "+string(peer.ID), nil)
 	if err != nil {
 		return err
 	}
@@ -287,11 +287,13 @@
 		if keepErr := pending.append(buf[:n]); keepErr != nil {
 			return keepError(keepErr, sender)
 		}
-		for event := pending.next(); event != nil; event = pending.next() {
+		for event := pending.next(x.headerSent); event != nil; event = pending.next(x.headerSent) {
 			if forwardErr := x.forwardEvent(resp, event, sender); forwardErr != nil {
 				return forwardErr
 			}
-			events++
+			if !isComment(event) {
+				events++
+			}
 		}
 		pending.compact()
 		switch {
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -30,6 +30,13 @@
 		return 0
 	}
 	a.recordSilence()
+	return a.waitOrGiveUp(left)
+}
+
+// waitOrGiveUp decides whether an attempt that takes too long is given up, and returns how much longer to wait, as
+// onSilence does. left is the time until the deadline.
+func (a *attempt) waitOrGiveUp(left time.Duration) time.Duration {
+	x := a.exchange
 	if x.refuseUnfinishable() != nil {
 		return left
 	}
@@ -138,6 +145,9 @@
 // choose selects the upstream of the next attempt: the one for which a silent attempt was given up,
 // or else the best one. If there is none, those of interrupted attempts may be tried again.
 func (x *exchange) choose() engines.Choice {
+	if x.attemptsLeft() <= 0 {
+		return x.takeReturn()
+	}
 	if choice := x.takeSuccessor(); choice != nil {
 		return *choice
 	}
@@ -156,6 +166,7 @@
 // recordTried records that an attempt on an upstream ended with err.
 func (x *exchange) recordTried(a *attempt, err error) {
 	x.retryState.Tried = append(x.retryState.Tried, a.engine.ID())
+	x.recordGivenUp(a, err)
 	if errorx.IsOfType(err, upconn.ErrSilent) || errorx.IsOfType(err, errMoved) ||
 		errorx.IsOfType(err, upconn.ErrConnectionLost) && a.firstAfter > 0 {
 		x.interrupted = append(x.interrupted, a.engine)
