Keep a body of known length that comes in time although it pauses

What callers would see: a sound body that takes more than half of the request's time is given up at its first pause of 50 ms, begun anew at another engine and cut there again: 504 at the deadline in place of the whole answer.

Cause: only bytes asked whether a body of known length ends in time (isOver). A read that took longer than its limit went to onSilence, and after half of the time that limit is 50 ms. The pause then counted as a silence of the engine, too, and other VMs were told of it.

Change: a pause asks the same question first, and the read limit is 250 ms, as for other decisions on silence. A body that stops no longer ends in time by its average rate, and is left then as before.

Open: a body of unknown length that comes with pauses beyond half of the time is still given up.

--- a/internal/relay/body_wait.go
+++ b/internal/relay/body_wait.go
@@ -39,21 +39,28 @@
 	return &bodyWait{attempt: a, eventWait: eventWait{until: now.Add(wait)}, began: now, length: length}
 }
 
-// limit returns how long the next read may take.
+// limit returns how long the next read may take. A shorter pause within a body counts as no silence.
 func (w *bodyWait) limit(x *exchange) time.Duration {
 	left := max(x.timeLeft(), minWait)
 	if w == nil {
 		return left
 	}
-	return min(max(w.left(x.server.Clock.Now()), minReadWait), left)
+	return min(max(w.left(x.server.Clock.Now()), silencePoll), left)
 }
 
-// onSilence returns what decides on a read that takes longer than its limit; nil gives up.
-func (w *bodyWait) onSilence() func() time.Duration {
+// onSilence returns what decides on a read, after the given number of bytes, that takes longer than its limit; nil gives
+// up. A body that is known to end in time may pause.
+func (w *bodyWait) onSilence(x *exchange, received int) func() time.Duration {
 	if w == nil {
 		return nil
 	}
-	return w.attempt.onSilence
+	return func() time.Duration {
+		left := x.timeLeft()
+		if left > minWait && w.endsInTime(left, x.server.Clock.Since(w.began), received) {
+			return min(left, silencePoll)
+		}
+		return w.attempt.onSilence()
+	}
 }
 
 // isOver reports whether the attempt is given up after the given number of bytes of the body: it took too long, is not
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -69,7 +69,7 @@
 	body := membudget.NewBuffer(memory, x.server.opts.MaxBufferedBytes)
 	buf := make([]byte, bodyPartBytes)
 	for {
-		n, err := resp.Read(buf, wait.limit(x), wait.onSilence())
+		n, err := resp.Read(buf, wait.limit(x), wait.onSilence(x, body.Len()))
 		if keepErr := body.Append(buf[:n]); keepErr != nil {
 			err = keepError(keepErr, sender)
 		}
