Blame no upstream, version or VM for memory that others use up

What callers would see: while faulty upstreams use up a VM's memory, the sound ones of the same service whose answers find no room are avoided, and their version may be reverted.

Cause: errNoMemory is an ErrBroken, and nothing but its comment exempts it: the attempt counts as a failure for the circuit breaker and as broken for the roll-out of the version; a VM that relays is avoided as unavailable.

Change: such attempts are inconclusive, as those that were not run. errOverShare is blamed as before.

Open: an upstream that keeps little itself gets errOverShare, too, once its first bytes are reserved and others have used up the rest.

--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -21,7 +21,7 @@
 	ended := err != nil && ctx.Err() != nil
 	moved := errorx.IsOfType(err, errMoved)
 	failed := err != nil && !ended && !moved && !errorx.IsOfType(err, errLowConfidence) && !isCallerGone(err)
-	inconclusive := ended || isCallerGone(err) || errorx.IsOfType(err, errNotRun) || wasNotTried(err) || a.paused || moved
+	inconclusive := ended || isCallerGone(err) || blamesNobody(err) || a.paused || moved
 	// A VM that may have lost its way to the upstreams blames none of them.
 	cutOff := failed && failsContact(err) && x.server.Reach.Status(x.service).MayBeCutOff()
 	result := engines.Result{Failed: failed && !errorx.IsOfType(err, errNotRun), Inconclusive: inconclusive || cutOff}
@@ -51,6 +51,12 @@
 	x.logAttempt(ctx, a, err, took)
 }
 
+// blamesNobody reports whether an attempt failed in a way that is evidence neither about its upstream nor about the version
+// of that one.
+func blamesNobody(err error) bool {
+	return errorx.IsOfType(err, errNotRun) || errorx.IsOfType(err, errNoMemory) || wasNotTried(err)
+}
+
 // quarantineOutcome returns what the end of an attempt says about its request: whether its
 // upstream survived it. ended reports whether the exchange was over before.
 func quarantineOutcome(err error, ended bool) quarantines.Outcome {
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -258,7 +258,7 @@
 		return resultOfRefusal(elsewhere.reason)
 	case errors.As(err, &refused):
 		return peerrelay.Inconclusive
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errorx.IsOfType(err, errNoMemory):
 		return peerrelay.Inconclusive
 	}
 	return peerrelay.Unavailable
