Hold the older router to the deadline of answers that are not streamed

Callers saw: a completion that the older router serves lasts for as long as it sends a byte within each service_idle_ms, whatever deadline the caller set. Cause: the deadline's timer was stopped with the response header of every answer. It is meant for streamed answers, which are not cut while they are being received.

Change: the timer goes on unless the caller asked for a stream. TestOldRouterThatTricklesIsGivenUpAtDeadline (a byte each 50 ms, deadline 1 s) before: the caller gave up after 5 s. After: passes, 3 of 3 with -race; internal/entryd and soak pass with -race beside a load average of 63. A streamed answer of the older router that trickles goes on, as nothing there tells a piece from other bytes.

--- a/internal/entry/oldrouter.go
+++ b/internal/entry/oldrouter.go
@@ -97,7 +97,9 @@
 		}
 		return refusal.Wrap(exhaustedReason(c.exchange), err).WithRan(c.exchange.ran())
 	}
-	timer.stop()
+	if c.request.Stream {
+		timer.stop()
+	}
 	if c.inSession {
 		c.pins.OnOldRouter = true
 		if token, err := s.Sessions.Sign(c.exchange.Index, c.exchange.Client.Account, c.pins); err == nil {
