Tell the test server of cut responses how many bytes to send

The number of bytes is now in the request's target, and connections may be opened as late as a response may come.

--- a/internal/upconn/cut_test.go
+++ b/internal/upconn/cut_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,15 +15,28 @@
 	"github.com/poplarshore/poplarshore/internal/upconn"
 )
 
-// startCutting starts a server that writes the first n bytes of a response to the request with each
-// number n, and closes the connection.
+// startCutting starts a server that writes the first n bytes of a response to a request whose target is /n,
+// and closes the connection.
 func startCutting(t *testing.T, response string) string {
-	return startUpstream(t, func(n int, _ *http.Request, c net.Conn) {
-		_, _ = io.WriteString(c, response[:min(n, len(response))])
+	return startUpstream(t, func(_ int, r *http.Request, c net.Conn) {
+		n, err := strconv.Atoi(strings.TrimPrefix(r.URL.Path, "/"))
+		if err == nil {
+			_, _ = io.WriteString(c, response[:n])
+		}
 		_ = c.Close()
 	})
 }
 
+// cutPool returns a pool whose connections may be opened late, as they are beside load.
+func cutPool() *upconn.Pool {
+	opts := upconn.DefaultOptions()
+	opts.DialTimeout = cutTimeout
+	return upconn.NewPool(opts)
+}
+
+// cutTimeout is how long a connection or a response may take.
+const cutTimeout = 5 * time.Second
+
 // TestCutResponseIsNeverComplete cuts responses after each byte. It guards against a head, or a body,
 // that was cut and looks like a whole response with an empty or short body.
 func TestCutResponseIsNeverComplete(t *testing.T) {
@@ -38,11 +53,11 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			p := upconn.NewPool(upconn.DefaultOptions())
+			p := cutPool()
 			address := startCutting(t, response)
 			for n := 1; n <= len(response); n++ {
 				call := newCall(address, "1")
-				call.HeaderTimeout = 5 * time.Second
+				call.HeaderTimeout, call.Request.Target = cutTimeout, "/"+strconv.Itoa(n)
 				resp, err := p.Do(context.Background(), call)
 				if err == nil {
 					_, err = readBody(resp)
@@ -59,10 +74,12 @@
 func TestCutHeadWithoutLengthIsNeverComplete(t *testing.T) {
 	g := NewWithT(t)
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: s\r\n\r\n"
-	p := upconn.NewPool(upconn.DefaultOptions())
+	p := cutPool()
 	address := startCutting(t, head+"answer")
 	for n := 1; n <= len(head); n++ {
-		resp, err := p.Do(context.Background(), newCall(address, "1"))
+		call := newCall(address, "1")
+		call.HeaderTimeout, call.Request.Target = cutTimeout, "/"+strconv.Itoa(n)
+		resp, err := p.Do(context.Background(), call)
 		if err == nil {
 			_, err = readBody(resp)
 			resp.Close()
