Don't take an upstream that sends comments for silent

Found by review: comments don't count as events, so that an upstream that sent only comments was marked silent, and announced as such, when its attempt was left. They show that the upstream is there; the attempt is left all the same. Tests of comments and of internal/relay pass with -race.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -165,12 +165,14 @@
 }
 
 // forwardEvents forwards the complete events in the buffer to the caller. It reports whether there were any. Comments are
-// forwarded, too, but count as none.
+// forwarded, too, but count as none: they only show that the upstream is not silent.
 func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) (bool, error) {
 	written := false
 	for event := pending.next(a.exchange.headerSent); event != nil; event = pending.next(a.exchange.headerSent) {
 		comment := isComment(event)
-		if !comment {
+		if comment {
+			a.tracked.MarkReceived()
+		} else {
 			a.recordReceived()
 			a.recordEvent()
 		}
