Blame the holder that keeps much, and count answers that wait for callers as theirs

Found by review: an upstream that kept 4 KiB was blamed for having used up its share when others held the memory, in the breaker and for its version; a sound upstream's answers stayed in its share until slow callers had read them; growing by doubling reserved up to twice a known length; and a panic while a body was read left its reservation.

Now a holder is blamed if it keeps a sixteenth of the budget and no less than others of its kind on average. A whole answer is transferred to its caller's account before it is sent. A known length bounds what a buffer reserves. The reservation of a body that is not whole is released on every way out.

TestHolderThatKeepsLittleIsNotBlamed, TestTransferredBytesLeaveRoomForTheFirstHolder and TestBufferOfExpectedLengthReservesNoMore; the first can't pass on the code before, which blamed any holder that kept a byte. membudget and relay pass with -race.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -13,7 +13,8 @@
 var (
 	// ErrExhausted reports that there was no room for more bytes.
 	ErrExhausted = namespace.NewType("exhausted")
-	// ErrHolderShare is an ErrExhausted: the first holder of the reservation keeps as much as it may by itself.
+	// ErrHolderShare is an ErrExhausted: the first holder of the reservation keeps much of the budget, and no less than
+	// others of its kind.
 	ErrHolderShare = ErrExhausted.NewSubtype("holder_share")
 	// ErrTooLarge reports that a Buffer would exceed its largest size.
 	ErrTooLarge = namespace.NewType("too_large")
@@ -90,7 +91,7 @@
 		}
 		b.refused[h.Kind]++
 		err := ErrExhausted
-		if i == 0 && b.byOwner[h] > 0 {
+		if i == 0 && b.keepsMuch(h) {
 			err = ErrHolderShare
 		}
 		return err.New("%s %q keeps %d bytes of %d, of which %d are free; no room for %d more", h.Kind, h.ID, b.byOwner[h], b.limit, free, n)
@@ -99,6 +100,22 @@
 	return nil
 }
 
+// minMuchFraction is the least fraction of the budget that a holder keeps if it is the cause that there is no room.
+const minMuchFraction = 1.0 / 16
+
+// keepsMuch reports whether a holder keeps much of the budget, and no less than the holders of its kind do on average. The
+// caller holds mu.
+func (b *Budget) keepsMuch(h Holder) bool {
+	var sum, holders int64
+	for other, n := range b.byOwner {
+		if other.Kind == h.Kind {
+			sum, holders = sum+n, holders+1
+		}
+	}
+	kept := b.byOwner[h]
+	return float64(kept) >= minMuchFraction*float64(b.limit) && kept*holders >= sum
+}
+
 // add changes the bytes kept. The caller holds mu.
 func (b *Budget) add(holders []Holder, n int64) {
 	b.used += n
@@ -125,6 +142,15 @@
 	return nil
 }
 
+// Transfer makes the bytes those of other holders, whatever their shares are.
+func (r *Reservation) Transfer(holders ...Holder) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.budget.add(r.holders, -r.bytes)
+	r.holders = holders
+	r.budget.add(r.holders, r.bytes)
+}
+
 // Shrink returns n bytes.
 func (r *Reservation) Shrink(n int) {
 	r.budget.mu.Lock()
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -69,6 +69,45 @@
 	g.Expect(b.Usage().Refused[membudget.Upstream]).To(BeNumerically(">", 0))
 }
 
+// An upstream that keeps little is not blamed for what others keep, whoever they are.
+func TestHolderThatKeepsLittleIsNotBlamed(t *testing.T) {
+	g := NewWithT(t)
+	b := membudget.New(budgetBytes)
+	sound := b.Reserve(upstreamOf("sound", 0)...)
+	g.Expect(sound.Grow(partBytes)).To(Succeed())
+	callers := b.Reserve(membudget.Holder{Kind: membudget.Callers})
+	for callers.Grow(partBytes) == nil {
+	}
+	fill(b, 2, "faulty")
+	g.Expect(errorx.IsOfType(sound.Grow(budgetBytes/4), membudget.ErrHolderShare)).To(BeFalse())
+}
+
+// What waits for a slow caller is not its upstream's any more.
+func TestTransferredBytesLeaveRoomForTheFirstHolder(t *testing.T) {
+	g := NewWithT(t)
+	b := membudget.New(budgetBytes)
+	first := b.Reserve(upstreamOf("s", 0)...)
+	g.Expect(first.Grow(budgetBytes / 4)).To(Succeed())
+	first.Transfer(membudget.Holder{Kind: membudget.Account, ID: "a"}, membudget.Holder{Kind: membudget.Callers})
+	g.Expect(b.Reserve(upstreamOf("s", 0)...).Grow(budgetBytes / 4)).To(Succeed())
+	first.Release()
+	g.Expect(b.Usage().Bytes).To(BeEquivalentTo(budgetBytes / 4))
+}
+
+// A buffer of known length reserves no more than that.
+func TestBufferOfExpectedLengthReservesNoMore(t *testing.T) {
+	g := NewWithT(t)
+	b := membudget.New(budgetBytes)
+	buffer := membudget.NewBuffer(b.Reserve(upstreamOf("s", 0)...), 8<<20)
+	const length = 3<<20 + 5
+	buffer.Expect(length)
+	for left := length; left > 0; left -= partBytes {
+		g.Expect(buffer.Append(make([]byte, min(partBytes, left)))).To(Succeed())
+	}
+	g.Expect(buffer.Len()).To(Equal(length))
+	g.Expect(b.Usage().Bytes).To(BeNumerically("<=", length))
+}
+
 // The sum of all reservations is never more than the budget, and nothing is left at the end.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/membudget/buffer.go
+++ b/internal/membudget/buffer.go
@@ -12,8 +12,13 @@
 	data        []byte
 	// reserved is the capacity that is reserved.
 	reserved int
+	// expected is the length that the bytes will have; zero if unknown.
+	expected int
 }
 
+// Expect sets the length that the bytes will have, so that no more is reserved for them. It takes no room yet.
+func (b *Buffer) Expect(length int) { b.expected = max(length, 0) }
+
 // NewBuffer returns an empty buffer of at most maxBytes, for which the reservation grows.
 func NewBuffer(r *Reservation, maxBytes int) *Buffer {
 	return &Buffer{reservation: r, maxBytes: maxBytes}
@@ -57,6 +62,9 @@
 		return nil
 	}
 	size := min(max(sizeFor(need), unreservedBytes), b.maxBytes)
+	if need <= b.expected {
+		size = min(size, b.expected)
+	}
 	reserved := max(size-unreservedBytes, 0)
 	// The old array is kept only while the bytes are copied.
 	if err := b.reservation.Grow(reserved - b.reserved); err != nil {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -179,6 +179,7 @@
 func (x *exchange) keepBody(r *http.Request, limit int64) error {
 	x.bodyMemory = x.reserveForCaller()
 	body := membudget.NewBuffer(x.bodyMemory, int(limit))
+	body.Expect(int(r.ContentLength))
 	err := body.Fits(int(r.ContentLength))
 	if err == nil {
 		_, err = body.ReadFrom(http.MaxBytesReader(x.w, r.Body, limit))
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -63,10 +63,18 @@
 func (x *exchange) readWhole(
 	resp *upconn.Response, memory *membudget.Reservation, sender string, wait *bodyWait,
 ) (*bufferedResponse, error) {
-	if length, known := resp.Length(); known && length > int64(x.server.opts.MaxBufferedBytes) {
+	length, _ := resp.Length()
+	if length > int64(x.server.opts.MaxBufferedBytes) {
 		return nil, errTooLarge.New("response of %d bytes from %s", length, sender)
 	}
 	body := membudget.NewBuffer(memory, x.server.opts.MaxBufferedBytes)
+	body.Expect(int(length))
+	whole := false
+	defer func() {
+		if !whole {
+			body.Release()
+		}
+	}()
 	buf := make([]byte, bodyPartBytes)
 	for {
 		n, err := resp.Read(buf, wait.limit(x), wait.onSilence(x, body.Len()))
@@ -78,9 +86,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			whole = true
 			return &bufferedResponse{status: resp.Status, header: resp.Header, body: body.Bytes(), memory: memory}, nil
 		case err != nil:
-			body.Release()
 			return nil, err
 		}
 	}
@@ -92,5 +100,7 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
 	}
 	x.sendHeader(b.status, b.header)
+	// From now on it is the caller that decides how long the body is kept.
+	b.memory.Transfer(x.callerHolders()...)
 	return x.sendWhole(b.body)
 }
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -35,11 +35,16 @@
 
 // reserveForCaller returns a reservation for the body of the caller's request. It must be released.
 func (x *exchange) reserveForCaller() *membudget.Reservation {
+	return x.server.Memory.Reserve(x.callerHolders()...)
+}
+
+// callerHolders returns the holders of what is kept for the caller: its account, or the VM that asks, and all callers.
+func (x *exchange) callerHolders() []membudget.Holder {
 	owner := membudget.Holder{Kind: membudget.Account, ID: string(x.account)}
 	if x.hop != nil {
 		owner = membudget.Holder{Kind: membudget.VM, ID: string(x.hop.from)}
 	}
-	return x.server.Memory.Reserve(owner, membudget.Holder{Kind: membudget.Callers})
+	return []membudget.Holder{owner, {Kind: membudget.Callers}}
 }
 
 // keepError returns the error of an attempt of which the named sender's response could not be kept.
