Don't drain a listener that is closed already

Finish drained the listener again after Shutdown, or Close, had closed it: each stop logged "handshakes that begin while the listener is closed are not ignored ... use of closed network connection", and, where the drain fails, closed it twice.

closeListener returns at once when no more connections are accepted.

TestFinishAfterListenerIsClosedLogsNoError failed before, with that line at debug level; it passes.

--- a/internal/listen/finish_test.go
+++ b/internal/listen/finish_test.go
@@ -1,11 +1,17 @@
 package listen_test
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net"
+	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/settings"
 )
 
 // TestFinishAnswersRequestsThatAreOpen guards against requests that are cut because other callers keep connecting, so
@@ -29,3 +35,16 @@
 	s.release()
 	s.Expect(<-s.stopped).To(Succeed())
 }
+
+// TestFinishAfterListenerIsClosedLogsNoError guards against lines on the drain of a listener that is closed already.
+func TestFinishAfterListenerIsClosedLogsNoError(t *testing.T) {
+	g := NewWithT(t)
+	var lines bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&lines, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	server, err := listen.Open(settings.Listener{Address: "127.0.0.1:0"}, http.NotFoundHandler(), listen.Bounds{}, log)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(server.Shutdown(t.Context())).To(Succeed())
+	g.Expect(server.Finish(t.Context())).To(Succeed())
+	g.Expect(server.Close()).To(Succeed())
+	g.Expect(lines.String()).To(BeEmpty())
+}
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -49,6 +49,11 @@
 // would reset those that are left. Where handshakes can't be ignored, callers that keep connecting
 // could hold it up, so that it returns after some time though the listener is open.
 func (s *Server) closeListener() {
+	select {
+	case <-s.served:
+		return
+	default:
+	}
 	s.acceptor.drain(acceptWait)
 	select {
 	case <-s.served:
