Keep idle connections during a shutdown for as long as callers may use them

What callers saw: a whole request without an answer or a refusal beside a planned stop. Shutdown closed all connections that had waited for a request for 500 ms, though callers may reuse theirs for as long as the configuration lets them; a request that crosses the close is not read.

A server with an IdleLimit keeps such connections during Shutdown until the limit has passed for them, or its time ends; requests on them are answered and asked to close. Without an IdleLimit, nothing changes.

--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -25,9 +25,12 @@
 	waitingSince time.Time
 	// idle reports whether nothing was read since a request was answered.
 	idle bool
-	// retiring reports whether a pending read was interrupted to close the connection.
-	retiring bool
-	closed   bool
+	// retiring reports whether a pending read was interrupted to close the connection, and retired whether
+	// that read has ended.
+	retiring, retired bool
+	// lingerUntil is until when the connection is watched whose sending side is closed; zero before.
+	lingerUntil time.Time
+	closed      bool
 }
 
 // Read implements net.Conn. It returns io.EOF on a connection that is retired.
@@ -84,6 +87,8 @@
 // all. The caller holds mu.
 func (c *conn) passInterrupt() afterDeadline {
 	if socket.StateOf(c.Conn) != socket.Readable {
+		c.retired = true
+		c.set.idleClosed.Add(1)
 		return retire
 	}
 	c.retiring = false
@@ -157,8 +162,16 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that is retired lingers before it is closed.
 func (c *conn) Close() error {
+	if c.beginLinger() {
+		return nil
+	}
+	return c.closeNow()
+}
+
+// closeNow closes the connection and removes it from its set.
+func (c *conn) closeNow() error {
 	c.set.remove(c)
 	c.mu.Lock()
 	c.closed = true
@@ -171,47 +184,3 @@
 	defer c.mu.Unlock()
 	return c.closed
 }
-
-// connSet holds the open connections of a server.
-type connSet struct {
-	encrypted bool
-	// idleLimit returns how long a connection may be idle, if that is longer than the IdleTimeout of the server.
-	idleLimit func() time.Duration
-
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-}
-
-// newConnSet returns an empty set. idleLimit may be nil.
-func newConnSet(encrypted bool, idleLimit func() time.Duration) *connSet {
-	if idleLimit == nil {
-		idleLimit = func() time.Duration { return 0 }
-	}
-	return &connSet{encrypted: encrypted, idleLimit: idleLimit, conns: make(map[*conn]struct{})}
-}
-
-// add returns c as a connection of the set that waits for its first request.
-func (s *connSet) add(c net.Conn) *conn {
-	added := &conn{Conn: c, set: s, encrypted: s.encrypted, waiting: true, waitingSince: time.Now()}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[added] = struct{}{}
-	return added
-}
-
-func (s *connSet) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
-// all returns the connections of the set.
-func (s *connSet) all() []*conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	return conns
-}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -43,7 +43,8 @@
 	// default there is no limit.
 	IdleTimeout time.Duration
 	// IdleLimit returns the limit in force, where it may change; connections are kept for IdleTimeout or for
-	// this, whichever is longer. It applies to connections that are idle already. HTTP/2 has IdleTimeout only. Default nil.
+	// this, whichever is longer. It applies to connections that are idle already. HTTP/2 has IdleTimeout only. Shutdown
+	// keeps connections for as long. Default nil.
 	IdleLimit func() time.Duration
 }
 
@@ -119,6 +120,10 @@
 	if closeErr := s.acceptor.Close(); !errors.Is(closeErr, net.ErrClosed) {
 		err = errors.Join(err, closeErr)
 	}
+	// Nor does it know connections that linger.
+	for _, c := range s.acceptor.set.all() {
+		_ = c.closeNow()
+	}
 	return err
 }
 
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// maxIdle is how long a connection may wait for a request before a shutdown closes it.
+	// maxIdle is how long a connection may wait for a request before a shutdown closes it, if it is not known for
+	// how long callers may reuse it.
 	maxIdle = 500 * time.Millisecond
 	// acceptWait is how long the listener accepts connections whose handshake was under way when the
 	// connections at the start of a shutdown had ended.
@@ -26,20 +27,21 @@
 // Shutdown waits until the connections that are open have ended, then closes the listener and waits
 // for those accepted meanwhile. Until then each request is passed to the handler, which should refuse
 // new ones; http.Server.Shutdown would discard requests that it reads. Responses tell callers to
-// close their connections, and connections without a request are closed after a short time. If ctx
-// ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
+// close their connections. Connections without a request are kept for the IdleLimit, as a request that crosses
+// the close gets no answer; without an IdleLimit they are closed after a short time. If ctx ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
 // left. Shortly before a deadline of ctx, or after it if the process did not run in time, it closes the
 // listener all the same, so that Close resets no connection that was just opened.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	acceptCtx, cancel := withEarlierDeadline(ctx, closeMargin)
 	defer cancel()
-	_ = awaitEnd(acceptCtx, s.acceptor.set.all())
+	keep := func() time.Duration { return max(maxIdle, s.acceptor.set.idleLimit()) }
+	_ = awaitEnd(acceptCtx, s.acceptor.set.all(), keep)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
 	}
 	s.closeListener()
-	if err := awaitEnd(ctx, s.acceptor.set.all()); err != nil {
+	if err := awaitEnd(ctx, s.acceptor.set.all(), keep); err != nil {
 		return err
 	}
 	return s.http.Close()
@@ -70,8 +72,9 @@
 	return context.WithDeadline(ctx, deadline.Add(-margin))
 }
 
-// awaitEnd waits until the connections have been closed, and closes those without a request.
-func awaitEnd(ctx context.Context, conns []*conn) error {
+// awaitEnd waits until the connections have been closed, and closes those that have waited for a request for the
+// time that keep returns.
+func awaitEnd(ctx context.Context, conns []*conn, keep func() time.Duration) error {
 	ticker := time.NewTicker(shutdownPoll)
 	defer ticker.Stop()
 	for {
@@ -79,8 +82,10 @@
 		if len(conns) == 0 {
 			return nil
 		}
+		idle := keep()
 		for _, c := range conns {
-			c.interrupt(maxIdle)
+			c.interrupt(idle)
+			c.endLinger()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/listen/shutdown_test.go
+++ b/internal/listen/shutdown_test.go
@@ -32,8 +32,13 @@
 	answerTimeout = 5 * time.Second
 )
 
-// newStoppingServer starts a server that answers /quick at once, and /held when released.
+// newStoppingServer starts a server without bounds.
 func newStoppingServer(t *testing.T) *stoppingServer {
+	return newStoppingServerWithin(t, listen.Bounds{})
+}
+
+// newStoppingServerWithin starts a server that answers /quick at once, and /held when released.
+func newStoppingServerWithin(t *testing.T, bounds listen.Bounds) *stoppingServer {
 	g := NewWithT(t)
 	held, begun := make(chan struct{}), make(chan struct{})
 	mux := http.NewServeMux()
@@ -43,7 +48,7 @@
 		<-held
 		w.WriteHeader(http.StatusNoContent)
 	})
-	server, err := listen.Open(settings.Listener{Address: "127.0.0.1:0"}, mux, listen.Bounds{}, slog.New(slog.DiscardHandler))
+	server, err := listen.Open(settings.Listener{Address: "127.0.0.1:0"}, mux, bounds, slog.New(slog.DiscardHandler))
 	g.Expect(err).NotTo(HaveOccurred())
 	s := &stoppingServer{WithT: g, t: t, server: server, stopped: make(chan error, 1), release: func() { close(held) }}
 	t.Cleanup(func() { _ = server.Close() })
