Serve requests that end in time until the end of a planned stop

Callers may use connections that a stop keeps; a refusal of each request on them, from TakeS on, gave away answers that the rest of the grace holds.

The listener for callers keeps idle connections for the configuration's limit, that for other VMs for as long as their pools do (4 s). The lines of a stop and two counters tell how many connections were closed idle, and on how many a request arrived all the same. "grace period is over; aborting the running requests" is logged as a warning only if requests run.

--- a/internal/gatewayd/collector.go
+++ b/internal/gatewayd/collector.go
@@ -17,6 +17,10 @@
 		"Time since a table of the store was last read, directly or through another VM.", []string{"table"}, nil)
 	dialsDesc = prometheus.NewDesc("poplarshore_gateway_upstream_dials_total",
 		"Connections opened to upstreams.", nil, nil)
+	idleClosedDesc = prometheus.NewDesc("poplarshore_gateway_stop_idle_closed_total",
+		"Connections that a planned stop closed while they waited for a request.", nil, nil)
+	crossedDesc = prometheus.NewDesc("poplarshore_gateway_stop_crossed_requests_total",
+		"Requests that arrived on a connection that a planned stop had just closed.", nil, nil)
 )
 
 // stateCollector exports the daemon's state as metrics.
@@ -32,6 +36,8 @@
 	ch <- readyDesc
 	ch <- tableAgeDesc
 	ch <- dialsDesc
+	ch <- idleClosedDesc
+	ch <- crossedDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -59,4 +65,7 @@
 	}
 	ch <- prometheus.MustNewConstMetric(readyDesc, prometheus.GaugeValue, ready)
 	ch <- prometheus.MustNewConstMetric(dialsDesc, prometheus.CounterValue, float64(d.pool.Dials()))
+	closed := d.closedIdle()
+	ch <- prometheus.MustNewConstMetric(idleClosedDesc, prometheus.CounterValue, float64(closed.Connections))
+	ch <- prometheus.MustNewConstMetric(crossedDesc, prometheus.CounterValue, float64(closed.Crossed))
 }
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -48,8 +48,8 @@
 	// draining: the daemon is not ready but still accepts requests, because the
 	// balancer may send some until it notices.
 	draining
-	// rejecting: new requests are refused and running ones complete.
-	rejecting
+	// completing: running requests complete, and new ones are taken only if they end in time.
+	completing
 	// aborting: the requests that still run are aborted.
 	aborting
 )
@@ -216,7 +216,7 @@
 
 // admissionRefusal returns the reason why new requests are refused, or nil.
 func (d *Daemon) admissionRefusal() *refusal.Refusal {
-	if phase(d.phase.Load()) >= rejecting {
+	if phase(d.phase.Load()) >= aborting {
 		return refusal.New(refusal.Draining)
 	}
 	if !d.synced() {
--- a/internal/gatewayd/listeners.go
+++ b/internal/gatewayd/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -10,6 +11,7 @@
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/peerfeed"
 	"github.com/poplarshore/poplarshore/internal/quarantines"
+	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/settings"
 )
 
@@ -20,8 +22,9 @@
 		return err
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
-	callerBounds := bounds
+	callerBounds, relayBounds := bounds, bounds
 	callerBounds.IdleLimit = d.operatorSink.idleLimit
+	relayBounds.IdleLimit = func() time.Duration { return upconn.DefaultOptions().IdleTimeout }
 	peerMux, metricsMux := http.NewServeMux(), http.NewServeMux()
 	peerMux.Handle(peerfeed.Path, d.peerFeed)
 	peerMux.Handle(members.Path, d.collector)
@@ -38,7 +41,7 @@
 		{&d.healthServer, d.settings.Health, http.HandlerFunc(d.serveHealth), bounds},
 		{&d.metricsServer, d.settings.Metrics, metricsMux, bounds},
 		{&d.peerServer, d.settings.Peers, peerMux, bounds},
-		{&d.relayServer, d.settings.Relay, d.relay.PeerHandler(), bounds},
+		{&d.relayServer, d.settings.Relay, d.relay.PeerHandler(), relayBounds},
 	} {
 		server, err := listen.Open(l.config, l.handler, l.bounds, d.log)
 		if err != nil {
--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -10,9 +10,9 @@
 )
 
 // Stop stops the daemon and returns when it has stopped. The daemon is not ready
-// from now on, refuses new requests after the settings' Stop.TakeS, and ends the
-// requests that still run, with an answer, shortly before Stop.GraceS has passed. The end of ctx
-// skips the remaining waits.
+// from now on, takes only requests that end in time after the settings' Stop.TakeS, and ends the
+// requests that still run, with an answer, shortly before Stop.GraceS has passed. Connections that callers may
+// still use are kept until then. The end of ctx skips the remaining waits.
 func (d *Daemon) Stop(ctx context.Context) {
 	startedAt := d.clock.Now()
 	grace := d.settings.Stop.GraceS.Duration()
@@ -20,12 +20,13 @@
 	d.relay.BeginStop(startedAt.Add(grace - abortMargin))
 	d.logStop(slog.LevelInfo, "leaving", "grace_ms", grace.Milliseconds())
 	d.wait(ctx, min(d.settings.Stop.TakeS.Duration(), grace-abortMargin))
-	d.phase.Store(int32(rejecting))
-	d.logStop(slog.LevelInfo, "refusing new requests", "after_ms", d.clock.Since(startedAt).Milliseconds())
+	d.phase.Store(int32(completing))
+	d.relay.RefuseUncertain()
+	d.logStop(slog.LevelInfo, "refusing requests that may not end in time", "after_ms", d.clock.Since(startedAt).Milliseconds())
 	shutdownCtx, cancel := context.WithTimeout(ctx, grace-abortMargin-d.clock.Since(startedAt))
 	defer cancel()
 	if err := d.shutDown(shutdownCtx); err != nil {
-		d.logStop(slog.LevelWarn, "grace period is over; aborting the running requests", "error", err)
+		d.logGraceOver(err)
 		d.abort()
 	}
 	d.phase.Store(int32(aborting))
@@ -33,7 +34,9 @@
 	if !d.relay.AwaitIdle(logTimeout) {
 		d.log.Warn("aborted requests still run; their log lines are lost")
 	}
-	d.logStop(slog.LevelInfo, "stopped", "took_ms", d.clock.Since(startedAt).Milliseconds())
+	closed := d.closedIdle()
+	d.logStop(slog.LevelInfo, "stopped", "took_ms", d.clock.Since(startedAt).Milliseconds(),
+		"idle_closed", closed.Connections, "crossed", closed.Crossed)
 	d.logRunner.Stop()
 }
 
@@ -74,6 +77,24 @@
 		"waiting_connections", waiting+relayWaiting)...)
 }
 
+// logGraceOver logs that the requests that still run are aborted, or that only connections are left on which none runs.
+func (d *Daemon) logGraceOver(err error) {
+	if d.relay.InFlight() == 0 {
+		d.logStop(slog.LevelInfo, "grace period is over; closing the connections that callers have kept", "error", err)
+		return
+	}
+	d.logStop(slog.LevelWarn, "grace period is over; aborting the running requests", "error", err)
+}
+
+// closedIdle returns the connections of callers and other VMs that a stop has closed while they waited for a request.
+func (d *Daemon) closedIdle() listen.ClosedIdle {
+	if phase(d.phase.Load()) == serving {
+		return listen.ClosedIdle{}
+	}
+	callers, vms := d.callerServer.ClosedIdle(), d.relayServer.ClosedIdle()
+	return listen.ClosedIdle{Connections: callers.Connections + vms.Connections, Crossed: callers.Crossed + vms.Crossed}
+}
+
 // wait waits until the timeout has passed or ctx ends.
 func (d *Daemon) wait(ctx context.Context, timeout time.Duration) {
 	select {
