Refuse requests that cross the close of an idle connection, in place of keeping it

A connection that a stop closes as idle now ends with status 408 and Connection: close (RFC 9110, 15.5.9), unasked. A request that is on its way, and is never read, is refused by it; others see that their connection ends, and go elsewhere. The sending side is closed then, and the connection kept for 300 ms, as an unread request would reset it with the refusal. So idle connections are closed 500 ms after their last request, as before. The listener for other VMs keeps theirs for 4 s: VMs before this build don't know that answer. Encrypted connections are kept for the limit, too. The product's own API refuses so as well, and asks callers to close their connections from the begin of a stop on.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -136,6 +136,7 @@
 	if d.peerServer, err = listen.Open(d.settings.Peers, d.withAbort(d.peerHandler()), bounds, d.log); err != nil {
 		return err
 	}
+	bounds.RefuseIdle = true
 	d.callerServer, err = listen.Open(d.settings.Callers, d.entry, bounds, d.log)
 	return err
 }
--- a/internal/entryd/lifecycle.go
+++ b/internal/entryd/lifecycle.go
@@ -48,9 +48,13 @@
 
 // BeginStop makes the daemon report that it is not ready, so that the load balancer
 // sends callers to other VMs. New requests are still served until Stop drains the
-// daemon. Stop calls BeginStop as well; repeated calls have no effect.
+// daemon; responses ask callers to close their connections. Stop calls BeginStop as well; repeated calls have no
+// effect. It must not be called before Start.
 func (d *Daemon) BeginStop() {
-	d.stopOnce.Do(func() { close(d.stopping) })
+	d.stopOnce.Do(func() {
+		close(d.stopping)
+		d.callerServer.AskToClose()
+	})
 }
 
 // Stop stops the daemon gracefully, in this order:
@@ -104,17 +108,25 @@
 	var closing sync.WaitGroup
 	for _, s := range []*listen.Server{d.callerServer, d.operatorServer, d.peerServer} {
 		closing.Go(func() {
-			if s.Shutdown(shutdownCtx) == nil {
-				return
-			}
-			if err := s.Finish(finishCtx); err != nil {
-				d.log.Warn("closed connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
-			}
+			d.endListener(s, shutdownCtx, finishCtx)
 		})
 	}
 	closing.Wait()
 }
 
+// endListener shuts a listener down until the first context ends, and then answers only what is open until the second
+// one does.
+func (d *Daemon) endListener(s *listen.Server, shutdownCtx, finishCtx context.Context) {
+	if s.Shutdown(shutdownCtx) != nil {
+		if err := s.Finish(finishCtx); err != nil {
+			d.log.Warn("closed connections with incomplete requests or unread answers", "address", s.Address(), "error", err)
+		}
+	}
+	if closed := s.ClosedIdle(); closed.Connections > 0 {
+		d.log.Info("closed connections that waited for a request", "address", s.Address(), "idle_closed", closed.Connections, "crossed", closed.Crossed)
+	}
+}
+
 // withAbort returns a handler whose requests are cancelled when a stop can't wait for
 // them any more. They answer then with what they know of their outcome.
 func (d *Daemon) withAbort(h http.Handler) http.Handler {
--- a/internal/gatewayd/listeners.go
+++ b/internal/gatewayd/listeners.go
@@ -23,7 +23,7 @@
 	}
 	bounds := listen.Bounds{MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
 	callerBounds, relayBounds := bounds, bounds
-	callerBounds.IdleLimit = d.operatorSink.idleLimit
+	callerBounds.IdleLimit, callerBounds.RefuseIdle = d.operatorSink.idleLimit, true
 	relayBounds.IdleLimit = func() time.Duration { return upconn.DefaultOptions().IdleTimeout }
 	peerMux, metricsMux := http.NewServeMux(), http.NewServeMux()
 	peerMux.Handle(peerfeed.Path, d.peerFeed)
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -30,7 +30,9 @@
 	retiring, retired bool
 	// lingerUntil is until when the connection is watched whose sending side is closed; zero before.
 	lingerUntil time.Time
-	closed      bool
+	// crossed reports whether a request has arrived since then.
+	crossed bool
+	closed  bool
 }
 
 // Read implements net.Conn. It returns io.EOF on a connection that is retired.
@@ -172,10 +174,15 @@
 
 // closeNow closes the connection and removes it from its set.
 func (c *conn) closeNow() error {
-	c.set.remove(c)
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked is closeNow for a caller that holds mu.
+func (c *conn) closeLocked() error {
 	c.closed = true
-	c.mu.Unlock()
+	c.set.remove(c)
 	return c.Conn.Close()
 }
 
--- a/internal/listen/connset.go
+++ b/internal/listen/connset.go
@@ -10,9 +10,10 @@
 // connSet holds the open connections of a server.
 type connSet struct {
 	encrypted bool
-	// idleLimit returns how long a connection may be idle, if that is longer than the IdleTimeout of the server. While
-	// the server shuts down, callers may reuse connections for as long.
+	// idleLimit returns how long a connection may be idle, if that is longer than the IdleTimeout of the server.
 	idleLimit func() time.Duration
+	// refuseIdle reports whether a shutdown refuses requests that cross the close of their connection.
+	refuseIdle bool
 	// idleClosed is the number of connections that a shutdown closed while they waited for a request, and crossed
 	// the number of those on which one arrived all the same.
 	idleClosed, crossed atomic.Int64
@@ -21,6 +22,15 @@
 	conns map[*conn]struct{}
 }
 
+// reuseLimit returns how long a shutdown keeps connections that wait for a request: for as long as callers may reuse them,
+// unless a request that crosses the close is refused.
+func (s *connSet) reuseLimit() time.Duration {
+	if s.refuseIdle && !s.encrypted {
+		return maxIdle
+	}
+	return max(maxIdle, s.idleLimit())
+}
+
 // newConnSet returns an empty set. idleLimit may be nil.
 func newConnSet(encrypted bool, idleLimit func() time.Duration) *connSet {
 	if idleLimit == nil {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -43,9 +43,11 @@
 	// default there is no limit.
 	IdleTimeout time.Duration
 	// IdleLimit returns the limit in force, where it may change; connections are kept for IdleTimeout or for
-	// this, whichever is longer. It applies to connections that are idle already. HTTP/2 has IdleTimeout only. Shutdown
-	// keeps connections for as long. Default nil.
+	// this, whichever is longer. It applies to connections that are idle already. HTTP/2 has IdleTimeout only. Default nil.
 	IdleLimit func() time.Duration
+	// RefuseIdle makes Shutdown send status 408 on connections that it closes as idle: a request that crosses the
+	// close is refused, and has not run. Encrypted connections get none.
+	RefuseIdle bool
 }
 
 // Server serves HTTP on one listener.
@@ -66,6 +68,7 @@
 		return nil, ErrListen.Wrap(err, "listening on address %q", l.Address)
 	}
 	accepting := &acceptor{Listener: listener, set: newConnSet(l.TLS.Enabled(), b.IdleLimit), log: log}
+	accepting.set.refuseIdle = b.RefuseIdle
 	s := &Server{acceptor: accepting, served: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.withCloseHeader(h),
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxIdle is how long a connection may wait for a request before a shutdown closes it, if it is not known for
-	// how long callers may reuse it.
+	// maxIdle is how long a connection may wait for a request before a shutdown closes it, unless it is kept for
+	// longer; see reuseLimit.
 	maxIdle = 500 * time.Millisecond
 	// acceptWait is how long the listener accepts connections whose handshake was under way when the
 	// connections at the start of a shutdown had ended.
@@ -27,15 +27,15 @@
 // Shutdown waits until the connections that are open have ended, then closes the listener and waits
 // for those accepted meanwhile. Until then each request is passed to the handler, which should refuse
 // new ones; http.Server.Shutdown would discard requests that it reads. Responses tell callers to
-// close their connections. Connections without a request are kept for the IdleLimit, as a request that crosses
-// the close gets no answer; without an IdleLimit they are closed after a short time. If ctx ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
+// close their connections. Connections without a request are closed after a short time if Bounds.RefuseIdle is set, or
+// no IdleLimit is; otherwise they are kept for the IdleLimit, as a request that crosses the close gets no answer. If ctx ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
 // left. Shortly before a deadline of ctx, or after it if the process did not run in time, it closes the
 // listener all the same, so that Close resets no connection that was just opened.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	acceptCtx, cancel := withEarlierDeadline(ctx, closeMargin)
 	defer cancel()
-	keep := func() time.Duration { return max(maxIdle, s.acceptor.set.idleLimit()) }
+	keep := s.acceptor.set.reuseLimit
 	_ = awaitEnd(acceptCtx, s.acceptor.set.all(), keep)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return ctx.Err()
@@ -47,6 +47,9 @@
 	return s.http.Close()
 }
 
+// AskToClose makes responses to requests from now on ask callers to close their connections, before Shutdown.
+func (s *Server) AskToClose() { s.stopping.Store(true) }
+
 // closeListener accepts the connections that wait and closes the listener. It looks at no deadline: Close
 // would reset those that are left. Where handshakes can't be ignored, callers that keep connecting
 // could hold it up, so that it returns after some time though the listener is open.
--- a/internal/relay/remainder.go
+++ b/internal/relay/remainder.go
@@ -25,7 +25,7 @@
 
 // certaintyFactor is the ratio of the time that a request may take which came late in a planned stop to that which
 // most such requests take. One that a stop ends is lost, while one that is refused can run elsewhere.
-const certaintyFactor = 2
+const certaintyFactor = 4
 
 // remainder returns what upstreams still have to do for the request.
 func (x *exchange) remainder() remainder {
