--- a/internal/gatewayd/collector.go
+++ b/internal/gatewayd/collector.go
@@ -20,7 +20,7 @@
 	idleClosedDesc = prometheus.NewDesc("poplarshore_gateway_stop_idle_closed_total",
 		"Connections that a planned stop closed while they waited for a request.", nil, nil)
 	crossedDesc = prometheus.NewDesc("poplarshore_gateway_stop_crossed_requests_total",
-		"Requests that arrived on a connection that a planned stop had just closed.", nil, nil)
+		"Requests that arrived on a connection that a planned stop had just closed as idle; they are refused with status 408, unread.", nil, nil)
 )
 
 // stateCollector exports the daemon's state as metrics.
--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -11,8 +11,8 @@
 
 // Stop stops the daemon and returns when it has stopped. The daemon is not ready
 // from now on, takes only requests that end in time after the settings' Stop.TakeS, and ends the
-// requests that still run, with an answer, shortly before Stop.GraceS has passed. Connections that callers may
-// still use are kept until then. The end of ctx skips the remaining waits.
+// requests that still run, with an answer, shortly before Stop.GraceS has passed. The end of ctx
+// skips the remaining waits.
 func (d *Daemon) Stop(ctx context.Context) {
 	startedAt := d.clock.Now()
 	grace := d.settings.Stop.GraceS.Duration()
@@ -80,7 +80,7 @@
 // logGraceOver logs that the requests that still run are aborted, or that only connections are left on which none runs.
 func (d *Daemon) logGraceOver(err error) {
 	if d.relay.InFlight() == 0 {
-		d.logStop(slog.LevelInfo, "grace period is over; closing the connections that callers have kept", "error", err)
+		d.logStop(slog.LevelInfo, "grace period is over; closing the connections that are left", "error", err)
 		return
 	}
 	d.logStop(slog.LevelWarn, "grace period is over; aborting the running requests", "error", err)
--- a/internal/listen/shutdown.go
+++ b/internal/listen/shutdown.go
@@ -27,10 +27,11 @@
 // Shutdown waits until the connections that are open have ended, then closes the listener and waits
 // for those accepted meanwhile. Until then each request is passed to the handler, which should refuse
 // new ones; http.Server.Shutdown would discard requests that it reads. Responses tell callers to
-// close their connections. Connections without a request are closed after a short time if Bounds.RefuseIdle is set, or
-// no IdleLimit is; otherwise they are kept for the IdleLimit, as a request that crosses the close gets no answer. If ctx ends first, Shutdown returns the error of ctx, and the server goes on with the connections that are
-// left. Shortly before a deadline of ctx, or after it if the process did not run in time, it closes the
-// listener all the same, so that Close resets no connection that was just opened.
+// close their connections. Connections without a request are closed after a short time if Bounds.RefuseIdle
+// is set, or no IdleLimit is; otherwise they are kept for the IdleLimit, as a request that crosses the close
+// gets no answer. If ctx ends first, Shutdown returns the error of ctx, and the server goes on with the
+// connections that are left. Shortly before a deadline of ctx, or after it if the process did not run in time,
+// it closes the listener all the same, so that Close resets no connection that was just opened.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.stopping.Store(true)
 	acceptCtx, cancel := withEarlierDeadline(ctx, closeMargin)
