Test that encrypted connections get no plain text at a stop

A connection that a shutdown closes as idle ends with status 408, sent below TLS: on an encrypted one it would be no record. The test guards that these get none and are kept for the limit.

--- a/internal/listen/kept_test.go
+++ b/internal/listen/kept_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/internal/listen"
+	"github.com/poplarshore/poplarshore/settings"
 )
 
 // keptConnections returns connections on which a request was answered, whose callers may use them again within the
@@ -144,3 +147,33 @@
 	s.Expect(time.Since(startedAt)).To(BeNumerically("<", answerTimeout/2))
 	s.Expect(s.server.ClosedIdle()).To(Equal(listen.ClosedIdle{Connections: len(conns) + 1}))
 }
+
+// TestEncryptedConnectionEndsWithoutPlainText guards against bytes that are no record on an encrypted connection, and against its close
+// while its caller may use it.
+func TestEncryptedConnectionEndsWithoutPlainText(t *testing.T) {
+	const limit = 800 * time.Millisecond
+	g := NewWithT(t)
+	RegisterTestingT(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	listener := settings.Listener{Address: "127.0.0.1:0", TLS: writeCertificate(t.TempDir(), 1, time.Now())}
+	bounds := listen.Bounds{IdleLimit: func() time.Duration { return limit }, RefuseIdle: true}
+	server, err := listen.Open(listener, handler, bounds, slog.New(slog.DiscardHandler))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := tls.Dial("tcp", server.Address(), &tls.Config{InsecureSkipVerify: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, wholeRequest)
+	g.Expect(err).NotTo(HaveOccurred())
+	reader := bufio.NewReader(c)
+	_, err = http.ReadResponse(reader, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	restingSince := time.Now()
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(t.Context()) }()
+	_, err = reader.Peek(1)
+	g.Expect(err).To(MatchError(io.EOF))
+	g.Expect(time.Since(restingSince)).To(BeNumerically(">", limit/2+limit/4))
+	g.Expect(<-stopped).To(Succeed())
+}
