--- a/internal/gatewayd/collector.go
+++ b/internal/gatewayd/collector.go
@@ -22,6 +22,10 @@
 	keepRefusedDesc = prometheus.NewDesc("poplarshore_gateway_keep_refused_total",
 		"Parts of responses and request bodies for which there was no room, by the kind of the holder that had used up its share.",
 		[]string{"holder"}, nil)
+	idleClosedDesc = prometheus.NewDesc("poplarshore_gateway_stop_idle_closed_total",
+		"Connections that a planned stop closed while they waited for a request.", nil, nil)
+	crossedDesc = prometheus.NewDesc("poplarshore_gateway_stop_crossed_requests_total",
+		"Requests that arrived on a connection that a planned stop had just closed as idle; they are refused with status 408, unread.", nil, nil)
 )
 
 // stateCollector exports the daemon's state as metrics.
@@ -39,6 +43,8 @@
 	ch <- dialsDesc
 	ch <- keptDesc
 	ch <- keepRefusedDesc
+	ch <- idleClosedDesc
+	ch <- crossedDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -71,4 +77,7 @@
 	for kind, n := range usage.Refused {
 		ch <- prometheus.MustNewConstMetric(keepRefusedDesc, prometheus.CounterValue, float64(n), string(kind))
 	}
+	closed := d.closedIdle()
+	ch <- prometheus.MustNewConstMetric(idleClosedDesc, prometheus.CounterValue, float64(closed.Connections))
+	ch <- prometheus.MustNewConstMetric(crossedDesc, prometheus.CounterValue, float64(closed.Crossed))
 }
