Refuse requests that come late in a planned stop, as before

Taking those that four times their usual time would hold gave away less than it risked: a request that comes later than TakeS and is ended by the stop has no excuse, and a sound upstream may be silent for longer than is left, while a refused one runs elsewhere at once.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -48,8 +48,8 @@
 	// draining: the daemon is not ready but still accepts requests, because the
 	// balancer may send some until it notices.
 	draining
-	// completing: running requests complete, and new ones are taken only if they end in time.
-	completing
+	// rejecting: new requests are refused and running ones complete.
+	rejecting
 	// aborting: the requests that still run are aborted.
 	aborting
 )
@@ -212,7 +212,7 @@
 
 // admissionRefusal returns the reason why new requests are refused, or nil.
 func (d *Daemon) admissionRefusal() *refusal.Refusal {
-	if phase(d.phase.Load()) >= aborting {
+	if phase(d.phase.Load()) >= rejecting {
 		return refusal.New(refusal.Draining)
 	}
 	if !d.synced() {
--- a/internal/gatewayd/stop.go
+++ b/internal/gatewayd/stop.go
@@ -10,7 +10,7 @@
 )
 
 // Stop stops the daemon and returns when it has stopped. The daemon is not ready
-// from now on, takes only requests that end in time after the settings' Stop.TakeS, and ends the
+// from now on, refuses new requests after the settings' Stop.TakeS, and ends the
 // requests that still run, with an answer, shortly before Stop.GraceS has passed. The end of ctx
 // skips the remaining waits.
 func (d *Daemon) Stop(ctx context.Context) {
@@ -20,9 +20,8 @@
 	d.relay.BeginStop(startedAt.Add(grace - abortMargin))
 	d.logStop(slog.LevelInfo, "leaving", "grace_ms", grace.Milliseconds())
 	d.wait(ctx, min(d.settings.Stop.TakeS.Duration(), grace-abortMargin))
-	d.phase.Store(int32(completing))
-	d.relay.RefuseUncertain()
-	d.logStop(slog.LevelInfo, "refusing requests that may not end in time", "after_ms", d.clock.Since(startedAt).Milliseconds())
+	d.phase.Store(int32(rejecting))
+	d.logStop(slog.LevelInfo, "refusing new requests", "after_ms", d.clock.Since(startedAt).Milliseconds())
 	shutdownCtx, cancel := context.WithTimeout(ctx, grace-abortMargin-d.clock.Since(startedAt))
 	defer cancel()
 	if err := d.shutDown(shutdownCtx); err != nil {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -19,7 +19,6 @@
 func (x *exchange) admit(ctx context.Context, r *http.Request) error {
 	s := x.server
 	x.deadline = x.startedAt.Add(s.opts.DefaultDeadline)
-	x.late = s.stop.careful.Load()
 	if x.request.Invalid != nil {
 		return refusal.Wrap(refusal.AmbiguousRequest, x.request.Invalid)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -68,8 +68,6 @@
 	// the caller had disconnected.
 	readCut bool
 
-	// late reports whether the request came when a planned stop refused those that may not end in time.
-	late bool
 	// abortEnd is what the caller got if the end of a planned stop's grace ended the exchange;
 	// otherwise empty.
 	abortEnd abortEnd
--- a/internal/relay/remainder.go
+++ b/internal/relay/remainder.go
@@ -19,17 +19,11 @@
 	size float64
 	// begun reports whether the caller has a part of the answer.
 	begun bool
-	// late reports whether the request came when those that may not end in time are refused.
-	late bool
 }
 
-// certaintyFactor is the ratio of the time that a request may take which came late in a planned stop to that which
-// most such requests take. One that a stop ends is lost, while one that is refused can run elsewhere.
-const certaintyFactor = 4
-
 // remainder returns what upstreams still have to do for the request.
 func (x *exchange) remainder() remainder {
-	return remainder{route: x.route, deadline: x.deadline, size: x.sizeLeft(), begun: x.headerSent, late: x.late}
+	return remainder{route: x.route, deadline: x.deadline, size: x.sizeLeft(), begun: x.headerSent}
 }
 
 // sizeLeft returns the size of the rest of the request: the number of events that are left of a
@@ -38,24 +32,17 @@
 	if !x.route.Streaming {
 		return 1
 	}
-	if x.late {
-		return x.lengthLeft().Likely
-	}
 	return x.lengthLeft().Median
 }
 
-// expectedDuration returns how long most such requests take, and a multiple of that for one that came late in a
-// planned stop. Without recent ones it is the latency target of another request that may be repeated, and the
-// time that is left otherwise.
+// expectedDuration returns how long most such requests take. Without recent ones it is the latency
+// target of a request that may be repeated, and the time that is left otherwise.
 func (s *Server) expectedDuration(r remainder) time.Duration {
 	now := s.Clock.Now()
 	if expected, known := s.durations.Expect(r.route.Name, r.size, now); known {
-		if r.late {
-			return certaintyFactor * expected
-		}
 		return expected
 	}
-	if !r.late && (r.begun || r.route.Repeatable()) {
+	if r.begun || r.route.Repeatable() {
 		return r.route.TargetLatency
 	}
 	return r.deadline.Sub(now)
--- a/internal/relay/remainder_test.go
+++ b/internal/relay/remainder_test.go
@@ -110,30 +110,3 @@
 	x.server.record(x, "draining", 0)
 	g.Expect(placement.count("poplarshore_relay_aborted_total", "cut")).To(BeEquivalentTo(1))
 }
-
-// TestLateRequestIsTakenOnlyIfItEndsForCertain guards against requests that come late in a planned stop and are ended by
-// it, as they take somewhat longer than most.
-func TestLateRequestIsTakenOnlyIfItEndsForCertain(t *testing.T) {
-	g := NewWithT(t)
-	x, clock := newWaitingExchange()
-	x.server.BeginStop(clock.Now().Add(5 * time.Second))
-	x.late = true
-	clock.Advance(900 * time.Millisecond)
-	g.Expect(x.refuseUnfinishable()).To(BeNil())
-	clock.Advance(200 * time.Millisecond)
-	g.Expect(x.refuseUnfinishable()).NotTo(BeNil(), "less than four seconds are left")
-	x.late = false
-	g.Expect(x.refuseUnfinishable()).To(BeNil(), "it came before")
-	x.late, x.deadline = true, clock.Now().Add(time.Second)
-	g.Expect(x.refuseUnfinishable()).To(BeNil(), "the deadline is before the end of the grace")
-}
-
-// TestLateRequestOfUnknownDurationIsRefused guards against requests that come late in a planned stop and are ended by it.
-func TestLateRequestOfUnknownDurationIsRefused(t *testing.T) {
-	g := NewWithT(t)
-	x, clock := newWaitingExchange()
-	x.server.BeginStop(clock.Now().Add(5 * time.Second))
-	x.late = true
-	x.route = &routing.Route{Name: "resumable", Streaming: true, Resumable: true, TargetLatency: time.Second}
-	g.Expect(x.refuseUnfinishable()).NotTo(BeNil())
-}
--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -15,8 +15,6 @@
 	begun   context.Context
 	begin   context.CancelFunc
 	abortAt atomic.Pointer[time.Time]
-	// careful reports whether requests that may not end in time are refused.
-	careful atomic.Bool
 	// aborted ends, by abort, when the running requests are to be ended.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -36,10 +34,6 @@
 	s.stop.begin()
 }
 
-// RefuseUncertain refuses, from now on, new requests that may not end before the stop ends them: their duration must
-// be known, and the rest of the grace must hold a multiple of it, or their deadline. It follows BeginStop.
-func (s *Server) RefuseUncertain() { s.stop.careful.Store(true) }
-
 // Abort ends the running requests, and those that begin from now on. Each is answered by what is
 // known of it: with the failure of an upstream that is at hand, with status 503 if it has not run
 // and with 502 if it may have. An answer that has begun is broken off.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -71,7 +71,7 @@
 
 // GatewayStop configures the planned stop of a gateway. GraceS must be over TakeS.
 type GatewayStop struct {
-	TakeS  Seconds `json:"take_s" doc:"Time after the signal during which new requests are still taken, in seconds; after that only those that end in time. Default 2.7."`
+	TakeS  Seconds `json:"take_s" doc:"Time after the signal during which new requests are still taken, in seconds. Default 2.7."`
 	GraceS Seconds `json:"grace_s" doc:"Time after the signal at which the process is killed, in seconds. Default 8."`
 }
 
