Read small bodies without asking the budget

Callers saw: small requests are refused with no_memory beside a flood of large bodies of the same account. Cause: membudget.Buffer asks the budget for 0 bytes when it takes its first 4 KiB, and a holder that keeps more than its share of what is left by now is refused 0 bytes, too.

Change: a body of less than 4 KiB is read before the buffer is used.

--- a/internal/entry/kept.go
+++ b/internal/entry/kept.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"sync"
@@ -125,20 +126,28 @@
 // chunks holds arrays for reads.
 var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
 
-// readInto reads r to its end into the buffer. Errors: those of r and of membudget.Buffer.Append.
-func readInto(buffer *membudget.Buffer, r io.Reader) error {
+// readAll reads r to its end. A body of less than unreservedBytes needs no room in the buffer. Errors: those of r and of
+// membudget.Buffer.Append.
+func readAll(buffer *membudget.Buffer, r io.Reader) ([]byte, error) {
 	chunk := chunks.Get().(*[chunkBytes]byte)
 	defer chunks.Put(chunk)
-	for {
-		n, err := r.Read(chunk[:])
-		if err := buffer.Append(chunk[:n]); err != nil {
-			return err
+	for filled := 0; ; {
+		n, err := r.Read(chunk[filled:])
+		filled += n
+		if errors.Is(err, io.EOF) && buffer.Len() == 0 && filled < unreservedBytes {
+			return bytes.Clone(chunk[:filled]), nil
+		}
+		if filled >= unreservedBytes || err != nil {
+			if err := buffer.Append(chunk[:filled]); err != nil {
+				return nil, err
+			}
+			filled = 0
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return buffer.Bytes(), nil
 		}
 		if err != nil {
-			return err
+			return nil, err
 		}
 	}
 }
--- a/internal/entry/kept_test.go
+++ b/internal/entry/kept_test.go
@@ -105,9 +105,17 @@
 func TestSmallAnswerGetsThroughBesideFullBudget(t *testing.T) {
 	g := NewWithT(t)
 	s, a := newKeepingServer()
+	engine := membudget.Holder{Kind: membudget.Upstream, ID: "e"}
+	share := s.Memory.Reserve(engine)
+	defer share.Release()
+	for share.Grow(pieceBytes) == nil {
+	}
 	all := s.Memory.Reserve(membudget.Holder{Kind: membudget.Service, ID: "x"})
 	defer all.Release()
 	for all.Grow(pieceBytes) == nil {
 	}
 	g.Expect(s.keepAnswer(&Exchange{}, a.engine.ID, a.ref.Model).set(unreservedBytes)).To(Succeed())
+	body, err := readAll(membudget.NewBuffer(s.Memory.Reserve(engine), budgetBytes), strings.NewReader("{}"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal([]byte("{}")))
 }
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -141,21 +141,21 @@
 	}
 }
 
-// readResponse reads the body of a response into the buffer. A body whose length is known to exceed it is not read.
-// Errors: membudget.ErrTooLarge, and those of readInto.
-func (s *Server) readResponse(buffer *membudget.Buffer, resp *http.Response) error {
+// readResponse reads the body of a response. A body whose length is known to exceed it is not read.
+// Errors: membudget.ErrTooLarge, and those of readAll.
+func (s *Server) readResponse(buffer *membudget.Buffer, resp *http.Response) ([]byte, error) {
 	if resp.ContentLength > s.opts.MaxBufferedBytes {
 		s.metrics.responsesNotKept.WithLabelValues(notKeptTooLarge).Inc()
-		return membudget.ErrTooLarge.New("response of %d bytes", resp.ContentLength)
+		return nil, membudget.ErrTooLarge.New("response of %d bytes", resp.ContentLength)
 	}
-	err := readInto(buffer, resp.Body)
+	body, err := readAll(buffer, resp.Body)
 	switch {
 	case errorx.IsOfType(err, membudget.ErrTooLarge):
 		s.metrics.responsesNotKept.WithLabelValues(notKeptTooLarge).Inc()
 	case errorx.IsOfType(err, membudget.ErrExhausted):
 		s.metrics.responsesNotKept.WithLabelValues(notKeptNoMemory).Inc()
 	}
-	return err
+	return body, err
 }
 
 // storeAndSend reads the response, stores it with the claim, bills the call and sends
@@ -163,12 +163,11 @@
 // larger than MaxBufferedBytes or more than the VM has memory for.
 func (s *Server) storeAndSend(call *serviceCall, w http.ResponseWriter, claim *once.Claim, u upstream.ID, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	buffer := s.responseBuffer(call, u)
-	if err := s.readResponse(buffer, resp); err != nil {
+	body, err := s.readResponse(s.responseBuffer(call, u), resp)
+	if err != nil {
 		s.markUnknown(claim)
 		return refusal.Wrap(refusal.OutcomeUnknown, err)
 	}
-	body := buffer.Bytes()
 	response := storedResponse{Status: resp.StatusCode, Header: make(http.Header), Body: body, Request: call.exchange.ID}
 	copyResponseHeaders(response.Header, resp.Header)
 	s.completeClaim(claim, response)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -44,8 +44,7 @@
 	readBy := s.Clock.Now().Add(s.opts.BodyTimeout)
 	_ = controller.SetReadDeadline(readBy)
 	interrupted := s.interruptRead(ctx, controller)
-	buffer := s.requestBuffer(x)
-	err := readInto(buffer, http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
+	body, err := readAll(s.requestBuffer(x), http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes))
 	if interrupted() {
 		return nil, s.contextError(ctx, x)
 	}
@@ -63,7 +62,7 @@
 		return nil, refusal.Wrap(refusal.MalformedRequest, err).With("The body broke off.")
 	}
 	_ = controller.SetReadDeadline(time.Time{})
-	return buffer.Bytes(), nil
+	return body, nil
 }
 
 // decodeCompletion decodes and validates a completion request. Errors are
