--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -84,9 +84,13 @@
 func (b *Budget) grow(holders []Holder, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if n <= 0 {
+		b.add(holders, n)
+		return nil
+	}
 	free := b.limit - b.used
 	for i, h := range holders {
-		if float64(b.byOwner[h]+n) <= freeFactors[h.Kind]*float64(free) {
+		if n <= free && float64(b.byOwner[h]+n) <= freeFactors[h.Kind]*float64(free) {
 			continue
 		}
 		b.refused[h.Kind]++
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -159,6 +159,26 @@
 	g.Expect(b.Usage().Bytes).To(BeZero())
 }
 
+// The first part of a buffer needs no room, also where its holder has more than its share since others keep much.
+func TestSmallBuffersOfHolderAboveItsShareNeedNoRoom(t *testing.T) {
+	g := NewWithT(t)
+	b := membudget.New(budgetBytes)
+	fill(b, 1, "faulty")
+	fill(b, 3, "later")
+	buffer := membudget.NewBuffer(b.Reserve(upstreamOf("faulty", 0)...), 1<<20)
+	g.Expect(buffer.Append(make([]byte, partBytes))).To(Succeed())
+}
+
+// A holder alone in its budget can't keep more than there is.
+func TestSingleHolderStaysWithinBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := membudget.New(budgetBytes)
+	service := b.Reserve(membudget.Holder{Kind: membudget.Service, ID: "s"})
+	for service.Grow(3<<20) == nil {
+	}
+	g.Expect(b.Usage().Bytes).To(BeNumerically("<=", budgetBytes))
+}
+
 // Small answers get through although their upstream has used up its share.
 func TestSmallBuffersNeedNoRoom(t *testing.T) {
 	g := NewWithT(t)
