--- a/soak/floods.go
+++ b/soak/floods.go
@@ -96,7 +96,7 @@
 
 // flooded returns the flood with which the engine answers a request. One that states that the request was not run is counted.
 func (e *engine) flooded(r *http.Request, place *floodPlace) standin.Behaviour {
-	if place.notRun {
+	if place.flood.NotRun {
 		e.rejectedMu.Lock()
 		defer e.rejectedMu.Unlock()
 		if e.rejected == nil {
--- a/soak/floods_test.go
+++ b/soak/floods_test.go
@@ -119,9 +119,9 @@
 	defer e.Close()
 	client := standin.NewClient(siteHost, true)
 	call := func(id string) {
-		client.Do(t.Context(), standin.Request{ID: id, Method: http.MethodPost, Path: "/o/x", Address: e.Address(), Header: map[string]string{"X-Expect-Instance": "e"}})
+		client.Do(t.Context(), standin.Request{ID: id, Method: http.MethodPost, Path: "/o/x", Address: e.Address(), Engine: "e"})
 	}
-	rejection := floodPlace{notRun: true, flood: standin.Flood{Status: "503 Service Unavailable", Head: "Content-Length: 1\r\n", Part: " "}}
+	rejection := floodPlace{flood: standin.Flood{Status: "503 Service Unavailable", NotRun: true, Head: "Content-Length: 1\r\n", Part: " "}}
 	e.flood.Store(&rejection)
 	call("rejected")
 	call("both")
