Don't pass on comments of an upstream that has sent no event

Comments were held back until the caller's first event, not until the first one of the attempt.

Now an attempt's comments are sent once it has sent an event.

--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -287,7 +287,7 @@
 		if keepErr := pending.append(buf[:n]); keepErr != nil {
 			return keepError(keepErr, sender)
 		}
-		for event := pending.next(x.headerSent); event != nil; event = pending.next(x.headerSent) {
+		for event := pending.next(events > 0); event != nil; event = pending.next(events > 0) {
 			if forwardErr := x.forwardEvent(resp, event, sender); forwardErr != nil {
 				return forwardErr
 			}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -168,7 +168,7 @@
 // forwarded, too, but count as none: they only show that the upstream is not silent.
 func (a *attempt) forwardEvents(resp *upconn.Response, pending *eventBuffer) (bool, error) {
 	written := false
-	for event := pending.next(a.exchange.headerSent); event != nil; event = pending.next(a.exchange.headerSent) {
+	for event := pending.next(a.events > 0); event != nil; event = pending.next(a.events > 0) {
 		comment := isComment(event)
 		if comment {
 			a.tracked.MarkReceived()
