Make the attempt for which an answer was dropped although a stop may not hold it

The VM dropped a weak answer for a stronger model's, as the stop was expected to hold the next attempt. Other requests, as late by the same silence, ended in that millisecond and raised what such requests are expected to take, so that the attempt was withdrawn as it began.

The decision is made once now: with the answer dropped, a stop does not prevent the next attempt, until one has failed. TestStopDoesNotPreventAttemptForWhichAnswerWasDropped fails without it.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -221,7 +221,7 @@
 		return false
 	}
 	x.server.Metrics.cascadeSteps.WithLabelValues("dropped").Inc()
-	x.modelIndex = next
+	x.modelIndex, x.answerDropped = next, true
 	return true
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -106,6 +106,8 @@
 	attemptLog []attemptRecord
 	// keys identify the request where some crash upstreams.
 	keys []quarantine.Key
+	// answerDropped reports whether an answer was dropped in order to ask a stronger model.
+	answerDropped bool
 	// answerBegan reports whether a part of the last attempt's answer came.
 	answerBegan bool
 	// connectionLost reports whether an attempt ended with its connection.
--- a/internal/relay/remainder.go
+++ b/internal/relay/remainder.go
@@ -19,11 +19,13 @@
 	size float64
 	// begun reports whether the caller has a part of the answer.
 	begun bool
+	// dropped reports whether a whole answer was dropped for the next attempt. A stop doesn't prevent that one any more.
+	dropped bool
 }
 
 // remainder returns what upstreams still have to do for the request.
 func (x *exchange) remainder() remainder {
-	return remainder{route: x.route, deadline: x.deadline, size: x.sizeLeft(), begun: x.headerSent}
+	return remainder{route: x.route, deadline: x.deadline, size: x.sizeLeft(), begun: x.headerSent, dropped: x.answerDropped}
 }
 
 // sizeLeft returns the size of the rest of the request: the number of events that are left of a
@@ -49,11 +51,11 @@
 }
 
 // sendBy returns until when a request must be sent so that the rest of a planned stop's grace is
-// expected to hold it. It returns false if no stop has begun, or if the request's deadline is
-// before the end of the grace.
+// expected to hold it. It returns false if no stop has begun, if the request's deadline is
+// before the end of the grace, or if an answer was dropped for the attempt.
 func (s *Server) sendBy(r remainder) (time.Time, bool) {
 	abortAt := s.stop.abortAt.Load()
-	if abortAt == nil || !r.deadline.After(*abortAt) {
+	if abortAt == nil || r.dropped || !r.deadline.After(*abortAt) {
 		return time.Time{}, false
 	}
 	return abortAt.Add(-s.expectedDuration(r)), true
--- a/internal/relay/remainder_test.go
+++ b/internal/relay/remainder_test.go
@@ -110,3 +110,15 @@
 	x.server.record(x, "draining", 0)
 	g.Expect(placement.count("poplarshore_relay_aborted_total", "cut")).To(BeEquivalentTo(1))
 }
+
+// TestStopDoesNotPreventAttemptForWhichAnswerWasDropped guards against a request that ends without any answer: a stop that was
+// expected to hold the next attempt when the answer was dropped is not any more a moment later, as others have taken long.
+func TestStopDoesNotPreventAttemptForWhichAnswerWasDropped(t *testing.T) {
+	g := NewWithT(t)
+	x, clock := newWaitingExchange()
+	x.server.BeginStop(clock.Now().Add(time.Second))
+	clock.Advance(time.Second - time.Millisecond)
+	g.Expect(x.refuseUnfinishable()).NotTo(BeNil())
+	x.answerDropped = true
+	g.Expect(x.refuseUnfinishable()).To(BeNil())
+}
--- a/internal/relay/retry.go
+++ b/internal/relay/retry.go
@@ -193,6 +193,7 @@
 // exchange; nil means that a response has been sent.
 func (x *exchange) shouldRetry(ctx context.Context, err error) (bool, error) {
 	s := x.server
+	x.answerDropped = false
 	if x.retryPrepaid {
 		x.retryPrepaid = false
 		return true, nil
