Try readers again soon after a cut of this VM's own

Cause: a reader that does not respond is not selected for 10 s. During a cut of the VM's own, all readers but the VM that was cut off with it do not respond, so that afterwards each of the two polls the other, which is stale. Until a lost read of the store has failed, and StoreRetryDelay has passed, no other VM is asked.

Change: while the store does not answer this VM either, readers that did not respond are selected again after StaleReaderBackoff (2 s), because the cause may be the VM's own connection. A stale reader no longer ends a call of Changes while the store is in backoff: a second reader is polled, as it is otherwise. The store is read no more often than before.

--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -51,8 +51,8 @@
 	mu sync.Mutex
 	// histories are this VM's copies of the tables, by table.
 	histories map[string]*history
-	// backoffUntil is when a peer can be selected again for a table.
-	backoffUntil map[backoffKey]time.Time
+	// backoffs are the times in which a peer is not selected for a table.
+	backoffs map[backoffKey]backoff
 	// storeFailedAt is when this VM's last read of a table from the store failed;
 	// polledAt is when another VM last polled this one for the table.
 	storeFailedAt, polledAt map[string]time.Time
@@ -68,7 +68,7 @@
 		opts: opts, store: store, vms: vms, clock: clock, log: log, started: clock.Now(),
 		http:      &http.Client{Transport: newTransport(opts.DialTimeout)},
 		timeouts:  fetch.NewTimeouts(opts.Slack, opts.MaxSlack),
-		histories: make(map[string]*history), backoffUntil: make(map[backoffKey]time.Time),
+		histories: make(map[string]*history), backoffs: make(map[backoffKey]backoff),
 		storeFailedAt: make(map[string]time.Time), polledAt: make(map[string]time.Time),
 		cancelWait: make(map[string]context.CancelFunc),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -206,6 +206,7 @@
 func (f *Feed) Changes(ctx context.Context, table string, after watch.Cursor,
 	wait time.Duration) (watch.Batch, error) {
 	h := f.history(table)
+	var stale error
 	for range maxReadersPerPoll {
 		p, ok := f.selectReader(table)
 		if !ok {
@@ -229,9 +230,10 @@
 		if p.passesOn || !errorx.IsOfType(err, errStale) {
 			break
 		}
-		if f.storeInBackoff(table) {
-			return watch.Batch{}, err
-		}
+		stale = err
+	}
+	if stale != nil && f.storeInBackoff(table) {
+		return watch.Batch{}, stale
 	}
 	if f.readersInBackoff(table) && f.storeInBackoff(table) {
 		return watch.Batch{}, ErrNoReader.New("all readers of table %s and the store failed recently", table)
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -38,6 +38,8 @@
 	rows  []watch.Row
 	down  map[vm.ID]bool
 	reads map[vm.ID]int
+	// onLostRead is called for each read that the VM can't make.
+	onLostRead func()
 }
 
 // storeView is the store as one VM reads it. It implements watch.Source.
@@ -51,6 +53,7 @@
 	defer v.mu.Unlock()
 	v.reads[v.id]++
 	if v.down[v.id] {
+		v.onLostRead()
 		return watch.Batch{}, store.ErrUnavailable.New("store unreachable from %s", v.id)
 	}
 	b := watch.Batch{At: v.at, Era: v.era}
@@ -148,7 +151,7 @@
 func startFleetIn(t *testing.T, n int, startupPeriod time.Duration, domainOf func(i int) domain.ID) *fleet {
 	f := &fleet{
 		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
-		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int)},
+		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int), onLostRead: func() {}},
 		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock), polls: make(map[vm.ID]int),
 		lost: make(map[vm.ID]bool),
 	}
--- a/internal/peerfeed/options.go
+++ b/internal/peerfeed/options.go
@@ -63,8 +63,9 @@
 	// StoreRetryDelay is how long this VM doesn't read the store after a failed
 	// read, while the data of the readers is stale, too.
 	StoreRetryDelay time.Duration
-	// ReaderBackoff is how long a reader that didn't respond is not selected,
-	// StaleReaderBackoff the same for one that responded that its data is stale.
+	// ReaderBackoff is how long a reader that didn't respond is not selected.
+	// StaleReaderBackoff is the same for one that responded that its data is stale, and
+	// for all while the store doesn't answer this VM either.
 	ReaderBackoff, StaleReaderBackoff time.Duration
 }
 
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
@@ -27,6 +28,12 @@
 	peer, table string
 }
 
+// backoff is a time in which a VM is not selected.
+type backoff struct {
+	startedAt time.Time
+	duration  time.Duration
+}
+
 // selectReader returns the VM to poll for a table; false means to read the store. VMs of
 // a region that shares reads poll the region's reader. The readers of the regions, and
 // the VMs of other regions, poll the fleet's reader. VMs in backoff are no candidates,
@@ -156,8 +163,15 @@
 
 func (f *Feed) isSeed() bool { return slices.Contains(f.opts.Seeds, f.opts.Self) }
 
+// inBackoff reports whether a VM is not selected for a table. While the store doesn't answer either, the cause may be
+// this VM's own connection, so that VMs which did not respond are tried again sooner.
 func (f *Feed) inBackoff(name, table string) bool {
-	return f.clock.Now().Before(f.backoffUntil[backoffKey{name, table}])
+	b := f.backoffs[backoffKey{name, table}]
+	duration := b.duration
+	if f.storeFailedRecently(table) {
+		duration = min(duration, f.opts.StaleReaderBackoff)
+	}
+	return f.clock.Since(b.startedAt) < duration
 }
 
 // polledRecently reports whether other VMs have polled this VM for the table
@@ -177,18 +191,18 @@
 // startBackoff excludes a peer from selection for the table after a failed poll; a
 // seed that didn't respond during startup is excluded for StartupPeriod.
 func (f *Feed) startBackoff(p peer, table string, err error) {
-	backoff := f.opts.ReaderBackoff
+	duration := f.opts.ReaderBackoff
 	switch {
 	case errorx.IsOfType(err, errStale):
-		backoff = f.opts.StaleReaderBackoff
+		duration = f.opts.StaleReaderBackoff
 	case f.inStartup():
-		backoff = f.opts.StartupPeriod
+		duration = f.opts.StartupPeriod
 	}
 	f.mu.Lock()
-	f.backoffUntil[backoffKey{p.name, table}] = f.clock.Now().Add(backoff)
+	f.backoffs[backoffKey{p.name, table}] = backoff{startedAt: f.clock.Now(), duration: duration}
 	f.mu.Unlock()
 	f.log.Info("poll of reader failed, backing off", "reader", p.name, "table", table,
-		"pause_ms", backoff.Milliseconds(), "error", err)
+		"pause_ms", duration.Milliseconds(), "error", err)
 }
 
 // recordStoreRead records the outcome of a read of the store.
