Keep StoreRetryDelay when a reader does not respond

Since a VM that reaches neither the store nor other VMs read the store at each poll, because readers come out of backoff before all are in it, and a poll that got no response went on to the store. It now ends while the store is in backoff, as it does for a stale reader. TestVMThatReachesNobodyKeepsStoreRetryDelay fails without it (40 reads, 21 allowed).

--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -201,12 +201,12 @@
 }
 
 // Changes implements watch.Source. It polls up to maxReadersPerPoll readers and
-// then the store. While the store is in backoff and readers are stale, it returns
+// then the store. While the store is in backoff and no reader has fresh data, it returns
 // ErrNoReader.
 func (f *Feed) Changes(ctx context.Context, table string, after watch.Cursor,
 	wait time.Duration) (watch.Batch, error) {
 	h := f.history(table)
-	var stale error
+	var failed error
 	for range maxReadersPerPoll {
 		p, ok := f.selectReader(table)
 		if !ok {
@@ -227,13 +227,13 @@
 			continue
 		}
 		f.startBackoff(p, table, err)
+		failed = err
 		if p.passesOn || !errorx.IsOfType(err, errStale) {
 			break
 		}
-		stale = err
 	}
-	if stale != nil && f.storeInBackoff(table) {
-		return watch.Batch{}, stale
+	if failed != nil && f.storeInBackoff(table) {
+		return watch.Batch{}, failed
 	}
 	if f.readersInBackoff(table) && f.storeInBackoff(table) {
 		return watch.Batch{}, ErrNoReader.New("all readers of table %s and the store failed recently", table)
