Name the bytes of each holder by holder

The map in membudget.Budget is keyed by Holder, the word of the package and of docs/design/memory.md. It was called byOwner. Behaviour is unchanged.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -46,15 +46,15 @@
 type Budget struct {
 	limit int64
 
-	mu      sync.Mutex
-	used    int64
-	byOwner map[Holder]int64
-	refused map[Kind]int64
+	mu       sync.Mutex
+	used     int64
+	byHolder map[Holder]int64
+	refused  map[Kind]int64
 }
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, byOwner: make(map[Holder]int64), refused: make(map[Kind]int64)}
+	return &Budget{limit: limit, byHolder: make(map[Holder]int64), refused: make(map[Kind]int64)}
 }
 
 // Limit returns the size of the budget in bytes.
@@ -90,7 +90,7 @@
 	}
 	free := b.limit - b.used
 	for i, h := range holders {
-		if n <= free && float64(b.byOwner[h]+n) <= freeFactors[h.Kind]*float64(free) {
+		if n <= free && float64(b.byHolder[h]+n) <= freeFactors[h.Kind]*float64(free) {
 			continue
 		}
 		b.refused[h.Kind]++
@@ -98,7 +98,7 @@
 		if i == 0 && b.keepsMuch(h) {
 			err = ErrHolderShare
 		}
-		return err.New("%s %q keeps %d bytes of %d, of which %d are free; no room for %d more", h.Kind, h.ID, b.byOwner[h], b.limit, free, n)
+		return err.New("%s %q keeps %d bytes of %d, of which %d are free; no room for %d more", h.Kind, h.ID, b.byHolder[h], b.limit, free, n)
 	}
 	b.add(holders, n)
 	return nil
@@ -111,12 +111,12 @@
 // caller holds mu.
 func (b *Budget) keepsMuch(h Holder) bool {
 	var sum, holders int64
-	for other, n := range b.byOwner {
+	for other, n := range b.byHolder {
 		if other.Kind == h.Kind {
 			sum, holders = sum+n, holders+1
 		}
 	}
-	kept := b.byOwner[h]
+	kept := b.byHolder[h]
 	return float64(kept) >= minMuchFraction*float64(b.limit) && kept*holders >= sum
 }
 
@@ -124,8 +124,8 @@
 func (b *Budget) add(holders []Holder, n int64) {
 	b.used += n
 	for _, h := range holders {
-		if b.byOwner[h] += n; b.byOwner[h] == 0 {
-			delete(b.byOwner, h)
+		if b.byHolder[h] += n; b.byHolder[h] == 0 {
+			delete(b.byHolder, h)
 		}
 	}
 }
