--- a/internal/membudget/buffer.go
+++ b/internal/membudget/buffer.go
@@ -16,14 +16,14 @@
 	expected int
 }
 
-// Expect sets the length that the bytes will have, so that no more is reserved for them. It takes no room yet.
-func (b *Buffer) Expect(length int) { b.expected = max(length, 0) }
-
 // NewBuffer returns an empty buffer of at most maxBytes, for which the reservation grows.
 func NewBuffer(r *Reservation, maxBytes int) *Buffer {
 	return &Buffer{reservation: r, maxBytes: maxBytes}
 }
 
+// Expect sets the length that the bytes will have, so that no more is reserved for them. It takes no room yet.
+func (b *Buffer) Expect(length int) { b.expected = max(length, 0) }
+
 // Bytes returns the bytes that are kept. They are valid until the next call of another method.
 func (b *Buffer) Bytes() []byte { return b.data }
 
