Let answers of an upstream outweigh a VM's row with its address

What callers saw: another writer's row among those of the VMs, or the row of a VM that had stopped, named the address of a sound upstream.

Cause: the addresses in rows of VMs counted as certainly as this VM's own listeners.

An address that a row of another VM names is now excluded unless such an answer speaks for the entry and none has spoken against it since. Own listeners and the store stay certain. An entry that has not answered stays excluded, so that known VMs are never asked as upstreams.

Mixed builds: older builds don't set the field, so answers from before the rows of VMs were read speak for nothing. What is left is an entry with the address of an older VM that starts later: used before its row is read.

A weighing that ran beside an upstream's first answer could miss it, so that holdsAddress is cleared before the evidence is read.

--- a/internal/engines/addresses.go
+++ b/internal/engines/addresses.go
@@ -12,7 +12,8 @@
 
 const (
 	notExcluded exclusion = iota
-	// vmAddress: the address is that of a VM, which would pass requests round and round.
+	// vmAddress: the address is that of a VM, which would pass requests round and round, or a VM's row
+	// names it and no answer shows that the upstream is there.
 	vmAddress
 	// othersAddress: another upstream answers at the address.
 	othersAddress
@@ -35,6 +36,10 @@
 	// answeredAt is when the upstream last gave an answer of its own, and misdirectedAt when its
 	// address last answered that it has another upstream, if it has given none since. Zero for never.
 	answeredAt, misdirectedAt time.Time
+	// provesUpstream reports whether an answer since the last one of another upstream or a VM shows that
+	// the upstream has the address, whatever the rows of VMs say. One that came before these were read
+	// doesn't: VMs of older builds pass on answers of upstreams and add no field that tells.
+	provesUpstream bool
 }
 
 // compare returns a positive number if a is stronger than o, and a negative one if it is weaker: an earlier
@@ -51,11 +56,12 @@
 	return a.answeredAt.After(o.answeredAt) && !a.answeredAt.Before(o.registeredAt.Add(-holdsAddressFor))
 }
 
-// MarkMisdirected records that another upstream has the address: it answered that it isn't this one.
+// MarkMisdirected records that another upstream or a VM has the address: it answered that it isn't this
+// upstream.
 func (e *Engine) MarkMisdirected() {
 	now := e.directory.clock.Now()
 	e.mu.Lock()
-	e.evidence.misdirectedAt = now
+	e.evidence.misdirectedAt, e.evidence.provesUpstream = now, false
 	e.mu.Unlock()
 	if e.sharesAddress.Load() {
 		e.directory.weighAgain(e.Address())
@@ -64,15 +70,19 @@
 
 // MarkAnswered records that the upstream itself gave an answer.
 func (e *Engine) MarkAnswered() {
-	now := e.directory.clock.Now()
+	now, vmsRead := e.directory.clock.Now(), e.directory.vmsRead()
 	e.mu.Lock()
 	e.evidence.answeredAt, e.evidence.misdirectedAt = now, time.Time{}
+	e.evidence.provesUpstream = e.evidence.provesUpstream || vmsRead
 	e.mu.Unlock()
 	if e.sharesAddress.Load() && !e.holdsAddress.Load() {
 		e.directory.weighAgain(e.Address())
 	}
 }
 
+// vmsRead reports whether the rows of VMs have been read.
+func (d *Directory) vmsRead() bool { return d.opts.VMsRead == nil || d.opts.VMsRead() }
+
 // weighAgain finds again which entries with an address name no upstream.
 func (d *Directory) weighAgain(address string) {
 	d.mu.Lock()
@@ -82,7 +92,7 @@
 }
 
 // RefreshAddresses finds again which entries name no upstream because of their address. It is to be
-// called when Options.IsVM changes.
+// called when Options.IsVM or Options.IsAnnounced changes.
 func (d *Directory) RefreshAddresses() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -113,16 +123,19 @@
 	d.weigh(address)
 }
 
-// weigh finds which entries with an address name no upstream to use: all if it is that of a VM, and those
-// that the evidence speaks against if several have it. Until there is evidence, all of them are used.
+// weigh finds which entries with an address name no upstream to use: all if it is that of a VM, those that
+// no evidence speaks for if a VM's row names it, and those that the evidence speaks against if several have
+// it. Until there is evidence, all entries are used at an address that no VM's row names.
 func (d *Directory) weigh(address string) {
 	group := d.byAddress[address]
 	if len(group) == 0 {
 		return
 	}
-	inUse, best := 0, strongest(group)
+	inUse, best, announced := 0, strongest(group), d.isAnnounced(group[0])
 	for _, e := range group {
-		e.sharesAddress.Store(len(group) > 1)
+		e.sharesAddress.Store(len(group) > 1 || announced)
+		// An answer from here on is weighed again, as the evidence may have been read before it.
+		e.holdsAddress.Store(false)
 		reason := d.exclusionOf(e, best)
 		if before := exclusion(e.excluded.Swap(int32(reason))); before != reason {
 			d.reportExclusion(e, reason)
@@ -142,12 +155,21 @@
 	if d.opts.IsVM != nil && e.addressPort.IsValid() && d.opts.IsVM(e.addressPort) {
 		return vmAddress
 	}
-	if best.outweighs(e.addressEvidence()) {
+	own := e.addressEvidence()
+	if d.isAnnounced(e) && !own.provesUpstream {
+		return vmAddress
+	}
+	if best.outweighs(own) {
 		return othersAddress
 	}
 	return notExcluded
 }
 
+// isAnnounced reports whether the row of a VM names the upstream's address.
+func (d *Directory) isAnnounced(e *Engine) bool {
+	return d.opts.IsAnnounced != nil && e.addressPort.IsValid() && d.opts.IsAnnounced(e.addressPort)
+}
+
 // strongest returns the evidence of a group that outweighs the others' if any does.
 func strongest(group []*Engine) addressEvidence {
 	best := group[0].addressEvidence()
--- a/internal/engines/addresses_test.go
+++ b/internal/engines/addresses_test.go
@@ -163,3 +163,50 @@
 		})
 	})
 }
+
+// announcedDirectory returns a directory in which a VM's row names 10.0.0.9:80 once announced is true, and the
+// rows of VMs have been read once read is.
+func announcedDirectory() (d *engines.Directory, announced, read *bool) {
+	announced, read = new(bool), new(bool)
+	clock := clockwork.NewFakeClock()
+	options := pacedOptions(clock, 0, 1, false)
+	options.IsAnnounced = func(a netip.AddrPort) bool { return *announced && a == netip.MustParseAddrPort("10.0.0.9:80") }
+	options.VMsRead = func() bool { return *read }
+	d = engines.New(options, clock, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	d.Replace([]engines.Entry{entryAt("at-vm", "10.0.0.9:80"), entryAt("far", "10.0.0.2:80")})
+	return d, announced, read
+}
+
+// TestRowOfVMExcludesNoUpstreamThatAnswered guards against a sound upstream that an odd or old row of a VM takes
+// out of use by naming its address, and against one that stays in use when a VM answers there.
+func TestRowOfVMExcludesNoUpstreamThatAnswered(t *testing.T) {
+	g := NewWithT(t)
+	d, announced, read := announcedDirectory()
+	both, far := ConsistOf(upstream.ID("at-vm"), upstream.ID("far")), ConsistOf(upstream.ID("far"))
+	*read = true
+	e := find(d, "at-vm")
+	e.MarkAnswered()
+	*announced = true
+	d.RefreshAddresses()
+	g.Expect(usedIDs(d)).To(both)
+	e.MarkMisdirected()
+	g.Expect(usedIDs(d)).To(far, "a VM or another upstream answered")
+	g.Expect(e.TakesRequests()).To(BeFalse())
+	e.MarkAnswered()
+	g.Expect(usedIDs(d)).To(both, "an answer of a request that was in flight")
+}
+
+// TestRowOfVMExcludesEntryThatIsNotKnownToAnswer guards against requests that VMs pass round and round: an entry
+// with a VM's address may have got answers through it while this VM didn't know the VMs.
+func TestRowOfVMExcludesEntryThatIsNotKnownToAnswer(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		g := NewWithT(t)
+		d, announced, read := announcedDirectory()
+		if answered {
+			find(d, "at-vm").MarkAnswered()
+		}
+		*read, *announced = true, true
+		d.RefreshAddresses()
+		g.Expect(usedIDs(d)).To(ConsistOf(upstream.ID("far")))
+	}
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -75,11 +75,11 @@
 	peerPool *upconn.Pool
 	reach    *reach.Tracker
 	vms      *members.List
-	// vmAddresses are the addresses of VMs, which no upstream has.
-	vmAddresses atomic.Pointer[vmAddresses]
-	collector   *members.Collector
-	peerFeed    *peerfeed.Feed
-	hints       *hints.Exchange
+	// knownAddresses are the addresses of VMs.
+	knownAddresses atomic.Pointer[knownAddresses]
+	collector      *members.Collector
+	peerFeed       *peerfeed.Feed
+	hints          *hints.Exchange
 	// hintCounts counts hints by outcome.
 	hintCounts *prometheus.CounterVec
 	// shareCounts counts shared reports by outcome.
@@ -181,7 +181,9 @@
 		AnswerEnd:           s.LoadControl.AnswerEnd,
 		ShareReports:        sharesReports(s),
 		OnRemove:            d.pool.CloseIdle,
-		IsVM:                d.isVMAddress,
+		IsVM:                d.isOwnAddress,
+		IsAnnounced:         d.isAnnouncedAddress,
+		VMsRead:             d.vms.Read,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
 		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
