Give a silent attempt up only for an upstream to which a connection is there

Callers saw: 502 after 0.4 to 2.2 s, or a cut stream, although the engine that ran the request was silent for 2 to 2.7 s only and their deadline allowed for it.

Cause: an attempt was given up for any upstream that is not known as unreached or silent. When a silence and new connections that hang, or are refused, begin at the same time, nothing is known yet: the run was dropped, the dial to the next upstream failed after 500 ms, the way counted as lost by then, and the request was refused. Streams whose events have begun are given up later (2 s), when other requests have mostly shown that the way is lost; a single stream is cut as well.

Evidence: the gateway's log of six failed runs has the same attempts in each: "silent" after 601 to 606 ms without a head, then "connect_timeout" once or twice (500 ms each), "upstreams_out_of_reach" or "retries_exhausted", 502 after 1.1 to 1.6 s of 5 s.

Change: the attempt goes on until a connection for the next one is there: a kept one to an upstream of which something came during the silence, or a new one, which is opened meanwhile and is looked at each 20 ms. Contacts are recorded, so that other requests and the verdict on the way know them. An upstream that takes none is left out until the others have been tried; the attempt's own one is then connected to as well, as the rule for another VM needs to know whether it can be reached.

Tests: TestRunIsNotGivenUpForEnginesThatTakeNoConnection (a call, a stream before its head, a stream within; connections that hang or are refused) failed in 18 of 18 subtests before and passes now. TestKeptConnectionReplacesMuteEngine passes before and after, and failed in 5 of 5 runs of a trial that always opened a connection.

Not covered: streams that are moved because they are too slow, cascade steps, and the product's own API still go by what is known.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,6 +50,7 @@
 	// the upstream.
 	events, pacedEvents int
 	move                moveState
+	replacement         replacement
 	// confidence is the model's confidence in its response, 0 to 100; negative if
 	// it reported none.
 	confidence int
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -47,7 +47,7 @@
 		x.retryPrepaid, x.mayHaveEnded = true, x.headerSent
 		return 0
 	case retry.AccountBudgetExhausted, retry.UpstreamBudgetExhausted, retry.NoAlternative:
-		return min(left, silencePoll)
+		return min(left, a.replacement.poll())
 	}
 	return left
 }
@@ -106,6 +106,7 @@
 func (a *attempt) findSuccessor() (successor, bool) {
 	x := a.exchange
 	status := x.server.Reach.Status(x.service)
+	a.replacement.pending = false
 	if status.InDoubt || x.server.Quarantine.Excludes(x.keys) {
 		return successor{}, false
 	}
@@ -117,17 +118,13 @@
 	return successor{choice: choice}, choice != nil
 }
 
-// chooseOther returns the choice of another upstream that is reached and not silent itself; nil if there is
-// none. Silent ones are chosen last.
+// chooseOther returns the choice of another upstream that has just taken a connection and is not silent itself; nil
+// if there is none yet. Silent ones are chosen last.
 func (a *attempt) chooseOther(unreached []upstream.ID) *engines.Choice {
 	x := a.exchange
 	req := x.requirements()
 	req.Tried = append(append(x.triedWithout(x.resumed()), a.engine.ID()), unreached...)
-	choice := x.server.Placement.Choose(req)
-	if choice.Engine == nil || choice.Engine.IsSilent() {
-		return nil
-	}
-	return &choice
+	return a.chooseConnected(req, func(c *engines.Choice) bool { return !c.Engine.IsSilent() })
 }
 
 // hasProvenPeer reports whether another VM that reaches the upstreams may be asked to relay the request.
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -152,6 +152,18 @@
 	return nil
 }
 
+// HasIdle reports whether a connection to an upstream is kept that is open and has not expired.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := p.idle[address]
+	if len(idle) == 0 {
+		return false
+	}
+	newest := idle[len(idle)-1]
+	return time.Now().Before(newest.expiresAt) && newest.isIdle()
+}
+
 // popIdle removes and returns the most recently used idle connection that suits the call, or nil
 // if there is none.
 func (p *Pool) popIdle(call *Call) *conn {
