--- a/measure/slopes/slopes.go
+++ b/measure/slopes/slopes.go
@@ -42,7 +42,7 @@
 
 // Probes returns all probes.
 func Probes() []Probe {
-	return []Probe{documents(), revisionDigests(), smallDigests(), limitReports(), ledgers(), vmLists(), loadPulls(), storeCalls(), orderPlans()}
+	return []Probe{documents(), revisionDigests(), smallDigests(), limitReports(), ledgers(), vmLists(), loadPulls(), storeCalls(), orderPlans(), memoryBudgets()}
 }
 
 // Run makes repeats measurements of each probe at each size and adds them to the
