Keep only unused arrays whose size is a power of two

Since the budget looks for an unused array among all of its class, under its lock. Arrays of bodies of a known length have any size, so that up to some 7,000 of them on a VM of 134 MB, of which a buffer can use few, would be looked through for each buffer (by reading). They are left to the collector, as the pool before dropped them, and a class holds arrays of one size.

--- a/internal/membudget/recycle.go
+++ b/internal/membudget/recycle.go
@@ -5,40 +5,53 @@
 	"slices"
 )
 
-// arrays are arrays that buffers have outgrown or released, by the exponent of their size. A sync.Pool would lose them at each
-// second collection, and the next ones would be garbage of the same size; nor could what it holds be counted.
+// arrays are arrays that buffers have outgrown or released, by the exponent of their size, which is a power of two. A sync.Pool
+// would lose them at each second collection, and the next ones would be garbage of the same size; nor could what it holds be
+// counted.
 type arrays struct {
-	bySize [bits.UintSize + 1][][]byte
-	bytes  int64
+	byExponent [bits.UintSize][][]byte
+	bytes      int64
 }
 
-// take removes an array of exactly the size and returns it; nil if there is none.
+// exponentOf returns the exponent of a size, and false if it is no power of two.
+func exponentOf(size int) (int, bool) {
+	return bits.TrailingZeros(uint(size)), bits.OnesCount(uint(size)) == 1
+}
+
+// take removes an array of the size and returns it; nil if there is none.
 func (a *arrays) take(size int) []byte {
-	class := &a.bySize[bits.Len(uint(size))]
-	for i := len(*class) - 1; i >= 0; i-- {
-		if array := (*class)[i]; cap(array) == size {
-			*class = slices.Delete(*class, i, i+1)
-			a.bytes -= int64(size)
-			return array
-		}
+	exponent, ok := exponentOf(size)
+	if !ok || len(a.byExponent[exponent]) == 0 {
+		return nil
 	}
-	return nil
+	return a.pop(exponent)
+}
+
+// pop removes an array of the size with the exponent and returns it. There must be one.
+func (a *arrays) pop(exponent int) []byte {
+	same := &a.byExponent[exponent]
+	last := len(*same) - 1
+	array := (*same)[last]
+	*same = slices.Delete(*same, last, last+1)
+	a.bytes -= int64(cap(array))
+	return array
 }
 
-// put adds an array.
+// put adds an array. One of a size that is no power of two, which few buffers need, is left to the collector.
 func (a *arrays) put(array []byte) {
-	class := &a.bySize[bits.Len(uint(cap(array)))]
-	*class = append(*class, array[:0])
+	exponent, ok := exponentOf(cap(array))
+	if !ok {
+		return
+	}
+	a.byExponent[exponent] = append(a.byExponent[exponent], array[:0])
 	a.bytes += int64(cap(array))
 }
 
 // trim drops arrays, the smallest first, until they have no more than the given number of bytes.
 func (a *arrays) trim(bytes int64) {
-	for i := 0; i < len(a.bySize) && a.bytes > bytes; i++ {
-		for class := &a.bySize[i]; len(*class) > 0 && a.bytes > bytes; {
-			last := len(*class) - 1
-			a.bytes -= int64(cap((*class)[last]))
-			*class = slices.Delete(*class, last, last+1)
+	for exponent := 0; exponent < len(a.byExponent) && a.bytes > bytes; exponent++ {
+		for len(a.byExponent[exponent]) > 0 && a.bytes > bytes {
+			a.pop(exponent)
 		}
 	}
 }
