Revert the answers that outweigh an odd row of a VM

An engine that has answered ends, its entry is still there, and a VM gets its address: one answer of before outweighs each later row, so that requests go to the VM. Evidence that an upstream has an address has to end when its connections are refused or lost, when its entry lapses, and with a row that is newer than its last answer; there was no test of this.

--- a/internal/engines/addresses.go
+++ b/internal/engines/addresses.go
@@ -12,8 +12,7 @@
 
 const (
 	notExcluded exclusion = iota
-	// vmAddress: the address is that of a VM, which would pass requests round and round, or a VM's row
-	// names it and no answer shows that the upstream is there.
+	// vmAddress: the address is that of a VM, which would pass requests round and round.
 	vmAddress
 	// othersAddress: another upstream answers at the address.
 	othersAddress
@@ -36,10 +35,6 @@
 	// answeredAt is when the upstream last gave an answer of its own, and misdirectedAt when its
 	// address last answered that it has another upstream, if it has given none since. Zero for never.
 	answeredAt, misdirectedAt time.Time
-	// provesUpstream reports whether an answer since the last one of another upstream or a VM shows that
-	// the upstream has the address, whatever the rows of VMs say. One that came before these were read
-	// doesn't: VMs of older builds pass on answers of upstreams and add no field that tells.
-	provesUpstream bool
 }
 
 // compare returns a positive number if a is stronger than o, and a negative one if it is weaker: an earlier
@@ -56,12 +51,11 @@
 	return a.answeredAt.After(o.answeredAt) && !a.answeredAt.Before(o.registeredAt.Add(-holdsAddressFor))
 }
 
-// MarkMisdirected records that another upstream or a VM has the address: it answered that it isn't this
-// upstream.
+// MarkMisdirected records that another upstream has the address: it answered that it isn't this one.
 func (e *Engine) MarkMisdirected() {
 	now := e.directory.clock.Now()
 	e.mu.Lock()
-	e.evidence.misdirectedAt, e.evidence.provesUpstream = now, false
+	e.evidence.misdirectedAt = now
 	e.mu.Unlock()
 	if e.sharesAddress.Load() {
 		e.directory.weighAgain(e.Address())
@@ -70,19 +64,15 @@
 
 // MarkAnswered records that the upstream itself gave an answer.
 func (e *Engine) MarkAnswered() {
-	now, vmsRead := e.directory.clock.Now(), e.directory.vmsRead()
+	now := e.directory.clock.Now()
 	e.mu.Lock()
 	e.evidence.answeredAt, e.evidence.misdirectedAt = now, time.Time{}
-	e.evidence.provesUpstream = e.evidence.provesUpstream || vmsRead
 	e.mu.Unlock()
 	if e.sharesAddress.Load() && !e.holdsAddress.Load() {
 		e.directory.weighAgain(e.Address())
 	}
 }
 
-// vmsRead reports whether the rows of VMs have been read.
-func (d *Directory) vmsRead() bool { return d.opts.VMsRead == nil || d.opts.VMsRead() }
-
 // weighAgain finds again which entries with an address name no upstream.
 func (d *Directory) weighAgain(address string) {
 	d.mu.Lock()
@@ -92,7 +82,7 @@
 }
 
 // RefreshAddresses finds again which entries name no upstream because of their address. It is to be
-// called when Options.IsVM or Options.IsAnnounced changes.
+// called when Options.IsVM changes.
 func (d *Directory) RefreshAddresses() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -123,19 +113,16 @@
 	d.weigh(address)
 }
 
-// weigh finds which entries with an address name no upstream to use: all if it is that of a VM, those that
-// no evidence speaks for if a VM's row names it, and those that the evidence speaks against if several have
-// it. Until there is evidence, all entries are used at an address that no VM's row names.
+// weigh finds which entries with an address name no upstream to use: all if it is that of a VM, and those
+// that the evidence speaks against if several have it. Until there is evidence, all of them are used.
 func (d *Directory) weigh(address string) {
 	group := d.byAddress[address]
 	if len(group) == 0 {
 		return
 	}
-	inUse, best, announced := 0, strongest(group), d.isAnnounced(group[0])
+	inUse, best := 0, strongest(group)
 	for _, e := range group {
-		e.sharesAddress.Store(len(group) > 1 || announced)
-		// An answer from here on is weighed again, as the evidence may have been read before it.
-		e.holdsAddress.Store(false)
+		e.sharesAddress.Store(len(group) > 1)
 		reason := d.exclusionOf(e, best)
 		if before := exclusion(e.excluded.Swap(int32(reason))); before != reason {
 			d.reportExclusion(e, reason)
@@ -155,21 +142,12 @@
 	if d.opts.IsVM != nil && e.addressPort.IsValid() && d.opts.IsVM(e.addressPort) {
 		return vmAddress
 	}
-	own := e.addressEvidence()
-	if d.isAnnounced(e) && !own.provesUpstream {
-		return vmAddress
-	}
-	if best.outweighs(own) {
+	if best.outweighs(e.addressEvidence()) {
 		return othersAddress
 	}
 	return notExcluded
 }
 
-// isAnnounced reports whether the row of a VM names the upstream's address.
-func (d *Directory) isAnnounced(e *Engine) bool {
-	return d.opts.IsAnnounced != nil && e.addressPort.IsValid() && d.opts.IsAnnounced(e.addressPort)
-}
-
 // strongest returns the evidence of a group that outweighs the others' if any does.
 func strongest(group []*Engine) addressEvidence {
 	best := group[0].addressEvidence()
--- a/internal/engines/directory.go
+++ b/internal/engines/directory.go
@@ -87,12 +87,9 @@
 	// is not called.
 	OnFragile  func(u upstream.Upstream, fragile bool)
 	OnRejected func(u upstream.Upstream)
-	// IsVM reports whether this VM or the store listens at an address, which is certain, and IsAnnounced
-	// whether the row of another VM says that it listens there, which anyone may have written; nil for none.
-	// They are called with the directory locked. RefreshAddresses is to be called when they change.
-	IsVM, IsAnnounced func(netip.AddrPort) bool
-	// VMsRead reports whether the rows of VMs have been read; nil if they always have.
-	VMsRead func() bool
+	// IsVM reports whether an address is one at which a VM listens; nil for none. It is called with
+	// the directory locked. RefreshAddresses is to be called when it changes.
+	IsVM func(netip.AddrPort) bool
 	// Registry registers the directory's metrics.
 	Registry prometheus.Registerer
 	// OnRemove is called with the address of an upstream that was removed, unless another one
@@ -163,8 +160,7 @@
 	}, []string{"report"})
 	excluded := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "poplarshore_upstream_entries_excluded_total",
-		Help: "Entries of upstreams that were found to name none: they have a VM's address, or one that a VM's row names " +
-			"and at which they have not answered, or one at which another upstream answers.",
+		Help: "Entries of upstreams that were found to name none: they have a VM's address, or one at which another upstream answers.",
 	}, []string{"cause"})
 	opts.Registry.MustRegister(selfReports, excluded)
 	d := &Directory{
--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -37,8 +37,8 @@
 	missing atomic.Bool
 	// addressPort is the parsed address; invalid if it is none.
 	addressPort netip.AddrPort
-	// excluded is an exclusion. sharesAddress reports whether other entries, or the row of a VM, have the
-	// same address, and holdsAddress whether this is known to be the only one of these entries in use.
+	// excluded is an exclusion. sharesAddress reports whether other entries have the same address, and
+	// holdsAddress whether this is the only one of them in use.
 	excluded                    atomic.Int32
 	sharesAddress, holdsAddress atomic.Bool
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -75,11 +75,11 @@
 	peerPool *upconn.Pool
 	reach    *reach.Tracker
 	vms      *members.List
-	// knownAddresses are the addresses of VMs.
-	knownAddresses atomic.Pointer[knownAddresses]
-	collector      *members.Collector
-	peerFeed       *peerfeed.Feed
-	hints          *hints.Exchange
+	// vmAddresses are the addresses of VMs, which no upstream has.
+	vmAddresses atomic.Pointer[vmAddresses]
+	collector   *members.Collector
+	peerFeed    *peerfeed.Feed
+	hints       *hints.Exchange
 	// hintCounts counts hints by outcome.
 	hintCounts *prometheus.CounterVec
 	// shareCounts counts shared reports by outcome.
@@ -181,9 +181,7 @@
 		AnswerEnd:           s.LoadControl.AnswerEnd,
 		ShareReports:        sharesReports(s),
 		OnRemove:            d.pool.CloseIdle,
-		IsVM:                d.isOwnAddress,
-		IsAnnounced:         d.isAnnouncedAddress,
-		VMsRead:             d.vms.Read,
+		IsVM:                d.isVMAddress,
 		SharedClock:         d.store,
 		Rank:                d.vms.Rank,
 		VMsKnown:            d.vms.Listed, SlowStart: s.LoadControl.SlowStart,
--- a/internal/gatewayd/vm_addresses.go
+++ b/internal/gatewayd/vm_addresses.go
@@ -8,23 +8,12 @@
 	"github.com/poplarshore/poplarshore/internal/netaddr"
 )
 
-// knownAddresses are the addresses at which VMs listen, as far as this VM knows.
-type knownAddresses struct {
-	// own holds those of this VM's listeners and of the store, and announced those that rows of other
-	// VMs name. Such a row may be that of a VM that has stopped, or of another writer.
-	own, announced *vmAddresses
-}
-
-// equal reports whether both hold the same addresses.
-func (k *knownAddresses) equal(o *knownAddresses) bool {
-	return k.own.equal(o.own) && k.announced.equal(o.announced)
-}
-
-// vmAddresses are addresses at which VMs listen.
+// vmAddresses are the addresses at which VMs listen, as far as this VM knows.
 type vmAddresses struct {
-	// exact holds whole addresses.
+	// exact holds whole addresses: those of this VM's listeners and of the store, and those that
+	// other VMs announce.
 	exact map[netip.AddrPort]bool
-	// ips holds the addresses of the VMs, and ports the ports of this VM's listeners, which are the
+	// ips holds the addresses of all VMs, and ports the ports of this VM's listeners, which are the
 	// same on all VMs.
 	ips   map[netip.Addr]bool
 	ports map[uint16]bool
@@ -54,21 +43,10 @@
 	v.ips[address.Addr()] = true
 }
 
-// newVMAddresses returns no addresses, with the ports of this VM's listeners.
-func newVMAddresses(ports map[uint16]bool) *vmAddresses {
-	return &vmAddresses{exact: make(map[netip.AddrPort]bool), ips: make(map[netip.Addr]bool), ports: ports}
-}
-
-// newKnownAddresses returns the addresses of this VM's open listeners, of the store and of the other known
+// newVMAddresses returns the addresses of this VM's open listeners, of the store and of the other known
 // VMs.
-func (d *Daemon) newKnownAddresses() *knownAddresses {
-	own := d.ownAddresses()
-	return &knownAddresses{own: own, announced: d.announcedAddresses(own.ports)}
-}
-
-// ownAddresses returns the addresses of this VM's open listeners and of the store.
-func (d *Daemon) ownAddresses() *vmAddresses {
-	v := newVMAddresses(make(map[uint16]bool))
+func (d *Daemon) newVMAddresses() *vmAddresses {
+	v := &vmAddresses{exact: make(map[netip.AddrPort]bool), ips: make(map[netip.Addr]bool), ports: make(map[uint16]bool)}
 	for _, server := range []*listen.Server{d.callerServer, d.healthServer, d.metricsServer, d.peerServer, d.relayServer} {
 		if server == nil {
 			continue
@@ -82,16 +60,6 @@
 		v.ports[address.Port()] = true
 		v.atLoopback = v.atLoopback || !address.Addr().IsLoopback()
 	}
-	if store, err := netip.ParseAddrPort(d.settings.Store.Address); err == nil {
-		v.exact[store] = true
-	}
-	return v
-}
-
-// announcedAddresses returns the addresses that the rows of other VMs name. ports are those of this VM's
-// listeners.
-func (d *Daemon) announcedAddresses(ports map[uint16]bool) *vmAddresses {
-	v := newVMAddresses(ports)
 	for _, m := range d.vms.Others() {
 		v.add(m.Feed)
 		v.add(m.Relay)
@@ -100,6 +68,9 @@
 			v.ips[m.Hints.Addr().Unmap()] = true
 		}
 	}
+	if store, err := netip.ParseAddrPort(d.settings.Store.Address); err == nil {
+		v.exact[store] = true
+	}
 	return v
 }
 
@@ -117,22 +88,16 @@
 // refreshVMAddresses finds the addresses of VMs again, and the upstreams' entries that have one of
 // them. It is called before the background tasks start, and then by the watch of the VMs' rows.
 func (d *Daemon) refreshVMAddresses() {
-	current := d.newKnownAddresses()
-	if before := d.knownAddresses.Load(); before != nil && before.equal(current) {
+	current := d.newVMAddresses()
+	if before := d.vmAddresses.Load(); before != nil && before.equal(current) {
 		return
 	}
-	d.knownAddresses.Store(current)
+	d.vmAddresses.Store(current)
 	d.directory.RefreshAddresses()
 }
 
-// isOwnAddress reports whether this VM or the store listens at an address.
-func (d *Daemon) isOwnAddress(address netip.AddrPort) bool {
-	known := d.knownAddresses.Load()
-	return known != nil && known.own.contains(address)
-}
-
-// isAnnouncedAddress reports whether the row of another VM says that it listens at an address.
-func (d *Daemon) isAnnouncedAddress(address netip.AddrPort) bool {
-	known := d.knownAddresses.Load()
-	return known != nil && known.announced.contains(address)
+// isVMAddress reports whether a VM listens at an address.
+func (d *Daemon) isVMAddress(address netip.AddrPort) bool {
+	known := d.vmAddresses.Load()
+	return known != nil && known.contains(address)
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -53,8 +53,6 @@
 	table string
 	log   *slog.Logger
 	all   atomic.Pointer[map[vm.ID]Member]
-	// read reports whether the table has been listed.
-	read atomic.Bool
 	// ownRow is the value of this VM's row in the last known rows, nil without one.
 	// ownRowRead receives a value after each listing and each change of that row.
 	ownRow     atomic.Pointer[[]byte]
@@ -90,9 +88,6 @@
 	return row != nil && len(*row) > 0
 }
 
-// Read reports whether the rows have been read at least once.
-func (l *List) Read() bool { return l.read.Load() }
-
 // Reset replaces the list by the rows of a listing of the table.
 func (l *List) Reset(b watch.Batch) {
 	ownKey := Prefix + string(l.self)
@@ -100,7 +95,6 @@
 		l.ownRow.Store(nil)
 	}
 	l.apply(make(map[vm.ID]Member), b.Rows)
-	l.read.Store(true)
 	l.signalOwnRow()
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -121,7 +121,7 @@
 		a.engine.Pause(head.Pause)
 	}
 	switch {
-	case resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(headerByVM) != "":
+	case resp.Status == http.StatusMisdirectedRequest:
 		a.engine.MarkMisdirected()
 	case head.Sealed:
 		a.engine.MarkAnswered()
@@ -257,7 +257,6 @@
 	for name, values := range x.server.Protocol.CallerHeader(header) {
 		dst[name] = values
 	}
-	x.markByVM(dst)
 	if isEventStream(header) {
 		// The length is that of the part from the first upstream if the stream is resumed.
 		dst.Del("Content-Length")
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -57,9 +57,6 @@
 	// LastEvent is the id of the last event that the caller received; empty for
 	// none.
 	LastEvent string
-	// ToUpstream reports whether the request was sent as if to an upstream: its sender may be a VM that
-	// takes this VM's address for an upstream's.
-	ToUpstream bool
 	// Header holds the header fields to forward.
 	Header http.Header
 }
--- a/internal/relay/peer_protocol.go
+++ b/internal/relay/peer_protocol.go
@@ -19,22 +19,11 @@
 	headerAge        = "Poplarshore-Age-Ms"
 	// headerRefusal is the reason of a refusal by the VM itself, in its response.
 	headerRefusal = "Poplarshore-Refusal"
-	// headerByVM names the VM that answered a request which was sent as if to an upstream.
-	headerByVM = "Poplarshore-By-Vm"
 	// refusedAtDoor is in place of a reason if the sender is no known VM, or its fields are
 	// invalid. What the VM answers without headerRefusal is the upstream's.
 	refusedAtDoor = "at_door"
 )
 
-// markByVM sets the field by which the sender of a request tells this VM from an upstream, and removes
-// that of another VM.
-func (x *exchange) markByVM(h http.Header) {
-	h.Del(headerByVM)
-	if x.request.ToUpstream {
-		h.Set(headerByVM, string(x.server.VM))
-	}
-}
-
 // peerRequest is what a VM says of a request that it asks another one to relay.
 type peerRequest struct {
 	// from is the VM that asks.
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -19,7 +19,6 @@
 		h.Set(headerRefusal, string(refused.Reason))
 		x.server.Protocol.SetResponseID(h, x.request.ID)
 	}
-	x.markByVM(h)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if refused.RetryAfter > 0 && status == http.StatusServiceUnavailable {
