Run tests in synctest bubbles on one processor

What was seen: the race detector fails now and then in internal/peerfeed, "ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346", or with a segmentation violation in runtime.(*timer).maybeRunChan, on x86-64 and on arm64; no test failed.

Cause: the timers of a synctest bubble share one context of the race detector. Goroutines that select on timers which have expired run them themselves; two that do so at the same time use that context on two threads. The tests of peerfeed have hundreds of goroutines that wake at the same instant, with timers that expire at once.

bubble.Test runs a bubble on one processor; all tests with bubbles use it. The detector compares vector clocks, so it still finds races of goroutines that run on one processor.

--- a/coord/lease/lease_test.go
+++ b/coord/lease/lease_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -17,6 +16,7 @@
 
 	"github.com/poplarshore/poplarshore/coord/lease"
 	"github.com/poplarshore/poplarshore/coord/store/memory"
+	"github.com/poplarshore/poplarshore/internal/bubble"
 )
 
 const job = "settle"
@@ -38,7 +38,7 @@
 // withFakeTime runs f in a synctest bubble, where time is virtual. Make assertions after
 // it returns, not in f.
 func withFakeTime(f func()) {
-	synctest.Test(rootTest, func(*testing.T) { f() })
+	bubble.Test(rootTest, func(*testing.T) { f() })
 }
 
 // rowHasToken reports whether the stored row has a holder and the given fencing token.
--- a/coord/ledger/suite_test.go
+++ b/coord/ledger/suite_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,6 +13,7 @@
 
 	"github.com/poplarshore/poplarshore/coord/ledger"
 	"github.com/poplarshore/poplarshore/coord/store/memory"
+	"github.com/poplarshore/poplarshore/internal/bubble"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // inSyncTest runs f in a synctest bubble, with virtual time.
 func inSyncTest(f func(g *WithT)) {
-	synctest.Test(suite, func(t *testing.T) { f(NewWithT(t)) })
+	bubble.Test(suite, func(t *testing.T) { f(NewWithT(t)) })
 }
 
 // entry returns the entry of a request with two attempts, an amount of id and a cost of 3.
--- a/coord/revision/syncer_test.go
+++ b/coord/revision/syncer_test.go
@@ -11,11 +11,12 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/poplarshore/poplarshore/coord/revision"
+	"github.com/poplarshore/poplarshore/internal/bubble"
 )
 
 var _ = Describe("A running group of nodes", func() {
 	It("installs a change on all nodes and returns when its context ends", func() {
-		synctest.Test(suiteT, func(t *testing.T) {
+		bubble.Test(suiteT, func(t *testing.T) {
 			g := NewWithT(t)
 			c := newCluster(0)
 			c.ids = []revision.NodeID{"a", "b", "c"}
--- a/coord/roster/roster_test.go
+++ b/coord/roster/roster_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/poplarshore/poplarshore/coord/roster"
+	"github.com/poplarshore/poplarshore/internal/bubble"
 )
 
 var _ = Describe("Merge", func() {
@@ -139,7 +140,7 @@
 	})
 
 	It("spreads an update while Run is running, and stops when the context ends", func() {
-		synctest.Test(suite, func(t *testing.T) {
+		bubble.Test(suite, func(t *testing.T) {
 			g := NewWithT(t)
 			c := newCluster(5, clockwork.NewRealClock())
 			ctx, cancel := context.WithCancel(ctx)
--- a/internal/peerfeed/bound_test.go
+++ b/internal/peerfeed/bound_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/internal/bubble"
 	"github.com/poplarshore/poplarshore/internal/watch"
 )
 
@@ -18,7 +18,7 @@
 	for _, n := range []int{7, 24, 60} {
 		for seed := range uint64(6) {
 			t.Run(fmt.Sprintf("%d VMs, seed %d", n, seed), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { playSilenceAndPowerLoss(t, n, seed) })
+				bubble.Test(t, func(t *testing.T) { playSilenceAndPowerLoss(t, n, seed) })
 			})
 		}
 	}
@@ -56,7 +56,7 @@
 // changes that wait for that.
 func TestChangeArrivesInTimeAlthoughOpenPollsOfStoreAreLost(t *testing.T) {
 	const vms = 24
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := startTimedFleet(t, vms)
 		realClock.Sleep(settle)
 		calm := f.readsIn(settle)
--- a/measure/load/load_test.go
+++ b/measure/load/load_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/internal/bubble"
 	"github.com/poplarshore/poplarshore/measure/load"
 )
 
@@ -30,7 +30,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			synctest.Test(t, func(*testing.T) {
+			bubble.Test(t, func(*testing.T) {
 				report := load.Run(context.Background(), tc.options, func(context.Context, int) load.Outcome {
 					<-time.After(tc.responseTime)
 					return load.Complete
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -3,12 +3,12 @@
 import (
 	"flag"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/poplarshore/poplarshore/internal/bubble"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/order"
 	"github.com/poplarshore/poplarshore/upstream"
@@ -31,7 +31,7 @@
 // inSynctestBubble runs f in a synctest bubble, with virtual time. Make assertions after
 // it returns, not in f.
 func inSynctestBubble(f func()) {
-	synctest.Test(suite, func(*testing.T) { f() })
+	bubble.Test(suite, func(*testing.T) { f() })
 }
 
 func version(id string) order.Item {
