Soak connections that are lost for good, and check bounds as stated

It added a second to the bounds for changes, excused all VMs for any fault of the store or an upstream, and had no connection that falls silent for good while new ones work.

- `connections_lost`: the open connections between some VMs and the store carry nothing any more (--lost-connections).
No VM is excused.
- Bounds for configurations, leaving upstreams and found versions are as stated; stalls of the host are measured and allowed for.
- Faults of upstreams excuse nobody from following the store; a faulty link excuses the requests to its upstream.
- DRAIN counts from when a request reaches the upstream, not from when its caller sent it.
- Configurations change services, timeouts, idle limits and sizes, also in storms; upstreams leave without saying so; callers leave connections unused for nearly as long as they may (--configurations).

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -18,7 +18,7 @@
 // spoilAnswers lets an engine write faulty answers for a while.
 func (f *injector) spoilAnswers(ctx context.Context, rng *rand.Rand) {
 	e := f.pickEngine(rng)
-	defer f.bed.disturbances.begin()()
+	defer f.bed.upstreamDisturbances.begin()()
 	e.spoilsAnswers.Store(true)
 	sleep(ctx, randomDuration(rng))
 	e.spoilsAnswers.Store(false)
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -29,7 +29,8 @@
 	// LossSlack is the time after the last byte of a request within which a connection may end
 	// without an answer, if the request was not passed on. No HostAllowance is added to it.
 	LossSlack time.Duration
-	// HostAllowance is added to each of them, as the host may be busy.
+	// HostAllowance is added to Evacuate, LimitDelay and the settle times of other checks than those of Config, Drain and
+	// Rollback, as the host may be busy. Those allow for the measured stalls of the host.
 	HostAllowance time.Duration
 }
 
@@ -71,6 +72,7 @@
 		c.checkSilence(x)
 		c.checkFloods(x)
 		c.checkOddRows(x)
+		c.checkLookupServices(x)
 	}
 	c.checkConfigurationOrder()
 	c.checkExclusions()
@@ -161,13 +163,29 @@
 // upstream during the request and the settle time before it, and no planned stop of the VM.
 func (c *checker) undisturbed(x exchange) bool {
 	from := x.sentAt.Add(-c.bounds.SettleTime - c.bounds.HostAllowance)
-	return x.vm.disturbances.noneOverlap(from, x.doneAt) && x.vm.stopPeriods.noneOverlap(from, x.doneAt) && c.testbed.disturbances.noneOverlap(from, x.doneAt)
+	return c.inTouchSince(x, from) && c.testbed.upstreamDisturbances.noneOverlap(from, x.doneAt)
+}
+
+// inTouch reports whether there was no disturbance of the request's VM or the store during the request and the settle
+// time before it, and no planned stop of the VM. Faults of upstreams excuse nobody from following the store.
+func (c *checker) inTouch(x exchange) bool {
+	from := x.sentAt.Add(-c.bounds.SettleTime)
+	return c.inTouchSince(x, from.Add(-c.testbed.hostStalls.overlap(from, x.sentAt)))
+}
+
+func (c *checker) inTouchSince(x exchange, from time.Time) bool {
+	return x.vm.disturbances.noneOverlap(from, x.doneAt) && x.vm.stopPeriods.noneOverlap(from, x.doneAt) && c.testbed.storeDisturbances.noneOverlap(from, x.doneAt)
+}
+
+// calm reports whether neither the store nor an upstream was disturbed between two times.
+func (b *testbed) calm(from, to time.Time) bool {
+	return b.storeDisturbances.noneOverlap(from, to) && b.upstreamDisturbances.noneOverlap(from, to)
 }
 
 // checkConfiguration checks that an undisturbed request was handled by a configuration that
 // could be in force at that time.
 func (c *checker) checkConfiguration(x exchange) {
-	if !c.undisturbed(x) || x.response.Incomplete {
+	if x.response.Incomplete || !c.inTouch(x) {
 		return
 	}
 	servesPath := func(cfg configuration) bool { return x.kind != probeRequest || cfg.version == x.configVersion }
@@ -200,19 +218,19 @@
 
 // possibleConfigurations returns the configurations that can be in force during a request,
 // oldest first: the newest one that must be in force when it is sent, and all that were
-// accepted between then and the response.
+// offered between then and the response.
 func (c *checker) possibleConfigurations(x exchange) []configuration {
-	inForceBy := x.sentAt.Add(-c.bounds.Config - c.bounds.HostAllowance)
 	var possible []configuration
-	for _, cfg := range c.testbed.history() {
-		if cfg.acceptedAt.After(x.doneAt) {
-			break
-		}
-		if !cfg.acceptedAt.After(inForceBy) {
-			possible = possible[:0]
+	for _, cfg := range slices.Backward(c.testbed.history()) {
+		if cfg.offeredAt.After(x.doneAt) {
+			continue
 		}
 		possible = append(possible, cfg)
+		if c.exceeds(c.bounds.Config, cfg.acceptedAt, x.sentAt) {
+			break
+		}
 	}
+	slices.Reverse(possible)
 	return possible
 }
 
@@ -225,7 +243,7 @@
 	}
 	for _, s := range c.report.plannedStops {
 		from := s.at.Add(-c.bounds.SettleTime)
-		undisturbed := c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) && s.vm.disturbances.noneOverlap(from, x.doneAt) &&
+		undisturbed := c.testbed.calm(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) && s.vm.disturbances.noneOverlap(from, x.doneAt) &&
 			s.vm.cuts.noneOverlap(from, x.doneAt)
 		if s.vm == x.vm && undisturbed && x.sentAt.Before(s.at.Add(s.acceptsFor)) && x.doneAt.After(s.at) {
 			c.addViolation("%s: response was truncated by the planned stop of %s after %s: %v", x.id, x.vm.ID, x.doneAt.Sub(x.sentAt), x.response.Err)
@@ -268,7 +286,7 @@
 // in an answer that it never got.
 func (c *checker) checkLimits() {
 	for _, l := range c.report.limits {
-		calm := c.testbed.disturbances.noneOverlap(l.since, l.until)
+		calm := c.testbed.calm(l.since, l.until)
 		for _, v := range c.testbed.vms {
 			calm = calm && v.disturbances.noneOverlap(l.since, l.until) && v.stopPeriods.noneOverlap(l.since, l.until)
 		}
@@ -280,8 +298,8 @@
 	}
 }
 
-// checkExclusions checks that draining upstreams and upstreams of versions found bad
-// received no new undisturbed request after the bound.
+// checkExclusions checks that upstreams that are leaving and upstreams of versions found bad
+// got no request after the bound from a VM in touch, unless the link to them was disturbed on the way.
 func (c *checker) checkExclusions() {
 	byID := make(map[string]exchange, len(c.exchanges))
 	for _, x := range c.exchanges {
@@ -291,8 +309,11 @@
 		for _, e := range excluded.engines {
 			for _, run := range e.Runs() {
 				x := byID[run.ID]
-				if x.vm != nil && c.undisturbed(x) && x.sentAt.After(excluded.since.Add(excluded.bound+c.bounds.HostAllowance)) {
-					c.addViolation("%s: sent to %s %s after it was %s", run.ID, e.ID, run.At.Sub(excluded.since), excluded.reason)
+				if x.vm == nil || !c.exceeds(excluded.bound, excluded.since, run.At) || !c.inTouch(x) {
+					continue
+				}
+				if e.linkDisturbances.noneOverlap(run.At.Add(-c.bounds.SettleTime), run.At) {
+					c.addViolation("%s at %s: reached %s %s after it was %s", run.ID, x.vm.ID, e.ID, run.At.Sub(excluded.since), excluded.reason)
 				}
 			}
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -168,7 +168,7 @@
 
 // resetStoreLinks resets the connections of all VMs to the store at the same time.
 func (f *injector) resetStoreLinks(context.Context, *rand.Rand) {
-	defer f.bed.disturbances.begin()()
+	defer f.bed.storeDisturbances.begin()()
 	for _, v := range f.bed.vms {
 		v.storeLink.Reset()
 	}
@@ -176,7 +176,7 @@
 
 // failStore makes all calls of the store fail with a random fault.
 func (f *injector) failStore(ctx context.Context, rng *rand.Rand) {
-	defer f.bed.disturbances.begin()()
+	defer f.bed.storeDisturbances.begin()()
 	f.bed.storeFault.Store(int32(standin.FaultUnavailable) + rng.Int32N(int32(standin.FaultNoResponse)))
 	sleep(ctx, randomDuration(rng))
 	f.bed.storeFault.Store(int32(standin.FaultNone))
@@ -185,7 +185,7 @@
 // dropStoreHistory drops the store's history of changes, so that VMs have to list the
 // tables again.
 func (f *injector) dropStoreHistory(context.Context, *rand.Rand) {
-	defer f.bed.disturbances.begin()()
+	defer f.bed.storeDisturbances.begin()()
 	f.bed.store.DropHistory()
 }
 
@@ -198,7 +198,7 @@
 	defer f.restoreMu.Unlock()
 	snapshot := f.bed.store.Snapshot()
 	sleep(ctx, randomDuration(rng))
-	defer f.bed.disturbances.begin()()
+	defer f.bed.storeDisturbances.begin()()
 	f.bed.storeFault.Store(int32(standin.FaultUnavailable))
 	sleep(ctx, randomDuration(rng)/4)
 	f.bed.store.Restore(snapshot)
@@ -221,7 +221,8 @@
 // reset at the end closes connections that have dropped data.
 func (f *injector) disturbEngineLink(ctx context.Context, rng *rand.Rand) {
 	e := f.pickEngine(rng)
-	defer f.bed.disturbances.begin()()
+	defer e.linkDisturbances.begin()()
+	defer f.bed.upstreamDisturbances.begin()()
 	e.link.SetMode(Mode(1 + rng.IntN(int(Refuse))))
 	sleep(ctx, randomDuration(rng))
 	e.link.SetMode(Forward)
@@ -231,7 +232,7 @@
 // failEnginePartly makes an upstream fail 10 to 69 percent of its requests.
 func (f *injector) failEnginePartly(ctx context.Context, rng *rand.Rand) {
 	e := f.pickEngine(rng)
-	defer f.bed.disturbances.begin()()
+	defer f.bed.upstreamDisturbances.begin()()
 	e.failurePercent.Store(10 + rng.Int32N(60))
 	sleep(ctx, randomDuration(rng))
 	e.failurePercent.Store(0)
@@ -330,7 +331,7 @@
 	switch {
 	case phase == "complete" && failurePercent > 0:
 		f.report.addViolation("roll-out of bad version %s was completed", version)
-	case phase == "reverted" && failurePercent == 0 && f.bed.disturbances.noneOverlap(startedAt, time.Now()) && f.bed.crashes.noneOverlap(startedAt, time.Now()):
+	case phase == "reverted" && failurePercent == 0 && f.bed.calm(startedAt, time.Now()) && f.bed.crashes.noneOverlap(startedAt, time.Now()):
 		f.report.addViolation("roll-out of good version %s was reverted", version)
 	}
 	retired := newEngines
--- a/soak/fragile.go
+++ b/soak/fragile.go
@@ -69,7 +69,7 @@
 // checkFragileTimes checks that few fragile engines ended if no VM was disturbed.
 func (c *checker) checkFragileTimes() {
 	for _, period := range c.report.fragileTimes {
-		calm := c.testbed.disturbances.noneOverlap(period.since, period.until)
+		calm := c.testbed.calm(period.since, period.until)
 		for _, v := range c.testbed.vms {
 			calm = calm && v.disturbances.noneOverlap(period.since, period.until) && v.stopPeriods.noneOverlap(period.since, period.until)
 		}
--- a/soak/late_callers.go
+++ b/soak/late_callers.go
@@ -22,6 +22,8 @@
 	// to maxThinkTime between two requests. VMs keep connections for longer than that.
 	maxBodyPause = 4 * time.Second
 	maxThinkTime = 300 * time.Millisecond
+	// maxIdlePause is the longest time for which a caller leaves its connection unused in runs with idle callers.
+	maxIdlePause = 6 * time.Second
 	// answerTimeout is how long it waits for the answer.
 	answerTimeout = 12 * time.Second
 	// reconnectDelay is the pause after a VM could not be reached.
@@ -42,13 +44,19 @@
 	reader  *bufio.Reader
 	// usedAt is when the connection was opened or last used.
 	usedAt time.Time
+	// maxIdle is how long it leaves its connection unused at most, as far as the idle limit allows; 0 for maxThinkTime.
+	maxIdle time.Duration
 }
 
-// runLateCallers runs callers until ctx ends, and waits for their last answers.
-func (g *trafficGenerator) runLateCallers(ctx context.Context, callers int, seed uint64) {
+// runLateCallers runs callers until ctx ends, and waits for their last answers. With idle, half of them leave their
+// connections unused for nearly as long as they may.
+func (g *trafficGenerator) runLateCallers(ctx context.Context, callers int, idle bool, seed uint64) {
 	done := make(chan struct{}, callers)
 	for i := range callers {
 		c := &lateCaller{traffic: g, number: i, rng: rand.New(rand.NewPCG(seed, lateCallerStream+uint64(i)))}
+		if idle && i%2 == 0 {
+			c.maxIdle = maxIdlePause
+		}
 		go func() {
 			c.run(ctx)
 			done <- struct{}{}
@@ -71,8 +79,17 @@
 			continue
 		}
 		c.send()
+		c.think(ctx)
+	}
+}
+
+// think waits before the next request.
+func (c *lateCaller) think(ctx context.Context) {
+	if c.maxIdle == 0 || c.conn == nil {
 		sleep(ctx, time.Duration(c.rng.Int64N(int64(maxThinkTime))))
+		return
 	}
+	c.traffic.testbed.idleUntil(ctx, c.usedAt, c.maxIdle, DefaultBounds().Config)
 }
 
 // connect opens a connection to a random VM unless one is open, and reports whether one is.
--- a/soak/link.go
+++ b/soak/link.go
@@ -36,6 +36,9 @@
 	target   string
 	mode     atomic.Int32
 
+	// losses counts how often all connections that were open fell silent for good.
+	losses atomic.Int64
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool // open connections, on both sides
 }
@@ -63,6 +66,10 @@
 	}
 }
 
+// LoseConnections makes the open connections carry nothing any more, without an end on either side, as a load balancer
+// does that has forgotten them. Later connections are unaffected.
+func (l *Link) LoseConnections() { l.losses.Add(1) }
+
 // Close closes the listener and resets the open connections.
 func (l *Link) Close() {
 	_ = l.listener.Close()
@@ -92,8 +99,10 @@
 	}
 }
 
-// serve connects a client with the target until one of them closes its connection.
+// serve connects a client with the target until one of them closes its connection, or until both do if it has been lost.
 func (l *Link) serve(client net.Conn) {
+	losses := l.losses.Load()
+	isLost := func() bool { return l.losses.Load() != losses }
 	l.track(client, true)
 	defer l.track(client, false)
 	defer func() { _ = client.Close() }()
@@ -108,15 +117,18 @@
 	defer l.track(server, false)
 	defer func() { _ = server.Close() }()
 	done := make(chan struct{}, 2)
-	go func() { l.relay(server, client, false); done <- struct{}{} }()
-	go func() { l.relay(client, server, true); done <- struct{}{} }()
+	go func() { l.relay(server, client, false, isLost); done <- struct{}{} }()
+	go func() { l.relay(client, server, true, isLost); done <- struct{}{} }()
 	<-done
+	if isLost() {
+		<-done
+	}
 }
 
 // relay copies data from src to dst until either is closed. responses marks the direction
 // from the target to the client. Once data has been dropped, all further data is, as a
 // stream with a gap would be corrupt.
-func (l *Link) relay(dst, src net.Conn, responses bool) {
+func (l *Link) relay(dst, src net.Conn, responses bool, isLost func() bool) {
 	buf := make([]byte, linkBuffer)
 	dropping := false
 	for {
@@ -128,7 +140,7 @@
 		if m == Delay {
 			time.Sleep(linkDelay)
 		}
-		dropping = dropping || m == DropAll || m == DropResponses && responses
+		dropping = dropping || isLost() || m == DropAll || m == DropResponses && responses
 		if dropping {
 			continue
 		}
--- a/soak/memory.go
+++ b/soak/memory.go
@@ -15,8 +15,6 @@
 	bytesPerMB       = 1 << 20
 	// memoryReadInterval is the time between two readings of the peaks of processes, which are lost when these end.
 	memoryReadInterval = 100 * time.Millisecond
-	// maxWakeUpDelay is by how much a reading may be late before the host counts as stalled.
-	maxWakeUpDelay = 50 * time.Millisecond
 )
 
 // peakMemoryField names the line of /proc/PID/status with the peak of a process's resident memory, in KiB.
@@ -54,17 +52,13 @@
 	}
 }
 
-// watchMemory records the peaks of all processes, and the times in which the host did not let it run, until ctx ends.
+// watchMemory records the peaks of all processes until ctx ends.
 func (b *testbed) watchMemory(ctx context.Context) {
 	for ctx.Err() == nil {
-		due := time.Now().Add(memoryReadInterval)
 		for _, v := range b.vms {
 			v.readPeakMemory()
 		}
 		sleep(ctx, memoryReadInterval)
-		if now := time.Now(); now.Sub(due) > maxWakeUpDelay {
-			b.hostStalls.add(interval{from: due, until: now})
-		}
 	}
 }
 
--- a/soak/silences.go
+++ b/soak/silences.go
@@ -139,7 +139,7 @@
 			return false
 		}
 	}
-	return x.culprit == nil && c.testbed.disturbances.noneOverlap(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) &&
+	return x.culprit == nil && c.testbed.calm(from, x.doneAt) && c.testbed.crashes.noneOverlap(from, x.doneAt) &&
 		c.testbed.oddRows.noneOverlap(from, x.doneAt) && c.testbed.badRollouts.noneOverlap(from, x.doneAt)
 }
 
--- a/soak/silences_test.go
+++ b/soak/silences_test.go
@@ -37,7 +37,7 @@
 	bed := &testbed{vms: []*VM{v}}
 	bed.silences.entries = []interval{{from: sentAt, until: sentAt.Add(s.silence)}}
 	if s.disturbed {
-		bed.disturbances.entries = []interval{{from: sentAt, until: sentAt.Add(time.Second)}}
+		bed.storeDisturbances.entries = []interval{{from: sentAt, until: sentAt.Add(time.Second)}}
 	}
 	if s.badRollout {
 		bed.badRollouts.entries = []interval{{from: sentAt, until: sentAt.Add(time.Second)}}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,6 +50,11 @@
 	// and checks that this suffices. FloodPlaces restricts where they go on; empty allows all places.
 	Floods      bool
 	FloodPlaces []string
+	// LostConnections includes open connections to the store that fall silent for good among the faults.
+	LostConnections bool
+	// Configurations includes configurations that change more than keys, upstreams that leave without saying so, and
+	// storms of configurations among the faults.
+	Configurations bool
 	// LateCallers is the number of callers that send some requests slowly, and each on a connection
 	// that it opens again when the VM ends it.
 	LateCallers int
@@ -216,10 +221,17 @@
 	if o.Floods {
 		faults.kinds = append(slices.Clip(faults.kinds), floodFault)
 	}
+	if o.LostConnections {
+		faults.kinds = append(slices.Clip(faults.kinds), lostConnectionsFault)
+	}
+	if o.Configurations {
+		faults.kinds = append(slices.Clip(faults.kinds), configurationFaults...)
+	}
 	if len(o.Only) > 0 {
 		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
 	}
 	var wait sync.WaitGroup
+	wait.Go(func() { bed.watchStalls(trafficCtx) })
 	if o.Floods {
 		wait.Go(func() { bed.watchMemory(trafficCtx) })
 	}
@@ -227,7 +239,7 @@
 		rng := rand.New(rand.NewPCG(o.Seed, uint64(worker)+1))
 		wait.Go(func() { faults.injectFaults(faultCtx, rng) })
 	}
-	wait.Go(func() { generator.runLateCallers(trafficCtx, o.LateCallers, o.Seed) })
+	wait.Go(func() { generator.runLateCallers(trafficCtx, o.LateCallers, o.Configurations, o.Seed) })
 	generator.run(trafficCtx, o.Rate, rand.New(rand.NewPCG(o.Seed, 0)))
 	wait.Wait()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -149,6 +149,21 @@
 	g.Expect(report.Floods.Flooded).To(BeNumerically(">", 50))
 }
 
+// TestShortSoakOfLostConnectionsHasNoViolations guards against configurations that come into force late, and requests to
+// upstreams that have left, because reads of the store wait on connections that fell silent for good.
+func TestShortSoakOfLostConnectionsHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 6500, 3
+	o.Duration, o.VMs, o.Engines, o.Rate = 20*time.Second, 6, 6, 200
+	o.LostConnections, o.Only = true, []string{"connections_lost", "configure", "keys", "engine_leaves"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("connections_lost"))
+	g.Expect(report.Faults).To(HaveKey("engine_leaves"))
+}
+
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
 	path := binary(t, "poplarshored")
 	for _, r := range regressions {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -46,6 +46,8 @@
 	link *Link
 	// failurePercent is the percentage of requests that fail with status 500.
 	failurePercent atomic.Int32
+	// linkDisturbances are the intervals in which its link was faulty.
+	linkDisturbances intervals
 	// limit is the number of requests per second that it names as its limit; nil for none.
 	limit atomic.Pointer[float64]
 	// spoilsAnswers lets it write faulty answers; see spoiled.
@@ -81,14 +83,14 @@
 	storeHTTP  *httptest.Server
 	vms        []*VM
 
-	// disturbances are the intervals with a fault of the store or of an upstream.
-	disturbances intervals
+	// storeDisturbances and upstreamDisturbances are the intervals with a fault of the store, and of an upstream.
+	storeDisturbances, upstreamDisturbances intervals
 	// silences are the intervals in which sound engines send nothing.
 	silences intervals
 	// modelFloods and orderFloods are the intervals in which engines of a service send bytes without end, and fullFloods
 	// those in which all engines of one do.
 	modelFloods, orderFloods, fullFloods intervals
-	// hostStalls are the intervals in which the host did not let the soak itself run, in runs with floods.
+	// hostStalls are the intervals in which the host did not let the soak itself run.
 	hostStalls intervals
 	// badRollouts are the intervals of roll-outs of versions that fail requests.
 	badRollouts intervals
@@ -121,15 +123,19 @@
 	keys           map[string]bool
 	// homes are the regions in which lookups may be served; none stands for all.
 	homes []string
+	// variant is what else the configurations change.
+	variant variant
 }
 
 // configuration is a configuration that the store accepted. Its probe route is in no
 // other configuration, so that a probe request shows whether it is in force.
 type configuration struct {
-	version    int64
-	acceptedAt time.Time
-	keys       map[string]bool // API keys that it accepts
-	homes      []string        // regions in which lookups may be served; none stands for all
+	version int64
+	// offeredAt is when the operator sent it, and acceptedAt when the store had acknowledged it.
+	offeredAt, acceptedAt time.Time
+	keys                  map[string]bool // API keys that it accepts
+	homes                 []string        // regions in which lookups may be served; none stands for all
+	variant               variant
 }
 
 // newTestbed starts the store, the upstreams and the VMs. After an error it returns the
@@ -152,6 +158,13 @@
 			return b, err
 		}
 	}
+	if o.Configurations {
+		for _, d := range domains {
+			if err := b.addEngine(stockService, "v1", d); err != nil {
+				return b, err
+			}
+		}
+	}
 	return b, b.addVMs(o, dir)
 }
 
@@ -284,6 +297,11 @@
 // removeEngine makes an upstream unreachable and deletes its entry from the store.
 func (b *testbed) removeEngine(e *engine) {
 	e.stop()
+	b.unregister(e)
+}
+
+// unregister deletes the entry of an upstream from the store.
+func (b *testbed) unregister(e *engine) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.registeredEngines, e.ID)
@@ -296,6 +314,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.configVersion++
+	c := configuration{version: b.configVersion, offeredAt: time.Now(), homes: b.homes, variant: b.variant}
 	keys := make(map[string]bool, len(b.keys))
 	for k := range b.keys {
 		keys[k] = true
@@ -308,8 +327,13 @@
 	for k := range keys {
 		accounts["account-of-"+k] = []string{k}
 	}
-	b.store.Put("op", "config", standin.Config(b.configVersion, routes(b.configVersion, b.homes), accounts))
-	b.configurations = append(b.configurations, configuration{version: b.configVersion, acceptedAt: time.Now(), keys: keys, homes: b.homes})
+	config := standin.Config(c.version, c.variant.apply(routes(c.version, c.homes)), accounts)
+	if c.variant.idleLimit > 0 {
+		standin.SetIdleLimit(config, c.variant.idleLimit)
+	}
+	b.store.Put("op", "config", config)
+	c.keys, c.acceptedAt = keys, time.Now()
+	b.configurations = append(b.configurations, c)
 }
 
 // probePath returns the path prefix of the probe route, which only the given version of
