Tell polls that were hedged, connections that were silent, and when changes arrived

The logs did not distinguish the hypotheses of docs/incidents/changes-late-on-lost-connections.md: - `poll hedged` (and poplarshore_feed_hedges_total) tells the age of the copy and who had newer data; - an error of a read that got no data names its connection: new, or unused for how long; - `configuration in force` has `since_arrival_ms`, from the arrival of the row to its effect. No decision changes.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -45,10 +45,11 @@
 func Do(client *http.Client, req *http.Request, l Limits) (Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
+	var conn usedConn
 	timer := time.AfterFunc(l.HeaderTimeout,
-		func() { cancel(ErrTimeout.New("no data from %s within the limit", req.URL.Host)) })
+		func() { cancel(ErrTimeout.New("no data from %s within the limit over %s", req.URL.Host, conn.describe())) })
 	defer timer.Stop()
-	resp, err := read(client, req.WithContext(ctx), l, timer)
+	resp, err := read(client, req.WithContext(conn.trace(ctx)), l, timer)
 	if cause := context.Cause(ctx); err != nil && errorx.IsOfType(cause, ErrTimeout) {
 		return resp, cause
 	}
--- a/internal/gatewayd/sinks.go
+++ b/internal/gatewayd/sinks.go
@@ -79,7 +79,7 @@
 		kind, err := "", error(nil)
 		switch {
 		case wire.IsConfig(row.Key):
-			kind, err = "configuration", o.installConfig(row)
+			kind, err = "configuration", o.installConfig(row, b.ReceivedAt)
 		case wire.IsRollout(row.Key):
 			kind, err = "rollout", o.orderRollout(row, b.Era)
 		}
@@ -122,8 +122,8 @@
 }
 
 // installConfig replaces the routing table if the configuration has a higher
-// version than the current one.
-func (o *operatorSink) installConfig(row watch.Row) error {
+// version than the current one. receivedAt is when it arrived; zero if unknown.
+func (o *operatorSink) installConfig(row watch.Row, receivedAt time.Time) error {
 	config, err := wire.DecodeConfig(row.Value)
 	if err != nil {
 		return err
@@ -134,9 +134,13 @@
 	for _, s := range config.Services {
 		o.directory.SetColdStart(s.Name, engines.ColdStart{For: s.ColdStart, PerSecond: s.ColdPerSecond})
 	}
-	o.Install(routing.Compile(config), o.clock.Now())
-	o.log.Info("configuration in force", "config", config.Version, "revision", row.Revision,
-		"routes", len(config.Routes), "accounts", len(config.Accounts))
+	now := o.clock.Now()
+	o.Install(routing.Compile(config), now)
+	line := o.log.With("config", config.Version, "revision", row.Revision, "routes", len(config.Routes), "accounts", len(config.Accounts))
+	if !receivedAt.IsZero() {
+		line = line.With("since_arrival_ms", o.clock.Since(receivedAt).Milliseconds())
+	}
+	line.Info("configuration in force")
 	return nil
 }
 
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -46,7 +46,9 @@
 	clock    clockwork.Clock
 	log      *slog.Logger
 	reads    *prometheus.CounterVec
-	started  time.Time
+	// hedgeCount counts the hedges by table and outcome.
+	hedgeCount *prometheus.CounterVec
+	started    time.Time
 
 	mu sync.Mutex
 	// histories are this VM's copies of the tables, by table.
@@ -76,8 +78,11 @@
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "poplarshore_feed_reads_total", Help: "Reads of the store's tables, by where they went and outcome.",
 		}, []string{"from", "outcome"}),
+		hedgeCount: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarshore_feed_hedges_total", Help: "Hedges of polls, by table and whether a source had newer data.",
+		}, []string{"table", "outcome"}),
 	}
-	registry.MustRegister(f.reads)
+	registry.MustRegister(f.reads, f.hedgeCount)
 	return f
 }
 
--- a/internal/peerfeed/hedge.go
+++ b/internal/peerfeed/hedge.go
@@ -121,6 +121,8 @@
 func (f *Feed) hedge(parent context.Context, h *history, table string, after watch.Cursor) (watch.Batch, error) {
 	ctx, cancel := context.WithTimeout(parent, hedgeTimeout)
 	defer cancel()
+	startedAt := f.clock.Now()
+	copyAge := startedAt.Sub(h.knownSince())
 	steps := f.hedgeSteps(h, table, after)
 	results := make(chan readResult, len(steps)*hedgePeers)
 	next := f.clock.NewTimer(0)
@@ -143,6 +145,7 @@
 			pending--
 			if r.isFinal() {
 				f.endHedge(table, true)
+				f.reportHedge(table, r.source, copyAge, startedAt)
 				if r.err == nil {
 					h.apply(r.batch, r.servedFrom)
 				}
@@ -155,10 +158,23 @@
 	}
 	if parent.Err() == nil {
 		f.endHedge(table, false)
+		f.reportHedge(table, "", copyAge, startedAt)
 	}
 	return watch.Batch{}, errNothingNewer.New("neither the store nor other VMs have newer data of table %s", table)
 }
 
+// reportHedge logs and counts a hedge that had an answer from a source, or none from any. copyAge is the age of this VM's
+// copy when it began.
+func (f *Feed) reportHedge(table, source string, copyAge time.Duration, startedAt time.Time) {
+	outcome := "answered"
+	if source == "" {
+		outcome = "nothing_newer"
+	}
+	f.hedgeCount.WithLabelValues(table, outcome).Inc()
+	f.log.Info("poll hedged", "table", table, "outcome", outcome, "source", source, "copy_age_ms", copyAge.Milliseconds(),
+		"took_ms", f.clock.Since(startedAt).Milliseconds())
+}
+
 // endHedge records the end of a hedge.
 func (f *Feed) endHedge(table string, answered bool) {
 	f.mu.Lock()
@@ -227,7 +243,7 @@
 	startedAt := f.clock.Now()
 	b, err := f.store.Changes(ctx, table, after, 0)
 	f.countRead("hedge_store", err)
-	r := readResult{batch: b, err: err}
+	r := readResult{batch: b, err: err, source: "store"}
 	if !r.isFinal() && ctx.Err() != nil && f.clock.Since(startedAt) < storePatience {
 		return r
 	}
@@ -250,5 +266,5 @@
 		// Another VM may have a shorter history than the store.
 		err = errNothingNewer.Wrap(err, "VM %s", p.name)
 	}
-	return readResult{batch: b, err: err}
+	return readResult{batch: b, err: err, source: p.name}
 }
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -91,10 +91,12 @@
 	if err != nil {
 		return watch.Batch{}, err
 	}
+	receivedAt := f.clock.Now()
 	b, err := unmarshalBatch(resp.Body)
 	if err != nil {
 		return watch.Batch{}, ErrNoReader.Wrap(err, "decode response of reader %s", p.name)
 	}
+	b.ReceivedAt = receivedAt
 	f.observeClock(resp.Header)
 	age, ok := parseMilliseconds(resp.Header.Get(headerAge))
 	if !ok && p.passesOn {
--- a/internal/peerfeed/read.go
+++ b/internal/peerfeed/read.go
@@ -16,6 +16,8 @@
 	// servedFrom is when the store confirmed the batch if this VM read it there and may serve it to others, or
 	// unconfirmed.
 	servedFrom time.Time
+	// source is the VM that was read, or "store".
+	source string
 }
 
 // isFinal reports whether the read succeeded, or found that the table has to be listed again.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -63,6 +63,8 @@
 	// ConfirmedAt is when the store confirmed that there are no changes after At, however many VMs passed that on;
 	// zero if unknown.
 	ConfirmedAt time.Time `json:"-"`
+	// ReceivedAt is when the response with the batch had arrived at this VM; zero if unknown.
+	ReceivedAt time.Time `json:"-"`
 }
 
 // Cursor returns the position up to which the batch includes all changes.
