Soak the loss of all open connections

Gateways of the soak open connections to other VMs through gatewayd.WithPeerDial and lose them on request. Changes are to arrive within their bounds.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -117,6 +117,7 @@
 // options are what settings don't determine.
 type options struct {
 	upstreamDial upconn.Dial
+	peerDial     peerfeed.DialFunc
 	retryShare   *retry.FleetShare
 }
 
@@ -125,6 +126,11 @@
 	return func(o *options) { o.upstreamDial = dial }
 }
 
+// WithPeerDial opens the connections over which this VM reads other VMs' copies of the tables by dial.
+func WithPeerDial(dial peerfeed.DialFunc) Option {
+	return func(o *options) { o.peerDial = dial }
+}
+
 // WithRetryShare sets the share of the VM in the additional attempts of all VMs. By default the VM begins with one that is
 // little, as what the process before it took is not known.
 func WithRetryShare(share *retry.FleetShare) Option {
@@ -152,7 +158,7 @@
 		d.retryShare = retry.NewFleetShare(d.fleetSize, s.Retries.SpanS.Duration(), clock.Now())
 	}
 	d.collector = members.NewCollector(vmTable, d.store, clock, d.log)
-	d.peerFeed = d.newPeerFeed()
+	d.peerFeed = d.newPeerFeed(o.peerDial)
 	poolOptions := upconn.DefaultOptions()
 	poolOptions.Dial = o.upstreamDial
 	d.pool = upconn.NewPool(poolOptions)
@@ -176,12 +182,12 @@
 	return d
 }
 
-// newPeerFeed returns the reader of the store's tables, directly or through other VMs.
-func (d *Daemon) newPeerFeed() *peerfeed.Feed {
+// newPeerFeed returns the reader of the store's tables, directly or through other VMs, to which it opens connections by dial.
+func (d *Daemon) newPeerFeed(dial peerfeed.DialFunc) *peerfeed.Feed {
 	s := d.settings
 	feedOptions := peerfeed.OptionsWithin(s.Changes.Bound())
 	feedOptions.VM, feedOptions.Region, feedOptions.RegionOf = s.VM.ID, s.VM.Region, d.regionOf
-	feedOptions.StoreClock = d.store
+	feedOptions.StoreClock, feedOptions.Dial = d.store, dial
 	feedOptions.Seeds, feedOptions.Self = s.Seeds, s.Peers.Address
 	return peerfeed.New(feedOptions, d.store, d.vms, d.clock, d.log, d.registry)
 }
--- a/soak/command/gateway.go
+++ b/soak/command/gateway.go
@@ -13,10 +13,10 @@
 )
 
 // newGatewayCommand returns the command that runs a gateway whose way to upstreams can be
-// cut. The soak runs it.
+// cut, and which can lose its connections to upstreams and other VMs. The soak runs it.
 func newGatewayCommand() *cobra.Command {
-	way := &standin.Way{}
-	cmd := gatewayd.NewCommand(gatewayd.WithUpstreamDial(way.DialContext))
+	way, peers := &standin.Way{}, &standin.Way{}
+	cmd := gatewayd.NewCommand(gatewayd.WithUpstreamDial(way.DialContext), gatewayd.WithPeerDial(peers.DialContext))
 	cmd.Hidden = true
 	control, mode := "", 0
 	cmd.Flags().StringVar(&control, "control", "", "host:port that takes changes of the way to upstreams")
@@ -24,7 +24,7 @@
 	runGateway := cmd.RunE
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		way.SetMode(standin.WayMode(mode))
-		server := &http.Server{Addr: control, Handler: controlOf(way)}
+		server := &http.Server{Addr: control, Handler: controlOf(way, peers)}
 		go func() { _ = server.ListenAndServe() }()
 		defer func() { _ = server.Close() }()
 		return runGateway(cmd, args)
@@ -32,9 +32,14 @@
 	return cmd
 }
 
-// controlOf returns the handler that sets the mode of a way to the number in the body.
-func controlOf(way *standin.Way) http.Handler {
+// controlOf returns the handler that sets the mode of the way to upstreams to the number in the body, or loses the open
+// connections to upstreams and other VMs.
+func controlOf(way, peers *standin.Way) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+soak.LossPath, func(http.ResponseWriter, *http.Request) {
+		way.LoseConnections()
+		peers.LoseConnections()
+	})
 	mux.HandleFunc("PUT "+soak.WayPath, func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -14,6 +14,9 @@
 // WayPath is the path at which a gateway of the soak takes changes of its way to upstreams.
 const WayPath = "/way"
 
+// LossPath is the path at which a gateway of the soak is asked to lose its open connections to upstreams and other VMs.
+const LossPath = "/loss"
+
 // cut is a time in which some VMs were cut off from all upstreams.
 type cut struct {
 	vms          []*VM
@@ -40,9 +43,14 @@
 // process that is down gets it with its start.
 func (v *VM) setWay(ctx context.Context, mode standin.WayMode) {
 	v.wayMode.Store(int32(mode))
+	v.callControl(ctx, http.MethodPut, WayPath, strconv.Itoa(int(mode)))
+}
+
+// callControl asks the VM's process for a change of its connections. A process that is down has none.
+func (v *VM) callControl(ctx context.Context, method, path, body string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wayTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+v.control+WayPath, strings.NewReader(strconv.Itoa(int(mode))))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.control+path, strings.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -223,6 +223,9 @@
 	}
 	if o.LostConnections {
 		faults.kinds = append(slices.Clip(faults.kinds), lostConnectionsFault)
+		if o.CuttableBinary != "" {
+			faults.kinds = append(slices.Clip(faults.kinds), allConnectionsFault)
+		}
 	}
 	if o.Configurations {
 		faults.kinds = append(slices.Clip(faults.kinds), configurationFaults...)
