Hedge polls over new connections

What was seen: with all open connections lost at once, VMs followed up to 2.6 s after the first one, with dropped history up to 3.1 s (bound 3 s), and refused requests with 503 `configuration_stale` meanwhile.

Cause: a hedge asked the store and other VMs over their unused connections, which were lost together with that of the poll, so that each cost a timeout, one after the other.

Why it works: a hedge closes the unused connections first, so that each read of it opens a new one. Hedges are rare; a read of another table opens its connection again.

--- a/internal/peerfeed/bound_test.go
+++ b/internal/peerfeed/bound_test.go
@@ -60,7 +60,7 @@
 		f := startTimedFleet(t, vms)
 		realClock.Sleep(settle)
 		calm := f.readsIn(settle)
-		f.store.losePolls()
+		f.store.loseConnections()
 		realClock.Sleep(changeBound / 4)
 		revision, changedAt := f.store.put(), time.Now()
 		realClock.Sleep(2 * changeBound)
@@ -75,3 +75,41 @@
 	realClock.Sleep(d)
 	return f.store.readCount() - before
 }
+
+// TestChangeArrivesInTimeAlthoughAllConnectionsAreLost guards against reads in a row over connections that were lost
+// together, unused ones among them, each of which costs a timeout.
+func TestChangeArrivesInTimeAlthoughAllConnectionsAreLost(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		loses func(f *timedFleet)
+	}{
+		{"lost", func(*timedFleet) {}},
+		{"lost beside a silence", func(f *timedFleet) { f.silence(true, 0.35) }},
+		{"lost beside a dropped history", func(f *timedFleet) { f.store.dropHistory() }},
+	} {
+		for _, n := range []int{3, 7, 24} {
+			for seed := range uint64(4) {
+				t.Run(fmt.Sprintf("%s, %d VMs, seed %d", c.name, n, seed), func(t *testing.T) {
+					bubble.Test(t, func(t *testing.T) { playLosses(t, n, seed, c.loses) })
+				})
+			}
+		}
+	}
+}
+
+// playLosses loses all connections some times in a row, after some time in which many were opened, and makes a change
+// after each loss.
+func playLosses(t *testing.T, n int, seed uint64, besides func(*timedFleet)) {
+	f, rng := startTimedFleet(t, n), rand.New(rand.NewPCG(seed, 2))
+	realClock.Sleep(settle)
+	f.openConnections()
+	realClock.Sleep(time.Duration(rng.Int64N(int64(changeBound))))
+	besides(f)
+	for range 3 {
+		f.loseConnections()
+		realClock.Sleep(time.Duration(rng.Int64N(int64(changeBound / 4))))
+		revision, changedAt := f.store.put(), time.Now()
+		realClock.Sleep(changeBound + time.Duration(rng.Int64N(int64(changeBound/4))))
+		f.expectInTime(revision, changedAt)
+	}
+}
--- a/internal/peerfeed/doc.go
+++ b/internal/peerfeed/doc.go
@@ -19,7 +19,8 @@
 //
 // Each response also says how old the copy is, counted from the store's confirmation through all VMs on the way. A VM
 // whose copy is too old for its bound hedges its poll: it asks the store and other VMs as well, and takes the first newer
-// data. This bounds the age of copies whatever readers fail, and in whatever order.
+// data. This bounds the age of copies whatever readers fail, and in whatever order. A hedge opens new connections: unused
+// ones may have been lost together with that of the poll.
 //
 // A VM that gets no response from a reader reads the store itself. If readers
 // respond that their data is stale, the store is probably unavailable to all of
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -32,13 +32,20 @@
 	errInterrupted = namespace.NewType("pressed")
 )
 
+// Store is the store whose tables a Feed reads.
+type Store interface {
+	watch.Source
+	// CloseIdleConnections closes the unused connections for reads of a table.
+	CloseIdleConnections(table string)
+}
+
 // Feed is a watch.Source that reads from the region's reader, or from the store
 // if there is none or this VM is the reader. It implements http.Handler for the
 // polls of other VMs. Each table is read by one goroutine; different tables and
 // the handler can be used concurrently.
 type Feed struct {
 	opts  Options
-	store watch.Source
+	store Store
 	vms   *members.List
 	http  *http.Client
 	// timeouts are those of polls of other VMs, by address.
@@ -66,7 +73,7 @@
 
 // New returns a feed of the store's tables. It registers its metrics in the
 // registry.
-func New(opts Options, store watch.Source, vms *members.List, clock clockwork.Clock, log *slog.Logger,
+func New(opts Options, store Store, vms *members.List, clock clockwork.Clock, log *slog.Logger,
 	registry prometheus.Registerer) *Feed {
 	f := &Feed{
 		opts: opts, store: store, vms: vms, clock: clock, log: log, started: clock.Now(),
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -65,6 +65,8 @@
 	return b, nil
 }
 
+func (v storeView) CloseIdleConnections(string) {}
+
 func (v storeView) List(context.Context, string) (watch.Batch, error) { return v.read(-1) }
 
 func (v storeView) Changes(_ context.Context, _ string, after watch.Cursor, _ time.Duration) (watch.Batch, error) {
--- a/internal/peerfeed/hedge.go
+++ b/internal/peerfeed/hedge.go
@@ -119,6 +119,8 @@
 // hedge asks the store and other VMs in steps until one of them has newer data. Errors: errNothingNewer, and
 // watch.ErrHistoryGone.
 func (f *Feed) hedge(parent context.Context, h *history, table string, after watch.Cursor) (watch.Batch, error) {
+	// Where the poll waits in vain because its connection was lost, unused ones may be lost, too.
+	f.closeIdleConnections(table)
 	ctx, cancel := context.WithTimeout(parent, hedgeTimeout)
 	defer cancel()
 	startedAt := f.clock.Now()
@@ -163,6 +165,12 @@
 	return watch.Batch{}, errNothingNewer.New("neither the store nor other VMs have newer data of table %s", table)
 }
 
+// closeIdleConnections closes the unused connections to other VMs, and to the store for a table.
+func (f *Feed) closeIdleConnections(table string) {
+	f.http.CloseIdleConnections()
+	f.store.CloseIdleConnections(table)
+}
+
 // reportHedge logs and counts a hedge that had an answer from a source, or none from any. copyAge is the age of this VM's
 // copy when it began.
 func (f *Feed) reportHedge(table, source string, copyAge time.Duration, startedAt time.Time) {
--- a/internal/peerfeed/timed_fleet_test.go
+++ b/internal/peerfeed/timed_fleet_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,6 +41,8 @@
 	storeRoundTrip, pollRoundTrip, dialTime = 60 * time.Millisecond, 30 * time.Millisecond, time.Millisecond
 	// regionCount is the number of regions, over which the VMs are spread evenly.
 	regionCount = 3
+	// unusedConns is the number of unused connections to the store that openConnections leaves to each VM.
+	unusedConns = 3
 	// settle is the time in which the VMs find their readers.
 	settle = 20 * time.Second
 )
@@ -54,15 +57,55 @@
 	changed chan struct{}
 	silent  map[vm.ID]bool
 	reads   map[vm.ID]int
-	// lostPolls counts how often all reads that waited for changes were lost.
-	lostPolls int
+	// losses counts how often all open connections were lost.
+	losses int
+	// unused holds the unused connections of each VM: the number of losses when each was opened.
+	unused map[vm.ID][]int
+	// goneBefore is the revision before which changes are not known.
+	goneBefore watch.Revision
 }
 
-// losePolls makes the store answer none of the reads that wait for changes now, as if their connections were lost.
-func (s *timedStore) losePolls() {
+// loseConnections makes the store answer none of the reads over connections that are open now.
+func (s *timedStore) loseConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lostPolls++
+	s.losses++
+}
+
+// connect returns an unused connection of a VM, the one used last, or a new one.
+func (s *timedStore) connect(id vm.ID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads[id]++
+	unused := s.unused[id]
+	if len(unused) == 0 {
+		return s.losses
+	}
+	s.unused[id] = unused[:len(unused)-1]
+	return unused[len(unused)-1]
+}
+
+// keep keeps a connection for later reads of a VM.
+func (s *timedStore) keep(id vm.ID, conn int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unused[id] = append(s.unused[id], conn)
+}
+
+// dropHistory makes all VMs list the table again.
+func (s *timedStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.goneBefore = s.at + 1
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// isGone reports whether the changes after a revision are not known.
+func (s *timedStore) isGone(after watch.Revision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return after < s.goneBefore
 }
 
 // readCount returns the number of reads.
@@ -99,25 +142,39 @@
 }
 
 func (v timedView) List(ctx context.Context, table string) (watch.Batch, error) {
-	return v.Changes(ctx, table, watch.Cursor{}, 0)
+	return v.read(ctx, watch.Cursor{}, 0)
 }
 
 func (v timedView) Changes(ctx context.Context, _ string, after watch.Cursor, wait time.Duration) (watch.Batch, error) {
+	b, err := v.read(ctx, after, wait)
+	if err == nil && v.isGone(after.Revision) {
+		return watch.Batch{}, watch.ErrHistoryGone.New("changes after revision %d are gone", after.Revision)
+	}
+	return b, err
+}
+
+// CloseIdleConnections closes the VM's unused connections.
+func (v timedView) CloseIdleConnections(string) {
 	v.mu.Lock()
-	v.reads[v.vm.id]++
-	began := v.lostPolls
-	v.mu.Unlock()
+	defer v.mu.Unlock()
+	delete(v.unused, v.vm.id)
+}
+
+// read reads the changes after a position over a connection of the VM, which is closed if the read fails.
+func (v timedView) read(ctx context.Context, after watch.Cursor, wait time.Duration) (watch.Batch, error) {
+	conn := v.connect(v.vm.id)
 	isLost := func() bool {
 		v.mu.Lock()
 		defer v.mu.Unlock()
-		return v.silent[v.vm.id] || v.lostPolls > began
+		return v.silent[v.vm.id] || v.losses > conn
 	}
 	lost := time.After(wait + storeSlack)
 	waited := time.After(wait)
 	for answered := false; ; {
 		at, changed := v.state()
-		if answered = answered || at > after.Revision; answered && !isLost() {
+		if answered = answered || at > after.Revision || v.isGone(after.Revision); answered && !isLost() {
 			realClock.Sleep(storeRoundTrip)
+			v.keep(v.vm.id, conn)
 			return v.batch(at, after), nil
 		}
 		select {
@@ -240,6 +297,9 @@
 	store *timedStore
 	vms   []*timedVM
 	by    map[string]*timedVM
+	// connsMu guards conns, the connections between VMs.
+	connsMu sync.Mutex
+	conns   []*losableConn
 }
 
 // dial opens a connection to a VM. One without power does not answer.
@@ -251,18 +311,61 @@
 		return nil, ctx.Err()
 	}
 	client, server := net.Pipe()
+	conn := &losableConn{Conn: client}
 	select {
 	case to.conns <- server:
-		return client, nil
+		f.keep(conn)
+		return conn, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
+// keep records a connection between VMs.
+func (f *timedFleet) keep(conn *losableConn) {
+	f.connsMu.Lock()
+	defer f.connsMu.Unlock()
+	f.conns = append(f.conns, conn)
+}
+
+// loseConnections loses all open connections to the store and between VMs. New ones work.
+func (f *timedFleet) loseConnections() {
+	f.store.loseConnections()
+	f.connsMu.Lock()
+	defer f.connsMu.Unlock()
+	for _, conn := range f.conns {
+		conn.lost.Store(true)
+	}
+	f.conns = nil
+}
+
+// losableConn is a connection that carries nothing any more once it has been lost, without an end.
+type losableConn struct {
+	net.Conn
+	lost atomic.Bool
+}
+
+func (c *losableConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.lost.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *losableConn) Write(b []byte) (int, error) {
+	if c.lost.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
 // startTimedFleet starts VMs that know each other and follow the store. It must be called in a synctest bubble.
 func startTimedFleet(t *testing.T, n int) *timedFleet {
 	f := &timedFleet{WithT: NewWithT(t), by: make(map[string]*timedVM), store: &timedStore{
 		at: 1, changed: make(chan struct{}), silent: make(map[vm.ID]bool), reads: make(map[vm.ID]int),
+		unused: make(map[vm.ID][]int),
 	}}
 	// Requests that are being served end some time after their connections.
 	t.Cleanup(func() { realClock.Sleep(settle) })
@@ -345,3 +448,14 @@
 		f.Expect(at.Sub(changedAt)).To(BeNumerically("<=", changeBound), "%s of %s, change %d", m.id, m.domain, rev)
 	}
 }
+
+// openConnections gives each VM unused connections to the store, as reads that ran beside each other leave them.
+func (f *timedFleet) openConnections() {
+	for _, m := range f.vms {
+		var wait sync.WaitGroup
+		for range unusedConns {
+			wait.Go(func() { _, _ = timedView{f.store, m}.read(context.Background(), watch.Cursor{}, 0) })
+		}
+		wait.Wait()
+	}
+}
