Take a lost connection to the store for what it is

What was seen: after the loss of open connections VMs did not ask the store in hedges for 2.5 s, although it answered; hedges ended after 0 ms with nothing newer, and copies were up to 2.2 s behind (bound 3 s).

Cause: a read that had no answer counted as a failure of the store whatever its connection. Silence over a connection that was used before says little: it may have been lost.

Such a read now fails with store.ErrConnectionLost. The VM reads the store once more, over a new connection, and only that read tells whether the store answers. A listing does the same.

Evidence: TestLostConnectionIsNoFailureOfTheStore (it failed before: the call returned the error).

--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -30,6 +30,10 @@
 	// ErrUnavailable reports that the store did not perform the operation. Nothing
 	// was written, and the operation may be repeated.
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
+
+	// ErrConnectionLost reports a read that had no answer over a connection that had been used before. The connection may
+	// have been lost while the store answers new ones.
+	ErrConnectionLost = ErrUnavailable.NewSubtype("connection_lost")
 	// ErrUnknown reports that a write may have taken effect, may have had no effect,
 	// or may still take effect later.
 	ErrUnknown = namespace.NewType("unknown", errorx.Timeout())
--- a/internal/fetch/conn.go
+++ b/internal/fetch/conn.go
@@ -9,13 +9,21 @@
 )
 
 // usedConn is the connection that a request uses. It is safe for concurrent use.
-type usedConn struct{ info atomic.Pointer[httptrace.GotConnInfo] }
+type usedConn struct {
+	info atomic.Pointer[httptrace.GotConnInfo]
+}
 
 // trace returns a context with which the client records the connection of a request.
 func (c *usedConn) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { c.info.Store(&info) }})
 }
 
+// isReused reports whether the connection had been used before.
+func (c *usedConn) isReused() bool {
+	info := c.info.Load()
+	return info != nil && info.Reused
+}
+
 // describe tells whether the connection is new, or for how long it had not been used.
 func (c *usedConn) describe() string {
 	info := c.info.Load()
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -38,18 +38,23 @@
 	Body   []byte
 	// HeaderTime is the time from the request to the response header.
 	HeaderTime time.Duration
+	// Reused reports that the connection had been used before.
+	Reused bool
 }
 
 // Do sends a request and reads its response. Errors: ErrTimeout, ErrTooLong and those of
-// the client. After an error in the body the response has its status.
+// the client. After an error in the body the response has its status. Reused is set after any error.
 func Do(client *http.Client, req *http.Request, l Limits) (Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
 	var conn usedConn
 	timer := time.AfterFunc(l.HeaderTimeout,
-		func() { cancel(ErrTimeout.New("no data from %s within the limit over %s", req.URL.Host, conn.describe())) })
+		func() {
+			cancel(ErrTimeout.New("no data from %s within the limit over %s", req.URL.Host, conn.describe()))
+		})
 	defer timer.Stop()
 	resp, err := read(client, req.WithContext(conn.trace(ctx)), l, timer)
+	resp.Reused = conn.isReused()
 	if cause := context.Cause(ctx); err != nil && errorx.IsOfType(cause, ErrTimeout) {
 		return resp, cause
 	}
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/poplarshore/poplarshore/coord/store"
 	"github.com/poplarshore/poplarshore/internal/fetch"
 	"github.com/poplarshore/poplarshore/internal/members"
 	"github.com/poplarshore/poplarshore/internal/transport"
@@ -73,10 +74,10 @@
 
 // New returns a feed of the store's tables. It registers its metrics in the
 // registry.
-func New(opts Options, store Store, vms *members.List, clock clockwork.Clock, log *slog.Logger,
+func New(opts Options, source Store, vms *members.List, clock clockwork.Clock, log *slog.Logger,
 	registry prometheus.Registerer) *Feed {
 	f := &Feed{
-		opts: opts, store: store, vms: vms, clock: clock, log: log, started: clock.Now(),
+		opts: opts, store: source, vms: vms, clock: clock, log: log, started: clock.Now(),
 		http:      &http.Client{Transport: newTransport(opts.Dial, opts.DialTimeout)},
 		timeouts:  fetch.NewTimeouts(opts.Slack, opts.MaxSlack),
 		histories: make(map[string]*history), backoffs: make(map[backoffKey]backoff),
@@ -136,8 +137,7 @@
 		h.reset(b, f.clock.Now())
 		return b, nil
 	}
-	b, err := f.store.List(ctx, table)
-	f.countRead("store", err)
+	b, err := f.listFromStore(ctx, table)
 	f.recordStoreRead(table, err != nil)
 	if err != nil {
 		h.markStale()
@@ -152,6 +152,19 @@
 	return b, nil
 }
 
+// listFromStore lists a table from the store, over a new connection if the first one was lost.
+func (f *Feed) listFromStore(ctx context.Context, table string) (watch.Batch, error) {
+	b, err := f.store.List(ctx, table)
+	f.countRead("store", err)
+	if !errorx.IsOfType(err, store.ErrConnectionLost) || ctx.Err() != nil {
+		return b, err
+	}
+	f.store.CloseIdleConnections(table)
+	b, err = f.store.List(ctx, table)
+	f.countRead("store", err)
+	return b, err
+}
+
 // listFromReader lists a table from the region's reader, or during startup from a
 // seed; false means that it got no listing.
 func (f *Feed) listFromReader(ctx context.Context, table string) (watch.Batch, bool) {
@@ -328,10 +341,30 @@
 		return f.pollStore(ctx, h, table, after, wait)
 	}
 	f.countRead("store", err)
+	if errorx.IsOfType(err, store.ErrConnectionLost) {
+		return f.pollStoreAnew(ctx, h, table, after, err)
+	}
 	if wasOutrun(ctx) && h.isFresh(f.clock.Now(), f.opts.MaxAge) {
 		// The store answered the hedge: only this poll was lost.
 		return b, err
 	}
+	return f.recordPollOfStore(h, table, b, err)
+}
+
+// pollStoreAnew polls the store over a new connection, without waiting for changes, after a poll whose connection was
+// lost. Only this one tells whether the store answers.
+func (f *Feed) pollStoreAnew(ctx context.Context, h *history, table string, after watch.Cursor, lost error) (watch.Batch, error) {
+	f.store.CloseIdleConnections(table)
+	if ctx.Err() != nil {
+		return watch.Batch{}, lost
+	}
+	b, err := f.store.Changes(ctx, table, after, 0)
+	f.countRead("store", err)
+	return f.recordPollOfStore(h, table, b, err)
+}
+
+// recordPollOfStore records the result of a poll of the store, and returns it.
+func (f *Feed) recordPollOfStore(h *history, table string, b watch.Batch, err error) (watch.Batch, error) {
 	historyGone := errorx.IsOfType(err, watch.ErrHistoryGone)
 	f.recordStoreRead(table, err != nil && !historyGone)
 	if err != nil {
--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -38,6 +38,8 @@
 	rows  []watch.Row
 	down  map[vm.ID]bool
 	reads map[vm.ID]int
+	// lostConns holds the VMs whose unused connections have been lost.
+	lostConns map[vm.ID]bool
 	// onLostRead is called for each read that the VM can't make.
 	onLostRead func()
 }
@@ -56,6 +58,9 @@
 		v.onLostRead()
 		return watch.Batch{}, store.ErrUnavailable.New("store unreachable from %s", v.id)
 	}
+	if v.lostConns[v.id] {
+		return watch.Batch{}, store.ErrConnectionLost.New("connection of %s lost", v.id)
+	}
 	b := watch.Batch{At: v.at, Era: v.era}
 	for _, r := range v.rows {
 		if r.Revision > after {
@@ -65,7 +70,11 @@
 	return b, nil
 }
 
-func (v storeView) CloseIdleConnections(string) {}
+func (v storeView) CloseIdleConnections(string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.lostConns, v.id)
+}
 
 func (v storeView) List(context.Context, string) (watch.Batch, error) { return v.read(-1) }
 
@@ -93,6 +102,13 @@
 	s.rows = append(s.rows, watch.Row{Key: key, Revision: s.at})
 }
 
+// loseConnections loses the unused connections of a VM.
+func (s *fakeStore) loseConnections(id vm.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostConns[id] = true
+}
+
 func (s *fakeStore) setDown(id vm.ID, down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,7 +169,7 @@
 func startFleetIn(t *testing.T, n int, startupPeriod time.Duration, domainOf func(i int) domain.ID) *fleet {
 	f := &fleet{
 		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
-		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int), onLostRead: func() {}},
+		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int), lostConns: make(map[vm.ID]bool), onLostRead: func() {}},
 		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock), polls: make(map[vm.ID]int),
 		lost: make(map[vm.ID]bool),
 	}
--- a/internal/peerfeed/store_retry_test.go
+++ b/internal/peerfeed/store_retry_test.go
@@ -29,3 +29,19 @@
 	// Until all other VMs are in backoff for the first time, each poll reads the store.
 	f.Expect(f.store.reads[alone]).To(BeNumerically("<=", int(length/peerfeed.DefaultOptions().StoreRetryDelay)+5))
 }
+
+// TestLostConnectionIsNoFailureOfTheStore guards against a VM that doesn't read the store for StoreRetryDelay, although it
+// answers, because an unused connection had been lost.
+func TestLostConnectionIsNoFailureOfTheStore(t *testing.T) {
+	f := newFleet(t, 1)
+	feed := f.feeds["vm-0"]
+	f.store.put("b")
+	f.store.loseConnections("vm-0")
+	b, err := feed.Changes(t.Context(), "t", watch.Cursor{Revision: 1}, time.Second)
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(b.At).To(BeEquivalentTo(2))
+	f.store.loseConnections("vm-0")
+	b, err = feed.List(t.Context(), "t")
+	f.Expect(err).NotTo(HaveOccurred())
+	f.Expect(b.Rows).To(HaveLen(2))
+}
--- a/internal/peerfeed/timed_fleet_test.go
+++ b/internal/peerfeed/timed_fleet_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -72,17 +73,17 @@
 	s.losses++
 }
 
-// connect returns an unused connection of a VM, the one used last, or a new one.
-func (s *timedStore) connect(id vm.ID) int {
+// connect returns an unused connection of a VM, the one used last, or a new one, and whether it was used before.
+func (s *timedStore) connect(id vm.ID) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads[id]++
 	unused := s.unused[id]
 	if len(unused) == 0 {
-		return s.losses
+		return s.losses, false
 	}
 	s.unused[id] = unused[:len(unused)-1]
-	return unused[len(unused)-1]
+	return unused[len(unused)-1], true
 }
 
 // keep keeps a connection for later reads of a VM.
@@ -162,7 +163,7 @@
 
 // read reads the changes after a position over a connection of the VM, which is closed if the read fails.
 func (v timedView) read(ctx context.Context, after watch.Cursor, wait time.Duration) (watch.Batch, error) {
-	conn := v.connect(v.vm.id)
+	conn, reused := v.connect(v.vm.id)
 	isLost := func() bool {
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -182,21 +183,29 @@
 		case <-waited:
 			answered, waited = true, nil
 		case <-lost:
-			return watch.Batch{}, store.ErrUnavailable.New("no answer to %s", v.vm.id)
+			return watch.Batch{}, noAnswer(reused).New("no answer to %s", v.vm.id)
 		case <-ctx.Done():
-			return watch.Batch{}, ctx.Err()
+			return watch.Batch{}, noAnswer(reused).Wrap(ctx.Err(), "read of %s ended", v.vm.id)
 		}
 		if isLost() {
 			select {
 			case <-lost:
-				return watch.Batch{}, store.ErrUnavailable.New("no answer to %s", v.vm.id)
+				return watch.Batch{}, noAnswer(reused).New("no answer to %s", v.vm.id)
 			case <-ctx.Done():
-				return watch.Batch{}, ctx.Err()
+				return watch.Batch{}, noAnswer(reused).Wrap(ctx.Err(), "read of %s ended", v.vm.id)
 			}
 		}
 	}
 }
 
+// noAnswer returns the type of the error of a read without an answer.
+func noAnswer(reused bool) *errorx.Type {
+	if reused {
+		return store.ErrConnectionLost
+	}
+	return store.ErrUnavailable
+}
+
 func (v timedView) batch(at watch.Revision, after watch.Cursor) watch.Batch {
 	b := watch.Batch{At: at}
 	if at > after.Revision {
