Poll a reader again soon if only its connection was lost

Cause: a poll without an answer counted as a failure of the reader whatever its connection, as at the store.

A poll that had no answer over a connection used before now costs the reader the short backoff of stale readers, 2 s, and closes the unused connections to other VMs. A VM without power fails the next poll over a new connection, and then gets the long one.

--- a/internal/peerfeed/feed_test.go
+++ b/internal/peerfeed/feed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -149,6 +150,15 @@
 	lost map[vm.ID]bool
 	// delay is how much longer each answer to a poll takes.
 	delay time.Duration
+	// conns holds the addresses of the callers' ends of connections, and lostConns those of the ones that were lost.
+	conns, lostConns map[string]bool
+}
+
+// loseConnections loses the open connections between VMs.
+func (f *fleet) loseConnections() {
+	f.pollsMu.Lock()
+	defer f.pollsMu.Unlock()
+	maps.Copy(f.lostConns, f.conns)
 }
 
 // newFleet starts n VMs past their startup period, which know each other and have
@@ -171,7 +181,7 @@
 		WithT: NewWithT(t), clock: clockwork.NewFakeClock(), feeds: make(map[vm.ID]*peerfeed.Feed),
 		store:   &fakeStore{down: make(map[vm.ID]bool), reads: make(map[vm.ID]int), lostConns: make(map[vm.ID]bool), onLostRead: func() {}},
 		servers: make(map[vm.ID]*httptest.Server), storeClocks: make(map[vm.ID]*fakeClock), polls: make(map[vm.ID]int),
-		lost: make(map[vm.ID]bool),
+		lost: make(map[vm.ID]bool), conns: make(map[string]bool), lostConns: make(map[string]bool),
 	}
 	f.store.put("a")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -191,7 +201,13 @@
 			f.pollsMu.Lock()
 			f.polls[id]++
 			lost, delay := f.lost[id], f.delay
+			f.conns[r.RemoteAddr] = true
+			lostConn := f.lostConns[r.RemoteAddr]
 			f.pollsMu.Unlock()
+			if lostConn {
+				<-r.Context().Done()
+				return
+			}
 			if lost {
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -84,7 +84,7 @@
 	headerStoreUp = "Store-Up-Ms"
 )
 
-// pollPeer sends a query to another VM. Errors: ErrNoReader, its subtype errStale,
+// pollPeer sends a query to another VM. Errors: ErrNoReader, its subtypes errStale and errPeerConnectionLost,
 // and watch.ErrHistoryGone.
 func (f *Feed) pollPeer(ctx context.Context, p peer, q query) (watch.Batch, error) {
 	resp, err := f.fetchFromPeer(ctx, p, q)
@@ -151,6 +151,11 @@
 		return fetch.Response{}, ErrNoReader.Wrap(err, "create request")
 	}
 	resp, err := f.timeouts.Do(f.http, req, p.address, q.wait, fetch.Limits{MaxBytes: maxBatchBytes})
+	if err != nil && resp.Reused && ctx.Err() == nil {
+		// Those to other VMs may have been lost together with it.
+		f.http.CloseIdleConnections()
+		return fetch.Response{}, errPeerConnectionLost.Wrap(err, "poll reader %s", p.name)
+	}
 	if err != nil {
 		return fetch.Response{}, ErrNoReader.Wrap(err, "poll reader %s", p.name)
 	}
--- a/internal/peerfeed/selection.go
+++ b/internal/peerfeed/selection.go
@@ -188,12 +188,12 @@
 	return failed && f.clock.Since(at) < f.opts.StoreRetryDelay
 }
 
-// startBackoff excludes a peer from selection for the table after a failed poll; a
-// seed that didn't respond during startup is excluded for StartupPeriod.
+// startBackoff excludes a peer from selection for the table after a failed poll. The time is short if its data was stale
+// or only the connection may have been lost; a seed that didn't respond during startup is excluded for StartupPeriod.
 func (f *Feed) startBackoff(p peer, table string, err error) {
 	duration := f.opts.ReaderBackoff
 	switch {
-	case errorx.IsOfType(err, errStale):
+	case errorx.IsOfType(err, errStale), errorx.IsOfType(err, errPeerConnectionLost):
 		duration = f.opts.StaleReaderBackoff
 	case f.inStartup():
 		duration = f.opts.StartupPeriod
