Soak a suspended store, slow VMs and a faulty way between VMs

--slow-parts: the store answers nothing for 3 to 8 s and then all that was asked (`store_suspended`), a VM runs for 40 ms of each 100 (`vm_slow`, no disturbance), and a VM reaches no other VM (`peers_unreachable`, no disturbance, as the store answers it). The kinds of faults of a run are in one table.

--- a/soak/command/gateway.go
+++ b/soak/command/gateway.go
@@ -32,15 +32,22 @@
 	return cmd
 }
 
-// controlOf returns the handler that sets the mode of the way to upstreams to the number in the body, or loses the open
-// connections to upstreams and other VMs.
+// controlOf returns the handler that sets the modes of the ways to upstreams and to other VMs, or loses the open connections
+// of both.
 func controlOf(way, peers *standin.Way) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+soak.LossPath, func(http.ResponseWriter, *http.Request) {
 		way.LoseConnections()
 		peers.LoseConnections()
 	})
-	mux.HandleFunc("PUT "+soak.WayPath, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("PUT "+soak.WayPath, setModeOf(way))
+	mux.HandleFunc("PUT "+soak.PeersPath, setModeOf(peers))
+	return mux
+}
+
+// setModeOf returns the handler that sets the mode of a way to the number in the body.
+func setModeOf(way *standin.Way) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -51,6 +58,5 @@
 			return
 		}
 		way.SetMode(standin.WayMode(mode))
-	})
-	return mux
+	}
 }
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -14,6 +14,9 @@
 // WayPath is the path at which a gateway of the soak takes changes of its way to upstreams.
 const WayPath = "/way"
 
+// PeersPath is the path at which a gateway of the soak takes changes of its way to other VMs.
+const PeersPath = "/peers"
+
 // LossPath is the path at which a gateway of the soak is asked to lose its open connections to upstreams and other VMs.
 const LossPath = "/loss"
 
--- a/soak/link.go
+++ b/soak/link.go
@@ -22,11 +22,16 @@
 	DropAll
 	// Refuse closes new connections immediately.
 	Refuse
+	// Hold carries nothing until the mode changes, and then all that came meanwhile, as a suspended process at the
+	// target does. It is not among the modes that are drawn at random.
+	Hold
 )
 
 const (
 	linkDelay  = 80 * time.Millisecond
 	linkBuffer = 32 << 10 // bytes
+	// holdPollInterval is the time between two looks whether a link still holds data.
+	holdPollInterval = 5 * time.Millisecond
 )
 
 // Link is a TCP proxy on loopback that simulates network faults between a process and a
@@ -140,6 +145,10 @@
 		if m == Delay {
 			time.Sleep(linkDelay)
 		}
+		for m == Hold {
+			time.Sleep(holdPollInterval)
+			m = Mode(l.mode.Load())
+		}
 		dropping = dropping || isLost() || m == DropAll || m == DropResponses && responses
 		if dropping {
 			continue
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,8 @@
 	FloodPlaces []string
 	// LostConnections includes open connections to the store that fall silent for good among the faults.
 	LostConnections bool
+	// SlowParts includes a suspended store, VMs with little processor time and a faulty way between VMs among the faults.
+	SlowParts bool
 	// Configurations includes configurations that change more than keys, upstreams that leave without saying so, and
 	// storms of configurations among the faults.
 	Configurations bool
@@ -183,6 +185,31 @@
 	return report, nil
 }
 
+// faultKinds returns the kinds of faults of a run. Their order decides what a seed draws.
+func (o Options) faultKinds() []faultKind {
+	cuttable := o.CuttableBinary != ""
+	kinds := slices.Clone(faultKinds)
+	for _, extra := range []struct {
+		included bool
+		kinds    []faultKind
+	}{
+		{o.Restores, []faultKind{restoreFault}}, {o.Limits, []faultKind{limitFault}}, {o.Crashes, crashFaults},
+		{cuttable, []faultKind{cutFault}}, {o.Fragile, []faultKind{fragileFault}}, {o.Answers, []faultKind{answersFault}},
+		{o.OddRows, []faultKind{oddRowFault}}, {o.Regions, regionFaults}, {o.Silences, []faultKind{silenceFault}},
+		{o.Floods, []faultKind{floodFault}}, {o.LostConnections, []faultKind{lostConnectionsFault}},
+		{o.LostConnections && cuttable, []faultKind{allConnectionsFault}}, {o.SlowParts, slowPartsFaults},
+		{o.SlowParts && cuttable, []faultKind{peersFault}}, {o.Configurations, configurationFaults},
+	} {
+		if extra.included {
+			kinds = append(kinds, extra.kinds...)
+		}
+	}
+	if len(o.Only) == 0 {
+		return kinds
+	}
+	return slices.DeleteFunc(kinds, func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
+}
+
 // runTrafficAndFaults sends requests and injects faults until both are finished. Each
 // worker and the traffic have their own random sequence, derived from the seed.
 func runTrafficAndFaults(ctx context.Context, o Options, bed *testbed, generator *trafficGenerator, report *Report) {
@@ -190,49 +217,7 @@
 	defer endTraffic()
 	faultCtx, endFaults := context.WithTimeout(ctx, o.Duration)
 	defer endFaults()
-	faults := &injector{bed: bed, bounds: o.Bounds, report: report, kinds: faultKinds, floodPlaces: o.FloodPlaces}
-	if o.Restores {
-		faults.kinds = append(slices.Clip(faults.kinds), restoreFault)
-	}
-	if o.Limits {
-		faults.kinds = append(slices.Clip(faults.kinds), limitFault)
-	}
-	if o.Crashes {
-		faults.kinds = append(slices.Clip(faults.kinds), crashFaults...)
-	}
-	if o.CuttableBinary != "" {
-		faults.kinds = append(slices.Clip(faults.kinds), cutFault)
-	}
-	if o.Fragile {
-		faults.kinds = append(slices.Clip(faults.kinds), fragileFault)
-	}
-	if o.Answers {
-		faults.kinds = append(slices.Clip(faults.kinds), answersFault)
-	}
-	if o.OddRows {
-		faults.kinds = append(slices.Clip(faults.kinds), oddRowFault)
-	}
-	if o.Regions {
-		faults.kinds = append(slices.Clip(faults.kinds), regionFaults...)
-	}
-	if o.Silences {
-		faults.kinds = append(slices.Clip(faults.kinds), silenceFault)
-	}
-	if o.Floods {
-		faults.kinds = append(slices.Clip(faults.kinds), floodFault)
-	}
-	if o.LostConnections {
-		faults.kinds = append(slices.Clip(faults.kinds), lostConnectionsFault)
-		if o.CuttableBinary != "" {
-			faults.kinds = append(slices.Clip(faults.kinds), allConnectionsFault)
-		}
-	}
-	if o.Configurations {
-		faults.kinds = append(slices.Clip(faults.kinds), configurationFaults...)
-	}
-	if len(o.Only) > 0 {
-		faults.kinds = slices.DeleteFunc(slices.Clone(faults.kinds), func(k faultKind) bool { return !slices.Contains(o.Only, k.name) })
-	}
+	faults := &injector{bed: bed, bounds: o.Bounds, report: report, kinds: o.faultKinds(), floodPlaces: o.FloodPlaces}
 	var wait sync.WaitGroup
 	wait.Go(func() { bed.watchStalls(trafficCtx) })
 	if o.Floods {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -164,6 +164,22 @@
 	g.Expect(report.Faults).To(HaveKey("engine_leaves"))
 }
 
+// TestShortSoakOfAllLostConnectionsHasNoViolations guards against changes that come late while configurations of each kind
+// are sent, VMs have little processor time and the connections to the store, to upstreams and between VMs are lost.
+func TestShortSoakOfAllLostConnectionsHasNoViolations(t *testing.T) {
+	g := NewWithT(t)
+	o := soak.DefaultOptions()
+	o.CuttableBinary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), t.TempDir(), 7000, 4
+	o.Duration, o.VMs, o.Engines, o.Rate, o.LateCallers = 18*time.Second, 6, 6, 100, 8
+	o.LostConnections, o.Configurations, o.SlowParts = true, true, true
+	o.Only = []string{"all_connections_lost", "configure_variant", "configure_storm", "keys", "engine_leaves", "engine_vanishes", "vm_slow", "peers_unreachable"}
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
+	g.Expect(report.Faults).To(HaveKey("all_connections_lost"))
+	g.Expect(report.Faults).To(HaveKey("configure_storm"))
+}
+
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
 	path := binary(t, "poplarshored")
 	for _, r := range regressions {
