--- a/soak/checker.go
+++ b/soak/checker.go
@@ -74,6 +74,7 @@
 		c.checkOddRows(x)
 		c.checkLookupServices(x)
 	}
+	c.checkTimeouts()
 	c.checkConfigurationOrder()
 	c.checkExclusions()
 	c.checkRegions()
