Let VMs that the store does not answer list a table from others

What was seen: beside a dropped history (410), a VM to which the store is silent never follows while the silence lasts, and others follow up to 4.5 s after a change (bound 4 s in the model).

Cause, three parts. A VM whose log does not go back to the asked revision answered a hedge with 503, like one without data. The hedge took that, and 410, for nothing newer, although such a VM knows newer changes. And a listing was not hedged: it waited for a reader, then for the store, in a row.

Now such a VM answers 410; a hedge without a better answer then ends with ErrHistoryGone, and a listing that replaces an earlier copy is hedged by the age of that copy, as polls are. One VM is asked for all rows in each step, and its copy is taken only if it is newer.

The model's dropHistory now comes with a change of another table, as in the store: before, it made all VMs list again without end.

--- a/internal/peerfeed/bound_test.go
+++ b/internal/peerfeed/bound_test.go
@@ -86,6 +86,7 @@
 		{"lost", func(*timedFleet) {}},
 		{"lost beside a silence", func(f *timedFleet) { f.silence(true, 0.35) }},
 		{"lost beside a dropped history", func(f *timedFleet) { f.store.dropHistory() }},
+		{"lost beside a silence and a dropped history", func(f *timedFleet) { f.silence(true, 0.35); f.store.dropHistory() }},
 	} {
 		for _, n := range []int{3, 7, 24} {
 			for seed := range uint64(4) {
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -132,27 +132,38 @@
 	return h
 }
 
-// List implements watch.Source. It returns a seed's stale copy of the table only
-// if the store doesn't answer, as there is no newer copy to be had then.
+// List implements watch.Source. A listing that replaces an earlier copy is hedged like a poll. It returns a seed's stale
+// copy of the table only if the store doesn't answer, as there is no newer copy to be had then.
 func (f *Feed) List(ctx context.Context, table string) (watch.Batch, error) {
 	h := f.history(table)
-	if b, ok := f.listFromReader(ctx, table); ok {
+	list := func(ctx context.Context) (watch.Batch, error) { return f.listOnce(ctx, h, table) }
+	read := list
+	if h.isListed() && !f.inStartup() {
+		read = func(ctx context.Context) (watch.Batch, error) { return f.pollHedged(ctx, h, table, fullTable, list) }
+	}
+	b, err := read(ctx)
+	if err == nil {
+		// A listing may be older than the store's latest changes.
 		h.reset(b, f.clock.Now())
+	}
+	return b, err
+}
+
+// listOnce lists a table from a reader, or else from the store.
+func (f *Feed) listOnce(ctx context.Context, h *history, table string) (watch.Batch, error) {
+	if b, ok := f.listFromReader(ctx, table); ok {
 		return b, nil
 	}
 	b, err := f.listFromStore(ctx, table)
+	if err != nil && wasOutrun(ctx) {
+		return b, err
+	}
 	f.recordStoreRead(table, err != nil)
-	if err != nil {
-		h.markStale()
-		stale, err := f.listStaleFromSeeds(ctx, table, err)
-		if err == nil {
-			h.reset(stale, f.clock.Now())
-		}
-		return stale, err
+	if err == nil {
+		return b, nil
 	}
-	// A listing may be older than the store's latest changes.
-	h.reset(b, f.clock.Now())
-	return b, nil
+	h.markStale()
+	return f.listStaleFromSeeds(ctx, table, err)
 }
 
 // listFromStore lists a table from the store, over a new connection if the first one was lost.
@@ -180,7 +191,10 @@
 	}
 	b, err := f.pollPeer(ctx, p, query{table: table, after: fullTable, wait: f.opts.FreshWait})
 	f.countRead("reader", err)
-	if err != nil {
+	switch {
+	case err != nil && wasOutrun(ctx):
+		f.startBackoff(p, table, errStale.Wrap(err, "reader %s", p.name))
+	case err != nil:
 		f.startBackoff(p, table, err)
 	}
 	return b, err == nil
--- a/internal/peerfeed/hedge.go
+++ b/internal/peerfeed/hedge.go
@@ -21,6 +21,8 @@
 	// that found nothing newer there is only one.
 	hedgePeers     = 3
 	hedgePeerSteps = 6
+	// hedgeListers is the number of VMs that one step asks for all rows, which may be many.
+	hedgeListers = 1
 	// minHedgeGain is how much later than this VM's copy that of another VM must have been confirmed to be of use
 	// although it has no further changes.
 	minHedgeGain = 300 * time.Millisecond
@@ -38,6 +40,8 @@
 	errOutrun = namespace.NewType("outrun")
 	// errNothingNewer reports a copy that was not confirmed later than that of this VM.
 	errNothingNewer = ErrNoReader.NewSubtype("nothing_newer")
+	// errPeerHistoryGone reports a VM that no longer has the changes since this VM's copy.
+	errPeerHistoryGone = ErrNoReader.NewSubtype("history_gone")
 )
 
 // wasOutrun reports whether the hedge of a poll had an answer before the poll.
@@ -125,15 +129,32 @@
 	defer cancel()
 	startedAt := f.clock.Now()
 	copyAge := startedAt.Sub(h.knownSince())
-	steps := f.hedgeSteps(h, table, after)
+	r := f.askInSteps(ctx, f.hedgeSteps(h, table, after))
+	if parent.Err() == nil || r.isFinal() {
+		f.endHedge(table, r.isFinal())
+		f.reportHedge(table, r.source, copyAge, startedAt)
+	}
+	if r.err == nil && after != fullTable {
+		h.apply(r.batch, r.servedFrom)
+	}
+	return r.batch, r.err
+}
+
+// askInSteps asks sources step by step and returns the first final result. VMs that no longer have the changes since this
+// VM's copy know newer ones; unless a source of the same step has an answer, the table is to be listed then.
+func (f *Feed) askInSteps(ctx context.Context, steps [][]ask) readResult {
+	last := readResult{err: errNothingNewer.New("neither the store nor other VMs have newer data")}
 	results := make(chan readResult, len(steps)*hedgePeers)
 	next := f.clock.NewTimer(0)
 	defer next.Stop()
 	for pending := 0; len(steps) > 0 || pending > 0; {
 		select {
 		case <-ctx.Done():
-			steps, pending = nil, 0
+			return last
 		case <-next.Chan():
+			if last.isFinal() {
+				return last
+			}
 			if len(steps) == 0 {
 				continue
 			}
@@ -145,24 +166,18 @@
 			next.Reset(hedgeInterval)
 		case r := <-results:
 			pending--
-			if r.isFinal() {
-				f.endHedge(table, true)
-				f.reportHedge(table, r.source, copyAge, startedAt)
-				if r.err == nil {
-					h.apply(r.batch, r.servedFrom)
-				}
-				return r.batch, r.err
+			switch {
+			case r.isFinal():
+				return r
+			case errorx.IsOfType(r.err, errPeerHistoryGone):
+				last = readResult{err: watch.ErrHistoryGone.Wrap(r.err, "VM %s", r.source), source: r.source}
 			}
 			if pending == 0 {
 				next.Reset(0)
 			}
 		}
 	}
-	if parent.Err() == nil {
-		f.endHedge(table, false)
-		f.reportHedge(table, "", copyAge, startedAt)
-	}
-	return watch.Batch{}, errNothingNewer.New("neither the store nor other VMs have newer data of table %s", table)
+	return last
 }
 
 // closeIdleConnections closes the unused connections to other VMs, and to the store for a table.
@@ -205,12 +220,16 @@
 	defer f.mu.Unlock()
 	isReader, failedBefore := f.polledRecently(table), f.hedges[table].pause > 0
 	peers := f.hedgeCandidates(table)
-	wanted := hedgePeerSteps * hedgePeers
+	perStep := hedgePeers
+	if after == fullTable {
+		perStep = hedgeListers
+	}
+	wanted := hedgePeerSteps * perStep
 	if failedBefore {
-		wanted = hedgePeers
+		wanted = perStep
 	}
 	var steps [][]ask
-	for group := range slices.Chunk(peers[:min(wanted, len(peers))], hedgePeers) {
+	for group := range slices.Chunk(peers[:min(wanted, len(peers))], perStep) {
 		var step []ask
 		for _, p := range group {
 			step = append(step, func(ctx context.Context) readResult { return f.askPeer(ctx, h, p, table, after) })
@@ -249,7 +268,7 @@
 // askStore reads the store without waiting for changes.
 func (f *Feed) askStore(ctx context.Context, table string, after watch.Cursor) readResult {
 	startedAt := f.clock.Now()
-	b, err := f.store.Changes(ctx, table, after, 0)
+	b, err := f.readStore(ctx, table, after)
 	f.countRead("hedge_store", err)
 	r := readResult{batch: b, err: err, source: "store"}
 	if !r.isFinal() && ctx.Err() != nil && f.clock.Since(startedAt) < storePatience {
@@ -263,6 +282,14 @@
 	return r
 }
 
+// readStore reads the changes after a position from the store, or all rows if that is fullTable.
+func (f *Feed) readStore(ctx context.Context, table string, after watch.Cursor) (watch.Batch, error) {
+	if after == fullTable {
+		return f.store.List(ctx, table)
+	}
+	return f.store.Changes(ctx, table, after, 0)
+}
+
 // askPeer asks another VM for the changes that it knows, however old its copy is.
 func (f *Feed) askPeer(ctx context.Context, h *history, p peer, table string, after watch.Cursor) readResult {
 	b, err := f.pollPeer(ctx, p, query{table: table, after: after, allowStale: true})
@@ -272,7 +299,7 @@
 	f.countRead("hedge_peer", err)
 	if errorx.IsOfType(err, watch.ErrHistoryGone) {
 		// Another VM may have a shorter history than the store.
-		err = errNothingNewer.Wrap(err, "VM %s", p.name)
+		err = errPeerHistoryGone.Wrap(err, "VM %s", p.name)
 	}
 	return readResult{batch: b, err: err, source: p.name}
 }
--- a/internal/peerfeed/history.go
+++ b/internal/peerfeed/history.go
@@ -84,6 +84,13 @@
 	return h.knownAt
 }
 
+// isListed reports whether there is a copy of the table.
+func (h *history) isListed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.listed
+}
+
 // isUnconfirmed reports whether the store has not confirmed the rows since they were listed, as far as this VM knows.
 func (h *history) isUnconfirmed() bool {
 	h.mu.Lock()
@@ -91,12 +98,17 @@
 	return h.knownAt.IsZero()
 }
 
-// isNewer reports whether a batch of another VM has changes after the position, or was confirmed so much later than the
-// rows that it is of use.
+// isNewer reports whether a batch of another VM has changes after the position, that of the rows for fullTable, or was
+// confirmed so much later than the rows that it is of use.
 func (h *history) isNewer(b watch.Batch, after watch.Cursor) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if b.Era != h.era || b.ConfirmedAt.IsZero() {
+	if b.ConfirmedAt.IsZero() || b.Era < h.era {
+		return false
+	}
+	if after == fullTable {
+		after = watch.Cursor{Era: h.era, Revision: h.revision}
+	} else if b.Era > h.era {
 		return false
 	}
 	return after.Before(b.Cursor()) || b.ConfirmedAt.Sub(h.knownAt) >= minHedgeGain
@@ -209,8 +221,8 @@
 // response is the response to a follower's poll as of one moment.
 type response struct {
 	batch watch.Batch
-	// complete reports that the log goes back to the requested revision.
-	complete bool
+	// complete reports that the log goes back to the requested revision, and outgrown that it doesn't because the copy is newer.
+	complete, outgrown bool
 	// freshFor is how long the response stays fresh; if zero or less it is stale.
 	freshFor time.Duration
 	// knownAt is that of the history.
@@ -227,6 +239,7 @@
 	defer h.mu.Unlock()
 	resp := response{batch: watch.Batch{At: h.revision, Era: h.era}, changed: h.changed, knownAt: h.knownAt}
 	resp.complete = h.listed && (after == fullTable || after.Era == h.era && after.Revision >= h.logStart)
+	resp.outgrown = h.listed && !resp.complete && after.Before(watch.Cursor{Era: h.era, Revision: h.logStart})
 	if h.listed && !h.confirmedAt.IsZero() && after.Era <= h.era {
 		resp.freshFor = maxAge - now.Sub(h.confirmedAt)
 	}
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -173,7 +173,7 @@
 
 // ServeHTTP implements http.Handler for Path. It answers a query with the rows, as
 // JSON, with 410 if the changes since the revision are no longer kept, or with 503
-// if this VM has no fresh data, or no data at all for a query that accepts stale data.
+// if this VM has no fresh data, or for a query that accepts stale data no data at all, or older data than that VM.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q, err := parseQuery(r)
 	if err != nil {
@@ -187,7 +187,7 @@
 	}
 	resp := h.poll(r.Context(), f.clock, q, f.opts.MaxAge)
 	switch {
-	case q.allowStale && !resp.complete, !q.allowStale && resp.freshFor <= 0:
+	case q.allowStale && !resp.complete && !resp.outgrown, !q.allowStale && resp.freshFor <= 0:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case !resp.complete:
--- a/internal/peerfeed/timed_fleet_test.go
+++ b/internal/peerfeed/timed_fleet_test.go
@@ -93,11 +93,12 @@
 	s.unused[id] = append(s.unused[id], conn)
 }
 
-// dropHistory makes all VMs list the table again.
+// dropHistory makes all VMs list the table again, after a change of another table.
 func (s *timedStore) dropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.goneBefore = s.at + 1
+	s.at++
+	s.goneBefore = s.at
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
