Take no stale copy of a seed where there is a copy already

Found by reading the diff: a listing that replaces a copy took a seed's copy, which may be older, when the store did not answer. That ended the listing before its hedge, and the watch rejected it as older than the known revision. Only the first listing does so now; later ones are hedged, and take a copy only if it is newer.

--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -132,16 +132,15 @@
 	return h
 }
 
-// List implements watch.Source. A listing that replaces an earlier copy is hedged like a poll. It returns a seed's stale
-// copy of the table only if the store doesn't answer, as there is no newer copy to be had then.
+// List implements watch.Source. A listing that replaces an earlier copy is hedged like a poll. The first one is a seed's copy
+// that may be stale if the store doesn't answer, as there is no newer copy to be had then.
 func (f *Feed) List(ctx context.Context, table string) (watch.Batch, error) {
 	h := f.history(table)
-	list := func(ctx context.Context) (watch.Batch, error) { return f.listOnce(ctx, h, table) }
-	read := list
+	read := f.listFirst
 	if h.isListed() && !f.inStartup() {
-		read = func(ctx context.Context) (watch.Batch, error) { return f.pollHedged(ctx, h, table, fullTable, list) }
+		read = f.listHedged
 	}
-	b, err := read(ctx)
+	b, err := read(ctx, h, table)
 	if err == nil {
 		// A listing may be older than the store's latest changes.
 		h.reset(b, f.clock.Now())
@@ -149,6 +148,22 @@
 	return b, err
 }
 
+// listFirst lists a table of which there is no copy yet, or during startup.
+func (f *Feed) listFirst(ctx context.Context, h *history, table string) (watch.Batch, error) {
+	b, err := f.listOnce(ctx, h, table)
+	if err != nil {
+		return f.listStaleFromSeeds(ctx, table, err)
+	}
+	return b, nil
+}
+
+// listHedged lists a table and hedges that by the age of the copy.
+func (f *Feed) listHedged(ctx context.Context, h *history, table string) (watch.Batch, error) {
+	return f.pollHedged(ctx, h, table, fullTable, func(ctx context.Context) (watch.Batch, error) {
+		return f.listOnce(ctx, h, table)
+	})
+}
+
 // listOnce lists a table from a reader, or else from the store.
 func (f *Feed) listOnce(ctx context.Context, h *history, table string) (watch.Batch, error) {
 	if b, ok := f.listFromReader(ctx, table); ok {
@@ -159,11 +174,10 @@
 		return b, err
 	}
 	f.recordStoreRead(table, err != nil)
-	if err == nil {
-		return b, nil
+	if err != nil {
+		h.markStale()
 	}
-	h.markStale()
-	return f.listStaleFromSeeds(ctx, table, err)
+	return b, err
 }
 
 // listFromStore lists a table from the store, over a new connection if the first one was lost.
