Ask the few VMs of a small fleet again in a hedge

A hedge asked each other VM once. In a fleet of three, where the store was silent to one VM, its hedge asked both others 16 ms before their own copies were confirmed again, had "nothing newer", and then waited 0.7 s for the silent store and 0.5 s more until the next one; all VMs' copies grow old in step.

Where there are fewer other VMs than a hedge has places for, they are now asked again in the next steps, 120 ms apart. After a hedge in vain there is one step, as before.

--- a/internal/peerfeed/hedge.go
+++ b/internal/peerfeed/hedge.go
@@ -17,8 +17,8 @@
 	// without the answers to the one before.
 	hedgeTimeout  = 800 * time.Millisecond
 	hedgeInterval = 120 * time.Millisecond
-	// hedgePeers is the number of VMs that one step asks, and hedgePeerSteps the number of such steps; after a hedge
-	// that found nothing newer there is only one.
+	// hedgePeers is the number of VMs that one step asks at most, and hedgePeerSteps the number of such steps; after a
+	// hedge that found nothing newer there is only one.
 	hedgePeers     = 3
 	hedgePeerSteps = 6
 	// hedgeListers is the number of VMs that one step asks for all rows, which may be many.
@@ -220,16 +220,15 @@
 	defer f.mu.Unlock()
 	isReader, failedBefore := f.polledRecently(table), f.hedges[table].pause > 0
 	peers := f.hedgeCandidates(table)
-	perStep := hedgePeers
+	perStep, wanted := hedgePeers, hedgePeerSteps
 	if after == fullTable {
 		perStep = hedgeListers
 	}
-	wanted := hedgePeerSteps * perStep
 	if failedBefore {
-		wanted = perStep
+		wanted = 1
 	}
 	var steps [][]ask
-	for group := range slices.Chunk(peers[:min(wanted, len(peers))], perStep) {
+	for _, group := range groupsOf(peers, perStep, wanted) {
 		var step []ask
 		for _, p := range group {
 			step = append(step, func(ctx context.Context) readResult { return f.askPeer(ctx, h, p, table, after) })
@@ -246,6 +245,21 @@
 	return slices.Insert(steps, 1, store)
 }
 
+// groupsOf returns count groups of peers, none if there are no peers. Where there are too few, they come again: one that had
+// nothing newer may have it soon.
+func groupsOf(peers []peer, size, count int) [][]peer {
+	size = min(size, len(peers))
+	var groups [][]peer
+	for i := 0; size > 0 && i < count; i++ {
+		group := make([]peer, 0, size)
+		for j := range size {
+			group = append(group, peers[(i*size+j)%len(peers)])
+		}
+		groups = append(groups, group)
+	}
+	return groups
+}
+
 // hedgeCandidates returns the VMs that a hedge may ask, in random order: the other VMs, or the seeds while none is known.
 // The caller holds f.mu.
 func (f *Feed) hedgeCandidates(table string) []peer {
