Count a connection that a poll waited on among those that may be lost

Cause: asked whether the connection had been used before. A long poll may lose a new one as well. Only a read that waits for nothing, over a new connection, tells whether the store or a reader answers: fetch.Conn.MayBeLost.

--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -31,8 +31,8 @@
 	// was written, and the operation may be repeated.
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
 
-	// ErrConnectionLost reports a read that had no answer over a connection that had been used before. The connection may
-	// have been lost while the store answers new ones.
+	// ErrConnectionLost reports a read that had no answer over a connection that had been used before, or on which the read
+	// waited. The connection may have been lost while the store answers new ones.
 	ErrConnectionLost = ErrUnavailable.NewSubtype("connection_lost")
 	// ErrUnknown reports that a write may have taken effect, may have had no effect,
 	// or may still take effect later.
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -38,12 +38,12 @@
 	Body   []byte
 	// HeaderTime is the time from the request to the response header.
 	HeaderTime time.Duration
-	// Reused reports that the connection had been used before.
-	Reused bool
+	// Conn is the kind of the connection.
+	Conn Conn
 }
 
 // Do sends a request and reads its response. Errors: ErrTimeout, ErrTooLong and those of
-// the client. After an error in the body the response has its status. Reused is set after any error.
+// the client. After an error in the body the response has its status. Conn is set after any error.
 func Do(client *http.Client, req *http.Request, l Limits) (Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	defer cancel(nil)
@@ -54,7 +54,7 @@
 		})
 	defer timer.Stop()
 	resp, err := read(client, req.WithContext(conn.trace(ctx)), l, timer)
-	resp.Reused = conn.isReused()
+	resp.Conn = conn.kind()
 	if cause := context.Cause(ctx); err != nil && errorx.IsOfType(cause, ErrTimeout) {
 		return resp, cause
 	}
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -28,8 +28,8 @@
 var (
 	// errStale reports a reader whose data is not fresh.
 	errStale = ErrNoReader.NewSubtype("stale")
-	// errPeerConnectionLost reports a poll without an answer over a connection that had been used before. The connection may
-	// have been lost while the reader answers new ones.
+	// errPeerConnectionLost reports a poll without an answer over a connection that had been used before, or on which it
+	// waited. The connection may have been lost while the reader answers new ones.
 	errPeerConnectionLost = ErrNoReader.NewSubtype("connection_lost")
 	// errInterrupted reports a poll that was interrupted because another VM
 	// polled this one as the reader.
--- a/internal/peerfeed/http.go
+++ b/internal/peerfeed/http.go
@@ -151,7 +151,7 @@
 		return fetch.Response{}, ErrNoReader.Wrap(err, "create request")
 	}
 	resp, err := f.timeouts.Do(f.http, req, p.address, q.wait, fetch.Limits{MaxBytes: maxBatchBytes})
-	if err != nil && resp.Reused && ctx.Err() == nil {
+	if err != nil && resp.Conn.MayBeLost(q.wait) && ctx.Err() == nil {
 		// Those to other VMs may have been lost together with it.
 		f.http.CloseIdleConnections()
 		return fetch.Response{}, errPeerConnectionLost.Wrap(err, "poll reader %s", p.name)
--- a/internal/peerfeed/timed_fleet_test.go
+++ b/internal/peerfeed/timed_fleet_test.go
@@ -184,24 +184,24 @@
 		case <-waited:
 			answered, waited = true, nil
 		case <-lost:
-			return watch.Batch{}, noAnswer(reused).New("no answer to %s", v.vm.id)
+			return watch.Batch{}, noAnswer(reused || wait > 0).New("no answer to %s", v.vm.id)
 		case <-ctx.Done():
-			return watch.Batch{}, noAnswer(reused).Wrap(ctx.Err(), "read of %s ended", v.vm.id)
+			return watch.Batch{}, noAnswer(reused || wait > 0).Wrap(ctx.Err(), "read of %s ended", v.vm.id)
 		}
 		if isLost() {
 			select {
 			case <-lost:
-				return watch.Batch{}, noAnswer(reused).New("no answer to %s", v.vm.id)
+				return watch.Batch{}, noAnswer(reused || wait > 0).New("no answer to %s", v.vm.id)
 			case <-ctx.Done():
-				return watch.Batch{}, noAnswer(reused).Wrap(ctx.Err(), "read of %s ended", v.vm.id)
+				return watch.Batch{}, noAnswer(reused || wait > 0).Wrap(ctx.Err(), "read of %s ended", v.vm.id)
 			}
 		}
 	}
 }
 
 // noAnswer returns the type of the error of a read without an answer.
-func noAnswer(reused bool) *errorx.Type {
-	if reused {
+func noAnswer(mayBeLost bool) *errorx.Type {
+	if mayBeLost {
 		return store.ErrConnectionLost
 	}
 	return store.ErrUnavailable
