Share what the tests of the soak repeat

Each short soak checked its report in the same lines, and two faults started a replacement of an upstream in the same way. The checks are the same; each failure now names the seed.

--- a/soak/configurations.go
+++ b/soak/configurations.go
@@ -111,9 +111,8 @@
 		return
 	}
 	defer f.replaceMu.Unlock()
-	e := f.pickEngine(rng)
-	if err := f.bed.addEngine(e.Service, e.Version, domains[rng.IntN(len(domains))]); err != nil {
-		f.report.addViolation("no replacement of upstream %s could be started: %v", e.ID, err)
+	e, ok := f.startReplacement(rng)
+	if !ok {
 		return
 	}
 	f.bed.unregister(e)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -252,6 +252,16 @@
 	e.limit.Store(nil)
 }
 
+// startReplacement starts an upstream in place of a random one and returns that one. A failure is a violation, and false.
+func (f *injector) startReplacement(rng *rand.Rand) (*engine, bool) {
+	e := f.pickEngine(rng)
+	if err := f.bed.addEngine(e.Service, e.Version, domains[rng.IntN(len(domains))]); err != nil {
+		f.report.addViolation("no replacement of upstream %s could be started: %v", e.ID, err)
+		return nil, false
+	}
+	return e, true
+}
+
 // replaceEngine starts a replacement of an upstream, marks the old one as draining and
 // removes it after the drain bound, unless the run has ended by then.
 func (f *injector) replaceEngine(ctx context.Context, rng *rand.Rand) {
@@ -259,9 +269,8 @@
 		return
 	}
 	defer f.replaceMu.Unlock()
-	e := f.pickEngine(rng)
-	if err := f.bed.addEngine(e.Service, e.Version, domains[rng.IntN(len(domains))]); err != nil {
-		f.report.addViolation("no replacement of upstream %s could be started: %v", e.ID, err)
+	e, ok := f.startReplacement(rng)
+	if !ok {
 		return
 	}
 	f.bed.register(e, "draining")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,16 +36,29 @@
 	t.Helper()
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binaryPath, t.TempDir(), seed, concurrentFaults
+	o.Binary, o.Seed, o.ConcurrentFaults = binaryPath, seed, concurrentFaults
 	o.Restores, o.Limits, o.Crashes, o.Fragile = restores, restores, restores, false
 	o.Duration, o.VMs, o.Engines, o.Rate = 6*time.Second, 3, 3, 30
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "seed %d: logs in %s", seed, report.Dir)
+	report := expectNoViolations(t, o)
 	g.Expect(report.Requests).To(BeNumerically(">", 50))
 	g.Expect(report.Faults).NotTo(BeEmpty())
 }
 
+// expectNoViolations does a run in a directory of its own and checks that it has no violations and injected faults of
+// some kinds. It returns the report.
+func expectNoViolations(t *testing.T, o soak.Options, kinds ...string) *soak.Report {
+	t.Helper()
+	g := NewWithT(t)
+	o.Dir = t.TempDir()
+	report, err := soak.Run(t.Context(), o)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(report.Violations).To(BeEmpty(), "seed %d: logs in %s", o.Seed, report.Dir)
+	for _, kind := range kinds {
+		g.Expect(report.Faults).To(HaveKey(kind))
+	}
+	return report
+}
+
 func TestShortSoakHasNoViolations(t *testing.T) {
 	run(t, binary(t, "poplarshored"), 1, 1, true)
 }
@@ -53,68 +66,46 @@
 // VMs are cut off from engines, and engines end if they reject requests, beside
 // configurations.
 func TestShortSoakOfCutsAndFragileEnginesHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.CuttableBinary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), t.TempDir(), 1, 2
+	o.CuttableBinary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), 1, 2
 	o.Duration, o.VMs, o.Engines, o.Rate, o.Only = 12*time.Second, 3, 3, 30, []string{"cut_off", "fragile", "configure"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("cut_off"))
-	g.Expect(report.Faults).To(HaveKey("fragile"))
+	expectNoViolations(t, o, "cut_off", "fragile")
 }
 
 // TestShortSoakOfFaultyAnswersHasNoViolations guards against repeated refusals, cut heads and errors in
 // place of resumed streams that callers take for their own answers.
 func TestShortSoakOfFaultyAnswersHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 9101, 5
+	o.Binary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), 9101, 5
 	o.Duration, o.VMs, o.Engines, o.Rate, o.Answers, o.Only = 10*time.Second, 3, 4, 200, true, []string{"engine_answers"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("engine_answers"))
+	expectNoViolations(t, o, "engine_answers")
 }
 
 // TestShortSoakOfPlannedStopsHasNoViolations guards against whole requests that a planned stop leaves
 // without an answer, while signals, restarts and configurations overlap.
 func TestShortSoakOfPlannedStopsHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 4601, 3
+	o.Binary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), 4601, 3
 	o.Duration, o.VMs, o.Engines, o.Rate, o.LateCallers, o.Only = 14*time.Second, 3, 3, 30, 60, []string{"stop", "hangup", "configure"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("stop"))
+	expectNoViolations(t, o, "stop")
 }
 
 // TestShortSoakOfOddRowsHasNoViolations guards against processes that end on one odd entry among those of the
 // engines, and against requests that are sent to it.
 func TestShortSoakOfOddRowsHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 4701, 2
+	o.Binary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), 4701, 2
 	o.Duration, o.VMs, o.Engines, o.Rate, o.OddRows, o.Only = 10*time.Second, 3, 3, 100, true, []string{"odd_rows", "configure"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("odd_rows"))
+	expectNoViolations(t, o, "odd_rows")
 }
 
 // TestShortSoakOfRegionsHasNoViolations guards against requests to evacuated upstreams and outside
 // home regions while configurations change.
 func TestShortSoakOfRegionsHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 1, 2
+	o.Binary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), 1, 2
 	o.Duration, o.VMs, o.Engines, o.Rate, o.Regions, o.Only = 14*time.Second, 3, 6, 40, true, []string{"evacuation", "home_regions", "configure"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("evacuation"))
-	g.Expect(report.Faults).To(HaveKey("home_regions"))
+	expectNoViolations(t, o, "evacuation", "home_regions")
 }
 
 // TestShortSoakOfSilentEnginesHasNoViolations guards against whole requests that end without an answer because sound
@@ -122,13 +113,10 @@
 func TestShortSoakOfSilentEnginesHasNoViolations(t *testing.T) {
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults, o.Fragile = binary(t, "poplarshored"), t.TempDir(), 5509, 3, false
+	o.Binary, o.Seed, o.ConcurrentFaults, o.Fragile = binary(t, "poplarshored"), 5509, 3, false
 	o.Duration, o.VMs, o.Engines, o.Rate, o.LateCallers = 7*time.Second, 3, 2, 60, 10
 	o.Silences, o.Only = true, []string{"engine_silence", "configure", "hangup", "stop"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("engine_silence"))
+	report := expectNoViolations(t, o, "engine_silence")
 	g.Expect(report.Silences.DuringSilence).To(BeNumerically(">", 50))
 }
 
@@ -137,13 +125,11 @@
 func TestShortSoakOfFloodsHasNoViolations(t *testing.T) {
 	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults, o.Fragile = binary(t, "poplarshored"), t.TempDir(), 5752, 2, false
+	o.Binary, o.Seed, o.ConcurrentFaults, o.Fragile = binary(t, "poplarshored"), 5752, 2, false
 	o.Duration, o.VMs, o.Engines, o.Rate = 6*time.Second, 1, 2, 400
 	o.Floods, o.FloodPlaces, o.Only = true, []string{"event", "lines"}, []string{"engine_flood"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
+	report := expectNoViolations(t, o)
 	t.Logf("%d MiB at most, %v, %d requests", report.Floods.PeakBytes>>20, report.Floods.Places, report.Requests)
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
 	g.Expect(report.Floods.Places).NotTo(BeEmpty())
 	g.Expect(report.Floods.Neighbours).To(BeNumerically(">", 50))
 	g.Expect(report.Floods.Flooded).To(BeNumerically(">", 50))
@@ -152,32 +138,22 @@
 // TestShortSoakOfLostConnectionsHasNoViolations guards against configurations that come into force late, and requests to
 // upstreams that have left, because reads of the store wait on connections that fell silent for good.
 func TestShortSoakOfLostConnectionsHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.Binary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), t.TempDir(), 6500, 3
+	o.Binary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), 6500, 3
 	o.Duration, o.VMs, o.Engines, o.Rate = 20*time.Second, 6, 6, 200
 	o.LostConnections, o.Only = true, []string{"connections_lost", "configure", "keys", "engine_leaves"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("connections_lost"))
-	g.Expect(report.Faults).To(HaveKey("engine_leaves"))
+	expectNoViolations(t, o, "connections_lost", "engine_leaves")
 }
 
 // TestShortSoakOfAllLostConnectionsHasNoViolations guards against changes that come late while configurations of each kind
 // are sent, VMs have little processor time and the connections to the store, to upstreams and between VMs are lost.
 func TestShortSoakOfAllLostConnectionsHasNoViolations(t *testing.T) {
-	g := NewWithT(t)
 	o := soak.DefaultOptions()
-	o.CuttableBinary, o.Dir, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), t.TempDir(), 7000, 4
+	o.CuttableBinary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshore-soak"), 7000, 4
 	o.Duration, o.VMs, o.Engines, o.Rate, o.LateCallers = 18*time.Second, 6, 6, 100, 8
 	o.LostConnections, o.Configurations, o.SlowParts = true, true, true
 	o.Only = []string{"all_connections_lost", "configure_variant", "configure_storm", "keys", "engine_leaves", "engine_vanishes", "vm_slow", "peers_unreachable"}
-	report, err := soak.Run(t.Context(), o)
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(report.Violations).To(BeEmpty(), "logs in %s", report.Dir)
-	g.Expect(report.Faults).To(HaveKey("all_connections_lost"))
-	g.Expect(report.Faults).To(HaveKey("configure_storm"))
+	expectNoViolations(t, o, "all_connections_lost", "configure_storm")
 }
 
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
