--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -55,6 +55,7 @@
 	f.BoolVar(&o.Answers, "answers", o.Answers, "let upstreams repeat refusals, cut heads and answer resumed streams with errors, as one of the faults")
 	f.BoolVar(&o.Regions, "regions", o.Regions, "evacuate failure domains and change the home regions of a route, as two of the faults")
 	f.BoolVar(&o.LostConnections, "lost-connections", o.LostConnections, "let open connections to the store fall silent for good, as one of the faults")
+	f.BoolVar(&o.SiteSettings, "site-settings", o.SiteSettings, "give the VMs the settings that the deployment of the smallest VMs renders")
 	f.BoolVar(&o.SlowParts, "slow-parts", o.SlowParts, "suspend the store, take processor time from VMs and disturb the way between VMs, as some of the faults")
 	f.BoolVar(&o.Configurations, "configurations", o.Configurations, "change all parts of configurations, also in storms, and remove upstreams that don't say that they leave, as some of the faults")
 	f.IntVar(&o.LateCallers, "late-callers", o.LateCallers, "number of callers that send bodies slowly and reopen their connections")
--- a/soak/floods.go
+++ b/soak/floods.go
@@ -78,9 +78,18 @@
 	sleep(ctx, length)
 }
 
-// changeSettings changes the settings of a VM in runs with floods: little memory, and as many retries as the attempts of a
-// route allow, so that a used-up budget does not explain requests that no sound engine got.
+// siteRetrySlack and siteExposureSlack are those of the deployment of the smallest VMs.
+const (
+	siteRetrySlack    = 52
+	siteExposureSlack = 30
+)
+
+// changeSettings changes the settings of a VM: to those of the smallest VMs, or in runs with floods to little memory, and as
+// many retries as the attempts of a route allow, so that a used-up budget does not explain requests that no sound engine got.
 func (o Options) changeSettings(s *settings.Gateway) {
+	if o.SiteSettings {
+		s.MemoryMB, s.Retries.Slack, s.ExposureSlack, s.LoadControl.Admission = smallestMemoryMB, siteRetrySlack, siteExposureSlack, true
+	}
 	if o.Floods {
 		s.MemoryMB, s.Retries.Ratio = smallestMemoryMB, maxAttempts
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -52,6 +52,9 @@
 	FloodPlaces []string
 	// LostConnections includes open connections to the store that fall silent for good among the faults.
 	LostConnections bool
+	// SiteSettings gives the VMs the settings that the deployment of the smallest VMs renders, where they differ from the
+	// defaults.
+	SiteSettings bool
 	// SlowParts includes a suspended store, VMs with little processor time and a faulty way between VMs among the faults.
 	SlowParts bool
 	// Configurations includes configurations that change more than keys, upstreams that leave without saying so, and
