--- a/review/standin2/bed.go
+++ b/review/standin2/bed.go
@@ -19,7 +19,7 @@
 // bed is a small deployment on loopback: the store, engines, and gateways as processes.
 type bed struct {
 	dir       string
-	store     *standin.Store
+	store     *table
 	storeHTTP *httptest.Server
 	engines   []*standin.Engine
 	gateways  []*gateway
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bed{dir: dir, store: standin.NewStore(), record: r}
+	b := &bed{dir: dir, store: newTable(), record: r}
 	b.storeHTTP = httptest.NewServer(b.store)
 	return b, nil
 }
@@ -62,7 +62,7 @@
 func (b *bed) addEngine(e *standin.Engine) {
 	e.Start()
 	b.engines = append(b.engines, e)
-	b.store.Put("servers", e.ID, e.Entry("ready"))
+	b.store.put("servers", e.ID, e.Entry("ready"))
 }
 
 // gateway is a gateway process.
--- a/review/standin2/cascade.go
+++ b/review/standin2/cascade.go
@@ -31,7 +31,7 @@
 		Sizes: []string{"small", "large"}, MaxAttempts: 3, Resumable: true,
 	}}
 	keys := map[string][]string{tenant: {clientKey}}
-	b.store.Put("op", "config", standin.Config(1, routes, keys))
+	b.store.put("op", "config", standin.Config(1, routes, keys))
 	if err := b.addGateways(2); err != nil {
 		return false, err
 	}
@@ -39,7 +39,7 @@
 	if trouble {
 		added := routes[0]
 		added.Name, added.Prefix, added.Resumable = "once", "/once/", false
-		b.store.Put("op", "config", standin.Config(2, append(routes, added), keys))
+		b.store.put("op", "config", standin.Config(2, append(routes, added), keys))
 		b.record.note("configuration 2 adds the route /once/, whose streams can't be resumed")
 		path = "/once/2f"
 	}
--- a/review/standin2/refused.go
+++ b/review/standin2/refused.go
@@ -51,7 +51,7 @@
 			},
 		})
 	}
-	b.store.Put("op", "config", standin.Config(1, []standin.Route{
+	b.store.put("op", "config", standin.Config(1, []standin.Route{
 		{Name: "issue", Host: host, Prefix: "/issue/", Kind: standin.KindNonIdempotent, Service: "permits", TimeoutMS: 6000, TargetLatencyMS: 400, MaxAttempts: 3},
 	}, map[string][]string{tenant: {clientKey}}))
 	if err := b.addGateways(2); err != nil {
--- a/review/standin2/revoked.go
+++ b/review/standin2/revoked.go
@@ -27,7 +27,7 @@
 	routes := []standin.Route{{
 		Name: "issue", Host: host, Prefix: "/issue/", Kind: standin.KindNonIdempotent, Service: "permits", TimeoutMS: 6000, TargetLatencyMS: 400, MaxAttempts: 3,
 	}}
-	b.store.Put("op", "config", standin.Config(1, routes, map[string][]string{tenant: {clientKey}}))
+	b.store.put("op", "config", standin.Config(1, routes, map[string][]string{tenant: {clientKey}}))
 	if err := b.addGateways(2); err != nil {
 		return false, err
 	}
@@ -35,7 +35,7 @@
 	if trouble {
 		config := standin.Config(2, routes, nil)
 		config["Tenants"] = []any{}
-		b.store.Put("op", "config", config)
+		b.store.put("op", "config", config)
 		b.record.note("configuration 2 is acknowledged: it takes away the tenant with its key, the only ones")
 	}
 	time.Sleep(configApply + applyMargin)
