--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 runs the scripts of the cases in review/7 to review/9: gateways as processes on loopback, before stand-ins
 // of the platform, engines and clients. It exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
 package main
--- a/review/standin2/refused.go
+++ b/review/standin2/refused.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
