A failed upstream's status promises nothing to a caller whose request ran

An engine that ran a request answered it 503, 429 or 408 without X-Not-Executed, the caller of a non-idempotent route got that status, took it for "not run", and sent the request again.

Cause: the relay knew that the request may have run and made no second attempt, but forwarded the upstream's answer as it came: 5xx after buffering, 408 and 429 at once, a stream's head with its first event, and the same from another VM. Only its own refusals with 503 became 502 once an attempt may have run.

Fix: refusal.PromisesNotRun names the four statuses, and exchange.mayForward is the one place that decides whether a caller may get one of them from an upstream or from another VM, whose build may be older. On routes whose requests must not run more than once it may not: the answer is dropped before its seal or body is sent, and the caller gets 502 with upstream_failed. Refusals of the router lose all four statuses once an attempt may have run, not only 503. Idempotent routes keep the engine's answer unchanged.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -176,6 +176,8 @@
 	case head.NotRun:
 		resp.Drain(maxDrainBytes, min(drainTimeout, x.timeLeft()))
 		return errNotRun.New("upstream did not run the request: status %d from %s", resp.Status, a.engine.ID())
+	case !x.mayForward(resp.Status):
+		return a.dropFailure(resp)
 	case resp.Status < http.StatusMultipleChoices && !head.Sealed:
 		return upconn.ErrBroken.New("expected a seal on the successful response from %s, got none", a.engine.ID())
 	case resp.Status >= http.StatusInternalServerError:
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -40,10 +40,10 @@
 }
 
 // mayHaveRunAtPeer reports whether the request may have run after an attempt through another
-// VM. A refusal with status 503 promises that it has not.
+// VM. The status of a refusal may promise that it has not.
 func mayHaveRunAtPeer(err error) bool {
 	var refused *refusal.Refusal
-	if errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable {
+	if errors.As(err, &refused) && refusal.PromisesNotRun(refused.Status) {
 		return false
 	}
 	return !isForOthers(err)
@@ -206,6 +206,10 @@
 	if refused := x.refusalOf(resp); refused != nil {
 		return refused
 	}
+	if !x.mayForward(resp.Status) {
+		// An older build passes on what its upstream sent.
+		return refusal.New(refusal.UpstreamFailed).With("VM %s passed on status %d, which promises that the request has not run.", peer.ID, resp.Status)
+	}
 	if x.headerSent && !x.continuesStream(resp) {
 		return upconn.ErrBroken.New("expected an event stream to resume from VM %s, got status %d", peer.ID, resp.Status)
 	}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -46,11 +46,10 @@
 	x.recordAborted(abortAnswered)
 }
 
-// refusalStatus returns the HTTP status of a refusal. A 503 promises that the
-// request was not run, so 502 replaces it once an attempt may have run.
+// refusalStatus returns the HTTP status of a refusal. It promises nothing once an attempt may have run.
 func (x *exchange) refusalStatus(refused *refusal.Refusal) int {
-	if refused.Status == http.StatusServiceUnavailable && x.retryState.Attempts > 0 {
-		return http.StatusBadGateway
+	if x.retryState.Attempts > 0 {
+		return refused.StatusAfterRun()
 	}
 	return refused.Status
 }
