The product's own API passes on no status that promises too much

What callers saw: a service that ran a non-idempotent call and answered 503, 429, 408 or 421 had its status relayed, and kept with the idempotency key, so that the caller took the call for not run. A refusal of the entry's own kept 503 or 429 beside "ran": "unknown", for instance where a bill could not be written after the call.

--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -160,9 +160,14 @@
 
 // storeAndSend reads the response, stores it with the claim, bills the call and sends
 // the response to the caller. The outcome is unknown if the response is truncated,
-// larger than MaxBufferedBytes or more than the VM has memory for.
+// larger than MaxBufferedBytes or more than the VM has memory for, and if its status
+// promises that the call has not run.
 func (s *Server) storeAndSend(call *serviceCall, w http.ResponseWriter, claim *once.Claim, u upstream.ID, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
+	if refusal.PromisesNotRun(resp.StatusCode) {
+		s.markUnknown(claim)
+		return promiseOf(u, resp.StatusCode)
+	}
 	buffer := s.responseBuffer(call, u)
 	if err := s.readResponse(buffer, resp); err != nil {
 		s.markUnknown(claim)
@@ -178,6 +183,12 @@
 	return response.send(call.exchange, w)
 }
 
+// promiseOf returns the refusal in place of an upstream's response whose status promises that the call has not run, although
+// nothing in it states so: a caller that got it would send the call again.
+func promiseOf(u upstream.ID, status int) *refusal.Refusal {
+	return refusal.New(refusal.OutcomeUnknown).With("Upstream %q answered with status %d.", u, status)
+}
+
 // sendStored sends the stored response of an earlier request with the same key. It is
 // billed under the id of that request, so that the call is billed only once.
 func (s *Server) sendStored(call *serviceCall, w http.ResponseWriter, result []byte) error {
@@ -188,6 +199,9 @@
 	if stored.Oversize {
 		return refusal.New(refusal.OutcomeUnknown).With("The call has run; its answer was too large to be kept.")
 	}
+	if refusal.PromisesNotRun(stored.Status) {
+		return refusal.New(refusal.OutcomeUnknown).With("An earlier request with the key was answered with status %d.", stored.Status)
+	}
 	if err := s.billService(call, stored.Request); err != nil {
 		return err
 	}
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -23,18 +23,21 @@
 }
 
 // refuse sends a refusal. Its ran value is RanUnknown if an attempt of the exchange
-// may have run, otherwise that of the refusal.
+// may have run, otherwise that of the refusal. Its status promises nothing then.
 func (s *Server) refuse(x *Exchange, w http.ResponseWriter, refused *refusal.Refusal) {
-	ran := refused.Ran
+	ran, status := refused.Ran, refused.Status
 	if x.ran() == refusal.RanUnknown {
 		ran = refusal.RanUnknown
 	}
+	if ran == refusal.RanUnknown {
+		status = refused.StatusAfterRun()
+	}
 	s.metrics.refusals.WithLabelValues(string(refused.Reason), string(ran)).Inc()
 	body, _ := json.Marshal(errorBody{errorDetail{refused.Class, refused.Reason, refused.Message(), ran}})
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRan, string(ran))
-	if refused.RetryAfter > 0 {
+	if refused.RetryAfter > 0 && status == refused.Status {
 		h.Set("Retry-After", retryAfter(refused.RetryAfter))
 	}
 	if refused.Reason == refusal.Unauthorized {
@@ -44,7 +47,7 @@
 		refused.Reason == refusal.MemoryFull || refused.Reason == refusal.Draining {
 		h.Set("Connection", "close")
 	}
-	w.WriteHeader(refused.Status)
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -7,6 +7,7 @@
 package service
 
 import (
+	"cmp"
 	"io"
 	"maps"
 	"net"
@@ -45,6 +46,8 @@
 	// ErrorStatus responds with Rule.Status, or 500 if that is lower, without running the
 	// request.
 	ErrorStatus fault.Kind = "error_status"
+	// FailAfterRun runs the request and responds with Rule.Status, or 503 if that is unset.
+	FailAfterRun fault.Kind = "fail_after_run"
 	// Redirect responds with status 307 and the same path, without running the request.
 	Redirect fault.Kind = "redirect"
 	// Crash runs the request, then closes all connections and stops listening.
@@ -104,7 +107,7 @@
 	}
 	s := &Server{
 		Faults: fault.NewSet(o.Seed, Refuse, ResetBeforeRead, ResetAfterRead, Stall, Slow, TruncatedResponse,
-			ErrorStatus, Redirect, Crash),
+			ErrorStatus, FailAfterRun, Redirect, Crash),
 		clock:   o.Clock,
 		counts:  Counts{RunsByAttempt: make(map[string]int), RunsByBody: make(map[string]int)},
 		permits: make(map[string]string),
@@ -220,7 +223,7 @@
 // injectAfterRun applies the faults that keep the caller from receiving the response of a
 // run, and reports whether it did.
 func (s *Server) injectAfterRun(w http.ResponseWriter, r *http.Request) bool {
-	rule, ok := s.Faults.Trigger(r, ResetAfterRead, Stall, TruncatedResponse, Crash)
+	rule, ok := s.Faults.Trigger(r, ResetAfterRead, Stall, TruncatedResponse, FailAfterRun, Crash)
 	if !ok {
 		return false
 	}
@@ -229,6 +232,8 @@
 		<-r.Context().Done()
 	case Crash:
 		s.host.Crash()
+	case FailAfterRun:
+		http.Error(w, "failed after the run", cmp.Or(rule.Status, http.StatusServiceUnavailable))
 	case TruncatedResponse:
 		w.Header().Set("Content-Length", "64")
 		w.WriteHeader(http.StatusCreated)
