Mend a deadlock in the connection of TestCallerIsThereWhoseBodyEnds

Cause: lateConn lets http.Server remove a deadline only once a read has ended by it. The client closes its connection at the end of the test, so that the read may end by that instead, and nothing closes the channel that the removal waits for (stack: abortPendingRead, SetReadDeadline, chan receive).

Fix: any end of a read after the body releases it. What the tests check, and the order that lateConn forces while the body ends, are the same.

--- a/internal/relay/body_end_test.go
+++ b/internal/relay/body_end_test.go
@@ -36,7 +36,7 @@
 	// ended, watching and expired report whether the body has been read, a disconnect is watched for, and a
 	// deadline in the past has been set since.
 	ended, watching, expired bool
-	// watched is closed with watching, and cut when a read has ended by its deadline.
+	// watched is closed with watching, and cut when a read has ended by its deadline, or in any way after the body.
 	watched, cut chan struct{}
 	endRead      sync.Once
 }
@@ -62,9 +62,17 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
+// hasEndedWith reports whether an error ended a read after the body: http.Server no longer watches then, and removes the
+// deadline although nothing was cut, for instance as the client has closed the connection.
+func (c *lateConn) hasEndedWith(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended && err != nil
+}
+
 func (c *lateConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || c.hasEndedWith(err) {
 		c.endRead.Do(func() { close(c.cut) })
 	}
 	if bytes.HasSuffix(b[:n], []byte(lateBody)) {
