Compare a new version's answers with the old one's at the same load

Cause: one usual time was held against both versions, whatever their engines had to do. In the burst the old engines are full and the new ones empty, so that the old version's queues set what counts as slow.

Evidence: the request log now has the upstream's load with each attempt. TestSlowVersionIsNotCompletedBesideBurst failed before (complete, wanted reverted), and so did TestGoodVersionAtFullEnginesIsNotReverted, the same fault the other way round (reverted, wanted complete).

Fix: usualTime keeps the usual value by level of load, and judges an answer by that of its own level. Levels that were never seen are bounded by the nearest seen one and by a power of the load that fits the others; what lies between these is unknown, neither slow nor fast. The usual times begin anew as a version replaces the other.

--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -214,10 +214,14 @@
 	if capacity <= 0 {
 		return 0
 	}
+	return float64(e.Requests()) / float64(capacity)
+}
+
+// Requests returns the estimated number of requests on the upstream, of this VM and all others.
+func (e *Engine) Requests() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	requests := e.inFlight + e.othersRequests(e.directory.clock.Now(), reportTTL)
-	return float64(requests) / float64(capacity)
+	return e.inFlight + e.othersRequests(e.directory.clock.Now(), reportTTL)
 }
 
 // expectedWait returns how long a new request is expected to wait: for the work
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/poplarshore/poplarshore/internal/upconn"
 	"github.com/poplarshore/poplarshore/model"
 	"github.com/poplarshore/poplarshore/retry"
+	"github.com/poplarshore/poplarshore/route"
 )
 
 // attempt is one try of a request on one upstream.
@@ -63,6 +64,8 @@
 	listAge time.Duration
 	// loadReported reports whether the response's header has a load report.
 	loadReported bool
+	// load is that report; zero without one.
+	load route.Load
 }
 
 // versionAttempt describes the attempt for the roll-out of its version.
@@ -74,7 +77,7 @@
 	}
 	return shifts.Attempt{
 		Service: x.service, Version: a.engine.Version(), Kind: kind,
-		PromptTokens: x.request.PromptTokens,
+		PromptTokens: x.request.PromptTokens, Load: a.engine.Requests(),
 	}
 }
 
@@ -136,7 +139,9 @@
 	}
 	a.confidence = head.Confidence
 	if head.HasLoad {
+		a.load = head.Load
 		a.engine.UpdateLoad(head.Load)
+		a.running.SetLoad(head.Load.Running + head.Load.Waiting)
 	}
 	if isRejection(resp.Status, head) {
 		a.engine.MarkRejected()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -172,6 +172,9 @@
 	// began, and ListAge how old the list of upstreams was, in ms, if that is unusual.
 	Missing bool  `json:"missing,omitempty"`
 	ListAge int64 `json:"list_age,omitempty"`
+	// Running and Waiting are the requests at the upstream by the load report of the response's header; 0 if it has none.
+	Running int `json:"running,omitempty"`
+	Waiting int `json:"waiting,omitempty"`
 	// Slow reports whether the attempt was counted as slow for its version while it ran.
 	Slow bool `json:"slow,omitempty"`
 	// Confidence is the model's confidence in its response, 0 to 100; nil if it
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -141,6 +141,7 @@
 		Silences: a.silences,
 		Gap:      a.running.TypicalGap().Milliseconds(), Slow: a.running.IsSlow(),
 		End: a.expectedEnd.Milliseconds(), Missing: a.missing,
+		Running: a.load.Running, Waiting: a.load.Waiting,
 	}
 	if a.listAge > unusualListAge {
 		record.ListAge = a.listAge.Milliseconds()
--- /dev/null
+++ b/internal/shifts/load_test.go
@@ -0,0 +1,91 @@
+package shifts_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/shifts"
+	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/rollout/shift"
+)
+
+// atLoad returns the outcome of a stream at an upstream with the given number of requests.
+func atLoad(v model.VersionID, requests int, gap time.Duration) shifts.Outcome {
+	o := outcome(v, gap, false)
+	o.Load = requests
+	return o
+}
+
+// rollOutBesideBurst moves a service whose old engines are full in a burst. The new ones are not: its streams there have the
+// given time between events, at 1, 2 and 4 requests.
+func rollOutBesideBurst(t *testing.T, gaps [3]time.Duration) *fleet {
+	f := newFleet(t, "a")
+	f.order()
+	for range 10 {
+		f.recordOutcomes(0, 1, atLoad("v1", 4, 32*time.Millisecond))
+		f.recordOutcomes(0, 3, atLoad("v1", 8, 50*time.Millisecond))
+		f.recordOutcomes(0, 8, atLoad("v1", 16, 64*time.Millisecond))
+		f.recordOutcomes(0, 8, atLoad("v1", 32, 90*time.Millisecond))
+	}
+	f.advance(11 * time.Second)
+	for range 10 {
+		f.recordOutcomes(0, 6, atLoad("v1", 32, 90*time.Millisecond))
+		f.recordOutcomes(0, 2, atLoad("v1", 32, 270*time.Millisecond))
+		for i, gap := range gaps {
+			f.recordOutcomes(0, 1, atLoad("v2", 1<<i, gap))
+		}
+	}
+	f.advance(9 * time.Second)
+	return f
+}
+
+// TestSlowVersionIsNotCompletedBesideBurst guards against a slow version that is completed as its answers at empty engines take
+// no longer than those of the old version at full ones.
+func TestSlowVersionIsNotCompletedBesideBurst(t *testing.T) {
+	f := rollOutBesideBurst(t, [3]time.Duration{67 * time.Millisecond, 74 * time.Millisecond, 96 * time.Millisecond})
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+}
+
+// TestGoodVersionCompletesBesideBurst guards against a good version that is reverted for want of answers of the old one at
+// engines as empty as its own.
+func TestGoodVersionCompletesBesideBurst(t *testing.T) {
+	f := rollOutBesideBurst(t, [3]time.Duration{19 * time.Millisecond, 21 * time.Millisecond, 30 * time.Millisecond})
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
+}
+
+// TestGoodVersionAtFullEnginesIsNotReverted guards against a good version that is reverted as its few engines are full while
+// those of the old version are not.
+func TestGoodVersionAtFullEnginesIsNotReverted(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	for range 20 {
+		f.recordOutcomes(0, 4, atLoad("v1", 2, 21*time.Millisecond))
+		f.recordOutcomes(0, 1, atLoad("v1", 32, 90*time.Millisecond))
+	}
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, atLoad("v1", 2, 21*time.Millisecond))
+	f.recordOutcomes(0, 30, atLoad("v2", 32, 90*time.Millisecond))
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
+}
+
+// TestUsualTimesAreThoseOfVersionInService guards against a version that is held to the times of one that was replaced before.
+func TestUsualTimesAreThoseOfVersionInService(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, atLoad("v1", 2, 200*time.Millisecond))
+	f.recordOutcomes(0, 40, atLoad("v1", 16, 400*time.Millisecond))
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, atLoad("v2", 2, 50*time.Millisecond))
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
+	f.recordOutcomes(0, 40, atLoad("v2", 2, 50*time.Millisecond))
+	f.vms[0].Order(shift.Order{ID: 2, Service: "s", To: "v3", Duration: 20 * time.Second})
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, atLoad("v2", 2, 50*time.Millisecond))
+	f.recordOutcomes(0, 20, atLoad("v3", 16, 400*time.Millisecond))
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+}
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -263,6 +263,10 @@
 	if state.Order != s.state.Order {
 		s.published, s.publishedAt = observed{}, time.Time{}
 	}
+	if state.Phase == shift.Complete {
+		// Usual from now on is what the new version takes.
+		clear(s.latencyModels)
+	}
 	s.state, s.known = state, true
 	m.opts.Log.Info("roll-out state installed", "service", state.Order.Service, "to", state.Order.To, "order", state.Order.ID,
 		"era", state.Order.Era, "phase", state.Phase, "step", state.Step, "revision", s.revision,
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -18,6 +18,8 @@
 	// PromptTokens is the length of the prompt, in tokens. It is 0 for requests
 	// without a prompt, whose whole answer counts as the first event.
 	PromptTokens int
+	// Load is the number of requests at the upstream, this one included, as far as known; 0 for unknown.
+	Load int
 }
 
 // Outcome is the result of an attempt that has ended.
@@ -35,12 +37,6 @@
 }
 
 const (
-	// slowFactor is the multiple of the usual time above which an answer counts
-	// as slow. The answers of good versions exceed it now and then, too.
-	slowFactor = 2
-	// minLatencySamples is the minimum number of answers of other versions than
-	// the new one from which a usual time is known.
-	minLatencySamples = 6
 	// silenceFactor is the number of usual gaps, and minSlowSilence the time, that a single
 	// gap has to last at least to count as slow. An upstream pauses all streams while it
 	// prefills a long prompt.
@@ -58,12 +54,7 @@
 // first event as a multiple of the nominal time, and the time between events in
 // seconds.
 type latencyModel struct {
-	firstEvent, eventGap recentMedian
-}
-
-// isSlow reports whether x, where known, is slow compared with the median.
-func (m *recentMedian) isSlow(x float64) bool {
-	return x > 0 && m.samples >= minLatencySamples && x > slowFactor*m.value
+	firstEvent, eventGap usualTime
 }
 
 // firstEventRatio returns the time to the first event, less the network's share, as a
@@ -95,14 +86,26 @@
 	return o.observations(s.latencyModel(o.Kind))
 }
 
-// learn updates the usual latency by an attempt on another version than the new one.
+// learn updates the usual latency by an attempt on another version than the new one, or on that one once it has replaced
+// the others.
 func (s *serviceState) learn(o Outcome) {
-	if s.isNewVersion(o.Version) {
+	if s.isNewVersion(o.Version) && s.state.Phase != shift.Complete {
 		return
 	}
 	usual := s.latencyModel(o.Kind)
-	usual.firstEvent.add(o.firstEventRatio())
-	usual.eventGap.add(o.TypicalGap.Seconds())
+	usual.firstEvent.add(o.firstEventRatio(), o.Load)
+	usual.eventGap.add(o.TypicalGap.Seconds(), o.Load)
+}
+
+// speeds returns what the time to the first event and that between events say; speedUnknown of a time that is unknown.
+func (o Outcome) speeds(usual *latencyModel) (start, pace speed) {
+	if ratio := o.firstEventRatio(); ratio > 0 {
+		start = usual.firstEvent.judge(ratio, o.Load)
+	}
+	if o.TypicalGap > 0 {
+		pace = usual.eventGap.judge(o.TypicalGap.Seconds(), o.Load)
+	}
+	return start, pace
 }
 
 // observations converts an outcome to counts. Whether an answer without a typical gap
@@ -116,9 +119,11 @@
 		observed.Answers.Errors = 1
 		return observed
 	}
-	if usual.firstEvent.isSlow(o.firstEventRatio()) || usual.eventGap.isSlow(o.TypicalGap.Seconds()) {
+	start, pace := o.speeds(usual)
+	switch {
+	case start == slow, pace == slow:
 		observed.Paced = rollout.Counts{Requests: 1, Slow: 1}
-	} else if o.TypicalGap > 0 || o.PromptTokens == 0 {
+	case pace == fast, start == fast && o.PromptTokens == 0:
 		observed.Paced.Requests = 1
 	}
 	return observed
--- a/internal/shifts/running.go
+++ b/internal/shifts/running.go
@@ -19,13 +19,12 @@
 
 // Running is an attempt in progress. It is counted once: when its speed is judged, or at
 // its end. Its methods may be called by one goroutine at a time; the manager reads the
-// first four fields meanwhile.
+// first four fields meanwhile, so that these are changed with its mu held.
 type Running struct {
 	manager   *Manager
 	attempt   Attempt
 	startedAt time.Time
-	// network is the part of the time to the first event that the distance takes. It is
-	// changed with the manager's mu held.
+	// network is the part of the time to the first event that the distance takes.
 	network time.Duration
 	// firstAfter is the time from the start to the first event, lastAfter to the newest
 	// one; zero before the first.
@@ -62,6 +61,13 @@
 	r.network = d
 }
 
+// SetLoad sets the number of requests at the upstream, this one included.
+func (r *Running) SetLoad(requests int) {
+	r.manager.mu.Lock()
+	defer r.manager.mu.Unlock()
+	r.attempt.Load = requests
+}
+
 // RecordFirst records the first event or, if the answer has no events, the answer. Calls
 // after the first one have no effect.
 func (r *Running) RecordFirst() {
@@ -120,11 +126,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.getOrCreate(r.attempt.Service)
-	gap := s.latencyModel(r.attempt.Kind).eventGap
-	if r.firstAfter == 0 || r.IsSlow() || !s.known || s.state.Ended() || gap.samples < minLatencySamples {
+	gap := &s.latencyModel(r.attempt.Kind).eventGap
+	if r.firstAfter == 0 || r.IsSlow() || !s.known || s.state.Ended() || !gap.known() {
 		return 0
 	}
-	return max(time.Duration(silenceFactor*gap.value*float64(time.Second)), minSlowSilence)
+	usual := gap.at(loadLevel(r.attempt.Load))
+	return max(time.Duration(silenceFactor*usual*float64(time.Second)), minSlowSilence)
 }
 
 // RecordSilence counts the attempt as slow because no event came for MaxSilence. Its end
@@ -229,5 +236,6 @@
 // isOverdue reports whether the first event takes longer than is usual for slow answers.
 func (r *Running) isOverdue(s *serviceState, now time.Time) bool {
 	o := Outcome{Attempt: r.attempt, FirstEventLatency: now.Sub(r.startedAt), NetworkLatency: r.network}
-	return s.latencyModel(r.attempt.Kind).firstEvent.isSlow(o.firstEventRatio())
+	start, _ := o.speeds(s.latencyModel(r.attempt.Kind))
+	return start == slow
 }
