Count the time to the first event apart from the pace of a stream

Cause: an answer without a known pace (weak ones, which are dropped for a stronger model, and short ones) counted only if its first event was late. So the version with more of them looked slower than it was: in the burst this was the old one, whose first events are late for its queues.

TestWeakAnswersCountWhetherLateOrNot failed before (no verdict, wanted one).

Fix: Observations has Started beside Paced: every answer with a prompt whose time to the first event can be judged, late or not. Each kind of evidence is compared with its own control, and completion needs proof of each that the old version has. Builds before this one write no Started and read Paced as before.

--- a/internal/shifts/load_test.go
+++ b/internal/shifts/load_test.go
@@ -89,3 +89,25 @@
 	f.advance(9 * time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
 }
+
+// TestWeakAnswersCountWhetherLateOrNot guards against answers that count only if they are late: the old version looked slower
+// than it was, and hid a new one that is.
+func TestWeakAnswersCountWhetherLateOrNot(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	weak := func(v model.VersionID, firstAfter time.Duration) shifts.Outcome {
+		o := outcome(v, 0, false)
+		o.FirstEventLatency = firstAfter
+		return o
+	}
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 40, weak("v1", time.Second))
+	f.recordOutcomes(0, 120, weak("v1", 100*time.Millisecond))
+	f.recordOutcomes(0, 10, outcome("v2", 4*usualGap, false))
+	f.recordOutcomes(0, 10, outcome("v2", usualGap, false))
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+	f.Expect(f.state().Verdict.Bad).To(BeTrue())
+}
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/model"
-	"github.com/poplarshore/poplarshore/rollout"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 )
 
@@ -108,10 +107,8 @@
 	return start, pace
 }
 
-// observations converts an outcome to counts. Whether an answer without a typical gap
-// is slow shows only if its first event is late, so that otherwise its speed is not
-// counted. For a request without a prompt the whole answer is the first event, so
-// that its speed is always counted.
+// observations converts an outcome to counts. A request without a prompt has no first
+// event apart from its answer, whose speed is that of the answer then.
 func (o Outcome) observations(usual *latencyModel) shift.Observations {
 	var observed shift.Observations
 	observed.Answers.Requests = 1
@@ -120,12 +117,11 @@
 		return observed
 	}
 	start, pace := o.speeds(usual)
-	switch {
-	case start == slow, pace == slow:
-		observed.Paced = rollout.Counts{Requests: 1, Slow: 1}
-	case pace == fast, start == fast && o.PromptTokens == 0:
-		observed.Paced.Requests = 1
+	if o.PromptTokens == 0 && o.TypicalGap == 0 {
+		observed.Paced = start.counts()
+		return observed
 	}
+	observed.Started, observed.Paced = start.counts(), pace.counts()
 	return observed
 }
 
--- a/internal/shifts/usual.go
+++ b/internal/shifts/usual.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/bits"
+
+	"github.com/poplarshore/poplarshore/rollout"
 )
 
 const (
@@ -38,6 +40,17 @@
 	slow
 )
 
+// counts returns the counts of one answer; none if its speed is unknown.
+func (s speed) counts() rollout.Counts {
+	switch s {
+	case fast:
+		return rollout.Counts{Requests: 1}
+	case slow:
+		return rollout.Counts{Requests: 1, Slow: 1}
+	}
+	return rollout.Counts{}
+}
+
 // usualTime estimates the usual value of a time by the load of the upstream, from the answers of other versions than the new
 // one. Engines work more slowly the more requests they run, so that answers are compared at the same load only.
 type usualTime struct {
--- a/rollout/shift/check.go
+++ b/rollout/shift/check.go
@@ -40,7 +40,7 @@
 
 // Check reports whether observations that were read have values within bounds. Errors: ErrOutOfBounds.
 func (s Observations) Check() error {
-	for _, c := range []rollout.Counts{s.Answers, s.Paced} {
+	for _, c := range []rollout.Counts{s.Answers, s.Started, s.Paced} {
 		for _, n := range []int64{c.Requests, c.Errors, c.Slow, c.Rated, c.Low} {
 			if n < 0 || n > maxCount {
 				return ErrOutOfBounds.New("count %d", n)
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -142,23 +142,26 @@
 type Observations struct {
 	// Answers counts all answers, and the errors among them.
 	Answers rollout.Counts `json:"answers"`
-	// Paced counts the answers whose speed could be judged, and the slow ones
-	// among them.
+	// Started counts the answers with a prompt whose time to the first event could be judged, and the late ones
+	// among them. VMs of an earlier build write none.
+	Started rollout.Counts `json:"started,omitzero"`
+	// Paced counts the answers whose speed could be judged by the time between events, or as a whole if they
+	// have no prompt, and the slow ones among them.
 	Paced rollout.Counts `json:"paced"`
 }
 
 // Add returns the sum of s and o.
 func (s Observations) Add(o Observations) Observations {
-	return Observations{Answers: s.Answers.Add(o.Answers), Paced: s.Paced.Add(o.Paced)}
+	return Observations{Answers: s.Answers.Add(o.Answers), Started: s.Started.Add(o.Started), Paced: s.Paced.Add(o.Paced)}
 }
 
 // Sub returns s minus other.
 func (s Observations) Sub(other Observations) Observations {
-	return Observations{Answers: s.Answers.Sub(other.Answers), Paced: s.Paced.Sub(other.Paced)}
+	return Observations{Answers: s.Answers.Sub(other.Answers), Started: s.Started.Sub(other.Started), Paced: s.Paced.Sub(other.Paced)}
 }
 
-// Failures returns the number of errors and slow answers.
-func (s Observations) Failures() int64 { return s.Answers.Errors + s.Paced.Slow }
+// Failures returns the number of errors, late first events and slow answers.
+func (s Observations) Failures() int64 { return s.Answers.Errors + s.Started.Slow + s.Paced.Slow }
 
 // Evidence holds the observations of both versions.
 type Evidence struct {
@@ -174,6 +177,18 @@
 	RequestRate float64
 }
 
+// kindOfEvidence holds the counts of one kind that are compared with each other.
+type kindOfEvidence struct{ New, Old, Before rollout.Counts }
+
+// byKind returns the evidence by kind: all answers, times to the first event, and speeds.
+func (e Evidence) byKind() [3]kindOfEvidence {
+	return [3]kindOfEvidence{
+		{e.New.Answers, e.Old.Answers, e.Before.Answers},
+		{e.New.Started, e.Old.Started, e.Before.Started},
+		{e.New.Paced, e.Old.Paced, e.Before.Paced},
+	}
+}
+
 // Begin returns the first state of an order. Now is on the shared clock.
 func Begin(o Order, now time.Duration) State {
 	return State{Order: o, Phase: Active, Started: now}
@@ -259,11 +274,12 @@
 }
 
 func (p Plan) compare(e Evidence, threshold float64) rollout.Verdict {
-	v := rollout.Compare(e.New.Answers, e.Old.Answers, e.Before.Answers, p.Tolerance, threshold)
-	if v.Bad {
-		return v
+	for _, counts := range e.byKind() {
+		if v := rollout.Compare(counts.New, counts.Old, counts.Before, p.Tolerance, threshold); v.Bad {
+			return v
+		}
 	}
-	return rollout.Compare(e.New.Paced, e.Old.Paced, e.Before.Paced, p.Tolerance, threshold)
+	return rollout.Verdict{}
 }
 
 // isProven reports whether the evidence that the new version is good reaches the
@@ -274,9 +290,13 @@
 		return false
 	}
 	old := e.Old.Add(e.Before)
-	paced := e.New.Paced.Add(rollout.Counts{Requests: e.Overdue, Slow: e.Overdue})
+	overdue := rollout.Counts{Requests: e.Overdue, Slow: e.Overdue}
 	errors := rollout.EvidenceNotWorse(rollout.MetricErrors, e.New.Answers, old.Answers, p.Margin)
-	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, paced, old.Paced, p.Margin)
+	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced.Add(overdue), old.Paced, p.Margin)
+	if old.Started.Requests > 0 {
+		late := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Started.Add(overdue), old.Started, p.Margin)
+		slow = min(slow, late)
+	}
 	return min(errors, slow) >= threshold
 }
 
