Hold streams in progress against completion, of both versions

Cause: evidence was censored by length. A stream counted once eight gaps or its end had come, so that what is fast and short counts first; of the attempts in progress only those without a first event were held against completion, and only those of the new version.

TestStreamsInProgressHoldCompletion failed before (complete, on 25 fast answers beside 25 streams without an event for 9 s).

Fix: an attempt is overdue, too, once its stream takes longer for the events by which it is judged than slow answers do at that load. The attempts in progress on the old version are counted in the same way and are the control, so that what holds up both says nothing. They count in no verdict, as before. Builds before this one write and read no old_overdue.

--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -33,19 +33,26 @@
 	Old    shift.Observations `json:"old"`
 	Before shift.Observations `json:"before"`
 	// Overdue is the number of attempts in progress on the new version that are slow, as far
-	// as their first event shows.
-	Overdue int64 `json:"overdue,omitzero"`
+	// as the time until now shows, and OldOverdue that on the old one. VMs of an earlier build
+	// write only the first.
+	Overdue    int64 `json:"overdue,omitzero"`
+	OldOverdue int64 `json:"old_overdue,omitzero"`
 }
 
 func (o observed) add(p observed) observed {
-	return observed{New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before), Overdue: o.Overdue + p.Overdue}
+	return observed{
+		New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before),
+		Overdue: o.Overdue + p.Overdue, OldOverdue: o.OldOverdue + p.OldOverdue,
+	}
 }
 
 // check reports whether observations that were read have values within bounds. Errors:
 // shift.ErrOutOfBounds.
 func (o observed) check() error {
-	if o.Overdue < 0 || o.Overdue > maxOverdue {
-		return shift.ErrOutOfBounds.New("%d overdue attempts", o.Overdue)
+	for _, n := range []int64{o.Overdue, o.OldOverdue} {
+		if n < 0 || n > maxOverdue {
+			return shift.ErrOutOfBounds.New("%d overdue attempts", n)
+		}
 	}
 	for _, seen := range []shift.Observations{o.New, o.Old, o.Before} {
 		if err := seen.Check(); err != nil {
@@ -71,11 +78,15 @@
 // own returns what this VM observed, also before it was restarted.
 func (m *Manager) own(s *serviceState) observed {
 	own := s.inherited.add(s.local)
-	own.Overdue = 0
+	own.Overdue, own.OldOverdue = 0, 0
 	now := m.opts.Clock.Now()
-	for r := range s.unanswered {
-		if r.isOverdue(s, now) {
+	for r := range s.unjudged {
+		switch {
+		case !r.isOverdue(s, now):
+		case s.isNewVersion(r.attempt.Version):
 			own.Overdue++
+		default:
+			own.OldOverdue++
 		}
 	}
 	return own
@@ -87,7 +98,7 @@
 	for o := range maps.Values(s.remote) {
 		total = total.add(o)
 	}
-	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before, Overdue: total.Overdue}
+	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before, Overdue: total.Overdue, OldOverdue: total.OldOverdue}
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
--- a/internal/shifts/export_test.go
+++ b/internal/shifts/export_test.go
@@ -6,6 +6,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.getOrCreate(o.Service)
-	delete(s.unanswered, r)
+	delete(s.unjudged, r)
 	r.finish(s, o)
 }
--- a/internal/shifts/load_test.go
+++ b/internal/shifts/load_test.go
@@ -111,3 +111,41 @@
 	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
 	f.Expect(f.state().Verdict.Bad).To(BeTrue())
 }
+
+// beginStreams starts streams on the first VM and records their first events.
+func (f *fleet) beginStreams(n int, v model.VersionID) []*shifts.Running {
+	return f.streams(n, v, 1, 0)
+}
+
+// TestStreamsInProgressHoldCompletion guards against a version that is completed on its fast answers, which end first, while its
+// slow ones are still in progress.
+func TestStreamsInProgressHoldCompletion(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 25, outcome("v2", usualGap, false))
+	slow := f.beginStreams(25, "v2")
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeEquivalentTo(25), "none of the slow ones is counted")
+	for _, r := range slow {
+		r.End(shifts.Inconclusive)
+	}
+}
+
+// TestStreamsInProgressOfBothVersionsDoNotHoldCompletion guards against a good version that is held back by what holds up the
+// old one as well.
+func TestStreamsInProgressOfBothVersionsDoNotHoldCompletion(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.advance(11 * time.Second)
+	f.recordOutcomes(0, 40, outcome("v1", usualGap, false))
+	f.recordOutcomes(0, 25, outcome("v2", usualGap, false))
+	f.beginStreams(20, "v2")
+	f.beginStreams(70, "v1")
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Complete))
+}
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -86,8 +86,8 @@
 	local, inherited observed
 	// remote holds what the other VMs published.
 	remote map[vm.ID]observed
-	// unanswered holds the attempts in progress on the new version without an event yet.
-	unanswered map[*Running]struct{}
+	// unjudged holds the attempts in progress whose speed has not been judged yet.
+	unjudged map[*Running]struct{}
 	// published is what this VM last published; publishedAt is the time of the last
 	// attempt, zero before the first one.
 	published   observed
@@ -117,7 +117,7 @@
 	s := m.byService[serviceName]
 	if s == nil {
 		s = &serviceState{
-			remote: make(map[vm.ID]observed), unanswered: make(map[*Running]struct{}),
+			remote: make(map[vm.ID]observed), unjudged: make(map[*Running]struct{}),
 			latencyModels: make(map[string]*latencyModel),
 		}
 		m.byService[serviceName] = s
@@ -257,7 +257,7 @@
 	if !s.known || !m.isSameShift(state, s.state) {
 		s.local, s.inherited = observed{}, observed{}
 		clear(s.remote)
-		clear(s.unanswered)
+		clear(s.unjudged)
 		s.localVerdict = rollout.Verdict{}
 	}
 	if state.Order != s.state.Order {
--- a/internal/shifts/running.go
+++ b/internal/shifts/running.go
@@ -47,8 +47,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.getOrCreate(a.Service)
-	if s.isNewVersion(a.Version) && !s.state.Ended() {
-		s.unanswered[r] = struct{}{}
+	if s.known && !s.state.Ended() {
+		s.unjudged[r] = struct{}{}
 	}
 	return r
 }
@@ -75,10 +75,10 @@
 		return
 	}
 	m := r.manager
-	r.firstAfter = m.opts.Clock.Since(r.startedAt)
+	firstAfter := m.opts.Clock.Since(r.startedAt)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.getOrCreate(r.attempt.Service).unanswered, r)
+	r.firstAfter = firstAfter
 }
 
 // RecordEvent records an event of a stream.
@@ -165,7 +165,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.getOrCreate(r.attempt.Service)
-	delete(s.unanswered, r)
+	delete(s.unjudged, r)
 	switch result {
 	case Broken:
 		r.retract(s)
@@ -192,6 +192,7 @@
 		return
 	}
 	r.judged = true
+	delete(s.unjudged, r)
 	observed := s.judge(o)
 	s.learn(o)
 	if r.counted == nil {
@@ -233,9 +234,15 @@
 	return r.order == s.state.Order && !s.state.Ended()
 }
 
-// isOverdue reports whether the first event takes longer than is usual for slow answers.
+// isOverdue reports whether the first event takes longer than is usual for slow answers, or the events by which the speed is
+// judged.
 func (r *Running) isOverdue(s *serviceState, now time.Time) bool {
-	o := Outcome{Attempt: r.attempt, FirstEventLatency: now.Sub(r.startedAt), NetworkLatency: r.network}
-	start, _ := o.speeds(s.latencyModel(r.attempt.Kind))
-	return start == slow
+	usual := s.latencyModel(r.attempt.Kind)
+	if r.firstAfter == 0 {
+		o := Outcome{Attempt: r.attempt, FirstEventLatency: now.Sub(r.startedAt), NetworkLatency: r.network}
+		start, _ := o.speeds(usual)
+		return start == slow
+	}
+	sinceFirst := now.Sub(r.startedAt) - r.firstAfter
+	return usual.eventGap.judge(sinceFirst.Seconds()/judgedGaps, r.attempt.Load) == slow
 }
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -170,8 +170,9 @@
 	// version before that.
 	New, Old, Before Observations
 	// Overdue is the number of attempts in progress on the new version that will be slow
-	// if they succeed. They may fail for another reason than their version.
-	Overdue int64
+	// if they succeed, and OldOverdue that on the replaced one. They may fail for another
+	// reason than their version.
+	Overdue, OldOverdue int64
 	// RequestRate is the number of requests for the service per second since the order,
 	// from all VMs; zero if it is not known.
 	RequestRate float64
@@ -290,16 +291,19 @@
 		return false
 	}
 	old := e.Old.Add(e.Before)
-	overdue := rollout.Counts{Requests: e.Overdue, Slow: e.Overdue}
+	overdue, oldOverdue := slowCounts(e.Overdue), slowCounts(e.OldOverdue)
 	errors := rollout.EvidenceNotWorse(rollout.MetricErrors, e.New.Answers, old.Answers, p.Margin)
-	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced.Add(overdue), old.Paced, p.Margin)
+	slow := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Paced.Add(overdue), old.Paced.Add(oldOverdue), p.Margin)
 	if old.Started.Requests > 0 {
-		late := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Started.Add(overdue), old.Started, p.Margin)
+		late := rollout.EvidenceNotWorse(rollout.MetricSlow, e.New.Started.Add(overdue), old.Started.Add(oldOverdue), p.Margin)
 		slow = min(slow, late)
 	}
 	return min(errors, slow) >= threshold
 }
 
+// slowCounts returns the counts of n slow answers.
+func slowCounts(n int64) rollout.Counts { return rollout.Counts{Requests: n, Slow: n} }
+
 // Share returns the fraction of sessions, 0 to 1, that get the new version.
 func (p Plan) Share(s State) float64 {
 	switch {
