Play a slow version beside a burst of streams on real processes

Checked is the rule as RULES.md has it: no request to a slow version from a VM in touch later than RollbackMs after its 50th slow answer, and until the deadline no more than ExposureShare and the slack; and that a slow version is not completed nor a good one reverted.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -76,6 +76,7 @@
 	}
 	c.checkTimeouts()
 	c.checkConfigurationOrder()
+	c.checkSlowVersions()
 	c.checkExclusions()
 	c.checkRegions()
 	c.checkLimits()
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -58,6 +58,7 @@
 	f.BoolVar(&o.SiteSettings, "site-settings", o.SiteSettings, "give the VMs the settings that the deployment of the smallest VMs renders")
 	f.BoolVar(&o.SlowParts, "slow-parts", o.SlowParts, "suspend the store, take processor time from VMs and disturb the way between VMs, as some of the faults")
 	f.BoolVar(&o.Configurations, "configurations", o.Configurations, "change all parts of configurations, also in storms, and remove upstreams that don't say that they leave, as some of the faults")
+	f.BoolVar(&o.SlowVersions, "slow-versions", o.SlowVersions, "roll out slow and good versions beside bursts of streams, as two of the faults, on engines that take longer the more they run")
 	f.IntVar(&o.LateCallers, "late-callers", o.LateCallers, "number of callers that send bodies slowly and reopen their connections")
 	f.BoolVar(&o.Silences, "silence", o.Silences, "let sound engines send nothing for a moment, as one of the faults, and check that requests are answered")
 	f.BoolVar(&o.Floods, "floods", o.Floods, "let engines send bytes that are no answer without end, as one of the faults, to VMs with little memory")
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -300,16 +300,34 @@
 const rolloutSeconds = 8
 
 // rollOutGood rolls out a version without failures.
-func (f *injector) rollOutGood(ctx context.Context, rng *rand.Rand) { f.rollOut(ctx, rng, 0) }
+func (f *injector) rollOutGood(ctx context.Context, _ *rand.Rand) {
+	f.rollOut(ctx, rolloutPlan{seconds: rolloutSeconds})
+}
 
 // rollOutBad rolls out a version that fails 70 percent of its requests.
-func (f *injector) rollOutBad(ctx context.Context, rng *rand.Rand) { f.rollOut(ctx, rng, 70) }
+func (f *injector) rollOutBad(ctx context.Context, _ *rand.Rand) {
+	f.rollOut(ctx, rolloutPlan{failurePercent: 70, seconds: rolloutSeconds})
+}
+
+// rolloutPlan is what a roll-out brings in.
+type rolloutPlan struct {
+	// failurePercent of the new version's requests fail, and slowPercent are slow.
+	failurePercent int32
+	slowPercent    int
+	// seconds is the duration of the order.
+	seconds int
+	// streamBurst is the number of streams that come with each request meanwhile.
+	streamBurst int32
+}
+
+// isBad reports whether the version must not be completed.
+func (p rolloutPlan) isBad() bool { return p.failurePercent > 0 || p.slowPercent > 0 }
 
 // rollOut starts as many engines of a new version as there are model engines and requests
 // a roll-out to it. When it has ended before the run, the engines of the version that is out of
 // service are removed. It is a violation if a bad version is completed, or a good one reverted without a
 // disturbance of the store or an upstream.
-func (f *injector) rollOut(ctx context.Context, _ *rand.Rand, failurePercent int32) {
+func (f *injector) rollOut(ctx context.Context, plan rolloutPlan) {
 	if !f.replaceMu.TryLock() {
 		return
 	}
@@ -325,22 +343,28 @@
 		}
 	}
 	newEngines := f.bed.registered(modelService, version)
-	if failurePercent > 0 {
+	if plan.isBad() {
 		defer f.bed.badRollouts.begin()()
 	}
 	for _, e := range newEngines {
-		e.failurePercent.Store(failurePercent)
+		e.failurePercent.Store(plan.failurePercent)
+		e.slowness.set(plan.slowPercent)
+	}
+	f.bed.streamBurst.Store(plan.streamBurst)
+	defer f.bed.streamBurst.Store(0)
+	f.bed.store.Put("op", "rollout/"+modelService, map[string]any{"Service": modelService, "To": version, "DurationS": plan.seconds})
+	if plan.slowPercent > 0 {
+		f.report.addSlowVersion(slowVersion{engines: newEngines, orderedAt: time.Now()})
 	}
-	f.bed.store.Put("op", "rollout/"+modelService, map[string]any{"Service": modelService, "To": version, "DurationS": rolloutSeconds})
 	phase := f.awaitPhase(ctx, version)
 	if phase == "" {
 		// The platform stops no engines before a roll-out has ended.
 		return
 	}
 	switch {
-	case phase == "complete" && failurePercent > 0:
+	case phase == "complete" && plan.isBad():
 		f.report.addViolation("roll-out of bad version %s was completed", version)
-	case phase == "reverted" && failurePercent == 0 && f.bed.calm(startedAt, time.Now()) && f.bed.crashes.noneOverlap(startedAt, time.Now()):
+	case phase == "reverted" && !plan.isBad() && f.bed.calm(startedAt, time.Now()) && f.bed.crashes.noneOverlap(startedAt, time.Now()):
 		f.report.addViolation("roll-out of good version %s was reverted", version)
 	}
 	retired := newEngines
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -63,6 +63,9 @@
 	// LateCallers is the number of callers that send some requests slowly, and each on a connection
 	// that it opens again when the VM ends it.
 	LateCallers int
+	// SlowVersions includes roll-outs beside bursts of streams, of slow versions and good ones, among the faults, and lets engines
+	// take longer the more requests they run.
+	SlowVersions bool
 	// Only restricts the faults to these kinds; empty allows all.
 	Only []string
 	// Bounds are the time bounds that are checked.
@@ -104,6 +107,7 @@
 	cuts         []cut
 	fragileTimes []fragileTime
 	evacuations  []evacuation
+	slowVersions []slowVersion
 }
 
 // SilenceReport counts the requests that are to be answered in spite of silent engines.
@@ -202,6 +206,7 @@
 		{o.Floods, []faultKind{floodFault}}, {o.LostConnections, []faultKind{lostConnectionsFault}},
 		{o.LostConnections && cuttable, []faultKind{allConnectionsFault}}, {o.SlowParts, slowPartsFaults},
 		{o.SlowParts && cuttable, []faultKind{peersFault}}, {o.Configurations, configurationFaults},
+		{o.SlowVersions, slowVersionFaults},
 	} {
 		if extra.included {
 			kinds = append(kinds, extra.kinds...)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -156,6 +156,16 @@
 	expectNoViolations(t, o, "all_connections_lost", "configure_storm")
 }
 
+// TestShortSoakOfSlowVersionHasNoViolations guards against a slow version that is completed beside a burst of streams, as its
+// engines are empty while those of the old version are full.
+func TestShortSoakOfSlowVersionHasNoViolations(t *testing.T) {
+	o := soak.DefaultOptions()
+	o.Binary, o.Seed, o.ConcurrentFaults = binary(t, "poplarshored"), 7300, 1
+	o.Duration, o.VMs, o.Engines, o.Rate = 16*time.Second, 3, 6, 60
+	o.Fragile, o.SlowVersions, o.Only = false, true, []string{"rollout_slow"}
+	expectNoViolations(t, o, "rollout_slow")
+}
+
 func TestRegressionSeedsHaveNoViolations(t *testing.T) {
 	path := binary(t, "poplarshored")
 	for _, r := range regressions {
--- a/soak/testbed.go
+++ b/soak/testbed.go
@@ -46,6 +46,8 @@
 	link *Link
 	// failurePercent is the percentage of requests that fail with status 500.
 	failurePercent atomic.Int32
+	// slowness is how long its answers take in runs with slow versions.
+	slowness slowness
 	// linkDisturbances are the intervals in which its link was faulty.
 	linkDisturbances intervals
 	// limit is the number of requests per second that it names as its limit; nil for none.
@@ -104,6 +106,10 @@
 	// number of requests that come in place of one.
 	engineCapacity int
 	burst          atomic.Int32
+	// streamBurst is the number of streams that come with each request. loaded reports whether engines take longer the more
+	// requests they run.
+	streamBurst atomic.Int32
+	loaded      bool
 	// fragility is that of model engines; nil while they are sound.
 	fragility atomic.Pointer[standin.Fragility]
 
@@ -142,8 +148,8 @@
 // incomplete testbed, which has to be closed.
 func newTestbed(o Options, dir string) (*testbed, error) {
 	b := &testbed{
-		engineCapacity: engineCapacity(o),
-		store:          standin.NewStore(), registeredEngines: make(map[string]*engine), keys: map[string]bool{permanentKey: true},
+		engineCapacity: engineCapacity(o), loaded: o.SlowVersions,
+		store: standin.NewStore(), registeredEngines: make(map[string]*engine), keys: map[string]bool{permanentKey: true},
 	}
 	b.store.FaultFor = func(string) standin.Fault { return standin.Fault(b.storeFault.Load()) }
 	b.storeHTTP = httptest.NewServer(b.store)
@@ -217,7 +223,11 @@
 		if b.crashFor(r) {
 			return crashBehaviour(e.Service == modelService)
 		}
-		return e.behave(r)
+		behaviour := e.behave(r)
+		if b.loaded && behaviour.Events > 0 {
+			behaviour.Gap = e.slowness.gap(e.Running())
+		}
+		return behaviour
 	}
 	e.OnCrash = func(*standin.Engine) {
 		b.recordEnd(e)
--- a/soak/traffic.go
+++ b/soak/traffic.go
@@ -119,6 +119,10 @@
 				}
 				wait.Go(func() { g.send(client, x) })
 			}
+			for range g.testbed.streamBurst.Load() {
+				x := g.nextStream(rng)
+				wait.Go(func() { g.send(g.reusingClient, x) })
+			}
 		}
 	}
 }
@@ -149,6 +153,15 @@
 	return x
 }
 
+// nextStream returns a stream of a burst.
+func (g *trafficGenerator) nextStream(rng *rand.Rand) exchange {
+	g.mu.Lock()
+	g.sentCount++
+	id := fmt.Sprintf("soak-%d", g.sentCount)
+	g.mu.Unlock()
+	return exchange{id: id, key: permanentKey, vm: g.testbed.vms[rng.IntN(len(g.testbed.vms))], kind: streamRequest, path: "/s/" + id}
+}
+
 // changingKey returns the n-th of the keys that configurations add and remove.
 func changingKey(n int) string { return "key-" + strconv.Itoa(n) }
 
