--- a/internal/peerfeed/bound_test.go
+++ b/internal/peerfeed/bound_test.go
@@ -114,3 +114,37 @@
 		f.expectInTime(revision, changedAt)
 	}
 }
+
+// TestChangeArrivesInTimeAfterSilentOutage guards against VMs that wait, once the store is back, for reads which they sent in the
+// last moments of a silent outage, and which it never answers: changes came late, and entries that were kept meanwhile.
+func TestChangeArrivesInTimeAfterSilentOutage(t *testing.T) {
+	for _, n := range []int{3, 7, 24} {
+		for seed := range uint64(8) {
+			t.Run(fmt.Sprintf("%d VMs, seed %d", n, seed), func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) { playSilentOutage(t, n, seed) })
+			})
+		}
+	}
+}
+
+// playSilentOutage makes the store silent to all VMs for a drawn time, and changes it during that, as it is back, and soon after.
+func playSilentOutage(t *testing.T, n int, seed uint64) {
+	const all = 1.0
+	f, rng := startTimedFleet(t, n), rand.New(rand.NewPCG(seed, 3))
+	within := func(longest time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(longest))) }
+	realClock.Sleep(settle + within(changeBound))
+	f.silence(true, all)
+	outage := changeBound/4 + within(2*changeBound)
+	realClock.Sleep(outage / 2)
+	during := f.store.put()
+	realClock.Sleep(outage / 2)
+	f.silence(false, all)
+	backAt := time.Now()
+	atOnce := f.store.put()
+	realClock.Sleep(within(changeBound))
+	soon, soonAt := f.store.put(), time.Now()
+	realClock.Sleep(2 * changeBound)
+	f.expectInTime(during, backAt)
+	f.expectInTime(atOnce, backAt)
+	f.expectInTime(soon, soonAt)
+}
