Try a version on few of its upstreams, so that its answers come from loaded ones

Cause: at its first step a version gets some 15 in 100 of the sessions, spread over as many engines as the old version has. They are nearly idle. Most of its answers were at loads at which the old version has none in a burst, so that their speed was unknown or held to an extrapolation, and the load that completion brings was seen only in the last 0.4 s, after which there is no way back.

Fix: while a version gets a share of the sessions below 1, all VMs send these to the same few of its upstreams, by the hash of their IDs: share x number / 0.5 of them, two at least, and others where these don't take the request. So each has half of the load that completion brings.

--- a/internal/engines/placement.go
+++ b/internal/engines/placement.go
@@ -125,6 +125,9 @@
 	RouterPicksModel, SmallModel bool
 	// Answer is the answer that is expected; zero leaves its end out of account.
 	Answer AnswerShape
+	// TrialShare is the fraction of the service's sessions that get a version on trial, 0 to 1, if this is one of them; 0 for
+	// others.
+	TrialShare float64
 }
 
 // Choice is the result of Choose.
@@ -153,8 +156,20 @@
 }
 
 // Choose selects the upstream for a request; Choice.Engine is nil if there is
-// none.
+// none. A request of a trial goes to one of the trial's upstreams while one of them takes it.
 func (d *Directory) Choose(req Requirements) Choice {
+	if trial := d.trialUpstreams(req); len(trial) > 0 {
+		ofTrial := req
+		ofTrial.Only = trial
+		if choice := d.choose(ofTrial); choice.Engine != nil && !choice.BreakersIgnored {
+			return choice
+		}
+	}
+	return d.choose(req)
+}
+
+// choose selects the upstream for a request, of a trial or not.
+func (d *Directory) choose(req Requirements) Choice {
 	now := d.clock.Now()
 	engines := d.ForService(req.Service)
 	allowed := make([]*Engine, 0, len(engines))
--- a/internal/relay/answer_end_test.go
+++ b/internal/relay/answer_end_test.go
@@ -59,6 +59,7 @@
 
 func (allVersions) Allowed(string, float64) func(model.VersionID) bool { return nil }
 func (allVersions) Begin(shifts.Attempt) *shifts.Running               { return nil }
+func (allVersions) TrialShare(string, float64) float64                 { return 0 }
 
 // emptyTables is a configuration without routes.
 type emptyTables struct{}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -216,6 +216,7 @@
 		Tried: x.retryState.Tried, Draw: x.randState, Bytes: int64(len(x.body)) + expectedResponseBytes,
 	}
 	req.Answer = x.answerShape()
+	req.TrialShare = x.server.Versions.TrialShare(x.service, x.sessionPosition)
 	if x.routerPicksModel() {
 		req.RouterPicksModel, req.SmallModel = true, x.modelIndex < len(x.route.Models)-1
 	}
--- a/internal/relay/interfaces.go
+++ b/internal/relay/interfaces.go
@@ -186,6 +186,9 @@
 	// Allowed returns a filter of the versions that a session at the given
 	// position, 0 to 1, may use.
 	Allowed(service string, position float64) func(model.VersionID) bool
+	// TrialShare returns the fraction of sessions, 0 to 1, that get a version on trial, if a session at
+	// the given position is one of them, and 0 otherwise.
+	TrialShare(service string, position float64) float64
 	// Begin registers an attempt in progress. End must be called on the result.
 	Begin(a shifts.Attempt) *shifts.Running
 }
--- a/internal/shifts/manager.go
+++ b/internal/shifts/manager.go
@@ -295,6 +295,19 @@
 	return allowOld(to, s.state)
 }
 
+// TrialShare returns the fraction of the service's sessions, 0 to 1, that get the new version of a shift in
+// progress, if a session at the given position is one of them. It returns 0 for others and without a shift.
+func (m *Manager) TrialShare(serviceName string, position float64) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.byService[serviceName]
+	if s == nil || !s.known || s.state.Ended() || s.localVerdict.Bad || m.isNewOrder(s) ||
+		!m.opts.Plan.GetsNewVersion(s.state, position) {
+		return 0
+	}
+	return m.opts.Plan.Share(s.state)
+}
+
 // allowOld returns a function that reports whether a version is neither the new one nor withdrawn in
 // a state.
 func allowOld(newVersion model.VersionID, s shift.State) func(model.VersionID) bool {
