--- a/internal/entryd/not_run_status_test.go
+++ b/internal/entryd/not_run_status_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -30,7 +29,7 @@
 			for range repeats {
 				a, err := c.Do(ctx, http.MethodPost, permitsIssue, []byte(`{"street":"Alem 100"}`), header)
 				Expect(err).NotTo(HaveOccurred())
-				Expect(a.Status).To(Equal(http.StatusConflict), fmt.Sprintf("%s", a.Body))
+				Expect(a.Status).To(Equal(http.StatusConflict), string(a.Body))
 				Expect(a.Reason).To(Equal("outcome_unknown"))
 				Expect(a.Ran).To(Equal("unknown"))
 				Expect(a.Header.Get("Retry-After")).To(BeEmpty())
