Compare the errors of a version by route, too

Cause: one count over all answers. Some 3 errors among 15 answers on plan-draft were 3 among 84.

TestVersionThatFailsOnOneRouteIsNotCompleted failed before (complete, wanted reverted).

Fix: VMs publish the answers and errors by route, of at most 16 routes, and the plan compares each route with the old version's answers on it, by the thresholds that it has. Completion needs no proof by route: a route with few requests could not give it. Builds before this one write and read no routes.

TestEvidenceOfRoutesIsBounded bounds the row: 100 routes, below 4 KiB.

--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/internal/watch"
+	"github.com/poplarshore/poplarshore/rollout"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 	"github.com/poplarshore/poplarshore/vm"
 )
@@ -37,12 +38,42 @@
 	// write only the first.
 	Overdue    int64 `json:"overdue,omitzero"`
 	OldOverdue int64 `json:"old_overdue,omitzero"`
+	// Routes holds the answers by route, of at most maxRoutes. VMs of an earlier build write none.
+	Routes map[string]shift.Comparison `json:"routes,omitempty"`
 }
 
-func (o observed) add(p observed) observed {
-	return observed{
-		New: o.New.Add(p.New), Old: o.Old.Add(p.Old), Before: o.Before.Add(p.Before),
-		Overdue: o.Overdue + p.Overdue, OldOverdue: o.OldOverdue + p.OldOverdue,
+// maxRoutes bounds the routes of a service whose answers are counted apart.
+const maxRoutes = 16
+
+// isEmpty reports whether nothing was observed.
+func (o observed) isEmpty() bool {
+	return o.New.Answers.Requests+o.Old.Answers.Requests+o.Before.Answers.Requests+o.Overdue+o.OldOverdue == 0
+}
+
+// countRoute adds an answer on a route to its counts, which the function selects, or takes it away.
+func (o *observed) countRoute(name string, of func(*shift.Comparison) *rollout.Counts, change func(rollout.Counts) rollout.Counts) {
+	counts, known := o.Routes[name]
+	if !known && len(o.Routes) >= maxRoutes {
+		return
+	}
+	if o.Routes == nil {
+		o.Routes = make(map[string]shift.Comparison)
+	}
+	c := of(&counts)
+	*c = change(*c)
+	o.Routes[name] = counts
+}
+
+// merge adds p to o, whose map of routes must be its own.
+func (o *observed) merge(p observed) {
+	o.New, o.Old, o.Before = o.New.Add(p.New), o.Old.Add(p.Old), o.Before.Add(p.Before)
+	o.Overdue += p.Overdue
+	o.OldOverdue += p.OldOverdue
+	for name, counts := range p.Routes {
+		if o.Routes == nil {
+			o.Routes = make(map[string]shift.Comparison, len(p.Routes))
+		}
+		o.Routes[name] = o.Routes[name].Add(counts)
 	}
 }
 
@@ -54,8 +85,15 @@
 			return shift.ErrOutOfBounds.New("%d overdue attempts", n)
 		}
 	}
-	for _, seen := range []shift.Observations{o.New, o.Old, o.Before} {
-		if err := seen.Check(); err != nil {
+	if len(o.Routes) > maxRoutes {
+		return shift.ErrOutOfBounds.New("%d routes", len(o.Routes))
+	}
+	seen := []shift.Observations{o.New, o.Old, o.Before}
+	for _, c := range o.Routes {
+		seen = append(seen, shift.Observations{Answers: c.New}, shift.Observations{Answers: c.Old}, shift.Observations{Answers: c.Before})
+	}
+	for _, s := range seen {
+		if err := s.Check(); err != nil {
 			return err
 		}
 	}
@@ -77,7 +115,9 @@
 
 // own returns what this VM observed, also before it was restarted.
 func (m *Manager) own(s *serviceState) observed {
-	own := s.inherited.add(s.local)
+	var own observed
+	own.merge(s.inherited)
+	own.merge(s.local)
 	own.Overdue, own.OldOverdue = 0, 0
 	now := m.opts.Clock.Now()
 	for r := range s.unjudged {
@@ -96,9 +136,9 @@
 func (m *Manager) evidence(s *serviceState) shift.Evidence {
 	total := m.own(s)
 	for o := range maps.Values(s.remote) {
-		total = total.add(o)
+		total.merge(o)
 	}
-	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before, Overdue: total.Overdue, OldOverdue: total.OldOverdue}
+	return shift.Evidence{New: total.New, Old: total.Old, Before: total.Before, Overdue: total.Overdue, OldOverdue: total.OldOverdue, Routes: total.Routes}
 }
 
 func (m *Manager) applyEvidence(keySuffix string, r watch.Row) error {
@@ -143,7 +183,7 @@
 		return false
 	}
 	own, elapsed := m.own(s), m.opts.Clock.Since(s.publishedAt)
-	if s.published == (observed{}) && own.Before.Answers.Requests > 0 {
+	if s.published.isEmpty() && own.Before.Answers.Requests > 0 {
 		first := time.Duration(firstCountsFraction * float64(s.state.Order.Duration))
 		return now-s.state.Started >= first+m.turnDelay(serviceName) && elapsed >= minEvidenceInterval
 	}
--- a/internal/shifts/load_test.go
+++ b/internal/shifts/load_test.go
@@ -1,6 +1,7 @@
 package shifts_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -149,3 +150,42 @@
 	f.advance(9 * time.Second)
 	f.Expect(f.state().Phase).To(Equal(shift.Complete))
 }
+
+// onRoute returns the outcome of a stream on a route.
+func onRoute(route string, v model.VersionID, failed bool) shifts.Outcome {
+	o := outcome(v, usualGap, failed)
+	o.Route = route
+	return o
+}
+
+// TestVersionThatFailsOnOneRouteIsNotCompleted guards against a version that is bad on one route only, whose errors are few among
+// the answers on all routes.
+func TestVersionThatFailsOnOneRouteIsNotCompleted(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	f.order()
+	f.recordOutcomes(0, 60, onRoute("tag", "v1", false))
+	f.recordOutcomes(0, 20, onRoute("draft", "v1", false))
+	f.advance(11 * time.Second)
+	for i := range f.vms {
+		f.recordOutcomes(i, 90, onRoute("tag", "v1", false))
+		f.recordOutcomes(i, 30, onRoute("draft", "v1", false))
+		f.recordOutcomes(i, 30, onRoute("tag", "v2", false))
+		f.recordOutcomes(i, 5, onRoute("draft", "v2", false))
+		f.recordOutcomes(i, 2, onRoute("draft", "v2", true))
+	}
+	f.advance(9 * time.Second)
+	f.Expect(f.state().Phase).To(Equal(shift.Reverted))
+}
+
+// TestEvidenceOfRoutesIsBounded guards against rows that grow with the routes of a configuration.
+func TestEvidenceOfRoutesIsBounded(t *testing.T) {
+	f := newFleet(t, "a")
+	f.order()
+	f.advance(11 * time.Second)
+	for i := range 100 {
+		f.recordOutcomes(0, 1, onRoute(fmt.Sprint("route-", i), "v2", false))
+	}
+	f.advance(2 * time.Second)
+	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeEquivalentTo(100))
+	f.Expect(len(f.table.rows["evidence/s/a"].Value)).To(BeNumerically("<", 4<<10))
+}
--- a/internal/shifts/outcome.go
+++ b/internal/shifts/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/poplarshore/poplarshore/model"
+	"github.com/poplarshore/poplarshore/rollout"
 	"github.com/poplarshore/poplarshore/rollout/shift"
 )
 
@@ -11,6 +12,8 @@
 type Attempt struct {
 	Service string
 	Version model.VersionID
+	// Route is the name of the request's route.
+	Route string
 	// Kind groups attempts that have about the same latency for the same prompt
 	// length.
 	Kind string
@@ -125,14 +128,14 @@
 	return observed
 }
 
-// counts returns this VM's observations of a version at the current step.
-func (s *serviceState) counts(v model.VersionID) *shift.Observations {
+// counts returns this VM's observations of a version at the current step, and the function that selects its counts on a route.
+func (s *serviceState) counts(v model.VersionID) (*shift.Observations, func(*shift.Comparison) *rollout.Counts) {
 	switch {
 	case s.isNewVersion(v):
-		return &s.local.New
+		return &s.local.New, func(c *shift.Comparison) *rollout.Counts { return &c.New }
 	case s.state.Step == 0:
-		return &s.local.Before
+		return &s.local.Before, func(c *shift.Comparison) *rollout.Counts { return &c.Before }
 	default:
-		return &s.local.Old
+		return &s.local.Old, func(c *shift.Comparison) *rollout.Counts { return &c.Old }
 	}
 }
--- a/internal/shifts/running.go
+++ b/internal/shifts/running.go
@@ -39,6 +39,8 @@
 	counted  *shift.Observations
 	order    shift.Order
 	recorded shift.Observations
+	// ofRoute selects the counts of the attempt's route among which it is.
+	ofRoute func(*shift.Comparison) *rollout.Counts
 }
 
 // Begin registers an attempt in progress. Running.End must be called on the result.
@@ -205,8 +207,10 @@
 	if !s.known || s.state.Ended() {
 		return
 	}
-	r.counted, r.order, r.recorded = s.counts(r.attempt.Version), s.state.Order, observed
+	r.counted, r.ofRoute = s.counts(r.attempt.Version)
+	r.order, r.recorded = s.state.Order, observed
 	*r.counted = r.counted.Add(observed)
+	s.local.countRoute(r.attempt.Route, r.ofRoute, func(c rollout.Counts) rollout.Counts { return c.Add(observed.Answers) })
 }
 
 // countSlow counts the attempt as slow, also if it was counted before as fast.
@@ -226,6 +230,7 @@
 func (r *Running) retract(s *serviceState) {
 	if r.counted != nil && r.isCurrent(s) {
 		*r.counted = r.counted.Sub(r.recorded)
+		s.local.countRoute(r.attempt.Route, r.ofRoute, func(c rollout.Counts) rollout.Counts { return c.Sub(r.recorded.Answers) })
 	}
 }
 
--- a/rollout/shift/shift.go
+++ b/rollout/shift/shift.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -173,21 +174,36 @@
 	// if they succeed, and OldOverdue that on the replaced one. They may fail for another
 	// reason than their version.
 	Overdue, OldOverdue int64
+	// Routes holds the answers and the errors among them by route: what is bad on one route is few errors among all answers.
+	Routes map[string]Comparison
 	// RequestRate is the number of requests for the service per second since the order,
 	// from all VMs; zero if it is not known.
 	RequestRate float64
 }
 
-// kindOfEvidence holds the counts of one kind that are compared with each other.
-type kindOfEvidence struct{ New, Old, Before rollout.Counts }
+// Comparison holds counts of both versions that are compared with each other, as those of Evidence.
+type Comparison struct {
+	New    rollout.Counts `json:"new,omitzero"`
+	Old    rollout.Counts `json:"old,omitzero"`
+	Before rollout.Counts `json:"before,omitzero"`
+}
+
+// Add returns the sum of c and o.
+func (c Comparison) Add(o Comparison) Comparison {
+	return Comparison{New: c.New.Add(o.New), Old: c.Old.Add(o.Old), Before: c.Before.Add(o.Before)}
+}
 
-// byKind returns the evidence by kind: all answers, times to the first event, and speeds.
-func (e Evidence) byKind() [3]kindOfEvidence {
-	return [3]kindOfEvidence{
+// comparisons returns what is compared: all answers, times to the first event, speeds, and the answers on each route, by name.
+func (e Evidence) comparisons() []Comparison {
+	all := []Comparison{
 		{e.New.Answers, e.Old.Answers, e.Before.Answers},
 		{e.New.Started, e.Old.Started, e.Before.Started},
 		{e.New.Paced, e.Old.Paced, e.Before.Paced},
 	}
+	for _, name := range slices.Sorted(maps.Keys(e.Routes)) {
+		all = append(all, e.Routes[name])
+	}
+	return all
 }
 
 // Begin returns the first state of an order. Now is on the shared clock.
@@ -275,7 +291,7 @@
 }
 
 func (p Plan) compare(e Evidence, threshold float64) rollout.Verdict {
-	for _, counts := range e.byKind() {
+	for _, counts := range e.comparisons() {
 		if v := rollout.Compare(counts.New, counts.Old, counts.Before, p.Tolerance, threshold); v.Bad {
 			return v
 		}
