Count a request that fails at one upstream after the other once

What callers saw: good versions of a plain service reverted for errors.

Cause: a request that fails at any upstream, whatever its version, is tried again at another one, and each attempt counted. Four errors of four answers on one route of v2 were two such requests; v1 had failed one of them twice as well.

TestRequestThatFailsAgainIsOneObservation failed before (it got Failed in place of Inconclusive).

Fix: a failure after another failure of the same request says nothing of its version.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -76,7 +76,7 @@
 		kind = x.route.Name
 	}
 	return shifts.Attempt{
-		Service: x.service, Version: a.engine.Version(), Kind: kind,
+		Service: x.service, Version: a.engine.Version(), Route: x.route.Name, Kind: kind,
 		PromptTokens: x.request.PromptTokens, Load: a.engine.Requests(),
 	}
 }
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -92,6 +92,9 @@
 		return shifts.Succeeded
 	case inconclusive:
 		return shifts.Inconclusive
+	case errorx.IsOfType(err, errFailed) && a.exchange.retriedFailure:
+		// The request has failed before and may fail at any upstream: it is one observation.
+		return shifts.Inconclusive
 	case errorx.IsOfType(err, errFailed):
 		return shifts.Failed
 	case errorx.IsOfType(err, upconn.ErrBroken):
--- a/internal/relay/outcome_test.go
+++ b/internal/relay/outcome_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/peerrelay"
+	"github.com/poplarshore/poplarshore/internal/shifts"
 )
 
 // TestSenderIsNotBlamedForMemoryOfOthers guards against circuit breakers, reverted versions and avoided VMs because others
@@ -20,3 +21,15 @@
 	g.Expect(blamesNobody(overShare)).To(BeFalse())
 	g.Expect(peerResult(t.Context(), overShare)).To(Equal(peerrelay.Unavailable))
 }
+
+// TestRequestThatFailsAgainIsOneObservation guards against a good version that is reverted for a request that fails at any
+// upstream, which counted once for each attempt.
+func TestRequestThatFailsAgainIsOneObservation(t *testing.T) {
+	g := NewWithT(t)
+	a := &attempt{exchange: &exchange{}}
+	failed := errFailed.New("upstream failure")
+	g.Expect(a.versionResult(failed, false)).To(Equal(shifts.Failed))
+	a.exchange.retriedFailure = true
+	g.Expect(a.versionResult(failed, false)).To(Equal(shifts.Inconclusive))
+	g.Expect(a.versionResult(nil, false)).To(Equal(shifts.Succeeded))
+}
