Bound the routes in the evidence of a restarted VM

Found by reading the diff: a VM that was restarted goes on with the routes that it had published and counts those of its new process beside them, so that its row could have 32, which other VMs reject as out of bounds; all its evidence was lost to them. TestEvidenceOfRoutesIsBounded failed with the bound undone.

Also: the set of statuses is called by what they state (StatesNotRun).

--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -164,9 +164,9 @@
 // promises that the call has not run.
 func (s *Server) storeAndSend(call *serviceCall, w http.ResponseWriter, claim *once.Claim, u upstream.ID, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	if refusal.PromisesNotRun(resp.StatusCode) {
+	if refusal.StatesNotRun(resp.StatusCode) {
 		s.markUnknown(claim)
-		return promiseOf(u, resp.StatusCode)
+		return unknownOutcome(u, resp.StatusCode)
 	}
 	buffer := s.responseBuffer(call, u)
 	if err := s.readResponse(buffer, resp); err != nil {
@@ -183,9 +183,9 @@
 	return response.send(call.exchange, w)
 }
 
-// promiseOf returns the refusal in place of an upstream's response whose status promises that the call has not run, although
+// unknownOutcome returns the refusal in place of an upstream's response whose status promises that the call has not run, although
 // nothing in it states so: a caller that got it would send the call again.
-func promiseOf(u upstream.ID, status int) *refusal.Refusal {
+func unknownOutcome(u upstream.ID, status int) *refusal.Refusal {
 	return refusal.New(refusal.OutcomeUnknown).With("Upstream %q answered with status %d.", u, status)
 }
 
@@ -199,7 +199,7 @@
 	if stored.Oversize {
 		return refusal.New(refusal.OutcomeUnknown).With("The call has run; its answer was too large to be kept.")
 	}
-	if refusal.PromisesNotRun(stored.Status) {
+	if refusal.StatesNotRun(stored.Status) {
 		return refusal.New(refusal.OutcomeUnknown).With("An earlier request with the key was answered with status %d.", stored.Status)
 	}
 	if err := s.billService(call, stored.Request); err != nil {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -9,7 +9,7 @@
 // that promises that the request has not run would make the caller send it again, so only callers whose requests may run
 // more than once get it.
 func (x *exchange) mayForward(status int) bool {
-	return x.route.Repeatable() || !refusal.PromisesNotRun(status)
+	return x.route.Repeatable() || !refusal.StatesNotRun(status)
 }
 
 // dropFailure drops the response of an upstream that failed a request which it may have run, with a status that the caller
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -43,7 +43,7 @@
 // VM. The status of a refusal may promise that it has not.
 func mayHaveRunAtPeer(err error) bool {
 	var refused *refusal.Refusal
-	if errors.As(err, &refused) && refusal.PromisesNotRun(refused.Status) {
+	if errors.As(err, &refused) && refusal.StatesNotRun(refused.Status) {
 		return false
 	}
 	return !isForOthers(err)
--- a/internal/shifts/evidence.go
+++ b/internal/shifts/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,6 +65,22 @@
 	o.Routes[name] = counts
 }
 
+// fitting returns those of the routes that o has already or has room for.
+func (o observed) fitting(routes map[string]shift.Comparison) map[string]shift.Comparison {
+	fitting, room := make(map[string]shift.Comparison), maxRoutes-len(o.Routes)
+	for _, name := range slices.Sorted(maps.Keys(routes)) {
+		_, known := o.Routes[name]
+		if !known && room <= 0 {
+			continue
+		}
+		if !known {
+			room--
+		}
+		fitting[name] = routes[name]
+	}
+	return fitting
+}
+
 // merge adds p to o, whose map of routes must be its own.
 func (o *observed) merge(p observed) {
 	o.New, o.Old, o.Before = o.New.Add(p.New), o.Old.Add(p.Old), o.Before.Add(p.Before)
@@ -117,7 +134,9 @@
 func (m *Manager) own(s *serviceState) observed {
 	var own observed
 	own.merge(s.inherited)
-	own.merge(s.local)
+	local := s.local
+	local.Routes = own.fitting(s.local.Routes)
+	own.merge(local)
 	own.Overdue, own.OldOverdue = 0, 0
 	now := m.opts.Clock.Now()
 	for r := range s.unjudged {
--- a/internal/shifts/load_test.go
+++ b/internal/shifts/load_test.go
@@ -188,4 +188,18 @@
 	f.advance(2 * time.Second)
 	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeEquivalentTo(100))
 	f.Expect(len(f.table.rows["evidence/s/a"].Value)).To(BeNumerically("<", 4<<10))
+
+	f.vms = nil
+	f.addVM("a")
+	f.addVM("b")
+	f.order()
+	for i := range f.vms {
+		f.vms[i].Replace(f.table.batch())
+	}
+	for i := range 100 {
+		f.recordOutcomes(0, 1, onRoute(fmt.Sprint("other-", i), "v2", false))
+	}
+	f.advance(2 * time.Second)
+	f.Expect(f.evidence("a").Seen.Answers.Requests).To(BeEquivalentTo(200))
+	f.Expect(f.evidence("a").Routes).To(HaveLen(16), "other VMs take no row with more")
 }
--- a/internal/shifts/shifts_test.go
+++ b/internal/shifts/shifts_test.go
@@ -464,7 +464,8 @@
 
 // evidenceRow is the row with the observations of a VM.
 type evidenceRow struct {
-	Seen shift.Observations `json:"seen"`
+	Seen   shift.Observations          `json:"seen"`
+	Routes map[string]shift.Comparison `json:"routes"`
 }
 
 func (f *fleet) evidence(vmID string) evidenceRow {
--- a/refusal/status.go
+++ b/refusal/status.go
@@ -2,9 +2,9 @@
 
 import "net/http"
 
-// PromisesNotRun reports whether a response with the status states that the request has not run and never will, so that its
+// StatesNotRun reports whether a response with the status states that the request has not run and never will, so that its
 // caller may send any request again.
-func PromisesNotRun(status int) bool {
+func StatesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
@@ -15,7 +15,7 @@
 // StatusAfterRun returns the status of the refusal of a request that may have run: 502 in place of one that promises that it
 // has not.
 func (r *Refusal) StatusAfterRun() int {
-	if PromisesNotRun(r.Status) {
+	if StatesNotRun(r.Status) {
 		return http.StatusBadGateway
 	}
 	return r.Status
--- a/refusal/status_test.go
+++ b/refusal/status_test.go
@@ -15,9 +15,9 @@
 	for _, status := range []int{408, 421, 429, 503} {
 		r := refusal.New(refusal.Overloaded)
 		r.Status = status
-		g.Expect(refusal.PromisesNotRun(status)).To(BeTrue())
+		g.Expect(refusal.StatesNotRun(status)).To(BeTrue())
 		g.Expect(r.StatusAfterRun()).To(Equal(http.StatusBadGateway))
 	}
 	g.Expect(refusal.New(refusal.DeadlineExceeded).StatusAfterRun()).To(Equal(http.StatusGatewayTimeout))
-	g.Expect(refusal.PromisesNotRun(http.StatusBadGateway)).To(BeFalse())
+	g.Expect(refusal.StatesNotRun(http.StatusBadGateway)).To(BeFalse())
 }
