--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -161,7 +161,7 @@
 // storeAndSend reads the response, stores it with the claim, bills the call and sends
 // the response to the caller. The outcome is unknown if the response is truncated,
 // larger than MaxBufferedBytes or more than the VM has memory for, and if its status
-// promises that the call has not run.
+// states that the call has not run.
 func (s *Server) storeAndSend(call *serviceCall, w http.ResponseWriter, claim *once.Claim, u upstream.ID, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
 	if refusal.StatesNotRun(resp.StatusCode) {
@@ -183,8 +183,8 @@
 	return response.send(call.exchange, w)
 }
 
-// unknownOutcome returns the refusal in place of an upstream's response whose status promises that the call has not run, although
-// nothing in it states so: a caller that got it would send the call again.
+// unknownOutcome returns the refusal in place of an upstream's response whose status states that the call has not run, although
+// no field confirms it: a caller that got it would send the call again.
 func unknownOutcome(u upstream.ID, status int) *refusal.Refusal {
 	return refusal.New(refusal.OutcomeUnknown).With("Upstream %q answered with status %d.", u, status)
 }
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -23,7 +23,7 @@
 }
 
 // refuse sends a refusal. Its ran value is RanUnknown if an attempt of the exchange
-// may have run, otherwise that of the refusal. Its status promises nothing then.
+// may have run, otherwise that of the refusal. Its status does not state that nothing has run then.
 func (s *Server) refuse(x *Exchange, w http.ResponseWriter, refused *refusal.Refusal) {
 	ran, status := refused.Ran, refused.Status
 	if x.ran() == refusal.RanUnknown {
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -6,7 +6,7 @@
 )
 
 // mayForward reports whether the caller may get an upstream's response with the status to a request that may have run. One
-// that promises that the request has not run would make the caller send it again, so only callers whose requests may run
+// that states that the request has not run would make the caller send it again, so only callers whose requests may run
 // more than once get it.
 func (x *exchange) mayForward(status int) bool {
 	return x.route.Repeatable() || !refusal.StatesNotRun(status)
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -40,7 +40,7 @@
 }
 
 // mayHaveRunAtPeer reports whether the request may have run after an attempt through another
-// VM. The status of a refusal may promise that it has not.
+// VM. The status of a refusal may state that it has not.
 func mayHaveRunAtPeer(err error) bool {
 	var refused *refusal.Refusal
 	if errors.As(err, &refused) && refusal.StatesNotRun(refused.Status) {
@@ -208,7 +208,7 @@
 	}
 	if !x.mayForward(resp.Status) {
 		// An older build passes on what its upstream sent.
-		return refusal.New(refusal.UpstreamFailed).With("VM %s passed on status %d, which promises that the request has not run.", peer.ID, resp.Status)
+		return refusal.New(refusal.UpstreamFailed).With("VM %s passed on status %d, which states that the request has not run.", peer.ID, resp.Status)
 	}
 	if x.headerSent && !x.continuesStream(resp) {
 		return upconn.ErrBroken.New("expected an event stream to resume from VM %s, got status %d", peer.ID, resp.Status)
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -46,7 +46,7 @@
 	x.recordAborted(abortAnswered)
 }
 
-// refusalStatus returns the HTTP status of a refusal. It promises nothing once an attempt may have run.
+// refusalStatus returns the HTTP status of a refusal. It does not state that the request has not run once an attempt may have run it.
 func (x *exchange) refusalStatus(refused *refusal.Refusal) int {
 	if x.retryState.Attempts > 0 {
 		return refused.StatusAfterRun()
--- a/refusal/status.go
+++ b/refusal/status.go
@@ -12,7 +12,7 @@
 	return false
 }
 
-// StatusAfterRun returns the status of the refusal of a request that may have run: 502 in place of one that promises that it
+// StatusAfterRun returns the status of the refusal of a request that may have run: 502 in place of one that states that it
 // has not.
 func (r *Refusal) StatusAfterRun() int {
 	if StatesNotRun(r.Status) {
--- a/refusal/status_test.go
+++ b/refusal/status_test.go
@@ -9,8 +9,8 @@
 	"github.com/poplarshore/poplarshore/refusal"
 )
 
-// TestStatusAfterRunPromisesNothing guards against a refusal whose caller takes a request that may have run for one that has not.
-func TestStatusAfterRunPromisesNothing(t *testing.T) {
+// TestStatusAfterRunStatesNothing guards against a refusal whose caller takes a request that may have run for one that has not.
+func TestStatusAfterRunStatesNothing(t *testing.T) {
 	g := NewWithT(t)
 	for _, status := range []int{408, 421, 429, 503} {
 		r := refusal.New(refusal.Overloaded)
