An answer whose status is none of HTTP is broken

What callers saw (platform stand-in, engine on a raw socket, every kind of route): an answer with status 000, 099, +20, -00 or 101 on a connection left open cost the caller its whole deadline (504 after 3.0 to 5.0 s); one without a length whose body looks like another answer was passed on as that, sealed; 600 and 999 were passed on. At the product's own API 000, 099 and +20 cut the caller's connection (WriteHeader panics), 101 was passed on with an empty body. An order to an engine that was answered so counted as accepted, a transaction at the store as refused.

Cause: net/http parses any three characters that strconv.Atoi takes. upconn took all under 200 for informational and read what follows, the odd answer's own body, as the next head; the clients on http.Transport compared the number with the statuses that they know.

Mend: internal/httphead says in one place whether a head is that of a response: a status from 100 to 599 (RFC 9110, section 15), not 101, as no other protocol is asked for, and no body on an informational one. upconn asks it for each head, also those that it skips; all other clients go through transport.Checked, which closes the connection. The attempt has failed and may have run. Results that an older build stored with a key are checked, too.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -38,9 +38,9 @@
 	if err != nil {
 		return nil, ErrUsage.Wrap(err, "invalid --peers")
 	}
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: transport.Checked(&http.Transport{
 		Proxy: http.ProxyFromEnvironment, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-	}}
+	})}
 	resp, err := fetch.Do(client, req, fetch.Limits{
 		HeaderTimeout: gatewayTimeout, IdleTimeout: gatewayTimeout, MaxBytes: maxListingBytes,
 	})
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -102,9 +102,9 @@
 	}
 	return &operatorclient.Client{
 		URLs: e.urls, Token: string(token),
-		HTTP: &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		HTTP: &http.Client{Timeout: callTimeout, Transport: transport.Checked(&http.Transport{
 			TLSClientConfig: config, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-		}},
+		})},
 	}, nil
 }
 
--- a/internal/entry/nonidempotent.go
+++ b/internal/entry/nonidempotent.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/poplarshore/poplarshore/coord/once"
+	"github.com/poplarshore/poplarshore/internal/httphead"
 	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/refusal"
@@ -199,6 +200,10 @@
 	if stored.Oversize {
 		return refusal.New(refusal.OutcomeUnknown).With("The call has run; its answer was too large to be kept.")
 	}
+	if err := httphead.Check(stored.Status, stored.Header); err != nil {
+		// An older build stored what its upstream sent.
+		return refusal.Wrap(refusal.OutcomeUnknown, err)
+	}
 	if refusal.StatesNotRun(stored.Status) {
 		return refusal.New(refusal.OutcomeUnknown).With("An earlier request with the key was answered with status %d.", stored.Status)
 	}
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -63,9 +63,9 @@
 
 // NewAnnouncer returns an announcer. It does nothing before Run.
 func NewAnnouncer(opts AnnouncerOptions) *Announcer {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: transport.Checked(&http.Transport{
 		IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: transport.MaxResponseHeaderBytes,
-	}}
+	})}
 	return &Announcer{opts: opts, http: client}
 }
 
--- a/internal/peerfeed/feed.go
+++ b/internal/peerfeed/feed.go
@@ -81,7 +81,7 @@
 	registry prometheus.Registerer) *Feed {
 	f := &Feed{
 		opts: opts, store: source, vms: vms, clock: clock, log: log, started: clock.Now(),
-		http:      &http.Client{Transport: newTransport(opts.Dial, opts.DialTimeout)},
+		http:      &http.Client{Transport: transport.Checked(newTransport(opts.Dial, opts.DialTimeout))},
 		timeouts:  fetch.NewTimeouts(opts.Slack, opts.MaxSlack),
 		histories: make(map[string]*history), backoffs: make(map[backoffKey]backoff),
 		storeFailedAt: make(map[string]time.Time), polledAt: make(map[string]time.Time),
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -49,8 +49,8 @@
 // Pool holds the connections to one upstream.
 type Pool struct {
 	opts       Options
-	keepAlive  *http.Transport
-	singleUse  *http.Transport
+	keepAlive  *CheckedTransport
+	singleUse  *CheckedTransport
 	idempotent *verifying
 	dials      atomic.Int64
 }
@@ -58,9 +58,10 @@
 // NewPool returns a pool without connections.
 func NewPool(opts Options) *Pool {
 	p := &Pool{opts: opts.withDefaults()}
-	p.keepAlive = p.newTransport()
-	p.singleUse = p.newTransport()
-	p.singleUse.DisableKeepAlives = true
+	p.keepAlive = Checked(p.newTransport())
+	singleUse := p.newTransport()
+	singleUse.DisableKeepAlives = true
+	p.singleUse = Checked(singleUse)
 	p.idempotent = &verifying{keepAlive: p.keepAlive, singleUse: p.singleUse}
 	return p
 }
--- /dev/null
+++ b/internal/upconn/broken_answers_test.go
@@ -0,0 +1,64 @@
+package upconn_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/gomega"
+
+	"github.com/poplarshore/poplarshore/internal/upconn"
+	"github.com/poplarshore/poplarshore/standin/rawserver"
+)
+
+// startRaw starts a server that sends the text, with CRLF line ends, to each request. It leaves its connections open.
+func startRaw(t *testing.T, text string) *rawserver.Server {
+	server, err := rawserver.Listen(func(*http.Request) rawserver.Answer {
+		return rawserver.Answer{Text: strings.ReplaceAll(text, "\n", "\r\n"), End: rawserver.StayOpen}
+	})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(server.Close)
+	return server
+}
+
+// expectBroken expects that requests to a server that sends the text fail as broken, not by a timeout or a lost connection, and
+// that no two use the same connection.
+func expectBroken(t *testing.T, text string) {
+	t.Helper()
+	g := NewWithT(t)
+	server := startRaw(t, text)
+	p := upconn.NewPool(upconn.DefaultOptions())
+	for _, id := range []string{"1", "2"} {
+		call := newCall(server.Address(), id)
+		call.HeaderTimeout = cutTimeout
+		resp, err := p.Do(context.Background(), call)
+		if err == nil {
+			_, err = readBody(resp)
+			resp.Close()
+		}
+		g.Expect(errorx.IsOfType(err, upconn.ErrBroken)).To(BeTrue(), "%q: %v", text, err)
+		g.Expect(errorx.IsOfType(err, upconn.ErrConnectionLost)).To(BeFalse(), "%q: %v", text, err)
+	}
+	g.Expect(server.Requests()).To(Equal(2))
+	g.Expect(server.Reused()).To(BeZero(), "%q", text)
+}
+
+// TestAnswerWithoutStatusOfHTTPIsBroken guards against answers whose status is none: those under 200 were skipped, and the bytes
+// after their head were read as another answer. A stale answer like that can't be skipped either.
+func TestAnswerWithoutStatusOfHTTPIsBroken(t *testing.T) {
+	for _, status := range []string{"000 Odd", "000", "099 Odd", "+20 Odd", "-00 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"} {
+		for _, id := range []string{"1", "2", "stale"} {
+			head := "HTTP/1.1 " + status + "\nId: " + id + "\n"
+			expectBroken(t, head+"\n"+okResponse("1", "foreign")+okResponse("2", "foreign"))
+			expectBroken(t, head+"Content-Length: 4\n\nbody")
+		}
+	}
+}
+
+// TestInformationalAnswerWithBodyIsBroken guards against a body that is read as the next answer.
+func TestInformationalAnswerWithBodyIsBroken(t *testing.T) {
+	foreign := okResponse("1", "foreign")
+	expectBroken(t, "HTTP/1.1 150 Odd\nContent-Length: 60\n\n"+foreign+foreign)
+}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/poplarshore/poplarshore/internal/httphead"
 )
 
 // Request is one request to an upstream.
@@ -235,7 +237,10 @@
 		if err != nil {
 			return nil, r.readError(err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if err := httphead.Check(resp.StatusCode, resp.Header); err != nil {
+			return nil, ErrBroken.Wrap(err, "read response from %s", r.conn.address)
+		}
+		if httphead.IsInformational(resp.StatusCode) {
 			continue
 		}
 		if r.isAnswer(&call, resp.Header) {
