An answer with an odd name of a field is broken

What callers saw (platform stand-in, engine on a raw socket, every kind of route, also through a relaying VM): an answer with a field 'X-Probe Foo: 1' or 'X-Probe : 1' was passed on as sound, without that field. One with 'Content-Length : 2' or 'Transfer-Encoding : chunked' was passed on with another body: all bytes up to the end of the connection, the chunks' framing included. At the product's own API the same, and the key of a call got it again.

Cause: net/http takes a blank in the name of a field for the sake of old servers (go.dev/issue/34540) and keeps the name as it is, so that no one finds the length or the coding under it. Nothing of ours looked at the names: not in final and informational heads, not in those of stale answers that are skipped, nor in trailers.

Mend: httphead.Check, which all clients ask already, also checks the names by httpguts.ValidHeaderFieldName (RFC 9110, section 5.1; RFC 9112, section 5.1 has a proxy drop or reject such answers). Trailers are checked where a body ends: in upconn, also of stale answers and of rejections whose body is dropped, and in transport.Checked. A name that is none says that the bytes are no answer, so that no framing has to be guessed.

--- a/internal/entry/stored_test.go
+++ b/internal/entry/stored_test.go
@@ -29,3 +29,11 @@
 		expectNotSent(t, storedResponse{Status: status, Body: []byte("body"), Request: "r"})
 	}
 }
+
+// TestStoredAnswerWithOddFieldNameIsNotSent guards against answers that an older build stored although the name of a field is none:
+// what it stored need not be the body of the answer.
+func TestStoredAnswerWithOddFieldNameIsNotSent(t *testing.T) {
+	for _, name := range []string{"X-Probe Foo", "X-Probe ", "Content-Length ", ""} {
+		expectNotSent(t, storedResponse{Status: http.StatusOK, Header: http.Header{name: {"1"}}, Body: []byte("body"), Request: "r"})
+	}
+}
--- a/internal/entryd/broken_answers_test.go
+++ b/internal/entryd/broken_answers_test.go
@@ -113,3 +113,27 @@
 		})
 	}
 }
+
+// oddFieldLines are lines of a head with a name that holds a blank or a control byte, each with its end. Without the framing that
+// they seem to name, the body ends with the connection.
+var oddFieldLines = []string{
+	"X-Probe Foo: 1\r\n", "X-Probe : 1\r\n", "Content-Length : 2\r\n", "Transfer-Encoding : chunked\r\n", "X\x01A: 1\r\n", "X\tA: 1\r\n",
+}
+
+// TestCallAnsweredWithOddFieldNameHasUnknownOutcome guards against answers in whose head the name of a field is none: the caller
+// got them, with another body if it named the length or the coding, and again with its key.
+func TestCallAnsweredWithOddFieldNameHasUnknownOutcome(t *testing.T) {
+	for _, line := range oddFieldLines {
+		expectUnknownOutcome(t, line, "{}", func(r *http.Request) rawserver.Answer { return rawAnswer(r, "200 OK", line, "body") })
+	}
+}
+
+// TestReadAnsweredWithOddFieldNameFails is the same for calls that may run more than once, and for completions.
+func TestReadAnsweredWithOddFieldNameFails(t *testing.T) {
+	const stream = "id: a/0\ndata: foreign\n\ndata: [DONE]\n\n"
+	for _, line := range oddFieldLines {
+		expectReadFails(t, line, func(r *http.Request) rawserver.Answer {
+			return rawAnswer(r, "200 OK", "Content-Type: text/event-stream\r\n"+line, stream)
+		})
+	}
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 )
 
 var namespace = errorx.NewNamespace("httphead")
@@ -31,6 +32,17 @@
 	case IsInformational(status) && announcesBody(h):
 		return ErrInvalid.New("informational response with status %d and a body", status)
 	}
+	return CheckFields(h)
+}
+
+// CheckFields checks the names of the fields of a header or a trailer (RFC 9110, section 5.1). One that holds a blank may hide
+// the length or the coding of the body. Errors: ErrInvalid.
+func CheckFields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return ErrInvalid.New("invalid name of a field: %q", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -36,3 +37,18 @@
 		g.Expect(httphead.Check(http.StatusOK, h)).To(Succeed(), length)
 	}
 }
+
+// TestFieldNames checks names of one byte, alone and within others.
+func TestFieldNames(t *testing.T) {
+	g := NewWithT(t)
+	const valid = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for b := range 256 {
+		for _, name := range []string{string([]byte{byte(b)}), string([]byte{'X', byte(b), 'A'}), string([]byte{'X', byte(b)})} {
+			h := http.Header{"X-A": {"1"}, name: {"1"}}
+			g.Expect(httphead.Check(http.StatusOK, h) == nil).To(Equal(strings.IndexByte(valid, byte(b)) >= 0), "%q", name)
+			g.Expect(httphead.CheckFields(h) == nil).To(Equal(strings.IndexByte(valid, byte(b)) >= 0), "%q", name)
+		}
+	}
+	g.Expect(httphead.CheckFields(http.Header{"": {"1"}})).NotTo(Succeed())
+	g.Expect(httphead.CheckFields(nil)).To(Succeed())
+}
--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -23,19 +24,43 @@
 
 // RoundTrip implements http.RoundTripper. Errors: httphead.ErrInvalid, and those of net/http.
 func (t *CheckedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var x exchange
+	x := &exchange{}
 	resp, err := t.base.RoundTrip(req.WithContext(x.trace(req.Context())))
 	if err != nil {
 		return nil, unwrapInvalid(err)
 	}
 	if err := httphead.Check(resp.StatusCode, resp.Header); err != nil {
 		_ = resp.Body.Close()
-		t.abandon(&x)
+		t.abandon(x)
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &trailedBody{ReadCloser: resp.Body, response: resp, abandon: func() { t.abandon(x) }}
+	}
 	return resp, nil
 }
 
+// trailedBody is a body that a trailer may follow.
+type trailedBody struct {
+	io.ReadCloser
+	response *http.Response
+	// abandon closes the connection.
+	abandon func()
+}
+
+// Read implements io.Reader. Errors: httphead.ErrInvalid in place of io.EOF if the trailer is none, and those of the body.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := httphead.CheckFields(b.response.Trailer); invalid != nil {
+		b.abandon()
+		return n, invalid
+	}
+	return n, io.EOF
+}
+
 // unwrapInvalid returns the ErrInvalid that net/http wrapped, or else err.
 func unwrapInvalid(err error) error {
 	var invalid *errorx.Error
--- a/internal/transport/checked_test.go
+++ b/internal/transport/checked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -71,3 +72,44 @@
 	foreign := response(http.StatusOK, "1", "foreign")
 	expectNoResponse(t, fmt.Sprintf("HTTP/1.1 150 Odd\nX-Attempt-Id: 1\nContent-Length: %d\n\n%s", len(foreign), foreign))
 }
+
+// oddFieldLines are lines of a head with a name that holds a blank, each with its end.
+var oddFieldLines = []string{"X-Probe Foo: 1\n", "X-Probe : 1\n", "Content-Length : 2\n", "Transfer-Encoding : chunked\n"}
+
+// TestAnswerWithOddFieldNameIsNoResponse guards against a name that holds a blank, which hides the length or the coding of the body.
+func TestAnswerWithOddFieldNameIsNoResponse(t *testing.T) {
+	for _, line := range oddFieldLines {
+		for _, body := range []string{"body", ""} {
+			expectNoResponse(t, fmt.Sprintf("HTTP/1.1 200 OK\nX-Attempt-Id: 1\n%sContent-Length: %d\n\n%s", line, len(body), body))
+		}
+		expectNoResponse(t, "HTTP/1.1 103 Early Hints\n"+line+"\n"+response(http.StatusOK, "1", "answer"))
+	}
+}
+
+// TestOddTrailerEndsNoBody guards against the same in a trailer.
+func TestOddTrailerEndsNoBody(t *testing.T) {
+	for kind, rt := range roundTrippers(transport.NewPool(transport.Options{})) {
+		for _, line := range oddFieldLines {
+			g := NewWithT(t)
+			server := startRaw(t, "HTTP/1.1 200 OK\nX-Attempt-Id: 1\nTransfer-Encoding: chunked\n\n4\nbody\n0\n"+line+"\n")
+			for range 3 {
+				body, err := readAll(t, rt, server.URL())
+				g.Expect(body).To(Equal("body"))
+				g.Expect(errorx.IsOfType(err, httphead.ErrInvalid)).To(BeTrue(), "%s, %q: %v", kind, line, err)
+			}
+			g.Expect(server.Reused()).To(BeZero(), "%s, %q", kind, line)
+		}
+	}
+}
+
+// readAll sends a request and reads the body of its response.
+func readAll(t *testing.T, rt http.RoundTripper, url string) (string, error) {
+	g := NewWithT(t)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	resp, err := rt.RoundTrip(req)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
--- a/internal/upconn/broken_answers_test.go
+++ b/internal/upconn/broken_answers_test.go
@@ -62,3 +62,34 @@
 	foreign := okResponse("1", "foreign")
 	expectBroken(t, "HTTP/1.1 150 Odd\nContent-Length: 60\n\n"+foreign+foreign)
 }
+
+// TestAnswerWithOddFieldNameIsBroken guards against a name that holds a blank, which hides the length or the coding of the body, in
+// any head and in the trailer.
+func TestAnswerWithOddFieldNameIsBroken(t *testing.T) {
+	const chunks = "4\nbody\n0\n"
+	for _, line := range []string{"X-Probe Foo: 1\n", "X-Probe : 1\n", "Content-Length : 2\n", "Transfer-Encoding : chunked\n"} {
+		for _, id := range []string{"1", "2", "stale"} {
+			head := "HTTP/1.1 200 OK\nId: " + id + "\n"
+			expectBroken(t, head+line+"Content-Length: 4\n\nbody")
+			expectBroken(t, "HTTP/1.1 103 Early Hints\n"+line+"\n"+head+"Content-Length: 4\n\nbody")
+			expectBroken(t, head+"Transfer-Encoding: chunked\n\n"+chunks+line+"\n")
+		}
+	}
+}
+
+// TestConnectionIsNotReusedAfterOddTrailer guards the same where the rest of a rejection's body is dropped.
+func TestConnectionIsNotReusedAfterOddTrailer(t *testing.T) {
+	g := NewWithT(t)
+	server := startRaw(t, "HTTP/1.1 503 Unavailable\nTransfer-Encoding: chunked\n\n0\nX-Sum : 1\n\n")
+	p := upconn.NewPool(upconn.DefaultOptions())
+	for _, id := range []string{"1", "2"} {
+		call := newCall(server.Address(), id)
+		call.HeaderTimeout, call.ResponseID = cutTimeout, nil
+		resp, err := p.Do(context.Background(), call)
+		g.Expect(err).NotTo(HaveOccurred())
+		resp.Drain(1<<10, cutTimeout)
+		resp.Close()
+	}
+	g.Expect(server.Requests()).To(Equal(2))
+	g.Expect(server.Reused()).To(BeZero())
+}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -61,8 +61,9 @@
 	pool *Pool
 	conn *conn
 	// first reports whether the request is the first one on the connection.
-	first       bool
-	body        io.ReadCloser
+	first bool
+	// parsed is the response as package http reads it, with its body and trailer.
+	parsed      *http.Response
 	idleTimeout time.Duration
 	stopCancel  func() bool
 	// writeResult receives the result of writing a large request; nil for others.
@@ -127,7 +128,7 @@
 		return err
 	}
 	r.responded.Store(true)
-	r.Status, r.Header, r.body = resp.StatusCode, resp.Header, resp.Body
+	r.Status, r.Header, r.parsed = resp.StatusCode, resp.Header, resp
 	r.length = resp.ContentLength
 	r.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	r.reusable = !resp.Close && r.framed
@@ -253,6 +254,9 @@
 		if _, err := io.CopyN(io.Discard, resp.Body, maxStaleBodyBytes); !errors.Is(err, io.EOF) {
 			return nil, ErrBroken.New("stale response from %s could not be skipped", r.conn.address)
 		}
+		if err := httphead.CheckFields(resp.Trailer); err != nil {
+			return nil, ErrBroken.Wrap(err, "read trailer of stale response from %s", r.conn.address)
+		}
 	}
 	return nil, ErrBroken.New("more than %d responses to other requests from %s", maxSkippedResponses, r.conn.address)
 }
@@ -313,7 +317,7 @@
 // up. At the end of a complete body it returns io.EOF. Errors: ErrBroken,
 // ErrSilent.
 func (r *Response) Read(buf []byte, limit time.Duration, onSilence func() time.Duration) (int, error) {
-	if !r.complete && r.body != http.NoBody {
+	if !r.complete && r.parsed.Body != http.NoBody {
 		err := r.waitReadable(limit, onSilence)
 		if errors.Is(err, io.EOF) && !r.framed {
 			r.complete = true
@@ -323,17 +327,25 @@
 			return 0, r.readError(err)
 		}
 	}
-	n, err := r.body.Read(buf)
+	n, err := r.parsed.Body.Read(buf)
 	switch {
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		r.complete = true
-		return n, io.EOF
+		return n, r.endBody()
 	}
 	return n, r.readError(err)
 }
 
+// endBody checks what ended the body. It returns io.EOF if the body is complete. Errors: ErrBroken.
+func (r *Response) endBody() error {
+	if err := httphead.CheckFields(r.parsed.Trailer); err != nil {
+		return ErrBroken.Wrap(err, "read trailer of response from %s", r.conn.address)
+	}
+	r.complete = true
+	return io.EOF
+}
+
 // Drain reads the rest of a short body, so that the connection can be reused. It stops after the time limit, whatever
 // has come, and does nothing if the body is known to be longer than maxBytes.
 func (r *Response) Drain(maxBytes int64, limit time.Duration) {
@@ -344,8 +356,9 @@
 	if r.conn.SetReadDeadline(time.Now().Add(limit)) != nil {
 		return
 	}
-	_, err := io.CopyN(io.Discard, r.body, maxBytes+1)
-	r.complete = errors.Is(err, io.EOF)
+	if _, err := io.CopyN(io.Discard, r.parsed.Body, maxBytes+1); errors.Is(err, io.EOF) {
+		_ = r.endBody()
+	}
 }
 
 // Length returns the length of the body that the header names, and false if it names none.
