A part of an answer to an upload that was not taken is broken

What callers saw (platform stand-in, every kind of route with a body): an engine answered an upload of 4 MiB at once with a 200 without a length, sent a part of the body and reset the connection. The caller got that part as a whole answer, sealed. At the product's own API the same, now and then.

Cause: a socket reports its error once. The write of the request takes the reset, and the read after it returns the end of the connection, as after a close. upconn (which writes long requests in a goroutine) and net/http took that end for the end of a body without a length.

Mend: where only the end of the connection marks that of the body, the write of the request must have succeeded by then. upconn and transport.Checked close the connection, which ends a write that still goes on, and wait for its result, so that nothing depends on which goroutine is first: a write that failed or goes on means a lost connection, after which the request may have run; an upload that was written whole leaves the answer as it is. Requests without a body and answers with a length or chunks are not concerned.

--- a/internal/entryd/broken_answers_test.go
+++ b/internal/entryd/broken_answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -137,3 +138,40 @@
 		})
 	}
 }
+
+const (
+	// uploadBytes is the length of a request body that no socket takes at once.
+	uploadBytes = 4 << 20
+	// uploadRuns is the number of uploads.
+	uploadRuns = 10
+)
+
+// TestPartOfAnswerToUnreadUploadHasUnknownOutcome guards against a part of an answer that looks whole, as its service reset the
+// connection while the call was still being written: the write learns of the reset in place of the read.
+func TestPartOfAnswerToUnreadUploadHasUnknownOutcome(t *testing.T) {
+	body := strings.Repeat("x", uploadBytes)
+	for _, after := range []time.Duration{0, 2 * time.Millisecond, 30 * time.Millisecond} {
+		for range uploadRuns {
+			expectUnknownOutcome(t, after.String(), body, func(r *http.Request) rawserver.Answer {
+				a := rawAnswer(r, "200 OK", "", "part")
+				a.Unread, a.After, a.End = true, after, rawserver.Reset
+				return a
+			})
+		}
+	}
+}
+
+// TestAnswerWithoutLengthToUploadIsWhole guards sound answers without a length to long calls that their service took whole.
+func TestAnswerWithoutLengthToUploadIsWhole(t *testing.T) {
+	g := NewWithT(t)
+	_, c := startRawUpstreams(t, func(r *http.Request) rawserver.Answer { return rawAnswer(r, "200 OK", "", "answer") }, "permits-1")
+	for run := range uploadRuns {
+		header := map[string]string{"Idempotency-Key": strconv.Itoa(run)}
+		for range 2 {
+			a, err := c.Do(t.Context(), http.MethodPost, permitsIssue, []byte(strings.Repeat("x", uploadBytes)), header)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(a.Status).To(Equal(http.StatusOK), "%s", a.Body)
+			g.Expect(string(a.Body)).To(Equal("answer"))
+		}
+	}
+}
--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -15,6 +15,11 @@
 	"github.com/poplarshore/poplarshore/internal/httphead"
 )
 
+// ErrCut reports a response without a length whose connection ended while the request was still being written, or after that
+// had failed. A write that fails may have learned of a reset, of which the read sees only that the connection has ended.
+// The upstream may have run the request.
+var ErrCut = namespace.NewType("cut")
+
 // CheckedTransport is a round tripper that sends requests by an http.Transport and fails those whose answer is no
 // response, or not a whole one, as far as net/http doesn't. It is safe for concurrent use.
 type CheckedTransport struct{ base *http.Transport }
@@ -34,29 +39,44 @@
 		t.abandon(x)
 		return nil, err
 	}
-	if len(resp.TransferEncoding) > 0 {
-		resp.Body = &trailedBody{ReadCloser: resp.Body, response: resp, abandon: func() { t.abandon(x) }}
+	if resp.Body != http.NoBody {
+		resp.Body = &checkedBody{ReadCloser: resp.Body, checkEnd: func() error { return t.checkEnd(x, req, resp) }}
 	}
 	return resp, nil
 }
 
-// trailedBody is a body that a trailer may follow.
-type trailedBody struct {
+// checkEnd checks what ended the body of a response. Errors: httphead.ErrInvalid, ErrCut.
+func (t *CheckedTransport) checkEnd(x *exchange, req *http.Request, resp *http.Response) error {
+	if err := httphead.CheckFields(resp.Trailer); err != nil {
+		t.abandon(x)
+		return err
+	}
+	endsWithConnection := resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	hasUpload := req.Body != nil && req.Body != http.NoBody
+	if !endsWithConnection || !hasUpload {
+		return nil
+	}
+	if err := x.endWrite(); err != nil {
+		return ErrCut.Wrap(err, "connection to %s ended before the request was written", req.URL.Host)
+	}
+	return nil
+}
+
+// checkedBody is a body whose end is checked.
+type checkedBody struct {
 	io.ReadCloser
-	response *http.Response
-	// abandon closes the connection.
-	abandon func()
+	// checkEnd returns why the body is not whole although it has ended, or nil.
+	checkEnd func() error
 }
 
-// Read implements io.Reader. Errors: httphead.ErrInvalid in place of io.EOF if the trailer is none, and those of the body.
-func (b *trailedBody) Read(p []byte) (int, error) {
+// Read implements io.Reader. Errors: those of checkEnd in place of io.EOF, and those of the body.
+func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != io.EOF {
 		return n, err
 	}
-	if invalid := httphead.CheckFields(b.response.Trailer); invalid != nil {
-		b.abandon()
-		return n, invalid
+	if endErr := b.checkEnd(); endErr != nil {
+		return n, endErr
 	}
 	return n, io.EOF
 }
@@ -84,6 +104,8 @@
 type exchange struct {
 	mu   sync.Mutex
 	conn net.Conn
+	// written receives the result of writing the request to conn.
+	written chan error
 	// informational is the number of informational responses, and informationalBytes the size of their header fields.
 	informational, informationalBytes int
 }
@@ -92,6 +114,7 @@
 func (x *exchange) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:        func(info httptrace.GotConnInfo) { x.begin(info.Conn) },
+		WroteRequest:   func(info httptrace.WroteRequestInfo) { x.recordWritten(info.Err) },
 		Got1xxResponse: x.checkInformational,
 	})
 }
@@ -101,6 +124,26 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn, x.informational, x.informationalBytes = conn, 0, 0
+	x.written = make(chan error, 1)
+}
+
+// recordWritten records the result of writing the request.
+func (x *exchange) recordWritten(err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	select {
+	case x.written <- err:
+	default:
+	}
+}
+
+// endWrite ends the write of the request after the end of the connection, and returns its result.
+func (x *exchange) endWrite() error {
+	x.closeConn()
+	x.mu.Lock()
+	written := x.written
+	x.mu.Unlock()
+	return <-written
 }
 
 // closeConn closes the connection of the exchange.
--- a/internal/transport/checked_test.go
+++ b/internal/transport/checked_test.go
@@ -1,8 +1,11 @@
 package transport_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -104,12 +107,69 @@
 
 // readAll sends a request and reads the body of its response.
 func readAll(t *testing.T, rt http.RoundTripper, url string) (string, error) {
+	return uploadAndReadAll(t, rt, url, nil)
+}
+
+// uploadAndReadAll is like readAll for a request with a body.
+func uploadAndReadAll(t *testing.T, rt http.RoundTripper, url string, sent []byte) (string, error) {
 	g := NewWithT(t)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(sent))
 	g.Expect(err).NotTo(HaveOccurred())
 	resp, err := rt.RoundTrip(req)
-	g.Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return "", err
+	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
+
+const (
+	// uploadBytes is the length of a body that no socket takes at once.
+	uploadBytes = 4 << 20
+	// uploadRuns is the number of uploads whose write and read are raced against each other.
+	uploadRuns = 50
+)
+
+// upload sends a request over a connection that the server ends after an answer without a length, and returns what came.
+func upload(t *testing.T, end rawserver.Upload) (string, error) {
+	rt := transport.Checked(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		return rawserver.NewConn("HTTP/1.1 200 OK\r\n\r\npart", end), nil
+	}})
+	return uploadAndReadAll(t, rt, "http://upstream", make([]byte, uploadBytes))
+}
+
+// TestAnswerWithoutLengthIsCutIfUploadWasNotTaken guards against a part of an answer that looks whole: the upstream reset the
+// connection, and the write of the request learned that in place of the read.
+func TestAnswerWithoutLengthIsCutIfUploadWasNotTaken(t *testing.T) {
+	for name, end := range map[string]rawserver.Upload{"write failed": rawserver.ResetUpload, "write goes on": rawserver.Stuck} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for range uploadRuns {
+				body, err := upload(t, end)
+				// Without a body, the error of the write came before the response.
+				g.Expect(body).To(BeElementOf("part", ""))
+				g.Expect(err).To(HaveOccurred())
+				if body != "" {
+					g.Expect(errorx.IsOfType(err, transport.ErrCut)).To(BeTrue(), "%v", err)
+				}
+			}
+		})
+	}
+}
+
+// TestAnswerWithoutLengthIsWholeIfUploadWasTaken guards sound answers without a length, to long requests and to ones without a body.
+func TestAnswerWithoutLengthIsWholeIfUploadWasTaken(t *testing.T) {
+	g := NewWithT(t)
+	for range uploadRuns {
+		g.Expect(upload(t, rawserver.Taken)).To(Equal("part"))
+	}
+	server, err := rawserver.Listen(func(*http.Request) rawserver.Answer { return rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n\r\nanswer"} })
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(server.Close)
+	for kind, rt := range roundTrippers(transport.NewPool(transport.Options{})) {
+		body, err := readAll(t, rt, server.URL())
+		g.Expect(err).NotTo(HaveOccurred(), kind)
+		g.Expect(body).To(Equal("answer"), kind)
+	}
+}
--- a/internal/upconn/broken_answers_test.go
+++ b/internal/upconn/broken_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -93,3 +94,46 @@
 	g.Expect(server.Requests()).To(Equal(2))
 	g.Expect(server.Reused()).To(BeZero())
 }
+
+const (
+	// uploadBytes is the length of a body that no socket takes at once.
+	uploadBytes = 4 << 20
+	// uploadRuns is the number of uploads whose write and read are raced against each other.
+	uploadRuns = 50
+)
+
+// upload sends a long request over a connection that the server ends after an answer without a length, and returns what came.
+func upload(t *testing.T, end rawserver.Upload) (string, error) {
+	opts := upconn.DefaultOptions()
+	opts.Dial = func(context.Context, string, string) (net.Conn, error) {
+		return rawserver.NewConn("HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart", end), nil
+	}
+	call := newCall("upstream", "1")
+	call.HeaderTimeout, call.Request.Body = cutTimeout, make([]byte, uploadBytes)
+	resp, err := upconn.NewPool(opts).Do(context.Background(), call)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	defer resp.Close()
+	return readBody(resp)
+}
+
+// TestAnswerWithoutLengthIsBrokenIfUploadWasNotTaken guards against a part of an answer that looks whole: the upstream reset the
+// connection, and the write of the request learned that in place of the read.
+func TestAnswerWithoutLengthIsBrokenIfUploadWasNotTaken(t *testing.T) {
+	for name, end := range map[string]rawserver.Upload{"write failed": rawserver.ResetUpload, "write goes on": rawserver.Stuck} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for range uploadRuns {
+				_, err := upload(t, end)
+				g.Expect(errorx.IsOfType(err, upconn.ErrConnectionLost)).To(BeTrue(), "%v", err)
+			}
+		})
+	}
+}
+
+// TestAnswerWithoutLengthIsWholeIfUploadWasTaken guards sound answers to long requests.
+func TestAnswerWithoutLengthIsWholeIfUploadWasTaken(t *testing.T) {
+	g := NewWithT(t)
+	for range uploadRuns {
+		g.Expect(upload(t, rawserver.Taken)).To(Equal("part"))
+	}
+}
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -320,8 +320,7 @@
 	if !r.complete && r.parsed.Body != http.NoBody {
 		err := r.waitReadable(limit, onSilence)
 		if errors.Is(err, io.EOF) && !r.framed {
-			r.complete = true
-			return 0, io.EOF
+			return 0, r.endBody()
 		}
 		if err != nil {
 			return 0, r.readError(err)
@@ -337,8 +336,13 @@
 	return n, r.readError(err)
 }
 
-// endBody checks what ended the body. It returns io.EOF if the body is complete. Errors: ErrBroken.
+// endBody checks what ended the body. It returns io.EOF if the body is complete. Errors: ErrBroken, ErrConnectionLost.
 func (r *Response) endBody() error {
+	if !r.framed {
+		if err := r.endWrite(); err != nil {
+			return ErrConnectionLost.Wrap(err, "connection to %s ended before the request was written", r.conn.address)
+		}
+	}
 	if err := httphead.CheckFields(r.parsed.Trailer); err != nil {
 		return ErrBroken.Wrap(err, "read trailer of response from %s", r.conn.address)
 	}
@@ -346,6 +350,16 @@
 	return io.EOF
 }
 
+// endWrite ends the write of the request after the end of the connection, and returns its result. A write that failed may have
+// learned of a reset, of which the read sees only that the connection has ended.
+func (r *Response) endWrite() error {
+	if r.writeResult == nil {
+		return nil
+	}
+	_ = r.conn.Close()
+	return <-r.writeResult
+}
+
 // Drain reads the rest of a short body, so that the connection can be reused. It stops after the time limit, whatever
 // has come, and does nothing if the body is known to be longer than maxBytes.
 func (r *Response) Drain(maxBytes int64, limit time.Duration) {
