--- a/internal/engineclient/broken_answers_test.go
+++ b/internal/engineclient/broken_answers_test.go
@@ -10,6 +10,7 @@
 	"github.com/poplarshore/poplarshore/internal/membudget"
 	"github.com/poplarshore/poplarshore/internal/transport"
 	"github.com/poplarshore/poplarshore/order"
+	"github.com/poplarshore/poplarshore/standin/rawserver"
 )
 
 // expectNoAnswer expects that an engine that sends the raw bytes has accepted no order, and has no load report.
@@ -26,7 +27,7 @@
 // TestOrderAnsweredWithoutStatusOfHTTPIsUnknown guards against an order that counts as accepted because the status of its answer is
 // below that of failures.
 func TestOrderAnsweredWithoutStatusOfHTTPIsUnknown(t *testing.T) {
-	for _, status := range []string{"000 Odd", "099 Odd", "+20 Odd", "101 Switching Protocols", "600 Odd"} {
+	for _, status := range rawserver.InvalidStatuses() {
 		expectNoAnswer(t, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\n{}")
 	}
 }
--- a/internal/entryd/broken_answers_test.go
+++ b/internal/entryd/broken_answers_test.go
@@ -74,13 +74,10 @@
 	g.Expect(server.Reused()).To(BeZero(), what)
 }
 
-// noStatuses are status lines, after the protocol, of answers that have no status of HTTP.
-var noStatuses = []string{"000 Odd", "000", "099 Odd", "+20 Odd", "-00 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"}
-
 // TestCallAnsweredWithoutStatusOfHTTPHasUnknownOutcome guards against answers whose status is none: the caller's connection was
 // cut, or it got a 101, or a status that is none.
 func TestCallAnsweredWithoutStatusOfHTTPHasUnknownOutcome(t *testing.T) {
-	for _, status := range noStatuses {
+	for _, status := range rawserver.InvalidStatuses() {
 		expectUnknownOutcome(t, status, "{}", func(r *http.Request) rawserver.Answer {
 			return rawAnswer(r, status, "Content-Length: 4\r\n", "body")
 		})
@@ -108,33 +105,31 @@
 // TestReadAnsweredWithoutStatusOfHTTPFails is the same for calls that may run more than once, and for completions.
 func TestReadAnsweredWithoutStatusOfHTTPFails(t *testing.T) {
 	const stream = "id: a/0\ndata: foreign\n\ndata: [DONE]\n\n"
-	for _, status := range noStatuses {
+	for _, status := range rawserver.InvalidStatuses() {
 		expectReadFails(t, status, func(r *http.Request) rawserver.Answer {
 			return rawAnswer(r, status, "Content-Type: text/event-stream\r\n", stream)
 		})
 	}
 }
 
-// oddFieldLines are lines of a head with a name that holds a blank or a control byte, each with its end. Without the framing that
-// they seem to name, the body ends with the connection.
-var oddFieldLines = []string{
-	"X-Probe Foo: 1\r\n", "X-Probe : 1\r\n", "Content-Length : 2\r\n", "Transfer-Encoding : chunked\r\n", "X\x01A: 1\r\n", "X\tA: 1\r\n",
-}
+// oddFields returns lines of a head with a name that holds a blank or a control byte. Without the framing that they seem to name,
+// the body ends with the connection.
+func oddFields() []string { return append(rawserver.InvalidFields(), "X\x01A: 1", "X\tA: 1") }
 
 // TestCallAnsweredWithOddFieldNameHasUnknownOutcome guards against answers in whose head the name of a field is none: the caller
 // got them, with another body if it named the length or the coding, and again with its key.
 func TestCallAnsweredWithOddFieldNameHasUnknownOutcome(t *testing.T) {
-	for _, line := range oddFieldLines {
-		expectUnknownOutcome(t, line, "{}", func(r *http.Request) rawserver.Answer { return rawAnswer(r, "200 OK", line, "body") })
+	for _, line := range oddFields() {
+		expectUnknownOutcome(t, line, "{}", func(r *http.Request) rawserver.Answer { return rawAnswer(r, "200 OK", line+"\r\n", "body") })
 	}
 }
 
 // TestReadAnsweredWithOddFieldNameFails is the same for calls that may run more than once, and for completions.
 func TestReadAnsweredWithOddFieldNameFails(t *testing.T) {
 	const stream = "id: a/0\ndata: foreign\n\ndata: [DONE]\n\n"
-	for _, line := range oddFieldLines {
+	for _, line := range oddFields() {
 		expectReadFails(t, line, func(r *http.Request) rawserver.Answer {
-			return rawAnswer(r, "200 OK", "Content-Type: text/event-stream\r\n"+line, stream)
+			return rawAnswer(r, "200 OK", "Content-Type: text/event-stream\r\n"+line+"\r\n", stream)
 		})
 	}
 }
--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -1,14 +1,9 @@
 package transport
 
 import (
-	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
-	"sync"
 
 	"github.com/joomcode/errorx"
 
@@ -51,9 +46,8 @@
 		t.abandon(x)
 		return err
 	}
-	endsWithConnection := resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	hasUpload := req.Body != nil && req.Body != http.NoBody
-	if !endsWithConnection || !hasUpload {
+	hasBody := req.Body != nil && req.Body != http.NoBody
+	if !hasBody || !endsWithConnection(resp) {
 		return nil
 	}
 	if err := x.endWrite(); err != nil {
@@ -62,6 +56,12 @@
 	return nil
 }
 
+// endsWithConnection reports whether only the end of the connection marks that of the body. A body that net/http decompressed
+// shows its end itself.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed
+}
+
 // checkedBody is a body whose end is checked.
 type checkedBody struct {
 	io.ReadCloser
@@ -99,84 +99,3 @@
 	x.closeConn()
 	t.base.CloseIdleConnections()
 }
-
-// exchange is what is known of a request and its response. It is safe for concurrent use.
-type exchange struct {
-	mu   sync.Mutex
-	conn net.Conn
-	// written receives the result of writing the request to conn.
-	written chan error
-	// informational is the number of informational responses, and informationalBytes the size of their header fields.
-	informational, informationalBytes int
-}
-
-// trace returns a context with which net/http records the exchange.
-func (x *exchange) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { x.begin(info.Conn) },
-		WroteRequest:   func(info httptrace.WroteRequestInfo) { x.recordWritten(info.Err) },
-		Got1xxResponse: x.checkInformational,
-	})
-}
-
-// begin records the connection of the exchange. It is called again if net/http sends the request once more.
-func (x *exchange) begin(conn net.Conn) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.conn, x.informational, x.informationalBytes = conn, 0, 0
-	x.written = make(chan error, 1)
-}
-
-// recordWritten records the result of writing the request.
-func (x *exchange) recordWritten(err error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	select {
-	case x.written <- err:
-	default:
-	}
-}
-
-// endWrite ends the write of the request after the end of the connection, and returns its result.
-func (x *exchange) endWrite() error {
-	x.closeConn()
-	x.mu.Lock()
-	written := x.written
-	x.mu.Unlock()
-	return <-written
-}
-
-// closeConn closes the connection of the exchange.
-func (x *exchange) closeConn() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.conn != nil {
-		_ = x.conn.Close()
-	}
-}
-
-const (
-	// maxInformational is how many informational responses are skipped.
-	maxInformational = 16
-	// lineOverheadBytes is the size of a header line without its name and value.
-	lineOverheadBytes = len(": \r\n")
-)
-
-// checkInformational checks an informational response. It bounds all of them together, as net/http leaves that to a trace
-// that sees them. Errors: httphead.ErrInvalid.
-func (x *exchange) checkInformational(status int, h textproto.MIMEHeader) error {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.informational++; x.informational > maxInformational {
-		return httphead.ErrInvalid.New("more than %d informational responses", maxInformational)
-	}
-	for name, values := range h {
-		for _, value := range values {
-			x.informationalBytes += len(name) + len(value) + lineOverheadBytes
-		}
-	}
-	if x.informationalBytes > MaxResponseHeaderBytes {
-		return httphead.ErrInvalid.New("informational response headers exceeded %d bytes", MaxResponseHeaderBytes)
-	}
-	return httphead.Check(status, http.Header(h))
-}
--- a/internal/transport/checked_test.go
+++ b/internal/transport/checked_test.go
@@ -20,9 +20,7 @@
 
 // startRaw starts a server that sends the text, with CRLF line ends, to each request. It leaves its connections open.
 func startRaw(t *testing.T, text string) *rawserver.Server {
-	server, err := rawserver.Listen(func(*http.Request) rawserver.Answer {
-		return rawserver.Answer{Text: strings.ReplaceAll(text, "\n", "\r\n"), End: rawserver.StayOpen}
-	})
+	server, err := rawserver.Listen(rawserver.Lines(text))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(server.Close)
 	return server
@@ -51,7 +49,7 @@
 
 // TestAnswerWithoutStatusOfHTTPIsNoResponse guards against answers whose status is none, with a body or without one.
 func TestAnswerWithoutStatusOfHTTPIsNoResponse(t *testing.T) {
-	for _, status := range []string{"000 Odd", "000", "099 Odd", "+20 Odd", "-00 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"} {
+	for _, status := range rawserver.InvalidStatuses() {
 		for _, body := range []string{"body", ""} {
 			expectNoResponse(t, fmt.Sprintf("HTTP/1.1 %s\nX-Attempt-Id: 1\nContent-Length: %d\n\n%s", status, len(body), body))
 		}
@@ -76,25 +74,22 @@
 	expectNoResponse(t, fmt.Sprintf("HTTP/1.1 150 Odd\nX-Attempt-Id: 1\nContent-Length: %d\n\n%s", len(foreign), foreign))
 }
 
-// oddFieldLines are lines of a head with a name that holds a blank, each with its end.
-var oddFieldLines = []string{"X-Probe Foo: 1\n", "X-Probe : 1\n", "Content-Length : 2\n", "Transfer-Encoding : chunked\n"}
-
 // TestAnswerWithOddFieldNameIsNoResponse guards against a name that holds a blank, which hides the length or the coding of the body.
 func TestAnswerWithOddFieldNameIsNoResponse(t *testing.T) {
-	for _, line := range oddFieldLines {
+	for _, line := range rawserver.InvalidFields() {
 		for _, body := range []string{"body", ""} {
-			expectNoResponse(t, fmt.Sprintf("HTTP/1.1 200 OK\nX-Attempt-Id: 1\n%sContent-Length: %d\n\n%s", line, len(body), body))
+			expectNoResponse(t, fmt.Sprintf("HTTP/1.1 200 OK\nX-Attempt-Id: 1\n%s\nContent-Length: %d\n\n%s", line, len(body), body))
 		}
-		expectNoResponse(t, "HTTP/1.1 103 Early Hints\n"+line+"\n"+response(http.StatusOK, "1", "answer"))
+		expectNoResponse(t, "HTTP/1.1 103 Early Hints\n"+line+"\n\n"+response(http.StatusOK, "1", "answer"))
 	}
 }
 
 // TestOddTrailerEndsNoBody guards against the same in a trailer.
 func TestOddTrailerEndsNoBody(t *testing.T) {
 	for kind, rt := range roundTrippers(transport.NewPool(transport.Options{})) {
-		for _, line := range oddFieldLines {
+		for _, line := range rawserver.InvalidFields() {
 			g := NewWithT(t)
-			server := startRaw(t, "HTTP/1.1 200 OK\nX-Attempt-Id: 1\nTransfer-Encoding: chunked\n\n4\nbody\n0\n"+line+"\n")
+			server := startRaw(t, "HTTP/1.1 200 OK\nX-Attempt-Id: 1\nTransfer-Encoding: chunked\n\n4\nbody\n0\n"+line+"\n\n")
 			for range 3 {
 				body, err := readAll(t, rt, server.URL())
 				g.Expect(body).To(Equal("body"))
@@ -121,6 +116,11 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
+	if err == nil {
+		// The end is that of later reads, too.
+		_, again := resp.Body.Read(make([]byte, 1))
+		g.Expect(again).To(Equal(io.EOF))
+	}
 	return string(body), err
 }
 
@@ -142,7 +142,7 @@
 // TestAnswerWithoutLengthIsCutIfUploadWasNotTaken guards against a part of an answer that looks whole: the upstream reset the
 // connection, and the write of the request learned that in place of the read.
 func TestAnswerWithoutLengthIsCutIfUploadWasNotTaken(t *testing.T) {
-	for name, end := range map[string]rawserver.Upload{"write failed": rawserver.ResetUpload, "write goes on": rawserver.Stuck} {
+	for name, end := range map[string]rawserver.Upload{"write failed": rawserver.UploadReset, "write goes on": rawserver.UploadStuck} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			for range uploadRuns {
@@ -162,7 +162,7 @@
 func TestAnswerWithoutLengthIsWholeIfUploadWasTaken(t *testing.T) {
 	g := NewWithT(t)
 	for range uploadRuns {
-		g.Expect(upload(t, rawserver.Taken)).To(Equal("part"))
+		g.Expect(upload(t, rawserver.UploadTaken)).To(Equal("part"))
 	}
 	server, err := rawserver.Listen(func(*http.Request) rawserver.Answer { return rawserver.Answer{Text: "HTTP/1.1 200 OK\r\n\r\nanswer"} })
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/upconn/broken_answers_test.go
+++ b/internal/upconn/broken_answers_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
@@ -16,9 +14,7 @@
 
 // startRaw starts a server that sends the text, with CRLF line ends, to each request. It leaves its connections open.
 func startRaw(t *testing.T, text string) *rawserver.Server {
-	server, err := rawserver.Listen(func(*http.Request) rawserver.Answer {
-		return rawserver.Answer{Text: strings.ReplaceAll(text, "\n", "\r\n"), End: rawserver.StayOpen}
-	})
+	server, err := rawserver.Listen(rawserver.Lines(text))
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(server.Close)
 	return server
@@ -49,7 +45,7 @@
 // TestAnswerWithoutStatusOfHTTPIsBroken guards against answers whose status is none: those under 200 were skipped, and the bytes
 // after their head were read as another answer. A stale answer like that can't be skipped either.
 func TestAnswerWithoutStatusOfHTTPIsBroken(t *testing.T) {
-	for _, status := range []string{"000 Odd", "000", "099 Odd", "+20 Odd", "-00 Odd", "101 Switching Protocols", "600 Odd", "999 Odd"} {
+	for _, status := range rawserver.InvalidStatuses() {
 		for _, id := range []string{"1", "2", "stale"} {
 			head := "HTTP/1.1 " + status + "\nId: " + id + "\n"
 			expectBroken(t, head+"\n"+okResponse("1", "foreign")+okResponse("2", "foreign"))
@@ -68,12 +64,12 @@
 // any head and in the trailer.
 func TestAnswerWithOddFieldNameIsBroken(t *testing.T) {
 	const chunks = "4\nbody\n0\n"
-	for _, line := range []string{"X-Probe Foo: 1\n", "X-Probe : 1\n", "Content-Length : 2\n", "Transfer-Encoding : chunked\n"} {
+	for _, line := range rawserver.InvalidFields() {
 		for _, id := range []string{"1", "2", "stale"} {
 			head := "HTTP/1.1 200 OK\nId: " + id + "\n"
-			expectBroken(t, head+line+"Content-Length: 4\n\nbody")
-			expectBroken(t, "HTTP/1.1 103 Early Hints\n"+line+"\n"+head+"Content-Length: 4\n\nbody")
-			expectBroken(t, head+"Transfer-Encoding: chunked\n\n"+chunks+line+"\n")
+			expectBroken(t, head+line+"\nContent-Length: 4\n\nbody")
+			expectBroken(t, "HTTP/1.1 103 Early Hints\n"+line+"\n\n"+head+"Content-Length: 4\n\nbody")
+			expectBroken(t, head+"Transfer-Encoding: chunked\n\n"+chunks+line+"\n\n")
 		}
 	}
 }
@@ -113,13 +109,19 @@
 	resp, err := upconn.NewPool(opts).Do(context.Background(), call)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	defer resp.Close()
-	return readBody(resp)
+	body, err := readBody(resp)
+	if err == nil {
+		// The end is that of later reads, too.
+		again, err := readBody(resp)
+		return body + again, err
+	}
+	return body, err
 }
 
 // TestAnswerWithoutLengthIsBrokenIfUploadWasNotTaken guards against a part of an answer that looks whole: the upstream reset the
 // connection, and the write of the request learned that in place of the read.
 func TestAnswerWithoutLengthIsBrokenIfUploadWasNotTaken(t *testing.T) {
-	for name, end := range map[string]rawserver.Upload{"write failed": rawserver.ResetUpload, "write goes on": rawserver.Stuck} {
+	for name, end := range map[string]rawserver.Upload{"write failed": rawserver.UploadReset, "write goes on": rawserver.UploadStuck} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			for range uploadRuns {
@@ -134,6 +136,6 @@
 func TestAnswerWithoutLengthIsWholeIfUploadWasTaken(t *testing.T) {
 	g := NewWithT(t)
 	for range uploadRuns {
-		g.Expect(upload(t, rawserver.Taken)).To(Equal("part"))
+		g.Expect(upload(t, rawserver.UploadTaken)).To(Equal("part"))
 	}
 }
--- a/standin/rawserver/conn.go
+++ b/standin/rawserver/conn.go
@@ -16,12 +16,12 @@
 
 // Ways of an upload to end.
 const (
-	// Taken means that the server takes the whole request before it answers.
-	Taken Upload = iota
-	// ResetUpload means that the server resets the connection, which the client's write learns first, as on Linux.
-	ResetUpload
-	// Stuck means that the server takes no more.
-	Stuck
+	// UploadTaken means that the server takes the whole request before it answers.
+	UploadTaken Upload = iota
+	// UploadReset means that the server resets the connection, which the client's write learns first, as on Linux.
+	UploadReset
+	// UploadStuck means that the server takes no more.
+	UploadStuck
 )
 
 // takenBytes is how much of an upload's body is taken that isn't taken whole.
@@ -56,7 +56,7 @@
 	if err != nil {
 		return
 	}
-	if c.upload == Taken {
+	if c.upload == UploadTaken {
 		_, _ = io.Copy(io.Discard, r.Body)
 		close(c.answered)
 		c.end()
@@ -64,7 +64,7 @@
 	}
 	_, _ = io.CopyN(io.Discard, r.Body, takenBytes)
 	close(c.answered)
-	if c.upload == ResetUpload {
+	if c.upload == UploadReset {
 		_ = c.in.CloseWithError(syscall.ECONNRESET)
 		return
 	}
