--- a/internal/transport/exchange.go
+++ b/internal/transport/exchange.go
@@ -73,9 +73,10 @@
 // closeConn closes the connection of the exchange.
 func (x *exchange) closeConn() {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.conn != nil {
-		_ = x.conn.Close()
+	conn := x.conn
+	x.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
 	}
 }
 
