Bytes that begin no response are known at once

The same held for any bytes without the end of a line.

Cause: the head is read by lines, and the rest of the line never came.

Mend: each head, also after informational and stale responses, must begin as responses do, as far as bytes have come.

Evidence: TestBytesAfterInformationalAnswerAreBroken failed on each kind of route before (504 after 3.0 to 5.0 s), TestBytesThatBeginNoAnswerAreBrokenAtOnce too; both pass now.

--- a/internal/upconn/broken_answers_test.go
+++ b/internal/upconn/broken_answers_test.go
@@ -60,6 +60,15 @@
 	expectBroken(t, "HTTP/1.1 150 Odd\nContent-Length: 60\n\n"+foreign+foreign)
 }
 
+// TestBytesThatBeginNoAnswerAreBrokenAtOnce guards against a wait for the rest of a line that is none, on a connection left open.
+func TestBytesThatBeginNoAnswerAreBrokenAtOnce(t *testing.T) {
+	for _, start := range []string{"b", "body", "HTML", "http/1.1 200", " HTTP/1.1 200", "\n", "\x00", "HTTP 200"} {
+		expectBroken(t, start)
+		expectBroken(t, "HTTP/1.1 103 Early Hints\n\n"+start)
+		expectBroken(t, "HTTP/1.1 200 OK\nId: stale\nContent-Length: 0\n\n"+start)
+	}
+}
+
 // TestAnswerWithOddFieldNameIsBroken guards against a name that holds a blank, which hides the length or the coding of the body, in
 // any head and in the trailer.
 func TestAnswerWithOddFieldNameIsBroken(t *testing.T) {
--- a/internal/upconn/exchange.go
+++ b/internal/upconn/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -148,6 +149,9 @@
 	defer r.conn.budget.beginBody(unlimited)
 	for range maxSkippedResponses {
 		r.conn.budget.beginHead()
+		if err := r.awaitHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(r.conn.reader, &http.Request{Method: call.Request.Method})
 		if err != nil {
 			return nil, r.readError(err)
@@ -175,6 +179,25 @@
 	return nil, ErrBroken.New("more than %d responses to other requests from %s", maxSkippedResponses, r.conn.address)
 }
 
+// headStart is how each response begins.
+const headStart = "HTTP/"
+
+// awaitHead waits for the first byte of a response, and checks what has come with it: an upstream that sent something else may
+// leave the connection open without ending the line. Errors: ErrBroken, ErrSilent.
+func (r *Response) awaitHead() error {
+	if _, err := r.conn.reader.Peek(1); err != nil {
+		return r.readError(err)
+	}
+	start, err := r.conn.reader.Peek(min(r.conn.reader.Buffered(), len(headStart)))
+	if err != nil {
+		return r.readError(err)
+	}
+	if !strings.HasPrefix(headStart, string(start)) {
+		return ErrBroken.New("expected a response from %s, got %q", r.conn.address, start)
+	}
+	return nil
+}
+
 // isAnswer reports whether the response with the given header answers the request.
 func (r *Response) isAnswer(call *Call, h http.Header) bool {
 	if call.ResponseID == nil {
