--- a/internal/transport/checked.go
+++ b/internal/transport/checked.go
@@ -22,7 +22,8 @@
 // Checked returns a round tripper that sends requests by base.
 func Checked(base *http.Transport) *CheckedTransport { return &CheckedTransport{base: base} }
 
-// RoundTrip implements http.RoundTripper. Errors: httphead.ErrInvalid, and those of net/http.
+// RoundTrip implements http.RoundTripper. Errors: httphead.ErrInvalid, and those of net/http; of the body: httphead.ErrInvalid
+// and ErrCut.
 func (t *CheckedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	x := &exchange{}
 	resp, err := t.base.RoundTrip(req.WithContext(x.trace(req.Context())))
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,6 +6,9 @@
 //
 // On a reused connection a response may belong to an earlier request, as net/http accepts whatever
 // comes next. It is therefore accepted only if it names the request.
+//
+// net/http also accepts heads that are those of no response, and takes any end of a connection for that of a body without a
+// length. Checked fails such requests; each http.Transport of this product is behind it.
 package transport
 
 import (
