Show that a planned stop breaks off a stream that it took late

Cause: a request is taken by the time at which its header was read, and sent if most answers of its kind would end in the grace that is left.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -18,7 +18,9 @@
 
 // cases holds the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(b *bed, binary string, trouble bool) (bool, error){
-	"cascade": playCascade,
+	"cascade":     playCascade,
+	"slow-upload": playSlowUpload,
+	"smuggle":     playSmuggle,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
