Show that an entry with fields of another type sends requests to another service

Cause: Stage and Models of an engine's entry are not read, so that one with these of another type names an engine. Change: case 13, one entry of another writer.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 	"cascade":     playCascade,
 	"slow-upload": playSlowUpload,
 	"smuggle":     playSmuggle,
+	"entry":       playForeignEntry,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
