Show that a late request is handled by a configuration that is no longer in force

Cause: route and key are looked up before the body is read, and not again after it. Change: case 14, a route that is moved and a key that is taken away while bodies come slowly; the request inside another one is case 15.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,6 +22,7 @@
 	"slow-upload": playSlowUpload,
 	"smuggle":     playSmuggle,
 	"entry":       playForeignEntry,
+	"config":      playConfig,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
