Show that an order back to the running version leaves a service without versions

Cause: until an order's first step no session may use its version, and the version of the order before, which did not end, is withdrawn. If an operator orders a roll-out and 3 s later one back to the version that runs, no version is left, and requests are refused while all engines are healthy.

Change: case 15, a script: both orders, and right after the second one the final fault (all gateways are killed and start again). RECOVER breaks: less than a quarter of the requests is served later than RecoverS.

--- a/review/standin3/cascade.go
+++ b/review/standin3/cascade.go
@@ -14,6 +14,7 @@
 	key        = "key-of-hule930"
 	tenant     = "hule930"
 	llmService = "poplar-llm"
+	appService = "permisos-app"
 )
 
 // playCascade sends requests on routes with sizes whose requests may run once: streams that can't be resumed, and
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,9 +20,9 @@
 var cases = map[string]func(b *bed, binary string, trouble bool) (bool, error){
 	"cascade":     playCascade,
 	"slow-upload": playSlowUpload,
-	"smuggle":     playSmuggle,
 	"entry":       playForeignEntry,
 	"config":      playConfig,
+	"order":       playOrder,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
